--- /dev/null
+++ b/src/bin/savory-host.rs
@@ -0,0 +1,7 @@
+//! The daemon beside each backend server.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    savoryswitch::host_main()
+}
--- /dev/null
+++ b/src/bin/savory-lab.rs
@@ -0,0 +1,7 @@
+//! Stand-ins and measurements.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    savoryswitch::lab_main()
+}
--- /dev/null
+++ b/src/daemon/drain.rs
@@ -0,0 +1,108 @@
+//! The graceful stop: told once, waits until nothing is under way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::events;
+use crate::events::log_event;
+
+/// Whether the process is stopping and how many requests are under way. Clones share one state.
+#[derive(Clone, Debug)]
+pub(crate) struct DrainState {
+    shared: Arc<DrainShared>,
+}
+
+#[derive(Debug)]
+struct DrainShared {
+    draining: watch::Sender<bool>,
+    live: watch::Sender<u64>,
+    linger: Duration,
+    longest: Duration,
+}
+
+impl DrainState {
+    /// A state whose stop lasts at least `linger`, so that senders and the balancer learn of it
+    /// while requests are still served, and at most `longest`.
+    pub(crate) fn new(linger: Duration, longest: Duration) -> Self {
+        let draining = watch::Sender::new(false);
+        let live = watch::Sender::new(0);
+        Self {
+            shared: Arc::new(DrainShared {
+                draining,
+                live,
+                linger,
+                longest,
+            }),
+        }
+    }
+
+    /// Begins the stop. Later calls change nothing.
+    pub(crate) fn begin(&self) {
+        let begun = self
+            .shared
+            .draining
+            .send_if_modified(|draining| !std::mem::replace(draining, true));
+        if begun {
+            log_event!(
+                events::DRAIN_BEGUN,
+                "{} requests under way",
+                self.live_count()
+            );
+        }
+    }
+
+    /// Whether the stop has begun.
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.shared.draining.borrow()
+    }
+
+    /// Returns when the stop begins.
+    pub(crate) async fn begun(&self) {
+        let mut draining = self.shared.draining.subscribe();
+        // The sender lives in `self`, so waiting cannot fail.
+        let _ = draining.wait_for(|draining| *draining).await;
+    }
+
+    /// Counts one request as under way until the guard is dropped.
+    pub(crate) fn enter(&self) -> LiveGuard {
+        self.shared.live.send_modify(|live| *live += 1);
+        LiveGuard {
+            drain: self.clone(),
+        }
+    }
+
+    /// How many requests are under way.
+    pub(crate) fn live_count(&self) -> u64 {
+        *self.shared.live.borrow()
+    }
+
+    /// Begins the stop and returns when nothing is under way and the lingering is over.
+    pub(crate) async fn drained(&self) {
+        self.begin();
+        tokio::time::sleep(self.shared.linger).await;
+        let mut live = self.shared.live.subscribe();
+        let ended = timeout(self.shared.longest, live.wait_for(|live| *live == 0))
+            .await
+            .is_ok();
+        if ended {
+            log_event!(events::DRAIN_DONE);
+        } else {
+            log_event!(events::DRAIN_CUT_SHORT, "{} under way", self.live_count());
+        }
+    }
+}
+
+/// One request under way.
+#[derive(Debug)]
+pub(crate) struct LiveGuard {
+    drain: DrainState,
+}
+
+impl Drop for LiveGuard {
+    fn drop(&mut self) {
+        self.drain.shared.live.send_modify(|live| *live -= 1);
+    }
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,11 @@
+//! What every long-running process has: a count of requests under way, a graceful stop, probes,
+//! metrics and logs.
+
+mod drain;
+pub(crate) mod events;
+mod probes;
+mod process;
+
+pub(crate) use drain::{DrainState, LiveGuard};
+pub(crate) use probes::probe_routes;
+pub(crate) use process::{run_process, start_logs};
--- /dev/null
+++ b/src/guard/serving_gate.rs
@@ -0,0 +1,125 @@
+//! The gate between requests and changes of version.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::membership::ServingVersion;
+use crate::weights::WeightsDigest;
+
+/// Lets requests in while a version is served, and lets a change of version begin only when the
+/// last request of the old one has ended.
+///
+/// An engine that is told to load while it generates gives answers whose first tokens come from
+/// one version and whose last come from another. One would notice answers that neither version
+/// gives alone. The gate makes that impossible: each request holds a pass for one version, and the
+/// version changes only while no pass is out. Clones share one gate.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServingGate {
+    state: Arc<watch::Sender<GateState>>,
+}
+
+#[derive(Debug, Default)]
+struct GateState {
+    serving: Option<ServingVersion>,
+    passes: u32,
+}
+
+impl ServingGate {
+    /// Opens the gate for `serving`, which the engine has just reported as loaded whole.
+    ///
+    /// # Panics
+    ///
+    /// When requests of another version are still under way: two versions would mix.
+    pub(crate) fn open(&self, serving: ServingVersion) {
+        self.state.send_modify(|state| {
+            assert!(
+                state.passes == 0 || state.serving.as_ref() == Some(&serving),
+                "a version was opened while another still ran requests"
+            );
+            state.serving = Some(serving);
+        });
+    }
+
+    /// Closes the gate and waits for the requests under way. Returns whether all ended `within`
+    /// the given time; if not, the gate stays closed and the caller may wait again.
+    pub(crate) async fn close(&self, within: Duration) -> bool {
+        self.state.send_modify(|state| state.serving = None);
+        let mut state = self.state.subscribe();
+        timeout(within, state.wait_for(|state| state.passes == 0))
+            .await
+            .is_ok()
+    }
+
+    /// What is served.
+    pub(crate) fn serving(&self) -> Option<ServingVersion> {
+        self.state.borrow().serving.clone()
+    }
+
+    /// Lets one request in; it must run on `wanted` if that is given.
+    ///
+    /// # Errors
+    ///
+    /// `WeightsNotReady` while the gate is closed, `VersionMismatch` when another version than
+    /// `wanted` is served.
+    pub(crate) fn enter(&self, wanted: Option<&WeightsDigest>) -> SwitchResult<ServingPass> {
+        let mut refusal = None;
+        let mut serving = None;
+        self.state.send_if_modified(|state| {
+            match admit(state, wanted) {
+                Ok(version) => serving = Some(version),
+                Err(error) => refusal = Some(error),
+            }
+            refusal.is_none()
+        });
+        match (serving, refusal) {
+            (Some(serving), None) => Ok(ServingPass {
+                gate: self.clone(),
+                serving,
+            }),
+            (_, Some(error)) => Err(error),
+            (None, None) => Err(SwitchError::new(
+                ErrorKind::Internal,
+                "the gate said nothing",
+            )),
+        }
+    }
+}
+
+fn admit(state: &mut GateState, wanted: Option<&WeightsDigest>) -> SwitchResult<ServingVersion> {
+    let Some(serving) = state.serving.clone() else {
+        return Err(SwitchError::new(
+            ErrorKind::WeightsNotReady,
+            "no version is served",
+        ));
+    };
+    if wanted.is_some_and(|digest| *digest != serving.digest) {
+        let detail = format!("version {} is served", serving.version);
+        return Err(SwitchError::new(ErrorKind::VersionMismatch, detail));
+    }
+    state.passes += 1;
+    Ok(serving)
+}
+
+/// Lets one request run on one version until it is dropped.
+#[derive(Debug)]
+pub(crate) struct ServingPass {
+    gate: ServingGate,
+    serving: ServingVersion,
+}
+
+impl ServingPass {
+    /// The version that the request runs on.
+    pub(crate) const fn serving(&self) -> &ServingVersion {
+        &self.serving
+    }
+}
+
+impl Drop for ServingPass {
+    fn drop(&mut self) {
+        self.gate.state.send_modify(|state| state.passes -= 1);
+    }
+}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,9 @@
+//! Operators: the administration API and the command line on it.
+
+use std::process::ExitCode;
+
+/// The program's main function.
+#[must_use]
+pub fn operator_main() -> ExitCode {
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,330 @@
+//! The platform over HTTP, as `docs/PLATFORM.md` describes it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::{
+    HostEntry, HostList, ObjectStore, RowRevision, TableRow, TableStore, WeightSource, WriteResult,
+};
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::transport::{PeerClient, read_body};
+
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+const LIST_PAGE_ROWS: usize = 500;
+const LIMITED_WAIT: Duration = Duration::from_millis(500);
+
+/// One platform service at one address.
+#[derive(Clone)]
+pub(crate) struct PlatformClient {
+    address: SocketAddr,
+    client: Arc<PeerClient>,
+    within: Duration,
+    away: ErrorKind,
+}
+
+impl PlatformClient {
+    /// A client of the service at `address`. A call that takes longer than `within` fails, as does
+    /// one that is answered with a server error, with the kind `away`.
+    pub(crate) const fn new(
+        address: SocketAddr,
+        client: Arc<PeerClient>,
+        within: Duration,
+        away: ErrorKind,
+    ) -> Self {
+        Self {
+            address,
+            client,
+            within,
+            away,
+        }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> SwitchResult<PlatformAnswer> {
+        let request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .body(Body::from(body))
+            .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
+        self.send(request).await
+    }
+
+    async fn send(&self, request: http::Request<Body>) -> SwitchResult<PlatformAnswer> {
+        let whole = async {
+            let answer = self.client.send(self.address, request, self.within).await?;
+            PlatformAnswer::read(answer).await
+        };
+        let answer = match tokio::time::timeout(self.within, whole).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => return Err(self.fault(error.detail)),
+            Err(_) => {
+                // What is open towards a silent platform is silent for good.
+                self.client.drop_pool(self.address);
+                return Err(self.fault(format!("no answer within {:?}", self.within)));
+            }
+        };
+        match answer.status {
+            StatusCode::TOO_MANY_REQUESTS => {
+                let wait = answer.retry_after.unwrap_or(LIMITED_WAIT);
+                let error = SwitchError::new(ErrorKind::OriginLimited, "asked to slow down");
+                Err(error.come_back_in(wait))
+            }
+            status if status.is_server_error() => Err(self.fault(format!("answered {status}"))),
+            _ => Ok(answer),
+        }
+    }
+
+    fn fault(&self, detail: String) -> SwitchError {
+        SwitchError::new(self.away, detail)
+    }
+
+    fn unexpected(&self, answer: &PlatformAnswer) -> SwitchError {
+        self.fault(format!("answered {}", answer.status))
+    }
+}
+
+struct PlatformAnswer {
+    status: StatusCode,
+    retry_after: Option<Duration>,
+    body: Bytes,
+}
+
+impl PlatformAnswer {
+    async fn read(answer: Response) -> SwitchResult<Self> {
+        let status = answer.status();
+        let header = answer
+            .headers()
+            .get("retry-after-ms")
+            .and_then(|value| value.to_str().ok());
+        let retry_after = header
+            .and_then(|text| text.parse().ok())
+            .map(Duration::from_millis);
+        let body = read_body(answer.into_body(), ANSWER_BYTES_MAX).await?;
+        Ok(Self {
+            status,
+            retry_after,
+            body,
+        })
+    }
+}
+
+/// The table over HTTP.
+pub(crate) struct HttpTable(pub(crate) PlatformClient);
+
+#[derive(Deserialize)]
+struct RowText {
+    key: String,
+    revision: u64,
+    value: String,
+}
+
+impl RowText {
+    fn into_row(self) -> SwitchResult<TableRow> {
+        let value = BASE64.decode(&self.value).map_err(|fault| {
+            SwitchError::new(
+                ErrorKind::TableUnavailable,
+                format!("row {}: {fault}", self.key),
+            )
+        })?;
+        Ok(TableRow {
+            key: self.key,
+            revision: RowRevision(self.revision),
+            value: value.into(),
+        })
+    }
+}
+
+impl HttpTable {
+    async fn read_row(&self, key: &str) -> SwitchResult<Option<TableRow>> {
+        let path = format!("/table/v1/row?key={key}");
+        let answer = self.0.call(Method::GET, &path, Bytes::new()).await?;
+        match answer.status {
+            StatusCode::OK => self.parse::<RowText>(&answer)?.into_row().map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(self.0.unexpected(&answer)),
+        }
+    }
+
+    async fn list_rows(&self, prefix: &str) -> SwitchResult<Vec<TableRow>> {
+        let mut rows: Vec<TableRow> = Vec::new();
+        loop {
+            let after = rows.last().map_or("", |row| row.key.as_str());
+            let path =
+                format!("/table/v1/rows?prefix={prefix}&after={after}&limit={LIST_PAGE_ROWS}");
+            let answer = self.0.call(Method::GET, &path, Bytes::new()).await?;
+            if answer.status != StatusCode::OK {
+                return Err(self.0.unexpected(&answer));
+            }
+            let page = self.parse::<Vec<RowText>>(&answer)?;
+            let is_last = page.len() < LIST_PAGE_ROWS;
+            for row in page {
+                rows.push(row.into_row()?);
+            }
+            if is_last {
+                return Ok(rows);
+            }
+        }
+    }
+
+    async fn change_row(
+        &self,
+        method: Method,
+        key: &str,
+        expected: RowRevision,
+        value: Bytes,
+    ) -> SwitchResult<WriteResult> {
+        let path = format!("/table/v1/row?key={key}&if_revision={}", expected.0);
+        let answer = self.0.call(method, &path, value).await?;
+        match answer.status {
+            StatusCode::OK => Ok(WriteResult::Written(RowRevision(
+                self.parse::<Written>(&answer)?.revision,
+            ))),
+            StatusCode::CONFLICT => {
+                let standing = self.parse::<Option<RowText>>(&answer)?;
+                Ok(WriteResult::Conflict(
+                    standing.map(RowText::into_row).transpose()?,
+                ))
+            }
+            _ => Err(self.0.unexpected(&answer)),
+        }
+    }
+
+    fn parse<T: serde::de::DeserializeOwned>(&self, answer: &PlatformAnswer) -> SwitchResult<T> {
+        serde_json::from_slice(&answer.body).map_err(|fault| self.0.fault(fault.to_string()))
+    }
+}
+
+#[derive(Deserialize)]
+struct Written {
+    revision: u64,
+}
+
+impl TableStore for HttpTable {
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, SwitchResult<Option<TableRow>>> {
+        self.read_row(key).boxed()
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, SwitchResult<Vec<TableRow>>> {
+        self.list_rows(prefix).boxed()
+    }
+
+    fn write<'a>(
+        &'a self,
+        key: &'a str,
+        expected: RowRevision,
+        value: Bytes,
+    ) -> BoxFuture<'a, SwitchResult<WriteResult>> {
+        self.change_row(Method::PUT, key, expected, value).boxed()
+    }
+
+    fn remove<'a>(
+        &'a self,
+        key: &'a str,
+        expected: RowRevision,
+    ) -> BoxFuture<'a, SwitchResult<WriteResult>> {
+        self.change_row(Method::DELETE, key, expected, Bytes::new())
+            .boxed()
+    }
+}
+
+/// The list of hosts over HTTP.
+pub(crate) struct HttpHostList(pub(crate) PlatformClient);
+
+impl HostList for HttpHostList {
+    fn read_hosts(&self) -> BoxFuture<'_, SwitchResult<Vec<HostEntry>>> {
+        async move {
+            let answer = self.0.call(Method::GET, "/hosts/v1", Bytes::new()).await?;
+            if answer.status != StatusCode::OK {
+                return Err(self.0.unexpected(&answer));
+            }
+            let mut hosts: Vec<HostEntry> = serde_json::from_slice(&answer.body)
+                .map_err(|fault| self.0.fault(fault.to_string()))?;
+            hosts.sort_by(|left, right| left.host.cmp(&right.host));
+            Ok(hosts)
+        }
+        .boxed()
+    }
+}
+
+/// The object store over HTTP.
+pub(crate) struct HttpObjects(pub(crate) PlatformClient);
+
+impl ObjectStore for HttpObjects {
+    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, SwitchResult<Option<Bytes>>> {
+        async move {
+            let path = format!("/objects/v1/{name}");
+            let answer = self.0.call(Method::GET, &path, Bytes::new()).await?;
+            match answer.status {
+                StatusCode::OK => Ok(Some(answer.body)),
+                StatusCode::NOT_FOUND => Ok(None),
+                _ => Err(self.0.unexpected(&answer)),
+            }
+        }
+        .boxed()
+    }
+
+    fn put<'a>(&'a self, name: &'a str, object: Bytes) -> BoxFuture<'a, SwitchResult<()>> {
+        async move {
+            let path = format!("/objects/v1/{name}");
+            let answer = self.0.call(Method::PUT, &path, object).await?;
+            if answer.status == StatusCode::OK {
+                Ok(())
+            } else {
+                Err(self.0.unexpected(&answer))
+            }
+        }
+        .boxed()
+    }
+}
+
+/// The origin or the weight store over HTTP.
+pub(crate) struct HttpWeights(pub(crate) PlatformClient);
+
+impl HttpWeights {
+    async fn read(&self, path: String, range: Option<(u64, u64)>) -> SwitchResult<Bytes> {
+        let mut request = http::Request::builder().method(Method::GET).uri(path);
+        if let Some((offset, length)) = range {
+            let last = offset + length.saturating_sub(1);
+            request = request.header(http::header::RANGE, format!("bytes={offset}-{last}"));
+        }
+        let request = request
+            .body(Body::empty())
+            .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
+        let answer = self.0.send(request).await?;
+        match answer.status {
+            StatusCode::OK | StatusCode::PARTIAL_CONTENT => Ok(answer.body),
+            StatusCode::NOT_FOUND => Err(SwitchError::new(
+                ErrorKind::ObjectMissing,
+                "no such weights",
+            )),
+            _ => Err(self.0.unexpected(&answer)),
+        }
+    }
+}
+
+impl WeightSource for HttpWeights {
+    fn read_manifest<'a>(&'a self, name: &'a str) -> BoxFuture<'a, SwitchResult<Bytes>> {
+        self.read(format!("/weights/v1/{name}/manifest"), None)
+            .boxed()
+    }
+
+    fn read_range<'a>(
+        &'a self,
+        name: &'a str,
+        offset: u64,
+        length: u64,
+    ) -> BoxFuture<'a, SwitchResult<Bytes>> {
+        self.read(format!("/weights/v1/{name}/data"), Some((offset, length)))
+            .boxed()
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,3 @@
+//! Routing: which backend server takes a request.
+
+pub(crate) mod events;
--- /dev/null
+++ b/src/transport/client.rs
@@ -0,0 +1,227 @@
+//! The HTTP client for our own processes and for everything else that speaks HTTP.
+
+use std::net::SocketAddr;
+use std::sync::{PoisonError, RwLock};
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+use volo_http::body::Body;
+use volo_http::client::Client;
+use volo_http::error::client::{ClientError, ErrorKind as ClientErrorKind};
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::frames::{FrameReader, encode_message};
+use super::server::{read_body, read_message};
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+
+const IDLE_PER_PEER: usize = 64;
+
+/// Limits of a [`PeerClient`].
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClientLimits {
+    /// How long a connection may take to open.
+    pub(crate) connect: Duration,
+    /// How long an idle connection is kept for reuse.
+    pub(crate) idle: Duration,
+    /// The largest answer that is read whole, in bytes.
+    pub(crate) answer_bytes: usize,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            idle: Duration::from_secs(10),
+            answer_bytes: 64 * 1024 * 1024,
+        }
+    }
+}
+
+/// An HTTP client that keeps one pool of connections per peer, so that one peer's pool can be
+/// dropped when a connection to it went silent.
+///
+/// Open connections can go silent for good while new ones work. A shared pool would hand the next
+/// request another connection of the same age, which is silent too. One would notice a run of time
+/// limits towards one peer that answers its probes. Dropping the pool makes the next try a fresh
+/// connection.
+pub(crate) struct PeerClient {
+    limits: ClientLimits,
+    pools: RwLock<Vec<(SocketAddr, Client)>>,
+}
+
+impl PeerClient {
+    /// A client with `limits`.
+    pub(crate) const fn new(limits: ClientLimits) -> Self {
+        Self {
+            limits,
+            pools: RwLock::new(Vec::new()),
+        }
+    }
+
+    /// Sends a request and returns the answer's head and body as soon as the head is there.
+    ///
+    /// # Errors
+    ///
+    /// `ConnectFailed` when nothing was sent, `PeerSilent` when the head took longer than
+    /// `head_within`, `AnswerCut` when the connection broke.
+    pub(crate) async fn send(
+        &self,
+        peer: SocketAddr,
+        mut request: Request,
+        head_within: Duration,
+    ) -> SwitchResult<Response> {
+        let client = self.pool_of(peer)?;
+        let path = request
+            .uri()
+            .path_and_query()
+            .map_or("/", |path| path.as_str());
+        let target = format!("http://{peer}{path}");
+        let mut call = client.request(request.method().clone(), target);
+        *call.headers_mut() = std::mem::take(request.headers_mut());
+        let sent = timeout(head_within, call.body(request.into_body()).send());
+        match sent.await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(fault)) => Err(client_fault(peer, &fault)),
+            Err(_) => {
+                let detail = format!("{peer} sent nothing for {head_within:?}");
+                Err(SwitchError::new(ErrorKind::PeerSilent, detail))
+            }
+        }
+    }
+
+    /// Sends `message` to one of our own processes and reads its whole answer.
+    pub(crate) async fn call<Q, A>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &Q,
+        within: Duration,
+    ) -> SwitchResult<A>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let request = message_request(path, message)?;
+        let whole = async {
+            let answer = self.send(peer, request, within).await?;
+            let answer = self.check_status(answer).await?;
+            read_message(answer.into_body(), self.limits.answer_bytes).await
+        };
+        match timeout(within, whole).await {
+            Ok(answer) => answer,
+            Err(_) => Err(SwitchError::new(
+                ErrorKind::PeerSilent,
+                format!("{peer} at {path}"),
+            )),
+        }
+    }
+
+    /// Sends `message` to one of our own processes and reads its answer frame by frame.
+    pub(crate) async fn open_stream<Q: Serialize>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &Q,
+        head_within: Duration,
+    ) -> SwitchResult<FrameReader> {
+        let request = message_request(path, message)?;
+        let answer = self.send(peer, request, head_within).await?;
+        let answer = self.check_status(answer).await?;
+        Ok(FrameReader::new(answer.into_body()))
+    }
+
+    /// Forgets every connection to `peer`: the next request opens a fresh one.
+    pub(crate) fn drop_pool(&self, peer: SocketAddr) {
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        if let Ok(at) = pools.binary_search_by_key(&peer, |(known, _)| *known) {
+            pools.remove(at);
+        }
+    }
+
+    fn pool_of(&self, peer: SocketAddr) -> SwitchResult<Client> {
+        {
+            let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+            if let Ok(at) = pools.binary_search_by_key(&peer, |(known, _)| *known) {
+                return Ok(pools[at].1.clone());
+            }
+        }
+        let client = self.build_pool()?;
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        match pools.binary_search_by_key(&peer, |(known, _)| *known) {
+            Ok(at) => Ok(pools[at].1.clone()),
+            Err(at) => {
+                pools.insert(at, (peer, client.clone()));
+                Ok(client)
+            }
+        }
+    }
+
+    fn build_pool(&self) -> SwitchResult<Client> {
+        let mut builder = Client::builder();
+        builder
+            .set_connect_timeout(self.limits.connect)
+            .set_pool_idle_timeout(self.limits.idle)
+            .set_max_idle_per_host(IDLE_PER_PEER);
+        builder
+            .build()
+            .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))
+    }
+
+    /// Turns an answer of one of our own processes that is not a success into its error.
+    async fn check_status(&self, answer: Response) -> SwitchResult<Response> {
+        if answer.status() == StatusCode::OK {
+            return Ok(answer);
+        }
+        let status = answer.status();
+        let text = read_body(answer.into_body(), self.limits.answer_bytes).await?;
+        Err(read_error(status, &text))
+    }
+}
+
+/// The error in a JSON error body, as [`super::error_reply`] writes it.
+fn read_error(status: StatusCode, text: &[u8]) -> SwitchError {
+    #[derive(serde::Deserialize)]
+    struct ErrorBody {
+        error: ErrorText,
+    }
+    #[derive(serde::Deserialize)]
+    struct ErrorText {
+        code: ErrorKind,
+        message: String,
+        run: crate::errors::RunOutcome,
+        retry_after_ms: Option<u64>,
+    }
+    match serde_json::from_slice::<ErrorBody>(text) {
+        Ok(body) => SwitchError {
+            kind: body.error.code,
+            detail: body.error.message,
+            outcome: Some(body.error.run),
+            retry_after: body.error.retry_after_ms.map(Duration::from_millis),
+        },
+        Err(_) => SwitchError::new(ErrorKind::MessageInvalid, format!("answered {status}")),
+    }
+}
+
+fn message_request<Q: Serialize>(path: &str, message: &Q) -> SwitchResult<Request> {
+    let body = Body::from(encode_message(message)?);
+    http::Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .body(body)
+        .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))
+}
+
+fn client_fault(peer: SocketAddr, fault: &ClientError) -> SwitchError {
+    let kind = match fault.kind() {
+        ClientErrorKind::Connect => ErrorKind::ConnectFailed,
+        ClientErrorKind::Builder | ClientErrorKind::Context | ClientErrorKind::LoadBalance => {
+            ErrorKind::Internal
+        }
+        _ => ErrorKind::AnswerCut,
+    };
+    SwitchError::new(kind, format!("{peer}: {fault}"))
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP at the process's edge, by volo-http: a server that sheds connections rather than spins, a
+//! client that can be made to open a fresh connection, and streams of rmp-serde frames inside HTTP
+//! bodies.
+
+mod accept;
+mod client;
+mod frames;
+mod reply;
+mod server;
+
+pub(crate) use client::{ClientLimits, PeerClient};
+pub(crate) use frames::{FrameReader, FrameWriter, decode_message, encode_message, frame_channel};
+pub(crate) use reply::{error_reply, json_reply, message_reply};
+pub(crate) use server::{HttpServer, read_body, read_message};
--- /dev/null
+++ b/src/transport/server.rs
@@ -0,0 +1,89 @@
+//! Serving HTTP until a graceful stop.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use volo_http::body::Body;
+use volo_http::server::Server;
+use volo_http::server::route::Router;
+
+use super::accept::PacedIncoming;
+use super::frames::decode_message;
+use crate::daemon::{DrainState, events};
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::events::log_event;
+
+const HEADERS_MAX: usize = 64;
+
+/// One listener with its routes.
+pub(crate) struct HttpServer {
+    listener: TcpListener,
+    router: Router,
+}
+
+impl HttpServer {
+    /// Binds `address`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// `SettingInvalid` when the address cannot be had.
+    pub(crate) async fn bind(address: SocketAddr, router: Router) -> SwitchResult<Self> {
+        let listener = TcpListener::bind(address).await.map_err(|fault| {
+            let detail = format!("cannot listen on {address}: {fault}; give a free address");
+            SwitchError::new(ErrorKind::SettingInvalid, detail)
+        })?;
+        Ok(Self { listener, router })
+    }
+
+    /// The address that it listens on.
+    pub(crate) fn local_address(&self) -> SwitchResult<SocketAddr> {
+        self.listener
+            .local_addr()
+            .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))
+    }
+
+    /// Serves until the process is told to stop and `drain` says that nothing is under way.
+    ///
+    /// The library gives open connections at most 28 s after its shutdown hooks. A stream of
+    /// several minutes would be cut, and its caller would see a broken answer at each planned
+    /// stop. The hook therefore waits for the process's own count of requests under way.
+    pub(crate) async fn run(self, drain: DrainState) {
+        let mut server = Server::new(self.router).http1_only();
+        server
+            .http1_config()
+            .set_max_headers(HEADERS_MAX)
+            .set_half_close(false);
+        let hook_drain = drain.clone();
+        let outcome = server
+            .register_shutdown_hook(move || Box::pin(async move { hook_drain.drained().await }))
+            .run(PacedIncoming::new(self.listener))
+            .await;
+        if let Err(fault) = outcome {
+            log_event!(events::SERVER_FAILED, "{fault}");
+        }
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// `BodyTooLarge` over the limit, `AnswerCut` when the sender broke off.
+pub(crate) async fn read_body(body: Body, limit: usize) -> SwitchResult<Bytes> {
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(fault) if fault.downcast_ref::<LengthLimitError>().is_some() => {
+            let detail = format!("the body is over the limit of {limit} bytes");
+            Err(SwitchError::new(ErrorKind::BodyTooLarge, detail))
+        }
+        Err(fault) => Err(SwitchError::new(ErrorKind::AnswerCut, fault.to_string())),
+    }
+}
+
+/// Reads a message from one of our own processes.
+pub(crate) async fn read_message<M: DeserializeOwned>(body: Body, limit: usize) -> SwitchResult<M> {
+    decode_message(&read_body(body, limit).await?)
+}
--- /dev/null
+++ b/src/weights/weights_thread.rs
@@ -0,0 +1,68 @@
+//! The edge that carries out what the weights' state machines decide.
+
+use std::sync::Arc;
+
+use volo_http::server::route::Router;
+
+use crate::control::ControlHandle;
+use crate::daemon::DrainState;
+use crate::engines::EngineEdge;
+use crate::guard::ServingGate;
+use crate::membership::StatusBoard;
+use crate::platform::{TableStore, WeightSource};
+use crate::transport::PeerClient;
+
+/// What the weights' edge works with.
+#[derive(Clone)]
+pub(crate) struct WeightsEdges {
+    /// The origin of weights.
+    pub(crate) origin: Arc<dyn WeightSource>,
+    /// The platform's rate-limited weight store, where there is one.
+    pub(crate) store: Option<Arc<dyn WeightSource>>,
+    /// The platform's table, for rollout permits.
+    pub(crate) table: Arc<dyn TableStore>,
+    /// The engine beside this process.
+    pub(crate) engine: Arc<dyn EngineEdge>,
+    /// The way to other processes.
+    pub(crate) client: Arc<PeerClient>,
+    /// What the control thread knows.
+    pub(crate) control: ControlHandle,
+    /// The gate that requests go through.
+    pub(crate) gate: ServingGate,
+    /// Where this process says what it serves.
+    pub(crate) board: StatusBoard,
+    /// The graceful stop.
+    pub(crate) drain: DrainState,
+}
+
+/// Settings of the weights' edge.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WeightsLimits {
+    /// Bytes a second that this host's link takes in each direction; 0 means no pacing.
+    pub(crate) link_bytes_per_second: u64,
+    /// Bytes of weights that this host may hold.
+    pub(crate) memory_bytes: u64,
+}
+
+/// The rest of the process's hold on the weights' edge.
+#[derive(Clone)]
+pub(crate) struct WeightsHandle {}
+
+/// Starts to bring in what the documents want and to serve it to peers.
+pub(crate) fn start_weights(edges: WeightsEdges, limits: WeightsLimits) -> WeightsHandle {
+    // TODO: the work itself.
+    let _ = (edges, limits);
+    WeightsHandle {}
+}
+
+impl WeightsHandle {
+    /// What peers may ask, under `/peer/weights/`.
+    pub(crate) fn peer_routes(&self) -> Router {
+        Router::new()
+    }
+
+    /// What the engine on this host reads, under `/engine/weights/`.
+    pub(crate) fn engine_routes(&self) -> Router {
+        Router::new()
+    }
+}
