--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,5 +1,9 @@
 //! Operators: the administration API and the command line on it.
 
+mod admin;
+
+pub(crate) use admin::admin_routes;
+
 use std::process::ExitCode;
 
 /// The program's main function.
