Bind a listener before its routes are made

A process that tells its own address to others has to know it before its routes are composed, and with port 0 the address is known only after the bind. HttpServer::bind stays as it was.

--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -31,11 +31,14 @@
     ///
     /// `SettingInvalid` when the address cannot be had.
     pub(crate) async fn bind(address: SocketAddr, router: Router) -> SwitchResult<Self> {
-        let listener = TcpListener::bind(address).await.map_err(|fault| {
-            let detail = format!("cannot listen on {address}: {fault}; give a free address");
-            SwitchError::new(ErrorKind::SettingInvalid, detail)
-        })?;
-        Ok(Self { listener, router })
+        let listener = bind_listener(address).await?;
+        Ok(Self::on(listener, router))
+    }
+
+    /// Serves `router` on a listener that was bound before, by a process that tells its address to
+    /// others and so has to know it before its routes are made.
+    pub(crate) const fn on(listener: TcpListener, router: Router) -> Self {
+        Self { listener, router }
     }
 
     /// The address that it listens on.
@@ -67,6 +70,18 @@
     }
 }
 
+/// Binds `address`; port 0 takes a free one.
+///
+/// # Errors
+///
+/// `SettingInvalid` when the address cannot be had.
+pub(crate) async fn bind_listener(address: SocketAddr) -> SwitchResult<TcpListener> {
+    TcpListener::bind(address).await.map_err(|fault| {
+        let detail = format!("cannot listen on {address}: {fault}; give a free address");
+        SwitchError::new(ErrorKind::SettingInvalid, detail)
+    })
+}
+
 /// Reads a whole body of at most `limit` bytes.
 ///
 /// # Errors
