--- /dev/null
+++ b/src/weights/manifest.rs
@@ -0,0 +1,100 @@
+//! The manifest of a version: its size, its chunks' digests and the digest of the whole. It is
+//! checked against itself, against the document and against the host's memory before the first
+//! byte is fetched.
+
+use bytestring::ByteString;
+use macro_rules_attribute::apply;
+
+use super::digest::WeightsDigest;
+use crate::derives::message;
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+
+/// The largest chunk, in bytes. A chunk is held twice while it is checked and goes out in one
+/// piece, so that a greater one would hold the link against live requests.
+pub(crate) const CHUNK_BYTES_MAX: u64 = 32 * 1024 * 1024;
+/// The most chunks of a version; bounds what a map of them takes in a message.
+pub(crate) const CHUNKS_MAX: u64 = 1 << 17;
+
+/// A version's manifest, as the origin publishes it in JSON.
+#[apply(message!)]
+#[derive(Eq)]
+pub(crate) struct VersionManifest {
+    /// The name under which the origin publishes the weights.
+    pub(crate) name: ByteString,
+    /// Bytes of the whole.
+    pub(crate) size: u64,
+    /// Bytes of each chunk but the last, which may be shorter.
+    pub(crate) chunk_size: u64,
+    /// The digest of each chunk.
+    pub(crate) chunks: Vec<WeightsDigest>,
+    /// The digest of the whole.
+    pub(crate) digest: WeightsDigest,
+}
+
+impl VersionManifest {
+    /// Reads the JSON in `text`, which must describe the weights with the digest `wanted` and fit
+    /// into `memory_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// `ManifestInvalid` when it does not read, contradicts itself or describes other weights,
+    /// `MemoryTooSmall` when the host cannot hold the whole.
+    pub(crate) fn read(
+        text: &[u8],
+        wanted: WeightsDigest,
+        memory_bytes: u64,
+    ) -> SwitchResult<Self> {
+        let manifest: Self =
+            serde_json::from_slice(text).map_err(|fault| invalid(fault.to_string()))?;
+        manifest.check(wanted, memory_bytes)?;
+        Ok(manifest)
+    }
+
+    /// Checks the manifest as [`VersionManifest::read`] does.
+    pub(crate) fn check(&self, wanted: WeightsDigest, memory_bytes: u64) -> SwitchResult<()> {
+        if self.digest != wanted {
+            let detail = format!("it describes {}, wanted is {wanted}", self.digest);
+            return Err(invalid(detail));
+        }
+        if self.chunk_size == 0 || self.chunk_size > CHUNK_BYTES_MAX {
+            let detail = format!(
+                "chunks of {} bytes; 1 to {CHUNK_BYTES_MAX}",
+                self.chunk_size
+            );
+            return Err(invalid(detail));
+        }
+        let expected = self.size.div_ceil(self.chunk_size);
+        if expected == 0 || expected > CHUNKS_MAX {
+            return Err(invalid(format!("{expected} chunks; 1 to {CHUNKS_MAX}")));
+        }
+        if usize::try_from(expected) != Ok(self.chunks.len()) {
+            let detail = format!(
+                "{} chunk digests, but {} bytes make {expected} chunks",
+                self.chunks.len(),
+                self.size
+            );
+            return Err(invalid(detail));
+        }
+        if self.size > memory_bytes {
+            let detail = format!("{} bytes; the host may hold {memory_bytes}", self.size);
+            return Err(SwitchError::new(ErrorKind::MemoryTooSmall, detail));
+        }
+        Ok(())
+    }
+
+    /// How many chunks there are.
+    pub(crate) fn chunk_count(&self) -> u32 {
+        u32::try_from(self.chunks.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Where chunk `index` begins, and how many bytes it has.
+    pub(crate) fn chunk_range(&self, index: u32) -> (u64, u64) {
+        let offset = u64::from(index) * self.chunk_size;
+        let length = self.chunk_size.min(self.size.saturating_sub(offset));
+        (offset, length)
+    }
+}
+
+fn invalid(detail: String) -> SwitchError {
+    SwitchError::new(ErrorKind::ManifestInvalid, detail)
+}
