--- a/src/delivery/messages.rs
+++ b/src/delivery/messages.rs
@@ -18,6 +18,23 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub(crate) struct AttemptId(pub(crate) Uuid);
 
+impl AttemptId {
+    /// A new identity. It carries the wall-clock time, by which a host process tells an attempt
+    /// that it has never seen from one that it has forgotten.
+    pub(crate) fn fresh() -> Self {
+        Self(Uuid::now_v7())
+    }
+
+    /// When it was made, in wall-clock milliseconds of the entry host; 0 when it does not say.
+    pub(crate) fn made_ms(self) -> u64 {
+        let Some(made) = self.0.get_timestamp() else {
+            return 0;
+        };
+        let (seconds, nanos) = made.to_unix();
+        seconds * 1000 + u64::from(nanos) / 1_000_000
+    }
+}
+
 /// An order to run one request.
 #[apply(message!)]
 pub(crate) struct RunOrder {
--- /dev/null
+++ b/src/engines/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the dialects come with the guard's fakes.
