Stand-ins for the platform, engines and a plain service

Every other slice has to be tried against something that answers. Each stand-in speaks the protocol of docs/PLATFORM.md or docs/ENGINES.md on a volo-http server, starts in process on a free port or as a process by `savory-lab stand-in KIND`, and goes wrong on demand by POST /lab/fault: slow, down, answer lost after the write, lagging list and reports, corrupt, stalled and short chunks, 429, silent connections, cut and crossed streams, refused calls, failed loads, ignored fencing.

An engine's tokens are a function of the weights' digest, the prompt and the index, so that any answer can be checked and mixed weights show. Ruled out: a fixed answer text, which shows neither a change of version in mid-answer nor a crossed answer.

--- /dev/null
+++ b/src/lab/stand_ins/command.rs
@@ -0,0 +1,133 @@
+//! `savory-lab stand-in`: one stand-in as a process of its own.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use super::engine::{EngineShape, EngineStandIn, LabDialect};
+use super::plain::PlainStandIn;
+use super::stand_in::{StandIn, StandInKind};
+use super::weights::WeightsStandIn;
+use crate::daemon::run_process;
+use crate::errors::SwitchResult;
+
+const THREADS: usize = 2;
+
+/// The subcommand.
+pub(crate) fn stand_in_command() -> Command {
+    Command::new("stand-in")
+        .about("Runs one stand-in until it is ended; prints `listening IP:PORT`")
+        .after_help("Example:\n  savory-lab stand-in engine --dialect json_state --running-max 4")
+        .arg(
+            Arg::new("kind")
+                .required(true)
+                .value_parser([
+                    "table", "objects", "origin", "store", "hosts", "engine", "plain",
+                ])
+                .help("What it stands for"),
+        )
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .value_name("IP:PORT")
+                .default_value("127.0.0.1:0")
+                .value_parser(value_parser!(std::net::SocketAddr))
+                .help("Where it listens; port 0 takes a free one"),
+        )
+        .arg(
+            Arg::new("dialect")
+                .long("dialect")
+                .default_value("metrics_text")
+                .value_parser(["metrics_text", "json_state"])
+                .help("engine: its vendor's protocol"),
+        )
+        .arg(number(
+            "running-max",
+            "8",
+            "engine: requests that it runs at a time",
+        ))
+        .arg(number(
+            "waiting-max",
+            "16",
+            "engine: requests that wait inside it",
+        ))
+        .arg(number(
+            "tokens-per-second",
+            "200",
+            "engine: tokens a second of each request",
+        ))
+        .arg(number(
+            "prefill-ms",
+            "10",
+            "engine: work before the first token",
+        ))
+        .arg(number("service-ms", "5", "plain: time for each call"))
+        .arg(number(
+            "link-bytes-per-second",
+            "0",
+            "origin, store: 0 means no pacing",
+        ))
+        .arg(number(
+            "backlog-max-ms",
+            "4000",
+            "origin, store: asks to slow down beyond it",
+        ))
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+/// Runs the stand-in that `matches` asks for.
+pub(crate) fn run_stand_in(matches: &ArgMatches) -> ExitCode {
+    run_process("savory-lab stand-in", THREADS, listen(matches))
+}
+
+async fn listen(matches: &ArgMatches) -> SwitchResult<()> {
+    let address = matches.get_one("listen").copied();
+    let address = address.unwrap_or(super::ANY_PORT);
+    let stand_in = StandIn::start(address, read_kind(matches)).await?;
+    println!("listening {}", stand_in.address());
+    // The servers catch the signals that ask for a stop, each for itself; a stand-in has nothing
+    // to finish and ends at once.
+    crate::lab::stop_asked().await;
+    Ok(())
+}
+
+fn read_kind(matches: &ArgMatches) -> StandInKind {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let count = |name: &str| usize::try_from(number(name)).unwrap_or(usize::MAX);
+    let millis = |name: &str| Duration::from_millis(number(name));
+    let kind = matches.get_one::<String>("kind").map_or("", String::as_str);
+    match kind {
+        "table" => StandInKind::Table(Arc::default()),
+        "objects" => StandInKind::Objects(Arc::default()),
+        "hosts" => StandInKind::Hosts(Arc::default()),
+        "origin" | "store" => StandInKind::Weights(Arc::new(WeightsStandIn::new(
+            number("link-bytes-per-second"),
+            millis("backlog-max-ms"),
+        ))),
+        "plain" => StandInKind::Plain(Arc::new(PlainStandIn::new(millis("service-ms")))),
+        _ => StandInKind::Engine(Arc::new(EngineStandIn::new(EngineShape {
+            dialect: read_dialect(matches),
+            running_max: count("running-max"),
+            waiting_max: count("waiting-max"),
+            tokens_per_second: number("tokens-per-second"),
+            prefill: millis("prefill-ms"),
+        }))),
+    }
+}
+
+fn read_dialect(matches: &ArgMatches) -> LabDialect {
+    match matches.get_one::<String>("dialect").map(String::as_str) {
+        Some("json_state") => LabDialect::JsonState,
+        _ => LabDialect::MetricsText,
+    }
+}
--- /dev/null
+++ b/src/lab/stand_ins/metrics_text.rs
@@ -0,0 +1,241 @@
+//! The `metrics_text` dialect, from the engine's side.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+
+use http::{Method, StatusCode};
+use macro_rules_attribute::apply;
+use serde::{Deserialize, Serialize};
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::engine::{EngineStandIn, LoadRefusal, LoadText, is_call};
+use super::engine_stream::GenerateText;
+use super::event_reply;
+use super::fault::FaultBoard;
+use super::stand_in::{LabCall, refusal};
+use crate::derives::plain;
+use crate::transport::{error_reply, json_reply};
+
+#[apply(plain!)]
+#[derive(Serialize)]
+struct VersionText {
+    vendor: &'static str,
+    checks_fencing: bool,
+    max_running: usize,
+}
+
+#[apply(plain!)]
+#[derive(Deserialize)]
+struct LoadBody {
+    version: String,
+    digest: String,
+    size: u64,
+    source: String,
+    fence: u64,
+}
+
+#[apply(plain!)]
+#[derive(Deserialize)]
+struct RoleBody {
+    role: String,
+    fence: u64,
+}
+
+#[apply(plain!)]
+#[derive(Deserialize)]
+struct CompletionBody {
+    request_id: String,
+    prompt: String,
+    max_tokens: u32,
+    #[serde(default)]
+    resume_from: u32,
+    #[serde(default)]
+    priority: u8,
+}
+
+#[apply(plain!)]
+#[derive(Deserialize)]
+struct CancelBody {
+    request_id: String,
+}
+
+#[derive(Serialize)]
+struct FenceText {
+    fence: u64,
+}
+
+#[derive(Serialize)]
+struct CacheEventText {
+    prefix: String,
+    held: bool,
+}
+
+#[derive(Serialize)]
+struct CacheText {
+    events: Vec<CacheEventText>,
+    next: u64,
+    gap: bool,
+}
+
+#[derive(Serialize)]
+struct TokenText<'a> {
+    request_id: &'a str,
+    index: u32,
+    text: &'a str,
+}
+
+#[derive(Serialize)]
+struct EndText<'a> {
+    request_id: &'a str,
+    finish_reason: &'a str,
+    tokens: u32,
+}
+
+/// The answer to `call`; `None` when it is not known.
+pub(super) async fn answer(
+    engine: &Arc<EngineStandIn>,
+    call: &LabCall,
+    faults: &Arc<FaultBoard>,
+) -> Option<Response> {
+    if is_call(call, &Method::GET, "/version") {
+        return Some(json_reply(
+            StatusCode::OK,
+            &VersionText {
+                vendor: "metrics_text",
+                checks_fencing: !faults.settings().ignore_fencing,
+                max_running: engine.shape.running_max,
+            },
+        ));
+    }
+    if is_call(call, &Method::GET, "/metrics") {
+        return Some(Response::new(Body::from(metrics(engine, faults))));
+    }
+    if is_call(call, &Method::GET, "/cache/events") {
+        return Some(cache_events(engine, call));
+    }
+    if call.method != Method::POST {
+        return None;
+    }
+    match call.path.as_str() {
+        "/control/load" => Some(load(engine, call, faults).await),
+        "/control/role" => Some(set_role(engine, call)),
+        "/v1/completions" => Some(complete(engine, call, faults)),
+        "/control/cancel" => Some(cancel(engine, call)),
+        _ => None,
+    }
+}
+
+pub(super) fn token_event(request: &str, index: u32, text: &str) -> String {
+    let token = TokenText {
+        request_id: request,
+        index,
+        text,
+    };
+    super::event_text(&token)
+}
+
+pub(super) fn end_events(request: &str, reason: &str, tokens: u32) -> String {
+    let end = EndText {
+        request_id: request,
+        finish_reason: reason,
+        tokens,
+    };
+    let mut events = super::event_text(&end);
+    events.push_str("data: [DONE]\n\n");
+    events
+}
+
+fn metrics(engine: &EngineStandIn, faults: &FaultBoard) -> String {
+    let (report, age_ms) = engine.report(faults);
+    let mut text = format!(
+        "# TYPE engine_requests_running gauge\nengine_requests_running {}\n\
+         # TYPE engine_requests_waiting gauge\nengine_requests_waiting {}\n\
+         # TYPE engine_max_running gauge\nengine_max_running {}\n\
+         # TYPE engine_load_fence gauge\nengine_load_fence {}\n\
+         # TYPE engine_report_age_ms gauge\nengine_report_age_ms {age_ms}\n",
+        report.running, report.waiting, engine.shape.running_max, report.fence
+    );
+    if let Some(loaded) = report.loaded {
+        let _ = writeln!(
+            text,
+            "# TYPE engine_weights_info gauge\n\
+             engine_weights_info{{version=\"{}\",digest=\"{}\"}} 1",
+            loaded.version, loaded.digest
+        );
+    }
+    text
+}
+
+fn cache_events(engine: &EngineStandIn, call: &LabCall) -> Response {
+    let (events, next, gap) = engine.lock().cache.news(call.number("after", 0));
+    let events = events
+        .into_iter()
+        .map(|(prefix, held)| CacheEventText { prefix, held })
+        .collect();
+    json_reply(StatusCode::OK, &CacheText { events, next, gap })
+}
+
+async fn load(engine: &EngineStandIn, call: &LabCall, faults: &FaultBoard) -> Response {
+    let body: LoadBody = match call.json() {
+        Ok(body) => body,
+        Err(error) => return error_reply(&error),
+    };
+    let order = LoadText {
+        version: body.version,
+        digest: body.digest,
+        size: body.size,
+        source: body.source,
+        fence: Some(body.fence),
+    };
+    match engine.load(&order, faults).await {
+        Ok(()) => super::done(),
+        Err(LoadRefusal::Stale(fence)) => json_reply(StatusCode::CONFLICT, &FenceText { fence }),
+        Err(LoadRefusal::Failed(text)) => refusal(StatusCode::UNPROCESSABLE_ENTITY, &text),
+    }
+}
+
+fn set_role(engine: &EngineStandIn, call: &LabCall) -> Response {
+    let body: RoleBody = match call.json() {
+        Ok(body) => body,
+        Err(error) => return error_reply(&error),
+    };
+    let mut core = engine.lock();
+    if body.fence < core.fence {
+        return json_reply(StatusCode::CONFLICT, &FenceText { fence: core.fence });
+    }
+    core.fence = body.fence;
+    core.role = body.role;
+    super::done()
+}
+
+fn complete(engine: &Arc<EngineStandIn>, call: &LabCall, faults: &Arc<FaultBoard>) -> Response {
+    let body: CompletionBody = match call.json() {
+        Ok(body) => body,
+        Err(error) => return error_reply(&error),
+    };
+    if engine.loaded().is_none() {
+        return refusal(StatusCode::CONFLICT, "no weights");
+    }
+    let request = GenerateText {
+        request: body.request_id,
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        resume_from: body.resume_from,
+        priority: body.priority,
+    };
+    match engine.generate(request, faults) {
+        Some(body) => event_reply(body),
+        None => refusal(StatusCode::SERVICE_UNAVAILABLE, "takes no more"),
+    }
+}
+
+fn cancel(engine: &EngineStandIn, call: &LabCall) -> Response {
+    match call.json::<CancelBody>() {
+        Ok(body) => {
+            engine.cancel(&body.request_id);
+            super::done()
+        }
+        Err(error) => error_reply(&error),
+    }
+}
