Start, freeze and end the lab's processes; a caller's client

The measurements and the quickstart need real processes with their settings. Each is found beside the running program, says where it listens, is told apart by its own id, and ends when its holder is dropped, so that a lab that stops half-way leaves nothing behind.

--- a/src/engines/engine_client.rs
+++ b/src/engines/engine_client.rs
@@ -24,7 +24,7 @@
 /// How long an engine may take to answer a question about its state.
 const STATE_WITHIN: Duration = Duration::from_secs(2);
 /// How long an engine may take to load a version.
-const LOAD_WITHIN: Duration = Duration::from_secs(900);
+const LOAD_WITHIN: Duration = Duration::from_mins(15);
 /// How long an engine may take to begin to answer, and between two parts of an answer.
 const PART_WITHIN: Duration = Duration::from_secs(20);
 
--- a/src/guard/attempt_book.rs
+++ b/src/guard/attempt_book.rs
@@ -9,7 +9,7 @@
 use crate::time::ClockTime;
 
 /// How long an attempt is remembered; longer than any entry host asks about one.
-const REMEMBERED_FOR: Duration = Duration::from_secs(600);
+const REMEMBERED_FOR: Duration = Duration::from_mins(10);
 /// Attempts remembered at most. New ones are refused when all of them are young.
 const ATTEMPTS_MAX: usize = 100_000;
 /// How far two hosts' wall clocks may differ, in milliseconds, and then some.
--- /dev/null
+++ b/src/lab/launch/lab_system.rs
@@ -0,0 +1,389 @@
+//! A whole small system: the platform's stand-ins, entry hosts, backend servers with their host
+//! processes, each a process of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::try_join_all;
+
+use super::child_process::{ChildProcess, LaunchOrder};
+use super::company::{Company, CompanyNames, DataCentre, OPERATOR_KEY};
+use super::lab_client::LabClient;
+use crate::errors::SwitchResult;
+use crate::lab::stand_ins::{FaultSettings, PublishOrder, PublishedManifest};
+use crate::platform::{HostEntry, HostRole, ListedState};
+use crate::weights::WeightsDigest;
+
+const LOOPBACK_ANY: &str = "127.0.0.1:0";
+/// The address space that a host process may fill with weights in the lab.
+const MEMORY_BYTES: u64 = 256 * 1024 * 1024;
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// How large the system is and how its parts behave.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SystemShape {
+    /// Whose names it has.
+    pub(crate) company: Company,
+    /// Entry hosts, spread over the data centres.
+    pub(crate) entries: usize,
+    /// Model engines.
+    pub(crate) models: usize,
+    /// Workers of the desk.
+    pub(crate) desks: usize,
+    /// Requests that an engine runs at a time.
+    pub(crate) running_max: u64,
+    /// Tokens a second of each running request.
+    pub(crate) tokens_per_second: u64,
+    /// How long a plain service takes for a call.
+    pub(crate) service_ms: u64,
+    /// How long a graceful stop lasts at least.
+    pub(crate) linger_ms: u64,
+    /// Bytes a second of the origin's link; 0 means no pacing.
+    pub(crate) origin_bytes_per_second: u64,
+}
+
+impl SystemShape {
+    /// Three entry hosts and six backend servers in three data centres.
+    pub(crate) const fn small(company: Company) -> Self {
+        Self {
+            company,
+            entries: 3,
+            models: 3,
+            desks: 2,
+            running_max: 8,
+            tokens_per_second: 200,
+            service_ms: 5,
+            linger_ms: 1_000,
+            origin_bytes_per_second: 8 * 1024 * 1024,
+        }
+    }
+}
+
+/// An entry host.
+#[derive(Debug)]
+pub(crate) struct EntryNode {
+    /// Its name.
+    pub(crate) host: String,
+    /// Where it stands.
+    pub(crate) data_centre: DataCentre,
+    /// Its process.
+    pub(crate) process: ChildProcess,
+}
+
+impl EntryNode {
+    /// Where callers reach it.
+    pub(crate) fn caller(&self) -> SwitchResult<SocketAddr> {
+        self.process.address("caller")
+    }
+
+    /// Where operators reach it.
+    pub(crate) fn admin(&self) -> SwitchResult<SocketAddr> {
+        self.process.address("admin")
+    }
+}
+
+/// A backend server with its host process.
+#[derive(Debug)]
+pub(crate) struct BackendNode {
+    /// Its name.
+    pub(crate) host: String,
+    /// Where it stands.
+    pub(crate) data_centre: DataCentre,
+    /// The service that it serves.
+    pub(crate) service: &'static str,
+    /// The dialect of its engine.
+    pub(crate) dialect: &'static str,
+    /// Its engine or plain service.
+    pub(crate) engine: ChildProcess,
+    /// Its host process.
+    pub(crate) process: ChildProcess,
+    /// What the list says of it.
+    pub(crate) listed: ListedState,
+}
+
+/// The whole system. Ends with all its processes when it is dropped.
+#[derive(Debug)]
+pub(crate) struct LabSystem {
+    /// How it was asked for.
+    pub(crate) shape: SystemShape,
+    /// Its company's names.
+    pub(crate) names: CompanyNames,
+    /// The table.
+    pub(crate) table: ChildProcess,
+    /// The object store.
+    pub(crate) objects: ChildProcess,
+    /// The origin of weights.
+    pub(crate) origin: ChildProcess,
+    /// The list of hosts.
+    pub(crate) list: ChildProcess,
+    /// The entry hosts.
+    pub(crate) entries: Vec<EntryNode>,
+    /// The backend servers.
+    pub(crate) backends: Vec<BackendNode>,
+}
+
+impl LabSystem {
+    /// Starts the system; `started` is told after each process.
+    pub(crate) async fn start(shape: SystemShape, started: impl Fn()) -> SwitchResult<Self> {
+        let origin_rate = shape.origin_bytes_per_second;
+        let mut system = Self {
+            shape,
+            names: shape.company.names(),
+            table: start_stand_in("table", &[]).await?,
+            objects: start_stand_in("objects", &[]).await?,
+            origin: start_stand_in("origin", &[("link-bytes-per-second", origin_rate)]).await?,
+            list: start_stand_in("hosts", &[]).await?,
+            entries: Vec::new(),
+            backends: Vec::new(),
+        };
+        started();
+        // Listed before it runs, so that the processes see each other from their first reading on.
+        let backends = (0..=shape.models + shape.desks).map(|index| system.start_backend(index));
+        let backends = try_join_all(backends).await?;
+        system.backends = backends;
+        started();
+        let entries = (0..shape.entries).map(|index| system.start_entry(index));
+        let entries = try_join_all(entries).await?;
+        system.entries = entries;
+        started();
+        system.publish_list().await?;
+        Ok(system)
+    }
+
+    /// Starts entry host `index`.
+    pub(crate) async fn start_entry(&self, index: usize) -> SwitchResult<EntryNode> {
+        let data_centre = self.data_centre(index);
+        let host = format!("entry-{}-{}", data_centre.name, index + 1);
+        let operator_digest = WeightsDigest::of(OPERATOR_KEY.as_bytes());
+        let order = self
+            .common(LaunchOrder::new("savory-entry", &host), &host, data_centre)?
+            .setting("caller-address", LOOPBACK_ANY)
+            .setting("admin-address", LOOPBACK_ANY)
+            .setting("operator-key-digest", operator_digest);
+        Ok(EntryNode {
+            process: ChildProcess::start(&order).await?,
+            host,
+            data_centre,
+        })
+    }
+
+    async fn start_backend(&self, index: usize) -> SwitchResult<BackendNode> {
+        let data_centre = self.data_centre(index);
+        let (service, dialect) = self.duty(index);
+        let host = format!("{service}-{}-{}", data_centre.name, index + 1);
+        let engine = self.start_engine(dialect).await?;
+        let process = self
+            .start_host(&host, data_centre, (service, dialect), &engine)
+            .await?;
+        Ok(BackendNode {
+            host,
+            data_centre,
+            service,
+            dialect,
+            engine,
+            process,
+            listed: ListedState::Live,
+        })
+    }
+
+    /// Starts an engine or plain service.
+    pub(crate) async fn start_engine(&self, dialect: &'static str) -> SwitchResult<ChildProcess> {
+        if dialect == "plain" {
+            return start_stand_in("plain", &[("service-ms", self.shape.service_ms)]).await;
+        }
+        let order = LaunchOrder::new("savory-lab", format!("engine {dialect}"))
+            .argument("stand-in")
+            .argument("engine")
+            .setting("dialect", dialect)
+            .setting("running-max", self.shape.running_max)
+            .setting("tokens-per-second", self.shape.tokens_per_second);
+        ChildProcess::start(&order).await
+    }
+
+    /// Starts the host process `host` before `engine`.
+    pub(crate) async fn start_host(
+        &self,
+        host: &str,
+        data_centre: DataCentre,
+        (service, dialect): (&str, &str),
+        engine: &ChildProcess,
+    ) -> SwitchResult<ChildProcess> {
+        let order = self
+            .common(LaunchOrder::new("savory-host", host), host, data_centre)?
+            .setting("service", service)
+            .setting("engine-dialect", dialect)
+            .setting("engine-address", engine.address("")?)
+            .setting("origin-address", self.origin.address("")?)
+            .setting("memory-bytes", MEMORY_BYTES);
+        ChildProcess::start(&order).await
+    }
+
+    /// Starts the host process of backend `index` anew, beside the same engine.
+    pub(crate) async fn restart_host(&mut self, index: usize) -> SwitchResult<()> {
+        let node = &self.backends[index];
+        let duty = (node.service, node.dialect);
+        let process = self
+            .start_host(&node.host, node.data_centre, duty, &node.engine)
+            .await?;
+        let node = &mut self.backends[index];
+        node.process = process;
+        node.listed = ListedState::Live;
+        self.publish_list().await
+    }
+
+    /// Starts entry host `index` anew.
+    pub(crate) async fn restart_entry(&mut self, index: usize) -> SwitchResult<()> {
+        self.entries[index] = self.start_entry(index).await?;
+        self.publish_list().await
+    }
+
+    /// Tells the list of hosts what is there.
+    pub(crate) async fn publish_list(&self) -> SwitchResult<()> {
+        let mut hosts = Vec::new();
+        for node in &self.entries {
+            let entry = HostEntry {
+                host: node.host.as_str().into(),
+                data_centre: node.data_centre.name.into(),
+                region: node.data_centre.region.into(),
+                role: HostRole::Entry,
+                service: None,
+                peer_address: node.process.address("peer")?,
+                state: ListedState::Live,
+            };
+            hosts.push(entry);
+        }
+        for node in &self.backends {
+            let entry = HostEntry {
+                host: node.host.as_str().into(),
+                data_centre: node.data_centre.name.into(),
+                region: node.data_centre.region.into(),
+                role: HostRole::Backend,
+                service: Some(node.service.into()),
+                peer_address: node.process.address("peer")?,
+                state: node.listed,
+            };
+            hosts.push(entry);
+        }
+        let address = self.list.address("")?;
+        LabClient::default()
+            .post(address, "/lab/hosts", &hosts)
+            .await
+    }
+
+    /// Publishes weights of `size` bytes as `name` at the origin.
+    pub(crate) async fn publish_weights(
+        &self,
+        name: &str,
+        size: usize,
+        seed: u64,
+    ) -> SwitchResult<PublishedManifest> {
+        let order = PublishOrder {
+            name: name.to_owned(),
+            size,
+            chunk_size: CHUNK_BYTES,
+            seed,
+        };
+        let address = self.origin.address("")?;
+        LabClient::default()
+            .post(address, "/lab/publish", &order)
+            .await
+    }
+
+    /// Replaces the faults of a stand-in.
+    pub(crate) async fn set_faults(
+        stand_in: &ChildProcess,
+        faults: FaultSettings,
+    ) -> SwitchResult<()> {
+        let address = stand_in.address("")?;
+        let _: FaultSettings = LabClient::default()
+            .post(address, "/lab/fault", &faults)
+            .await?;
+        Ok(())
+    }
+
+    /// The backend servers of `service`, by their place.
+    pub(crate) fn backends_of(&self, service: &str) -> Vec<usize> {
+        let places = 0..self.backends.len();
+        places
+            .filter(|index| self.backends[*index].service == service)
+            .collect()
+    }
+
+    /// Every process's newest log lines, for finding a cause.
+    pub(crate) fn logs(&self) -> String {
+        let entries = self.entries.iter().map(|node| &node.process);
+        let hosts = self.backends.iter().map(|node| &node.process);
+        let log =
+            |process: &ChildProcess| format!("== {}\n{}\n", process.name(), process.log_text());
+        entries.chain(hosts).map(log).collect()
+    }
+
+    /// Ends all processes and waits for their end; returns how many were left then.
+    pub(crate) async fn end(mut self) -> usize {
+        let mut left = 0;
+        let stand_ins = [
+            &mut self.table,
+            &mut self.objects,
+            &mut self.origin,
+            &mut self.list,
+        ];
+        let entries = self.entries.iter_mut().map(|node| &mut node.process);
+        let hosts = self
+            .backends
+            .iter_mut()
+            .flat_map(|node| [&mut node.process, &mut node.engine]);
+        for process in entries.chain(hosts).chain(stand_ins) {
+            process.kill().await;
+            if process.wait(Duration::from_secs(1)).await.is_none() {
+                left += 1;
+            }
+        }
+        left
+    }
+
+    fn common(
+        &self,
+        order: LaunchOrder,
+        host: &str,
+        data_centre: DataCentre,
+    ) -> SwitchResult<LaunchOrder> {
+        Ok(order
+            .setting("host-name", host)
+            .setting("data-centre", data_centre.name)
+            .setting("region", data_centre.region)
+            .setting("peer-address", LOOPBACK_ANY)
+            .setting("table-address", self.table.address("")?)
+            .setting("objects-address", self.objects.address("")?)
+            .setting("list-address", self.list.address("")?)
+            .setting("leave-linger-ms", self.shape.linger_ms))
+    }
+
+    fn data_centre(&self, index: usize) -> DataCentre {
+        self.names.data_centres[index % self.names.data_centres.len()]
+    }
+
+    fn duty(&self, index: usize) -> (&'static str, &'static str) {
+        let shape = &self.shape;
+        if index < shape.models {
+            let dialects = ["metrics_text", "json_state"];
+            (self.names.model, dialects[index % dialects.len()])
+        } else if index < shape.models + shape.desks {
+            (self.names.desk, "plain")
+        } else {
+            (self.names.portal, "plain")
+        }
+    }
+}
+
+async fn start_stand_in(
+    kind: &'static str,
+    settings: &[(&'static str, u64)],
+) -> SwitchResult<ChildProcess> {
+    let mut order = LaunchOrder::new("savory-lab", kind)
+        .argument("stand-in")
+        .argument(kind);
+    for (flag, value) in settings {
+        order = order.setting(flag, value);
+    }
+    ChildProcess::start(&order).await
+}
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -1,5 +1,7 @@
 //! Stand-ins and measurements; never deployed.
 
+pub(crate) mod calls;
+pub(crate) mod launch;
 pub(crate) mod stand_ins;
 
 use std::process::ExitCode;
