Run the host process: queue, orders, settles, engines, graceful stop

savory-host composes control, weights and guard on one listener. An order waits in a bounded queue, urgent first, runs under a pass for one version, and its answer is checked part by part: parts of other requests are dropped and counted, a gap in the tokens ends the run. Unrepeatable calls run on when their caller leaves. An attempt that is settled before it comes is refused when it comes.

Keyed calls still run as unkeyed ones do.

--- /dev/null
+++ b/src/guard/answer_buffer.rs
@@ -0,0 +1,108 @@
+//! The answer of a call that runs on when its caller has left.
+
+use tokio::sync::watch;
+
+use crate::delivery::RunPart;
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+
+/// Bytes of one answer that are kept at most; a longer one breaks off.
+const ANSWER_BYTES_MAX: usize = 32 * 1024 * 1024;
+
+/// An answer that grows part by part and may be read by several, each from its beginning.
+///
+/// An unrepeatable call that was handed over must run to its end, or nobody can say what it did.
+/// Its answer therefore does not depend on the connection of the caller that asked first, and is
+/// there for the one that asks again.
+#[derive(Debug, Default)]
+pub(super) struct AnswerBuffer {
+    state: watch::Sender<BufferState>,
+}
+
+#[derive(Debug, Default)]
+struct BufferState {
+    parts: Vec<RunPart>,
+    bytes: usize,
+    has_ended: bool,
+}
+
+impl AnswerBuffer {
+    /// A buffer that holds a whole answer.
+    pub(super) fn whole(parts: Vec<RunPart>) -> Self {
+        let state = BufferState {
+            parts,
+            bytes: 0,
+            has_ended: true,
+        };
+        Self {
+            state: watch::Sender::new(state),
+        }
+    }
+
+    /// Adds one part; the last one ends the answer.
+    ///
+    /// # Errors
+    ///
+    /// `AnswerDamaged` when the answer grows too long.
+    ///
+    /// # Panics
+    ///
+    /// When the answer has ended already.
+    pub(super) fn push(&self, part: RunPart) -> SwitchResult<()> {
+        let mut is_too_long = false;
+        self.state.send_modify(|state| {
+            assert!(!state.has_ended, "a part came behind the end of an answer");
+            state.bytes += part_bytes(&part);
+            is_too_long = state.bytes > ANSWER_BYTES_MAX;
+            state.has_ended = is_last(&part);
+            if !is_too_long || state.has_ended {
+                state.parts.push(part);
+            }
+        });
+        if is_too_long {
+            let detail = format!("the answer is over {ANSWER_BYTES_MAX} bytes");
+            return Err(SwitchError::new(ErrorKind::AnswerDamaged, detail));
+        }
+        Ok(())
+    }
+
+    /// The parts from `from` on, as soon as there are any; none when the answer has ended there.
+    pub(super) async fn read(&self, from: usize) -> Vec<RunPart> {
+        let mut state = self.state.subscribe();
+        let has_news = |state: &BufferState| state.has_ended || state.parts.len() > from;
+        match state.wait_for(has_news).await {
+            Ok(state) => state.parts.get(from..).unwrap_or_default().to_vec(),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    /// All parts so far.
+    pub(super) fn parts(&self) -> Vec<RunPart> {
+        self.state.borrow().parts.clone()
+    }
+
+    /// Bytes held.
+    pub(super) fn bytes(&self) -> usize {
+        self.state.borrow().bytes
+    }
+}
+
+/// Whether nothing follows `part`.
+pub(super) const fn is_last(part: &RunPart) -> bool {
+    matches!(
+        part,
+        RunPart::Refused { .. } | RunPart::End { .. } | RunPart::Broken { .. }
+    )
+}
+
+fn part_bytes(part: &RunPart) -> usize {
+    match part {
+        RunPart::Token { text, .. } => text.len(),
+        RunPart::Body(bytes) => bytes.len(),
+        RunPart::Head(head) => head
+            .headers
+            .iter()
+            .map(|(name, value)| name.len() + value.len())
+            .sum(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/src/guard/backend_run.rs
@@ -0,0 +1,199 @@
+//! Handing one call to the backend server and bringing its answer back, checked.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytestring::ByteString;
+use futures::StreamExt;
+use macro_rules_attribute::apply;
+use tokio::time::timeout;
+
+use super::events;
+use super::part_sink::PartSink;
+use super::serving_gate::ServingPass;
+use crate::delivery::{AnswerDigest, RunPart};
+use crate::derives::plain;
+use crate::engines::{
+    EngineCall, EngineEdge, EnginePart, EngineStream, PlainAnswer, PlainCall, PlainEdge,
+};
+use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
+use crate::events::log_event;
+use crate::membership::LoadReport;
+use crate::metrics::count_event;
+
+/// What became of a call.
+#[apply(plain!)]
+pub(super) enum RunEnd {
+    /// It ran and its whole answer was passed on; this is the last part, not yet sent.
+    Ran(RunPart),
+    /// It did not run and will not.
+    NotRun(SwitchError),
+    /// It may have run.
+    NotKnown(SwitchError),
+}
+
+/// Has `engine` generate `call`. `first_within` bounds the wait for the first token.
+pub(super) async fn run_generate(
+    engine: &Arc<dyn EngineEdge>,
+    pass: &ServingPass,
+    call: EngineCall,
+    first_within: Duration,
+    sink: &PartSink,
+) -> RunEnd {
+    let request = call.request.clone();
+    let next_index = call.resume_from;
+    let begun = match sink.wait_for(engine.generate(call)).await {
+        Ok(begun) => begun,
+        Err(gone) => Err(gone),
+    };
+    let stream = match begun {
+        Ok(stream) => stream,
+        Err(error) => return failed_start(error),
+    };
+    let mut relay = TokenRelay {
+        request,
+        next_index,
+        hasher: blake3::Hasher::new(),
+        sink,
+    };
+    let serving = Some(pass.serving().clone());
+    let outcome = match sink.send(RunPart::Started { serving }).await {
+        Ok(()) => relay.pass_on(stream, first_within).await,
+        Err(error) => Err(error),
+    };
+    match outcome {
+        Ok(end) => RunEnd::Ran(end),
+        Err(error) => {
+            // Whoever waited has left or got an error: the engine's work is for nobody.
+            if let Err(fault) = engine.cancel(&relay.request).await {
+                log_event!(events::CANCEL_FAILED, "{fault}");
+            }
+            RunEnd::NotKnown(error)
+        }
+    }
+}
+
+fn failed_start(error: SwitchError) -> RunEnd {
+    let did_not_run = matches!(
+        error.kind,
+        ErrorKind::EngineRefused | ErrorKind::ConnectFailed | ErrorKind::BadRequest
+    );
+    if did_not_run {
+        RunEnd::NotRun(error.with_outcome(RunOutcome::NotRun))
+    } else {
+        RunEnd::NotKnown(error)
+    }
+}
+
+/// Passes an engine's tokens on, each checked to belong to this request and to follow the one
+/// before.
+struct TokenRelay<'a> {
+    request: ByteString,
+    next_index: u32,
+    hasher: blake3::Hasher,
+    sink: &'a PartSink,
+}
+
+impl TokenRelay<'_> {
+    async fn pass_on(
+        &mut self,
+        mut stream: EngineStream,
+        first_within: Duration,
+    ) -> SwitchResult<RunPart> {
+        let mut is_first = true;
+        loop {
+            let next = if is_first {
+                self.sink
+                    .wait_for(timeout(first_within, stream.next()))
+                    .await?
+            } else {
+                Ok(self.sink.wait_for(stream.next()).await?)
+            };
+            let Ok(next) = next else {
+                let detail = "the engine sent no token before the deadline";
+                return Err(SwitchError::new(ErrorKind::DeadlinePassed, detail));
+            };
+            let Some(part) = next else {
+                let detail = "the engine's answer ended without its end";
+                return Err(SwitchError::new(ErrorKind::EngineFailed, detail));
+            };
+            if let Some(end) = self.take(part?).await? {
+                return Ok(end);
+            }
+            is_first = false;
+        }
+    }
+
+    /// Passes one part on; returns the end when it was the end.
+    async fn take(&mut self, part: EnginePart) -> SwitchResult<Option<RunPart>> {
+        match part {
+            EnginePart::Token { request, .. } | EnginePart::Finish { request, .. }
+                if request != self.request =>
+            {
+                // An engine that mixes up its streams would give a caller another's answer. One
+                // would notice texts that do not belong together. Only what names this request is
+                // passed on; a token that is missing here shows as a gap.
+                count_event("engine_parts_crossed", 1);
+                log_event!(events::ENGINE_CROSSED, "{request} in {}", self.request);
+                Ok(None)
+            }
+            EnginePart::Token { index, .. } if index < self.next_index => {
+                count_event("engine_tokens_doubled", 1);
+                Ok(None)
+            }
+            EnginePart::Token { index, .. } if index > self.next_index => {
+                let detail = format!("token {index} came in place of {}", self.next_index);
+                Err(SwitchError::new(ErrorKind::AnswerDamaged, detail))
+            }
+            EnginePart::Token { index, text, .. } => {
+                self.hasher.update(text.as_bytes());
+                self.next_index = index + 1;
+                self.sink.send(RunPart::Token { index, text }).await?;
+                Ok(None)
+            }
+            EnginePart::Finish { tokens, .. } if tokens != self.next_index => {
+                let detail = format!("{tokens} tokens announced, {} came", self.next_index);
+                Err(SwitchError::new(ErrorKind::AnswerDamaged, detail))
+            }
+            EnginePart::Finish { reason, .. } => Ok(Some(end_part(&self.hasher, reason))),
+        }
+    }
+}
+
+/// Hands `call` to a plain service.
+pub(super) async fn run_forward(
+    service: &Arc<dyn PlainEdge>,
+    call: PlainCall,
+    sink: &PartSink,
+) -> RunEnd {
+    let answer = match sink.wait_for(service.forward(call)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) | Err(error) => return failed_start(error),
+    };
+    match pass_body(answer, sink).await {
+        Ok(end) => RunEnd::Ran(end),
+        Err(error) => RunEnd::NotKnown(error),
+    }
+}
+
+async fn pass_body(mut answer: PlainAnswer, sink: &PartSink) -> SwitchResult<RunPart> {
+    sink.send(RunPart::Started { serving: None }).await?;
+    sink.send(RunPart::Head(answer.head)).await?;
+    let mut hasher = blake3::Hasher::new();
+    while let Some(bytes) = sink.wait_for(answer.body.next()).await? {
+        let bytes = bytes?;
+        hasher.update(&bytes);
+        sink.send(RunPart::Body(bytes.to_vec())).await?;
+    }
+    Ok(end_part(&hasher, ByteString::new()))
+}
+
+/// The end of a whole answer; whoever sends it fills in how busy the host is.
+fn end_part(hasher: &blake3::Hasher, reason: ByteString) -> RunPart {
+    RunPart::End {
+        digest: AnswerDigest::from_hasher(hasher),
+        reason,
+        replayed: false,
+        load: LoadReport::default(),
+    }
+}
--- /dev/null
+++ b/src/host/daemon.rs
@@ -0,0 +1,151 @@
+//! The composition of the host process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use volo_http::server::route::Router;
+
+use super::settings::{EngineDialect, HostSettings};
+use crate::control::{ControlEdges, ControlHandle, start_control};
+use crate::daemon::{DrainState, probe_routes};
+use crate::engines::{EngineEdge, HttpPlain, JsonStateEngine, MetricsTextEngine};
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::guard::{BackendServer, GuardEdges, GuardLimits, ServingGate, start_guard};
+use crate::membership::StatusBoard;
+use crate::platform::http::HttpWeights;
+use crate::platform::{HostRole, WeightSource};
+use crate::transport::{ClientLimits, HttpServer, PeerClient, bind_listener};
+use crate::weights::{WeightsEdges, WeightsLimits, start_weights};
+
+/// Runs the host process until its graceful stop is done.
+pub(super) async fn run_host(settings: HostSettings) -> SwitchResult<()> {
+    let listener = bind_listener(settings.common.peer_address).await?;
+    let address = listener
+        .local_addr()
+        .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
+    let host = HostParts::start(&settings, address);
+    let server = HttpServer::on(listener, host.routes);
+    println!("listening peer={address}");
+    tokio::spawn(tell_leaving(host.drain.clone(), host.board));
+    server.run(host.drain).await;
+    Ok(())
+}
+
+/// What runs in the process.
+struct HostParts {
+    routes: Router,
+    board: StatusBoard,
+    drain: DrainState,
+}
+
+impl HostParts {
+    fn start(settings: &HostSettings, address: SocketAddr) -> Self {
+        let common = &settings.common;
+        let mut identity = common.identity(HostRole::Backend, Some(settings.service.clone()));
+        identity.peer_address = address;
+        let board = StatusBoard::new(identity.host.clone(), identity.incarnation);
+        let drain = common.drain_state();
+        let client = Arc::new(PeerClient::new(ClientLimits::default()));
+        let edges = ControlEdges {
+            table: common.table(),
+            objects: common.objects(),
+            list: common.host_list(),
+            client: Arc::clone(&client),
+        };
+        let control = start_control(identity.clone(), edges, board.clone(), drain.clone());
+        let gate = ServingGate::default();
+        let backend = backend_server(settings);
+        let mut routes = probe_routes(drain.clone(), Arc::new(AtomicBool::new(true)))
+            .merge(control.peer_routes());
+        if let BackendServer::Model(engine) = &backend {
+            let parts = WeightsParts {
+                engine: Arc::clone(engine),
+                control,
+                client,
+                gate: gate.clone(),
+                board: board.clone(),
+                drain: drain.clone(),
+            };
+            routes = routes.merge(weights_routes(settings, parts));
+        }
+        let edges = GuardEdges {
+            identity,
+            backend,
+            gate,
+            board: board.clone(),
+            drain: drain.clone(),
+        };
+        let limits = GuardLimits {
+            running_max: settings.running_max,
+            waiting_max: settings.waiting_max,
+            engine_check: settings.engine_check,
+        };
+        routes = routes.merge(start_guard(edges, limits).peer_routes());
+        Self {
+            routes,
+            board,
+            drain,
+        }
+    }
+}
+
+struct WeightsParts {
+    engine: Arc<dyn EngineEdge>,
+    control: ControlHandle,
+    client: Arc<PeerClient>,
+    gate: ServingGate,
+    board: StatusBoard,
+    drain: DrainState,
+}
+
+fn weights_routes(settings: &HostSettings, parts: WeightsParts) -> Router {
+    let source = |address: SocketAddr| -> Arc<dyn WeightSource> {
+        let client = settings
+            .common
+            .client(address, ErrorKind::OriginUnavailable);
+        Arc::new(HttpWeights(client))
+    };
+    let Some(origin) = settings.origin_address.map(source) else {
+        // The settings were checked: a model engine's host has an origin.
+        return Router::new();
+    };
+    let edges = WeightsEdges {
+        origin,
+        store: settings.store_address.map(source),
+        table: settings.common.table(),
+        engine: parts.engine,
+        client: parts.client,
+        control: parts.control,
+        gate: parts.gate,
+        board: parts.board,
+        drain: parts.drain,
+    };
+    let limits = WeightsLimits {
+        link_bytes_per_second: settings.link_bytes_per_second,
+        memory_bytes: settings.memory_bytes,
+    };
+    let weights = start_weights(edges, limits);
+    weights.peer_routes().merge(weights.engine_routes())
+}
+
+fn backend_server(settings: &HostSettings) -> BackendServer {
+    let client = Arc::new(PeerClient::new(ClientLimits::default()));
+    let address = settings.engine_address;
+    match settings.dialect {
+        EngineDialect::MetricsText => {
+            let model = settings.service.clone();
+            BackendServer::Model(Arc::new(MetricsTextEngine::new(address, client, model)))
+        }
+        EngineDialect::JsonState => {
+            BackendServer::Model(Arc::new(JsonStateEngine::new(address, client)))
+        }
+        EngineDialect::Plain => BackendServer::Plain(Arc::new(HttpPlain::new(address, client))),
+    }
+}
+
+/// Says at once that the process is leaving, when its graceful stop begins.
+async fn tell_leaving(drain: DrainState, board: StatusBoard) {
+    drain.begun().await;
+    board.update(|status| status.leaving = true);
+}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -1,9 +1,32 @@
 //! The host process: one small process beside each backend server.
 
+mod daemon;
+mod settings;
+
 use std::process::ExitCode;
 
+use crate::daemon::run_process;
+use settings::HostSettings;
+
 /// The program's main function.
 #[must_use]
 pub fn host_main() -> ExitCode {
-    ExitCode::SUCCESS
+    let matches = HostSettings::command().get_matches();
+    let (settings, only_checks) = HostSettings::read(matches);
+    match settings {
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("savory-host: {fault}");
+            }
+            ExitCode::FAILURE
+        }
+        Ok(_) if only_checks => {
+            println!("the settings are fine");
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => {
+            let threads = settings.common.traffic_threads;
+            run_process("savory-host", threads, daemon::run_host(settings))
+        }
+    }
 }
