Carry documents and membership through one control thread

The frame had only the signature of the control thread.

Ruled out for now: polling of the whole documents by everyone (960 processes would take half of the table's reads). The check's shape errors come from the jsonschema crate, since serde stops at the first fault.

--- /dev/null
+++ b/src/control/control_machine.rs
@@ -0,0 +1,290 @@
+//! The control state and what events make of it. No I/O: the control thread carries out what
+//! [`ControlMachine`] decides.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytestring::ByteString;
+
+use super::snapshot::{ControlSnapshot, MemberRecord, ServiceRecord};
+use super::spread_state::SpreadState;
+use crate::documents::{DocumentVersion, HeldDocument, HeldDocuments, OfferOutcome, events};
+use crate::events::log_event;
+use crate::membership::{
+    HostIdentity, HostStatus, LoadReport, MemberFacts, MemberTable, MemberView, choose_neighbours,
+    choose_table_readers,
+};
+use crate::metrics;
+use crate::platform::{HostEntry, ListedState};
+use crate::time::ClockTime;
+
+/// Everything that the control thread knows.
+#[derive(Debug)]
+pub(crate) struct ControlMachine {
+    identity: HostIdentity,
+    own_facts: MemberFacts,
+    documents: HeldDocuments,
+    members: MemberTable,
+    table_answers: bool,
+    generation: u64,
+    changes: ChangeMarks,
+}
+
+/// What has changed since it was last published.
+#[derive(Debug)]
+struct ChangeMarks {
+    documents: bool,
+    facts: bool,
+    other: bool,
+}
+
+impl ControlMachine {
+    /// The state of the process `identity` at its start: nothing is known.
+    pub(crate) fn new(identity: HostIdentity) -> Self {
+        let own_facts = MemberFacts {
+            entry: HostEntry {
+                host: identity.host.clone(),
+                data_centre: identity.data_centre.clone(),
+                region: identity.region.clone(),
+                role: identity.role,
+                service: identity.service.clone(),
+                peer_address: identity.peer_address,
+                state: ListedState::Live,
+            },
+            incarnation: identity.incarnation,
+            sequence: 0,
+        };
+        Self {
+            members: MemberTable::new(identity.host.clone()),
+            identity,
+            own_facts,
+            documents: HeldDocuments::default(),
+            table_answers: false,
+            generation: 0,
+            changes: ChangeMarks {
+                documents: true,
+                facts: true,
+                other: true,
+            },
+        }
+    }
+
+    /// Who this process is.
+    pub(crate) const fn identity(&self) -> &HostIdentity {
+        &self.identity
+    }
+
+    /// What this process says of itself to everyone.
+    pub(crate) const fn own_facts(&self) -> &MemberFacts {
+        &self.own_facts
+    }
+
+    /// The documents in force.
+    pub(crate) const fn documents(&self) -> &HeldDocuments {
+        &self.documents
+    }
+
+    /// What is known of other hosts.
+    pub(crate) const fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// A document's row came from the table, from a neighbour or from this host's operator.
+    pub(crate) fn on_row(&mut self, row: &Bytes) {
+        match self.documents.offer(row) {
+            Ok(OfferOutcome::Installed) => {
+                self.changes.documents = true;
+                self.tell_installed(row);
+            }
+            Ok(OfferOutcome::Known) => {}
+            Ok(OfferOutcome::Older) => metrics::count_event("document_row_older", 1),
+            Err(error) => {
+                metrics::count_refusal(error.kind, "documents");
+                log_event!(events::UNREADABLE, "{error}");
+            }
+        }
+    }
+
+    fn tell_installed(&self, row: &Bytes) {
+        let held = self.documents.all().iter().find(|held| held.row == *row);
+        if let Some(held) = held {
+            let version = &held.version;
+            log_event!(events::IN_FORCE, "{} {}", version.service, version.version);
+            if !held.unknown.is_empty() {
+                let unknown = held.unknown.join(" ");
+                log_event!(events::UNKNOWN_FIELDS, "{} {unknown}", version.service);
+            }
+        }
+    }
+
+    /// The table answered, or did not.
+    pub(crate) fn on_table(&mut self, answers: bool) {
+        self.changes.other |= self.table_answers != answers;
+        self.table_answers = answers;
+    }
+
+    /// The platform's list was read.
+    pub(crate) fn on_list(&mut self, entries: &[HostEntry], now: ClockTime) {
+        self.members.on_list(entries, now);
+    }
+
+    /// A neighbour told what hosts said of themselves.
+    pub(crate) fn on_facts(&mut self, facts: &[MemberFacts], now: ClockTime) {
+        for facts in facts {
+            self.changes.facts |= self.members.on_facts(facts, now);
+        }
+    }
+
+    /// A watched host spoke about itself.
+    pub(crate) fn on_status(&mut self, status: HostStatus, now: ClockTime) {
+        let facts = self.facts_after(&status);
+        self.members.on_status(status, now);
+        if let Some(facts) = facts {
+            self.changes.facts |= self.members.on_facts(&facts, now);
+        }
+    }
+
+    /// The facts that follow from a host's own word, where they go beyond what is known.
+    fn facts_after(&self, status: &HostStatus) -> Option<MemberFacts> {
+        let member = self.members.get(&status.host)?;
+        let mut facts = member.facts.clone();
+        let is_newer = status.incarnation > facts.incarnation;
+        let leaves = status.leaving && facts.entry.state != ListedState::Leaving;
+        if !is_newer && !leaves {
+            return None;
+        }
+        facts.entry.state = listed_state(status.leaving);
+        facts.sequence = u64::from(status.leaving);
+        facts.incarnation = status.incarnation;
+        Some(facts)
+    }
+
+    /// Only the load of a watched host changed.
+    pub(crate) fn on_load(&mut self, host: &str, sequence: u64, load: LoadReport, now: ClockTime) {
+        let known = self
+            .members
+            .get(host)
+            .and_then(|member| member.status.clone());
+        if let Some(known) = known {
+            let status = HostStatus {
+                sequence,
+                load,
+                ..(*known).clone()
+            };
+            self.members.on_status(status, now);
+        }
+    }
+
+    /// A frame came from a watched host.
+    pub(crate) fn on_heard(&mut self, host: &str, pace: Duration, now: ClockTime) {
+        self.members.on_heard(host, pace, now);
+    }
+
+    /// The stream from a watched host broke or could not be opened.
+    pub(crate) fn on_lost(&mut self, host: &str, now: ClockTime) {
+        self.members.on_lost(host, now);
+    }
+
+    /// A host is no longer watched.
+    pub(crate) fn on_unwatched(&mut self, host: &str) {
+        self.members.on_unwatched(host);
+    }
+
+    /// This process begins its graceful stop.
+    pub(crate) fn on_leaving(&mut self) {
+        self.own_facts.entry.state = ListedState::Leaving;
+        self.own_facts.sequence = 1;
+        self.changes.facts = true;
+    }
+
+    /// Time has passed.
+    pub(crate) fn on_tick(&mut self, now: ClockTime) {
+        self.members.on_tick(now);
+    }
+
+    /// Whether a neighbour with `versions` in force has something that this process lacks.
+    pub(crate) fn lacks_any(&self, versions: &[DocumentVersion]) -> bool {
+        versions
+            .iter()
+            .any(|there| there.version > self.documents.version_of(&there.service))
+    }
+
+    /// The hosts to watch.
+    pub(crate) fn neighbours(&self) -> Vec<ByteString> {
+        choose_neighbours(&self.identity, self.members.members())
+    }
+
+    /// Whether this process reads the table for its data centre.
+    pub(crate) fn reads_table(&self) -> bool {
+        choose_table_readers(&self.identity, self.members.members()).contains(&self.identity.host)
+    }
+
+    /// The state to pass on, if that changed since it was last taken.
+    pub(crate) fn take_spread(&mut self) -> Option<SpreadState> {
+        let changed = self.changes.documents || self.changes.facts;
+        changed.then(|| {
+            self.changes.facts = false;
+            self.changes.other |= std::mem::take(&mut self.changes.documents);
+            SpreadState {
+                documents: self.documents.all().to_vec(),
+                facts: self.facts_to_spread(),
+            }
+        })
+    }
+
+    fn facts_to_spread(&self) -> Vec<Arc<MemberFacts>> {
+        let own = std::iter::once(&self.own_facts);
+        let others = self.members.members().iter().map(|member| &member.facts);
+        let mut facts: Vec<_> = own
+            .chain(others)
+            .filter(|facts| facts.incarnation > 0)
+            .map(|facts| Arc::new(facts.clone()))
+            .collect();
+        facts.sort_by(|left, right| left.entry.host.cmp(&right.entry.host));
+        facts
+    }
+
+    /// A new snapshot, if readers would see a difference.
+    pub(crate) fn take_snapshot(&mut self) -> Option<ControlSnapshot> {
+        let changed = self.members.take_changed() | std::mem::take(&mut self.changes.other);
+        changed.then(|| {
+            self.generation += 1;
+            ControlSnapshot {
+                generation: self.generation,
+                services: self.documents.all().iter().map(service_record).collect(),
+                members: self.members.members().iter().map(member_record).collect(),
+                table_answers: self.table_answers,
+            }
+        })
+    }
+}
+
+const fn listed_state(leaving: bool) -> ListedState {
+    if leaving {
+        ListedState::Leaving
+    } else {
+        ListedState::Live
+    }
+}
+
+fn service_record(held: &Arc<HeldDocument>) -> Arc<ServiceRecord> {
+    Arc::new(ServiceRecord {
+        version: held.version.version,
+        document: (*held.document).clone(),
+    })
+}
+
+fn member_record(member: &MemberView) -> Arc<MemberRecord> {
+    let entry = &member.facts.entry;
+    Arc::new(MemberRecord {
+        host: entry.host.clone(),
+        data_centre: entry.data_centre.clone(),
+        region: entry.region.clone(),
+        role: entry.role,
+        service: entry.service.clone(),
+        peer_address: entry.peer_address,
+        state: member.state(),
+        status: member.status.clone(),
+    })
+}
--- a/src/control/control_thread.rs
+++ b/src/control/control_thread.rs
@@ -1,15 +1,30 @@
 //! The control thread and the handle that the rest of the process has on it.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use bytes::Bytes;
+use bytestring::ByteString;
+use tokio::sync::{mpsc, watch};
 use volo_http::server::route::Router;
 
+use super::control_loop::ControlLoop;
+use super::control_machine::ControlMachine;
+use super::events;
+use super::peer_messages::{PeerFrame, WatchOrder};
+use super::peer_routes::{PeerRouteState, peer_routes};
 use super::snapshot::SharedSnapshot;
+use super::spread_state::{SpreadReceiver, SpreadState};
 use crate::daemon::DrainState;
-use crate::membership::{HostIdentity, StatusBoard};
-use crate::platform::{HostList, ObjectStore, TableStore};
+use crate::events::log_event;
+use crate::membership::{HostIdentity, MemberFacts, StatusBoard};
+use crate::platform::{HostEntry, HostList, ObjectStore, TableStore};
+use crate::time::ClockTime;
 use crate::transport::PeerClient;
 
+/// Events that wait for the control thread at most.
+const EVENTS_WAITING: usize = 1024;
+
 /// What the control thread works with.
 #[derive(Clone)]
 pub(crate) struct ControlEdges {
@@ -23,12 +38,51 @@
     pub(crate) client: Arc<PeerClient>,
 }
 
+/// What the control thread is told.
+#[derive(Debug)]
+pub(crate) enum ControlEvent {
+    /// Rows of documents, from wherever.
+    Rows(Vec<Bytes>),
+    /// Whether the table answered.
+    TableAnswered(bool),
+    /// The platform's list.
+    List(Vec<HostEntry>),
+    /// What hosts said of themselves.
+    Facts(Vec<MemberFacts>),
+    /// A frame from a watched host.
+    Frame(ByteString, Box<PeerFrame>),
+    /// The stream from a watched host broke or could not be opened.
+    Lost(ByteString),
+    /// The documents that a neighbour had beyond this process's; `None` when it did not answer.
+    Pulled(ByteString, Option<Vec<Bytes>>),
+}
+
+/// The time as of which the documents in force are known to be the table's. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FreshMark {
+    micros: Arc<AtomicU64>,
+}
+
+impl FreshMark {
+    /// When, if ever.
+    pub(crate) fn get(&self) -> Option<ClockTime> {
+        let micros = self.micros.load(Ordering::Relaxed);
+        (micros > 0).then_some(ClockTime(micros))
+    }
+
+    /// Moves the mark forward to `at`.
+    pub(crate) fn advance(&self, at: ClockTime) {
+        self.micros.fetch_max(at.0, Ordering::Relaxed);
+    }
+}
+
 /// The rest of the process's hold on the control thread.
 #[derive(Clone)]
 pub(crate) struct ControlHandle {
     identity: HostIdentity,
     snapshot: SharedSnapshot,
-    board: StatusBoard,
+    edges: ControlEdges,
+    routes: PeerRouteState,
 }
 
 /// Starts the control thread.
@@ -38,12 +92,48 @@
     board: StatusBoard,
     drain: DrainState,
 ) -> ControlHandle {
-    // TODO: the thread itself.
-    let _ = (edges, drain);
+    let snapshot = SharedSnapshot::default();
+    let fresh = FreshMark::default();
+    let (sender, receiver) = mpsc::channel(EVENTS_WAITING);
+    let (spread, spread_receiver) = watch::channel(Arc::new(SpreadState::default()));
+    let control = ControlLoop::new(
+        ControlMachine::new(identity.clone()),
+        edges.clone(),
+        snapshot.clone(),
+        spread,
+        fresh.clone(),
+        (sender.clone(), receiver),
+        drain.clone(),
+    );
+    run_on_thread(control);
     ControlHandle {
         identity,
-        snapshot: SharedSnapshot::default(),
-        board,
+        snapshot,
+        edges,
+        routes: PeerRouteState {
+            board,
+            spread: spread_receiver,
+            events: sender,
+            drain,
+            fresh,
+        },
+    }
+}
+
+/// One thread for all control state, so that no part of it needs a lock.
+fn run_on_thread(control: ControlLoop) {
+    let thread = std::thread::Builder::new().name("control".to_owned());
+    let started = thread.spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        match runtime {
+            Ok(runtime) => runtime.block_on(control.run()),
+            Err(fault) => log_event!(events::THREAD_FAILED, "{fault}"),
+        }
+    });
+    if let Err(fault) = started {
+        log_event!(events::THREAD_FAILED, "{fault}");
     }
 }
 
@@ -60,6 +150,40 @@
 
     /// What other processes may ask of this one's control thread, under `/peer/control/`.
     pub(crate) fn peer_routes(&self) -> Router {
-        Router::new()
+        peer_routes(&self.routes)
+    }
+
+    /// The edges that the control thread works with.
+    pub(crate) const fn edges(&self) -> &ControlEdges {
+        &self.edges
+    }
+
+    /// What is passed on to neighbours: the documents' rows among it.
+    pub(crate) fn spread(&self) -> SpreadReceiver {
+        self.routes.spread.clone()
+    }
+
+    /// The time as of which the documents in force are known to be the table's.
+    pub(crate) fn fresh_at(&self) -> Option<ClockTime> {
+        self.routes.fresh.get()
+    }
+
+    /// Hands rows of documents to the control thread.
+    pub(crate) async fn offer_rows(&self, rows: Vec<Bytes>) {
+        // The control thread ends with the process only.
+        let _ = self.routes.events.send(ControlEvent::Rows(rows)).await;
+    }
+}
+
+impl WatchOrder {
+    /// The order of the process that passes on `spread`.
+    pub(super) fn of(host: &str, spread: &SpreadState, pace_ms: u64) -> Option<Self> {
+        let found = spread
+            .facts
+            .binary_search_by(|facts| (*facts.entry.host).cmp(host));
+        found.ok().map(|at| Self {
+            watcher: (*spread.facts[at]).clone(),
+            pace_ms,
+        })
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,11 +1,20 @@
 //! Control: one thread that owns documents, membership and leases, and hands the traffic threads
 //! an immutable snapshot, swapped whole.
 
+mod control_loop;
+mod control_machine;
 mod control_thread;
 pub(crate) mod events;
+mod peer_messages;
+mod peer_routes;
+mod peer_watch;
+mod platform_reads;
 mod snapshot;
+mod spread_state;
+#[cfg(test)]
+mod tests;
 
-pub(crate) use control_thread::{ControlEdges, ControlHandle, start_control};
+pub(crate) use control_thread::{ControlEdges, ControlEvent, ControlHandle, start_control};
 pub(crate) use snapshot::{
     ControlSnapshot, MemberRecord, MemberState, ServiceRecord, SharedSnapshot,
 };
--- /dev/null
+++ b/src/control/peer_messages.rs
@@ -0,0 +1,58 @@
+//! What control threads say to each other. `POST /peer/control/watch` takes a [`WatchOrder`] and
+//! answers with [`PeerFrame`]s for as long as both ends live; `POST /peer/control/pull` takes a
+//! [`PullOrder`] and answers with a [`PullReply`].
+
+use macro_rules_attribute::apply;
+
+use crate::derives::message;
+use crate::documents::DocumentVersion;
+use crate::membership::{HostStatus, LoadReport, MemberFacts};
+
+/// Where streams are opened.
+pub(crate) const WATCH_PATH: &str = "/peer/control/watch";
+/// Where documents are pulled.
+pub(crate) const PULL_PATH: &str = "/peer/control/pull";
+/// The largest order that is read, in bytes.
+pub(crate) const ORDER_BYTES_MAX: usize = 1024 * 1024;
+
+/// Asks for a process's word about itself and for news, from now on.
+#[apply(message!)]
+pub(crate) struct WatchOrder {
+    /// Who asks; news to the one that is asked, too.
+    pub(crate) watcher: MemberFacts,
+    /// Frames that are not urgent come at most this often, and some frame at least this often, in
+    /// milliseconds.
+    pub(crate) pace_ms: u64,
+}
+
+/// One frame of a watched stream.
+#[apply(message!)]
+pub(crate) enum PeerFrame {
+    /// The process's whole word about itself: at first, and at once when more than load changed.
+    Status(Box<HostStatus>),
+    /// Only its load changed; this is the status's new sequence.
+    Load(u64, LoadReport),
+    /// Nothing new about itself.
+    Alive,
+    /// How old, in milliseconds, what it has in force may be: every change that the table held
+    /// before then is in force there.
+    Age(u64),
+    /// The versions in force there: at first, and at once when one changed.
+    Documents(Vec<DocumentVersion>),
+    /// Facts about hosts that are news there.
+    Members(Vec<MemberFacts>),
+}
+
+/// Asks for the documents that are newer than these.
+#[apply(message!)]
+pub(crate) struct PullOrder {
+    /// What the asker has in force, sorted by service.
+    pub(crate) have: Vec<DocumentVersion>,
+}
+
+/// The rows of documents that the asker lacks.
+#[apply(message!)]
+pub(crate) struct PullReply {
+    /// Each as it stands in the table.
+    pub(crate) rows: Vec<bytes::Bytes>,
+}
--- /dev/null
+++ b/src/control/peer_routes.rs
@@ -0,0 +1,178 @@
+//! What other processes may ask of this one's control thread. The routes run on the traffic
+//! threads; they read what the control thread publishes and hand it what it should know.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::{Router, post};
+
+use super::control_thread::{ControlEvent, FreshMark};
+use super::peer_messages::{
+    ORDER_BYTES_MAX, PULL_PATH, PeerFrame, PullOrder, PullReply, WATCH_PATH, WatchOrder,
+};
+use super::spread_state::{SpreadReceiver, SpreadState};
+use crate::daemon::DrainState;
+use crate::errors::SwitchResult;
+use crate::membership::{HostStatus, StatusBoard};
+use crate::time::clock_now;
+use crate::transport::{FrameWriter, error_reply, frame_channel, message_reply, read_message};
+
+/// Frames that wait for a slow watcher; more are not made, since only the newest state is sent.
+const STREAM_DEPTH: usize = 4;
+/// The range that a watcher's pace is held to.
+const PACE_SHORTEST: Duration = Duration::from_millis(200);
+const PACE_LONGEST: Duration = Duration::from_secs(30);
+
+/// What the routes work with.
+#[derive(Clone)]
+pub(super) struct PeerRouteState {
+    pub(super) board: StatusBoard,
+    pub(super) spread: SpreadReceiver,
+    pub(super) events: mpsc::Sender<ControlEvent>,
+    pub(super) drain: DrainState,
+    pub(super) fresh: FreshMark,
+}
+
+/// The routes under `/peer/control/`.
+pub(super) fn peer_routes(state: &PeerRouteState) -> Router {
+    let watch_state = state.clone();
+    let pull_state = state.clone();
+    Router::new()
+        .route(
+            WATCH_PATH,
+            post(move |request: Request| open_watch(watch_state.clone(), request)),
+        )
+        .route(
+            PULL_PATH,
+            post(move |request: Request| answer_pull(pull_state.clone(), request)),
+        )
+}
+
+async fn answer_pull(state: PeerRouteState, request: Request) -> Response {
+    match read_message::<PullOrder>(request.into_body(), ORDER_BYTES_MAX).await {
+        Ok(order) => {
+            let rows = state.spread.borrow().rows_beyond(&order.have);
+            message_reply(&PullReply { rows })
+        }
+        Err(error) => error_reply(&error),
+    }
+}
+
+async fn open_watch(state: PeerRouteState, request: Request) -> Response {
+    let order: WatchOrder = match read_message(request.into_body(), ORDER_BYTES_MAX).await {
+        Ok(order) => order,
+        Err(error) => return error_reply(&error),
+    };
+    let event = ControlEvent::Facts(vec![order.watcher]);
+    // A full channel means that the control thread is behind; the watcher's word comes again.
+    let _ = state.events.try_send(event);
+    let pace = Duration::from_millis(order.pace_ms).clamp(PACE_SHORTEST, PACE_LONGEST);
+    let (writer, body) = frame_channel(STREAM_DEPTH);
+    tokio::spawn(async move {
+        let drain = state.drain.clone();
+        tokio::select! {
+            // The watcher has left, or the process is about to end: an open stream would hold up
+            // the end of a graceful stop.
+            _ = feed_watcher(state, writer, pace) => {}
+            () = drain.finished() => {}
+        }
+    });
+    let mut reply = Response::new(body);
+    *reply.status_mut() = StatusCode::OK;
+    reply
+}
+
+/// Sends what changed, urgent things at once and load at the watcher's pace, until it leaves.
+async fn feed_watcher(
+    mut state: PeerRouteState,
+    writer: FrameWriter,
+    pace: Duration,
+) -> SwitchResult<()> {
+    let mut board = state.board.watch();
+    let mut status = board.borrow_and_update().clone();
+    writer
+        .write(&PeerFrame::Status(Box::new(status.clone())))
+        .await?;
+    let mut sent = Arc::new(SpreadState::default());
+    send_spread(&mut state.spread, &mut sent, &writer, true).await?;
+    let mut next_due = Instant::now() + pace;
+    loop {
+        tokio::select! {
+            () = writer.closed() => return Ok(()),
+            _ = state.spread.changed() => {
+                send_spread(&mut state.spread, &mut sent, &writer, false).await?;
+            }
+            _ = board.changed() => {
+                let newest = board.borrow_and_update().clone();
+                if is_urgent(&status, &newest) {
+                    status = newest;
+                    writer.write(&PeerFrame::Status(Box::new(status.clone()))).await?;
+                    next_due = Instant::now() + pace;
+                }
+            }
+            () = tokio::time::sleep_until(next_due) => {
+                let newest = board.borrow_and_update().clone();
+                send_paced(&state, &writer, &status, &newest).await?;
+                status = newest;
+                next_due = Instant::now() + pace;
+            }
+        }
+    }
+}
+
+/// Whether more than load and progress changed.
+fn is_urgent(sent: &HostStatus, newest: &HostStatus) -> bool {
+    sent.leaving != newest.leaving || sent.serving != newest.serving || sent.slots != newest.slots
+}
+
+async fn send_paced(
+    state: &PeerRouteState,
+    writer: &FrameWriter,
+    sent: &HostStatus,
+    newest: &HostStatus,
+) -> SwitchResult<()> {
+    let frame = paced_frame(sent, newest);
+    let Some(fresh_at) = state.fresh.get() else {
+        return writer.write(&frame).await;
+    };
+    let age = clock_now().since(fresh_at);
+    let age = PeerFrame::Age(u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+    if frame != PeerFrame::Alive {
+        writer.write(&frame).await?;
+    }
+    writer.write(&age).await
+}
+
+fn paced_frame(sent: &HostStatus, newest: &HostStatus) -> PeerFrame {
+    if sent == newest {
+        PeerFrame::Alive
+    } else if sent.staging == newest.staging && !is_urgent(sent, newest) {
+        PeerFrame::Load(newest.sequence, newest.load)
+    } else {
+        PeerFrame::Status(Box::new(newest.clone()))
+    }
+}
+
+async fn send_spread(
+    spread: &mut SpreadReceiver,
+    sent: &mut Arc<SpreadState>,
+    writer: &FrameWriter,
+    is_first: bool,
+) -> SwitchResult<()> {
+    let newest = spread.borrow_and_update().clone();
+    let versions = newest.versions();
+    if is_first || versions != sent.versions() {
+        writer.write(&PeerFrame::Documents(versions)).await?;
+    }
+    let facts = newest.facts_beyond(sent);
+    if !facts.is_empty() {
+        writer.write(&PeerFrame::Members(facts)).await?;
+    }
+    *sent = newest;
+    Ok(())
+}
--- /dev/null
+++ b/src/control/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the control thread.
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -19,6 +19,7 @@
 struct DrainShared {
     draining: watch::Sender<bool>,
     live: watch::Sender<u64>,
+    finished: watch::Sender<bool>,
     linger: Duration,
     longest: Duration,
 }
@@ -33,6 +34,7 @@
             shared: Arc::new(DrainShared {
                 draining,
                 live,
+                finished: watch::Sender::new(false),
                 linger,
                 longest,
             }),
@@ -92,6 +94,14 @@
         } else {
             log_event!(events::DRAIN_CUT_SHORT, "{} under way", self.live_count());
         }
+        self.shared.finished.send_replace(true);
+    }
+
+    /// Returns when the stop is over, so that streams without an end of their own can end.
+    pub(crate) async fn finished(&self) {
+        let mut finished = self.shared.finished.subscribe();
+        // The sender lives in `self`, so waiting cannot fail.
+        let _ = finished.wait_for(|finished| *finished).await;
     }
 }
 
--- /dev/null
+++ b/src/documents/check.rs
@@ -0,0 +1,283 @@
+//! The check of a document as a whole: every fault at once, each with its path, what was given and
+//! what would do. The shape is checked against the published schema, the meaning here.
+
+use std::fmt::Display;
+use std::sync::OnceLock;
+
+use jsonschema::Validator;
+use macro_rules_attribute::apply;
+use schemars::schema_for;
+use serde_json::Value;
+
+use super::schema::{AccountSpec, HostSelection, RouteSpec, ServiceDocument, ServiceKind};
+use crate::derives::message;
+
+/// The largest document, in bytes; a thousand accounts fit several times.
+pub(crate) const DOCUMENT_BYTES_MAX: usize = 1024 * 1024;
+
+/// The format of documents that this program knows.
+const FORMAT: u32 = 1;
+const NAME_LENGTH_MAX: usize = 64;
+const DIGEST_LENGTH: usize = 64;
+const GIVEN_LENGTH_MAX: usize = 80;
+const PERCENT_MAX: u32 = 100;
+const ATTEMPTS_MAX: u32 = 10;
+const DEADLINE_MAX_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// One fault of a document.
+#[apply(message!)]
+#[derive(Eq)]
+pub(crate) struct DocumentFault {
+    /// Where, as a JSON pointer.
+    pub(crate) path: String,
+    /// What was given.
+    pub(crate) given: String,
+    /// What would do.
+    pub(crate) wanted: String,
+}
+
+/// The JSON schema of documents.
+pub(crate) fn json_schema() -> Value {
+    schema_for!(ServiceDocument).to_value()
+}
+
+fn validator() -> Option<&'static Validator> {
+    static VALIDATOR: OnceLock<Option<Validator>> = OnceLock::new();
+    VALIDATOR
+        .get_or_init(|| jsonschema::validator_for(&json_schema()).ok())
+        .as_ref()
+}
+
+/// Reads a document from JSON `text` and checks it as a whole.
+///
+/// # Errors
+///
+/// Every fault found. The meaning is checked once the shape is right.
+pub(crate) fn check_document(text: &[u8]) -> Result<(Value, ServiceDocument), Vec<DocumentFault>> {
+    if text.len() > DOCUMENT_BYTES_MAX {
+        let given = format!("{} bytes", text.len());
+        let wanted = format!("at most {DOCUMENT_BYTES_MAX} bytes");
+        return Err(vec![fault("", given, wanted)]);
+    }
+    let value: Value = serde_json::from_slice(text)
+        .map_err(|error| vec![fault("", error.to_string(), "a JSON object")])?;
+    let faults = shape_faults(&value);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let document: ServiceDocument = serde_json::from_value(value.clone())
+        .map_err(|error| vec![fault("", error.to_string(), "a document of the schema")])?;
+    let faults = meaning_faults(&document);
+    if faults.is_empty() {
+        Ok((value, document))
+    } else {
+        Err(faults)
+    }
+}
+
+fn shape_faults(value: &Value) -> Vec<DocumentFault> {
+    let Some(validator) = validator() else {
+        return Vec::new();
+    };
+    validator
+        .iter_errors(value)
+        .map(|error| {
+            let path = error.instance_path().to_string();
+            let given = shorten(&error.instance().to_string());
+            fault(&path, given, error.to_string())
+        })
+        .collect()
+}
+
+fn shorten(text: &str) -> String {
+    match text.char_indices().nth(GIVEN_LENGTH_MAX) {
+        Some((end, _)) => format!("{}…", &text[..end]),
+        None => text.to_owned(),
+    }
+}
+
+fn fault(path: &str, given: impl Into<String>, wanted: impl Into<String>) -> DocumentFault {
+    DocumentFault {
+        path: path.to_owned(),
+        given: given.into(),
+        wanted: wanted.into(),
+    }
+}
+
+fn meaning_faults(document: &ServiceDocument) -> Vec<DocumentFault> {
+    let mut faults = Faults::default();
+    faults.require(
+        document.format == FORMAT,
+        "/format",
+        document.format,
+        "1, the only format so far",
+    );
+    faults.name("/service", &document.service);
+    faults.name("/team", &document.team);
+    faults.listed(
+        "/change_key_digests",
+        &document.change_key_digests,
+        Faults::digest,
+    );
+    faults.listed("/data_centres", &document.data_centres, Faults::name);
+    if let HostSelection::Named(hosts) = &document.hosts {
+        faults.listed("/hosts/named", hosts, Faults::name);
+    }
+    faults.weights(document);
+    faults.limits(document);
+    faults.accounts(&document.accounts);
+    for (index, route) in document.routes.iter().enumerate() {
+        faults.route(&format!("/routes/{index}"), route, document.kind);
+    }
+    faults.found
+}
+
+#[derive(Default)]
+struct Faults {
+    found: Vec<DocumentFault>,
+}
+
+impl Faults {
+    fn require(&mut self, holds: bool, path: &str, given: impl Display, wanted: &str) {
+        if !holds {
+            self.found
+                .push(fault(path, shorten(&given.to_string()), wanted));
+        }
+    }
+
+    fn name(&mut self, path: &str, name: &str) {
+        let fits = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-';
+        let is_name = !name.is_empty() && name.len() <= NAME_LENGTH_MAX && name.bytes().all(fits);
+        self.require(is_name, path, name, "1 to 64 letters, digits and -");
+    }
+
+    fn digest(&mut self, path: &str, digest: &str) {
+        let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        let is_digest = digest.len() == DIGEST_LENGTH && digest.bytes().all(is_hex);
+        self.require(
+            is_digest,
+            path,
+            digest,
+            "a BLAKE3 digest: 64 digits and letters a to f; `savoryctl digest` makes one",
+        );
+    }
+
+    /// A list that must not be empty nor hold anything twice.
+    fn listed(
+        &mut self,
+        path: &str,
+        items: &[bytestring::ByteString],
+        check: fn(&mut Self, &str, &str),
+    ) {
+        self.require(!items.is_empty(), path, "[]", "at least one");
+        for (index, item) in items.iter().enumerate() {
+            let place = format!("{path}/{index}");
+            check(self, &place, item);
+            let is_first = !items[..index].contains(item);
+            self.require(is_first, &place, item, "each only once");
+        }
+    }
+
+    fn at_least_one(&mut self, path: &str, number: u32) {
+        self.require(number >= 1, path, number, "1 or more");
+    }
+
+    fn percent(&mut self, path: &str, number: u32) {
+        self.require(number <= PERCENT_MAX, path, number, "0 to 100");
+    }
+
+    fn weights(&mut self, document: &ServiceDocument) {
+        match (&document.weights, document.kind) {
+            (None, ServiceKind::Plain) => {}
+            (None, ServiceKind::Model) => {
+                self.require(false, "/weights", "none", "weights: the service is a model");
+            }
+            (Some(_), ServiceKind::Plain) => {
+                let wanted = "no weights: the service is plain";
+                self.require(false, "/weights", "weights", wanted);
+            }
+            (Some(weights), ServiceKind::Model) => {
+                self.name_of_version("/weights/version", &weights.version);
+                self.name_of_version("/weights/source", &weights.source);
+                self.digest("/weights/digest", &weights.digest);
+            }
+        }
+    }
+
+    /// Names that stand in paths and rows, where `.` and `_` do no harm.
+    fn name_of_version(&mut self, path: &str, name: &str) {
+        let fits = |byte: u8| byte.is_ascii_alphanumeric() || b"-._".contains(&byte);
+        let is_name = !name.is_empty() && name.len() <= NAME_LENGTH_MAX && name.bytes().all(fits);
+        self.require(is_name, path, name, "1 to 64 letters, digits, -, . and _");
+    }
+
+    fn limits(&mut self, document: &ServiceDocument) {
+        let rollout = &document.rollout;
+        self.at_least_one("/rollout/max_out_of_service", rollout.max_out_of_service);
+        self.at_least_one("/rollout/stop_after_failures", rollout.stop_after_failures);
+        let retry = &document.retry;
+        self.percent("/retry/budget_percent", retry.budget_percent);
+        let attempts = retry.attempts_max;
+        let is_count = (1..=ATTEMPTS_MAX).contains(&attempts);
+        self.require(is_count, "/retry/attempts_max", attempts, "1 to 10");
+        let deadlines = &document.deadlines;
+        self.deadline("/deadlines/urgent_ms", deadlines.urgent_ms);
+        self.deadline("/deadlines/normal_ms", deadlines.normal_ms);
+        self.deadline("/deadlines/batch_ms", deadlines.batch_ms);
+        self.deadline("/deadlines/stream_ms", deadlines.stream_ms);
+    }
+
+    fn deadline(&mut self, path: &str, millis: u64) {
+        let fits = (1..=DEADLINE_MAX_MS).contains(&millis);
+        self.require(fits, path, millis, "1 to 86400000 milliseconds");
+    }
+
+    fn accounts(&mut self, accounts: &[AccountSpec]) {
+        self.require(!accounts.is_empty(), "/accounts", "[]", "at least one");
+        for (index, account) in accounts.iter().enumerate() {
+            let path = format!("/accounts/{index}");
+            self.name(&format!("{path}/name"), &account.name);
+            self.digest(&format!("{path}/key_digest"), &account.key_digest);
+            self.at_least_one(
+                &format!("{path}/requests_per_second"),
+                account.requests_per_second,
+            );
+            self.at_least_one(&format!("{path}/concurrency"), account.concurrency);
+            self.at_least_one(&format!("{path}/weight"), account.weight);
+            self.percent(&format!("{path}/urgent_percent"), account.urgent_percent);
+        }
+        self.names_once(accounts);
+    }
+
+    fn names_once(&mut self, accounts: &[AccountSpec]) {
+        let mut order: Vec<usize> = (0..accounts.len()).collect();
+        order.sort_by_key(|index| (&accounts[*index].name, *index));
+        for pair in order.windows(2) {
+            let (first, second) = (&accounts[pair[0]].name, &accounts[pair[1]].name);
+            let path = format!("/accounts/{}/name", pair[1]);
+            self.require(first != second, &path, second, "each account only once");
+        }
+    }
+
+    fn route(&mut self, path: &str, route: &RouteSpec, kind: ServiceKind) {
+        let prefix = &route.path_prefix;
+        self.require(
+            prefix.starts_with('/'),
+            &format!("{path}/path_prefix"),
+            prefix,
+            "a path that begins with /",
+        );
+        let is_method = |method: &str| {
+            !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase())
+        };
+        let method = route.method.as_deref().unwrap_or("GET");
+        let place = format!("{path}/method");
+        self.require(is_method(method), &place, method, "a method in capitals");
+        self.require(
+            kind == ServiceKind::Plain,
+            path,
+            "a route",
+            "no routes: only plain services have them",
+        );
+    }
+}
--- a/src/documents/events.rs
+++ b/src/documents/events.rs
@@ -2,5 +2,17 @@
 
 use crate::events::LogEvent;
 
+pub(crate) const ACCEPTED: LogEvent = LogEvent::info(600, "document accepted");
+pub(crate) const REFUSED: LogEvent = LogEvent::warn(601, "document refused");
+pub(crate) const IN_FORCE: LogEvent = LogEvent::info(602, "document in force");
+pub(crate) const UNKNOWN_FIELDS: LogEvent = LogEvent::warn(
+    603,
+    "document has fields that this version of the program does not know; they have no effect here",
+);
+pub(crate) const UNREADABLE: LogEvent = LogEvent::error(
+    604,
+    "document row does not read; what was in force stays in force",
+);
+
 /// All of this slice's events.
-pub(crate) const ALL: &[LogEvent] = &[];
+pub(crate) const ALL: &[LogEvent] = &[ACCEPTED, REFUSED, IN_FORCE, UNKNOWN_FIELDS, UNREADABLE];
--- /dev/null
+++ b/src/documents/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of documents.
--- a/src/membership/messages.rs
+++ b/src/membership/messages.rs
@@ -4,6 +4,7 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::message;
+use crate::platform::HostEntry;
 use crate::weights::WeightsDigest;
 
 /// A process's word about itself. A greater (`incarnation`, `sequence`) replaces a smaller one.
@@ -73,3 +74,23 @@
     /// The lease's fencing number.
     pub(crate) fence: u64,
 }
+
+/// What every process knows of a host: who it is and whether it goes. Told on from neighbour to
+/// neighbour; a greater (`incarnation`, `sequence`) replaces a smaller one.
+#[apply(message!)]
+#[derive(Eq)]
+pub(crate) struct MemberFacts {
+    /// The host, as the platform's list would give it. Its state says whether the process goes.
+    pub(crate) entry: HostEntry,
+    /// The incarnation of the process that said so; 0 for what the platform's list says.
+    pub(crate) incarnation: u64,
+    /// Grows with each change of the facts within the incarnation.
+    pub(crate) sequence: u64,
+}
+
+impl MemberFacts {
+    /// What decides which of two words about a host is newer.
+    pub(crate) const fn order(&self) -> (u64, u64) {
+        (self.incarnation, self.sequence)
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,9 +3,15 @@
 
 pub(crate) mod events;
 mod identity;
+mod member_table;
 mod messages;
+mod neighbours;
 mod status_board;
 
 pub(crate) use identity::HostIdentity;
-pub(crate) use messages::{HostStatus, LoadReport, ServingVersion, SlotHold, StagingProgress};
+pub(crate) use member_table::{MemberTable, MemberView};
+pub(crate) use messages::{
+    HostStatus, LoadReport, MemberFacts, ServingVersion, SlotHold, StagingProgress,
+};
+pub(crate) use neighbours::{choose_neighbours, choose_table_readers};
 pub(crate) use status_board::StatusBoard;
--- a/src/platform/host_list.rs
+++ b/src/platform/host_list.rs
@@ -34,6 +34,7 @@
 
 /// One host in the list.
 #[apply(message!)]
+#[derive(Eq)]
 pub(crate) struct HostEntry {
     /// The host's name, unique across data centres.
     pub(crate) host: ByteString,
