Administration API and savoryctl

Operators change documents by put with the version that is replaced and a nonce, so that a put whose answer was lost can be asked for again at another entry host and is accepted once.

--- a/src/operator/admin.rs
+++ b/src/operator/admin.rs
@@ -1,13 +1,340 @@
 //! The administration API that entry hosts serve, under `/admin/v1/`.
 
-use volo_http::server::route::Router;
+use std::sync::Arc;
 
+use bytestring::ByteString;
+use http::{HeaderMap, StatusCode, header};
+use serde::Deserialize;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::extract::Query;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{Router, get, post};
+
+use super::change_put::accept_change;
+use super::messages::{DocumentReply, FaultsReply, HistoryReply, PutReply, StandingReply};
+use super::state_views::{hosts_reply, requests_reply, state_reply};
 use crate::control::ControlHandle;
+use crate::documents::{
+    AcceptanceEnd, ChangeOrder, DOCUMENT_BYTES_MAX, DocumentRecord, HeldDocument, KeyDigest,
+    check_document, document_key, events, history_prefix,
+};
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::events::log_event;
+use crate::metrics;
+use crate::transport::{error_reply, error_reply_with, json_reply, read_body};
+
+/// The header in which an author gives a name, for history.
+pub(crate) const AUTHOR_HEADER: &str = "savory-author";
+/// The header in which a change is named, so that it can be asked for again.
+pub(crate) const NONCE_HEADER: &str = "idempotency-key";
+const NONCE_LENGTH_MAX: usize = 128;
+const AUTHOR_LENGTH_MAX: usize = 64;
 
 /// The administration API over what `control` knows. `operator_key_digest` is the BLAKE3 digest, in
 /// hex, of the key that may create documents and read everything.
 pub(crate) fn admin_routes(control: &ControlHandle, operator_key_digest: &str) -> Router {
-    // TODO: the routes.
-    let _ = (control, operator_key_digest);
+    let admin = AdminState {
+        control: control.clone(),
+        operator_key_digest: operator_key_digest.into(),
+    };
+    document_routes(&admin).merge(state_routes(&admin))
+}
+
+fn document_routes(admin: &AdminState) -> Router {
+    let (putter, reader) = (admin.clone(), admin.clone());
+    let put_and_get = get(
+        move |PathParams(service): PathParams<String>, request: Request| {
+            let admin = reader.clone();
+            async move { replied(admin.get_document(&service, request.headers()).await) }
+        },
+    )
+    .put(
+        move |PathParams(service): PathParams<String>,
+              Query(query): Query<PutQuery>,
+              request: Request| {
+            let admin = putter.clone();
+            async move { replied(admin.put_document(&service, query, request).await) }
+        },
+    );
+    let historian = admin.clone();
+    let history = get(
+        move |PathParams(service): PathParams<String>, request: Request| {
+            let admin = historian.clone();
+            async move { replied(admin.history(&service, request.headers()).await) }
+        },
+    );
+    let check = post(async |request: Request| replied(check_only(request).await));
+    Router::new()
+        .route("/admin/v1/check", check)
+        .route("/admin/v1/documents/{service}", put_and_get)
+        .route("/admin/v1/documents/{service}/history", history)
+}
+
+fn state_routes(admin: &AdminState) -> Router {
+    let view = |show: fn(&ControlHandle) -> Response| {
+        let admin = admin.clone();
+        get(move |request: Request| {
+            let admin = admin.clone();
+            async move { replied(admin.view(request.headers(), show)) }
+        })
+    };
+    let state = |control: &ControlHandle| json_reply(StatusCode::OK, &state_reply(control));
+    let hosts = |control: &ControlHandle| json_reply(StatusCode::OK, &hosts_reply(control));
+    let requests = |_: &ControlHandle| json_reply(StatusCode::OK, &requests_reply());
     Router::new()
+        .route("/admin/v1/state", view(state))
+        .route("/admin/v1/hosts", view(hosts))
+        .route("/admin/v1/requests", view(requests))
+}
+
+#[derive(Deserialize)]
+struct PutQuery {
+    /// The version that the change replaces; 0 when there must be none yet.
+    replaces: u64,
+}
+
+/// A refusal with what the author needs besides the error.
+pub(super) enum AdminRefusal {
+    Plain(SwitchError),
+    Faults(SwitchError, FaultsReply),
+    Standing(SwitchError, Box<StandingReply>),
+}
+
+impl From<SwitchError> for AdminRefusal {
+    fn from(error: SwitchError) -> Self {
+        Self::Plain(error)
+    }
+}
+
+type AdminResult = Result<Response, AdminRefusal>;
+
+fn replied(outcome: AdminResult) -> Response {
+    let refusal = match outcome {
+        Ok(reply) => return reply,
+        Err(refusal) => refusal,
+    };
+    let (AdminRefusal::Plain(error)
+    | AdminRefusal::Faults(error, _)
+    | AdminRefusal::Standing(error, _)) = &refusal;
+    metrics::count_refusal(error.kind, "admin");
+    log_event!(events::REFUSED, "{error}");
+    match &refusal {
+        AdminRefusal::Plain(error) => error_reply(error),
+        AdminRefusal::Faults(error, faults) => error_reply_with(error, faults),
+        AdminRefusal::Standing(error, standing) => error_reply_with(error, standing),
+    }
+}
+
+async fn check_only(request: Request) -> AdminResult {
+    let text = read_body(request.into_body(), DOCUMENT_BYTES_MAX).await?;
+    check_document(&text).map_err(invalid)?;
+    Ok(json_reply(StatusCode::OK, &FaultsReply::default()))
+}
+
+fn invalid(faults: Vec<crate::documents::DocumentFault>) -> AdminRefusal {
+    let detail = format!("{} faults; nothing changed", faults.len());
+    let error = SwitchError::new(ErrorKind::DocumentInvalid, detail);
+    AdminRefusal::Faults(error, FaultsReply { faults })
+}
+
+#[derive(Clone)]
+struct AdminState {
+    control: ControlHandle,
+    operator_key_digest: ByteString,
+}
+
+impl AdminState {
+    fn view(&self, headers: &HeaderMap, show: fn(&ControlHandle) -> Response) -> AdminResult {
+        let key = bearer_key(headers)?;
+        let held = self.control.spread().borrow().documents.clone();
+        let owns_any = held
+            .iter()
+            .any(|held| key.is_among(&held.document.change_key_digests));
+        if owns_any || key.is(&self.operator_key_digest) {
+            return Ok(show(&self.control));
+        }
+        Err(not_allowed("the key is neither the operators' nor any team's").into())
+    }
+
+    async fn put_document(&self, service: &str, query: PutQuery, request: Request) -> AdminResult {
+        let headers = request.headers().clone();
+        let key = bearer_key(&headers)?;
+        let text = read_body(request.into_body(), DOCUMENT_BYTES_MAX).await?;
+        let (value, document) = check_document(&text).map_err(invalid)?;
+        if *document.service != *service {
+            let detail = format!(
+                "the path names {service}, the document {}",
+                document.service
+            );
+            return Err(SwitchError::new(ErrorKind::BadRequest, detail).into());
+        }
+        let order = ChangeOrder {
+            service: service.into(),
+            replaces: query.replaces,
+            nonce: change_nonce(&headers)?,
+            author: text_header(&headers, AUTHOR_HEADER, AUTHOR_LENGTH_MAX)?
+                .unwrap_or_else(|| "unnamed".into()),
+            key,
+            operator_key_digest: self.operator_key_digest.clone(),
+            document: value,
+        };
+        self.settle_change(order).await
+    }
+
+    async fn settle_change(&self, order: ChangeOrder) -> AdminResult {
+        let service = order.service.to_string();
+        match accept_change(&self.control, order).await {
+            AcceptanceEnd::Accepted { version, .. } => {
+                log_event!(events::ACCEPTED, "{service} {version}");
+                Ok(json_reply(StatusCode::OK, &PutReply { service, version }))
+            }
+            AcceptanceEnd::Refused {
+                error,
+                standing: None,
+            } => Err(AdminRefusal::Plain(error)),
+            AcceptanceEnd::Refused {
+                error,
+                standing: Some(record),
+            } => {
+                let standing = self.document_reply(&service, *record, true);
+                let reply = StandingReply {
+                    standing: Some(standing),
+                };
+                Err(AdminRefusal::Standing(error, Box::new(reply)))
+            }
+        }
+    }
+
+    async fn get_document(&self, service: &str, headers: &HeaderMap) -> AdminResult {
+        let key = bearer_key(headers)?;
+        let reply = self.standing(service).await?;
+        self.check_reader(&key, &reply.document)?;
+        Ok(json_reply(StatusCode::OK, &reply))
+    }
+
+    /// The document from the table, or what is in force here while the table is away.
+    async fn standing(&self, service: &str) -> SwitchResult<DocumentReply> {
+        let read = self
+            .control
+            .edges()
+            .table
+            .read(&document_key(service))
+            .await;
+        let (row, from_table) = match read {
+            Ok(row) => (row.map(|row| row.value), true),
+            Err(_) => (self.held(service).map(|held| held.row.clone()), false),
+        };
+        let row = row.ok_or_else(|| {
+            SwitchError::new(
+                ErrorKind::DocumentUnknown,
+                format!("no document for {service}"),
+            )
+        })?;
+        let record = DocumentRecord::from_row(&row)?;
+        Ok(self.document_reply(service, record, from_table))
+    }
+
+    fn held(&self, service: &str) -> Option<Arc<HeldDocument>> {
+        let spread = self.control.spread();
+        let state = spread.borrow();
+        let found = state
+            .documents
+            .iter()
+            .find(|held| *held.version.service == *service);
+        found.cloned()
+    }
+
+    fn document_reply(
+        &self,
+        service: &str,
+        record: DocumentRecord,
+        from_table: bool,
+    ) -> DocumentReply {
+        let in_force_here = self.held(service).map_or(0, |held| held.version.version);
+        let unknown = record.read_document().map_or_else(
+            |error| vec![format!("all of it: {}", error.detail)],
+            |read| read.unknown,
+        );
+        DocumentReply {
+            version: record.version,
+            changed_by: record.changed_by.to_string(),
+            changed_wall_ms: record.changed_wall_ms,
+            from_table,
+            in_force_here,
+            unknown,
+            document: record.document,
+        }
+    }
+
+    /// Who may change a document may read it, and the operators' key may read all.
+    fn check_reader(&self, key: &KeyDigest, document: &serde_json::Value) -> SwitchResult<()> {
+        let digests = document
+            .get("change_key_digests")
+            .and_then(serde_json::Value::as_array);
+        let digests: Vec<ByteString> = digests
+            .into_iter()
+            .flatten()
+            .filter_map(|digest| digest.as_str().map(ByteString::from))
+            .collect();
+        if key.is_among(&digests) || key.is(&self.operator_key_digest) {
+            return Ok(());
+        }
+        Err(not_allowed(
+            "the key is neither the operators' nor the team's",
+        ))
+    }
+
+    async fn history(&self, service: &str, headers: &HeaderMap) -> AdminResult {
+        let key = bearer_key(headers)?;
+        let standing = self.standing(service).await?;
+        self.check_reader(&key, &standing.document)?;
+        let rows = self
+            .control
+            .edges()
+            .table
+            .list(&history_prefix(service))
+            .await?;
+        let mut versions = vec![standing];
+        for row in rows.iter().rev() {
+            let record = DocumentRecord::from_row(&row.value)?;
+            if versions[0].version > record.version {
+                versions.push(self.document_reply(service, record, true));
+            }
+        }
+        Ok(json_reply(StatusCode::OK, &HistoryReply { versions }))
+    }
+}
+
+fn not_allowed(detail: &str) -> SwitchError {
+    SwitchError::new(ErrorKind::NotAllowed, detail)
+}
+
+/// The digest of the key in `authorization: Bearer KEY`. The key goes no further.
+fn bearer_key(headers: &HeaderMap) -> SwitchResult<KeyDigest> {
+    let value = headers.get(header::AUTHORIZATION);
+    let text = value.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    let key = text.ok_or_else(|| not_allowed("give a key as `authorization: Bearer KEY`"))?;
+    Ok(KeyDigest::of_key(key))
+}
+
+fn change_nonce(headers: &HeaderMap) -> SwitchResult<ByteString> {
+    let given = text_header(headers, NONCE_HEADER, NONCE_LENGTH_MAX)?;
+    Ok(given.unwrap_or_else(|| uuid::Uuid::new_v4().to_string().into()))
+}
+
+fn text_header(
+    headers: &HeaderMap,
+    name: &'static str,
+    longest: usize,
+) -> SwitchResult<Option<ByteString>> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    if text.is_empty() || text.len() > longest {
+        let detail = format!("{name}: give 1 to {longest} visible ASCII characters");
+        return Err(SwitchError::new(ErrorKind::BadHeader, detail));
+    }
+    Ok(Some(text.into()))
 }
--- /dev/null
+++ b/src/operator/change_put.rs
@@ -0,0 +1,61 @@
+//! Carries out the steps of an acceptance against the table, and puts what was accepted in force
+//! here at once.
+
+use tokio::time::sleep;
+
+use crate::control::ControlHandle;
+use crate::documents::{AcceptanceEnd, AcceptanceMachine, AcceptanceStep, ChangeOrder, TableEvent};
+use crate::errors::SwitchResult;
+use crate::metrics;
+use crate::platform::{TableStore, WriteResult};
+use crate::time::{clock_now, wall_now};
+
+/// Takes the change `order` to its end.
+///
+/// What was accepted goes to this host's control thread before the author learns of it: from there
+/// its neighbours learn of it within milliseconds, also when the table goes away right afterwards.
+pub(super) async fn accept_change(control: &ControlHandle, order: ChangeOrder) -> AcceptanceEnd {
+    let mut machine = AcceptanceMachine::new(order, clock_now(), wall_now());
+    let table = &*control.edges().table;
+    loop {
+        let now = clock_now();
+        match machine.next_step(now) {
+            AcceptanceStep::WaitUntil(due) => sleep(due.since(now)).await,
+            AcceptanceStep::Done(end) => {
+                if let AcceptanceEnd::Accepted { row: Some(row), .. } = &*end {
+                    control.offer_rows(vec![row.clone()]).await;
+                }
+                return *end;
+            }
+            step => {
+                let event = carry_out(table, step).await;
+                machine.on_answer(event, clock_now());
+            }
+        }
+    }
+}
+
+async fn carry_out(table: &dyn TableStore, step: AcceptanceStep) -> TableEvent {
+    match step {
+        AcceptanceStep::Read { key } => answered(table.read(&key).await.map(TableEvent::Row)),
+        AcceptanceStep::Write {
+            key,
+            expected,
+            value,
+        } => {
+            let written = table.write(&key, expected, value).await;
+            answered(written.map(|result| match result {
+                WriteResult::Written(revision) => TableEvent::Written(revision),
+                WriteResult::Conflict(standing) => TableEvent::Conflict(standing),
+            }))
+        }
+        AcceptanceStep::WaitUntil(_) | AcceptanceStep::Done(_) => TableEvent::Away,
+    }
+}
+
+fn answered(outcome: SwitchResult<TableEvent>) -> TableEvent {
+    outcome.unwrap_or_else(|error| {
+        metrics::count_retry(error.kind);
+        TableEvent::Away
+    })
+}
--- /dev/null
+++ b/src/operator/state_views.rs
@@ -0,0 +1,144 @@
+//! What an entry host knows, as operators see it.
+
+use super::messages::{
+    CounterLine, HostCounts, HostLine, HostsReply, RequestsReply, ServiceLine, StateReply,
+};
+use crate::control::{ControlHandle, ControlSnapshot, MemberRecord, MemberState, ServiceRecord};
+use crate::metrics;
+use crate::platform::HostRole;
+use crate::time::clock_now;
+
+/// What the host of `control` knows.
+pub(super) fn state_reply(control: &ControlHandle) -> StateReply {
+    let snapshot = control.snapshot().load();
+    let now = clock_now();
+    let age = control.fresh_at().map(|at| now.since(at).as_millis());
+    StateReply {
+        host: control.identity().host.to_string(),
+        data_centre: control.identity().data_centre.to_string(),
+        table_answers: snapshot.table_answers,
+        documents_age_ms: age.and_then(|age| u64::try_from(age).ok()),
+        services: snapshot
+            .services
+            .iter()
+            .map(|record| service_line(record, &snapshot))
+            .collect(),
+        hosts: host_counts(&snapshot),
+    }
+}
+
+fn service_line(record: &ServiceRecord, snapshot: &ControlSnapshot) -> ServiceLine {
+    let document = &record.document;
+    let weights = document.weights.as_ref();
+    let backends = || {
+        snapshot
+            .members
+            .iter()
+            .filter(|member| member.service.as_ref() == Some(&document.service))
+    };
+    let serves = |member: &&std::sync::Arc<MemberRecord>| {
+        let serving = member
+            .status
+            .as_ref()
+            .and_then(|status| status.serving.as_ref());
+        serving.map(|serving| &serving.version) == weights.map(|weights| &weights.version)
+    };
+    ServiceLine {
+        service: document.service.to_string(),
+        team: document.team.to_string(),
+        version: record.version,
+        weights: weights.map(|weights| weights.version.to_string()),
+        live: backends()
+            .filter(|member| member.state == MemberState::Live)
+            .count(),
+        serving: backends().filter(serves).count(),
+    }
+}
+
+fn host_counts(snapshot: &ControlSnapshot) -> HostCounts {
+    let mut counts = HostCounts::default();
+    for member in &snapshot.members {
+        match member.state {
+            MemberState::Live => counts.live += 1,
+            MemberState::Suspected => counts.suspected += 1,
+            MemberState::Leaving => counts.leaving += 1,
+            MemberState::Gone => counts.gone += 1,
+        }
+    }
+    counts
+}
+
+/// The hosts that the host of `control` knows of.
+pub(super) fn hosts_reply(control: &ControlHandle) -> HostsReply {
+    let snapshot = control.snapshot().load();
+    let hosts = snapshot.members.iter();
+    HostsReply {
+        hosts: hosts.map(|member| host_line(member)).collect(),
+    }
+}
+
+fn host_line(member: &MemberRecord) -> HostLine {
+    let status = member.status.as_ref();
+    let staging = status.and_then(|status| status.staging.as_ref());
+    HostLine {
+        host: member.host.to_string(),
+        data_centre: member.data_centre.to_string(),
+        region: member.region.to_string(),
+        role: role_text(member.role).to_owned(),
+        service: member.service.as_ref().map(ToString::to_string),
+        state: state_text(member.state).to_owned(),
+        running: status.map(|status| status.load.running),
+        waiting: status.map(|status| status.load.waiting),
+        serving: status
+            .and_then(|status| status.serving.as_ref())
+            .map(|serving| serving.version.to_string()),
+        staging: staging.map(|staging| {
+            let percent =
+                100 * u64::from(staging.chunks_done) / u64::from(staging.chunks_all.max(1));
+            format!("{} {percent}%", staging.version)
+        }),
+    }
+}
+
+const fn role_text(role: HostRole) -> &'static str {
+    match role {
+        HostRole::Entry => "entry",
+        HostRole::Backend => "backend",
+    }
+}
+
+const fn state_text(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Live => "live",
+        MemberState::Suspected => "suspected",
+        MemberState::Leaving => "leaving",
+        MemberState::Gone => "gone",
+    }
+}
+
+/// The counters of this process that concern requests.
+pub(super) fn requests_reply() -> RequestsReply {
+    let text = metrics::render_text();
+    let counters = text.lines().filter_map(counter_line).collect();
+    RequestsReply { counters }
+}
+
+/// One line of Prometheus text, `name{label="value",…} number`.
+fn counter_line(line: &str) -> Option<CounterLine> {
+    let (series, value) = line.rsplit_once(' ')?;
+    let (name, labels) = series.split_once('{').unwrap_or((series, ""));
+    if !name.starts_with("savory_") || name.contains("_bucket") {
+        return None;
+    }
+    let labels: Vec<String> = labels
+        .trim_end_matches('}')
+        .split(',')
+        .filter(|label| !label.starts_with("otel_"))
+        .map(|label| label.replace('"', ""))
+        .collect();
+    Some(CounterLine {
+        name: name.to_owned(),
+        labels: labels.join(" "),
+        value: value.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/src/operator/tables.rs
@@ -0,0 +1,30 @@
+//! Tables for people.
+
+/// Prints `rows` under `heads`, each column as wide as its widest cell.
+pub(super) fn print_table(heads: &[&str], rows: &[Vec<String>]) {
+    let mut widths: Vec<usize> = heads.iter().map(|head| head.chars().count()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let heads: Vec<String> = heads.iter().map(ToString::to_string).collect();
+    print_row(&heads, &widths);
+    for row in rows {
+        print_row(row, &widths);
+    }
+}
+
+fn print_row(cells: &[String], widths: &[usize]) {
+    let padded: Vec<String> = cells
+        .iter()
+        .zip(widths)
+        .map(|(cell, width)| format!("{cell:<width$}"))
+        .collect();
+    println!("{}", padded.join("  ").trim_end());
+}
+
+/// The text of an optional cell.
+pub(super) fn cell<T: ToString>(value: Option<&T>) -> String {
+    value.map_or_else(|| "-".to_owned(), ToString::to_string)
+}
--- a/src/transport/reply.rs
+++ b/src/transport/reply.rs
@@ -16,8 +16,10 @@
 pub(crate) const RUN_HEADER: &str = "savory-run";
 
 #[derive(Serialize)]
-struct ErrorBody<'a> {
+struct ErrorBody<'a, D> {
     error: ErrorText<'a>,
+    #[serde(flatten)]
+    details: D,
 }
 
 #[derive(Serialize)]
@@ -45,6 +47,11 @@
 
 /// The answer that the table gives to `error`.
 pub(crate) fn error_reply(error: &SwitchError) -> Response {
+    error_reply_with(error, ())
+}
+
+/// The answer that the table gives to `error`, with the fields of `details` beside the error.
+pub(crate) fn error_reply_with<D: Serialize>(error: &SwitchError, details: D) -> Response {
     let row = answer_for(error.kind);
     let outcome = error.run_outcome();
     let wait = error.retry_wait();
@@ -56,7 +63,11 @@
         retry_after_ms,
     };
     let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut reply = json_reply(status, &ErrorBody { error: text });
+    let body = ErrorBody {
+        error: text,
+        details,
+    };
+    let mut reply = json_reply(status, &body);
     reply
         .headers_mut()
         .insert(RUN_HEADER, HeaderValue::from_static(outcome.as_str()));
