Quickstart and a judge over callers' answers

The quickstart starts the whole system as processes, puts the documents, watches a version reach the engines by asking the engines themselves, sends calls of every class, kills one host process, drains another, changes the version and prints what came of it. The judge compares each answer with what the stand-ins compute and record: lost, doubled, falsely "not run", cut, mixed and crossed answers. Its tests give it one fault of each kind.

Not run yet against the daemons: the entry host and the administration API are not there.

--- a/src/lab/calls/mod.rs
+++ b/src/lab/calls/mod.rs
@@ -1,6 +1,14 @@
 //! Callers' requests: sent as a caller would, read to the end, and judged against what the
 //! stand-ins compute and record.
 
+mod call_judge;
+mod call_run;
+mod entry_board;
 mod lab_call;
+#[cfg(test)]
+mod tests;
 
+pub(crate) use call_judge::{CallCounts, CallJudge, TextVerdict, judge_text};
+pub(crate) use call_run::{CallAttempt, CallClass, CallRunner, FinishedCall};
+pub(crate) use entry_board::EntryBoard;
 pub(crate) use lab_call::{CallAsk, CallOrder, CallOutcome, CallRecord, LabCaller};
--- /dev/null
+++ b/src/lab/launch/admin_client.rs
@@ -0,0 +1,65 @@
+//! The administration API, as far as the lab uses it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use volo_http::body::Body;
+
+use super::company::OPERATOR_KEY;
+use crate::documents::ServiceDocument;
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::time::clock_now;
+use crate::transport::{ClientLimits, PeerClient, read_body};
+
+const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+const WITHIN: Duration = Duration::from_secs(5);
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Puts `document` through the entry host's administration API at `admin`, in place of version
+/// `replaces` (0: there is none yet). Tries again for `patience` while it is not accepted.
+///
+/// # Errors
+///
+/// `DocumentNotAccepted` with what the entry host said last.
+pub(crate) async fn put_document(
+    admin: SocketAddr,
+    document: &ServiceDocument,
+    replaces: u64,
+    patience: Duration,
+) -> SwitchResult<()> {
+    let begun = clock_now();
+    loop {
+        match try_put(admin, document, replaces).await {
+            Ok(()) => return Ok(()),
+            Err(error) if clock_now().since(begun) > patience => return Err(error),
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+async fn try_put(admin: SocketAddr, document: &ServiceDocument, replaces: u64) -> SwitchResult<()> {
+    let body = serde_json::to_vec(document).unwrap_or_default();
+    let path = format!(
+        "/admin/v1/documents/{}?replaces={replaces}",
+        document.service
+    );
+    let request = http::Request::put(path)
+        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .header("content-type", "application/json")
+        .body(Body::from(body))
+        .map_err(|fault| failed(fault.to_string()))?;
+    let client = PeerClient::new(ClientLimits::default());
+    let answer = client.send(admin, request, WITHIN).await?;
+    let status = answer.status();
+    let body = read_body(answer.into_body(), ANSWER_BYTES_MAX).await?;
+    if status == StatusCode::OK {
+        return Ok(());
+    }
+    let text = String::from_utf8_lossy(&body);
+    Err(failed(format!("answered {status}: {text}")))
+}
+
+fn failed(text: String) -> SwitchError {
+    SwitchError::new(ErrorKind::DocumentNotAccepted, text)
+}
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -2,18 +2,23 @@
 
 pub(crate) mod calls;
 pub(crate) mod launch;
+mod quickstart;
 pub(crate) mod stand_ins;
 
+use std::future::Future;
 use std::process::ExitCode;
 
 use clap::Command;
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+
 /// The program's main function.
 #[must_use]
 pub fn lab_main() -> ExitCode {
     let matches = lab_command().get_matches();
     match matches.subcommand() {
+        Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
         Some(("stand-in", matches)) => stand_ins::run_stand_in(matches),
         _ => ExitCode::FAILURE,
     }
@@ -25,9 +30,38 @@
         .about("Stand-ins and measurements of savoryswitch; never deployed")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(quickstart::quickstart_command())
         .subcommand(stand_ins::stand_in_command())
 }
 
+/// Runs a measurement or a show on its own threads. Exit code 0 only if it says that all held. A
+/// signal ends it early, and with it every process that it started.
+pub(crate) fn run_lab(work: impl Future<Output = SwitchResult<bool>>) -> ExitCode {
+    let environment = env_logger::Env::default().default_filter_or("warn");
+    let _ = env_logger::Builder::from_env(environment).try_init();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else {
+        eprintln!("savory-lab: cannot start its threads");
+        return ExitCode::FAILURE;
+    };
+    let outcome = runtime.block_on(async {
+        tokio::select! {
+            outcome = work => outcome,
+            () = stop_asked() => Err(SwitchError::new(ErrorKind::Internal, "asked to stop")),
+        }
+    });
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("savory-lab: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Returns when the process is asked to stop.
 pub(crate) async fn stop_asked() {
     let Ok(mut terminated) = signal(SignalKind::terminate()) else {
--- a/src/lab/stand_ins/engine.rs
+++ b/src/lab/stand_ins/engine.rs
@@ -16,9 +16,9 @@
 use super::prefix_cache::PrefixCache;
 use super::stand_in::{LabCall, unknown};
 use super::{engine_stream, json_state, metrics_text};
-use crate::derives::{key, plain};
+use crate::derives::{key, message, plain};
 use crate::time::{ClockTime, clock_now};
-use crate::transport::{ClientLimits, PeerClient};
+use crate::transport::{ClientLimits, PeerClient, json_reply};
 use crate::weights::WeightsDigest;
 
 const REPORTS_KEPT: usize = 4096;
@@ -81,8 +81,19 @@
     reports: Vec<(ClockTime, EngineReport)>,
 }
 
+/// What `GET /lab/engine` tells: the truth, without the report's lag.
+#[apply(message!)]
+pub(crate) struct EngineTruth {
+    /// What it serves.
+    pub(crate) loaded: Option<LoadedWeights>,
+    /// Requests that it runs.
+    pub(crate) running: usize,
+    /// Requests that wait inside it.
+    pub(crate) waiting: usize,
+}
+
 /// Weights that the engine serves.
-#[apply(plain!)]
+#[apply(message!)]
 pub(crate) struct LoadedWeights {
     /// The version's name.
     pub(crate) version: String,
@@ -143,6 +154,16 @@
         self.lock().loaded.clone()
     }
 
+    /// What it holds, without the report's lag.
+    pub(crate) fn truth(&self) -> EngineTruth {
+        let core = self.lock();
+        EngineTruth {
+            loaded: core.loaded.clone(),
+            running: core.batch.running(),
+            waiting: core.batch.waiting(),
+        }
+    }
+
     pub(super) fn lock(&self) -> MutexGuard<'_, EngineCore> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -152,6 +173,9 @@
         call: &LabCall,
         faults: &Arc<FaultBoard>,
     ) -> Response {
+        if is_call(call, &Method::GET, "/lab/engine") {
+            return json_reply(StatusCode::OK, &self.truth());
+        }
         let known = match self.shape.dialect {
             LabDialect::MetricsText => metrics_text::answer(self, call, faults).await,
             LabDialect::JsonState => json_state::answer(self, call, faults).await,
--- a/src/lab/stand_ins/mod.rs
+++ b/src/lab/stand_ins/mod.rs
@@ -28,7 +28,7 @@
 use volo_http::response::Response;
 
 pub(crate) use command::{run_stand_in, stand_in_command};
-pub(crate) use engine::{EngineShape, EngineStandIn, LabDialect, LoadedWeights};
+pub(crate) use engine::{EngineShape, EngineStandIn, EngineTruth, LabDialect, LoadedWeights};
 pub(crate) use engine_stream::{answer_text, token_text};
 pub(crate) use fault::FaultSettings;
 pub(crate) use host_list::ListStandIn;
