Command that drives the state machines through random cases

`savory-lab soak` takes the slices of the list in turn until the time is over, stops at the first broken invariant and prints how to run that case again. No slice has a driver yet; each adds itself to the list.

--- a/src/lab/launch/admin_client.rs
+++ b/src/lab/launch/admin_client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use uuid::Uuid;
 use volo_http::body::Body;
 
 use super::company::OPERATOR_KEY;
@@ -29,8 +30,10 @@
     patience: Duration,
 ) -> SwitchResult<()> {
     let begun = clock_now();
+    // Names the change, so that a put whose answer was lost is not met as a conflict.
+    let nonce = Uuid::now_v7();
     loop {
-        match try_put(admin, document, replaces).await {
+        match try_put(admin, document, replaces, nonce).await {
             Ok(()) => return Ok(()),
             Err(error) if clock_now().since(begun) > patience => return Err(error),
             Err(_) => tokio::time::sleep(PAUSE).await,
@@ -38,7 +41,12 @@
     }
 }
 
-async fn try_put(admin: SocketAddr, document: &ServiceDocument, replaces: u64) -> SwitchResult<()> {
+async fn try_put(
+    admin: SocketAddr,
+    document: &ServiceDocument,
+    replaces: u64,
+    nonce: Uuid,
+) -> SwitchResult<()> {
     let body = serde_json::to_vec(document).unwrap_or_default();
     let path = format!(
         "/admin/v1/documents/{}?replaces={replaces}",
@@ -46,6 +54,7 @@
     );
     let request = http::Request::put(path)
         .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .header("idempotency-key", nonce.to_string())
         .header("content-type", "application/json")
         .body(Body::from(body))
         .map_err(|fault| failed(fault.to_string()))?;
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod calls;
 pub(crate) mod launch;
 mod quickstart;
+pub(crate) mod soak;
 pub(crate) mod stand_ins;
 
 use std::future::Future;
@@ -19,6 +20,7 @@
     let matches = lab_command().get_matches();
     match matches.subcommand() {
         Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
+        Some(("soak", matches)) => soak::run_soak(matches),
         Some(("stand-in", matches)) => stand_ins::run_stand_in(matches),
         _ => ExitCode::FAILURE,
     }
@@ -31,6 +33,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(quickstart::quickstart_command())
+        .subcommand(soak::soak_command())
         .subcommand(stand_ins::stand_in_command())
 }
 
--- /dev/null
+++ b/src/lab/soak/mod.rs
@@ -0,0 +1,24 @@
+//! Long randomised runs of the state machines: the same drivers that the tests call with fixed
+//! cases, on ever new ones until the time is over.
+
+mod command;
+
+use arbitrary::Unstructured;
+
+pub(crate) use command::{run_soak, soak_command};
+
+/// Runs one case on random bytes; a broken invariant panics.
+type SoakDriver = fn(&mut Unstructured<'_>) -> arbitrary::Result<()>;
+
+/// A slice's driver.
+pub(crate) struct SoakSlice {
+    /// The slice.
+    pub(crate) name: &'static str,
+    /// Bytes of a case.
+    pub(crate) case_bytes: usize,
+    /// The driver.
+    pub(crate) run_case: SoakDriver,
+}
+
+/// Every slice that has a driver.
+pub(crate) const SLICES: &[SoakSlice] = &[];
