The entry host as a running daemon: callers in, attempts towards hosts, answers out whole

Callers speak the completions protocol or reach a plain service under /services/; an answer that is cut ends in an explicit error event or a broken connection, never in a clean end. One request's attempts are decided by one plan (AttemptPlan), which alone says whether a request may be sent again and whether it may be told "not run". Frames are checked for their attempt, for gaps and against the digest. Picks are two random candidates by corrected load, nearest first, with a breaker each.

An error body that cannot be read used to count as "message_invalid", whose row says "not run"; nobody knows who wrote such a body, so its outcome is now not known.

Not there yet: limits of accounts, queues and budgets; requests poll for room instead of queueing.

--- /dev/null
+++ b/src/delivery/attempt_plan.rs
@@ -0,0 +1,270 @@
+//! What comes after a failed attempt. The only place that decides whether a request may be sent
+//! again, and the only one that says what is known about whether it ran.
+
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+
+use super::backoff::retry_wait;
+use super::messages::SettleReply;
+use crate::derives::{key, plain};
+use crate::errors::{ErrorKind, RunOutcome, SwitchError};
+use crate::time::ClockTime;
+use crate::weights::WeightsDigest;
+
+/// What does not change between a request's attempts.
+#[apply(key!)]
+pub(crate) struct PlanTraits {
+    /// Whether it may run again when it is not known whether it ran.
+    pub(crate) repeatable: bool,
+    /// Whether a key names it, so that its host replays the first run's answer.
+    pub(crate) keyed: bool,
+    /// Attempts at most.
+    pub(crate) attempts_max: u32,
+    /// When the first byte of the answer is too late.
+    pub(crate) deadline: ClockTime,
+    /// When the last byte is too late.
+    pub(crate) stream_end: ClockTime,
+}
+
+/// Where a retry goes.
+#[apply(key!)]
+pub(crate) enum RetryPlace {
+    /// To another host, if there is one.
+    Elsewhere,
+    /// To the same process on the same host, which keeps the first run's answer.
+    SameHost,
+}
+
+/// What to do after a failed attempt.
+#[apply(plain!)]
+pub(crate) enum NextStep {
+    /// Wait, then try again, if the budgets allow it.
+    Retry {
+        /// How long to wait.
+        wait: Duration,
+        /// Where to.
+        place: RetryPlace,
+    },
+    /// Ask the host, on a fresh connection, what became of the attempt.
+    Settle,
+    /// Tell the caller.
+    GiveUp(SwitchError),
+}
+
+/// One request's attempts so far.
+#[derive(Debug)]
+pub(crate) struct AttemptPlan {
+    traits: PlanTraits,
+    attempts: u32,
+    /// Whether an earlier attempt may have run.
+    may_have_run: bool,
+    /// Whether the newest attempt may have run: from its sending until a word that it has not.
+    in_doubt: bool,
+    /// Whether the caller has part of the answer.
+    passed_on: bool,
+    tokens: u32,
+    version: Option<WeightsDigest>,
+}
+
+impl AttemptPlan {
+    /// The plan of a request that has not been sent yet.
+    pub(crate) const fn new(traits: PlanTraits) -> Self {
+        Self {
+            traits,
+            attempts: 0,
+            may_have_run: false,
+            in_doubt: false,
+            passed_on: false,
+            tokens: 0,
+            version: None,
+        }
+    }
+
+    /// Counts an attempt that is about to be sent.
+    ///
+    /// # Panics
+    ///
+    /// When an unrepeatable call without a key would be sent although an earlier attempt may have
+    /// run: it would run twice.
+    pub(crate) fn begin_attempt(&mut self) {
+        assert!(
+            self.traits.repeatable || self.traits.keyed || !(self.may_have_run || self.in_doubt),
+            "an unrepeatable call was about to be sent twice"
+        );
+        self.may_have_run |= self.in_doubt;
+        self.attempts += 1;
+        self.in_doubt = true;
+    }
+
+    /// Notes which version of the weights the attempt runs on. Once the caller has tokens of one
+    /// version, no other may go on with the answer.
+    pub(crate) fn note_version(&mut self, version: Option<WeightsDigest>) {
+        assert!(
+            self.tokens == 0 || self.version == version,
+            "an answer was about to mix two versions"
+        );
+        self.version = version;
+    }
+
+    /// Notes that a token was passed on to the caller.
+    pub(crate) const fn note_token(&mut self) {
+        self.passed_on = true;
+        self.tokens += 1;
+    }
+
+    /// Notes that the head of a plain answer was passed on to the caller.
+    pub(crate) const fn note_head(&mut self) {
+        self.passed_on = true;
+    }
+
+    /// Tokens that the caller has.
+    pub(crate) const fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// The version that the rest of the answer must come from; any while the caller has nothing.
+    pub(crate) fn resume_version(&self) -> Option<WeightsDigest> {
+        self.version.filter(|_| self.tokens > 0)
+    }
+
+    /// When the next byte is too late.
+    pub(crate) const fn limit(&self) -> ClockTime {
+        if self.passed_on {
+            self.traits.stream_end
+        } else {
+            self.traits.deadline
+        }
+    }
+
+    /// Decides after `error`, the end of an attempt. `jitter` is random.
+    pub(crate) fn after_failure(
+        &mut self,
+        error: SwitchError,
+        now: ClockTime,
+        jitter: u32,
+    ) -> NextStep {
+        if error.run_outcome() == RunOutcome::NotRun {
+            self.in_doubt = false;
+        }
+        if is_final(error.kind) {
+            return self.give_up(error);
+        }
+        if self.in_doubt && !self.traits.repeatable {
+            return self.settle_or_give_up(error);
+        }
+        self.retry_or_give_up(error, RetryPlace::Elsewhere, now, jitter)
+    }
+
+    /// Decides after the host's word about an attempt that ended with `error`. `None`: the host
+    /// gave no word.
+    pub(crate) fn after_settling(
+        &mut self,
+        error: SwitchError,
+        reply: Option<&SettleReply>,
+        now: ClockTime,
+        jitter: u32,
+    ) -> NextStep {
+        match reply {
+            Some(SettleReply::NotRun) => {
+                self.in_doubt = false;
+                let error = error.with_outcome(RunOutcome::NotRun);
+                self.retry_or_give_up(error, RetryPlace::Elsewhere, now, jitter)
+            }
+            Some(SettleReply::Running | SettleReply::Ran) if self.traits.keyed => {
+                self.retry_or_give_up(error, RetryPlace::SameHost, now, jitter)
+            }
+            Some(SettleReply::Running | SettleReply::Ran | SettleReply::NotKnown) | None => {
+                self.give_up(error)
+            }
+        }
+    }
+
+    /// The error that the caller gets: "not run" exactly when no attempt can have run.
+    pub(crate) fn conclude(&self, error: SwitchError) -> SwitchError {
+        let may_have_run = self.may_have_run || self.in_doubt;
+        match (may_have_run, error.run_outcome()) {
+            (true, RunOutcome::NotRun) => error.with_outcome(RunOutcome::NotKnown),
+            (false, RunOutcome::NotKnown) => error.with_outcome(RunOutcome::NotRun),
+            _ => error,
+        }
+    }
+
+    fn settle_or_give_up(&self, error: SwitchError) -> NextStep {
+        if can_settle(error.kind) {
+            NextStep::Settle
+        } else {
+            self.give_up(error)
+        }
+    }
+
+    fn retry_or_give_up(
+        &self,
+        error: SwitchError,
+        place: RetryPlace,
+        now: ClockTime,
+        jitter: u32,
+    ) -> NextStep {
+        let can_go_on = (!self.passed_on || self.can_resume()) && self.may_go_to(place);
+        let wait = retry_wait(self.attempts, jitter, error.retry_after);
+        let in_time = now + wait < self.limit();
+        if can_go_on && in_time && self.attempts < self.traits.attempts_max {
+            NextStep::Retry { wait, place }
+        } else {
+            self.give_up(error)
+        }
+    }
+
+    /// An unrepeatable call that may have run goes only to the process that knows what it ran: any
+    /// other could run it again.
+    const fn may_go_to(&self, place: RetryPlace) -> bool {
+        let may_have_run = self.may_have_run || self.in_doubt;
+        self.traits.repeatable || !may_have_run || matches!(place, RetryPlace::SameHost)
+    }
+
+    /// A model's answer goes on behind the tokens that the caller has, on the version that made
+    /// them. A plain answer cannot be gone on with.
+    fn can_resume(&self) -> bool {
+        self.traits.repeatable && self.resume_version().is_some()
+    }
+
+    fn give_up(&self, error: SwitchError) -> NextStep {
+        NextStep::GiveUp(self.conclude(error))
+    }
+}
+
+/// Whether the host can be asked what became of the attempt.
+const fn can_settle(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::PeerSilent
+            | ErrorKind::AnswerCut
+            | ErrorKind::DeadlinePassed
+            | ErrorKind::MessageInvalid
+    )
+}
+
+/// Whether every host would say the same, or the host has said the last word.
+const fn is_final(kind: ErrorKind) -> bool {
+    use ErrorKind as Kind;
+    !matches!(
+        kind,
+        Kind::NoBackend
+            | Kind::BackendLeaving
+            | Kind::BackendBusy
+            | Kind::WeightsNotReady
+            | Kind::VersionMismatch
+            | Kind::NotSlotHolder
+            | Kind::LeaseLapsed
+            | Kind::ConnectFailed
+            | Kind::EngineRefused
+            | Kind::OrderStale
+            | Kind::MessageInvalid
+            | Kind::PeerSilent
+            | Kind::AnswerCut
+            | Kind::AnswerForeign
+            | Kind::AnswerDamaged
+            | Kind::EngineFailed
+            | Kind::DeadlinePassed
+    )
+}
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -1,10 +1,22 @@
 //! Delivery: one request's attempts, from the entry host to the backend server's host process and
 //! back, whole or with a plain word about what happened.
 
+mod answer_check;
+mod attempt_plan;
+mod backoff;
 pub(crate) mod events;
+mod host_call;
 mod messages;
+mod request_job;
+mod request_run;
+mod retry_budget;
+mod service_desk;
 
+pub(crate) use host_call::HostCaller;
 pub(crate) use messages::{
     AnswerDigest, AnswerHead, AttemptId, CallKey, RunCall, RunFrame, RunOrder, RunPart,
     SettleOrder, SettleReply,
 };
+pub(crate) use request_job::{CALLER_PARTS, CallerPart, CallerSink, RequestJob};
+pub(crate) use request_run::RequestRun;
+pub(crate) use service_desk::ServiceDesk;
--- /dev/null
+++ b/src/delivery/request_job.rs
@@ -0,0 +1,68 @@
+//! One request on its way, and what its caller gets of it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use bytestring::ByteString;
+use macro_rules_attribute::apply;
+use tokio::sync::mpsc;
+
+use super::messages::{AnswerHead, CallKey, RunCall};
+use crate::control::ServiceRecord;
+use crate::derives::plain;
+use crate::documents::RequestPriority;
+use crate::errors::SwitchError;
+use crate::membership::ServingVersion;
+use crate::time::ClockTime;
+
+/// One request, read and checked.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestJob {
+    /// The service, with the document that was in force when the request came.
+    pub(crate) service: Arc<ServiceRecord>,
+    /// Names the request inside the system; never what the caller chose, since two callers may
+    /// choose the same.
+    pub(crate) request: ByteString,
+    /// The client account.
+    pub(crate) account: ByteString,
+    /// How urgent it is.
+    pub(crate) priority: RequestPriority,
+    /// When the first byte of the answer is too late.
+    pub(crate) deadline: ClockTime,
+    /// When the last byte is too late.
+    pub(crate) stream_end: ClockTime,
+    /// Whether it may run again when it is not known whether it ran.
+    pub(crate) repeatable: bool,
+    /// The key that names it, if it is unrepeatable and the caller gave one.
+    pub(crate) call_key: Option<CallKey>,
+    /// What is to be done.
+    pub(crate) call: RunCall,
+}
+
+/// One part of what a caller gets.
+#[apply(plain!)]
+pub(crate) enum CallerPart {
+    /// A backend server has the request.
+    Started(Option<ServingVersion>),
+    /// The head of a plain service's answer.
+    Head(AnswerHead),
+    /// The next token of a model's answer.
+    Token(ByteString),
+    /// The next bytes of a plain service's body.
+    Body(Bytes),
+    /// The answer is whole.
+    Whole {
+        /// Why a model ended.
+        reason: ByteString,
+        /// Whether it is the kept answer of an earlier run.
+        replayed: bool,
+    },
+    /// The answer is not whole and will not be.
+    Failed(SwitchError),
+}
+
+/// The end that feeds a caller; it notices when the caller has left.
+pub(crate) type CallerSink = mpsc::Sender<CallerPart>;
+
+/// Parts that wait for a slow caller before the backend server's answer is read no further.
+pub(crate) const CALLER_PARTS: usize = 64;
--- /dev/null
+++ b/src/delivery/request_run.rs
@@ -0,0 +1,325 @@
+//! Carries one request out: places it, runs its attempts as the plan decides, feeds its caller.
+
+use std::sync::Arc;
+
+use tokio::time::sleep;
+
+use super::answer_check::CheckedPart;
+use super::attempt_plan::{AttemptPlan, NextStep, PlanTraits, RetryPlace};
+use super::events;
+use super::host_call::{HostCaller, RunStream};
+use super::messages::{AttemptId, RunCall, RunOrder, SettleOrder};
+use super::request_job::{CallerPart, CallerSink, RequestJob};
+use super::service_desk::{PlacedAttempt, ServiceDesk};
+use crate::documents::RequestPriority;
+use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
+use crate::events::log_event;
+use crate::guard::slot_of;
+use crate::membership::{LoadReport, ServingVersion};
+use crate::metrics;
+use crate::routing::{BackendKey, PickTarget, PickWish, PickedBackend, name_hash};
+use crate::time::clock_now;
+
+/// Bytes of a prompt that name its beginning.
+const PREFIX_BYTES: usize = 256;
+
+/// One request under way.
+pub(crate) struct RequestRun {
+    job: RequestJob,
+    desk: Arc<ServiceDesk>,
+    hosts: HostCaller,
+    sink: CallerSink,
+    plan: AttemptPlan,
+    target: PickTarget,
+    avoid: Option<BackendKey>,
+}
+
+/// How an attempt ended.
+enum AttemptEnd {
+    /// The caller has the whole answer.
+    Whole,
+    /// The caller has left.
+    CallerGone,
+    /// It failed.
+    Failed(SwitchError),
+}
+
+impl RequestRun {
+    /// A run of `job` that feeds `sink`.
+    pub(crate) fn new(
+        job: RequestJob,
+        desk: Arc<ServiceDesk>,
+        hosts: HostCaller,
+        sink: CallerSink,
+    ) -> Self {
+        let traits = PlanTraits {
+            repeatable: job.repeatable,
+            keyed: job.call_key.is_some(),
+            attempts_max: job.service.document.retry.attempts_max,
+            deadline: job.deadline,
+            stream_end: job.stream_end,
+        };
+        let target = first_target(&job);
+        Self {
+            job,
+            desk,
+            hosts,
+            sink,
+            plan: AttemptPlan::new(traits),
+            target,
+            avoid: None,
+        }
+    }
+
+    /// Runs the request to its end. The last part that the sink gets says how it ended.
+    pub(crate) async fn run(mut self) {
+        let failure = loop {
+            match self.run_attempt().await {
+                Ok(()) => return,
+                Err(Some(error)) => break error,
+                Err(None) => {}
+            }
+        };
+        let failure = self.plan.conclude(failure);
+        if failure.run_outcome() == RunOutcome::NotKnown && !self.job.repeatable {
+            log_event!(events::OUTCOME_NOT_KNOWN, "{failure}");
+        }
+        // A caller that has left does not mind.
+        let _ = self.sink.send(CallerPart::Failed(failure)).await;
+    }
+
+    /// Places and runs one attempt. `Err(None)`: another attempt is due.
+    async fn run_attempt(&mut self) -> Result<(), Option<SwitchError>> {
+        let wish = self.wish();
+        let placing = self.desk.place(&wish, self.plan.limit());
+        let placed = tokio::select! {
+            placed = placing => placed.map_err(|error| Some(self.refused(error)))?,
+            () = self.sink.closed() => return Ok(()),
+        };
+        let picked = placed.picked().clone();
+        let order = self.order(&picked);
+        self.plan.begin_attempt();
+        match self.carry_out(&order, placed).await {
+            AttemptEnd::Whole | AttemptEnd::CallerGone => Ok(()),
+            AttemptEnd::Failed(error) => self
+                .follow(error, &order, &picked)
+                .await
+                .map_or(Err(None), |error| Err(Some(error))),
+        }
+    }
+
+    fn refused(&self, error: SwitchError) -> SwitchError {
+        metrics::count_refusal(error.kind, "routing");
+        error
+    }
+
+    fn wish(&self) -> PickWish {
+        let target = match self.plan.resume_version() {
+            Some(version) => PickTarget::Version(version),
+            None => self.target,
+        };
+        PickWish {
+            target,
+            urgent: self.job.priority == RequestPriority::Urgent,
+            prefix: self.prefix(),
+            avoid: self.avoid,
+        }
+    }
+
+    fn prefix(&self) -> Option<u64> {
+        match &self.job.call {
+            RunCall::Generate { prompt, .. } if self.job.service.document.prefix_affinity => {
+                let end = prompt.floor_char_boundary(PREFIX_BYTES);
+                Some(name_hash(&prompt[..end]))
+            }
+            _ => None,
+        }
+    }
+
+    fn order(&self, picked: &PickedBackend) -> RunOrder {
+        let job = &self.job;
+        let left = self.plan.limit().since(clock_now());
+        RunOrder {
+            attempt: AttemptId::fresh(),
+            request: job.request.clone(),
+            incarnation: picked.incarnation,
+            service: job.service.document.service.clone(),
+            account: job.account.clone(),
+            priority: job.priority,
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            repeatable: job.repeatable,
+            call_key: job.call_key.clone(),
+            call: self.call_now(),
+        }
+    }
+
+    /// The call, going on behind what the caller has.
+    fn call_now(&self) -> RunCall {
+        match self.job.call.clone() {
+            RunCall::Generate {
+                prompt, max_tokens, ..
+            } => RunCall::Generate {
+                prompt,
+                max_tokens,
+                resume_from: self.plan.tokens(),
+                resume_version: self.plan.resume_version(),
+            },
+            forward @ RunCall::Forward { .. } => forward,
+        }
+    }
+
+    async fn carry_out(&mut self, order: &RunOrder, placed: PlacedAttempt) -> AttemptEnd {
+        let peer = placed.picked().peer;
+        let hosts = self.hosts.clone();
+        let ended = tokio::select! {
+            opened = hosts.run(peer, order) => match opened {
+                Ok(stream) => self.pass_on(stream).await,
+                Err(error) => Err(error),
+            },
+            () = self.sink.closed() => Err(caller_gone()),
+        };
+        let now = clock_now();
+        match ended {
+            Ok(load) => {
+                placed.succeeded(load, now);
+                AttemptEnd::Whole
+            }
+            Err(error) if error.kind == ErrorKind::CallerGone => AttemptEnd::CallerGone,
+            Err(error) => {
+                placed.failed(error.kind, now);
+                AttemptEnd::Failed(error)
+            }
+        }
+    }
+
+    /// Passes an attempt's answer on to the caller. Returning drops the stream: when the caller has
+    /// left or the time is over, the host learns of it by that.
+    async fn pass_on(&mut self, mut stream: RunStream) -> SwitchResult<LoadReport> {
+        loop {
+            let left = self.plan.limit().since(clock_now());
+            let part = tokio::select! {
+                part = stream.next() => part?,
+                () = self.sink.closed() => return Err(caller_gone()),
+                () = sleep(left) => return Err(self.too_late()),
+            };
+            if let Some(load) = self.take_part(part).await? {
+                return Ok(load);
+            }
+        }
+    }
+
+    /// Passes one part on; returns the load report that came with the last.
+    async fn take_part(&mut self, part: CheckedPart) -> SwitchResult<Option<LoadReport>> {
+        match part {
+            CheckedPart::Alive | CheckedPart::Foreign => {}
+            CheckedPart::Started(serving) => self.take_start(serving).await?,
+            CheckedPart::Head(head) => {
+                self.plan.note_head();
+                self.send(CallerPart::Head(head)).await?;
+            }
+            CheckedPart::Token(text) => {
+                self.plan.note_token();
+                self.send(CallerPart::Token(text)).await?;
+            }
+            CheckedPart::Body(bytes) => self.send(CallerPart::Body(bytes.into())).await?,
+            CheckedPart::Whole {
+                reason,
+                replayed,
+                load,
+            } => {
+                self.send(CallerPart::Whole { reason, replayed }).await?;
+                return Ok(Some(load));
+            }
+        }
+        Ok(None)
+    }
+
+    async fn take_start(&mut self, serving: Option<ServingVersion>) -> SwitchResult<()> {
+        let digest = serving.as_ref().map(|serving| serving.digest);
+        let wanted = self.plan.resume_version();
+        if wanted.is_some() && wanted != digest {
+            let detail = "the host went on with another version";
+            return Err(SwitchError::new(ErrorKind::AnswerDamaged, detail));
+        }
+        self.plan.note_version(digest);
+        if self.plan.tokens() == 0 {
+            self.send(CallerPart::Started(serving)).await?;
+        }
+        Ok(())
+    }
+
+    async fn send(&self, part: CallerPart) -> SwitchResult<()> {
+        self.sink.send(part).await.map_err(|_| caller_gone())
+    }
+
+    /// Follows a failed attempt; returns the error that the caller gets, if it was the last.
+    async fn follow(
+        &mut self,
+        error: SwitchError,
+        order: &RunOrder,
+        picked: &PickedBackend,
+    ) -> Option<SwitchError> {
+        let reason = error.kind;
+        let step = self
+            .plan
+            .after_failure(error.clone(), clock_now(), rand::random());
+        let step = match step {
+            NextStep::Settle => self.settle(error, order, picked).await,
+            step => step,
+        };
+        let (wait, place) = match step {
+            NextStep::Retry { wait, place } => (wait, place),
+            NextStep::GiveUp(error) => return Some(error),
+            NextStep::Settle => return Some(self.plan.conclude(settled_twice())),
+        };
+        metrics::count_retry(reason);
+        match place {
+            RetryPlace::Elsewhere => self.avoid = Some(picked.key),
+            RetryPlace::SameHost => self.target = PickTarget::Same(picked.key, picked.incarnation),
+        }
+        sleep(wait).await;
+        None
+    }
+
+    async fn settle(
+        &mut self,
+        error: SwitchError,
+        order: &RunOrder,
+        picked: &PickedBackend,
+    ) -> NextStep {
+        let question = SettleOrder {
+            attempt: order.attempt,
+            incarnation: order.incarnation,
+        };
+        let reply = self.hosts.settle(picked.peer, &question).await;
+        self.plan
+            .after_settling(error, reply.as_ref(), clock_now(), rand::random())
+    }
+
+    fn too_late(&self) -> SwitchError {
+        let detail = if self.plan.tokens() > 0 {
+            "the answer took longer than a stream may"
+        } else {
+            "no answer came by the deadline"
+        };
+        SwitchError::new(ErrorKind::DeadlinePassed, detail)
+    }
+}
+
+fn first_target(job: &RequestJob) -> PickTarget {
+    match &job.call_key {
+        Some(key) => {
+            let service = &job.service.document.service;
+            PickTarget::Slot(slot_of(service, &job.account, &key.order_key))
+        }
+        None => PickTarget::Any,
+    }
+}
+
+fn caller_gone() -> SwitchError {
+    SwitchError::new(ErrorKind::CallerGone, "the caller left")
+}
+
+fn settled_twice() -> SwitchError {
+    SwitchError::new(ErrorKind::Internal, "an attempt was to be settled twice")
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,9 +1,13 @@
 //! Entry hosts: callers' requests in, answers out.
 
-use std::process::ExitCode;
+mod caller_body;
+mod caller_head;
+mod completions;
+mod daemon;
+mod plain_call;
+mod reply;
+mod routes;
+mod settings;
+mod traffic;
 
-/// The program's main function.
-#[must_use]
-pub fn entry_main() -> ExitCode {
-    ExitCode::SUCCESS
-}
+pub use daemon::entry_main;
--- /dev/null
+++ b/src/entry/traffic.rs
@@ -0,0 +1,163 @@
+//! What all requests of an entry host share, and the way of one request through it.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytestring::ByteString;
+use http::HeaderMap;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use uuid::Uuid;
+use volo_http::body::Body;
+
+use super::caller_head::CallerHead;
+use crate::admission::find_account;
+use crate::control::{ControlHandle, ServiceRecord, SharedSnapshot};
+use crate::daemon::DrainState;
+use crate::delivery::{
+    CALLER_PARTS, CallKey, CallerPart, HostCaller, RequestJob, RequestRun, RunCall, ServiceDesk,
+};
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::membership::HostIdentity;
+use crate::time::{ClockTime, clock_now};
+use crate::transport::read_body;
+
+/// A caller that takes longer than this to send its body holds memory for nothing.
+const BODY_WITHIN: Duration = Duration::from_secs(30);
+
+/// What all requests share.
+pub(super) struct EntryTraffic {
+    identity: HostIdentity,
+    snapshot: SharedSnapshot,
+    hosts: HostCaller,
+    drain: DrainState,
+    refuses: AtomicBool,
+    body_limit: usize,
+    /// The desk of each service, sorted by its name.
+    desks: RwLock<Vec<(ByteString, Arc<ServiceDesk>)>>,
+}
+
+/// What a request's call is, once its service is known.
+pub(super) struct CallShape {
+    pub(super) call: RunCall,
+    pub(super) repeatable: bool,
+    pub(super) call_key: Option<CallKey>,
+}
+
+impl EntryTraffic {
+    pub(super) fn new(
+        control: &ControlHandle,
+        hosts: HostCaller,
+        drain: DrainState,
+        body_limit: usize,
+    ) -> Self {
+        Self {
+            identity: control.identity().clone(),
+            snapshot: control.snapshot(),
+            hosts,
+            drain,
+            refuses: AtomicBool::new(false),
+            body_limit,
+            desks: RwLock::new(Vec::new()),
+        }
+    }
+
+    /// From now on every new request is refused. Called some time after the graceful stop began,
+    /// when the balancer has seen that this host is not ready: a request that it sends meanwhile is
+    /// served.
+    pub(super) fn refuse_new(&self) {
+        self.refuses.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether there is a service to take requests for.
+    pub(super) fn has_services(&self) -> bool {
+        !self.snapshot.load().services.is_empty()
+    }
+
+    /// Reads a request's body.
+    pub(super) async fn read_body(&self, body: Body) -> SwitchResult<Bytes> {
+        match timeout(BODY_WITHIN, read_body(body, self.body_limit)).await {
+            Ok(read) => read,
+            Err(_) => Err(SwitchError::new(
+                ErrorKind::BadRequest,
+                format!("the body took longer than {BODY_WITHIN:?}"),
+            )),
+        }
+    }
+
+    /// The service `name`, if a document names it and this host takes requests.
+    pub(super) fn service(&self, name: &str) -> SwitchResult<Arc<ServiceRecord>> {
+        if self.refuses.load(Ordering::Relaxed) {
+            let detail = "this entry host is leaving; ask another";
+            return Err(SwitchError::new(ErrorKind::EntryLeaving, detail));
+        }
+        let snapshot = self.snapshot.load();
+        let found = snapshot.service(name).cloned();
+        found.ok_or_else(|| {
+            SwitchError::new(
+                ErrorKind::ServiceUnknown,
+                format!("no document names \"{name}\""),
+            )
+        })
+    }
+
+    /// Checks the account and starts the request; its parts come from the receiver.
+    pub(super) fn start(
+        self: &Arc<Self>,
+        service: &Arc<ServiceRecord>,
+        head: &CallerHead,
+        shape: CallShape,
+    ) -> SwitchResult<mpsc::Receiver<CallerPart>> {
+        let account = find_account(&service.document.accounts, &head.account, &head.secret)?;
+        let now = clock_now();
+        let deadlines = &service.document.deadlines;
+        let longest = deadlines.of(head.priority);
+        let deadline_ms = head.deadline_ms.map_or(longest, |asked| asked.min(longest));
+        let job = RequestJob {
+            request: Uuid::new_v4().to_string().into(),
+            account: account.name.clone(),
+            priority: head.priority,
+            deadline: now + Duration::from_millis(deadline_ms),
+            stream_end: now + Duration::from_millis(deadline_ms + deadlines.stream_ms),
+            repeatable: shape.repeatable,
+            call_key: shape.call_key,
+            call: shape.call,
+            service: service.clone(),
+        };
+        let desk = self.desk(service, now);
+        let (sink, parts) = mpsc::channel(CALLER_PARTS);
+        let run = RequestRun::new(job, desk, self.hosts.clone(), sink);
+        let under_way = self.drain.enter();
+        tokio::spawn(async move {
+            run.run().await;
+            drop(under_way);
+        });
+        Ok(parts)
+    }
+
+    fn desk(&self, service: &ServiceRecord, now: ClockTime) -> Arc<ServiceDesk> {
+        let desk = self.find_desk(&service.document.service);
+        desk.refresh(&self.snapshot.load(), service, &self.identity, now);
+        desk
+    }
+
+    fn find_desk(&self, name: &ByteString) -> Arc<ServiceDesk> {
+        {
+            let desks = self.desks.read().unwrap_or_else(PoisonError::into_inner);
+            if let Ok(place) = desks.binary_search_by(|(known, _)| known.cmp(name)) {
+                return desks[place].1.clone();
+            }
+        }
+        let mut desks = self.desks.write().unwrap_or_else(PoisonError::into_inner);
+        match desks.binary_search_by(|(known, _)| known.cmp(name)) {
+            Ok(place) => desks[place].1.clone(),
+            Err(place) => {
+                let desk = Arc::new(ServiceDesk::new(rand::random()));
+                desks.insert(place, (name.clone(), desk.clone()));
+                desk
+            }
+        }
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,3 +1,15 @@
-//! Routing: which backend server takes a request.
+//! Routing: which backend server takes a request. Two random candidates by corrected load, the
+//! nearest first, with a breaker for each; keyed calls go to the holder of their slot.
 
+mod backend_pool;
+mod backend_server;
+mod breaker;
 pub(crate) mod events;
+mod load_estimate;
+mod pick;
+mod rendezvous;
+
+pub(crate) use backend_pool::{
+    BackendKey, BackendPool, NoPick, PickTarget, PickWish, PickedBackend, entry_count,
+};
+pub(crate) use rendezvous::{name_hash, rendezvous_weight};
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -16,7 +16,7 @@
 
 use super::frames::{FrameReader, encode_message};
 use super::server::{read_body, read_message};
-use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
 
 const IDLE_PER_PEER: usize = 64;
 
@@ -192,7 +192,7 @@
     struct ErrorText {
         code: ErrorKind,
         message: String,
-        run: crate::errors::RunOutcome,
+        run: RunOutcome,
         retry_after_ms: Option<u64>,
     }
     match serde_json::from_slice::<ErrorBody>(text) {
@@ -202,7 +202,9 @@
             outcome: Some(body.error.run),
             retry_after: body.error.retry_after_ms.map(Duration::from_millis),
         },
-        Err(_) => SwitchError::new(ErrorKind::MessageInvalid, format!("answered {status}")),
+        // Whoever wrote this body is not known, so nor is whether the request ran.
+        Err(_) => SwitchError::new(ErrorKind::MessageInvalid, format!("answered {status}"))
+            .with_outcome(RunOutcome::NotKnown),
     }
 }
 
