Check documents as a whole, and accept each change once through lost answers

A document's faults are told all at once: the shape by the published schema, the meaning by our own rules.

Found by the randomised run: a change whose first try was left in doubt could be told "refused" by its second try and stand all the same, because the first try's write was still on its way. Ruled out: a second read before refusing (the write may arrive after it). A try that is not the first now refuses only when the row shows that the change can no longer take effect.

--- a/src/documents/acceptance.rs
+++ b/src/documents/acceptance.rs
@@ -103,7 +103,7 @@
     standing: Option<(RowRevision, DocumentRecord)>,
     standing_row: Bytes,
     hint: Option<(RowRevision, Bytes)>,
-    /// Whether the document's row may have been written.
+    /// Whether this try or an earlier one may have written the document's row, or still may.
     sent: bool,
     end: Option<AcceptanceEnd>,
 }
@@ -112,6 +112,7 @@
     /// The change `order`, asked for at `now`.
     pub(crate) fn new(order: ChangeOrder, now: ClockTime, wall: WallTime) -> Self {
         Self {
+            sent: !order.is_first_try,
             order,
             wall,
             ends: now + ACCEPT_WITHIN,
@@ -120,7 +121,6 @@
             standing: None,
             standing_row: Bytes::new(),
             hint: None,
-            sent: false,
             end: None,
         }
     }
@@ -247,7 +247,7 @@
         self.order.check_author(record)?;
         if record.map_or(0, |record| record.version) != self.order.replaces {
             let record = record.cloned();
-            self.refuse_conflict(record);
+            self.refuse_overtaken(record);
             return Ok(());
         }
         self.standing = standing;
@@ -279,14 +279,25 @@
             self.accept(version, Some(row.value));
             return Ok(());
         }
+        self.refuse_overtaken(Some(record));
+        Ok(())
+    }
+
+    /// Another version stands than the change was to replace. That is a refusal if no write of the
+    /// change can have taken effect, or if the row remembers whose change made the version that
+    /// this one would have made; else it is in doubt.
+    fn refuse_overtaken(&mut self, standing: Option<DocumentRecord>) {
         let wanted = self.order.replaces + 1;
-        let remembers = record.recent.iter().any(|mark| mark.version == wanted);
+        let recent = standing.as_ref().map(|record| &record.recent[..]);
+        let remembers = recent
+            .unwrap_or_default()
+            .iter()
+            .any(|mark| mark.version == wanted);
         if remembers || !self.sent {
-            self.refuse_conflict(Some(record));
+            self.refuse_conflict(standing);
         } else {
             self.give_up();
         }
-        Ok(())
     }
 
     fn hint_write(&self) -> SwitchResult<AcceptanceStep> {
@@ -359,7 +370,7 @@
         let error = if self.sent {
             SwitchError::new(
                 ErrorKind::DocumentInDoubt,
-                "the table's answer was lost; put the same change again with the same nonce",
+                "it cannot be told whether the change was written; put it again with the same nonce",
             )
         } else {
             SwitchError::new(
--- a/src/documents/change.rs
+++ b/src/documents/change.rs
@@ -67,6 +67,9 @@
     pub(crate) replaces: u64,
     /// Names the change; the same when it is asked for again.
     pub(crate) nonce: ByteString,
+    /// Whether the author says that it was never asked for before. If not, an earlier try may
+    /// still be on its way into the table.
+    pub(crate) is_first_try: bool,
     /// The author's name, for people.
     pub(crate) author: ByteString,
     /// The digest of the key that the author presented.
--- a/src/documents/check.rs
+++ b/src/documents/check.rs
@@ -84,11 +84,46 @@
         .map(|error| {
             let path = error.instance_path().to_string();
             let given = shorten(&error.instance().to_string());
-            fault(&path, given, error.to_string())
+            let choices = choices_at(error.evaluation_path().as_str());
+            fault(&path, given, choices.unwrap_or_else(|| error.to_string()))
         })
         .collect()
 }
 
+/// What may stand where the schema at `place` offers a choice: the schema's own words would only
+/// say that nothing fits.
+fn choices_at(place: &str) -> Option<String> {
+    let schema = json_schema();
+    let choices = schema_at(&schema, place)?.as_array()?;
+    let words: Vec<String> = choices.iter().filter_map(choice_text).collect();
+    (!words.is_empty()).then(|| format!("one of: {}", words.join(", ")))
+}
+
+fn choice_text(choice: &Value) -> Option<String> {
+    if let Some(word) = choice.get("const") {
+        return Some(word.to_string());
+    }
+    let fields = choice.get("properties")?.as_object()?;
+    let (name, field) = fields.iter().next()?;
+    let kind = field.get("type").and_then(Value::as_str).unwrap_or("value");
+    Some(format!("{{\"{name}\": {kind}}}"))
+}
+
+/// The part of `schema` at `place`, whose segments go through references.
+fn schema_at<'a>(schema: &'a Value, place: &str) -> Option<&'a Value> {
+    let mut part = schema;
+    for segment in place.split('/').filter(|segment| !segment.is_empty()) {
+        part = match part {
+            Value::Array(items) => items.get(segment.parse::<usize>().ok()?)?,
+            other => other.get(segment)?,
+        };
+        if segment == "$ref" {
+            part = schema.pointer(part.as_str()?.trim_start_matches('#'))?;
+        }
+    }
+    Some(part)
+}
+
 fn shorten(text: &str) -> String {
     match text.char_indices().nth(GIVEN_LENGTH_MAX) {
         Some((end, _)) => format!("{}…", &text[..end]),
--- a/src/documents/schema.rs
+++ b/src/documents/schema.rs
@@ -32,7 +32,8 @@
     /// Which hosts of these data centres serve it.
     pub hosts: HostSelection,
     /// The weights that a model service runs; none for plain services.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "WeightsSpec")]
     pub weights: Option<WeightsSpec>,
     /// How a change of version goes through the hosts.
     #[serde(default)]
@@ -221,8 +222,8 @@
 #[serde(deny_unknown_fields)]
 pub struct RouteSpec {
     /// The method, in capitals; none means every method.
-    #[serde(default)]
-    #[schemars(with = "Option<String>")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "String")]
     pub method: Option<ByteString>,
     /// The beginning of the path below the service.
     #[schemars(with = "String")]
--- /dev/null
+++ b/src/documents/tests/check.rs
@@ -0,0 +1,100 @@
+//! The check of a document as a whole, the published schema and the samples.
+
+use std::fs;
+use std::path::PathBuf;
+
+use serde_json::{Value, json};
+
+use crate::documents::{DocumentFault, check_document, json_schema};
+
+const SAMPLES: [&str; 6] = [
+    "auroras/sky-writer",
+    "auroras/alert-desk",
+    "auroras/franchise-portal",
+    "skupno/pisar",
+    "skupno/nadzor",
+    "skupno/gostitelj",
+];
+
+fn path_of(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(name)
+}
+
+fn sample(name: &str) -> Value {
+    let text = fs::read(path_of(&format!("samples/{name}.json"))).expect("the sample is there");
+    serde_json::from_slice(&text).expect("the sample is JSON")
+}
+
+fn faults_of(document: &Value) -> Vec<DocumentFault> {
+    check_document(document.to_string().as_bytes())
+        .err()
+        .unwrap_or_default()
+}
+
+fn paths_of(document: &Value) -> Vec<String> {
+    let mut paths: Vec<String> = faults_of(document)
+        .into_iter()
+        .map(|fault| fault.path)
+        .collect();
+    paths.sort_unstable();
+    paths
+}
+
+#[test]
+fn samples_have_no_faults() {
+    for name in SAMPLES {
+        assert_eq!(faults_of(&sample(name)), [], "{name}");
+    }
+}
+
+#[test]
+fn published_schema_is_current() {
+    let text = fs::read(path_of("docs/schema/service-document.json")).expect("it is published");
+    let published: Value = serde_json::from_slice(&text).expect("it is JSON");
+    let hint = "run `savoryctl document schema > docs/schema/service-document.json`";
+    assert_eq!(published, json_schema(), "{hint}");
+}
+
+#[test]
+fn all_faults_of_the_shape_are_told_at_once() {
+    let mut document = sample("auroras/sky-writer");
+    document["team"] = json!(7);
+    document["rollot"] = json!({});
+    document["accounts"][0]["weight"] = json!("heavy");
+    document["weights"]["objective"] = json!("money");
+    let faults = faults_of(&document);
+    let told: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    assert!(told.contains(&"/team"), "{faults:?}");
+    assert!(told.contains(&"/accounts/0/weight"), "{faults:?}");
+    assert!(faults.iter().any(|fault| fault.wanted.contains("rollot")));
+    assert!(faults.iter().any(|fault| fault.given.contains("money")));
+}
+
+#[test]
+fn all_faults_of_the_meaning_are_told_at_once() {
+    let mut document = sample("auroras/alert-desk");
+    document["service"] = json!("alert desk");
+    document["change_key_digests"] = json!([]);
+    document["weights"] = sample("auroras/sky-writer")["weights"].clone();
+    document["accounts"][1]["name"] = document["accounts"][0]["name"].clone();
+    document["accounts"][0]["urgent_percent"] = json!(101);
+    document["retry"] = json!({ "budget_percent": 10, "attempts_max": 0 });
+    document["routes"][0]["path_prefix"] = json!("wake-ups");
+    let expected = [
+        "/accounts/0/urgent_percent",
+        "/accounts/1/name",
+        "/change_key_digests",
+        "/retry/attempts_max",
+        "/routes/0/path_prefix",
+        "/service",
+        "/weights",
+    ];
+    assert_eq!(paths_of(&document), expected);
+}
+
+#[test]
+fn what_is_no_json_is_one_fault() {
+    let faults = check_document(b"{ not json").expect_err("it does not read");
+    assert_eq!(faults.len(), 1);
+    assert!(faults[0].wanted.contains("JSON"));
+}
--- a/src/documents/unknown_fields.rs
+++ b/src/documents/unknown_fields.rs
@@ -62,16 +62,10 @@
     }
 }
 
-/// Follows references and the choice between a value and null to the part that names fields.
+/// Follows a reference to the part that it names.
 fn resolve<'a>(schema: &'a Value, root: &'a Value) -> &'a Value {
-    if let Some(reference) = schema.get("$ref").and_then(Value::as_str) {
-        let pointer = reference.trim_start_matches('#');
-        return root.pointer(pointer).unwrap_or(schema);
-    }
-    let choices = schema.get("anyOf").and_then(Value::as_array);
-    let named = choices
-        .into_iter()
-        .flatten()
-        .find(|choice| choice.get("$ref").is_some());
-    named.map_or(schema, |choice| resolve(choice, root))
+    let reference = schema.get("$ref").and_then(Value::as_str);
+    let pointer = reference.map(|reference| reference.trim_start_matches('#'));
+    let named = pointer.and_then(|pointer| root.pointer(pointer));
+    named.unwrap_or(schema)
 }
--- a/src/lab/soak/mod.rs
+++ b/src/lab/soak/mod.rs
@@ -2,6 +2,7 @@
 //! cases, on ever new ones until the time is over.
 
 mod command;
+pub(crate) mod documents;
 
 use arbitrary::Unstructured;
 
@@ -21,4 +22,8 @@
 }
 
 /// Every slice that has a driver.
-pub(crate) const SLICES: &[SoakSlice] = &[];
+pub(crate) const SLICES: &[SoakSlice] = &[SoakSlice {
+    name: "documents",
+    case_bytes: 4096,
+    run_case: documents::run_case,
+}];
--- a/src/operator/admin.rs
+++ b/src/operator/admin.rs
@@ -28,6 +28,8 @@
 pub(crate) const AUTHOR_HEADER: &str = "savory-author";
 /// The header in which a change is named, so that it can be asked for again.
 pub(crate) const NONCE_HEADER: &str = "idempotency-key";
+/// The header that says how often a named change was asked for, this time included.
+pub(crate) const ATTEMPT_HEADER: &str = "savory-attempt";
 const NONCE_LENGTH_MAX: usize = 128;
 const AUTHOR_LENGTH_MAX: usize = 64;
 
@@ -173,6 +175,7 @@
             service: service.into(),
             replaces: query.replaces,
             nonce: change_nonce(&headers)?,
+            is_first_try: is_first_try(&headers),
             author: text_header(&headers, AUTHOR_HEADER, AUTHOR_LENGTH_MAX)?
                 .unwrap_or_else(|| "unnamed".into()),
             key,
@@ -323,6 +326,13 @@
     Ok(given.unwrap_or_else(|| uuid::Uuid::new_v4().to_string().into()))
 }
 
+/// A change that nobody named cannot have been asked for before; of a named one only its author
+/// knows.
+fn is_first_try(headers: &HeaderMap) -> bool {
+    let attempt = headers.get(ATTEMPT_HEADER);
+    !headers.contains_key(NONCE_HEADER) || attempt.is_some_and(|value| value == "1")
+}
+
 fn text_header(
     headers: &HeaderMap,
     name: &'static str,
--- a/src/operator/admin_client.rs
+++ b/src/operator/admin_client.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
 
-use super::admin::{AUTHOR_HEADER, NONCE_HEADER};
+use super::admin::{ATTEMPT_HEADER, AUTHOR_HEADER, NONCE_HEADER};
 use super::messages::{FaultsReply, StandingReply};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::transport::{ClientLimits, PeerClient, read_body};
@@ -30,8 +30,17 @@
     pub(super) method: Method,
     pub(super) path: String,
     pub(super) body: Bytes,
-    /// The author and the change's name, for a put.
-    pub(super) change: Option<(String, String)>,
+    /// What names the change, for a put.
+    pub(super) change: Option<ChangeName>,
+}
+
+/// What names a change.
+#[derive(Clone)]
+pub(super) struct ChangeName {
+    pub(super) author: String,
+    pub(super) nonce: String,
+    /// Tries of it before this call.
+    pub(super) tries: u32,
 }
 
 impl AdminCall {
@@ -83,8 +92,8 @@
         let detail = "give --admin-address IP:PORT of an entry host";
         let mut last: AdminFailure = SwitchError::new(ErrorKind::SettingInvalid, detail).into();
         let mut in_doubt = false;
-        for address in &self.addresses {
-            match self.ask_at(*address, call).await {
+        for (tries, address) in (0..).zip(&self.addresses) {
+            match self.try_at(*address, call, tries).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => {
                     in_doubt |= leaves_doubt(failure.error.kind);
@@ -110,7 +119,16 @@
         address: SocketAddr,
         call: &AdminCall,
     ) -> Result<A, AdminFailure> {
-        let request = self.request(call)?;
+        self.try_at(address, call, 0).await
+    }
+
+    async fn try_at<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        call: &AdminCall,
+        tries: u32,
+    ) -> Result<A, AdminFailure> {
+        let request = self.request(call, tries)?;
         let answer = self.client.send(address, request, ANSWER_WITHIN).await?;
         let status = answer.status();
         let text = read_body(answer.into_body(), ANSWER_BYTES_MAX).await?;
@@ -120,15 +138,16 @@
         Err(read_failure(status, &text))
     }
 
-    fn request(&self, call: &AdminCall) -> SwitchResult<http::Request<Body>> {
+    fn request(&self, call: &AdminCall, tries: u32) -> SwitchResult<http::Request<Body>> {
         let mut request = http::Request::builder()
             .method(call.method.clone())
             .uri(&call.path)
             .header(header::AUTHORIZATION, format!("Bearer {}", self.key));
-        if let Some((author, nonce)) = &call.change {
+        if let Some(change) = &call.change {
             request = request
-                .header(AUTHOR_HEADER, author)
-                .header(NONCE_HEADER, nonce);
+                .header(AUTHOR_HEADER, &change.author)
+                .header(NONCE_HEADER, &change.nonce)
+                .header(ATTEMPT_HEADER, change.tries + tries + 1);
         }
         request
             .body(Body::from(call.body.clone()))
--- a/src/operator/command.rs
+++ b/src/operator/command.rs
@@ -84,6 +84,11 @@
                 .arg(file_arg())
                 .after_help("Example: savoryctl document check sky-writer.json"),
         )
+        .subcommand(
+            Command::new("schema")
+                .about("Print the JSON schema of documents")
+                .after_help("Example: savoryctl document schema > service-document.json"),
+        )
         .subcommand(put_command())
         .subcommand(of_service(
             "get",
--- a/src/operator/run_command.rs
+++ b/src/operator/run_command.rs
@@ -11,14 +11,14 @@
 use serde_json::Value;
 use tokio::time::sleep;
 
-use super::admin_client::{AdminCall, AdminClient, AdminFailure};
+use super::admin_client::{AdminCall, AdminClient, AdminFailure, ChangeName};
 use super::command::text;
 use super::messages::{
     DocumentReply, HistoryReply, HostsReply, PutReply, RequestsReply, StateReply,
 };
 use super::tables::{cell, print_table};
 use super::views::{show_document_faults, show_hosts, show_requests, show_state, show_weights};
-use crate::documents::{DocumentFault, KeyDigest, check_document};
+use crate::documents::{DocumentFault, KeyDigest, check_document, json_schema};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult, answer_for};
 use crate::time::clock_now;
 
@@ -45,6 +45,10 @@
     match matches.subcommand() {
         Some(("document", document)) => match document.subcommand() {
             Some(("check", check)) => check_file(check, is_json),
+            Some(("schema", _)) => {
+                print_json(&json_schema());
+                Ok(())
+            }
             Some(("put", put)) => put_document(matches, put, is_json).await,
             Some(("get", get)) => get_document(matches, get).await,
             Some(("diff", diff)) => diff_document(matches, diff, is_json).await,
@@ -171,9 +175,10 @@
     let body = read_document(put)?;
     let (_, document) = check_document(&body).map_err(invalid)?;
     let replaces = put.get_one::<u64>("replaces").copied().unwrap_or_default();
-    let nonce = match text(put, "nonce") {
-        given if given.is_empty() => uuid::Uuid::new_v4().to_string(),
-        given => given,
+    // A name that the author gives is that of an earlier try.
+    let (nonce, tries) = match text(put, "nonce") {
+        given if given.is_empty() => (uuid::Uuid::new_v4().to_string(), 0),
+        given => (given, 1),
     };
     let author = match text(put, "author") {
         given if given.is_empty() => "unnamed".to_owned(),
@@ -186,7 +191,11 @@
             document.service
         ),
         body: body.into(),
-        change: Some((author, nonce.clone())),
+        change: Some(ChangeName {
+            author,
+            nonce: nonce.clone(),
+            tries,
+        }),
     };
     let reply: Result<PutReply, AdminFailure> = client_of(matches)?.ask(&call).await;
     match reply {
