Give reads from the origin their own time limit

The origin's link is shared by every host that reads; a chunk may take several seconds there while it is well. With the platform's limit of one second such a read counted as a failure, was given up and read again, and the bytes that had come were lost.

--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 use volo_http::server::route::Router;
 
@@ -18,6 +19,10 @@
 use crate::transport::{ClientLimits, HttpServer, PeerClient, bind_listener};
 use crate::weights::{WeightsEdges, WeightsLimits, start_weights};
 
+/// How long a read from the origin may take; its link is shared by all hosts that read, so that one
+/// chunk may take far longer than the platform's other answers.
+const ORIGIN_READ_WITHIN: Duration = Duration::from_secs(20);
+
 /// Runs the host process until its graceful stop is done.
 pub(super) async fn run_host(settings: HostSettings) -> SwitchResult<()> {
     let listener = bind_listener(settings.common.peer_address).await?;
@@ -101,9 +106,9 @@
 
 fn weights_routes(settings: &HostSettings, parts: WeightsParts) -> Router {
     let source = |address: SocketAddr| -> Arc<dyn WeightSource> {
-        let client = settings
-            .common
-            .client(address, ErrorKind::OriginUnavailable);
+        let common = &settings.common;
+        let client =
+            common.patient_client(address, ErrorKind::OriginUnavailable, ORIGIN_READ_WITHIN);
         Arc::new(HttpWeights(client))
     };
     let Some(origin) = settings.origin_address.map(source) else {
