--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -183,7 +183,7 @@
 }
 
 /// The error in a JSON error body, as [`super::error_reply`] writes it.
-fn read_error(status: StatusCode, text: &[u8]) -> SwitchError {
+pub(crate) fn read_error(status: StatusCode, text: &[u8]) -> SwitchError {
     #[derive(serde::Deserialize)]
     struct ErrorBody {
         error: ErrorText,
--- a/src/weights/chunk_map.rs
+++ b/src/weights/chunk_map.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Takes `index` out.
+    pub(crate) fn remove(&mut self, index: u32) {
+        if index < self.count {
+            self.bits[byte_of(index)] &= !(1 << (index % BITS));
+        }
+    }
+
     /// Whether `index` is in.
     pub(crate) fn contains(&self, index: u32) -> bool {
         index < self.count
--- a/src/weights/events.rs
+++ b/src/weights/events.rs
@@ -19,6 +19,9 @@
 pub(crate) const READ_BACK: LogEvent =
     LogEvent::warn(522, "an order's outcome is read back from the engine");
 pub(crate) const ENGINE_SILENT: LogEvent = LogEvent::warn(523, "the engine's state cannot be read");
+pub(crate) const ORDER_GIVEN: LogEvent = LogEvent::info(524, "the engine was ordered to load");
+pub(crate) const ROLLOUT_STOPPED: LogEvent =
+    LogEvent::error(525, "the rollout of a version was stopped");
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -35,4 +38,6 @@
     GATE_WAITS,
     READ_BACK,
     ENGINE_SILENT,
+    ORDER_GIVEN,
+    ROLLOUT_STOPPED,
 ];
--- /dev/null
+++ b/src/weights/fetch_plan.rs
@@ -0,0 +1,508 @@
+//! Decides which chunk is asked of whom, and what follows from each answer and each silence.
+//!
+//! A host pulls the rarest chunk that a peer holds; a chunk that nobody seems to hold is read from
+//! the origin by the host whose turn it is in the chunk's [`SourceLine`]. The plan knows no sockets
+//! and no clocks: the edge carries out its steps and tells it what came of them.
+
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::chunk_map::ChunkMap;
+use super::digest::WeightsDigest;
+use super::messages::HaveWord;
+use super::origin_turns::OriginTurns;
+use super::peer_table::{PeerContact, PeerKey, PeerTable, PlanHost};
+use super::source_line::LineHost;
+use crate::derives::{key, plain};
+use crate::documents::SpreadObjective;
+use crate::errors::ErrorKind;
+use crate::time::ClockTime;
+
+/// How many times the usual span of a pull must have passed before it counts as stalled.
+const STALL_SPANS: u32 = 10;
+const STALL_LEAST: Duration = Duration::from_millis(1500);
+/// How many times the usual span must have passed before a second source is asked.
+const HEDGE_SPANS: u32 = 3;
+const HEDGE_LEAST: Duration = Duration::from_millis(300);
+const HEDGES_MAX: usize = 2;
+const FLIGHTS_PER_CHUNK: usize = 2;
+const ASK_STARVED_LEAST: Duration = Duration::from_millis(80);
+const ASK_STARVED_MOST: Duration = Duration::from_millis(500);
+const ASK_CALM: Duration = Duration::from_millis(1500);
+const BUSY_LEAST: Duration = Duration::from_millis(10);
+
+/// What the plan may do at a time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FetchLimits {
+    /// Chunks under way from peers.
+    pub(crate) pulls_max: usize,
+    /// Chunks under way from one peer.
+    pub(crate) pulls_per_peer: u32,
+    /// Chunks under way from the origin.
+    pub(crate) origin_reads_max: usize,
+    /// Hosts that are asked of this host's own accord.
+    pub(crate) neighbours: usize,
+    /// How long the first in a chunk's line has before the second looks after it.
+    pub(crate) turn_span: Duration,
+    /// How long a read from the origin may take.
+    pub(crate) origin_within: Duration,
+}
+
+impl Default for FetchLimits {
+    fn default() -> Self {
+        Self {
+            pulls_max: 5,
+            pulls_per_peer: 2,
+            origin_reads_max: 2,
+            neighbours: 12,
+            turn_span: Duration::from_secs(2),
+            origin_within: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One chunk under way.
+#[apply(key!)]
+pub(crate) struct FlightId(u64);
+
+/// Where a chunk comes from.
+#[apply(key!)]
+pub(crate) enum FlightSource {
+    /// Another host.
+    Peer(PeerKey),
+    /// The origin.
+    Origin,
+}
+
+/// What the edge has to do.
+#[apply(key!)]
+pub(crate) enum FetchStep {
+    /// Ask a host what it holds.
+    Ask(PeerKey),
+    /// Bring a chunk.
+    Fetch {
+        /// Names it in what is told of it.
+        flight: FlightId,
+        /// The chunk.
+        index: u32,
+        /// Where it comes from.
+        source: FlightSource,
+    },
+    /// Give a chunk under way up.
+    Cancel(FlightId, FlightSource),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Flight {
+    id: FlightId,
+    index: u32,
+    source: FlightSource,
+    since: ClockTime,
+    stalls_at: ClockTime,
+}
+
+/// One host's plan for one version.
+#[derive(Debug)]
+pub(crate) struct FetchPlan {
+    limits: FetchLimits,
+    objective: SpreadObjective,
+    held: ChunkMap,
+    peers: PeerTable,
+    turns: OriginTurns,
+    flights: Vec<Flight>,
+    next_flight: u64,
+    /// How long a pull usually takes.
+    usual_span: Duration,
+    asks_every: Duration,
+    rng: StdRng,
+}
+
+impl FetchPlan {
+    /// The plan of `me` for the version `digest`, of which it holds `held`. `chunk_span` is how long
+    /// a chunk takes on this host's idle link; `seed` sets what is left to chance.
+    pub(crate) fn new(
+        me: LineHost,
+        (digest, objective): (WeightsDigest, SpreadObjective),
+        held: ChunkMap,
+        limits: FetchLimits,
+        (chunk_span, seed): (Duration, u64),
+        now: ClockTime,
+    ) -> Self {
+        let chunks = held.count();
+        let usual_span = (chunk_span * 4).max(Duration::from_millis(40));
+        let starved = (chunk_span * 2).clamp(ASK_STARVED_LEAST, ASK_STARVED_MOST);
+        Self {
+            limits,
+            objective,
+            peers: PeerTable::new(me.clone(), chunks),
+            turns: OriginTurns::new(me, (digest, objective), chunks, limits.turn_span, now),
+            held,
+            flights: Vec::new(),
+            next_flight: 0,
+            usual_span,
+            asks_every: starved,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// A new view of the live hosts that want the version.
+    pub(crate) fn set_hosts(&mut self, hosts: &[PlanHost]) {
+        self.peers.set_hosts(hosts, self.limits.neighbours);
+        self.turns.set_hosts(hosts);
+    }
+
+    /// The record of a host.
+    pub(crate) const fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// The chunks that are there.
+    pub(crate) const fn held(&self) -> &ChunkMap {
+        &self.held
+    }
+
+    /// The chunks that this host is about to read from the origin.
+    pub(crate) fn claimed(&self) -> ChunkMap {
+        let mut claimed = ChunkMap::empty(self.held.count());
+        if self.turns.is_cut_off() {
+            return claimed;
+        }
+        for index in 0..self.held.count() {
+            if !self.held.contains(index) && self.turns.is_first(index) {
+                claimed.insert(index);
+            }
+        }
+        for flight in &self.flights {
+            if flight.source == FlightSource::Origin {
+                claimed.insert(flight.index);
+            }
+        }
+        claimed
+    }
+
+    /// A host said what it holds, of its own accord or asked.
+    pub(crate) fn on_word(&mut self, word: &HaveWord, now: ClockTime) {
+        self.peers.hear(word, now);
+    }
+
+    /// The answer to [`FetchStep::Ask`] came, or did not.
+    pub(crate) fn on_asked(&mut self, key: PeerKey, failure: Option<ErrorKind>, now: ClockTime) {
+        let part = self.rng.random();
+        let peer = self.peers.get_mut(key);
+        peer.contact = PeerContact::Quiet;
+        match failure {
+            // It has not begun with this version yet: it is there, and holds nothing.
+            None | Some(ErrorKind::ChunkMissing) => peer.heard_at = Some(now),
+            Some(_) => {
+                peer.contact = PeerContact::Silent;
+                peer.strike(now, part);
+            }
+        }
+    }
+
+    /// A chunk came and matched. Returns the other flights for it, which are of no more use.
+    pub(crate) fn on_delivered(&mut self, id: FlightId, now: ClockTime) -> Vec<FlightId> {
+        let Some(flight) = self.land(id) else {
+            return Vec::new();
+        };
+        self.held.insert(flight.index);
+        match flight.source {
+            FlightSource::Peer(key) => {
+                self.peers.get_mut(key).clear_strikes();
+                let span = now.since(flight.since);
+                self.usual_span = (self.usual_span * 7 + span) / 8;
+            }
+            FlightSource::Origin => self.turns.on_delivered(),
+        }
+        let twins = self
+            .flights
+            .iter()
+            .filter(|twin| twin.index == flight.index);
+        let twins: Vec<FlightId> = twins.map(|twin| twin.id).collect();
+        for twin in &twins {
+            self.land(*twin);
+        }
+        twins
+    }
+
+    /// A chunk did not come, or did not match. `wait` is what the source asked for.
+    pub(crate) fn on_failed(
+        &mut self,
+        id: FlightId,
+        kind: ErrorKind,
+        wait: Option<Duration>,
+        now: ClockTime,
+    ) {
+        let Some(flight) = self.land(id) else {
+            return;
+        };
+        let part = self.rng.random();
+        match (flight.source, kind) {
+            (FlightSource::Origin, _) => self.turns.on_failed(kind, wait, part, now),
+            (FlightSource::Peer(key), ErrorKind::UploadBusy) => {
+                let wait = wait.unwrap_or(BUSY_LEAST).max(BUSY_LEAST);
+                self.peers.get_mut(key).busy_until = now + wait.mul_f64(0.5 + part);
+            }
+            (FlightSource::Peer(key), ErrorKind::ChunkMissing) => {
+                self.peers.forget_chunk(key, flight.index);
+            }
+            (FlightSource::Peer(key), _) => self.peers.get_mut(key).strike(now, part),
+        }
+    }
+
+    /// What to do now.
+    pub(crate) fn next_steps(&mut self, now: ClockTime) -> Vec<FetchStep> {
+        let mut steps = Vec::new();
+        if self.held.is_full() {
+            return steps;
+        }
+        self.cancel_stalled(now, &mut steps);
+        self.plan_origin_reads(now, &mut steps);
+        self.plan_pulls(now, &mut steps);
+        self.plan_asks(now, &mut steps);
+        assert!(
+            self.flights
+                .iter()
+                .all(|flight| !self.held.contains(flight.index)),
+            "a chunk that is there was under way again"
+        );
+        steps
+    }
+
+    fn cancel_stalled(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
+        let stalled = self.flights.iter().filter(|flight| flight.stalls_at <= now);
+        let stalled: Vec<Flight> = stalled.copied().collect();
+        for flight in stalled {
+            self.on_failed(flight.id, ErrorKind::PeerSilent, None, now);
+            steps.push(FetchStep::Cancel(flight.id, flight.source));
+        }
+    }
+
+    fn plan_origin_reads(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
+        let under_way = self.count_flights(FlightSource::Origin);
+        let mut room = self.limits.origin_reads_max.saturating_sub(under_way);
+        while room > 0 && self.turns.may_read(now) {
+            let Some(index) = self.choose_origin_read(now) else {
+                return;
+            };
+            steps.push(self.launch(index, FlightSource::Origin, now));
+            room -= 1;
+        }
+    }
+
+    fn choose_origin_read(&mut self, now: ClockTime) -> Option<u32> {
+        if self.objective == SpreadObjective::OriginBytes && self.is_listening(now) {
+            return None;
+        }
+        let is_open = |index: &u32| !self.held.contains(*index) && !self.is_flying(*index);
+        let unseen = |index: &u32| is_open(index) && self.peers.copies(*index) == 0;
+        let mine = (0..self.held.count())
+            .filter(|index| self.turns.is_first(*index))
+            .find(unseen);
+        if mine.is_some() {
+            return mine;
+        }
+        let due: Vec<u32> = (0..self.held.count())
+            .filter(unseen)
+            .filter(|index| self.turns.is_due(*index, now))
+            .collect();
+        for index in due {
+            if self.turns.takes_turn(index, &mut self.peers, now) {
+                return Some(index);
+            }
+        }
+        self.choose_spare_read()
+    }
+
+    /// With the objective `time`, a host that nobody can give a chunk reads one that others have
+    /// already, so that nothing that the origin gives is left. Not before every chunk was seen
+    /// somewhere: the first copy of each goes before any second.
+    fn choose_spare_read(&mut self) -> Option<u32> {
+        let pulls = self.flights.len() - self.count_flights(FlightSource::Origin);
+        let is_starved = pulls < self.limits.pulls_max;
+        if self.objective != SpreadObjective::Time || !is_starved {
+            return None;
+        }
+        let missing: Vec<u32> = (0..self.held.count())
+            .filter(|index| !self.held.contains(*index) && !self.is_flying(*index))
+            .collect();
+        if missing.iter().any(|index| self.peers.copies(*index) == 0) {
+            return None;
+        }
+        let first = self.rng.random_range(0..missing.len().max(1));
+        let order = missing[first.min(missing.len())..]
+            .iter()
+            .chain(&missing[..first]);
+        order.copied().min_by_key(|index| self.peers.copies(*index))
+    }
+
+    /// Whether it is too early to tell what the neighbours hold: a host that joins late would read
+    /// from the origin what they could give.
+    fn is_listening(&self, now: ClockTime) -> bool {
+        let mut neighbours = self.peers.listed().filter(|(_, peer)| peer.is_neighbour);
+        !self.turns.has_listened(now)
+            && neighbours
+                .any(|(_, peer)| peer.heard_at.is_none() && peer.contact != PeerContact::Silent)
+    }
+
+    fn plan_pulls(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
+        loop {
+            let pulls = self.flights.len() - self.count_flights(FlightSource::Origin);
+            if pulls >= self.limits.pulls_max {
+                return;
+            }
+            let choice = self.choose_pull(now).or_else(|| self.choose_hedge(now));
+            let Some((index, key)) = choice else {
+                return;
+            };
+            steps.push(self.launch(index, FlightSource::Peer(key), now));
+        }
+    }
+
+    /// The rarest chunk that somebody who has room holds, from whoever has most room.
+    fn choose_pull(&mut self, now: ClockTime) -> Option<(u32, PeerKey)> {
+        let count = self.held.count();
+        let first = self.rng.random_range(0..count);
+        let mut best: Option<(u16, u32)> = None;
+        for index in (first..count).chain(0..first) {
+            let copies = self.peers.copies(index);
+            let is_better = best.is_none_or(|(rarest, _)| copies < rarest);
+            let is_wanted = copies > 0 && is_better && !self.held.contains(index);
+            if is_wanted && !self.is_flying(index) && self.has_holder(index, now) {
+                best = Some((copies, index));
+            }
+        }
+        let (_, index) = best?;
+        let key = self.choose_holder(index, now)?;
+        Some((index, key))
+    }
+
+    /// In the endgame, a second source for the chunk that is the latest. Bounded, so that the last
+    /// chunks of many hosts do not flood the links.
+    fn choose_hedge(&mut self, now: ClockTime) -> Option<(u32, PeerKey)> {
+        let is_hedge = |flight: &&Flight| self.flights_of(flight.index).count() > 1;
+        if self.flights.iter().filter(is_hedge).count() >= HEDGES_MAX * FLIGHTS_PER_CHUNK {
+            return None;
+        }
+        let late = (self.usual_span * HEDGE_SPANS).max(HEDGE_LEAST);
+        let mut lates: Vec<&Flight> = self
+            .flights
+            .iter()
+            .filter(|flight| now.since(flight.since) > late)
+            .filter(|flight| self.flights_of(flight.index).count() < FLIGHTS_PER_CHUNK)
+            .collect();
+        lates.sort_by_key(|flight| flight.since);
+        let indexes: Vec<u32> = lates.iter().map(|flight| flight.index).collect();
+        indexes.into_iter().find_map(|index| {
+            let key = self.choose_holder(index, now)?;
+            let is_same = |flight: &Flight| flight.source == FlightSource::Peer(key);
+            (!self.flights_of(index).any(is_same)).then_some((index, key))
+        })
+    }
+
+    fn has_holder(&self, index: u32, now: ClockTime) -> bool {
+        self.peers
+            .listed()
+            .any(|(key, _)| self.can_give(key, index, now))
+    }
+
+    fn can_give(&self, key: PeerKey, index: u32, now: ClockTime) -> bool {
+        let peer = self.peers.get(key);
+        peer.holds(index)
+            && peer.pulls < self.limits.pulls_per_peer
+            && peer.rest_until <= now
+            && peer.busy_until <= now
+    }
+
+    fn choose_holder(&mut self, index: u32, now: ClockTime) -> Option<PeerKey> {
+        let holders = self.peers.listed().map(|(key, _)| key);
+        let holders = holders.filter(|key| self.can_give(*key, index, now));
+        let mut choices: Vec<PeerKey> = holders.collect();
+        let least = choices.iter().map(|key| self.peers.get(*key).pulls).min()?;
+        choices.retain(|key| self.peers.get(*key).pulls == least);
+        let at = self.rng.random_range(0..choices.len());
+        Some(choices[at])
+    }
+
+    /// Asks neighbours that said nothing lately: often while this host has room for more than it
+    /// finds, seldom while it is busy anyway.
+    fn plan_asks(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
+        let pulls = self.flights.len() - self.count_flights(FlightSource::Origin);
+        let is_starved = pulls < self.limits.pulls_max;
+        let every = if is_starved {
+            self.asks_every
+        } else {
+            ASK_CALM
+        };
+        let keys: Vec<PeerKey> = self
+            .peers
+            .listed()
+            .filter(|(_, peer)| peer.is_neighbour)
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys.into_iter().chain(self.turns.take_watched()) {
+            let jitter = every.mul_f64(self.rng.random_range(0.75..1.25));
+            let peer = self.peers.get_mut(key);
+            let last = peer.heard_at.max(peer.asked_at);
+            let is_time = last.is_none_or(|last| now.since(last) >= jitter);
+            if is_time && peer.contact != PeerContact::Asked && peer.rest_until <= now {
+                peer.contact = PeerContact::Asked;
+                peer.asked_at = Some(now);
+                steps.push(FetchStep::Ask(key));
+            }
+        }
+    }
+
+    fn launch(&mut self, index: u32, source: FlightSource, now: ClockTime) -> FetchStep {
+        let id = FlightId(self.next_flight);
+        self.next_flight += 1;
+        let within = match source {
+            FlightSource::Peer(key) => {
+                self.peers.get_mut(key).pulls += 1;
+                (self.usual_span * STALL_SPANS).max(STALL_LEAST)
+            }
+            FlightSource::Origin => self.limits.origin_within,
+        };
+        self.flights.push(Flight {
+            id,
+            index,
+            source,
+            since: now,
+            stalls_at: now + within,
+        });
+        FetchStep::Fetch {
+            flight: id,
+            index,
+            source,
+        }
+    }
+
+    fn land(&mut self, id: FlightId) -> Option<Flight> {
+        let at = self.flights.iter().position(|flight| flight.id == id)?;
+        let flight = self.flights.swap_remove(at);
+        if let FlightSource::Peer(key) = flight.source {
+            self.peers.get_mut(key).pulls -= 1;
+        }
+        Some(flight)
+    }
+
+    fn flights_of(&self, index: u32) -> impl Iterator<Item = &Flight> {
+        self.flights
+            .iter()
+            .filter(move |flight| flight.index == index)
+    }
+
+    fn is_flying(&self, index: u32) -> bool {
+        self.flights_of(index).next().is_some()
+    }
+
+    fn count_flights(&self, source: FlightSource) -> usize {
+        self.flights
+            .iter()
+            .filter(|flight| flight.source == source)
+            .count()
+    }
+}
--- /dev/null
+++ b/src/weights/fetch_worker.rs
@@ -0,0 +1,415 @@
+//! The one task that owns the fetch plan: brings in the version that the document wants, and ends
+//! the work on an older one at once when a newer is wanted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::events;
+use super::fetch_edge::FetchEdge;
+use super::fetch_plan::{FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource};
+use super::link_pacer::LinkPacer;
+use super::manifest::VersionManifest;
+use super::manifest_edge::find_manifest;
+use super::messages::HaveWord;
+use super::peer_table::PeerKey;
+use super::staged_version::{StagedVersion, VersionShelf};
+use super::wanted_version::{WantedVersion, line_host, wanting_hosts};
+use super::weights_thread::{WeightsEdges, WeightsLimits};
+use super::word_board::WordBoard;
+use crate::documents::SpreadObjective;
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::events::log_event;
+use crate::membership::StagingProgress;
+use crate::metrics;
+use crate::time::clock_now;
+
+const TICK: Duration = Duration::from_millis(25);
+const WATCH_TICKS: u32 = 8;
+/// How long the first in a chunk's line has, by what the document wants to save.
+const TURN_SPAN_TIME: Duration = Duration::from_millis(1500);
+const TURN_SPAN_BYTES: Duration = Duration::from_secs(4);
+
+/// What happened to a step of the plan.
+enum FetchNews {
+    Asked(PeerKey, SwitchResult<HaveWord>),
+    Pulled(FlightId, u32, SwitchResult<HaveWord>),
+    Read(FlightId, u32, SwitchResult<()>),
+}
+
+/// What the worker works with.
+pub(crate) struct FetchWorker {
+    /// The process's edges.
+    pub(crate) edges: WeightsEdges,
+    /// Settings.
+    pub(crate) limits: WeightsLimits,
+    /// Versions that this host holds.
+    pub(crate) shelf: VersionShelf,
+    /// What this host says to others.
+    pub(crate) board: WordBoard,
+    /// The host's link.
+    pub(crate) pacer: LinkPacer,
+    /// What others say of themselves when they ask.
+    pub(crate) heard: mpsc::Receiver<HaveWord>,
+}
+
+enum FetchStage {
+    Idle,
+    Manifest(JoinHandle<SwitchResult<VersionManifest>>),
+    Chunks(Box<FetchRun>),
+    Sealing(Arc<StagedVersion>, JoinHandle<SwitchResult<()>>),
+    /// It does not fit; nothing is tried again until another version is wanted.
+    Refused,
+    Done,
+}
+
+struct FetchRun {
+    edge: FetchEdge,
+    plan: FetchPlan,
+    under_way: Vec<(FlightId, AbortHandle)>,
+    news_sender: mpsc::UnboundedSender<FetchNews>,
+    news: mpsc::UnboundedReceiver<FetchNews>,
+}
+
+impl FetchWorker {
+    /// Works until the process ends.
+    pub(crate) async fn run(mut self) {
+        let mut wanted: Option<WantedVersion> = None;
+        let mut stage = FetchStage::Idle;
+        let mut trusts_peers = true;
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut tick_count: u32 = 0;
+        loop {
+            self.wait(&mut stage, &mut ticks).await;
+            tick_count = tick_count.wrapping_add(1);
+            if tick_count.is_multiple_of(WATCH_TICKS) {
+                let newest = WantedVersion::read(&self.edges.control);
+                if newest.as_ref().map(|newest| newest.digest)
+                    != wanted.as_ref().map(|wanted| wanted.digest)
+                {
+                    trusts_peers = true;
+                    stage.end();
+                    stage = self.begin(newest.as_ref(), trusts_peers);
+                }
+                wanted = newest;
+                if let (FetchStage::Chunks(run), Some(wanted)) = (&mut stage, &wanted) {
+                    self.renew_hosts(run, wanted);
+                }
+            }
+            let Some(wanted) = &wanted else {
+                continue;
+            };
+            stage = self.advance(stage, wanted, &mut trusts_peers).await;
+        }
+    }
+
+    /// Returns when there is something to do: at each tick, or when a step's outcome is there.
+    async fn wait(&mut self, stage: &mut FetchStage, ticks: &mut tokio::time::Interval) {
+        let FetchStage::Chunks(run) = stage else {
+            // Words about no version under way are of no use.
+            while self.heard.try_recv().is_ok() {}
+            ticks.tick().await;
+            return;
+        };
+        let now = clock_now;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            Some(news) = run.news.recv() => run.take(news),
+            Some(word) = self.heard.recv() => run.plan.on_word(&word, now()),
+        }
+        while let Ok(news) = run.news.try_recv() {
+            run.take(news);
+        }
+    }
+
+    fn begin(&self, wanted: Option<&WantedVersion>, trusts_peers: bool) -> FetchStage {
+        let Some(wanted) = wanted else {
+            return FetchStage::Idle;
+        };
+        log_event!(
+            events::VERSION_WANTED,
+            "{} {}",
+            wanted.spec.version,
+            wanted.digest
+        );
+        match self.shelf.find(wanted.digest) {
+            Some(version) if version.is_whole() => FetchStage::Done,
+            Some(version) => FetchStage::Chunks(Box::new(self.begin_chunks(version, wanted))),
+            None => self.begin_manifest(wanted, trusts_peers),
+        }
+    }
+
+    fn begin_manifest(&self, wanted: &WantedVersion, trusts_peers: bool) -> FetchStage {
+        let edges = self.edges.clone();
+        let limits = self.limits;
+        let wanted = wanted.clone();
+        FetchStage::Manifest(tokio::spawn(async move {
+            find_manifest(&edges, limits, &wanted, trusts_peers).await
+        }))
+    }
+
+    fn begin_chunks(&self, version: Arc<StagedVersion>, wanted: &WantedVersion) -> FetchRun {
+        let (news_sender, news) = mpsc::unbounded_channel();
+        let chunk_span = self.pacer.span_of(version.manifest().chunk_size);
+        let limits = FetchLimits {
+            turn_span: match wanted.spec.objective {
+                SpreadObjective::Time => TURN_SPAN_TIME,
+                SpreadObjective::OriginBytes => TURN_SPAN_BYTES,
+            },
+            ..FetchLimits::default()
+        };
+        let plan = FetchPlan::new(
+            line_host(self.edges.control.identity()),
+            (wanted.digest, wanted.spec.objective),
+            version.held(),
+            limits,
+            (chunk_span, rand::rng().random()),
+            clock_now(),
+        );
+        let edge = FetchEdge {
+            origin: Arc::clone(&self.edges.origin),
+            store: self.edges.store.clone(),
+            source: wanted.spec.source.clone(),
+            client: Arc::clone(&self.edges.client),
+            version,
+            board: self.board.clone(),
+            pacer: self.pacer.clone(),
+        };
+        let mut run = FetchRun {
+            edge,
+            plan,
+            under_way: Vec::new(),
+            news_sender,
+            news,
+        };
+        self.renew_hosts(&mut run, wanted);
+        run
+    }
+
+    fn renew_hosts(&self, run: &mut FetchRun, wanted: &WantedVersion) {
+        let snapshot = self.edges.control.snapshot().load();
+        run.plan.set_hosts(&wanting_hosts(&snapshot, wanted.digest));
+    }
+
+    async fn advance(
+        &self,
+        stage: FetchStage,
+        wanted: &WantedVersion,
+        trusts_peers: &mut bool,
+    ) -> FetchStage {
+        match stage {
+            FetchStage::Manifest(task) if task.is_finished() => {
+                self.take_manifest(task.await.ok(), wanted, *trusts_peers)
+            }
+            FetchStage::Chunks(mut run) => {
+                run.step();
+                self.tell_progress(&run, wanted);
+                if !run.plan.held().is_full() {
+                    return FetchStage::Chunks(run);
+                }
+                let version = Arc::clone(&run.edge.version);
+                let sealed = Arc::clone(&version);
+                // Hashing the whole takes long: not on a thread that serves requests.
+                let task = tokio::task::spawn_blocking(move || sealed.seal());
+                FetchStage::Sealing(version, task)
+            }
+            FetchStage::Sealing(version, task) if task.is_finished() => {
+                match task.await {
+                    Ok(Ok(())) => {
+                        log_event!(events::VERSION_WHOLE, "{}", version.digest());
+                        FetchStage::Done
+                    }
+                    Ok(Err(error)) => {
+                        // Every chunk matched a manifest that does not belong to the digest.
+                        metrics::count_refusal(error.kind, "weights");
+                        log_event!(events::WHOLE_REFUSED, "{error}");
+                        self.shelf.retain(|kept| kept.digest() != version.digest());
+                        *trusts_peers = false;
+                        self.begin_manifest(wanted, *trusts_peers)
+                    }
+                    Err(_) => self.begin(Some(wanted), *trusts_peers),
+                }
+            }
+            other => other,
+        }
+    }
+
+    fn take_manifest(
+        &self,
+        found: Option<SwitchResult<VersionManifest>>,
+        wanted: &WantedVersion,
+        trusts_peers: bool,
+    ) -> FetchStage {
+        match found {
+            Some(Ok(manifest)) => {
+                self.make_room(&manifest);
+                let version = Arc::new(StagedVersion::new(manifest));
+                self.shelf.put(Arc::clone(&version));
+                FetchStage::Chunks(Box::new(self.begin_chunks(version, wanted)))
+            }
+            Some(Err(error)) => {
+                metrics::count_refusal(error.kind, "weights");
+                log_event!(events::MEMORY_SHORT, "{}: {error}", wanted.spec.version);
+                FetchStage::Refused
+            }
+            None => self.begin_manifest(wanted, trusts_peers),
+        }
+    }
+
+    /// Lets older versions go where they and the new one would not fit together: the engine has its
+    /// own copy of what it serves. One older version stays where it fits, for peers and for a way
+    /// back.
+    fn make_room(&self, manifest: &VersionManifest) {
+        let serving = self.edges.gate.serving().map(|serving| serving.digest);
+        let mut room = self.limits.memory_bytes.saturating_sub(manifest.size);
+        let kept = serving
+            .and_then(|digest| self.shelf.find(digest))
+            .filter(|version| version.manifest().size <= room)
+            .inspect(|version| room -= version.manifest().size)
+            .map(|version| version.digest());
+        let gone = self.shelf.retain(|version| Some(version.digest()) == kept);
+        for digest in gone {
+            log_event!(events::VERSION_DROPPED, "{digest}");
+        }
+    }
+
+    fn tell_progress(&self, run: &FetchRun, wanted: &WantedVersion) {
+        let progress = StagingProgress {
+            version: wanted.spec.version.clone(),
+            chunks_done: run.plan.held().len(),
+            chunks_all: run.plan.held().count(),
+        };
+        self.edges
+            .board
+            .update(|status| status.staging = Some(progress));
+    }
+}
+
+impl FetchStage {
+    fn end(&self) {
+        match self {
+            Self::Manifest(task) => task.abort(),
+            Self::Chunks(run) => run.under_way.iter().for_each(|(_, task)| task.abort()),
+            Self::Idle | Self::Sealing(..) | Self::Refused | Self::Done => {}
+        }
+    }
+}
+
+impl FetchRun {
+    fn step(&mut self) {
+        let now = clock_now();
+        for step in self.plan.next_steps(now) {
+            self.carry_out(step);
+        }
+        let claimed = self.plan.claimed();
+        self.edge.board.claim(self.edge.version.digest(), claimed);
+    }
+
+    fn carry_out(&mut self, step: FetchStep) {
+        let edge = self.edge.clone();
+        let news = self.news_sender.clone();
+        match step {
+            FetchStep::Ask(key) => {
+                let address = self.plan.peers().get(key).host.address;
+                tokio::spawn(async move {
+                    let _ = news.send(FetchNews::Asked(key, edge.ask(address).await));
+                });
+            }
+            FetchStep::Fetch {
+                flight,
+                index,
+                source: FlightSource::Peer(key),
+            } => {
+                let address = self.plan.peers().get(key).host.address;
+                let task = tokio::spawn(async move {
+                    let pulled = edge.pull(address, index).await;
+                    let _ = news.send(FetchNews::Pulled(flight, index, pulled));
+                });
+                self.under_way.push((flight, task.abort_handle()));
+            }
+            FetchStep::Fetch {
+                flight,
+                index,
+                source: FlightSource::Origin,
+            } => {
+                let task = tokio::spawn(async move {
+                    let read = edge.read_origin(index).await;
+                    let _ = news.send(FetchNews::Read(flight, index, read));
+                });
+                self.under_way.push((flight, task.abort_handle()));
+            }
+            FetchStep::Cancel(flight, source) => {
+                metrics::count_retry(ErrorKind::PeerSilent);
+                if let FlightSource::Peer(key) = source {
+                    // The connection may have gone silent for good while new ones work.
+                    self.edge
+                        .client
+                        .drop_pool(self.plan.peers().get(key).host.address);
+                }
+                self.abort(flight);
+            }
+        }
+    }
+
+    fn take(&mut self, news: FetchNews) {
+        let now = clock_now();
+        match news {
+            FetchNews::Asked(key, answer) => {
+                if let Ok(word) = &answer {
+                    self.plan.on_word(word, now);
+                }
+                let failure = answer.err().map(|error| error.kind);
+                self.plan.on_asked(key, failure, now);
+            }
+            FetchNews::Pulled(flight, index, pulled) => {
+                if let Ok(word) = &pulled {
+                    self.plan.on_word(word, now);
+                }
+                self.take_chunk(flight, index, pulled.map(|_| ()));
+            }
+            FetchNews::Read(flight, index, read) => self.take_chunk(flight, index, read),
+        }
+    }
+
+    fn take_chunk(&mut self, flight: FlightId, index: u32, result: SwitchResult<()>) {
+        let now = clock_now();
+        self.under_way.retain(|(known, _)| *known != flight);
+        match result {
+            Ok(()) => {
+                assert!(
+                    self.edge.version.chunk(index).is_some(),
+                    "a chunk was reported that was not kept"
+                );
+                for twin in self.plan.on_delivered(flight, now) {
+                    self.abort(twin);
+                }
+            }
+            Err(error) => {
+                metrics::count_retry(error.kind);
+                tell_failure(&error);
+                self.plan
+                    .on_failed(flight, error.kind, error.retry_after, now);
+            }
+        }
+    }
+
+    fn abort(&mut self, flight: FlightId) {
+        for (_, task) in self.under_way.iter().filter(|(known, _)| *known == flight) {
+            task.abort();
+        }
+        self.under_way.retain(|(known, _)| *known != flight);
+    }
+}
+
+fn tell_failure(error: &SwitchError) {
+    let event = match error.kind {
+        ErrorKind::ChunkCorrupt | ErrorKind::BodyTooLarge => events::CHUNK_REFUSED,
+        _ => events::SOURCE_FAILED,
+    };
+    log_event!(event, "{error}");
+}
--- /dev/null
+++ b/src/weights/origin_turns.rs
@@ -0,0 +1,197 @@
+//! Whose turn it is to read a chunk from the origin, as one host sees it.
+//!
+//! The first in a chunk's line reads it. The next looks after it when nobody seems to hold the
+//! chunk after a while: it asks those before it, and reads only if none of them answers that it
+//! holds or is about to read the chunk. Two hosts read the same chunk only where their views of the
+//! live hosts differ or one is silent to the other.
+
+use std::time::Duration;
+
+use super::digest::WeightsDigest;
+use super::peer_table::{PeerContact, PeerKey, PeerTable, PlanHost};
+use super::source_line::{LineHost, SourceLine};
+use crate::documents::SpreadObjective;
+use crate::errors::ErrorKind;
+use crate::time::ClockTime;
+
+const LISTEN_SPAN: Duration = Duration::from_millis(500);
+const TURN_DOUBLINGS: u32 = 5;
+const REST_FIRST: Duration = Duration::from_millis(100);
+const REST_DOUBLINGS: u32 = 5;
+/// Failures in a row after which this host counts itself as cut off from the origin.
+const CUT_OFF_FAILURES: u32 = 2;
+/// How long a word of another host counts as fresh.
+const FRESH_SPAN: Duration = Duration::from_secs(3);
+/// Until when a host that was just asked is waited for.
+const ANSWER_SPAN: Duration = Duration::from_millis(700);
+
+/// One host's view of the lines for one version.
+#[derive(Debug)]
+pub(crate) struct OriginTurns {
+    me: LineHost,
+    digest: WeightsDigest,
+    objective: SpreadObjective,
+    turn_span: Duration,
+    begun: ClockTime,
+    line: SourceLine,
+    /// This host's turn for each chunk.
+    turns: Vec<u32>,
+    /// When this host looks after each chunk that is not its own.
+    due_at: Vec<ClockTime>,
+    watched: Vec<PeerKey>,
+    rest_until: ClockTime,
+    limits_in_row: u32,
+    failures_in_row: u32,
+}
+
+impl OriginTurns {
+    /// The view of `me` before it knows of others: it is the first in every line.
+    pub(crate) fn new(
+        me: LineHost,
+        (digest, objective): (WeightsDigest, SpreadObjective),
+        chunks: u32,
+        turn_span: Duration,
+        now: ClockTime,
+    ) -> Self {
+        let chunks = usize::try_from(chunks).unwrap_or(usize::MAX);
+        let line = SourceLine::new(objective, digest, &me.region, std::slice::from_ref(&me));
+        Self {
+            me,
+            digest,
+            objective,
+            turn_span,
+            begun: now,
+            line,
+            turns: vec![0; chunks],
+            due_at: vec![now; chunks],
+            watched: Vec::new(),
+            rest_until: now,
+            limits_in_row: 0,
+            failures_in_row: 0,
+        }
+    }
+
+    /// A new view of the live hosts that want the version.
+    pub(crate) fn set_hosts(&mut self, hosts: &[PlanHost]) {
+        let mut line: Vec<LineHost> = hosts.iter().map(|host| host.line.clone()).collect();
+        if !line.iter().any(|host| host.host == self.me.host) {
+            line.push(self.me.clone());
+        }
+        self.line = SourceLine::new(self.objective, self.digest, &self.me.region, &line);
+        for (index, (turn, due_at)) in (0..).zip(self.turns.iter_mut().zip(self.due_at.iter_mut()))
+        {
+            let mine = self.line.turn_of(&self.me.host, index).unwrap_or(0);
+            if *turn != mine {
+                *turn = mine;
+                *due_at = self.begun + turn_wait(self.turn_span, mine);
+            }
+        }
+    }
+
+    /// Whether this host is the first in the line of chunk `index`.
+    pub(crate) fn is_first(&self, index: u32) -> bool {
+        self.turn(index) == 0
+    }
+
+    /// Whether this host should look after chunk `index`.
+    pub(crate) fn is_due(&self, index: u32, now: ClockTime) -> bool {
+        usize::try_from(index)
+            .ok()
+            .and_then(|at| self.due_at.get(at))
+            .is_some_and(|due_at| *due_at <= now)
+    }
+
+    /// Whether this host reads chunk `index`, which is due and which nobody seems to hold, in place
+    /// of those before it. If not yet, it looks again later, and those before it that are not known
+    /// to be there are asked.
+    pub(crate) fn takes_turn(&mut self, index: u32, peers: &mut PeerTable, now: ClockTime) -> bool {
+        let mut look_again = None;
+        for host in self.line.before(self.turn(index), index) {
+            let Some(key) = peers.find(&host) else {
+                continue;
+            };
+            let peer = peers.get(key);
+            let is_fresh = peer
+                .heard_at
+                .is_some_and(|heard_at| now.since(heard_at) < FRESH_SPAN);
+            if is_fresh && (peer.claims(index) || peer.holds(index)) {
+                look_again = Some(now + self.turn_span);
+                break;
+            }
+            if !is_fresh && peer.contact != PeerContact::Silent {
+                self.watched.push(key);
+                look_again = Some(now + ANSWER_SPAN);
+            }
+        }
+        let Some(look_again) = look_again else {
+            return true;
+        };
+        if let Some(due_at) = usize::try_from(index)
+            .ok()
+            .and_then(|at| self.due_at.get_mut(at))
+        {
+            *due_at = look_again;
+        }
+        false
+    }
+
+    /// The hosts that should be asked because a turn depends on them.
+    pub(crate) fn take_watched(&mut self) -> Vec<PeerKey> {
+        self.watched.sort_unstable();
+        self.watched.dedup();
+        std::mem::take(&mut self.watched)
+    }
+
+    /// Whether there was time enough for the neighbours to say what they hold.
+    pub(crate) fn has_listened(&self, now: ClockTime) -> bool {
+        now.since(self.begun) >= LISTEN_SPAN
+    }
+
+    /// Whether the origin may be read now.
+    pub(crate) fn may_read(&self, now: ClockTime) -> bool {
+        self.rest_until <= now
+    }
+
+    /// Whether the origin does not answer this host.
+    pub(crate) const fn is_cut_off(&self) -> bool {
+        self.failures_in_row >= CUT_OFF_FAILURES
+    }
+
+    /// The origin delivered.
+    pub(crate) fn on_delivered(&mut self) {
+        self.limits_in_row = 0;
+        self.failures_in_row = 0;
+    }
+
+    /// The origin did not deliver. Rests for a random part of a span that doubles (full jitter):
+    /// without it, all hosts that were refused together would come back together.
+    pub(crate) fn on_failed(
+        &mut self,
+        kind: ErrorKind,
+        wait: Option<Duration>,
+        part: f64,
+        now: ClockTime,
+    ) {
+        let count = if kind == ErrorKind::OriginLimited {
+            &mut self.limits_in_row
+        } else {
+            &mut self.failures_in_row
+        };
+        let span = REST_FIRST * (1 << (*count).min(REST_DOUBLINGS));
+        *count += 1;
+        let asked = wait.unwrap_or(Duration::ZERO);
+        self.rest_until = now + asked + span.mul_f64(part.clamp(0.0, 1.0));
+    }
+
+    fn turn(&self, index: u32) -> u32 {
+        let at = usize::try_from(index).unwrap_or(usize::MAX);
+        self.turns.get(at).copied().unwrap_or(0)
+    }
+}
+
+fn turn_wait(span: Duration, turn: u32) -> Duration {
+    match turn {
+        0 => Duration::ZERO,
+        turn => span * (1 << (turn - 1).min(TURN_DOUBLINGS)),
+    }
+}
--- /dev/null
+++ b/src/weights/source_line.rs
@@ -0,0 +1,152 @@
+//! Who reads which chunk from the origin: a line of hosts for each chunk, by rendezvous hashing.
+//!
+//! Each host works out the line from its own view of the live hosts; nobody keeps it. Views that
+//! differ by one host differ only in that host's chunks.
+
+use std::cmp::Reverse;
+
+use bytestring::ByteString;
+use macro_rules_attribute::apply;
+
+use super::digest::WeightsDigest;
+use crate::derives::plain;
+use crate::documents::SpreadObjective;
+
+/// Hosts of the reading data centre that come before other data centres get their turn.
+const FIRST_CENTRE_TURNS: u32 = 2;
+
+/// A host that wants the version, as the line sees it.
+#[apply(plain!)]
+pub(crate) struct LineHost {
+    /// The host's name.
+    pub(crate) host: ByteString,
+    /// The data centre that it stands in.
+    pub(crate) data_centre: ByteString,
+    /// The region of that data centre.
+    pub(crate) region: ByteString,
+}
+
+/// The lines of one version.
+///
+/// With the objective `time` all hosts stand in one line. With `origin_bytes` each region has its
+/// own, in which one data centre reads and the first hosts of the others come next.
+#[apply(plain!)]
+pub(crate) struct SourceLine {
+    objective: SpreadObjective,
+    salt: u64,
+    entries: Vec<LineEntry>,
+    centres: u32,
+}
+
+#[apply(plain!)]
+struct LineEntry {
+    host: ByteString,
+    hash: u64,
+    /// The rank of its data centre; 0 reads the origin.
+    centre: u32,
+}
+
+impl SourceLine {
+    /// The lines of the version `digest` among `hosts`, as seen from `region`.
+    pub(crate) fn new(
+        objective: SpreadObjective,
+        digest: WeightsDigest,
+        region: &str,
+        hosts: &[LineHost],
+    ) -> Self {
+        let salt = hash_of(digest.as_bytes());
+        let is_in = |host: &&LineHost| match objective {
+            SpreadObjective::Time => true,
+            SpreadObjective::OriginBytes => *host.region == *region,
+        };
+        let members: Vec<&LineHost> = hosts.iter().filter(is_in).collect();
+        let centres = rank_centres(objective, salt, &members);
+        let entries = members.iter().map(|host| LineEntry {
+            host: host.host.clone(),
+            hash: hash_of(host.host.as_bytes()),
+            centre: centre_rank(&centres, &host.data_centre),
+        });
+        let entries = entries.collect();
+        let centres = u32::try_from(centres.len()).unwrap_or(u32::MAX);
+        Self {
+            objective,
+            salt,
+            entries,
+            centres,
+        }
+    }
+
+    /// How many turns come before `host`'s for chunk `index`; `None` when it stands in no line.
+    /// Hosts late in the line may share a turn.
+    pub(crate) fn turn_of(&self, host: &str, index: u32) -> Option<u32> {
+        let entry = self.entries.iter().find(|entry| *entry.host == *host)?;
+        let weight = self.weight(entry, index);
+        let ahead = self
+            .entries
+            .iter()
+            .filter(|other| other.centre == entry.centre && self.weight(other, index) > weight);
+        let rank = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
+        Some(self.turn(entry.centre, rank))
+    }
+
+    /// The hosts whose turn for chunk `index` comes before turn `turn`.
+    pub(crate) fn before(&self, turn: u32, index: u32) -> Vec<ByteString> {
+        let mut order: Vec<&LineEntry> = self.entries.iter().collect();
+        order.sort_by_cached_key(|entry| (entry.centre, Reverse(self.weight(entry, index))));
+        let mut earlier = Vec::new();
+        for line in order.chunk_by(|left, right| left.centre == right.centre) {
+            let ranked = (0..).zip(line);
+            let ahead = ranked.filter(|(rank, entry)| self.turn(entry.centre, *rank) < turn);
+            earlier.extend(ahead.map(|(_, entry)| entry.host.clone()));
+        }
+        earlier
+    }
+
+    /// The turn of the host that is `rank`th in the data centre ranked `centre`.
+    fn turn(&self, centre: u32, rank: u32) -> u32 {
+        let others = self.centres.saturating_sub(1);
+        match (centre, rank) {
+            (0, rank) if rank < FIRST_CENTRE_TURNS => rank,
+            (0, rank) => others.saturating_add(rank),
+            (centre, 0) => FIRST_CENTRE_TURNS + centre - 1,
+            (_, rank) => (others + FIRST_CENTRE_TURNS).saturating_add(rank),
+        }
+    }
+
+    fn weight(&self, entry: &LineEntry, index: u32) -> u64 {
+        mix(entry.hash ^ mix(self.salt ^ u64::from(index)))
+    }
+}
+
+/// The data centres among `hosts`, the one that reads the origin first.
+fn rank_centres(objective: SpreadObjective, salt: u64, hosts: &[&LineHost]) -> Vec<ByteString> {
+    if objective == SpreadObjective::Time {
+        return Vec::new();
+    }
+    let mut centres: Vec<ByteString> = hosts.iter().map(|host| host.data_centre.clone()).collect();
+    centres.sort();
+    centres.dedup();
+    centres.sort_by_key(|centre| mix(salt ^ hash_of(centre.as_bytes())));
+    centres
+}
+
+fn centre_rank(centres: &[ByteString], centre: &str) -> u32 {
+    let at = centres.iter().position(|known| **known == *centre);
+    at.and_then(|at| u32::try_from(at).ok()).unwrap_or(0)
+}
+
+/// A hash that is the same in every process.
+pub(crate) fn hash_of(bytes: &[u8]) -> u64 {
+    let hash = blake3::hash(bytes);
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// Spreads `value` over all bits (Steele, Lea and Flood 2014, `SplitMix64`).
+pub(crate) const fn mix(value: u64) -> u64 {
+    let mut bits = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- /dev/null
+++ b/src/weights/word_board.rs
@@ -0,0 +1,51 @@
+//! What this host says of a version to whoever asks.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use bytestring::ByteString;
+
+use super::chunk_map::ChunkMap;
+use super::digest::WeightsDigest;
+use super::link_pacer::{LinkDirection, LinkPacer};
+use super::messages::HaveWord;
+use super::staged_version::StagedVersion;
+
+/// Makes this host's [`HaveWord`]s. Clones share what is claimed.
+#[derive(Clone, Debug)]
+pub(crate) struct WordBoard {
+    host: ByteString,
+    pacer: LinkPacer,
+    claimed: Arc<ArcSwap<Option<(WeightsDigest, ChunkMap)>>>,
+}
+
+impl WordBoard {
+    /// The words of `host`.
+    pub(crate) fn new(host: ByteString, pacer: LinkPacer) -> Self {
+        Self {
+            host,
+            pacer,
+            claimed: Arc::default(),
+        }
+    }
+
+    /// Says from now on that this host is about to read `claimed` from the origin.
+    pub(crate) fn claim(&self, digest: WeightsDigest, claimed: ChunkMap) {
+        self.claimed.store(Arc::new(Some((digest, claimed))));
+    }
+
+    /// What there is to say of `version`.
+    pub(crate) fn word(&self, version: &StagedVersion) -> HaveWord {
+        let claimed = match &**self.claimed.load() {
+            Some((digest, claimed)) if *digest == version.digest() => claimed.clone(),
+            _ => ChunkMap::empty(version.manifest().chunk_count()),
+        };
+        let backlog = self.pacer.backlog(LinkDirection::Up);
+        HaveWord {
+            host: self.host.clone(),
+            held: version.held(),
+            claimed,
+            backlog_ms: u64::try_from(backlog.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
