Let requests in by account, queue them fairly, urgent first, and place them where there is room

Requests polled for room every 5 ms, in no order; now each service has a desk: limits by account, three strict classes, start-time fair queuing by estimated tokens within a class, a line bounded by the deadline, retry budgets by service and account. A request leaves the line only when a backend server has room for it. Calls with the same order key go one after the other, also when the later one is more urgent.

Each limit is split evenly by the live entry hosts of the data centre. Splitting by demand needs a word between entry hosts that the control messages do not carry yet.

Shown failing with the protection taken out (trials): tags that ignore cost and weight -> "an account got more than its share"; a lower class tried after a higher one found no room -> "a request was let past one that found no room"; own cost counted as wait -> nothing gets in after an outage; no bound on urgent -> "a request passed that the bucket lacks"; tickets without turns -> "an old ticket took another request out"; one budget only -> "a retry was made that the budget lacks".

--- a/src/delivery/attempt_plan.rs
+++ b/src/delivery/attempt_plan.rs
@@ -118,6 +118,11 @@
         self.passed_on = true;
     }
 
+    /// Attempts that were sent.
+    pub(crate) const fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
     /// Tokens that the caller has.
     pub(crate) const fn tokens(&self) -> u32 {
         self.tokens
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -7,9 +7,10 @@
 pub(crate) mod events;
 mod host_call;
 mod messages;
+mod order_book;
+mod placed_attempt;
 mod request_job;
 mod request_run;
-mod retry_budget;
 mod service_desk;
 
 pub(crate) use host_call::HostCaller;
@@ -19,4 +20,4 @@
 };
 pub(crate) use request_job::{CALLER_PARTS, CallerPart, CallerSink, RequestJob};
 pub(crate) use request_run::RequestRun;
-pub(crate) use service_desk::ServiceDesk;
+pub(crate) use service_desk::{AdmissionPass, ServiceDesk};
--- a/src/delivery/request_run.rs
+++ b/src/delivery/request_run.rs
@@ -9,8 +9,9 @@
 use super::events;
 use super::host_call::{HostCaller, RunStream};
 use super::messages::{AttemptId, RunCall, RunOrder, SettleOrder};
+use super::placed_attempt::PlacedAttempt;
 use super::request_job::{CallerPart, CallerSink, RequestJob};
-use super::service_desk::{PlacedAttempt, ServiceDesk};
+use super::service_desk::{AdmissionPass, PlaceWish};
 use crate::documents::RequestPriority;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
 use crate::events::log_event;
@@ -22,11 +23,15 @@
 
 /// Bytes of a prompt that name its beginning.
 const PREFIX_BYTES: usize = 256;
+/// Bytes of a prompt that make a token, roughly.
+const BYTES_PER_TOKEN: u64 = 4;
+/// What a plain service's call counts as, in tokens.
+const PLAIN_COST: u64 = 64;
 
 /// One request under way.
 pub(crate) struct RequestRun {
     job: RequestJob,
-    desk: Arc<ServiceDesk>,
+    pass: AdmissionPass,
     hosts: HostCaller,
     sink: CallerSink,
     plan: AttemptPlan,
@@ -48,7 +53,7 @@
     /// A run of `job` that feeds `sink`.
     pub(crate) fn new(
         job: RequestJob,
-        desk: Arc<ServiceDesk>,
+        pass: AdmissionPass,
         hosts: HostCaller,
         sink: CallerSink,
     ) -> Self {
@@ -62,7 +67,7 @@
         let target = first_target(&job);
         Self {
             job,
-            desk,
+            pass,
             hosts,
             sink,
             plan: AttemptPlan::new(traits),
@@ -90,8 +95,8 @@
 
     /// Places and runs one attempt. `Err(None)`: another attempt is due.
     async fn run_attempt(&mut self) -> Result<(), Option<SwitchError>> {
-        let wish = self.wish();
-        let placing = self.desk.place(&wish, self.plan.limit());
+        let wish = self.place_wish();
+        let placing = self.pass.place(&wish);
         let placed = tokio::select! {
             placed = placing => placed.map_err(|error| Some(self.refused(error)))?,
             () = self.sink.closed() => return Ok(()),
@@ -101,10 +106,7 @@
         self.plan.begin_attempt();
         match self.carry_out(&order, placed).await {
             AttemptEnd::Whole | AttemptEnd::CallerGone => Ok(()),
-            AttemptEnd::Failed(error) => self
-                .follow(error, &order, &picked)
-                .await
-                .map_or(Err(None), |error| Err(Some(error))),
+            AttemptEnd::Failed(error) => Err(self.follow(error, &order, &picked).await),
         }
     }
 
@@ -113,7 +115,19 @@
         error
     }
 
-    fn wish(&self) -> PickWish {
+    fn place_wish(&self) -> PlaceWish {
+        let pick = self.pick_wish();
+        let is_retry = self.plan.attempts() > 0;
+        PlaceWish {
+            pick,
+            priority: self.job.priority,
+            cost: cost_of(&self.job.call),
+            goes_first: is_retry || pick.target != PickTarget::Any,
+            limit: self.plan.limit(),
+        }
+    }
+
+    fn pick_wish(&self) -> PickWish {
         let target = match self.plan.resume_version() {
             Some(version) => PickTarget::Version(version),
             None => self.target,
@@ -195,6 +209,7 @@
     /// Passes an attempt's answer on to the caller. Returning drops the stream: when the caller has
     /// left or the time is over, the host learns of it by that.
     async fn pass_on(&mut self, mut stream: RunStream) -> SwitchResult<LoadReport> {
+        let mut taken = false;
         loop {
             let left = self.plan.limit().since(clock_now());
             let part = tokio::select! {
@@ -202,6 +217,10 @@
                 () = self.sink.closed() => return Err(caller_gone()),
                 () = sleep(left) => return Err(self.too_late()),
             };
+            if !taken {
+                taken = true;
+                self.pass.note_taken(clock_now());
+            }
             if let Some(load) = self.take_part(part).await? {
                 return Ok(load);
             }
@@ -272,6 +291,11 @@
             NextStep::GiveUp(error) => return Some(error),
             NextStep::Settle => return Some(self.plan.conclude(settled_twice())),
         };
+        if !self.pass.spend_retry() {
+            let detail = format!("no retry is left after: {reason:?}");
+            let error = SwitchError::new(ErrorKind::RetryBudgetSpent, detail);
+            return Some(self.plan.conclude(error));
+        }
         metrics::count_retry(reason);
         match place {
             RetryPlace::Elsewhere => self.avoid = Some(picked.key),
@@ -316,6 +340,16 @@
     }
 }
 
+/// The estimated cost of a call, in tokens.
+fn cost_of(call: &RunCall) -> u64 {
+    match call {
+        RunCall::Generate {
+            prompt, max_tokens, ..
+        } => prompt.len() as u64 / BYTES_PER_TOKEN + u64::from(*max_tokens) + 1,
+        RunCall::Forward { .. } => PLAIN_COST,
+    }
+}
+
 fn caller_gone() -> SwitchError {
     SwitchError::new(ErrorKind::CallerGone, "the caller left")
 }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -79,6 +79,8 @@
     let limit = settings.body_limit;
     let traffic = Arc::new(EntryTraffic::new(&control, hosts, drain.clone(), limit));
     let ready = Arc::new(AtomicBool::new(false));
+    let kept = traffic.clone();
+    tokio::spawn(async move { kept.keep_desks().await });
     tokio::spawn(watch_ready(traffic.clone(), ready.clone()));
     tokio::spawn(watch_leaving(
         traffic.clone(),
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -17,15 +17,21 @@
 use crate::control::{ControlHandle, ServiceRecord, SharedSnapshot};
 use crate::daemon::DrainState;
 use crate::delivery::{
-    CALLER_PARTS, CallKey, CallerPart, HostCaller, RequestJob, RequestRun, RunCall, ServiceDesk,
+    AdmissionPass, CALLER_PARTS, CallKey, CallerPart, HostCaller, RequestJob, RequestRun, RunCall,
+    ServiceDesk,
 };
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::membership::HostIdentity;
+use crate::routing::name_hash;
 use crate::time::{ClockTime, clock_now};
 use crate::transport::read_body;
 
 /// A caller that takes longer than this to send its body holds memory for nothing.
 const BODY_WITHIN: Duration = Duration::from_secs(30);
+/// How often the desks take the newest control state. At the large size a host's status changes
+/// every few milliseconds; taking each change by itself would cost more than the requests.
+const DESK_STEP: Duration = Duration::from_millis(20);
+const STEPS_PER_LEVEL: u32 = 25;
 
 /// What all requests share.
 pub(super) struct EntryTraffic {
@@ -126,9 +132,11 @@
             call: shape.call,
             service: service.clone(),
         };
-        let desk = self.desk(service, now);
+        let order = job.call_key.as_ref().map(|key| order_hash(&job, key));
+        let desk = self.desk(&service.document.service, now);
+        let pass = self.admit(&desk, &job, order, now)?;
         let (sink, parts) = mpsc::channel(CALLER_PARTS);
-        let run = RequestRun::new(job, desk, self.hosts.clone(), sink);
+        let run = RequestRun::new(job, pass, self.hosts.clone(), sink);
         let under_way = self.drain.enter();
         tokio::spawn(async move {
             run.run().await;
@@ -137,27 +145,78 @@
         Ok(parts)
     }
 
-    fn desk(&self, service: &ServiceRecord, now: ClockTime) -> Arc<ServiceDesk> {
-        let desk = self.find_desk(&service.document.service);
-        desk.refresh(&self.snapshot.load(), service, &self.identity, now);
+    /// An account that the newest document names may be too new for the desk, which is a moment
+    /// behind.
+    fn admit(
+        &self,
+        desk: &Arc<ServiceDesk>,
+        job: &RequestJob,
+        order: Option<u64>,
+        now: ClockTime,
+    ) -> SwitchResult<AdmissionPass> {
+        let admitted = desk.admit(&job.account, job.priority, order, now);
+        match admitted {
+            Err(error) if error.kind == ErrorKind::AccountUnknown => {
+                desk.refresh(&self.snapshot.load(), &self.identity, now);
+                desk.admit(&job.account, job.priority, order, now)
+            }
+            _ => admitted,
+        }
+    }
+
+    /// Keeps the desks at the newest control state and the waiting requests going, for as long as
+    /// the process lives.
+    pub(super) async fn keep_desks(&self) {
+        let mut steps = 0_u32;
+        loop {
+            tokio::time::sleep(DESK_STEP).await;
+            steps = steps.wrapping_add(1);
+            let snapshot = self.snapshot.load();
+            let now = clock_now();
+            for desk in self.all_desks() {
+                desk.refresh(&snapshot, &self.identity, now);
+                if steps.is_multiple_of(STEPS_PER_LEVEL) {
+                    desk.record_levels();
+                }
+            }
+        }
+    }
+
+    fn all_desks(&self) -> Vec<Arc<ServiceDesk>> {
+        let desks = self.desks.read().unwrap_or_else(PoisonError::into_inner);
+        desks.iter().map(|(_, desk)| desk.clone()).collect()
+    }
+
+    /// The desk of a service. One that has just been made takes the control state at once; later
+    /// changes come with the next step of [`Self::keep_desks`].
+    fn desk(&self, name: &ByteString, now: ClockTime) -> Arc<ServiceDesk> {
+        let (desk, is_new) = self.find_desk(name);
+        if is_new {
+            desk.refresh(&self.snapshot.load(), &self.identity, now);
+        }
         desk
     }
 
-    fn find_desk(&self, name: &ByteString) -> Arc<ServiceDesk> {
+    fn find_desk(&self, name: &ByteString) -> (Arc<ServiceDesk>, bool) {
         {
             let desks = self.desks.read().unwrap_or_else(PoisonError::into_inner);
             if let Ok(place) = desks.binary_search_by(|(known, _)| known.cmp(name)) {
-                return desks[place].1.clone();
+                return (desks[place].1.clone(), false);
             }
         }
         let mut desks = self.desks.write().unwrap_or_else(PoisonError::into_inner);
         match desks.binary_search_by(|(known, _)| known.cmp(name)) {
-            Ok(place) => desks[place].1.clone(),
+            Ok(place) => (desks[place].1.clone(), false),
             Err(place) => {
-                let desk = Arc::new(ServiceDesk::new(rand::random()));
+                let desk = Arc::new(ServiceDesk::new(name.clone(), rand::random()));
                 desks.insert(place, (name.clone(), desk.clone()));
-                desk
+                (desk, true)
             }
         }
     }
 }
+
+/// The hash of the account's order key.
+fn order_hash(job: &RequestJob, key: &CallKey) -> u64 {
+    name_hash(&format!("{}/{}", job.account, key.order_key))
+}
--- a/src/lab/soak/mod.rs
+++ b/src/lab/soak/mod.rs
@@ -1,6 +1,7 @@
 //! Long randomised runs of the state machines: the same drivers that the tests call with fixed
 //! cases, on ever new ones until the time is over.
 
+pub(crate) mod admission;
 mod command;
 pub(crate) mod documents;
 
@@ -22,8 +23,16 @@
 }
 
 /// Every slice that has a driver.
-pub(crate) const SLICES: &[SoakSlice] = &[SoakSlice {
-    name: "documents",
-    case_bytes: 4096,
-    run_case: documents::run_case,
-}];
+pub(crate) const SLICES: &[SoakSlice] = &[
+    slice("admission", 4096, admission::run_case),
+    slice("documents", 4096, documents::run_case),
+    slice("fairness", 16384, admission::run_fair_case),
+];
+
+const fn slice(name: &'static str, case_bytes: usize, run_case: SoakDriver) -> SoakSlice {
+    SoakSlice {
+        name,
+        case_bytes,
+        run_case,
+    }
+}
