Say "not run" when no connection could be opened

Cause: the HTTP client library reports a refused connection with the same kind as a connection that broke after the request was sent, so that a call that never left was answered "not known" and, if unrepeatable, not tried elsewhere. Found by a test that asks an address where nobody listens: it got answer_cut. Ruled out: the pool (the test's is new) and the connect time limit (the refusal comes at once). The source of the library's error tells the two apart: an I/O error comes from connecting only, and the HTTP library marks a request that was never put on its connection as cancelled. After: connect_failed, not run. Tests of frames, limits, silent connections, the graceful stop and the settings come with it.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod events;
 mod probes;
 mod process;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use drain::{DrainState, LiveGuard};
 pub(crate) use probes::probe_routes;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,8 @@
 mod common;
 mod reader;
 mod spec;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use common::CommonSettings;
 pub(crate) use common::{
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -217,9 +217,13 @@
         .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))
 }
 
+/// The library gives a connection that could not be opened the same kind as one that broke after
+/// the request was sent. Taken as one, a call that never left would be answered "not known". What
+/// the two come from tells them apart.
 fn client_fault(peer: SocketAddr, fault: &ClientError) -> SwitchError {
     let kind = match fault.kind() {
         ClientErrorKind::Connect => ErrorKind::ConnectFailed,
+        ClientErrorKind::Request if was_never_sent(fault) => ErrorKind::ConnectFailed,
         ClientErrorKind::Builder | ClientErrorKind::Context | ClientErrorKind::LoadBalance => {
             ErrorKind::Internal
         }
@@ -227,3 +231,13 @@
     };
     SwitchError::new(kind, format!("{peer}: {fault}"))
 }
+
+/// Whether the request certainly did not leave this process: the socket could not be connected, or
+/// the connection was found closed before the request was put on it.
+fn was_never_sent(fault: &ClientError) -> bool {
+    let Some(source) = std::error::Error::source(fault) else {
+        return false;
+    };
+    let is_unsent = |error: &hyper::Error| error.is_canceled();
+    source.is::<std::io::Error>() || source.downcast_ref().is_some_and(is_unsent)
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,6 +7,8 @@
 mod frames;
 mod reply;
 mod server;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use client::{ClientLimits, PeerClient, read_error};
 pub(crate) use frames::{FrameReader, FrameWriter, decode_message, encode_message, frame_channel};
