Judge hosts by their own newest word, hold back flapping ones, warm up before acting

A new process now waits, two seconds at most, until the table and each neighbour has answered or failed before it acts on documents: the first answer after a restart of every entry host may be old, and only the backend servers' processes still know better.

Hosts: a host's own word goes before the list, ordered by incarnation and sequence; three losses within a minute keep it suspected for 20 s; one that is gone stays so until it speaks, and a few of those are asked all the time so that a joined data centre is noticed.

--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -54,6 +54,8 @@
     task: JoinHandle<()>,
     /// What the neighbour last said it has in force.
     versions: Vec<DocumentVersion>,
+    /// Whether it has said so, or failed, since it is watched.
+    asked: bool,
 }
 
 impl ControlLoop {
@@ -142,8 +144,9 @@
             ControlEvent::TableAnswered(answers) => self.machine.on_table(answers),
             ControlEvent::List(entries) => self.machine.on_list(&entries, now),
             ControlEvent::Facts(facts) => self.machine.on_facts(&facts, now),
+            ControlEvent::Watcher(facts) => self.machine.on_watcher(&facts, now),
             ControlEvent::Frame(host, frame) => self.on_frame(&host, *frame),
-            ControlEvent::Lost(host) => self.machine.on_lost(&host, now),
+            ControlEvent::Lost(host) => self.on_lost(&host),
             ControlEvent::Pulled(host, rows) => self.on_pulled(&host, rows),
         }
     }
@@ -168,11 +171,19 @@
             PeerFrame::Members(facts) => self.machine.on_facts(&facts, now),
             PeerFrame::Documents(versions) => {
                 self.watches[at].versions = versions;
+                self.watches[at].asked = true;
                 self.pull_from(at);
             }
         }
     }
 
+    fn on_lost(&mut self, host: &str) {
+        self.machine.on_lost(host, clock_now());
+        if let Some(at) = self.watch_of(host) {
+            self.watches[at].asked = true;
+        }
+    }
+
     fn on_pulled(&mut self, host: &str, rows: Option<Vec<bytes::Bytes>>) {
         self.pulling = None;
         let answered = rows.is_some();
@@ -200,8 +211,9 @@
     }
 
     fn on_tick(&mut self) {
-        self.machine.on_tick(clock_now());
         self.renew_watches();
+        let asked = self.pulling.is_none() && self.watches.iter().all(|running| running.asked);
+        self.machine.on_tick(asked, clock_now());
         let lacking =
             (0..self.watches.len()).find(|at| self.machine.lacks_any(&self.watches[*at].versions));
         if let Some(at) = lacking {
@@ -235,6 +247,7 @@
         }
         for (host, address) in wanted {
             if let Err(at) = self.place_of(&host) {
+                self.machine.on_watched(&host, clock_now());
                 let running = self.begin_watch(host, address, pace);
                 self.watches.insert(at, running);
             }
@@ -255,6 +268,7 @@
             task: tokio::spawn(watch.clone().run()),
             watch,
             versions: Vec::new(),
+            asked: false,
         }
     }
 
--- a/src/control/control_machine.rs
+++ b/src/control/control_machine.rs
@@ -9,6 +9,7 @@
 
 use super::snapshot::{ControlSnapshot, MemberRecord, ServiceRecord};
 use super::spread_state::SpreadState;
+use super::warm_up::WarmUp;
 use crate::documents::{DocumentVersion, HeldDocument, HeldDocuments, OfferOutcome, events};
 use crate::events::log_event;
 use crate::membership::{
@@ -25,8 +26,11 @@
     identity: HostIdentity,
     own_facts: MemberFacts,
     documents: HeldDocuments,
+    /// The documents in force as readers see them.
+    services: Vec<Arc<ServiceRecord>>,
     members: MemberTable,
     table_answers: bool,
+    warm_up: WarmUp,
     generation: u64,
     changes: ChangeMarks,
 }
@@ -60,7 +64,9 @@
             identity,
             own_facts,
             documents: HeldDocuments::default(),
+            services: Vec::new(),
             table_answers: false,
+            warm_up: WarmUp::new(),
             generation: 0,
             changes: ChangeMarks {
                 documents: true,
@@ -120,6 +126,7 @@
 
     /// The table answered, or did not.
     pub(crate) fn on_table(&mut self, answers: bool) {
+        self.warm_up.on_table();
         self.changes.other |= self.table_answers != answers;
         self.table_answers = answers;
     }
@@ -127,6 +134,7 @@
     /// The platform's list was read.
     pub(crate) fn on_list(&mut self, entries: &[HostEntry], now: ClockTime) {
         self.members.on_list(entries, now);
+        self.warm_up.on_list();
     }
 
     /// A neighbour told what hosts said of themselves.
@@ -136,6 +144,12 @@
         }
     }
 
+    /// A host asked this process for its word.
+    pub(crate) fn on_watcher(&mut self, facts: &MemberFacts, now: ClockTime) {
+        self.changes.facts |= self.members.on_facts(facts, now);
+        self.members.on_contact(&facts.entry.host, now);
+    }
+
     /// A watched host spoke about itself.
     pub(crate) fn on_status(&mut self, status: HostStatus, now: ClockTime) {
         let facts = self.facts_after(&status);
@@ -198,9 +212,24 @@
         self.changes.facts = true;
     }
 
-    /// Time has passed.
-    pub(crate) fn on_tick(&mut self, now: ClockTime) {
+    /// A host is watched from now on.
+    pub(crate) fn on_watched(&mut self, host: &str, now: ClockTime) {
+        self.members.on_watched(host, now);
+    }
+
+    /// Time has passed; `asked` when every neighbour has answered or failed since the start.
+    pub(crate) fn on_tick(&mut self, asked: bool, now: ClockTime) {
         self.members.on_tick(now);
+        self.changes.documents |= self.warm_up.on_tick(asked, now);
+    }
+
+    /// The documents that this process acts on.
+    fn acted_on(&self) -> &[Arc<HeldDocument>] {
+        if self.warm_up.is_done() {
+            self.documents.all()
+        } else {
+            &[]
+        }
     }
 
     /// Whether a neighbour with `versions` in force has something that this process lacks.
@@ -225,14 +254,29 @@
         let changed = self.changes.documents || self.changes.facts;
         changed.then(|| {
             self.changes.facts = false;
-            self.changes.other |= std::mem::take(&mut self.changes.documents);
+            if std::mem::take(&mut self.changes.documents) {
+                self.changes.other = true;
+                self.renew_services();
+            }
             SpreadState {
-                documents: self.documents.all().to_vec(),
+                documents: self.acted_on().to_vec(),
                 facts: self.facts_to_spread(),
             }
         })
     }
 
+    /// Makes the records of documents that changed; the others are shared with earlier snapshots.
+    fn renew_services(&mut self) {
+        let services = self.acted_on().iter().map(|held| {
+            let known = self.services.iter().find(|record| {
+                record.document.service == held.version.service
+                    && record.version == held.version.version
+            });
+            known.cloned().unwrap_or_else(|| service_record(held))
+        });
+        self.services = services.collect();
+    }
+
     fn facts_to_spread(&self) -> Vec<Arc<MemberFacts>> {
         let own = std::iter::once(&self.own_facts);
         let others = self.members.members().iter().map(|member| &member.facts);
@@ -252,7 +296,7 @@
             self.generation += 1;
             ControlSnapshot {
                 generation: self.generation,
-                services: self.documents.all().iter().map(service_record).collect(),
+                services: self.services.clone(),
                 members: self.members.members().iter().map(member_record).collect(),
                 table_answers: self.table_answers,
             }
--- a/src/control/control_thread.rs
+++ b/src/control/control_thread.rs
@@ -49,6 +49,8 @@
     List(Vec<HostEntry>),
     /// What hosts said of themselves.
     Facts(Vec<MemberFacts>),
+    /// What a host said of itself when it asked for this process's word.
+    Watcher(MemberFacts),
     /// A frame from a watched host.
     Frame(ByteString, Box<PeerFrame>),
     /// The stream from a watched host broke or could not be opened.
@@ -182,7 +184,7 @@
             .facts
             .binary_search_by(|facts| (*facts.entry.host).cmp(host));
         found.ok().map(|at| Self {
-            watcher: (*spread.facts[at]).clone(),
+            watcher: Some((*spread.facts[at]).clone()),
             pace_ms,
         })
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod spread_state;
 #[cfg(test)]
 mod tests;
+mod warm_up;
 
 pub(crate) use control_thread::{ControlEdges, ControlEvent, ControlHandle, start_control};
 pub(crate) use snapshot::{
--- a/src/control/peer_messages.rs
+++ b/src/control/peer_messages.rs
@@ -18,8 +18,8 @@
 /// Asks for a process's word about itself and for news, from now on.
 #[apply(message!)]
 pub(crate) struct WatchOrder {
-    /// Who asks; news to the one that is asked, too.
-    pub(crate) watcher: MemberFacts,
+    /// Who asks; news to the one that is asked, too. None for one that is no host of the system.
+    pub(crate) watcher: Option<MemberFacts>,
     /// Frames that are not urgent come at most this often, and some frame at least this often, in
     /// milliseconds.
     pub(crate) pace_ms: u64,
--- a/src/control/peer_routes.rs
+++ b/src/control/peer_routes.rs
@@ -68,9 +68,10 @@
         Ok(order) => order,
         Err(error) => return error_reply(&error),
     };
-    let event = ControlEvent::Facts(vec![order.watcher]);
-    // A full channel means that the control thread is behind; the watcher's word comes again.
-    let _ = state.events.try_send(event);
+    if let Some(watcher) = order.watcher {
+        // A full channel means that the control thread is behind; the watcher's word comes again.
+        let _ = state.events.try_send(ControlEvent::Watcher(watcher));
+    }
     let pace = Duration::from_millis(order.pace_ms).clamp(PACE_SHORTEST, PACE_LONGEST);
     let (writer, body) = frame_channel(STREAM_DEPTH);
     tokio::spawn(async move {
--- a/src/lab/soak/mod.rs
+++ b/src/lab/soak/mod.rs
@@ -5,6 +5,7 @@
 mod command;
 pub(crate) mod delivery;
 pub(crate) mod documents;
+pub(crate) mod membership;
 
 use arbitrary::Unstructured;
 
@@ -29,6 +30,7 @@
     slice("delivery", 512, delivery::run_case),
     slice("documents", 4096, documents::run_case),
     slice("fairness", 16384, admission::run_fair_case),
+    slice("membership", 8192, membership::run_case),
 ];
 
 const fn slice(name: &'static str, case_bytes: usize, run_case: SoakDriver) -> SoakSlice {
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -10,7 +10,7 @@
 
 use super::messages::{HostStatus, MemberFacts};
 use crate::control::MemberState;
-use crate::derives::plain;
+use crate::derives::{key, plain};
 use crate::platform::{HostEntry, ListedState};
 use crate::time::ClockTime;
 
@@ -35,8 +35,8 @@
     pub(crate) facts: MemberFacts,
     /// Its newest word about itself, if it is watched and has spoken.
     pub(crate) status: Option<Arc<HostStatus>>,
-    /// Whether it was in the platform's list when that was last read.
-    listed: bool,
+    /// What the platform's list says of it.
+    listing: Listing,
     /// When anything was last heard about it: from the list, from itself or from a neighbour.
     noted_at: ClockTime,
     watch: WatchHealth,
@@ -45,6 +45,17 @@
     state: MemberState,
 }
 
+/// What the platform's list says of a host.
+#[apply(key!)]
+enum Listing {
+    /// It has not been in the list so far.
+    NotYet,
+    /// It was in the list when that was last read.
+    Listed,
+    /// It was in the list and is no longer.
+    Dropped,
+}
+
 /// How the stream from a host does.
 #[apply(plain!)]
 enum WatchHealth {
@@ -70,17 +81,14 @@
 
     fn state_at(&self, now: ClockTime) -> MemberState {
         let health = match self.watch {
-            WatchHealth::NotWatched if self.listed || self.facts.incarnation > 0 => {
-                MemberState::Live
-            }
-            WatchHealth::NotWatched => MemberState::Gone,
+            WatchHealth::NotWatched if self.listing == Listing::Dropped => MemberState::Gone,
             WatchHealth::Silent { since } if now.since(since) >= GONE_AFTER => MemberState::Gone,
             WatchHealth::Silent { .. } => MemberState::Suspected,
             WatchHealth::Heard { at, pace } if now.since(at) >= pace * SUSPECT_PACES => {
                 MemberState::Suspected
             }
             WatchHealth::Heard { .. } if self.is_flapping(now) => MemberState::Suspected,
-            WatchHealth::Heard { .. } => MemberState::Live,
+            WatchHealth::NotWatched | WatchHealth::Heard { .. } => MemberState::Live,
         };
         match health {
             MemberState::Live | MemberState::Suspected if self.is_leaving() => MemberState::Leaving,
@@ -132,7 +140,9 @@
     /// Takes in the platform's list.
     pub(crate) fn on_list(&mut self, entries: &[HostEntry], now: ClockTime) {
         for member in &mut self.members {
-            member.listed = false;
+            if member.listing == Listing::Listed {
+                member.listing = Listing::Dropped;
+            }
         }
         for entry in entries {
             let facts = MemberFacts {
@@ -143,7 +153,7 @@
             self.on_facts(&facts, now);
             if let Ok(at) = self.place_of(&entry.host) {
                 let member = &mut self.members[at];
-                member.listed = true;
+                member.listing = Listing::Listed;
                 member.noted_at = now;
                 if member.facts.incarnation == 0 && member.facts.entry != *entry {
                     member.facts.entry = entry.clone();
@@ -165,7 +175,7 @@
                 let view = MemberView {
                     facts: facts.clone(),
                     status: None,
-                    listed: false,
+                    listing: Listing::NotYet,
                     noted_at: now,
                     watch: WatchHealth::NotWatched,
                     losses: 0,
@@ -187,6 +197,9 @@
         if facts.incarnation > member.facts.incarnation {
             // Another process stands there now: what the earlier one said of itself is void.
             member.status = None;
+            if member.state == MemberState::Gone {
+                member.watch = WatchHealth::Silent { since: now };
+            }
         }
         member.facts = facts.clone();
         member.noted_at = now;
@@ -211,12 +224,28 @@
         if status.incarnation < member.facts.incarnation {
             return false;
         }
+        if status.incarnation > member.facts.incarnation {
+            // Its facts come right behind; until then only its own word counts.
+            member.facts.incarnation = status.incarnation;
+            member.facts.sequence = 0;
+            member.facts.entry.state = ListedState::Live;
+        }
         member.noted_at = now;
         member.status = Some(Arc::new(status));
         self.changed = true;
         true
     }
 
+    /// This process watches `host` from now on. One that is gone stays so until it speaks.
+    pub(crate) fn on_watched(&mut self, host: &str, now: ClockTime) {
+        if let Ok(at) = self.place_of(host) {
+            let member = &mut self.members[at];
+            if member.state != MemberState::Gone {
+                member.watch = WatchHealth::Silent { since: now };
+            }
+        }
+    }
+
     /// A frame came on the stream from `host`, whose frames are at most `pace` apart.
     pub(crate) fn on_heard(&mut self, host: &str, pace: Duration, now: ClockTime) {
         if let Ok(at) = self.place_of(host) {
@@ -232,41 +261,57 @@
             return;
         };
         let member = &mut self.members[at];
-        match member.watch {
-            WatchHealth::Silent { .. } => {}
-            WatchHealth::NotWatched => member.watch = WatchHealth::Silent { since: now },
-            WatchHealth::Heard { .. } => {
-                if now.since(member.lost_at) >= FLAP_WINDOW {
-                    member.losses = 0;
-                }
-                member.losses += 1;
-                member.lost_at = now;
-                member.watch = WatchHealth::Silent { since: now };
-            }
+        if !matches!(member.watch, WatchHealth::Heard { .. }) {
+            return;
         }
+        if now.since(member.lost_at) >= FLAP_WINDOW {
+            member.losses = 0;
+        }
+        member.losses += 1;
+        member.lost_at = now;
+        member.watch = WatchHealth::Silent { since: now };
     }
 
-    /// This process no longer watches `host`.
+    /// This process no longer watches `host`. One that is gone stays so until it shows itself.
     pub(crate) fn on_unwatched(&mut self, host: &str) {
         if let Ok(at) = self.place_of(host) {
-            self.members[at].watch = WatchHealth::NotWatched;
-            self.members[at].status = None;
+            let member = &mut self.members[at];
+            if member.state != MemberState::Gone {
+                member.watch = WatchHealth::NotWatched;
+            }
+            member.status = None;
             self.changed = true;
         }
     }
 
+    /// The process on `host` asked this one for something: it is there, whatever was thought.
+    pub(crate) fn on_contact(&mut self, host: &str, now: ClockTime) {
+        if let Ok(at) = self.place_of(host) {
+            let member = &mut self.members[at];
+            member.noted_at = now;
+            if member.state == MemberState::Gone {
+                member.watch = WatchHealth::Silent { since: now };
+            }
+        }
+    }
+
     /// Works out every member's state at `now` and forgets those long gone.
     pub(crate) fn on_tick(&mut self, now: ClockTime) {
         for member in &mut self.members {
             let state = member.state_at(now);
+            assert!(
+                state != MemberState::Live || !member.is_leaving(),
+                "a leaving host was about to be given new work"
+            );
             if state != member.state {
                 member.state = state;
                 self.changed = true;
             }
         }
         let count = self.members.len();
-        self.members
-            .retain(|member| member.listed || now.since(member.noted_at) < FORGET_AFTER);
+        self.members.retain(|member| {
+            member.listing == Listing::Listed || now.since(member.noted_at) < FORGET_AFTER
+        });
         self.changed |= count != self.members.len();
     }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -7,6 +7,8 @@
 mod messages;
 mod neighbours;
 mod status_board;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use identity::HostIdentity;
 pub(crate) use member_table::{MemberTable, MemberView};
--- a/src/membership/neighbours.rs
+++ b/src/membership/neighbours.rs
@@ -14,25 +14,43 @@
 const ENTRIES_NEAR: usize = 4;
 /// Entry hosts of other data centres that a process watches at most.
 const ENTRIES_FAR: usize = 3;
+/// Hosts that were given up and are asked at a time.
+const LOST_ASKED: usize = 4;
 /// Entry hosts of a data centre that read the table for it.
 const TABLE_READERS: usize = 2;
 
 /// The hosts that the process `own` watches, sorted by name.
 pub(crate) fn choose_neighbours(own: &HostIdentity, members: &[MemberView]) -> Vec<ByteString> {
-    let present: Vec<&HostEntry> = members
+    let present = of_state(members, |state| state != MemberState::Gone);
+    let mut chosen = choose_present(own, &present);
+    // Hosts that were given up are asked again and again, a few at a time: when a data centre that
+    // was cut off is joined again, nobody else would notice.
+    let lost = of_state(members, |state| state == MemberState::Gone);
+    let lost = lost
         .iter()
-        .filter(|member| member.state() != MemberState::Gone)
+        .filter(|entry| own.role == HostRole::Entry || entry.role == HostRole::Entry);
+    chosen.extend(top(&own.host, lost, LOST_ASKED));
+    chosen.sort_unstable();
+    chosen
+}
+
+fn of_state(members: &[MemberView], fits: fn(MemberState) -> bool) -> Vec<&HostEntry> {
+    members
+        .iter()
+        .filter(|member| fits(member.state()))
         .map(|member| &member.facts.entry)
-        .collect();
+        .collect()
+}
+
+fn choose_present(own: &HostIdentity, present: &[&HostEntry]) -> Vec<ByteString> {
     let is_near = |entry: &&&HostEntry| entry.data_centre == own.data_centre;
     let entries = || present.iter().filter(|entry| entry.role == HostRole::Entry);
     let mut chosen = top(&own.host, entries().filter(is_near), ENTRIES_NEAR);
     let far = entries().filter(|entry| !is_near(entry));
     chosen.extend(top(&own.host, far, ENTRIES_FAR));
     if own.role == HostRole::Entry {
-        chosen.extend(choose_backends(own, &present));
+        chosen.extend(choose_backends(own, present));
     }
-    chosen.sort_unstable();
     chosen
 }
 
