Keep a host's own word that comes before its facts

Symptom: an entry host shows a backend server as live without a word about itself for as long as the process lives, and refuses no_backend. Events: the first status of a new process comes on its stream; the facts that follow from it are newer than the listed ones, and taking them in erased the status as one of an earlier process. Later frames carry only load, which needs a status to go with. Ruled out: lost streams (none was counted), a missing watch. Before: in 4 clean starts of 3 entry hosts and 6 host processes, 4 of 12 entry-to-portal pairs had no status after 20 s.

--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -195,8 +195,12 @@
             return false;
         }
         if facts.incarnation > member.facts.incarnation {
-            // Another process stands there now: what the earlier one said of itself is void.
-            member.status = None;
+            // Another process stands there now: what the earlier one said of itself is void. Its own
+            // word may have come before its facts and then stays.
+            let is_earlier = |status: &Arc<HostStatus>| status.incarnation < facts.incarnation;
+            if member.status.as_ref().is_some_and(is_earlier) {
+                member.status = None;
+            }
             if member.state == MemberState::Gone {
                 member.watch = WatchHealth::Silent { since: now };
             }
