Disturb real processes under load and check every answer

`savory-lab faults` draws kills, freezes, graceful stops, outages, lost answers, silent connections, bad streams and chunks and new versions from a seed, does up to four at a time to real processes under calls of every class, undoes them, and judges each answer against what the engines compute and the plain services record. Non-zero exit when anything was lost, doubled, falsely "not run", cut, mixed or crossed, or a graceful stop did not end well. A plain service's own 503 is an answer of the service, not a cut: the first run of the judge counted it as one.

One entry host is always left alone, as a balancer must have one to send to; plain services are never killed, because they keep the record by which the calls are judged.

--- a/src/lab/calls/call_judge.rs
+++ b/src/lab/calls/call_judge.rs
@@ -29,6 +29,8 @@
     /// Calls whose last answer was "not known", and calls without an answer from an entry host that
     /// was killed or frozen.
     pub(crate) not_known: u64,
+    /// Calls whose last answer was the plain service's own fault.
+    pub(crate) service_faults: u64,
     /// Streams that ended in an explicit error.
     pub(crate) broken: u64,
     /// Whole answers to calls that never reached the service, and calls without a final answer.
@@ -49,6 +51,19 @@
 }
 
 impl CallCounts {
+    /// One line of what must be zero.
+    pub(crate) fn summary(&self) -> String {
+        format!(
+            "lost {}, doubled {}, falsely \"not run\" {}, cut {}, mixed versions {}, crossed {}",
+            self.lost,
+            self.doubled,
+            self.false_not_run,
+            self.cut,
+            self.mixed_versions,
+            self.crossed
+        )
+    }
+
     /// Whether nothing happened that must never happen.
     pub(crate) const fn all_held(&self) -> bool {
         self.lost
@@ -128,6 +143,10 @@
                 counts.cut += 1;
                 note(counts, "broken connection", attempt);
             }
+            CallOutcome::ServiceFault { .. } if !is_plain(call.class) => {
+                counts.crossed += 1;
+                note(counts, "an answer of no known form", attempt);
+            }
             CallOutcome::NoAnswer if !disturbed() => {
                 counts.lost += 1;
                 note(counts, "no final answer", attempt);
@@ -243,9 +262,17 @@
     }
 }
 
+const fn is_plain(class: CallClass) -> bool {
+    matches!(
+        class,
+        CallClass::Repeatable | CallClass::Once | CallClass::Again | CallClass::Unkeyed
+    )
+}
+
 fn count_end(last: &CallAttempt, counts: &mut CallCounts) {
     match &last.outcome {
         CallOutcome::Whole { .. } => counts.answered += 1,
+        CallOutcome::ServiceFault { .. } => counts.service_faults += 1,
         CallOutcome::Refused {
             run: RunOutcome::NotRun,
             ..
--- a/src/lab/calls/call_run.rs
+++ b/src/lab/calls/call_run.rs
@@ -222,7 +222,7 @@
 fn next_wait(call: &FinishedCall) -> Option<Duration> {
     let last = call.attempts.last()?;
     let wait = match &last.outcome {
-        CallOutcome::Whole { .. } => return None,
+        CallOutcome::Whole { .. } | CallOutcome::ServiceFault { .. } => return None,
         CallOutcome::Refused {
             run, retry_after, ..
         } => {
--- a/src/lab/calls/lab_call.rs
+++ b/src/lab/calls/lab_call.rs
@@ -84,6 +84,13 @@
         /// The message for people.
         message: String,
     },
+    /// The plain service's own answer, with another status than 200.
+    ServiceFault {
+        /// The status.
+        status: u16,
+        /// The body.
+        text: String,
+    },
     /// A stream that ended in an explicit error.
     Broken {
         /// What had come.
@@ -266,10 +273,10 @@
             retry_after: text.error.retry_after_ms.map(Duration::from_millis),
             message: text.error.message,
         },
-        Err(_) => CallOutcome::ConnectionLost(format!(
-            "answered {status}: {}",
-            String::from_utf8_lossy(&body)
-        )),
+        Err(_) => CallOutcome::ServiceFault {
+            status,
+            text: String::from_utf8_lossy(&body).into_owned(),
+        },
     }
 }
 
--- /dev/null
+++ b/src/lab/faults/command.rs
@@ -0,0 +1,67 @@
+//! `savory-lab faults`.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use super::fault_run::FaultRun;
+use crate::lab::launch::Company;
+use crate::lab::run_lab;
+
+/// The subcommand.
+pub(crate) fn faults_command() -> Command {
+    Command::new("faults")
+        .about("Disturbs real processes under load and checks every answer")
+        .after_help("Example:\n  savory-lab faults --seed 7 --seconds 60 --json")
+        .arg(number("seed", "1", "Draws the disturbances"))
+        .arg(number("seconds", "30", "How long the system is disturbed"))
+        .arg(number(
+            "rate",
+            "40",
+            "Calls a second, of all classes together",
+        ))
+        .arg(
+            Arg::new("company")
+                .long("company")
+                .default_value("auroras")
+                .value_parser(["auroras", "skupno"])
+                .help("Whose data centres and services it has"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print the result as JSON"),
+        )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("FILE")
+                .help("Write every process's log there"),
+        )
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .default_value(default)
+        .value_parser(value_parser!(u64).range(1..))
+        .help(help)
+}
+
+/// Runs it.
+pub(crate) fn run_faults(matches: &ArgMatches) -> ExitCode {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let company = matches.get_one::<String>("company");
+    let run = FaultRun {
+        company: Company::named(company.map_or("", String::as_str)),
+        seed: number("seed"),
+        span: Duration::from_secs(number("seconds")),
+        rate: number("rate"),
+        prints_json: matches.get_flag("json"),
+        logs: matches.get_one::<String>("logs").map(Into::into),
+    };
+    run_lab(run.run())
+}
--- a/src/lab/launch/admin_client.rs
+++ b/src/lab/launch/admin_client.rs
@@ -41,6 +41,12 @@
     }
 }
 
+/// What the entry host's administration API at `admin` says at `path`, for people.
+pub(crate) async fn read_admin(admin: SocketAddr, path: &str) -> SwitchResult<String> {
+    let request = http::Request::get(path);
+    exchange(admin, request, Body::empty()).await
+}
+
 async fn try_put(
     admin: SocketAddr,
     document: &ServiceDocument,
@@ -53,19 +59,29 @@
         document.service
     );
     let request = http::Request::put(path)
-        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
         .header("idempotency-key", nonce.to_string())
-        .header("content-type", "application/json")
-        .body(Body::from(body))
+        .header("content-type", "application/json");
+    exchange(admin, request, Body::from(body)).await?;
+    Ok(())
+}
+
+async fn exchange(
+    admin: SocketAddr,
+    request: http::request::Builder,
+    body: Body,
+) -> SwitchResult<String> {
+    let request = request
+        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .body(body)
         .map_err(|fault| failed(fault.to_string()))?;
     let client = PeerClient::new(ClientLimits::default());
     let answer = client.send(admin, request, WITHIN).await?;
     let status = answer.status();
     let body = read_body(answer.into_body(), ANSWER_BYTES_MAX).await?;
+    let text = String::from_utf8_lossy(&body).into_owned();
     if status == StatusCode::OK {
-        return Ok(());
+        return Ok(text);
     }
-    let text = String::from_utf8_lossy(&body);
     Err(failed(format!("answered {status}: {text}")))
 }
 
--- a/src/lab/launch/mod.rs
+++ b/src/lab/launch/mod.rs
@@ -7,7 +7,7 @@
 mod lab_client;
 mod lab_system;
 
-pub(crate) use admin_client::put_document;
+pub(crate) use admin_client::{put_document, read_admin};
 pub(crate) use child_process::{ChildProcess, LaunchOrder};
 pub(crate) use company::{Company, CompanyNames, DataCentre, OPERATOR_KEY, account_key};
 pub(crate) use lab_client::LabClient;
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and measurements; never deployed.
 
 pub(crate) mod calls;
+mod faults;
 pub(crate) mod launch;
 mod quickstart;
 pub(crate) mod soak;
@@ -19,6 +20,7 @@
 pub fn lab_main() -> ExitCode {
     let matches = lab_command().get_matches();
     match matches.subcommand() {
+        Some(("faults", matches)) => faults::run_faults(matches),
         Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
         Some(("soak", matches)) => soak::run_soak(matches),
         Some(("stand-in", matches)) => stand_ins::run_stand_in(matches),
@@ -33,6 +35,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(quickstart::quickstart_command())
+        .subcommand(faults::faults_command())
         .subcommand(soak::soak_command())
         .subcommand(stand_ins::stand_in_command())
 }
