Measure bursts of weights over real host processes

savory-lab weights starts N host processes, an entry host and the stand-ins, puts a document and waits until every engine serves the new weights; JSON with the ratio to the fluid bound, copies read from the origin, messages a host, and the machine's load beside it.

The first runs showed the receiving side of the pacer wrong: it let a chunk that had come wait for another full span, though the link had taken it in while its sender sent it.

--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -6,6 +6,7 @@
 mod quickstart;
 pub(crate) mod soak;
 pub(crate) mod stand_ins;
+mod weights;
 
 use std::future::Future;
 use std::process::ExitCode;
@@ -23,6 +24,7 @@
         Some(("faults", matches)) => faults::run_faults(matches),
         Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
         Some(("soak", matches)) => soak::run_soak(matches),
+        Some(("weights", matches)) => weights::run_weights(matches),
         Some(("stand-in", matches)) => stand_ins::run_stand_in(matches),
         _ => ExitCode::FAILURE,
     }
@@ -38,6 +40,7 @@
         .subcommand(faults::faults_command())
         .subcommand(soak::soak_command())
         .subcommand(stand_ins::stand_in_command())
+        .subcommand(weights::weights_command())
 }
 
 /// Runs a measurement or a show on its own threads. Exit code 0 only if it says that all held. A
--- /dev/null
+++ b/src/lab/weights/plot.rs
@@ -0,0 +1,59 @@
+//! The curve over the number of hosts, as a picture.
+
+use std::error::Error;
+use std::path::Path;
+
+use plotters::prelude::{
+    BLACK, BLUE, ChartBuilder, Circle, IntoDrawingArea, IntoLogRange, LineSeries, RED, SVGBackend,
+    WHITE,
+};
+
+use super::report::WeightsReport;
+use super::shape::as_float;
+
+const SIZE: (u32, u32) = (720, 420);
+
+/// Draws the ratio to the fluid bound over the number of hosts.
+pub(super) fn plot_curve(path: &Path, reports: &[WeightsReport]) -> Result<(), Box<dyn Error>> {
+    let point = |report: &WeightsReport| (as_float(report.hosts as u64), report.burst.ratio);
+    let points: Vec<(f64, f64)> = reports.iter().map(point).collect();
+    let base = reports.iter().filter_map(|report| {
+        let ratio = report.baseline.as_ref()?.ratio;
+        Some((as_float(report.hosts as u64), ratio))
+    });
+    let base: Vec<(f64, f64)> = base.collect();
+    let most = base
+        .iter()
+        .chain(&points)
+        .map(|point| point.1)
+        .fold(2.0, f64::max);
+    let widest = points.iter().map(|point| point.0).fold(8.0, f64::max);
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(
+            "Time to N replicas against the fluid bound",
+            ("sans-serif", 18),
+        )
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(
+            (4.0..widest * 1.2).log_scale(),
+            (0.8..most * 1.3).log_scale(),
+        )?;
+    chart
+        .configure_mesh()
+        .x_desc("hosts")
+        .y_desc("seconds / bound")
+        .draw()?;
+    let own = chart.draw_series(LineSeries::new(points.clone(), &BLUE))?;
+    own.label("savoryswitch");
+    chart.draw_series(points.iter().map(|point| Circle::new(*point, 3, BLUE)))?;
+    let naive = chart.draw_series(LineSeries::new(base.clone(), &RED))?;
+    naive.label("everyone reads the origin");
+    chart.draw_series(base.iter().map(|point| Circle::new(*point, 3, RED)))?;
+    chart.configure_series_labels().border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/src/weights/fetch_edge.rs
+++ b/src/weights/fetch_edge.rs
@@ -10,7 +10,7 @@
 use volo_http::body::Body;
 use volo_http::request::Request;
 
-use super::link_pacer::{LinkDirection, LinkPacer};
+use super::link_pacer::LinkPacer;
 use super::messages::{ChunkHead, HaveWord};
 use super::peer_service::WORD_BYTES_MAX;
 use super::staged_version::StagedVersion;
@@ -84,6 +84,7 @@
     /// Reads chunk `index` from the origin, or from the weight store when the origin does not
     /// answer; checks it and keeps it.
     pub(crate) async fn read_origin(&self, index: u32) -> SwitchResult<()> {
+        metrics::count_event("weights_origin_reads", 1);
         let (offset, length) = self.version.manifest().chunk_range(index);
         let read = self.origin.read_range(&self.source, offset, length).await;
         let bytes = match (read, &self.store) {
@@ -118,11 +119,7 @@
     async fn keep(&self, counted_as: &'static str, index: u32, bytes: Bytes) -> SwitchResult<()> {
         let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
         metrics::count_event(counted_as, length);
-        // What came has used the link already: it always passes, and the next waits behind it.
-        let _ = self
-            .pacer
-            .pass(LinkDirection::Down, length, Duration::MAX)
-            .await;
+        self.pacer.take_in(length).await;
         if self.version.chunk(index).is_some() {
             metrics::count_event("weights_duplicate_bytes", length);
             return Ok(());
--- a/src/weights/link_pacer.rs
+++ b/src/weights/link_pacer.rs
@@ -35,6 +35,15 @@
         self.free_at
     }
 
+    /// `bytes` of weights have just come. The link took them in while their sender sent them, so
+    /// that they count from as long ago as they need on the idle link. Returns when the link has
+    /// taken them in behind all that came before.
+    pub(crate) fn arrive(&mut self, bytes: u64, now: ClockTime) -> ClockTime {
+        let span = self.span_of(bytes);
+        self.free_at = self.free_at.max(now - span) + span;
+        self.free_at
+    }
+
     /// Live requests took `bytes` of the link. They never wait; the weights behind them do.
     pub(crate) fn take_live(&mut self, bytes: u64, now: ClockTime) {
         let _ = self.reserve(bytes, now);
@@ -109,20 +118,26 @@
         self.with(LinkDirection::Up, |bucket| bucket.span_of(bytes))
     }
 
-    /// Gives `bytes` to the link if it is free within `backlog_max`, and waits until they are
+    /// Waits until the link has taken in `bytes` that have just come: the next are asked for only
+    /// then.
+    pub(crate) async fn take_in(&self, bytes: u64) {
+        let now = clock_now();
+        let through = self.with(LinkDirection::Down, |bucket| bucket.arrive(bytes, now));
+        let wait = through.since(now);
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    /// Gives `bytes` to the up link if it is free within `backlog_max`, and waits until they are
     /// through.
     ///
     /// # Errors
     ///
     /// The link's backlog when it is longer.
-    pub(crate) async fn pass(
-        &self,
-        direction: LinkDirection,
-        bytes: u64,
-        backlog_max: Duration,
-    ) -> Result<(), Duration> {
+    pub(crate) async fn send_out(&self, bytes: u64, backlog_max: Duration) -> Result<(), Duration> {
         let now = clock_now();
-        let through = self.with(direction, |bucket| {
+        let through = self.with(LinkDirection::Up, |bucket| {
             let backlog = bucket.backlog(now);
             if backlog > backlog_max {
                 return Err(backlog);
--- a/src/weights/peer_service.rs
+++ b/src/weights/peer_service.rs
@@ -13,7 +13,7 @@
 use volo_http::server::param::PathParams;
 use volo_http::server::route::{Router, post};
 
-use super::link_pacer::{LinkDirection, LinkPacer};
+use super::link_pacer::LinkPacer;
 use super::messages::{ChunkHead, HaveWord};
 use super::staged_version::{StagedVersion, VersionShelf};
 use super::version_routes::read_digest;
@@ -148,7 +148,7 @@
     async fn wait_for_link(&self, bytes: &Bytes) -> SwitchResult<()> {
         let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
         let queue = self.pacer.span_of(length) * UPLOAD_QUEUE;
-        let passed = self.pacer.pass(LinkDirection::Up, length, queue).await;
+        let passed = self.pacer.send_out(length, queue).await;
         passed.map_err(|backlog| busy(backlog.saturating_sub(queue)))
     }
 }
