--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod warm_up;
 
 pub(crate) use control_thread::{ControlEdges, ControlEvent, ControlHandle, start_control};
+pub(crate) use peer_messages::{PeerFrame, WATCH_PATH, WatchOrder};
 pub(crate) use snapshot::{
     ControlSnapshot, MemberRecord, MemberState, ServiceRecord, SharedSnapshot,
 };
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and measurements; never deployed.
 
 pub(crate) mod calls;
+mod documents;
 mod faults;
 pub(crate) mod launch;
 mod quickstart;
@@ -22,6 +23,7 @@
     let matches = lab_command().get_matches();
     match matches.subcommand() {
         Some(("faults", matches)) => faults::run_faults(matches),
+        Some(("documents", matches)) => documents::run_documents(matches),
         Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
         Some(("soak", matches)) => soak::run_soak(matches),
         Some(("weights", matches)) => weights::run_weights(matches),
@@ -36,6 +38,7 @@
         .about("Stand-ins and measurements of savoryswitch; never deployed")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(documents::documents_command())
         .subcommand(quickstart::quickstart_command())
         .subcommand(faults::faults_command())
         .subcommand(soak::soak_command())
--- a/src/operator/admin_client.rs
+++ b/src/operator/admin_client.rs
@@ -19,33 +19,33 @@
 const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
 
 /// A client of the entry hosts' administration API.
-pub(super) struct AdminClient {
-    pub(super) addresses: Vec<SocketAddr>,
-    pub(super) key: String,
+pub(crate) struct AdminClient {
+    pub(crate) addresses: Vec<SocketAddr>,
+    pub(crate) key: String,
     client: PeerClient,
 }
 
 /// What is asked.
-pub(super) struct AdminCall {
-    pub(super) method: Method,
-    pub(super) path: String,
-    pub(super) body: Bytes,
+pub(crate) struct AdminCall {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) body: Bytes,
     /// What names the change, for a put.
-    pub(super) change: Option<ChangeName>,
+    pub(crate) change: Option<ChangeName>,
 }
 
 /// What names a change.
 #[derive(Clone)]
-pub(super) struct ChangeName {
-    pub(super) author: String,
-    pub(super) nonce: String,
+pub(crate) struct ChangeName {
+    pub(crate) author: String,
+    pub(crate) nonce: String,
     /// Tries of it before this call.
-    pub(super) tries: u32,
+    pub(crate) tries: u32,
 }
 
 impl AdminCall {
     /// A reading of `path`.
-    pub(super) fn get(path: impl Into<String>) -> Self {
+    pub(crate) fn get(path: impl Into<String>) -> Self {
         Self {
             method: Method::GET,
             path: path.into(),
@@ -56,10 +56,10 @@
 }
 
 /// A refusal with what came beside it.
-pub(super) struct AdminFailure {
-    pub(super) error: SwitchError,
-    pub(super) faults: FaultsReply,
-    pub(super) standing: Option<Box<StandingReply>>,
+pub(crate) struct AdminFailure {
+    pub(crate) error: SwitchError,
+    pub(crate) faults: FaultsReply,
+    pub(crate) standing: Option<Box<StandingReply>>,
 }
 
 impl From<SwitchError> for AdminFailure {
@@ -74,7 +74,7 @@
 
 impl AdminClient {
     /// A client of the entry hosts at `addresses`, with `key`.
-    pub(super) fn new(addresses: Vec<SocketAddr>, key: String) -> Self {
+    pub(crate) fn new(addresses: Vec<SocketAddr>, key: String) -> Self {
         let client = PeerClient::new(ClientLimits::default());
         Self {
             addresses,
@@ -85,7 +85,7 @@
 
     /// Asks the entry hosts one after another until one answers for good. A change that is asked
     /// for again carries the same name, so that it is accepted once.
-    pub(super) async fn ask<A: DeserializeOwned>(
+    pub(crate) async fn ask<A: DeserializeOwned>(
         &self,
         call: &AdminCall,
     ) -> Result<A, AdminFailure> {
@@ -114,7 +114,7 @@
     }
 
     /// Asks the entry host at `address`.
-    pub(super) async fn ask_at<A: DeserializeOwned>(
+    pub(crate) async fn ask_at<A: DeserializeOwned>(
         &self,
         address: SocketAddr,
         call: &AdminCall,
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,10 +1,10 @@
 //! Operators: the administration API and the command line on it.
 
 mod admin;
-mod admin_client;
+pub(crate) mod admin_client;
 mod change_put;
 mod command;
-mod messages;
+pub(crate) mod messages;
 mod run_command;
 mod state_views;
 mod tables;
