--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -160,12 +160,14 @@
             .on_heard(host, self.watches[at].watch.pace, now);
         match frame {
             PeerFrame::Status(status) => self.machine.on_status(*status, now),
-            PeerFrame::Load(sequence, load) => self.machine.on_load(host, sequence, load, now),
-            PeerFrame::Alive => {}
-            PeerFrame::Age(millis) => {
+            PeerFrame::Paced(load, age_ms) => {
+                if let Some(change) = load {
+                    self.machine.on_load(host, change, now);
+                }
                 // Only once everything that the neighbour has is here too.
-                if !self.machine.lacks_any(&self.watches[at].versions) {
-                    self.fresh.advance(now - Duration::from_millis(millis));
+                let lacks = self.machine.lacks_any(&self.watches[at].versions);
+                if let Some(age_ms) = age_ms.filter(|_| !lacks) {
+                    self.fresh.advance(now - Duration::from_millis(age_ms));
                 }
             }
             PeerFrame::Members(facts) => self.machine.on_facts(&facts, now),
--- a/src/control/control_machine.rs
+++ b/src/control/control_machine.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use bytestring::ByteString;
 
+use super::peer_messages::LoadChange;
 use super::snapshot::{ControlSnapshot, MemberRecord, ServiceRecord};
 use super::spread_state::SpreadState;
 use super::warm_up::WarmUp;
@@ -175,12 +176,19 @@
     }
 
     /// Only the load of a watched host changed.
-    pub(crate) fn on_load(&mut self, host: &str, sequence: u64, load: LoadReport, now: ClockTime) {
+    pub(crate) fn on_load(&mut self, host: &str, change: LoadChange, now: ClockTime) {
+        let (sequence, [running, waiting, capacity, queue_room]) = change;
         let known = self
             .members
             .get(host)
             .and_then(|member| member.status.clone());
         if let Some(known) = known {
+            let load = LoadReport {
+                running,
+                waiting,
+                capacity,
+                queue_room,
+            };
             let status = HostStatus {
                 sequence,
                 load,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod tests;
 mod warm_up;
 
+pub(crate) use control_machine::ControlMachine;
 pub(crate) use control_thread::{ControlEdges, ControlEvent, ControlHandle, start_control};
 pub(crate) use peer_messages::{PeerFrame, WATCH_PATH, WatchOrder};
 pub(crate) use snapshot::{
--- a/src/control/peer_messages.rs
+++ b/src/control/peer_messages.rs
@@ -6,7 +6,7 @@
 
 use crate::derives::message;
 use crate::documents::DocumentVersion;
-use crate::membership::{HostStatus, LoadReport, MemberFacts};
+use crate::membership::{HostStatus, MemberFacts};
 
 /// Where streams are opened.
 pub(crate) const WATCH_PATH: &str = "/peer/control/watch";
@@ -25,18 +25,18 @@
     pub(crate) pace_ms: u64,
 }
 
-/// One frame of a watched stream.
+/// The load as it changed since the last frame: the status's new sequence, and what runs, waits,
+/// fits and may queue. Without field names, since it is most of what control sends.
+pub(crate) type LoadChange = (u64, [u32; 4]);
+
+/// One frame of a watched stream. `Paced` also says how old, in milliseconds, what is in force there
+/// may be: every change that the table held before then is in force there.
 #[apply(message!)]
 pub(crate) enum PeerFrame {
     /// The process's whole word about itself: at first, and at once when more than load changed.
     Status(Box<HostStatus>),
-    /// Only its load changed; this is the status's new sequence.
-    Load(u64, LoadReport),
-    /// Nothing new about itself.
-    Alive,
-    /// How old, in milliseconds, what it has in force may be: every change that the table held
-    /// before then is in force there.
-    Age(u64),
+    /// Sent at the watcher's pace, whether anything changed or not.
+    Paced(Option<LoadChange>, Option<u64>),
     /// The versions in force there: at first, and at once when one changed.
     Documents(Vec<DocumentVersion>),
     /// Facts about hosts that are news there.
--- a/src/control/peer_routes.rs
+++ b/src/control/peer_routes.rs
@@ -13,7 +13,7 @@
 
 use super::control_thread::{ControlEvent, FreshMark};
 use super::peer_messages::{
-    ORDER_BYTES_MAX, PULL_PATH, PeerFrame, PullOrder, PullReply, WATCH_PATH, WatchOrder,
+    LoadChange, ORDER_BYTES_MAX, PULL_PATH, PeerFrame, PullOrder, PullReply, WATCH_PATH, WatchOrder,
 };
 use super::spread_state::{SpreadReceiver, SpreadState};
 use crate::daemon::DrainState;
@@ -137,26 +137,20 @@
     sent: &HostStatus,
     newest: &HostStatus,
 ) -> SwitchResult<()> {
-    let frame = paced_frame(sent, newest);
-    let Some(fresh_at) = state.fresh.get() else {
-        return writer.write(&frame).await;
-    };
-    let age = clock_now().since(fresh_at);
-    let age = PeerFrame::Age(u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
-    if frame != PeerFrame::Alive {
-        writer.write(&frame).await?;
+    if sent.staging != newest.staging || is_urgent(sent, newest) {
+        let status = PeerFrame::Status(Box::new(newest.clone()));
+        writer.write(&status).await?;
     }
-    writer.write(&age).await
+    let load = (sent.load != newest.load).then(|| load_change(newest));
+    let age = state.fresh.get().map(|at| clock_now().since(at));
+    let age_ms = age.and_then(|age| u64::try_from(age.as_millis()).ok());
+    writer.write(&PeerFrame::Paced(load, age_ms)).await
 }
 
-fn paced_frame(sent: &HostStatus, newest: &HostStatus) -> PeerFrame {
-    if sent == newest {
-        PeerFrame::Alive
-    } else if sent.staging == newest.staging && !is_urgent(sent, newest) {
-        PeerFrame::Load(newest.sequence, newest.load)
-    } else {
-        PeerFrame::Status(Box::new(newest.clone()))
-    }
+const fn load_change(status: &HostStatus) -> LoadChange {
+    let load = status.load;
+    let numbers = [load.running, load.waiting, load.capacity, load.queue_room];
+    (status.sequence, numbers)
 }
 
 async fn send_spread(
