Run keyed calls at most once: leased slots, claims ahead of each call

All calls of one slot meet in the process that holds the slot's lease, and a claim in the table goes ahead of each. A repeated key gets the first run's answer, also from another holder. A claim whose answer was lost is read back; one that this process left behind counts as its own when the key comes again, and is written anew if an order to remove it may still be on its way. While the table is away a call runs without a claim only under a lease whose row says so, with a key made after the lease was taken; a successor that found the lease lapsed answers "not known" for the keys that may have run so.

The lease's row now carries when earlier holders may have acted without a trace, in place of one moment. A lease that is held stays held when a renewal turns out not to have taken effect; before, it was dropped until the next renewal.

--- /dev/null
+++ b/src/guard/key_entry.rs
@@ -0,0 +1,214 @@
+//! What the book of keyed calls knows of one key, and what it answers.
+
+use macro_rules_attribute::apply;
+
+use super::claim_record::{ClaimRecord, KeptAnswer};
+use super::claim_rules::may_run_unclaimed;
+use super::keyed_call::{KeyHash, KeyedCall, SlotGrant};
+use crate::delivery::AttemptId;
+use crate::derives::{key, plain};
+use crate::errors::{ErrorKind, RunOutcome};
+use crate::platform::RowRevision;
+use crate::time::{ClockTime, WallTime};
+
+/// What an arriving keyed call gets.
+#[apply(key!)]
+pub(super) enum CallAnswer {
+    /// It is new, and runs when its turn comes.
+    New {
+        /// Whether that is now.
+        has_turn: bool,
+    },
+    /// The key is known: it gets the answer of the run that is under way or over.
+    Joins {
+        /// How far that run is.
+        phase: KeyPhase,
+    },
+    /// It did not run and does not.
+    Refuse(ErrorKind, RunOutcome),
+}
+
+/// How far a key's run is, for those that join it.
+#[apply(key!)]
+pub(super) enum KeyPhase {
+    /// Not handed over.
+    Before,
+    /// Handed over.
+    Running,
+    /// Over; its answer is kept.
+    Ran,
+}
+
+/// How to make sure that nobody ran the key.
+#[apply(plain!)]
+pub(super) enum ClaimPlan {
+    /// Write this claim if there is none, then tell [`KeyBook::on_claim`].
+    Create(ClaimRecord),
+    /// Only read the claim, then tell [`KeyBook::on_claim`].
+    Read,
+}
+
+/// What the table said.
+#[apply(plain!)]
+pub(super) enum ClaimResult {
+    /// The claim was written.
+    Written(RowRevision),
+    /// There is a claim.
+    Found(RowRevision, ClaimRecord),
+    /// There is one, but it does not read.
+    Unreadable,
+    /// There is none, and none was written.
+    Absent,
+    /// The table does not answer; the claim may or may not be written.
+    Away,
+}
+
+/// What to do with a call whose turn it is.
+#[apply(plain!)]
+pub(super) enum ClaimVerdict {
+    /// Hand it over now, under this fencing number.
+    HandOver(u64),
+    /// It ran; this is its answer.
+    Replay(KeptAnswer),
+    /// It is claimed by this process already, but an order to remove the claim may still be on its
+    /// way, and would take the trace of this run away: write this record over the one at this
+    /// revision, then tell [`super::key_book::KeyBook::on_claim`].
+    Reclaim(RowRevision, ClaimRecord),
+    /// Refuse it, and remove the claim that stands at this revision if there is one.
+    Refuse(ErrorKind, RunOutcome, Option<RowRevision>),
+}
+
+/// How a handed-over call ended.
+#[apply(key!)]
+pub(super) enum KeyEnd {
+    /// To its end.
+    Ran,
+    /// The backend server did not begin it.
+    NotRun,
+    /// Nobody knows.
+    NotKnown,
+}
+
+/// A record that waits to be written.
+#[apply(plain!)]
+pub(super) struct PendingRecord {
+    pub(super) key: KeyHash,
+    /// What the row is expected at.
+    pub(super) expected: RowRevision,
+    /// The record; a finished call's answer is filled in by whoever writes it.
+    pub(super) record: ClaimRecord,
+    /// Whether the call has ended and its answer is to be written.
+    pub(super) has_ended: bool,
+}
+
+/// One key.
+#[derive(Clone, Debug)]
+pub(super) struct KeyEntry {
+    pub(super) call: KeyedCall,
+    pub(super) nonce: u64,
+    pub(super) state: KeyState,
+    /// The claim as it stands, if one is known to stand.
+    pub(super) claim: Option<RowRevision>,
+    /// The revision at which an order to remove its claim may still be on its way.
+    pub(super) removing: Option<RowRevision>,
+    pub(super) fence: u64,
+    pub(super) attempts: Vec<AttemptId>,
+    /// Bytes of its kept answer.
+    pub(super) kept_bytes: usize,
+    pub(super) touched: ClockTime,
+}
+
+/// How far a key is.
+#[apply(key!)]
+pub(super) enum KeyState {
+    /// Behind others in its lane, or before its claim.
+    Waiting,
+    /// Handed over.
+    Running,
+    /// Over, with its answer kept.
+    Ran { recorded: bool },
+    /// Over, and nobody knows how.
+    NotKnown,
+    /// Never handed over, but a claim of this process may stand or still be written.
+    Abandoned,
+}
+
+impl KeyEntry {
+    /// Hands the call over under `grant`, if its claim at `revision` still counts.
+    ///
+    /// Between the writing and now the lease may have lapsed: its next holder would start calls
+    /// that belong behind this one.
+    pub(super) fn hand_over_claimed(
+        &mut self,
+        revision: RowRevision,
+        grant: Option<&SlotGrant>,
+        is_wanted: bool,
+    ) -> ClaimVerdict {
+        let grant = grant.filter(|grant| grant.fence == self.fence);
+        if let Some(grant) = grant
+            && is_wanted
+        {
+            self.claim = Some(revision);
+            self.state = KeyState::Running;
+            return ClaimVerdict::HandOver(grant.fence);
+        }
+        self.state = KeyState::Abandoned;
+        self.removing = Some(revision);
+        let kind = match grant {
+            Some(_) => ErrorKind::CallerGone,
+            None => ErrorKind::LeaseLapsed,
+        };
+        ClaimVerdict::Refuse(kind, RunOutcome::NotRun, Some(revision))
+    }
+
+    /// What to do while the table is away.
+    pub(super) fn outage_verdict(
+        &mut self,
+        grant: Option<&SlotGrant>,
+        is_wanted: bool,
+        wall: WallTime,
+    ) -> ClaimVerdict {
+        let runs = |grant: &&SlotGrant| is_wanted && may_run_unclaimed(&self.call, grant, wall);
+        if let Some(grant) = grant.filter(runs) {
+            self.state = KeyState::Running;
+            self.fence = grant.fence;
+            return ClaimVerdict::HandOver(grant.fence);
+        }
+        self.state = KeyState::Abandoned;
+        refuse(ErrorKind::ClaimUnavailable)
+    }
+
+    /// Whether the table lacks something of it.
+    pub(super) const fn needs_record(&self) -> bool {
+        matches!(self.state, KeyState::Ran { recorded: false }) || self.is_untraced()
+    }
+
+    /// Whether the call was handed over and the table does not know it.
+    pub(super) const fn is_untraced(&self) -> bool {
+        let handed_over = matches!(
+            self.state,
+            KeyState::Running | KeyState::Ran { .. } | KeyState::NotKnown
+        );
+        handed_over && self.claim.is_none()
+    }
+
+    /// Whether it is over, and the table says all that this process knows of it.
+    pub(super) const fn is_settled(&self) -> bool {
+        match self.state {
+            KeyState::Waiting | KeyState::Running => false,
+            KeyState::Ran { recorded } => recorded,
+            KeyState::NotKnown => self.claim.is_some(),
+            KeyState::Abandoned => true,
+        }
+    }
+}
+
+/// The refusal of a call that does not run.
+pub(super) const fn refuse(kind: ErrorKind) -> ClaimVerdict {
+    ClaimVerdict::Refuse(kind, RunOutcome::NotRun, None)
+}
+
+/// The refusal of a call that may have run.
+pub(super) const fn not_known() -> ClaimVerdict {
+    ClaimVerdict::Refuse(ErrorKind::OutcomeUnknown, RunOutcome::NotKnown, None)
+}
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -4,14 +4,26 @@
 mod answer_buffer;
 mod attempt_book;
 mod backend_run;
+mod claim_record;
+mod claim_rules;
+mod claim_store;
 pub(crate) mod events;
+mod key_book;
+mod key_entry;
+mod keyed_call;
+mod keyed_run;
 mod part_sink;
+mod record_keeper;
 mod run_edge;
 mod run_queue;
 mod run_task;
 mod serving_gate;
 mod shared;
+mod slot_keeper;
+mod slot_table;
 mod slots;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use run_edge::{GuardEdges, GuardHandle, GuardLimits, start_guard};
 pub(crate) use serving_gate::{ServingGate, ServingPass};
--- a/src/guard/run_task.rs
+++ b/src/guard/run_task.rs
@@ -6,6 +6,8 @@
 use super::answer_buffer::{AnswerBuffer, is_last};
 use super::attempt_book::AttemptState;
 use super::backend_run::{RunEnd, run_forward, run_generate};
+use super::keyed_call::KeyedCall;
+use super::keyed_run::run_keyed;
 use super::part_sink::{AttemptWriter, PartSink, broken_part, refused_part};
 use super::serving_gate::ServingPass;
 use super::shared::{BackendServer, GuardShared, GuardState, PlaceGuard, refusal};
@@ -40,6 +42,10 @@
         run_live(&shared, order, deadline, writer).await;
         return;
     }
+    if let Some(call) = KeyedCall::of(&order) {
+        run_keyed(shared, call, order, deadline, writer, live).await;
+        return;
+    }
     let buffer = Arc::new(AnswerBuffer::default());
     let attempt = order.attempt;
     let run = run_kept(Arc::clone(&shared), order, deadline, Arc::clone(&buffer));
--- a/src/guard/shared.rs
+++ b/src/guard/shared.rs
@@ -4,19 +4,27 @@
 use std::time::Duration;
 
 use bytestring::ByteString;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::attempt_book::{Arrival, AttemptBook, AttemptState};
+use super::claim_store::ClaimStore;
+use super::key_book::KeyBook;
+use super::keyed_call::KeyHash;
+use super::keyed_run::KeyRun;
 use super::run_queue::{QueueAnswer, QueueRefusal, RunQueue, RunTicket};
 use super::serving_gate::ServingGate;
+use super::slot_table::SlotTable;
 use crate::daemon::DrainState;
 use crate::delivery::{AttemptId, RunOrder};
 use crate::documents::RequestPriority;
 use crate::engines::{EngineEdge, PlainEdge};
 use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
+use crate::leases::LeaseHolder;
 use crate::membership::{LoadReport, StatusBoard};
 use crate::time::{ClockTime, clock_now};
 
+/// How long the table is left alone after it did not answer.
+const TABLE_PAUSE: Duration = Duration::from_secs(1);
 /// How often a call that waits looks whether anybody still wants it.
 const WANTED_EVERY: Duration = Duration::from_millis(200);
 
@@ -32,11 +40,15 @@
 /// What all requests of this process share.
 pub(super) struct GuardShared {
     pub(super) service: ByteString,
+    pub(super) host: ByteString,
     pub(super) incarnation: u64,
     pub(super) backend: BackendServer,
     pub(super) gate: ServingGate,
     pub(super) board: StatusBoard,
     pub(super) drain: DrainState,
+    pub(super) claims: ClaimStore,
+    /// Told when there may be records to write.
+    pub(super) records: Notify,
     pub(super) state: Mutex<GuardState>,
 }
 
@@ -45,19 +57,40 @@
 pub(super) struct GuardState {
     pub(super) attempts: AttemptBook,
     pub(super) queue: RunQueue,
+    pub(super) keys: KeyBook,
+    pub(super) slots: SlotTable,
+    /// The runs of the keys in the book, sorted by key.
+    pub(super) runs: Vec<(KeyHash, Arc<KeyRun>)>,
+    /// Until when the table counts as away after it did not answer.
+    table_away_until: ClockTime,
     /// Who waits to be told to start, sorted by ticket.
     starts: Vec<(RunTicket, oneshot::Sender<()>)>,
 }
 
 impl GuardState {
-    pub(super) fn new(queue: RunQueue) -> Self {
+    pub(super) fn new(queue: RunQueue, holder: LeaseHolder, lease_length: Duration) -> Self {
         Self {
             attempts: AttemptBook::default(),
             queue,
+            keys: KeyBook::new(holder.clone()),
+            slots: SlotTable::new(holder, lease_length),
+            runs: Vec::new(),
+            table_away_until: ClockTime::default(),
             starts: Vec::new(),
         }
     }
 
+    /// Whether the table is worth asking.
+    pub(super) fn table_answers(&self, now: ClockTime) -> bool {
+        now >= self.table_away_until
+    }
+
+    /// The table did not answer. Without this pause each call in an outage would hold its place
+    /// before the backend server for as long as the table's time limit.
+    pub(super) fn table_failed(&mut self, now: ClockTime) {
+        self.table_away_until = now + TABLE_PAUSE;
+    }
+
     /// Tells those that may start now.
     pub(super) fn tell_started(&mut self, started: Vec<RunTicket>) {
         for ticket in started {
--- /dev/null
+++ b/src/guard/tests/attempts.rs
@@ -0,0 +1,143 @@
+//! What is said of attempts stays true.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use uuid::{ContextV7, Timestamp, Uuid};
+
+use super::fakes::{CountingPlain, MemoryTable, TestHost, wake_up};
+use crate::delivery::{AttemptId, RunPart, SettleReply};
+use crate::documents::OutageRule;
+use crate::errors::RunOutcome;
+use crate::guard::BackendServer;
+use crate::guard::attempt_book::{Arrival, AttemptBook, AttemptState};
+use crate::test_support::run_cases;
+use crate::time::ClockTime;
+
+const CASES: u32 = 200;
+const CASE_BYTES: u32 = 4096;
+const EVENTS: usize = 300;
+const ATTEMPTS: usize = 12;
+
+// Symptom: a call is told "not run" and runs afterwards. Events: the order is held up on its way,
+// the entry host asks what became of it and is told; then the order comes. Cause: the host process
+// does not remember what it said.
+#[tokio::test]
+async fn a_settled_attempt_never_runs() {
+    let table = Arc::new(MemoryTable::default());
+    let plain = Arc::new(CountingPlain::default());
+    let host = TestHost::start("lima-1", &table, BackendServer::Plain(plain.clone()));
+    let order = wake_up(None, OutageRule::Refuse);
+    assert_eq!(host.settle(order.attempt), SettleReply::NotRun);
+    let answer = host.ask(order).await;
+    let is_refused = matches!(
+        answer.as_slice(),
+        [RunPart::Refused {
+            outcome: RunOutcome::NotRun,
+            ..
+        }]
+    );
+    assert!(is_refused, "{answer:?}");
+    assert_eq!(plain.calls.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test]
+async fn a_run_attempt_is_told_as_run_and_its_double_is_not() {
+    let table = Arc::new(MemoryTable::default());
+    let plain = Arc::new(CountingPlain::default());
+    let host = TestHost::start("lima-1", &table, BackendServer::Plain(plain.clone()));
+    let order = wake_up(None, OutageRule::Refuse);
+    let answer = host.ask(order.clone()).await;
+    assert!(matches!(answer.last(), Some(RunPart::End { .. })));
+    assert_eq!(host.settle(order.attempt), SettleReply::Ran);
+    let double = host.ask(order).await;
+    assert!(matches!(double.as_slice(), [RunPart::Refused { .. }]));
+    assert_eq!(plain.calls.load(Ordering::Relaxed), 1);
+}
+
+fn attempt_made_at(now: ClockTime) -> AttemptId {
+    let (seconds, nanos) = (now.0 / 1_000_000, (now.0 % 1_000_000) * 1000);
+    let context = ContextV7::new();
+    let nanos = u32::try_from(nanos).expect("below a second");
+    AttemptId(Uuid::new_v7(Timestamp::from_unix(&context, seconds, nanos)))
+}
+
+// Symptom: "not run" is said of a call that ran, or a call runs of which it was said. Events:
+// orders, settles, withdrawals and ends in any sequence, over hours, so that the book forgets.
+// Cause, without the time in the identity: a forgotten attempt looks like one that never came.
+#[test]
+fn not_run_stays_true() {
+    run_cases(CASES, CASE_BYTES, |u| {
+        let mut book = AttemptBook::default();
+        let mut now = ClockTime::from_millis(1_000_000);
+        let mut attempts = Vec::new();
+        for _ in 0..EVENTS {
+            // Now and then so long that what was known is forgotten.
+            let pause = if u.ratio(1, 20)? {
+                700
+            } else {
+                u.int_in_range(0..=5)?
+            };
+            now = now + Duration::from_secs(pause);
+            if attempts.len() < ATTEMPTS || u.ratio(1, 4)? {
+                attempts.push(Watched::new(now));
+            }
+            let index = u.choose_index(attempts.len())?;
+            step(u, &mut book, &mut attempts[index], now)?;
+        }
+        Ok(())
+    });
+}
+
+struct Watched {
+    attempt: AttemptId,
+    was_started: bool,
+    was_told_not_run: bool,
+}
+
+impl Watched {
+    fn new(now: ClockTime) -> Self {
+        Self {
+            attempt: attempt_made_at(now),
+            was_started: false,
+            was_told_not_run: false,
+        }
+    }
+}
+
+fn step(
+    u: &mut Unstructured<'_>,
+    book: &mut AttemptBook,
+    watched: &mut Watched,
+    now: ClockTime,
+) -> Result<()> {
+    let attempt = watched.attempt;
+    match u.int_in_range(0..=4)? {
+        0 => {
+            let arrival = book.arrive(attempt, now);
+            let is_known = watched.was_started || watched.was_told_not_run;
+            assert!(!is_known || arrival != Arrival::Fresh, "it was known");
+        }
+        1 if book.start(attempt) => {
+            assert!(!watched.was_told_not_run, "it was told not run");
+            assert!(!watched.was_started, "it started twice");
+            watched.was_started = true;
+        }
+        2 if book.state_of(attempt) == Some(AttemptState::Started) => {
+            book.end(attempt, AttemptState::Ran);
+        }
+        3 => {
+            let is_not_run = book.settle(attempt, now) == SettleReply::NotRun;
+            assert!(!is_not_run || !watched.was_started, "it ran");
+            watched.was_told_not_run |= is_not_run;
+        }
+        _ => {
+            let is_not_run = book.withdraw(attempt);
+            assert!(!is_not_run || !watched.was_started, "it ran");
+            watched.was_told_not_run |= is_not_run;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/guard/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of the host process's traffic.
+
+mod attempts;
+mod fakes;
+mod keyed;
+mod queue;
+mod streams;
--- /dev/null
+++ b/src/guard/tests/queue.rs
@@ -0,0 +1,103 @@
+//! The queue before the backend server: urgent first, then by arrival, bounded.
+
+use std::time::Duration;
+
+use crate::documents::RequestPriority;
+use crate::guard::run_queue::{QueueAnswer, QueueRefusal, RunQueue, RunTicket};
+use crate::test_support::run_cases;
+use crate::time::ClockTime;
+
+const CASES: u32 = 200;
+const CASE_BYTES: u32 = 2048;
+const EVENTS: usize = 200;
+const RUNNING: u32 = 3;
+const WAITING: usize = 8;
+
+struct Known {
+    ticket: RunTicket,
+    priority: RequestPriority,
+    is_running: bool,
+}
+
+// Symptom: an urgent request waits behind others. Events: requests of all priorities come, leave
+// and end in any sequence. Cause: a place that gets free goes to whoever came first.
+#[test]
+fn a_free_place_goes_to_the_most_urgent_that_came_first() {
+    run_cases(CASES, CASE_BYTES, |u| {
+        let mut queue = RunQueue::new(RUNNING, WAITING);
+        let mut known: Vec<Known> = Vec::new();
+        let mut now = ClockTime::from_millis(1);
+        for _ in 0..EVENTS {
+            now = now + Duration::from_millis(u.int_in_range(0..=20)?);
+            if known.is_empty() || u.ratio(1, 2)? {
+                let priority = *u.choose(&RequestPriority::ALL)?;
+                offer(&mut queue, &mut known, priority, now);
+            } else {
+                let index = u.choose_index(known.len())?;
+                let gone = known.remove(index);
+                let started = if queue.withdraw(gone.ticket) {
+                    assert!(!gone.is_running, "a running one was waiting");
+                    Vec::new()
+                } else {
+                    assert!(gone.is_running, "a waiting one was running");
+                    queue.end(gone.ticket, now)
+                };
+                check_started(&mut known, &started);
+            }
+            let running = known.iter().filter(|one| one.is_running).count();
+            assert_eq!(running, queue.running_count());
+            assert_eq!(known.len() - running, queue.waiting_count());
+            assert!(running <= RUNNING as usize && queue.waiting_count() <= WAITING);
+        }
+        Ok(())
+    });
+}
+
+fn offer(queue: &mut RunQueue, known: &mut Vec<Known>, priority: RequestPriority, now: ClockTime) {
+    let deadline = now + Duration::from_mins(1);
+    let (ticket, is_running) = match queue.offer(priority, deadline, now) {
+        Ok(QueueAnswer::Started(ticket)) => (ticket, true),
+        Ok(QueueAnswer::Waits(ticket)) => (ticket, false),
+        Err(refused) => {
+            assert!(refused == QueueRefusal::Full, "{refused:?}");
+            assert_eq!(queue.waiting_count(), WAITING);
+            return;
+        }
+    };
+    known.push(Known {
+        ticket,
+        priority,
+        is_running,
+    });
+}
+
+fn check_started(known: &mut [Known], started: &[RunTicket]) {
+    for ticket in started {
+        let waiting = known.iter().filter(|one| !one.is_running);
+        let best = waiting.min_by_key(|one| (one.priority, one.ticket));
+        assert_eq!(best.map(|one| one.ticket), Some(*ticket));
+        for one in known.iter_mut().filter(|one| one.ticket == *ticket) {
+            one.is_running = true;
+        }
+    }
+}
+
+// Symptom: a request waits until its deadline and is refused only then. Events: the queue is longer
+// than the deadline, by the length of earlier runs. Cause: nobody reckons.
+#[test]
+fn what_cannot_start_in_time_is_refused_at_once() {
+    let mut queue = RunQueue::new(1, WAITING);
+    let begun = ClockTime::from_millis(1);
+    let priority = RequestPriority::Normal;
+    let far = begun + Duration::from_mins(1);
+    let Ok(QueueAnswer::Started(first)) = queue.offer(priority, far, begun) else {
+        panic!("the place is free");
+    };
+    let ended = begun + Duration::from_secs(4);
+    queue.end(first, ended);
+    assert!(queue.offer(priority, far, ended).is_ok());
+    let near = ended + Duration::from_secs(1);
+    let refused = queue.offer(priority, near, ended);
+    let wait = Duration::from_secs(4);
+    assert_eq!(refused, Err(QueueRefusal::TooLate { wait }));
+}
--- /dev/null
+++ b/src/guard/tests/streams.rs
@@ -0,0 +1,259 @@
+//! Streams of model engines that misbehave, through the whole guard.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use bytestring::ByteString;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use futures::stream;
+
+use super::fakes::{TestHost, wake_up};
+use crate::delivery::{AnswerDigest, RunCall, RunOrder, RunPart};
+use crate::documents::OutageRule;
+use crate::engines::{
+    CacheNews, EngineCall, EngineEdge, EnginePart, EngineProfile, EngineState, EngineStream,
+    LoadOrder,
+};
+use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
+use crate::guard::{BackendServer, ServingGate};
+use crate::membership::{LoadReport, ServingVersion};
+use crate::weights::WeightsDigest;
+
+/// What the engine sends, step by step.
+#[derive(Clone, Copy, Debug)]
+enum Sends {
+    /// Its own next token at this place.
+    Token(u32),
+    /// A token at this place that names another request.
+    Foreign(u32),
+    /// The end after so many tokens.
+    Finish(u32),
+    /// The connection breaks.
+    Break,
+}
+
+/// An engine that follows a script, and whose reports say that it is idle whatever it does.
+struct ScriptEngine {
+    script: Vec<Sends>,
+    cancelled: Mutex<Vec<String>>,
+}
+
+fn text(index: u32) -> ByteString {
+    format!("t{index} ").into()
+}
+
+fn serving() -> ServingVersion {
+    ServingVersion {
+        version: "v1".into(),
+        digest: WeightsDigest::of(b"v1"),
+    }
+}
+
+impl ScriptEngine {
+    fn part(request: &ByteString, sends: Sends) -> SwitchResult<EnginePart> {
+        let token = |request: ByteString, index| EnginePart::Token {
+            request,
+            index,
+            text: text(index),
+        };
+        match sends {
+            Sends::Token(index) => Ok(token(request.clone(), index)),
+            Sends::Foreign(index) => Ok(token("another".into(), index)),
+            Sends::Finish(tokens) => Ok(EnginePart::Finish {
+                request: request.clone(),
+                tokens,
+                reason: "stop".into(),
+            }),
+            Sends::Break => Err(SwitchError::new(ErrorKind::EngineFailed, "it died")),
+        }
+    }
+}
+
+impl EngineEdge for ScriptEngine {
+    fn meet(&self) -> BoxFuture<'_, SwitchResult<EngineProfile>> {
+        let profile = EngineProfile {
+            checks_fencing: false,
+            running_max: 2,
+        };
+        async move { Ok(profile) }.boxed()
+    }
+
+    fn read_state(&self) -> BoxFuture<'_, SwitchResult<EngineState>> {
+        let state = EngineState {
+            load: LoadReport::default(),
+            serving: Some(serving()),
+            fence: 0,
+            age_ms: 2_000,
+        };
+        async move { Ok(state) }.boxed()
+    }
+
+    fn load_version<'a>(&'a self, _order: &'a LoadOrder) -> BoxFuture<'a, SwitchResult<()>> {
+        async { Ok(()) }.boxed()
+    }
+
+    fn set_role<'a>(&'a self, _role: &'a str, _fence: u64) -> BoxFuture<'a, SwitchResult<()>> {
+        async { Ok(()) }.boxed()
+    }
+
+    fn generate(&self, call: EngineCall) -> BoxFuture<'_, SwitchResult<EngineStream>> {
+        let sends = self.script.iter().copied();
+        let parts: Vec<_> = sends
+            .map(|sends| Self::part(&call.request, sends))
+            .collect();
+        async move { Ok(Box::pin(stream::iter(parts)) as EngineStream) }.boxed()
+    }
+
+    fn cancel<'a>(&'a self, request: &'a str) -> BoxFuture<'a, SwitchResult<()>> {
+        let mut cancelled = self.cancelled.lock().expect("no test panics under it");
+        cancelled.push(request.to_owned());
+        async { Ok(()) }.boxed()
+    }
+
+    fn read_cache(&self, after: u64) -> BoxFuture<'_, SwitchResult<CacheNews>> {
+        let news = CacheNews {
+            events: Vec::new(),
+            next: after,
+            has_gap: false,
+        };
+        async move { Ok(news) }.boxed()
+    }
+}
+
+struct Streaming {
+    engine: Arc<ScriptEngine>,
+    host: TestHost,
+}
+
+impl Streaming {
+    fn start(script: &[Sends]) -> Self {
+        let engine = Arc::new(ScriptEngine {
+            script: script.to_vec(),
+            cancelled: Mutex::default(),
+        });
+        let gate = ServingGate::default();
+        gate.open(serving());
+        let table = Arc::default();
+        let backend = BackendServer::Model(engine.clone());
+        let host = TestHost::start_with("lima-1", &table, backend, gate);
+        Self { engine, host }
+    }
+
+    async fn ask(&self, resume_from: u32) -> Vec<RunPart> {
+        self.host.ask(generate(resume_from)).await
+    }
+}
+
+fn generate(resume_from: u32) -> RunOrder {
+    RunOrder {
+        repeatable: true,
+        call: RunCall::Generate {
+            prompt: "sky".into(),
+            max_tokens: 8,
+            resume_from,
+            resume_version: (resume_from > 0).then(|| serving().digest),
+        },
+        ..wake_up(None, OutageRule::Refuse)
+    }
+}
+
+fn tokens_of(parts: &[RunPart]) -> Vec<u32> {
+    let index = |part: &RunPart| match part {
+        RunPart::Token { index, .. } => Some(*index),
+        _ => None,
+    };
+    parts.iter().filter_map(index).collect()
+}
+
+#[tokio::test]
+async fn a_whole_answer_ends_with_its_digest() {
+    let streaming = Streaming::start(&[Sends::Token(3), Sends::Token(4), Sends::Finish(5)]);
+    let parts = streaming.ask(3).await;
+    assert_eq!(tokens_of(&parts), [3, 4]);
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(text(3).as_bytes());
+    hasher.update(text(4).as_bytes());
+    let expected = AnswerDigest::from_hasher(&hasher);
+    assert!(
+        matches!(parts.last(), Some(RunPart::End { digest, load, .. })
+            if *digest == expected && load.running == 0 && load.capacity == 2)
+    );
+}
+
+// Symptom: a caller gets another caller's words. Events: an engine mixes up two streams. Cause:
+// nobody looks whose token it is.
+#[tokio::test]
+async fn crossed_and_doubled_tokens_are_dropped() {
+    let script = [
+        Sends::Token(0),
+        Sends::Foreign(1),
+        Sends::Token(0),
+        Sends::Token(1),
+        Sends::Finish(2),
+    ];
+    let parts = Streaming::start(&script).ask(0).await;
+    assert_eq!(tokens_of(&parts), [0, 1]);
+    assert!(matches!(parts.last(), Some(RunPart::End { .. })));
+}
+
+// Symptom: a caller sees a clean end of half an answer. Events: the engine dies in mid-stream, says
+// that it sent more than came, or leaves a token out. Cause: the end of a connection is taken for
+// the end of the answer.
+#[tokio::test]
+async fn a_cut_answer_never_ends_cleanly() {
+    let scripts: [&[Sends]; 4] = [
+        &[Sends::Token(0), Sends::Break],
+        &[Sends::Token(0)],
+        &[Sends::Token(0), Sends::Finish(3)],
+        &[Sends::Token(0), Sends::Token(2), Sends::Finish(3)],
+    ];
+    for script in scripts {
+        let streaming = Streaming::start(script);
+        let parts = streaming.ask(0).await;
+        assert_eq!(tokens_of(&parts), [0], "{script:?}");
+        let is_broken = matches!(parts.last(), Some(RunPart::Broken { .. }));
+        assert!(is_broken, "{script:?}");
+        let cancelled = streaming.engine.cancelled.lock().expect("nobody panicked");
+        assert_eq!(cancelled.len(), 1, "{script:?}");
+    }
+}
+
+// Symptom: an answer whose first half is of one version and whose second is of another. Events: a
+// stream is resumed on a host that serves another version by now. Cause: the version is not asked.
+#[tokio::test]
+async fn a_stream_is_not_resumed_on_another_version() {
+    let streaming = Streaming::start(&[Sends::Finish(0)]);
+    let mut order = generate(1);
+    if let RunCall::Generate { resume_version, .. } = &mut order.call {
+        *resume_version = Some(WeightsDigest::of(b"v2"));
+    }
+    let parts = streaming.host.ask(order).await;
+    let is_refused = matches!(
+        parts.as_slice(),
+        [RunPart::Refused {
+            kind: ErrorKind::VersionMismatch,
+            outcome: RunOutcome::NotRun,
+            ..
+        }]
+    );
+    assert!(is_refused, "{parts:?}");
+}
+
+// Symptom: a planned stop cuts requests, or holds them until they are late. Events: a host is told
+// to leave. Cause: nothing tells new requests apart from those under way.
+#[tokio::test]
+async fn a_leaving_host_takes_no_new_request() {
+    let streaming = Streaming::start(&[Sends::Token(0), Sends::Finish(1)]);
+    streaming.host.drain.begin();
+    let parts = streaming.ask(0).await;
+    let is_refused = matches!(
+        parts.as_slice(),
+        [RunPart::Refused {
+            kind: ErrorKind::BackendLeaving,
+            outcome: RunOutcome::NotRun,
+            ..
+        }]
+    );
+    assert!(is_refused, "{parts:?}");
+}
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -12,7 +12,7 @@
 use crate::daemon::{DrainState, probe_routes};
 use crate::engines::{EngineEdge, HttpPlain, JsonStateEngine, MetricsTextEngine};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
-use crate::guard::{BackendServer, GuardEdges, GuardLimits, ServingGate, start_guard};
+use crate::guard::{BackendServer, GuardEdges, GuardHandle, GuardLimits, ServingGate, start_guard};
 use crate::membership::StatusBoard;
 use crate::platform::http::HttpWeights;
 use crate::platform::{HostRole, WeightSource};
@@ -34,11 +34,13 @@
     println!("listening peer={address}");
     tokio::spawn(tell_leaving(host.drain.clone(), host.board));
     server.run(host.drain).await;
+    host.guard.finish().await;
     Ok(())
 }
 
 /// What runs in the process.
 struct HostParts {
+    guard: GuardHandle,
     routes: Router,
     board: StatusBoard,
     drain: DrainState,
@@ -59,6 +61,7 @@
             client: Arc::clone(&client),
         };
         let control = start_control(identity.clone(), edges, board.clone(), drain.clone());
+        let snapshot = control.snapshot();
         let gate = ServingGate::default();
         let backend = backend_server(settings);
         let mut routes = probe_routes(drain.clone(), Arc::new(AtomicBool::new(true)))
@@ -80,14 +83,20 @@
             gate,
             board: board.clone(),
             drain: drain.clone(),
+            table: common.table(),
+            objects: common.objects(),
+            snapshot,
         };
         let limits = GuardLimits {
             running_max: settings.running_max,
             waiting_max: settings.waiting_max,
             engine_check: settings.engine_check,
+            slot_lease: settings.slot_lease,
         };
-        routes = routes.merge(start_guard(edges, limits).peer_routes());
+        let guard = start_guard(edges, limits);
+        routes = routes.merge(guard.peer_routes());
         Self {
+            guard,
             routes,
             board,
             drain,
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -73,6 +73,13 @@
     "64",
     "Requests that wait on this host at most",
 );
+const SLOT_LEASE: SettingSpec = SettingSpec::optional(
+    "slot-lease-ms",
+    "MILLISECONDS",
+    "120000",
+    "How long a lease on keys lasts: how long keyed calls may run while the table is away, and how \
+     long they wait after a host's unclean death",
+);
 
 /// Every setting of `savory-host`.
 pub(super) const SPECS: &[SettingSpec] = &[
@@ -97,6 +104,7 @@
     ENGINE_CHECK,
     RUNNING_MAX,
     WAITING_MAX,
+    SLOT_LEASE,
 ];
 
 const EXAMPLE: &str = "Example:
@@ -154,6 +162,7 @@
     pub(super) engine_check: Duration,
     pub(super) running_max: u32,
     pub(super) waiting_max: usize,
+    pub(super) slot_lease: Duration,
 }
 
 impl HostSettings {
@@ -182,6 +191,7 @@
             engine_check: reader.millis(ENGINE_CHECK.flag, 10..=60_000),
             running_max: small(reader.number(RUNNING_MAX.flag, 1..=100_000)),
             waiting_max: reader.count(WAITING_MAX.flag, 0..=100_000),
+            slot_lease: reader.millis(SLOT_LEASE.flag, 1_000..=3_600_000),
         };
         let needs_origin = settings.dialect != EngineDialect::Plain;
         if needs_origin && settings.origin_address.is_none() {
--- a/src/leases/lease_machine.rs
+++ b/src/leases/lease_machine.rs
@@ -43,6 +43,8 @@
 pub(crate) struct LeaseMachine {
     holder: LeaseHolder,
     length: Duration,
+    /// Whether this holder may act without a trace in the table while the table is away.
+    acts_untraced: bool,
     view: LeaseView,
     /// When the write under way was sent.
     sent_at: ClockTime,
@@ -81,19 +83,26 @@
         Self {
             holder,
             length,
+            acts_untraced: false,
             view,
             sent_at: ClockTime(0),
             sent: None,
         }
     }
 
+    /// Says whether this holder may act without a trace in the table while the table is away. Holds
+    /// from the next write on.
+    pub(crate) const fn set_acts_untraced(&mut self, acts_untraced: bool) {
+        self.acts_untraced = acts_untraced;
+    }
+
     /// What to do next, for a process that wants the lease.
     pub(crate) fn next_step(&mut self, now: ClockTime, wall: WallTime) -> LeaseStep {
         match self.view.clone() {
             LeaseView::Unknown => LeaseStep::Read,
             LeaseView::Free { revision, record } => {
-                let fence = record.map_or(0, |record| record.fence) + 1;
-                self.write(now, revision, self.record(fence, 0, wall, None))
+                let taken = self.taken_record(record.as_ref(), wall);
+                self.write(now, revision, taken)
             }
             LeaseView::Foreign {
                 revision,
@@ -104,12 +113,8 @@
                 if now < lapses {
                     return LeaseStep::WaitUntil(lapses);
                 }
-                let ended = record.renewed_wall_ms + record.length_ms;
-                self.write(
-                    now,
-                    revision,
-                    self.record(record.fence + 1, 0, wall, Some(ended)),
-                )
+                let taken = self.taken_record(Some(&record), wall);
+                self.write(now, revision, taken)
             }
             LeaseView::Held {
                 revision,
@@ -124,6 +129,7 @@
                 let next = LeaseRecord {
                     renewals: record.renewals + 1,
                     renewed_wall_ms: wall.0,
+                    acts_untraced: self.acts_untraced,
                     ..record
                 };
                 self.write(now, revision, next)
@@ -143,7 +149,6 @@
             revision,
             LeaseRecord {
                 holder: None,
-                previous_lapsed_wall_ms: None,
                 ..record
             },
         ))
@@ -171,6 +176,10 @@
                 revision,
                 record: Some(record),
             },
+            Some(holder) if *holder == self.holder && self.holds_revision(revision) => {
+                // The write that was in doubt did not take effect; what was held is still held.
+                return;
+            }
             Some(holder) if *holder == self.holder => {
                 // A write of ours that we no longer know the time of; its lease cannot be counted,
                 // but nobody else has it: renew it at once.
@@ -213,6 +222,16 @@
         }
     }
 
+    /// Whether this holder may act now without a trace in the table. Not while a write is in doubt
+    /// that took the permission back: the row may say so already, and a taker would have no doubt.
+    pub(crate) fn may_act_untraced(&self, now: ClockTime) -> bool {
+        let stands = self
+            .held_record(now)
+            .is_some_and(|record| record.acts_untraced);
+        let sent = self.sent.as_ref();
+        stands && self.acts_untraced && sent.is_none_or(|record| record.acts_untraced)
+    }
+
     /// The record under which this process holds the lease.
     pub(crate) fn held_record(&self, now: ClockTime) -> Option<&LeaseRecord> {
         match &self.view {
@@ -221,6 +240,10 @@
         }
     }
 
+    const fn holds_revision(&self, read: RowRevision) -> bool {
+        matches!(&self.view, LeaseView::Held { revision, .. } if revision.0 == read.0)
+    }
+
     fn write(&mut self, now: ClockTime, expected: RowRevision, record: LeaseRecord) -> LeaseStep {
         if self.sent.is_some() {
             return LeaseStep::Read;
@@ -230,20 +253,17 @@
         LeaseStep::Write { expected, record }
     }
 
-    fn record(
-        &self,
-        fence: u64,
-        renewals: u64,
-        wall: WallTime,
-        previous_lapsed_wall_ms: Option<u64>,
-    ) -> LeaseRecord {
+    /// The record of this process as the next holder after `earlier`.
+    fn taken_record(&self, earlier: Option<&LeaseRecord>, wall: WallTime) -> LeaseRecord {
         LeaseRecord {
             holder: Some(self.holder.clone()),
-            fence,
+            fence: earlier.map_or(0, |record| record.fence) + 1,
             length_ms: u64::try_from(self.length.as_millis()).unwrap_or(u64::MAX),
-            renewals,
+            renewals: 0,
             renewed_wall_ms: wall.0,
-            previous_lapsed_wall_ms,
+            taken_wall_ms: wall.0,
+            acts_untraced: self.acts_untraced,
+            doubts: earlier.map_or_else(Vec::new, |record| record.doubts_for_taker(wall)),
         }
     }
 
--- a/src/leases/mod.rs
+++ b/src/leases/mod.rs
@@ -7,4 +7,4 @@
 mod tests;
 
 pub(crate) use lease_machine::{LeaseMachine, LeaseStep};
-pub(crate) use lease_record::{LeaseHolder, LeaseRecord};
+pub(crate) use lease_record::{DoubtWindow, LeaseHolder, LeaseRecord};
