Measure live requests under load on real processes

`savory-lab load`: urgent calls alone and at three times what the engines can answer, shares of accounts while one floods ten to one, retries while every engine refuses, and what entry host and host process add to calling the engine directly. Calls are sent at fixed times and timed from when they were due.

--- a/src/lab/faults/fault_run.rs
+++ b/src/lab/faults/fault_run.rs
@@ -63,7 +63,7 @@
         let first = first_spread(system).await?;
         let runner = start_runner(system)?;
         let probing = tokio::spawn(runner.board.clone().keep_probing());
-        wait_until_served(&runner).await?;
+        wait_until_served(&runner, &CallClass::ALL).await?;
         let (stop, stopped) = watch::channel(false);
         let load = tokio::spawn(send_load(runner.clone(), self.rate, stopped));
         let driver = FaultDriver::new(system, runner.board.clone(), self.seed, first.digest);
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -4,6 +4,7 @@
 mod documents;
 mod faults;
 pub(crate) mod launch;
+mod load;
 mod quickstart;
 pub(crate) mod soak;
 pub(crate) mod stand_ins;
@@ -24,6 +25,7 @@
     match matches.subcommand() {
         Some(("faults", matches)) => faults::run_faults(matches),
         Some(("documents", matches)) => documents::run_documents(matches),
+        Some(("load", matches)) => load::run_load(matches),
         Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
         Some(("soak", matches)) => soak::run_soak(matches),
         Some(("weights", matches)) => weights::run_weights(matches),
@@ -41,6 +43,7 @@
         .subcommand(documents::documents_command())
         .subcommand(quickstart::quickstart_command())
         .subcommand(faults::faults_command())
+        .subcommand(load::load_command())
         .subcommand(soak::soak_command())
         .subcommand(stand_ins::stand_in_command())
         .subcommand(weights::weights_command())
--- a/src/lab/quickstart/show.rs
+++ b/src/lab/quickstart/show.rs
@@ -61,7 +61,7 @@
         let first = first_spread(system).await?;
         let runner = start_runner(system)?;
         let probing = tokio::spawn(runner.board.clone().keep_probing());
-        wait_until_served(&runner).await?;
+        wait_until_served(&runner, &CallClass::ALL).await?;
         let calls = tokio::spawn(send_calls(runner.clone()));
         let second = self.disturb(system).await?;
         let calls = calls.await.map_err(|fault| failed(fault.to_string()))?;
--- a/src/weights/fetch_worker.rs
+++ b/src/weights/fetch_worker.rs
@@ -14,7 +14,6 @@
 use super::fetch_plan::{FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource};
 use super::link_pacer::LinkPacer;
 use super::manifest::VersionManifest;
-use super::manifest_doubt::ManifestDoubt;
 use super::manifest_edge::find_manifest;
 use super::messages::HaveWord;
 use super::peer_table::PeerKey;
@@ -71,8 +70,6 @@
 struct FetchRun {
     edge: FetchEdge,
     plan: FetchPlan,
-    doubt: ManifestDoubt,
-    is_manifest_doubted: bool,
     under_way: Vec<(FlightId, AbortHandle)>,
     news_sender: mpsc::UnboundedSender<FetchNews>,
     news: mpsc::UnboundedReceiver<FetchNews>,
@@ -83,7 +80,7 @@
     pub(crate) async fn run(mut self) {
         let mut wanted: Option<WantedVersion> = None;
         let mut stage = FetchStage::Idle;
-        let mut doubts = 0;
+        let mut trusts_peers = true;
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut tick_count: u32 = 0;
@@ -95,9 +92,9 @@
                 if newest.as_ref().map(|newest| newest.digest)
                     != wanted.as_ref().map(|wanted| wanted.digest)
                 {
-                    doubts = 0;
+                    trusts_peers = true;
                     stage.end();
-                    stage = self.begin(newest.as_ref(), doubts);
+                    stage = self.begin(newest.as_ref(), trusts_peers);
                 }
                 wanted = newest;
                 if let (FetchStage::Chunks(run), Some(wanted)) = (&mut stage, &wanted) {
@@ -107,7 +104,7 @@
             let Some(wanted) = &wanted else {
                 continue;
             };
-            stage = self.advance(stage, wanted, &mut doubts).await;
+            stage = self.advance(stage, wanted, &mut trusts_peers).await;
         }
     }
 
@@ -130,7 +127,7 @@
         }
     }
 
-    fn begin(&self, wanted: Option<&WantedVersion>, doubts: u32) -> FetchStage {
+    fn begin(&self, wanted: Option<&WantedVersion>, trusts_peers: bool) -> FetchStage {
         let Some(wanted) = wanted else {
             return FetchStage::Idle;
         };
@@ -143,16 +140,16 @@
         match self.shelf.find(wanted.digest) {
             Some(version) if version.is_whole() => FetchStage::Done,
             Some(version) => FetchStage::Chunks(Box::new(self.begin_chunks(version, wanted))),
-            None => self.begin_manifest(wanted, doubts),
+            None => self.begin_manifest(wanted, trusts_peers),
         }
     }
 
-    fn begin_manifest(&self, wanted: &WantedVersion, doubts: u32) -> FetchStage {
+    fn begin_manifest(&self, wanted: &WantedVersion, trusts_peers: bool) -> FetchStage {
         let edges = self.edges.clone();
         let limits = self.limits;
         let wanted = wanted.clone();
         FetchStage::Manifest(tokio::spawn(async move {
-            find_manifest(&edges, limits, &wanted, doubts).await
+            find_manifest(&edges, limits, &wanted, trusts_peers).await
         }))
     }
 
@@ -184,8 +181,6 @@
             pacer: self.pacer.clone(),
         };
         let mut run = FetchRun {
-            doubt: ManifestDoubt::new(edge.version.manifest().chunk_count()),
-            is_manifest_doubted: false,
             edge,
             plan,
             under_way: Vec::new(),
@@ -205,21 +200,13 @@
         &self,
         stage: FetchStage,
         wanted: &WantedVersion,
-        doubts: &mut u32,
+        trusts_peers: &mut bool,
     ) -> FetchStage {
         match stage {
             FetchStage::Manifest(task) if task.is_finished() => {
-                self.take_manifest(task.await.ok(), wanted, *doubts)
+                self.take_manifest(task.await.ok(), wanted, *trusts_peers)
             }
             FetchStage::Chunks(mut run) => {
-                if run.is_manifest_doubted {
-                    let error =
-                        SwitchError::new(ErrorKind::ManifestInvalid, "a chunk never matches");
-                    metrics::count_refusal(error.kind, "weights");
-                    log_event!(events::MANIFEST_REFUSED, "{error}");
-                    FetchStage::end_run(&run);
-                    return self.doubt(&run.edge.version, wanted, doubts);
-                }
                 run.step();
                 self.tell_progress(&run, wanted);
                 if !run.plan.held().is_full() {
@@ -241,32 +228,22 @@
                         // Every chunk matched a manifest that does not belong to the digest.
                         metrics::count_refusal(error.kind, "weights");
                         log_event!(events::WHOLE_REFUSED, "{error}");
-                        self.doubt(&version, wanted, doubts)
+                        self.shelf.retain(|kept| kept.digest() != version.digest());
+                        *trusts_peers = false;
+                        self.begin_manifest(wanted, *trusts_peers)
                     }
-                    Err(_) => self.begin(Some(wanted), *doubts),
+                    Err(_) => self.begin(Some(wanted), *trusts_peers),
                 }
             }
             other => other,
         }
     }
 
-    /// Lets go of a version whose manifest lied, and asks the origin for another.
-    fn doubt(
-        &self,
-        version: &StagedVersion,
-        wanted: &WantedVersion,
-        doubts: &mut u32,
-    ) -> FetchStage {
-        self.shelf.retain(|kept| kept.digest() != version.digest());
-        *doubts += 1;
-        self.begin_manifest(wanted, *doubts)
-    }
-
     fn take_manifest(
         &self,
         found: Option<SwitchResult<VersionManifest>>,
         wanted: &WantedVersion,
-        doubts: u32,
+        trusts_peers: bool,
     ) -> FetchStage {
         match found {
             Some(Ok(manifest)) => {
@@ -280,7 +257,7 @@
                 log_event!(events::MEMORY_SHORT, "{}: {error}", wanted.spec.version);
                 FetchStage::Refused
             }
-            None => self.begin_manifest(wanted, doubts),
+            None => self.begin_manifest(wanted, trusts_peers),
         }
     }
 
@@ -314,14 +291,10 @@
 }
 
 impl FetchStage {
-    fn end_run(run: &FetchRun) {
-        run.under_way.iter().for_each(|(_, task)| task.abort());
-    }
-
     fn end(&self) {
         match self {
             Self::Manifest(task) => task.abort(),
-            Self::Chunks(run) => Self::end_run(run),
+            Self::Chunks(run) => run.under_way.iter().for_each(|(_, task)| task.abort()),
             Self::Idle | Self::Sealing(..) | Self::Refused | Self::Done => {}
         }
     }
@@ -419,9 +392,6 @@
             Err(error) => {
                 metrics::count_retry(error.kind);
                 tell_failure(&error);
-                if error.kind == ErrorKind::ChunkCorrupt {
-                    self.is_manifest_doubted |= self.doubt.on_mismatch(index);
-                }
                 self.plan
                     .on_failed(flight, error.kind, error.retry_after, now);
             }
