--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod launch;
 mod load;
 mod quickstart;
+mod slopes;
 pub(crate) mod soak;
 pub(crate) mod stand_ins;
 mod weights;
@@ -27,6 +28,7 @@
         Some(("documents", matches)) => documents::run_documents(matches),
         Some(("load", matches)) => load::run_load(matches),
         Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
+        Some(("slopes", matches)) => slopes::run_slopes(matches),
         Some(("soak", matches)) => soak::run_soak(matches),
         Some(("weights", matches)) => weights::run_weights(matches),
         Some(("stand-in", matches)) => stand_ins::run_stand_in(matches),
@@ -44,6 +46,7 @@
         .subcommand(quickstart::quickstart_command())
         .subcommand(faults::faults_command())
         .subcommand(load::load_command())
+        .subcommand(slopes::slopes_command())
         .subcommand(soak::soak_command())
         .subcommand(stand_ins::stand_in_command())
         .subcommand(weights::weights_command())
