Name missing and unknown fields by their path, and say not accepted when it is certain

Tried as a new user would: a put while the table was down ended in doubt although nothing had been written, since savoryctl counted its try at the first entry host, which had answered "not accepted", as one that may be on its way. Only tries that left doubt count now.

--- a/src/control/control_machine.rs
+++ b/src/control/control_machine.rs
@@ -29,6 +29,8 @@
     documents: HeldDocuments,
     /// The documents in force as readers see them.
     services: Vec<Arc<ServiceRecord>>,
+    /// The hosts as readers see them, sorted by name.
+    records: Vec<Arc<MemberRecord>>,
     members: MemberTable,
     table_answers: bool,
     warm_up: WarmUp,
@@ -66,6 +68,7 @@
             own_facts,
             documents: HeldDocuments::default(),
             services: Vec::new(),
+            records: Vec::new(),
             table_answers: false,
             warm_up: WarmUp::new(),
             generation: 0,
@@ -285,6 +288,21 @@
         self.services = services.collect();
     }
 
+    /// Makes the records of hosts that changed; the others are shared with earlier snapshots.
+    fn renew_records(&mut self) {
+        let known = std::mem::take(&mut self.records);
+        let renew = |member: &MemberView| {
+            let host = &member.facts.entry.host;
+            let found = known.binary_search_by(|record| record.host.cmp(host));
+            found
+                .ok()
+                .map(|at| &known[at])
+                .filter(|record| shows(record, member))
+                .map_or_else(|| member_record(member), Arc::clone)
+        };
+        self.records = self.members.members().iter().map(renew).collect();
+    }
+
     fn facts_to_spread(&self) -> Vec<Arc<MemberFacts>> {
         let own = std::iter::once(&self.own_facts);
         let others = self.members.members().iter().map(|member| &member.facts);
@@ -302,10 +320,11 @@
         let changed = self.members.take_changed() | std::mem::take(&mut self.changes.other);
         changed.then(|| {
             self.generation += 1;
+            self.renew_records();
             ControlSnapshot {
                 generation: self.generation,
                 services: self.services.clone(),
-                members: self.members.members().iter().map(member_record).collect(),
+                members: self.records.clone(),
                 table_answers: self.table_answers,
             }
         })
@@ -327,6 +346,23 @@
     })
 }
 
+/// Whether `record` still says what is known of `member`.
+fn shows(record: &MemberRecord, member: &MemberView) -> bool {
+    let entry = &member.facts.entry;
+    let same_status = match (&record.status, &member.status) {
+        (Some(left), Some(right)) => Arc::ptr_eq(left, right),
+        (None, None) => true,
+        _ => false,
+    };
+    same_status
+        && record.state == member.state()
+        && record.peer_address == entry.peer_address
+        && record.service == entry.service
+        && record.data_centre == entry.data_centre
+        && record.region == entry.region
+        && record.role == entry.role
+}
+
 fn member_record(member: &MemberView) -> Arc<MemberRecord> {
     let entry = &member.facts.entry;
     Arc::new(MemberRecord {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,7 +17,9 @@
 
 pub(crate) use control_machine::ControlMachine;
 pub(crate) use control_thread::{ControlEdges, ControlEvent, ControlHandle, start_control};
-pub(crate) use peer_messages::{PeerFrame, WATCH_PATH, WatchOrder};
+pub(crate) use peer_messages::{
+    PULL_PATH, PeerFrame, PullOrder, PullReply, WATCH_PATH, WatchOrder,
+};
 pub(crate) use snapshot::{
     ControlSnapshot, MemberRecord, MemberState, ServiceRecord, SharedSnapshot,
 };
--- a/src/documents/check.rs
+++ b/src/documents/check.rs
@@ -4,12 +4,14 @@
 use std::fmt::Display;
 use std::sync::OnceLock;
 
-use jsonschema::Validator;
+use jsonschema::error::ValidationErrorKind;
+use jsonschema::{ValidationError, Validator};
 use macro_rules_attribute::apply;
 use schemars::schema_for;
 use serde_json::Value;
 
 use super::schema::{AccountSpec, HostSelection, RouteSpec, ServiceDocument, ServiceKind};
+use super::unknown_fields::split_unknown;
 use crate::derives::message;
 
 /// The largest document, in bytes; a thousand accounts fit several times.
@@ -52,7 +54,7 @@
 ///
 /// # Errors
 ///
-/// Every fault found. The meaning is checked once the shape is right.
+/// Every fault found. The meaning is checked as far as the shape lets the document be read.
 pub(crate) fn check_document(text: &[u8]) -> Result<(Value, ServiceDocument), Vec<DocumentFault>> {
     if text.len() > DOCUMENT_BYTES_MAX {
         let given = format!("{} bytes", text.len());
@@ -61,8 +63,12 @@
     }
     let value: Value = serde_json::from_slice(text)
         .map_err(|error| vec![fault("", error.to_string(), "a JSON object")])?;
-    let faults = shape_faults(&value);
+    let mut faults = shape_faults(&value);
     if !faults.is_empty() {
+        // What reads in spite of them is checked too, so that one round of mending does.
+        if let Ok((document, _)) = split_unknown(&value) {
+            faults.extend(meaning_faults(&document));
+        }
         return Err(faults);
     }
     let document: ServiceDocument = serde_json::from_value(value.clone())
@@ -81,13 +87,36 @@
     };
     validator
         .iter_errors(value)
-        .map(|error| {
-            let path = error.instance_path().to_string();
+        .flat_map(|error| faults_of(&error))
+        .collect()
+}
+
+/// The faults that one finding of the schema stands for.
+fn faults_of(error: &ValidationError<'_>) -> Vec<DocumentFault> {
+    let path = error.instance_path().to_string();
+    match error.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => unexpected
+            .iter()
+            .map(|name| {
+                let given = error.instance().get(name).unwrap_or(&Value::Null);
+                let given = shorten(&given.to_string());
+                fault(&format!("{path}/{name}"), given, "no such field here")
+            })
+            .collect(),
+        ValidationErrorKind::Required { property } => {
+            let name = property.as_str().unwrap_or_default();
+            vec![fault(&format!("{path}/{name}"), "nothing", "this field")]
+        }
+        _ => {
             let given = shorten(&error.instance().to_string());
             let choices = choices_at(error.evaluation_path().as_str());
-            fault(&path, given, choices.unwrap_or_else(|| error.to_string()))
-        })
-        .collect()
+            vec![fault(
+                &path,
+                given,
+                choices.unwrap_or_else(|| error.to_string()),
+            )]
+        }
+    }
 }
 
 /// What may stand where the schema at `place` offers a choice: the schema's own words would only
--- a/src/documents/tests/check.rs
+++ b/src/documents/tests/check.rs
@@ -66,10 +66,27 @@
     let told: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
     assert!(told.contains(&"/team"), "{faults:?}");
     assert!(told.contains(&"/accounts/0/weight"), "{faults:?}");
-    assert!(faults.iter().any(|fault| fault.wanted.contains("rollot")));
+    assert!(told.contains(&"/rollot"), "{faults:?}");
     assert!(faults.iter().any(|fault| fault.given.contains("money")));
 }
 
+#[test]
+fn meaning_is_checked_beside_unknown_fields() {
+    let mut document = sample("auroras/sky-writer");
+    document["rollot"] = json!({});
+    document["team"] = json!("sky briefings");
+    assert_eq!(paths_of(&document), ["/rollot", "/team"]);
+}
+
+#[test]
+fn what_is_missing_is_named() {
+    let mut document = sample("skupno/pisar");
+    let fields = document.as_object_mut().expect("an object");
+    fields.remove("team");
+    fields.remove("kind");
+    assert_eq!(paths_of(&document), ["/kind", "/team"]);
+}
+
 #[test]
 fn all_faults_of_the_meaning_are_told_at_once() {
     let mut document = sample("auroras/alert-desk");
--- a/src/lab/documents/judge.rs
+++ b/src/lab/documents/judge.rs
@@ -29,6 +29,7 @@
             not_in_force: self.not_in_force,
             reverted: self.board.reverted(),
             table_reads_per_s: self.count_reads().await?,
+            leaving_known_max_s: self.measure_leaving().await?,
             ..DocumentsReport::default()
         };
         self.judge_ends(&mut report).await?;
--- a/src/lab/documents/mod.rs
+++ b/src/lab/documents/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod fault_plan;
 mod judge;
+mod leaving;
 mod observer;
 mod operators;
 mod report;
--- a/src/lab/documents/operators.rs
+++ b/src/lab/documents/operators.rs
@@ -41,9 +41,9 @@
     pub(super) async fn put(&self, addresses: &[SocketAddr], gives_up: bool) -> PutEnd {
         let begun = clock_now();
         let client = AdminClient::new(addresses.to_vec(), OPERATOR_KEY.to_owned());
-        let mut tries = 0;
+        let mut doubts = 0;
         while clock_now().since(begun) < SETTLED_WITHIN {
-            let reply: Result<PutReply, AdminFailure> = client.ask(&self.call(tries)).await;
+            let reply: Result<PutReply, AdminFailure> = client.ask(&self.call(doubts)).await;
             match reply {
                 Ok(reply) => return self.accepted(reply.version),
                 Err(failure) => match failure.error.kind {
@@ -54,8 +54,8 @@
                     _ => {}
                 },
             }
-            // What is not a first try may not be called one: an earlier one may be on its way.
-            tries += u32::try_from(addresses.len()).unwrap_or(1);
+            // An earlier try may be on its way.
+            doubts += 1;
             sleep(PAUSE).await;
         }
         PutEnd::InDoubt
@@ -66,7 +66,7 @@
         PutEnd::Accepted(DocumentVersion { service, version }, clock_now())
     }
 
-    fn call(&self, tries: u32) -> AdminCall {
+    fn call(&self, doubts: u32) -> AdminCall {
         let body = serde_json::to_vec(&self.document).unwrap_or_default();
         AdminCall {
             method: Method::PUT,
@@ -78,7 +78,7 @@
             change: Some(ChangeName {
                 author: "lab".to_owned(),
                 nonce: self.nonce.clone(),
-                tries,
+                doubts,
             }),
         }
     }
--- a/src/lab/documents/report.rs
+++ b/src/lab/documents/report.rs
@@ -4,6 +4,11 @@
 
 use crate::derives::message;
 
+/// How long a change may take until it is in force in the last process.
+const IN_FORCE_WITHIN_S: f64 = 4.0;
+/// How long senders may take to learn that a backend server is leaving.
+const LEAVING_KNOWN_WITHIN_S: f64 = 2.0;
+
 /// What a run found.
 #[apply(message!)]
 #[derive(Default)]
@@ -39,6 +44,9 @@
     pub(crate) refused_but_stand: u64,
     /// The table's reads a second for documents, by all processes together, while nothing changes.
     pub(crate) table_reads_per_s: f64,
+    /// The longest time, in seconds, from a backend server's signal to stop until every entry host
+    /// counted it as leaving.
+    pub(crate) leaving_known_max_s: f64,
     /// How often each fault struck.
     pub(crate) faults: Vec<FaultCount>,
     /// The worst changes, for finding a cause.
@@ -70,14 +78,16 @@
 }
 
 impl DocumentsReport {
-    /// Whether nothing was lost, doubled, reverted or left behind.
-    pub(crate) const fn held(&self) -> bool {
+    /// Whether nothing was lost, doubled, reverted or late.
+    pub(crate) fn held(&self) -> bool {
         self.reverted == 0
             && self.accepted_lost == 0
             && self.accepted_twice == 0
             && self.refused_but_stand == 0
             && self.not_in_force == 0
             && self.in_doubt == 0
+            && self.in_force_max_s <= IN_FORCE_WITHIN_S
+            && self.leaving_known_max_s <= LEAVING_KNOWN_WITHIN_S
     }
 
     /// Prints it, as JSON or for people.
@@ -99,6 +109,10 @@
             self.reverted, self.accepted_lost, self.accepted_twice, self.refused_but_stand
         );
         println!("table reads a second: {:.2}", self.table_reads_per_s);
+        println!(
+            "leaving known everywhere: max {:.3} s",
+            self.leaving_known_max_s
+        );
         for fault in &self.faults {
             println!(
                 "  {:28} {:3} times, longest {:.3} s",
--- a/src/lab/slopes/command.rs
+++ b/src/lab/slopes/command.rs
@@ -54,6 +54,10 @@
 }
 
 fn print_points(report: &SlopesReport) {
+    println!(
+        "a request with its answer costs {:.0} bytes on the wire, a frame of an open stream {:.0}",
+        report.transport.exchange_bytes, report.transport.frame_bytes
+    );
     println!(
         "{:>7} {:>7} {:>9} {:>8} {:>8} | {:>9} {:>8} {:>8} {:>8} {:>8} {:>7}",
         "entries",
--- a/src/lab/slopes/mod.rs
+++ b/src/lab/slopes/mod.rs
@@ -4,5 +4,6 @@
 mod command;
 mod run;
 mod sample;
+mod transports;
 
 pub(crate) use command::{run_slopes, slopes_command};
--- a/src/lab/slopes/run.rs
+++ b/src/lab/slopes/run.rs
@@ -9,6 +9,7 @@
 use super::sample::{
     ConnectionCount, ProcessorTime, growth, read_connections, read_processor, read_resident,
 };
+use super::transports::{TransportCost, weigh_transports};
 use crate::derives::message;
 use crate::documents::ServiceDocument;
 use crate::errors::SwitchResult;
@@ -26,6 +27,8 @@
 pub(super) struct SlopesReport {
     /// How long each point was measured.
     pub(super) seconds: u64,
+    /// What one word costs, as an exchange and as a frame.
+    pub(super) transport: TransportCost,
     /// Each point.
     pub(super) points: Vec<PointReport>,
 }
@@ -69,6 +72,7 @@
 
 /// Measures every point for `seconds` each; the largest has `largest` entry hosts.
 pub(super) async fn measure_slopes(seconds: u64, largest: usize) -> SwitchResult<SlopesReport> {
+    let transport = weigh_words().await?;
     let mut points = Vec::new();
     let mut entries = 3;
     while entries <= largest {
@@ -81,7 +85,20 @@
     for accounts in [100, 1000] {
         points.push(measure_point((3, 6), 3, accounts, seconds).await?);
     }
-    Ok(SlopesReport { seconds, points })
+    Ok(SlopesReport {
+        seconds,
+        transport,
+        points,
+    })
+}
+
+/// What one word costs, on a system of its own.
+async fn weigh_words() -> SwitchResult<TransportCost> {
+    let system = LabSystem::start(SystemShape::small(Company::Auroras), || {}).await?;
+    put_documents(&system, 3, 10).await?;
+    let cost = weigh_transports(system.entries[0].process.address("peer")?).await;
+    system.end().await;
+    cost
 }
 
 /// One daemon of the system.
@@ -289,6 +306,6 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "counts of a short run")]
-const fn as_float(count: u64) -> f64 {
+pub(super) const fn as_float(count: u64) -> f64 {
     count as f64
 }
--- a/src/membership/neighbours.rs
+++ b/src/membership/neighbours.rs
@@ -93,7 +93,7 @@
     if own.role == HostRole::Entry {
         entries.push(own.host.clone());
     }
-    entries.sort_by_key(|host| std::cmp::Reverse(score(&own.data_centre, host)));
+    entries.sort_by_cached_key(|host| std::cmp::Reverse(score(&own.data_centre, host)));
     entries.truncate(TABLE_READERS);
     entries
 }
@@ -104,7 +104,7 @@
     count: usize,
 ) -> Vec<ByteString> {
     let mut hosts: Vec<&ByteString> = entries.map(|entry| &entry.host).collect();
-    hosts.sort_by_key(|host| std::cmp::Reverse(score(own, host)));
+    hosts.sort_by_cached_key(|host| std::cmp::Reverse(score(own, host)));
     hosts.truncate(count);
     hosts.into_iter().cloned().collect()
 }
--- a/src/operator/admin_client.rs
+++ b/src/operator/admin_client.rs
@@ -39,8 +39,8 @@
 pub(crate) struct ChangeName {
     pub(crate) author: String,
     pub(crate) nonce: String,
-    /// Tries of it before this call.
-    pub(crate) tries: u32,
+    /// Tries of it before this call that may have been accepted.
+    pub(crate) doubts: u32,
 }
 
 impl AdminCall {
@@ -91,12 +91,13 @@
     ) -> Result<A, AdminFailure> {
         let detail = "give --admin-address IP:PORT of an entry host";
         let mut last: AdminFailure = SwitchError::new(ErrorKind::SettingInvalid, detail).into();
-        let mut in_doubt = false;
-        for (tries, address) in (0..).zip(&self.addresses) {
-            match self.try_at(*address, call, tries).await {
+        // A try that certainly wrote nothing does not count: the next is as good as the first.
+        let mut doubts = 0;
+        for address in &self.addresses {
+            match self.try_at(*address, call, doubts).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => {
-                    in_doubt |= leaves_doubt(failure.error.kind);
+                    doubts += u32::from(leaves_doubt(failure.error.kind));
                     let is_final = !is_away(failure.error.kind);
                     last = failure;
                     if is_final {
@@ -107,7 +108,7 @@
         }
         // A refusal by a later host does not say what became of the try at an earlier one, unless
         // the table itself has told what stands.
-        if in_doubt && call.change.is_some() && last.error.kind != ErrorKind::DocumentConflict {
+        if doubts > 0 && call.change.is_some() && last.error.kind != ErrorKind::DocumentConflict {
             last.error.kind = ErrorKind::DocumentInDoubt;
         }
         Err(last)
@@ -126,9 +127,9 @@
         &self,
         address: SocketAddr,
         call: &AdminCall,
-        tries: u32,
+        doubts: u32,
     ) -> Result<A, AdminFailure> {
-        let request = self.request(call, tries)?;
+        let request = self.request(call, doubts)?;
         let answer = self.client.send(address, request, ANSWER_WITHIN).await?;
         let status = answer.status();
         let text = read_body(answer.into_body(), ANSWER_BYTES_MAX).await?;
@@ -138,7 +139,7 @@
         Err(read_failure(status, &text))
     }
 
-    fn request(&self, call: &AdminCall, tries: u32) -> SwitchResult<http::Request<Body>> {
+    fn request(&self, call: &AdminCall, doubts: u32) -> SwitchResult<http::Request<Body>> {
         let mut request = http::Request::builder()
             .method(call.method.clone())
             .uri(&call.path)
@@ -147,7 +148,7 @@
             request = request
                 .header(AUTHOR_HEADER, &change.author)
                 .header(NONCE_HEADER, &change.nonce)
-                .header(ATTEMPT_HEADER, change.tries + tries + 1);
+                .header(ATTEMPT_HEADER, change.doubts + doubts + 1);
         }
         request
             .body(Body::from(call.body.clone()))
--- a/src/operator/run_command.rs
+++ b/src/operator/run_command.rs
@@ -22,6 +22,7 @@
 use crate::errors::{ErrorKind, SwitchError, SwitchResult, answer_for};
 use crate::time::clock_now;
 
+const EXIT_WRONG_USE: u8 = 2;
 const EXIT_IN_DOUBT: u8 = 3;
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -32,10 +33,10 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
             tell_failure(&failure, is_json);
-            if failure.error.kind == ErrorKind::DocumentInDoubt {
-                ExitCode::from(EXIT_IN_DOUBT)
-            } else {
-                ExitCode::FAILURE
+            match failure.error.kind {
+                ErrorKind::DocumentInDoubt => ExitCode::from(EXIT_IN_DOUBT),
+                ErrorKind::SettingInvalid => ExitCode::from(EXIT_WRONG_USE),
+                _ => ExitCode::FAILURE,
             }
         }
     }
@@ -133,7 +134,12 @@
     }
     let key = fs::read_to_string(&file)
         .map_err(|fault| setting(format!("--key-file: cannot read {file}: {fault}")))?;
-    Ok(key.trim().to_owned())
+    let key = key.trim();
+    if key.is_empty() || !key.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let detail = format!("--key-file: {file} holds no key; give one line of letters and signs");
+        return Err(setting(detail));
+    }
+    Ok(key.to_owned())
 }
 
 fn setting(detail: String) -> SwitchError {
@@ -176,7 +182,7 @@
     let (_, document) = check_document(&body).map_err(invalid)?;
     let replaces = put.get_one::<u64>("replaces").copied().unwrap_or_default();
     // A name that the author gives is that of an earlier try.
-    let (nonce, tries) = match text(put, "nonce") {
+    let (nonce, doubts) = match text(put, "nonce") {
         given if given.is_empty() => (uuid::Uuid::new_v4().to_string(), 0),
         given => (given, 1),
     };
@@ -194,7 +200,7 @@
         change: Some(ChangeName {
             author,
             nonce: nonce.clone(),
-            tries,
+            doubts,
         }),
     };
     let reply: Result<PutReply, AdminFailure> = client_of(matches)?.ask(&call).await;
