--- a/src/lab/faults/fault_run.rs
+++ b/src/lab/faults/fault_run.rs
@@ -14,6 +14,8 @@
 use crate::lab::launch::{Company, LabSystem, SystemShape};
 use crate::lab::quickstart::{first_spread, plain_runs, start_runner, wait_until_served};
 
+/// Short, so that leases lapse and change hands often; shorter than the longest freeze and outage.
+const SLOT_LEASE_MS: u64 = 6_000;
 /// How long the load goes on when nothing is disturbed any more.
 const CALM: Duration = Duration::from_secs(2);
 
@@ -47,7 +49,11 @@
 impl FaultRun {
     /// Runs it; whether all that must hold did.
     pub(super) async fn run(self) -> SwitchResult<bool> {
-        let mut system = LabSystem::start(SystemShape::small(self.company), || {}).await?;
+        let shape = SystemShape {
+            slot_lease_ms: SLOT_LEASE_MS,
+            ..SystemShape::small(self.company)
+        };
+        let mut system = LabSystem::start(shape, || {}).await?;
         let outcome = self.disturb(&mut system).await;
         if let Some(path) = &self.logs {
             let written = std::fs::write(path, system.logs().await);
--- a/src/lab/launch/lab_system.rs
+++ b/src/lab/launch/lab_system.rs
@@ -42,6 +42,8 @@
     pub(crate) service_ms: u64,
     /// How long a graceful stop lasts at least.
     pub(crate) linger_ms: u64,
+    /// How long a lease on keys lasts.
+    pub(crate) slot_lease_ms: u64,
     /// Bytes a second of the origin's link; 0 means no pacing.
     pub(crate) origin_bytes_per_second: u64,
 }
@@ -58,6 +60,7 @@
             tokens_per_second: 200,
             service_ms: 5,
             linger_ms: 1_000,
+            slot_lease_ms: 120_000,
             origin_bytes_per_second: 8 * 1024 * 1024,
         }
     }
@@ -225,6 +228,7 @@
             .setting("engine-dialect", dialect)
             .setting("engine-address", engine.address("")?)
             .setting("origin-address", self.origin.address("")?)
+            .setting("slot-lease-ms", self.shape.slot_lease_ms)
             .setting("memory-bytes", MEMORY_BYTES);
         ChildProcess::start(&order).await
     }
--- a/src/lab/quickstart/mod.rs
+++ b/src/lab/quickstart/mod.rs
@@ -1,5 +1,6 @@
 //! The quickstart: the whole path on real processes, shown to a newcomer.
 
+mod bad_requests;
 mod command;
 mod report;
 mod show;
--- a/src/lab/quickstart/show.rs
+++ b/src/lab/quickstart/show.rs
@@ -5,6 +5,7 @@
 
 use tokio::task::JoinSet;
 
+use super::bad_requests::check_bad_requests;
 use super::report::print_report;
 use super::spread_watch::progress_bar;
 use super::steps::{
@@ -62,6 +63,7 @@
         let runner = start_runner(system)?;
         let probing = tokio::spawn(runner.board.clone().keep_probing());
         wait_until_served(&runner, &CallClass::ALL).await?;
+        let refused_well = check_bad_requests(system).await?;
         let calls = tokio::spawn(send_calls(runner.clone()));
         let second = self.disturb(system).await?;
         let calls = calls.await.map_err(|fault| failed(fault.to_string()))?;
@@ -72,7 +74,7 @@
             board: runner.board.clone(),
         };
         let counts = print_report(&judge, &calls);
-        Ok(counts.all_held() && counts.answered == counts.requests)
+        Ok(refused_well && counts.all_held() && counts.answered == counts.requests)
     }
 
     /// A kill, a graceful stop and a new version while calls are under way.
