--- a/src/admission/admission_book.rs
+++ b/src/admission/admission_book.rs
@@ -272,10 +272,15 @@
     }
 
     fn check_deadline(&self, wish: &WaitWish<T>, now: ClockTime) -> SwitchResult<()> {
-        let Some(wait) = self.expected_wait(wish) else {
-            return Ok(());
-        };
+        let class = class_of(wish.priority);
         let left = wish.deadline.since(now);
+        // Mostly the whole line fits into the deadline, which is quick to see.
+        let whole = self.backlog_to(class + 1);
+        if self.rate.time_for(whole).is_none_or(|wait| wait <= left) {
+            return Ok(());
+        }
+        let ahead = self.backlog_to(class) + self.cost_ahead(class, wish);
+        let wait = self.rate.time_for(ahead).unwrap_or_default();
         if wait <= left {
             return Ok(());
         }
@@ -284,15 +289,17 @@
         Err(error.come_back_in(wait.saturating_sub(left)))
     }
 
-    /// How long `wish` would wait; `None` while that is not known. Only what goes before it counts,
-    /// so that a request for which nobody waits may always try: otherwise a rate that was measured
-    /// in an outage would refuse everything after it, and no better one would ever be measured.
-    fn expected_wait(&self, wish: &WaitWish<T>) -> Option<Duration> {
-        let class = class_of(wish.priority);
-        let above: u64 = self.queues[..class].iter().map(FairQueue::backlog).sum();
+    /// The cost of all that waits in the classes before class `end`.
+    fn backlog_to(&self, end: usize) -> u64 {
+        self.queues[..end].iter().map(FairQueue::backlog).sum()
+    }
+
+    /// The cost of what goes before `wish` in its class. Its own does not count, so that a request
+    /// for which nobody waits may always try: otherwise a rate that was measured in an outage would
+    /// refuse everything after it, and no better one would ever be measured.
+    fn cost_ahead(&self, class: usize, wish: &WaitWish<T>) -> u64 {
         let weight_of = |account: AccountKey| self.accounts[account.0 as usize].weight;
-        let beside = self.queues[class].cost_ahead(wish.account, wish.cost, weight_of);
-        self.rate.time_for(above + beside)
+        self.queues[class].cost_ahead(wish.account, wish.cost, weight_of)
     }
 
     fn find(&self, name: &ByteString) -> Result<usize, usize> {
--- a/src/delivery/placed_attempt.rs
+++ b/src/delivery/placed_attempt.rs
@@ -14,6 +14,7 @@
     desk: Arc<ServiceDesk>,
     picked: PickedBackend,
     since: ClockTime,
+    cost: u64,
     has_ended: bool,
 }
 
@@ -22,11 +23,13 @@
         desk: Arc<ServiceDesk>,
         picked: PickedBackend,
         since: ClockTime,
+        cost: u64,
     ) -> Self {
         Self {
             desk,
             picked,
             since,
+            cost,
             has_ended: false,
         }
     }
@@ -43,7 +46,7 @@
         let mut state = self.desk.lock();
         state
             .backends
-            .note_success(self.picked.key, took, load, now);
+            .note_success(self.picked.key, took, self.cost, Some(load), now);
         drop(state);
         self.desk.dispatch(now);
     }
--- a/src/delivery/service_desk.rs
+++ b/src/delivery/service_desk.rs
@@ -50,6 +50,7 @@
 /// Who waits for the place of a ticket.
 struct TicketWaiter {
     ticket: TicketKey,
+    cost: u64,
     sender: oneshot::Sender<PlacedAttempt>,
     /// What stood in the way last.
     obstacle: NoPick,
@@ -129,7 +130,7 @@
         let placed = self.lock().dispatch(now);
         // Outside of the lock: a waiter that has left drops its place, which takes the lock.
         for (waiter, picked) in placed {
-            let attempt = PlacedAttempt::new(self.clone(), picked, now);
+            let attempt = PlacedAttempt::new(self.clone(), picked, now, waiter.cost);
             let _ = waiter.sender.send(attempt);
         }
     }
@@ -203,13 +204,14 @@
         placed
     }
 
-    fn add_waiter(&mut self, ticket: TicketKey, sender: oneshot::Sender<PlacedAttempt>) {
+    fn add_waiter(&mut self, ticket: TicketKey, cost: u64, sender: oneshot::Sender<PlacedAttempt>) {
         let place = ticket.place();
         if place >= self.waiters.len() {
             self.waiters.resize_with(place + 1, || None);
         }
         self.waiters[place] = Some(TicketWaiter {
             ticket,
+            cost,
             sender,
             obstacle: NoPick::Full,
         });
@@ -303,7 +305,7 @@
             },
         };
         let ticket = state.admission.begin_waiting(wait, now)?;
-        state.add_waiter(ticket, sender);
+        state.add_waiter(ticket, wish.cost, sender);
         Ok(ticket)
     }
 }
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -5,6 +5,7 @@
 mod faults;
 pub(crate) mod launch;
 mod load;
+pub(crate) mod picks;
 mod quickstart;
 mod slopes;
 pub(crate) mod soak;
@@ -27,6 +28,7 @@
         Some(("faults", matches)) => faults::run_faults(matches),
         Some(("documents", matches)) => documents::run_documents(matches),
         Some(("load", matches)) => load::run_load(matches),
+        Some(("picks", matches)) => picks::run_picks(matches),
         Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
         Some(("slopes", matches)) => slopes::run_slopes(matches),
         Some(("soak", matches)) => soak::run_soak(matches),
@@ -43,6 +45,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(documents::documents_command())
+        .subcommand(picks::picks_command())
         .subcommand(quickstart::quickstart_command())
         .subcommand(faults::faults_command())
         .subcommand(load::load_command())
--- /dev/null
+++ b/src/lab/picks/world.rs
@@ -0,0 +1,137 @@
+//! Made-up hosts and documents for the measurements of picks.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use bytestring::ByteString;
+
+use crate::control::{ControlSnapshot, MemberRecord, MemberState};
+use crate::documents::{
+    AccountSpec, DeadlineSpec, HostSelection, RetrySpec, RolloutSpec, ServiceDocument, ServiceKind,
+};
+use crate::membership::{HostIdentity, HostStatus, LoadReport};
+use crate::platform::HostRole;
+
+const SERVICE: &str = "sky-writer";
+const DATA_CENTRE: &str = "lima-hall-a";
+const REGION: &str = "peru";
+const PORT: u16 = 7000;
+
+/// The document of a service with `accounts` accounts.
+pub(crate) fn document(accounts: usize) -> ServiceDocument {
+    ServiceDocument {
+        format: 1,
+        service: SERVICE.into(),
+        team: "guides".into(),
+        change_key_digests: Vec::new(),
+        kind: ServiceKind::Plain,
+        data_centres: vec![DATA_CENTRE.into()],
+        hosts: HostSelection::Listed,
+        weights: None,
+        rollout: RolloutSpec::default(),
+        accounts: (0..accounts).map(account).collect(),
+        deadlines: DeadlineSpec::default(),
+        routes: Vec::new(),
+        retry: RetrySpec::default(),
+        prefix_affinity: false,
+    }
+}
+
+fn account(number: usize) -> AccountSpec {
+    AccountSpec {
+        name: account_name(number),
+        key_digest: ByteString::new(),
+        requests_per_second: 1_000_000,
+        concurrency: 1_000_000,
+        weight: 1,
+        urgent_percent: 10,
+    }
+}
+
+/// The name of account `number`; the names sort as the numbers do.
+pub(super) fn account_name(number: usize) -> ByteString {
+    format!("account-{number:04}").into()
+}
+
+/// Entry host `number`.
+pub(crate) fn entry(number: usize) -> HostIdentity {
+    HostIdentity {
+        host: format!("entry-{number}").into(),
+        data_centre: DATA_CENTRE.into(),
+        region: REGION.into(),
+        role: HostRole::Entry,
+        service: None,
+        peer_address: address(),
+        incarnation: 1,
+    }
+}
+
+/// The control state with `entries` entry hosts and one backend server per report; each report
+/// comes with its sequence number.
+pub(super) fn snapshot(
+    generation: u64,
+    entries: usize,
+    reports: &[(LoadReport, u64)],
+) -> ControlSnapshot {
+    let mut members: Vec<Arc<MemberRecord>> = reports
+        .iter()
+        .enumerate()
+        .map(|(number, (load, sequence))| Arc::new(backend(number, *load, *sequence)))
+        .collect();
+    members.extend((0..entries).map(|number| Arc::new(entry_record(number))));
+    ControlSnapshot {
+        generation,
+        services: Vec::new(),
+        members,
+        table_answers: true,
+    }
+}
+
+/// The number of the backend server `host`.
+pub(super) fn backend_number(host: &str) -> usize {
+    let digits = host.trim_start_matches("backend-");
+    digits.parse().expect("the name was made here")
+}
+
+fn backend(number: usize, load: LoadReport, sequence: u64) -> MemberRecord {
+    let host: ByteString = format!("backend-{number:04}").into();
+    let status = HostStatus {
+        host: host.clone(),
+        incarnation: 1,
+        sequence,
+        leaving: false,
+        load,
+        serving: None,
+        staging: None,
+        slots: Vec::new(),
+    };
+    record(host, HostRole::Backend, Some(Arc::new(status)))
+}
+
+fn entry_record(number: usize) -> MemberRecord {
+    record(format!("entry-{number}").into(), HostRole::Entry, None)
+}
+
+/// What the control state says of the host `host`.
+pub(crate) fn record(
+    host: ByteString,
+    role: HostRole,
+    status: Option<Arc<HostStatus>>,
+) -> MemberRecord {
+    let is_backend = role == HostRole::Backend;
+    MemberRecord {
+        host,
+        data_centre: DATA_CENTRE.into(),
+        region: REGION.into(),
+        role,
+        service: is_backend.then(|| SERVICE.into()),
+        peer_address: address(),
+        state: MemberState::Live,
+        status,
+    }
+}
+
+/// An address that nothing is sent to.
+pub(crate) const fn address() -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), PORT)
+}
--- a/src/lab/soak/mod.rs
+++ b/src/lab/soak/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod delivery;
 pub(crate) mod documents;
 pub(crate) mod membership;
+pub(crate) mod routing;
 pub(crate) mod spread;
 
 use arbitrary::Unstructured;
@@ -33,6 +34,7 @@
     slice("fairness", 16384, admission::run_fair_case),
     slice("membership", 8192, membership::run_case),
     slice("spread", 4096, spread::run_case),
+    slice("routing", 4096, routing::run_case),
 ];
 
 const fn slice(name: &'static str, case_bytes: usize, run_case: SoakDriver) -> SoakSlice {
--- a/src/routing/backend_pool.rs
+++ b/src/routing/backend_pool.rs
@@ -9,7 +9,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::backend_server::{BackendServer, Nearness, average};
+use super::backend_server::{BackendServer, Nearness, ServicePace};
 use super::events;
 use super::rendezvous::{name_hash, rendezvous_weight};
 use crate::control::{ControlSnapshot, MemberRecord, MemberState};
@@ -89,8 +89,8 @@
     pub(super) tiers: [Vec<BackendKey>; 4],
     pub(super) entries: u32,
     pub(super) needs_weights: bool,
-    /// Average time that our requests took anywhere, in microseconds.
-    pub(super) average_micros: u64,
+    /// How long our requests took anywhere by their cost.
+    pub(super) pace: ServicePace,
     pub(super) rng: StdRng,
 }
 
@@ -103,7 +103,7 @@
             tiers: [const { Vec::new() }; 4],
             entries: 1,
             needs_weights: false,
-            average_micros: 0,
+            pace: ServicePace::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -163,21 +163,24 @@
         })
     }
 
-    /// A request there has ended well.
+    /// A request of `cost` there has ended well; `load` is what its end told of the host.
     pub(crate) fn note_success(
         &mut self,
         key: BackendKey,
         took: Duration,
-        load: LoadReport,
+        cost: u64,
+        load: Option<LoadReport>,
         now: ClockTime,
     ) {
         if let Some(backend) = self.backend_mut(key) {
             backend.estimate.end(now);
-            backend.estimate.take_report(load, Duration::ZERO, now);
+            if let Some(load) = load {
+                backend.estimate.take_report(load, Duration::ZERO, now);
+            }
             backend.breaker.note_success();
-            backend.note_service_time(took);
+            backend.pace.note(took, cost);
         }
-        self.average_micros = average(self.average_micros, took);
+        self.pace.note(took, cost);
         self.release(key);
     }
 
@@ -207,6 +210,11 @@
         self.release(key);
     }
 
+    /// Whether `key` is one of the backend servers that the control state names.
+    pub(crate) fn knows(&self, key: BackendKey) -> bool {
+        self.by_host.contains(&key)
+    }
+
     /// Requests that all usable backend servers run at a time.
     pub(crate) fn capacity(&self) -> u32 {
         let usable = self.tiers.iter().flatten();
@@ -273,7 +281,7 @@
         let is_done = self
             .backend(key)
             .is_some_and(|backend| backend.estimate.own() == 0);
-        if is_done && !self.by_host.contains(&key) {
+        if is_done && !self.knows(key) {
             self.arena[key.0 as usize] = None;
         }
     }
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -14,8 +14,8 @@
 use crate::membership::HostStatus;
 use crate::time::ClockTime;
 
-/// Weight of the newest service time in the average, as a divisor.
-const AVERAGE_PART: u64 = 8;
+/// What is kept of the earlier requests when another has ended.
+const KEPT: f64 = 0.95;
 
 /// What is known of one backend server.
 #[derive(Debug)]
@@ -30,8 +30,8 @@
     pub(super) shunned: bool,
     pub(super) estimate: LoadEstimate,
     pub(super) breaker: CircuitBreaker,
-    /// Average time that our requests took there, in microseconds; 0 while none has ended.
-    pub(super) service_micros: u64,
+    /// How long our requests took there by their cost.
+    pub(super) pace: ServicePace,
 }
 
 /// How near a backend server is; nearer ones come first while they have room.
@@ -59,7 +59,7 @@
             shunned: false,
             estimate: LoadEstimate::new(now),
             breaker: CircuitBreaker::default(),
-            service_micros: 0,
+            pace: ServicePace::default(),
         }
     }
 
@@ -102,31 +102,29 @@
         is_there && !status.leaving && !self.shunned && has_weights
     }
 
-    /// Whether one more request fits. Urgent requests may wait at the host, which puts them first;
-    /// others wait here, but each entry host may always use its fair part of the backend server,
-    /// or one that came late would find it full for good.
-    pub(super) fn has_room(&self, urgent: bool, entries: u32) -> bool {
-        let total = self.estimate.total();
+    /// Whether one more request would run at once.
+    pub(super) const fn is_free(&self) -> bool {
+        self.estimate.total() < self.estimate.capacity()
+    }
+
+    /// Whether one more request may wait there. Urgent requests may, since the host puts them
+    /// first; others wait here, but each entry host may always use its fair part of the backend
+    /// server, or one that came late would find it full for good.
+    pub(super) fn takes_waiting(&self, urgent: bool, entries: u32) -> bool {
         let capacity = self.estimate.capacity();
         let fair_part = capacity.div_ceil(entries.max(1));
-        let may_wait_there = urgent || self.estimate.own() < fair_part;
+        let may_wait = urgent || self.estimate.own() < fair_part;
         let most = capacity.saturating_add(self.estimate.queue_room());
-        total < capacity || (may_wait_there && total < most)
-    }
-
-    /// How long one more request would take there, in microseconds; `average` stands in while none
-    /// of ours has ended there.
-    pub(super) fn expected_micros(&self, average: u64) -> u64 {
-        let service = match self.service_micros {
-            0 => average.max(1),
-            known => known,
-        };
-        let behind = u64::from(self.estimate.total()) + 1;
-        service * behind / u64::from(self.estimate.capacity())
+        may_wait && self.estimate.total() < most
     }
 
-    pub(super) fn note_service_time(&mut self, took: Duration) {
-        self.service_micros = average(self.service_micros, took);
+    /// How long one more request would take there, by the pace of its own or else by `typical`, the
+    /// pace of all; smaller is better. A free backend server that is half used may be full by the
+    /// time that the next report tells, so the used part counts beside the pace.
+    pub(super) fn expected_time(&self, typical: &ServicePace) -> f64 {
+        let pace = self.pace.per_cost().or(typical.per_cost()).unwrap_or(1.0);
+        let used = f64::from(self.estimate.total() + 1) / f64::from(self.estimate.capacity());
+        pace * (1.0 + used)
     }
 
     /// Takes what a failure says about the backend server. Returns whether its breaker has opened.
@@ -152,16 +150,27 @@
     }
 }
 
-/// The moving average `known` with `newest` in it; 0 stands for none so far.
-pub(super) fn average(known: u64, newest: Duration) -> u64 {
-    let micros = u64::try_from(newest.as_micros()).unwrap_or(u64::MAX);
-    let mixed = match known {
-        0 => micros,
-        _ => known - known / AVERAGE_PART + micros / AVERAGE_PART,
-    };
-    mixed.max(1)
+/// How long requests took by their cost: a moving sum of both, so that a long request does not make
+/// a backend server look slow.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ServicePace {
+    seconds: f64,
+    cost: f64,
 }
 
+impl ServicePace {
+    /// A request of `cost` took `took`.
+    pub(super) fn note(&mut self, took: Duration, cost: u64) {
+        #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+        let cost = cost.max(1) as f64;
+        self.seconds = self.seconds * KEPT + took.as_secs_f64();
+        self.cost = self.cost * KEPT + cost;
+    }
+
+    fn per_cost(&self) -> Option<f64> {
+        (self.cost > 0.0).then(|| self.seconds / self.cost)
+    }
+}
 fn is_newer(status: &HostStatus, before: &HostStatus) -> bool {
     (status.incarnation, status.sequence) > (before.incarnation, before.sequence)
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,4 +1,4 @@
-//! Routing: which backend server takes a request. Two random candidates by corrected load, the
+//! Routing: which backend server takes a request. A few random candidates by corrected load and pace, the
 //! nearest first, with a breaker for each; keyed calls go to the holder of their slot.
 
 mod backend_pool;
@@ -8,6 +8,8 @@
 mod load_estimate;
 mod pick;
 mod rendezvous;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use backend_pool::{
     BackendKey, BackendPool, NoPick, PickTarget, PickWish, PickedBackend, entry_count,
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -8,20 +8,31 @@
 use crate::time::ClockTime;
 
 /// Candidates per pick.
-const CHOICES: usize = 2;
+const CHOICES: usize = 3;
+
+/// What a request finds at a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RoomKind {
+    /// It would run at once.
+    Free,
+    /// It would wait there.
+    Waiting,
+}
 
 impl BackendPool {
-    /// Two random candidates that could take the request now, the nearest that have room, and of
-    /// these the one that should be done first. Looking at all would send every entry host to the
+    /// A few random candidates, the nearest that would run the request at once or else let it wait,
+    /// and of these the one that should be done first. Looking at all would send every entry host to the
     /// same one until the next load report.
     pub(super) fn pick_any(
         &mut self,
         wish: &PickWish,
         now: ClockTime,
     ) -> Result<BackendKey, NoPick> {
-        for tier in 0..self.tiers.len() {
-            if let Some(key) = self.pick_in_tier(tier, wish, now) {
-                return Ok(key);
+        for room in [RoomKind::Free, RoomKind::Waiting] {
+            for tier in 0..self.tiers.len() {
+                if let Some(key) = self.pick_in_tier(tier, room, wish, now) {
+                    return Ok(key);
+                }
             }
         }
         // Where it failed last is better than nowhere.
@@ -30,7 +41,7 @@
                 avoid: None,
                 ..*wish
             };
-            if self.is_in_tiers(key) && self.fits(key, &anew, now) {
+            if self.is_in_tiers(key) && self.fits(key, RoomKind::Waiting, &anew, now) {
                 return Ok(key);
             }
         }
@@ -61,7 +72,10 @@
                 .map(|fence| (fence, *key))
         });
         let (_, key) = holders.max().ok_or(NoPick::Nobody)?;
-        if self.fits(key, wish, now) || wish.avoid == Some(key) {
+        let has_room = [RoomKind::Free, RoomKind::Waiting]
+            .into_iter()
+            .any(|room| self.fits(key, room, wish, now));
+        if has_room || wish.avoid == Some(key) {
             Ok(key)
         } else {
             Err(NoPick::Full)
@@ -86,29 +100,36 @@
         }
     }
 
-    fn pick_in_tier(&mut self, tier: usize, wish: &PickWish, now: ClockTime) -> Option<BackendKey> {
+    fn pick_in_tier(
+        &mut self,
+        tier: usize,
+        room: RoomKind,
+        wish: &PickWish,
+        now: ClockTime,
+    ) -> Option<BackendKey> {
         let count = self.tiers[tier].len();
         if count == 0 {
             return None;
         }
-        let draws = [self.rng.next_u32(), self.rng.next_u32()];
+        let random: [u32; CHOICES] = std::array::from_fn(|_| self.rng.next_u32());
         let members = &self.tiers[tier];
-        if let Some(key) = self.pick_by_prefix(members, wish, now) {
+        if room == RoomKind::Free
+            && let Some(key) = self.pick_by_prefix(members, wish, now)
+        {
             return Some(key);
         }
-        let first = below(draws[0], count);
-        let second = below(draws[1], count);
-        // When the two drawn do not do, the others follow in a circle.
-        let circle = (1..count).map(|step| (first + step) % count);
-        let places = [first, second].into_iter().chain(circle);
-        let mut best: Option<(u64, BackendKey)> = None;
+        let drawn = random.map(|draw| below(draw, count));
+        // When those drawn do not do, the others follow in a circle.
+        let circle = (1..count).map(|step| (drawn[0] + step) % count);
+        let places = drawn.into_iter().chain(circle);
+        let mut best: Option<(f64, BackendKey)> = None;
         let mut fitting = 0;
         for place in places {
             let key = members[place];
-            if best.is_some_and(|(_, other)| other == key) || !self.fits(key, wish, now) {
+            if best.is_some_and(|(_, other)| other == key) || !self.fits(key, room, wish, now) {
                 continue;
             }
-            let expected = self.expected_micros(key);
+            let expected = self.expected_time(key);
             if best.is_none_or(|(least, _)| expected < least) {
                 best = Some((expected, key));
             }
@@ -134,29 +155,30 @@
             rendezvous_weight(prefix, member)
         };
         let key = *members.iter().max_by_key(weight_of)?;
-        let backend = self.backend(key)?;
-        let is_idle = backend.estimate.total() < backend.estimate.capacity();
-        (is_idle && self.fits(key, wish, now)).then_some(key)
+        self.fits(key, RoomKind::Free, wish, now).then_some(key)
     }
 
-    fn fits(&self, key: BackendKey, wish: &PickWish, now: ClockTime) -> bool {
+    fn fits(&self, key: BackendKey, room: RoomKind, wish: &PickWish, now: ClockTime) -> bool {
         let Some(backend) = self.backend(key) else {
             return false;
         };
+        let has_room = match room {
+            RoomKind::Free => backend.is_free(),
+            RoomKind::Waiting => backend.takes_waiting(wish.urgent, self.entries),
+        };
         wish.avoid != Some(key)
             && serves_target(backend, wish.target)
             && backend.breaker.lets_pass(now)
-            && backend.has_room(wish.urgent, self.entries)
+            && has_room
     }
 
     fn is_in_tiers(&self, key: BackendKey) -> bool {
         self.tiers.iter().any(|tier| tier.contains(&key))
     }
 
-    fn expected_micros(&self, key: BackendKey) -> u64 {
-        let average = self.average_micros;
+    fn expected_time(&self, key: BackendKey) -> f64 {
         self.backend(key)
-            .map_or(u64::MAX, |backend| backend.expected_micros(average))
+            .map_or(f64::MAX, |backend| backend.expected_time(&self.pace))
     }
 }
 
