--- a/src/lab/soak/mod.rs
+++ b/src/lab/soak/mod.rs
@@ -6,8 +6,10 @@
 pub(crate) mod delivery;
 pub(crate) mod documents;
 pub(crate) mod membership;
+pub(crate) mod rollout;
 pub(crate) mod routing;
 pub(crate) mod spread;
+pub(crate) mod weights;
 
 use arbitrary::Unstructured;
 
@@ -33,7 +35,9 @@
     slice("documents", 4096, documents::run_case),
     slice("fairness", 16384, admission::run_fair_case),
     slice("membership", 8192, membership::run_case),
+    slice("rollout", 8192, rollout::run_case),
     slice("spread", 4096, spread::run_case),
+    slice("weights", 16384, weights::run_case),
     slice("routing", 4096, routing::run_case),
 ];
 
--- a/src/lab/weights/live.rs
+++ b/src/lab/weights/live.rs
@@ -127,7 +127,7 @@
         self.mixed += u64::from(!self.versions.iter().any(is_from));
         let micros = u64::try_from(whole.as_micros()).unwrap_or(u64::MAX);
         if let Some(histogram) = self.micros.as_mut() {
-            histogram.saturating_record(micros);
+            let _ = histogram.record(micros);
         }
     }
 
--- a/src/weights/activation.rs
+++ b/src/weights/activation.rs
@@ -145,6 +145,17 @@
         self.change.is_some()
     }
 
+    /// Whether this host is out of service because of a change of version.
+    pub(crate) fn is_swapping(&self) -> bool {
+        self.change.as_ref().is_some_and(|change| change.is_swap)
+    }
+
+    /// Whether an order's answer is outstanding.
+    pub(crate) fn is_ordering(&self) -> bool {
+        let change = self.change.as_ref();
+        change.is_some_and(|change| change.phase == ChangePhase::Ordering)
+    }
+
     /// Why the rollout does not go on, for people.
     pub(crate) fn stopped(&self) -> Option<&str> {
         self.book.stopped()
--- a/src/weights/fetch_worker.rs
+++ b/src/weights/fetch_worker.rs
@@ -14,6 +14,7 @@
 use super::fetch_plan::{FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource};
 use super::link_pacer::LinkPacer;
 use super::manifest::VersionManifest;
+use super::manifest_doubt::ManifestDoubt;
 use super::manifest_edge::find_manifest;
 use super::messages::HaveWord;
 use super::peer_table::PeerKey;
@@ -70,6 +71,8 @@
 struct FetchRun {
     edge: FetchEdge,
     plan: FetchPlan,
+    doubt: ManifestDoubt,
+    is_manifest_doubted: bool,
     under_way: Vec<(FlightId, AbortHandle)>,
     news_sender: mpsc::UnboundedSender<FetchNews>,
     news: mpsc::UnboundedReceiver<FetchNews>,
@@ -80,7 +83,7 @@
     pub(crate) async fn run(mut self) {
         let mut wanted: Option<WantedVersion> = None;
         let mut stage = FetchStage::Idle;
-        let mut trusts_peers = true;
+        let mut doubts = 0;
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut tick_count: u32 = 0;
@@ -92,9 +95,9 @@
                 if newest.as_ref().map(|newest| newest.digest)
                     != wanted.as_ref().map(|wanted| wanted.digest)
                 {
-                    trusts_peers = true;
+                    doubts = 0;
                     stage.end();
-                    stage = self.begin(newest.as_ref(), trusts_peers);
+                    stage = self.begin(newest.as_ref(), doubts);
                 }
                 wanted = newest;
                 if let (FetchStage::Chunks(run), Some(wanted)) = (&mut stage, &wanted) {
@@ -104,7 +107,7 @@
             let Some(wanted) = &wanted else {
                 continue;
             };
-            stage = self.advance(stage, wanted, &mut trusts_peers).await;
+            stage = self.advance(stage, wanted, &mut doubts).await;
         }
     }
 
@@ -127,7 +130,7 @@
         }
     }
 
-    fn begin(&self, wanted: Option<&WantedVersion>, trusts_peers: bool) -> FetchStage {
+    fn begin(&self, wanted: Option<&WantedVersion>, doubts: u32) -> FetchStage {
         let Some(wanted) = wanted else {
             return FetchStage::Idle;
         };
@@ -140,16 +143,16 @@
         match self.shelf.find(wanted.digest) {
             Some(version) if version.is_whole() => FetchStage::Done,
             Some(version) => FetchStage::Chunks(Box::new(self.begin_chunks(version, wanted))),
-            None => self.begin_manifest(wanted, trusts_peers),
+            None => self.begin_manifest(wanted, doubts),
         }
     }
 
-    fn begin_manifest(&self, wanted: &WantedVersion, trusts_peers: bool) -> FetchStage {
+    fn begin_manifest(&self, wanted: &WantedVersion, doubts: u32) -> FetchStage {
         let edges = self.edges.clone();
         let limits = self.limits;
         let wanted = wanted.clone();
         FetchStage::Manifest(tokio::spawn(async move {
-            find_manifest(&edges, limits, &wanted, trusts_peers).await
+            find_manifest(&edges, limits, &wanted, doubts).await
         }))
     }
 
@@ -181,6 +184,8 @@
             pacer: self.pacer.clone(),
         };
         let mut run = FetchRun {
+            doubt: ManifestDoubt::new(edge.version.manifest().chunk_count()),
+            is_manifest_doubted: false,
             edge,
             plan,
             under_way: Vec::new(),
@@ -200,13 +205,21 @@
         &self,
         stage: FetchStage,
         wanted: &WantedVersion,
-        trusts_peers: &mut bool,
+        doubts: &mut u32,
     ) -> FetchStage {
         match stage {
             FetchStage::Manifest(task) if task.is_finished() => {
-                self.take_manifest(task.await.ok(), wanted, *trusts_peers)
+                self.take_manifest(task.await.ok(), wanted, *doubts)
             }
             FetchStage::Chunks(mut run) => {
+                if run.is_manifest_doubted {
+                    let error =
+                        SwitchError::new(ErrorKind::ManifestInvalid, "a chunk never matches");
+                    metrics::count_refusal(error.kind, "weights");
+                    log_event!(events::MANIFEST_REFUSED, "{error}");
+                    FetchStage::end_run(&run);
+                    return self.doubt(&run.edge.version, wanted, doubts);
+                }
                 run.step();
                 self.tell_progress(&run, wanted);
                 if !run.plan.held().is_full() {
@@ -228,22 +241,32 @@
                         // Every chunk matched a manifest that does not belong to the digest.
                         metrics::count_refusal(error.kind, "weights");
                         log_event!(events::WHOLE_REFUSED, "{error}");
-                        self.shelf.retain(|kept| kept.digest() != version.digest());
-                        *trusts_peers = false;
-                        self.begin_manifest(wanted, *trusts_peers)
+                        self.doubt(&version, wanted, doubts)
                     }
-                    Err(_) => self.begin(Some(wanted), *trusts_peers),
+                    Err(_) => self.begin(Some(wanted), *doubts),
                 }
             }
             other => other,
         }
     }
 
+    /// Lets go of a version whose manifest lied, and asks the origin for another.
+    fn doubt(
+        &self,
+        version: &StagedVersion,
+        wanted: &WantedVersion,
+        doubts: &mut u32,
+    ) -> FetchStage {
+        self.shelf.retain(|kept| kept.digest() != version.digest());
+        *doubts += 1;
+        self.begin_manifest(wanted, *doubts)
+    }
+
     fn take_manifest(
         &self,
         found: Option<SwitchResult<VersionManifest>>,
         wanted: &WantedVersion,
-        trusts_peers: bool,
+        doubts: u32,
     ) -> FetchStage {
         match found {
             Some(Ok(manifest)) => {
@@ -257,7 +280,7 @@
                 log_event!(events::MEMORY_SHORT, "{}: {error}", wanted.spec.version);
                 FetchStage::Refused
             }
-            None => self.begin_manifest(wanted, trusts_peers),
+            None => self.begin_manifest(wanted, doubts),
         }
     }
 
@@ -291,10 +314,14 @@
 }
 
 impl FetchStage {
+    fn end_run(run: &FetchRun) {
+        run.under_way.iter().for_each(|(_, task)| task.abort());
+    }
+
     fn end(&self) {
         match self {
             Self::Manifest(task) => task.abort(),
-            Self::Chunks(run) => run.under_way.iter().for_each(|(_, task)| task.abort()),
+            Self::Chunks(run) => Self::end_run(run),
             Self::Idle | Self::Sealing(..) | Self::Refused | Self::Done => {}
         }
     }
@@ -392,6 +419,9 @@
             Err(error) => {
                 metrics::count_retry(error.kind);
                 tell_failure(&error);
+                if error.kind == ErrorKind::ChunkCorrupt {
+                    self.is_manifest_doubted |= self.doubt.on_mismatch(index);
+                }
                 self.plan
                     .on_failed(flight, error.kind, error.retry_after, now);
             }
--- /dev/null
+++ b/src/weights/manifest_doubt.rs
@@ -0,0 +1,50 @@
+//! When a manifest itself is to be doubted.
+//!
+//! A manifest can agree with itself and lie: about the chunks' size, or about one chunk's digest.
+//! Then that chunk never matches, whoever sends it, and the host would fetch it for ever. One would
+//! notice the same chunk refused again and again from different sources. A chunk that is wrong
+//! several times in a row, which links and hosts seldom make of a good one, therefore costs the
+//! manifest its trust; a new one is read from the origin.
+
+use std::time::Duration;
+
+/// Mismatches of one chunk in a row after which the manifest is given up.
+const MISMATCHES_MAX: u8 = 4;
+const REST_FIRST: Duration = Duration::from_secs(2);
+const REST_DOUBLINGS: u32 = 5;
+
+/// Counts mismatches under one manifest.
+#[derive(Clone, Debug)]
+pub(crate) struct ManifestDoubt {
+    mismatches: Vec<u8>,
+}
+
+impl ManifestDoubt {
+    /// No doubt yet about a manifest of `chunks` chunks.
+    pub(crate) fn new(chunks: u32) -> Self {
+        let chunks = usize::try_from(chunks).unwrap_or(usize::MAX);
+        Self {
+            mismatches: vec![0; chunks],
+        }
+    }
+
+    /// Chunk `index` did not match. Returns whether the manifest is to be given up.
+    pub(crate) fn on_mismatch(&mut self, index: u32) -> bool {
+        let at = usize::try_from(index).unwrap_or(usize::MAX);
+        let Some(count) = self.mismatches.get_mut(at) else {
+            return false;
+        };
+        *count += 1;
+        *count >= MISMATCHES_MAX
+    }
+}
+
+/// How long to wait before a manifest is read again after `doubts` were given up in a row: nothing
+/// after the first, which a peer may have made up; then longer and longer, since the origin itself
+/// publishes it so. `part` is left to chance.
+pub(crate) fn wait_after(doubts: u32, part: f64) -> Duration {
+    match doubts {
+        0 | 1 => Duration::ZERO,
+        doubts => (REST_FIRST * (1 << (doubts - 2).min(REST_DOUBLINGS))).mul_f64(0.5 + part / 2.0),
+    }
+}
--- a/src/weights/manifest_edge.rs
+++ b/src/weights/manifest_edge.rs
@@ -9,6 +9,7 @@
 
 use super::events;
 use super::manifest::VersionManifest;
+use super::manifest_doubt::wait_after;
 use super::source_line::SourceLine;
 use super::wanted_version::{WantedVersion, line_host, wanting_hosts};
 use super::weights_thread::{WeightsEdges, WeightsLimits};
@@ -28,8 +29,8 @@
 const REST_FIRST: Duration = Duration::from_millis(200);
 const REST_DOUBLINGS: u32 = 6;
 
-/// Looks for the manifest of `wanted` until it is there. With `trusts_peers` false, an earlier one
-/// turned out to lie, and only the origin is asked.
+/// Looks for the manifest of `wanted` until it is there. After `doubts` earlier ones turned out to
+/// lie, only the origin is asked.
 ///
 /// # Errors
 ///
@@ -38,8 +39,11 @@
     edges: &WeightsEdges,
     limits: WeightsLimits,
     wanted: &WantedVersion,
-    trusts_peers: bool,
+    doubts: u32,
 ) -> SwitchResult<VersionManifest> {
+    let trusts_peers = doubts == 0;
+    let part = rand::rng().random();
+    sleep(wait_after(doubts, part)).await;
     let begun = clock_now();
     let mut failures = 0;
     let mut rest_until = begun;
--- a/src/weights/mod.rs
+++ b/src/weights/mod.rs
@@ -11,6 +11,7 @@
 mod fetch_worker;
 mod link_pacer;
 mod manifest;
+mod manifest_doubt;
 mod manifest_edge;
 mod messages;
 mod origin_turns;
@@ -20,6 +21,8 @@
 mod rollout_row;
 mod source_line;
 mod staged_version;
+#[cfg(test)]
+mod tests;
 mod version_routes;
 mod wanted_version;
 mod weights_thread;
@@ -27,5 +30,15 @@
 
 pub use digest::WeightsDigest;
 
+pub(crate) use activation::{ActivationMachine, ActivationStep, ActivationView};
+pub(crate) use chunk_map::ChunkMap;
+pub(crate) use fetch_plan::{FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource};
 pub(crate) use link_pacer::{LinkDirection, LinkPacer};
+pub(crate) use manifest::VersionManifest;
+pub(crate) use messages::HaveWord;
+pub(crate) use peer_table::{PeerKey, PlanHost};
+pub(crate) use rollout_row::{RolloutRow, RowOutcome, SeenRow};
+pub(crate) use source_line::LineHost;
+pub(crate) use staged_version::StagedVersion;
+pub(crate) use wanted_version::WantedVersion;
 pub(crate) use weights_thread::{WeightsEdges, WeightsHandle, WeightsLimits, start_weights};
--- a/src/weights/rollout_book.rs
+++ b/src/weights/rollout_book.rs
@@ -150,6 +150,10 @@
                 book.may_hold_old = false;
                 return None;
             }
+            // Forgotten before it is given back: when the write's answer is lost, another host may
+            // have the place already, and a change begun now would put one too many out of service.
+            book.permit = None;
+            book.may_hold_old = true;
             Some(book.write(WritePurpose::Release, revision, next, now))
         })
     }
--- /dev/null
+++ b/src/weights/tests/checks.rs
@@ -0,0 +1,130 @@
+//! What comes from outside and must not be believed.
+
+use bytes::Bytes;
+
+use crate::errors::ErrorKind;
+use crate::weights::{StagedVersion, VersionManifest, WeightsDigest};
+
+const MEMORY: u64 = 1024;
+
+fn manifest(data: &[u8], chunk_size: usize) -> VersionManifest {
+    VersionManifest {
+        name: "weights".into(),
+        size: data.len() as u64,
+        chunk_size: chunk_size as u64,
+        chunks: data.chunks(chunk_size).map(WeightsDigest::of).collect(),
+        digest: WeightsDigest::of(data),
+    }
+}
+
+fn read(manifest: &VersionManifest, wanted: WeightsDigest) -> Result<VersionManifest, ErrorKind> {
+    let text = serde_json::to_vec(manifest).expect("a manifest is JSON");
+    VersionManifest::read(&text, wanted, MEMORY).map_err(|error| error.kind)
+}
+
+/// Symptom: a host that fetches chunks that do not exist, or asks for memory that it does not
+/// have. Events: the manifest says sizes that contradict each other. Cause: a manifest is taken at
+/// its word.
+#[test]
+fn manifests_that_contradict_themselves_are_refused() {
+    let good = manifest(b"some weights", 4);
+    assert_eq!(read(&good, good.digest).as_ref(), Ok(&good));
+    let lies = [
+        VersionManifest {
+            size: 13,
+            ..good.clone()
+        },
+        VersionManifest {
+            size: 0,
+            ..good.clone()
+        },
+        VersionManifest {
+            size: u64::MAX,
+            ..good.clone()
+        },
+        VersionManifest {
+            chunk_size: 0,
+            ..good.clone()
+        },
+        VersionManifest {
+            chunk_size: 6,
+            ..good.clone()
+        },
+        VersionManifest {
+            chunk_size: u64::MAX,
+            ..good.clone()
+        },
+        VersionManifest {
+            chunks: Vec::new(),
+            ..good.clone()
+        },
+    ];
+    for lie in lies {
+        assert_eq!(
+            read(&lie, good.digest),
+            Err(ErrorKind::ManifestInvalid),
+            "{lie:?}"
+        );
+    }
+    let other = WeightsDigest::of(b"other weights");
+    assert_eq!(read(&good, other), Err(ErrorKind::ManifestInvalid));
+    let large = manifest(&[7; 2048], 512);
+    assert_eq!(read(&large, large.digest), Err(ErrorKind::MemoryTooSmall));
+}
+
+#[test]
+fn chunks_are_kept_only_when_they_match() {
+    let data = b"some weights";
+    let version = StagedVersion::new(manifest(data, 5));
+    let wrong: [&'static [u8]; 4] = [b"some", b"some w", b"Some ", b""];
+    for bytes in wrong {
+        let kept = version.keep_chunk(0, Bytes::from_static(bytes));
+        assert_eq!(
+            kept.map_err(|error| error.kind),
+            Err(ErrorKind::ChunkCorrupt)
+        );
+        assert_eq!(version.chunk(0), None);
+    }
+    let beyond = version.keep_chunk(3, Bytes::from_static(b"some "));
+    assert_eq!(
+        beyond.map_err(|error| error.kind),
+        Err(ErrorKind::ChunkCorrupt)
+    );
+    for (index, chunk) in (0..).zip(data.chunks(5)) {
+        assert!(
+            version.whole().is_none(),
+            "a part was given away as the whole"
+        );
+        let early = version.seal().map_err(|error| error.kind);
+        assert_eq!(early, Err(ErrorKind::ChunkMissing));
+        version
+            .keep_chunk(index, Bytes::copy_from_slice(chunk))
+            .expect("it matches");
+    }
+    version.seal().expect("all is there");
+    assert_eq!(
+        version.whole().map(|whole| whole.concat()),
+        Some(data.to_vec())
+    );
+}
+
+/// Symptom: hosts serve weights that nobody published. Events: a manifest names the document's
+/// digest but the chunks of other weights; every chunk matches it. Cause: only chunks are checked.
+#[test]
+fn chunks_of_other_weights_do_not_make_the_whole() {
+    let mut lie = manifest(b"wrong weights", 5);
+    lie.digest = WeightsDigest::of(b"right weights");
+    assert!(
+        lie.check(lie.digest, MEMORY).is_ok(),
+        "it does not contradict itself"
+    );
+    let version = StagedVersion::new(lie);
+    for (index, chunk) in (0..).zip(b"wrong weights".chunks(5)) {
+        version
+            .keep_chunk(index, Bytes::copy_from_slice(chunk))
+            .expect("it matches");
+    }
+    let sealed = version.seal().map_err(|error| error.kind);
+    assert_eq!(sealed, Err(ErrorKind::ManifestInvalid));
+    assert!(!version.is_whole() && version.whole().is_none());
+}
