Drive several host processes' keyed calls through failures

The driver keeps three host processes' real state (attempts, keys, slots, claims) over a table that goes away, loses answers and lets writes take effect late, kills, pauses and replaces them, sends calls anywhere again and again, some with wrong clocks. It checks that no key runs twice, that nothing runs that was told "not run", that a replay is the first answer, that no two processes have one slot open, and that all is written down once everything works again. The decisions on keys and attempts moved into functions of the state with the time as argument, so that edge and driver share them.

It now counts what it comes to, and the test asks that none of the counts be 0.

--- a/src/guard/attempt_book.rs
+++ b/src/guard/attempt_book.rs
@@ -55,7 +55,7 @@
 /// an attempt that it has not seen before it says "not run", and refuses it when it comes. What is
 /// older than the newest forgotten attempt, by the time that the entry host wrote into its
 /// identity, is neither run nor called "not run".
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct AttemptBook {
     attempts: Vec<AttemptEntry>,
     /// The time in the identity of the newest attempt that was forgotten, in milliseconds.
@@ -71,6 +71,15 @@
 }
 
 impl AttemptBook {
+    /// A book that knows of nothing.
+    pub(crate) const fn new() -> Self {
+        Self {
+            attempts: Vec::new(),
+            forgotten_ms: None,
+            since_sweep: 0,
+        }
+    }
+
     /// An order for `attempt` has come.
     pub(crate) fn arrive(&mut self, attempt: AttemptId, now: ClockTime) -> Arrival {
         self.sweep_at_times(now);
--- a/src/guard/claim_record.rs
+++ b/src/guard/claim_record.rs
@@ -10,26 +10,26 @@
 /// A claim as its row holds it, in JSON.
 #[apply(message!)]
 #[derive(Eq)]
-pub(super) struct ClaimRecord {
+pub(crate) struct ClaimRecord {
     /// Tells this claim from any other, also after the answer to its writing was lost.
-    pub(super) nonce: u64,
+    pub(crate) nonce: u64,
     /// Who wrote it.
-    pub(super) holder: LeaseHolder,
+    pub(crate) holder: LeaseHolder,
     /// The fencing number of the lease under which it was written.
-    pub(super) fence: u64,
+    pub(crate) fence: u64,
     /// The digest of the call, to tell a repeated call from a reused key.
-    pub(super) fingerprint: [u8; 16],
+    pub(crate) fingerprint: [u8; 16],
     /// When it was written, by the writer's wall clock, in milliseconds; says when it may go.
-    pub(super) written_ms: u64,
+    pub(crate) written_ms: u64,
     /// What is known of the call.
-    pub(super) state: ClaimState,
+    pub(crate) state: ClaimState,
 }
 
 /// What is known of a claimed call.
 #[apply(message!)]
 #[derive(Eq)]
 #[serde(rename_all = "snake_case")]
-pub(super) enum ClaimState {
+pub(crate) enum ClaimState {
     /// It is about to be handed over, or was.
     Started,
     /// It ran to its end.
@@ -40,7 +40,7 @@
 #[apply(message!)]
 #[derive(Eq)]
 #[serde(rename_all = "snake_case")]
-pub(super) enum KeptAnswer {
+pub(crate) enum KeptAnswer {
     /// Here, in base64.
     Inline(String),
     /// In the object store, under this name.
@@ -49,7 +49,7 @@
 
 impl ClaimRecord {
     /// Its bytes in the table.
-    pub(super) fn to_bytes(&self) -> SwitchResult<Bytes> {
+    pub(crate) fn to_bytes(&self) -> SwitchResult<Bytes> {
         match serde_json::to_vec(self) {
             Ok(text) => Ok(text.into()),
             Err(fault) => Err(SwitchError::new(ErrorKind::Internal, fault.to_string())),
@@ -57,7 +57,7 @@
     }
 
     /// The record in a row's bytes.
-    pub(super) fn from_bytes(bytes: &[u8]) -> SwitchResult<Self> {
+    pub(crate) fn from_bytes(bytes: &[u8]) -> SwitchResult<Self> {
         serde_json::from_slice(bytes)
             .map_err(|fault| SwitchError::new(ErrorKind::TableUnavailable, fault.to_string()))
     }
--- a/src/guard/claim_rules.rs
+++ b/src/guard/claim_rules.rs
@@ -7,11 +7,11 @@
 /// How far two hosts' wall clocks may differ, in milliseconds.
 const SKEW_MS: u64 = 5_000;
 /// How far ahead of this host's clock a key's time may lie, in milliseconds.
-pub(super) const AHEAD_MS: u64 = 5_000;
+pub(crate) const AHEAD_MS: u64 = 5_000;
 /// How old a key may be that runs without a claim, in milliseconds.
 const FRESH_MS: u64 = 60_000;
 /// How long claims are kept, in milliseconds.
-pub(super) const CLAIM_KEPT_MS: u64 = 24 * 60 * 60 * 1000;
+pub(crate) const CLAIM_KEPT_MS: u64 = 24 * 60 * 60 * 1000;
 /// How old a key may be for a missing claim to mean that it never ran, in milliseconds; an hour
 /// before claims are removed.
 const KEY_LIFE_MS: u64 = 23 * 60 * 60 * 1000;
@@ -21,7 +21,7 @@
 /// A caller whose clock runs ahead makes keys that look as if they were made later than they were.
 /// One that ran under an earlier holder would look as if it were made after the lease had passed,
 /// and would run again in an outage. No host takes such a key at any time.
-pub(super) fn is_ahead(call: &KeyedCall, wall: WallTime) -> bool {
+pub(crate) fn is_ahead(call: &KeyedCall, wall: WallTime) -> bool {
     call.made.is_some_and(|made| made.0 > wall.0 + AHEAD_MS)
 }
 
@@ -32,7 +32,7 @@
 /// lease, by clocks that differ by no more than the margins. And should this process die before it
 /// can write down that the call ran, its successor must know which keys to doubt: young ones only,
 /// by a lease whose row says that its holder runs calls without claims.
-pub(super) fn may_run_unclaimed(call: &KeyedCall, grant: &SlotGrant, wall: WallTime) -> bool {
+pub(crate) fn may_run_unclaimed(call: &KeyedCall, grant: &SlotGrant, wall: WallTime) -> bool {
     let Some(made) = call.made else {
         return false;
     };
@@ -47,7 +47,7 @@
 
 /// Whether the call may have run although it has no claim: under an earlier holder in an outage, or
 /// so long ago that its claim is gone.
-pub(super) fn is_doubtful(call: &KeyedCall, grant: &SlotGrant, wall: WallTime) -> bool {
+pub(crate) fn is_doubtful(call: &KeyedCall, grant: &SlotGrant, wall: WallTime) -> bool {
     let Some(made) = call.made else {
         return false;
     };
--- a/src/guard/claim_store.rs
+++ b/src/guard/claim_store.rs
@@ -8,9 +8,10 @@
 use bytestring::ByteString;
 
 use super::claim_record::{ClaimRecord, KeptAnswer};
-use super::key_entry::ClaimResult;
-use super::keyed_call::{KeyHash, claim_prefix};
+use super::key_entry::{ClaimPlan, ClaimResult};
+use super::keyed_call::{KeyHash, KeyedCall, claim_prefix};
 use crate::delivery::RunPart;
+use crate::documents::OutageRule;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::metrics::count_event;
 use crate::platform::{ObjectStore, RowRevision, TableStore, WriteResult};
@@ -21,16 +22,16 @@
 
 /// The claims of one service.
 #[derive(Clone)]
-pub(super) struct ClaimStore {
-    pub(super) service: ByteString,
-    pub(super) table: Arc<dyn TableStore>,
-    pub(super) objects: Arc<dyn ObjectStore>,
+pub(crate) struct ClaimStore {
+    pub(crate) service: ByteString,
+    pub(crate) table: Arc<dyn TableStore>,
+    pub(crate) objects: Arc<dyn ObjectStore>,
 }
 
 impl ClaimStore {
     /// Writes `record` over what is expected at `expected`. When the answer is lost and
     /// `reads_back` is set, reads the row to see whether the write took effect.
-    pub(super) async fn write(
+    pub(crate) async fn write(
         &self,
         key: KeyHash,
         expected: RowRevision,
@@ -58,7 +59,7 @@
     }
 
     /// Reads the claim on `key`.
-    pub(super) async fn read(&self, key: KeyHash) -> ClaimResult {
+    pub(crate) async fn read(&self, key: KeyHash) -> ClaimResult {
         match self.table.read(&key.claim_key(&self.service)).await {
             Ok(Some(row)) => found(row.revision, &row.value),
             Ok(None) => ClaimResult::Absent,
@@ -68,7 +69,7 @@
 
     /// Removes the claim on `key` that stands at `revision`. One that stays makes its key's outcome
     /// unknown, which is true but less than could be said.
-    pub(super) async fn remove(&self, key: KeyHash, revision: RowRevision) {
+    pub(crate) async fn remove(&self, key: KeyHash, revision: RowRevision) {
         let row_key = key.claim_key(&self.service);
         if self.table.remove(&row_key, revision).await.is_err() {
             count_event("claim_left_behind", 1);
@@ -76,7 +77,7 @@
     }
 
     /// Puts an answer where it is kept.
-    pub(super) async fn keep_answer(&self, parts: &[RunPart]) -> SwitchResult<KeptAnswer> {
+    pub(crate) async fn keep_answer(&self, parts: &[RunPart]) -> SwitchResult<KeptAnswer> {
         let bytes = encode_message(&parts)?;
         if bytes.len() <= INLINE_BYTES_MAX {
             return Ok(KeptAnswer::Inline(BASE64.encode(&bytes)));
@@ -87,7 +88,7 @@
     }
 
     /// Brings a kept answer back.
-    pub(super) async fn fetch_answer(&self, kept: &KeptAnswer) -> SwitchResult<Vec<RunPart>> {
+    pub(crate) async fn fetch_answer(&self, kept: &KeptAnswer) -> SwitchResult<Vec<RunPart>> {
         let bytes = match kept {
             KeptAnswer::Inline(text) => {
                 let bytes = BASE64.decode(text).map_err(|fault| unreadable(&fault))?;
@@ -102,7 +103,7 @@
     }
 
     /// Removes claims under `slot` that were written before `before_ms`, at most `limit`.
-    pub(super) async fn remove_old(
+    pub(crate) async fn remove_old(
         &self,
         slot: u16,
         before_ms: u64,
@@ -122,6 +123,22 @@
     }
 }
 
+impl ClaimPlan {
+    /// Does what it says, for `call`.
+    pub(crate) async fn carry_out(self, claims: &ClaimStore, call: &KeyedCall) -> ClaimResult {
+        match self {
+            Self::Create(record) => {
+                // A call that may run without a claim does not wait for a second answer.
+                let reads_back = call.in_outage == OutageRule::Refuse;
+                claims
+                    .write(call.key, RowRevision::ABSENT, &record, reads_back)
+                    .await
+            }
+            Self::Read => claims.read(call.key).await,
+        }
+    }
+}
+
 fn found(revision: RowRevision, value: &[u8]) -> ClaimResult {
     match ClaimRecord::from_bytes(value) {
         Ok(record) => ClaimResult::Found(revision, record),
--- a/src/guard/key_book.rs
+++ b/src/guard/key_book.rs
@@ -8,7 +8,7 @@
 use super::claim_rules::{is_ahead, is_doubtful};
 use super::key_entry::{
     CallAnswer, ClaimPlan, ClaimResult, ClaimVerdict, KeyEnd, KeyEntry, KeyPhase, KeyState,
-    PendingRecord, not_known, refuse,
+    not_known, refuse,
 };
 use super::keyed_call::{KeyHash, KeyedCall, OrderHash, SlotGrant};
 use crate::delivery::AttemptId;
@@ -31,9 +31,9 @@
 /// the one process that holds the slot's lease, and a claim in the table goes ahead of each, so
 /// that a later holder of the slot knows of it.
 #[derive(Debug)]
-pub(super) struct KeyBook {
+pub(crate) struct KeyBook {
     holder: LeaseHolder,
-    entries: Vec<KeyEntry>,
+    pub(super) entries: Vec<KeyEntry>,
     /// Calls by order key; the first of each lane has its turn.
     lanes: Vec<(OrderHash, VecDeque<KeyHash>)>,
     next_nonce: u64,
@@ -41,7 +41,7 @@
 
 impl KeyBook {
     /// The book of `holder`.
-    pub(super) const fn new(holder: LeaseHolder) -> Self {
+    pub(crate) const fn new(holder: LeaseHolder) -> Self {
         Self {
             holder,
             entries: Vec::new(),
@@ -51,7 +51,7 @@
     }
 
     /// A keyed call has come in `attempt`; `grant` is the lease on its slot, if it is held.
-    pub(super) fn on_call(
+    pub(crate) fn on_call(
         &mut self,
         call: &KeyedCall,
         attempt: AttemptId,
@@ -105,7 +105,7 @@
     /// # Errors
     ///
     /// What to do without asking the table.
-    pub(super) fn plan_claim(
+    pub(crate) fn plan_claim(
         &mut self,
         key: KeyHash,
         grant: Option<&SlotGrant>,
@@ -133,7 +133,7 @@
     }
 
     /// The table answered to the plan for `key`, or did not.
-    pub(super) fn on_claim(
+    pub(crate) fn on_claim(
         &mut self,
         key: KeyHash,
         result: ClaimResult,
@@ -192,7 +192,7 @@
     }
 
     /// `key`, whose turn it was or will be, does not run this time.
-    pub(super) fn give_up(&mut self, key: KeyHash) {
+    pub(crate) fn give_up(&mut self, key: KeyHash) {
         self.waiting_entry(key).state = KeyState::Abandoned;
     }
 
@@ -201,7 +201,7 @@
     /// # Panics
     ///
     /// When `key` was not handed over.
-    pub(super) fn on_end(
+    pub(crate) fn on_end(
         &mut self,
         key: KeyHash,
         end: KeyEnd,
@@ -230,7 +230,7 @@
     }
 
     /// `key` leaves its lane; the one behind it gets its turn.
-    pub(super) fn next_turn(&mut self, key: KeyHash) -> Option<KeyHash> {
+    pub(crate) fn next_turn(&mut self, key: KeyHash) -> Option<KeyHash> {
         let at = self
             .lanes
             .iter()
@@ -244,67 +244,20 @@
         }
         next.filter(|_| had_turn)
     }
-}
-
-impl KeyBook {
-    /// Records that the table does not have yet, at most `limit`.
-    pub(super) fn pending_records(&self, limit: usize, wall: WallTime) -> Vec<PendingRecord> {
-        let pending = self.entries.iter().filter(|entry| entry.needs_record());
-        pending
-            .take(limit)
-            .map(|entry| PendingRecord {
-                key: entry.call.key,
-                expected: entry.claim.unwrap_or(RowRevision::ABSENT),
-                record: self.record_of(entry.call.key, wall),
-                has_ended: matches!(entry.state, KeyState::Ran { .. }),
-            })
-            .collect()
-    }
-
-    /// The row of `key` stands at `revision`, with the answer if `has_ended`.
-    pub(super) fn on_recorded(&mut self, key: KeyHash, revision: RowRevision, has_ended: bool) {
-        if let Ok(at) = self.find(key) {
-            let entry = &mut self.entries[at];
-            entry.claim = Some(revision);
-            if has_ended && matches!(entry.state, KeyState::Ran { .. }) {
-                entry.state = KeyState::Ran { recorded: true };
-            }
-        }
-    }
-
-    /// The row of `key` that was to be written over is not there.
-    pub(super) fn on_record_missing(&mut self, key: KeyHash) {
-        if let Ok(at) = self.find(key) {
-            self.entries[at].claim = None;
-        }
-    }
-
-    /// The kept answer of `key` could not be brought back: the next call looks for it again.
-    pub(super) fn on_answer_missing(&mut self, key: KeyHash) {
-        self.remove(key);
-    }
-
-    /// Whether a call of `slot` was handed over without a trace in the table. The lease must not be
-    /// renewed nor given back before there is one: a taker looks for doubts from the last renewal
-    /// on.
-    pub(super) fn has_untraced(&self, slot: u16) -> bool {
-        let mut of_slot = self.entries.iter().filter(|entry| entry.call.slot == slot);
-        of_slot.any(KeyEntry::is_untraced)
-    }
 
-    /// Whether nothing of `slot` is under way and all that ended is written down.
-    pub(super) fn is_idle(&self, slot: u16) -> bool {
-        let mut of_slot = self.entries.iter().filter(|entry| entry.call.slot == slot);
-        of_slot.all(KeyEntry::is_settled)
+    /// Whether it is the turn of `key` in its lane.
+    pub(crate) fn has_turn(&self, key: KeyHash) -> bool {
+        let mut lanes = self.lanes.iter();
+        lanes.any(|(_, lane)| lane.front() == Some(&key))
     }
 
     /// Whether `key` is remembered.
-    pub(super) fn knows(&self, key: KeyHash) -> bool {
+    pub(crate) fn knows(&self, key: KeyHash) -> bool {
         self.find(key).is_ok()
     }
 
     /// The attempts that brought `key`.
-    pub(super) fn attempts_of(&self, key: KeyHash) -> &[AttemptId] {
+    pub(crate) fn attempts_of(&self, key: KeyHash) -> &[AttemptId] {
         match self.find(key) {
             Ok(at) => &self.entries[at].attempts,
             Err(_) => &[],
@@ -355,7 +308,7 @@
         }
     }
 
-    fn record_of(&self, key: KeyHash, wall: WallTime) -> ClaimRecord {
+    pub(super) fn record_of(&self, key: KeyHash, wall: WallTime) -> ClaimRecord {
         let at = self
             .find(key)
             .expect("a key that is recorded is in the book");
@@ -383,12 +336,12 @@
         entry
     }
 
-    fn find(&self, key: KeyHash) -> Result<usize, usize> {
+    pub(super) fn find(&self, key: KeyHash) -> Result<usize, usize> {
         self.entries
             .binary_search_by_key(&key, |entry| entry.call.key)
     }
 
-    fn remove(&mut self, key: KeyHash) {
+    pub(super) fn remove(&mut self, key: KeyHash) {
         if let Ok(at) = self.find(key) {
             self.entries.remove(at);
         }
--- a/src/guard/key_entry.rs
+++ b/src/guard/key_entry.rs
@@ -13,7 +13,7 @@
 
 /// What an arriving keyed call gets.
 #[apply(key!)]
-pub(super) enum CallAnswer {
+pub(crate) enum CallAnswer {
     /// It is new, and runs when its turn comes.
     New {
         /// Whether that is now.
@@ -30,7 +30,7 @@
 
 /// How far a key's run is, for those that join it.
 #[apply(key!)]
-pub(super) enum KeyPhase {
+pub(crate) enum KeyPhase {
     /// Not handed over.
     Before,
     /// Handed over.
@@ -41,7 +41,7 @@
 
 /// How to make sure that nobody ran the key.
 #[apply(plain!)]
-pub(super) enum ClaimPlan {
+pub(crate) enum ClaimPlan {
     /// Write this claim if there is none, then tell [`KeyBook::on_claim`].
     Create(ClaimRecord),
     /// Only read the claim, then tell [`KeyBook::on_claim`].
@@ -50,7 +50,7 @@
 
 /// What the table said.
 #[apply(plain!)]
-pub(super) enum ClaimResult {
+pub(crate) enum ClaimResult {
     /// The claim was written.
     Written(RowRevision),
     /// There is a claim.
@@ -65,7 +65,7 @@
 
 /// What to do with a call whose turn it is.
 #[apply(plain!)]
-pub(super) enum ClaimVerdict {
+pub(crate) enum ClaimVerdict {
     /// Hand it over now, under this fencing number.
     HandOver(u64),
     /// It ran; this is its answer.
@@ -80,7 +80,7 @@
 
 /// How a handed-over call ended.
 #[apply(key!)]
-pub(super) enum KeyEnd {
+pub(crate) enum KeyEnd {
     /// To its end.
     Ran,
     /// The backend server did not begin it.
@@ -91,36 +91,47 @@
 
 /// A record that waits to be written.
 #[apply(plain!)]
-pub(super) struct PendingRecord {
-    pub(super) key: KeyHash,
+pub(crate) struct PendingRecord {
+    pub(crate) key: KeyHash,
     /// What the row is expected at.
-    pub(super) expected: RowRevision,
+    pub(crate) expected: RowRevision,
     /// The record; a finished call's answer is filled in by whoever writes it.
-    pub(super) record: ClaimRecord,
+    pub(crate) record: ClaimRecord,
     /// Whether the call has ended and its answer is to be written.
-    pub(super) has_ended: bool,
+    pub(crate) has_ended: bool,
+}
+
+/// What became of the writing of a record.
+#[apply(key!)]
+pub(crate) enum RecordEnd {
+    /// It stands, or an earlier writing of it does.
+    Written,
+    /// It has to be written again.
+    Waits,
+    /// Another's claim stands where nobody else's should.
+    Doubled,
 }
 
 /// One key.
 #[derive(Clone, Debug)]
-pub(super) struct KeyEntry {
-    pub(super) call: KeyedCall,
-    pub(super) nonce: u64,
-    pub(super) state: KeyState,
+pub(crate) struct KeyEntry {
+    pub(crate) call: KeyedCall,
+    pub(crate) nonce: u64,
+    pub(crate) state: KeyState,
     /// The claim as it stands, if one is known to stand.
-    pub(super) claim: Option<RowRevision>,
+    pub(crate) claim: Option<RowRevision>,
     /// The revision at which an order to remove its claim may still be on its way.
-    pub(super) removing: Option<RowRevision>,
-    pub(super) fence: u64,
-    pub(super) attempts: Vec<AttemptId>,
+    pub(crate) removing: Option<RowRevision>,
+    pub(crate) fence: u64,
+    pub(crate) attempts: Vec<AttemptId>,
     /// Bytes of its kept answer.
-    pub(super) kept_bytes: usize,
-    pub(super) touched: ClockTime,
+    pub(crate) kept_bytes: usize,
+    pub(crate) touched: ClockTime,
 }
 
 /// How far a key is.
 #[apply(key!)]
-pub(super) enum KeyState {
+pub(crate) enum KeyState {
     /// Behind others in its lane, or before its claim.
     Waiting,
     /// Handed over.
@@ -138,7 +149,7 @@
     ///
     /// Between the writing and now the lease may have lapsed: its next holder would start calls
     /// that belong behind this one.
-    pub(super) fn hand_over_claimed(
+    pub(crate) fn hand_over_claimed(
         &mut self,
         revision: RowRevision,
         grant: Option<&SlotGrant>,
@@ -162,7 +173,7 @@
     }
 
     /// What to do while the table is away.
-    pub(super) fn outage_verdict(
+    pub(crate) fn outage_verdict(
         &mut self,
         grant: Option<&SlotGrant>,
         is_wanted: bool,
@@ -178,13 +189,21 @@
         refuse(ErrorKind::ClaimUnavailable)
     }
 
+    /// Its row stands at `revision`, with its answer if `has_ended`.
+    pub(crate) fn on_recorded(&mut self, revision: RowRevision, has_ended: bool) {
+        self.claim = Some(revision);
+        if has_ended && matches!(self.state, KeyState::Ran { .. }) {
+            self.state = KeyState::Ran { recorded: true };
+        }
+    }
+
     /// Whether the table lacks something of it.
-    pub(super) const fn needs_record(&self) -> bool {
+    pub(crate) const fn needs_record(&self) -> bool {
         matches!(self.state, KeyState::Ran { recorded: false }) || self.is_untraced()
     }
 
     /// Whether the call was handed over and the table does not know it.
-    pub(super) const fn is_untraced(&self) -> bool {
+    pub(crate) const fn is_untraced(&self) -> bool {
         let handed_over = matches!(
             self.state,
             KeyState::Running | KeyState::Ran { .. } | KeyState::NotKnown
@@ -193,7 +212,7 @@
     }
 
     /// Whether it is over, and the table says all that this process knows of it.
-    pub(super) const fn is_settled(&self) -> bool {
+    pub(crate) const fn is_settled(&self) -> bool {
         match self.state {
             KeyState::Waiting | KeyState::Running => false,
             KeyState::Ran { recorded } => recorded,
@@ -204,11 +223,11 @@
 }
 
 /// The refusal of a call that does not run.
-pub(super) const fn refuse(kind: ErrorKind) -> ClaimVerdict {
+pub(crate) const fn refuse(kind: ErrorKind) -> ClaimVerdict {
     ClaimVerdict::Refuse(kind, RunOutcome::NotRun, None)
 }
 
 /// The refusal of a call that may have run.
-pub(super) const fn not_known() -> ClaimVerdict {
+pub(crate) const fn not_known() -> ClaimVerdict {
     ClaimVerdict::Refuse(ErrorKind::OutcomeUnknown, RunOutcome::NotKnown, None)
 }
--- a/src/guard/keyed_call.rs
+++ b/src/guard/keyed_call.rs
@@ -11,11 +11,16 @@
 
 /// An idempotency key within its service and account.
 #[apply(key!)]
-pub(super) struct KeyHash([u8; 16]);
+pub(crate) struct KeyHash([u8; 16]);
 
 impl KeyHash {
+    /// The hash of `key` of `account` at `service`.
+    pub(crate) fn of(service: &str, account: &str, key: &str) -> Self {
+        Self(name_digest(&[service, account, key]))
+    }
+
     /// The table's key of the claim on this key.
-    pub(super) fn claim_key(self, service: &str) -> String {
+    pub(crate) fn claim_key(self, service: &str) -> String {
         let digits = uuid::Uuid::from_bytes(self.0).simple();
         format!("{}{digits}", claim_prefix(service, self.claim_slot()))
     }
@@ -28,63 +33,58 @@
 }
 
 /// What the keys of the claims under `slot` begin with.
-pub(super) fn claim_prefix(service: &str, slot: u16) -> String {
+pub(crate) fn claim_prefix(service: &str, slot: u16) -> String {
     format!("claims/{service}/{slot:02}/")
 }
 
 /// An order key within its service and account.
 #[apply(key!)]
-pub(super) struct OrderHash([u8; 16]);
+pub(crate) struct OrderHash([u8; 16]);
+
+impl OrderHash {
+    /// The hash of `order_key` of `account` at `service`.
+    pub(crate) fn of(service: &str, account: &str, order_key: &str) -> Self {
+        Self(name_digest(&[service, account, order_key]))
+    }
+}
 
 /// An unrepeatable call with a key.
 #[apply(plain!)]
-pub(super) struct KeyedCall {
-    pub(super) key: KeyHash,
-    pub(super) order: OrderHash,
-    pub(super) slot: u16,
-    pub(super) fingerprint: [u8; 16],
+pub(crate) struct KeyedCall {
+    pub(crate) key: KeyHash,
+    pub(crate) order: OrderHash,
+    pub(crate) slot: u16,
+    pub(crate) fingerprint: [u8; 16],
     /// When the caller made the key, by its clock.
-    pub(super) made: Option<WallTime>,
-    pub(super) in_outage: OutageRule,
+    pub(crate) made: Option<WallTime>,
+    pub(crate) in_outage: OutageRule,
 }
 
 impl KeyedCall {
     /// The keyed call of `order`, if it is one.
-    pub(super) fn of(order: &RunOrder) -> Option<Self> {
+    pub(crate) fn of(order: &RunOrder) -> Option<Self> {
         let call = order.call_key.as_ref().filter(|_| !order.repeatable)?;
         let (service, account) = (&*order.service, &*order.account);
         Some(Self {
-            key: KeyHash(name_digest(&[service, account, &call.key])),
-            order: OrderHash(name_digest(&[service, account, &call.order_key])),
+            key: KeyHash::of(service, account, &call.key),
+            order: OrderHash::of(service, account, &call.order_key),
             slot: slot_of(service, account, &call.order_key),
             fingerprint: call.fingerprint,
             made: call.made_ms.map(WallTime),
             in_outage: call.in_outage,
         })
     }
-
-    #[cfg(test)]
-    pub(super) fn named(key: u8, order: u8) -> Self {
-        Self {
-            key: KeyHash([key; 16]),
-            order: OrderHash([order; 16]),
-            slot: u16::from(order) % SLOT_COUNT,
-            fingerprint: [0; 16],
-            made: None,
-            in_outage: OutageRule::Refuse,
-        }
-    }
 }
 
 /// What the lease on a slot allows its holder now.
 #[apply(plain!)]
-pub(super) struct SlotGrant {
+pub(crate) struct SlotGrant {
     /// The lease's fencing number.
-    pub(super) fence: u64,
+    pub(crate) fence: u64,
     /// Whether calls may run without a claim while the table is away.
-    pub(super) runs_unclaimed: bool,
+    pub(crate) runs_unclaimed: bool,
     /// When this process took the lease, by its wall clock.
-    pub(super) taken: WallTime,
+    pub(crate) taken: WallTime,
     /// When earlier holders may have run calls without a claim.
-    pub(super) doubts: Vec<DoubtWindow>,
+    pub(crate) doubts: Vec<DoubtWindow>,
 }
--- a/src/guard/keyed_run.rs
+++ b/src/guard/keyed_run.rs
@@ -27,12 +27,17 @@
 
 /// The run of one key, shared by all calls that bring it.
 #[derive(Debug, Default)]
-pub(super) struct KeyRun {
+pub(crate) struct KeyRun {
     buffer: Arc<AnswerBuffer>,
     turn: Notify,
 }
 
 impl KeyRun {
+    /// Its turn has come.
+    pub(super) fn give_turn(&self) {
+        self.turn.notify_one();
+    }
+
     /// The answer.
     pub(super) fn buffer(&self) -> &Arc<AnswerBuffer> {
         &self.buffer
@@ -40,7 +45,7 @@
 }
 
 /// Carries out an order with a key.
-pub(super) async fn run_keyed(
+pub(crate) async fn run_keyed(
     shared: Arc<GuardShared>,
     call: KeyedCall,
     order: RunOrder,
@@ -101,33 +106,20 @@
     call: &KeyedCall,
     attempt: AttemptId,
 ) -> SwitchResult<(Arc<KeyRun>, bool)> {
-    let mut guard = shared.lock();
-    let state = &mut *guard;
-    let now = clock_now();
-    let grant = state.slots.grant(call.slot, now);
-    let answer = state
-        .keys
-        .on_call(call, attempt, grant.as_ref(), now, wall_now());
-    match answer {
+    let mut state = shared.lock();
+    match state.on_call(call, attempt, clock_now(), wall_now()) {
         CallAnswer::Refuse(kind, outcome) => {
-            end_unstarted(state, &[attempt], outcome);
             Err(SwitchError::new(kind, "the key's run").with_outcome(outcome))
         }
         CallAnswer::New { has_turn } => {
             let run = Arc::new(KeyRun::default());
             if has_turn {
-                run.turn.notify_one();
+                run.give_turn();
             }
             state.keep_run(call.key, Arc::clone(&run));
             Ok((run, true))
         }
-        CallAnswer::Joins { phase } => {
-            if phase != KeyPhase::Before {
-                state.attempts.start(attempt);
-            }
-            if phase == KeyPhase::Ran {
-                state.attempts.end(attempt, AttemptState::Ran);
-            }
+        CallAnswer::Joins { .. } => {
             let run = state.run_of(call.key);
             let run = run.ok_or_else(|| SwitchError::new(ErrorKind::Internal, "no run"))?;
             Ok((run, false))
@@ -135,71 +127,6 @@
     }
 }
 
-impl GuardState {
-    /// The run of `key`.
-    pub(super) fn run_of(&self, key: KeyHash) -> Option<Arc<KeyRun>> {
-        let found = self.runs.binary_search_by_key(&key, |(one, _)| *one);
-        found.ok().map(|at| Arc::clone(&self.runs[at].1))
-    }
-
-    fn keep_run(&mut self, key: KeyHash, run: Arc<KeyRun>) {
-        let keys = &self.keys;
-        self.runs
-            .retain(|(other, _)| *other != key && keys.knows(*other));
-        let at = self.runs.partition_point(|(other, _)| *other < key);
-        self.runs.insert(at, (key, run));
-    }
-
-    /// Whether any caller still waits for `key` to run.
-    fn is_wanted(&self, key: KeyHash) -> bool {
-        let mut attempts = self.keys.attempts_of(key).iter();
-        attempts.any(|attempt| self.attempts.is_waiting(*attempt))
-    }
-
-    /// Marks the calls that wait for `key` as `verdict` says.
-    fn apply_verdict(&mut self, key: KeyHash, verdict: &ClaimVerdict, attempts: &[AttemptId]) {
-        match verdict {
-            ClaimVerdict::HandOver(_) => {
-                for attempt in attempts {
-                    self.attempts.start(*attempt);
-                }
-            }
-            ClaimVerdict::Replay(_) => {
-                for attempt in attempts {
-                    if self.attempts.start(*attempt) {
-                        self.attempts.end(*attempt, AttemptState::Ran);
-                    }
-                }
-                self.pass_turn(key);
-            }
-            ClaimVerdict::Refuse(_, outcome, _) => {
-                end_unstarted(self, attempts, *outcome);
-                self.pass_turn(key);
-            }
-            ClaimVerdict::Reclaim(..) => {}
-        }
-    }
-
-    fn pass_turn(&mut self, key: KeyHash) {
-        if let Some(next) = self.keys.next_turn(key)
-            && let Some(run) = self.run_of(next)
-        {
-            run.turn.notify_one();
-        }
-    }
-}
-
-/// Notes what is known of attempts that this process did not start.
-fn end_unstarted(state: &mut GuardState, attempts: &[AttemptId], outcome: RunOutcome) {
-    for attempt in attempts {
-        if outcome == RunOutcome::NotRun {
-            state.attempts.withdraw(*attempt);
-        } else if state.attempts.start(*attempt) {
-            state.attempts.end(*attempt, AttemptState::NotKnown);
-        }
-    }
-}
-
 /// What runs one key.
 struct KeyTask {
     shared: Arc<GuardShared>,
@@ -269,26 +196,14 @@
     /// Makes sure that nobody ran the key before.
     async fn claim(&self) -> ClaimVerdict {
         let key = self.call.key;
-        let mut result = {
-            let mut guard = self.shared.lock();
-            let state = &mut *guard;
-            let now = clock_now();
-            let grant = state.slots.grant(self.call.slot, now);
-            let (answers, is_wanted) = (state.table_answers(now), state.is_wanted(key));
-            let attempts = state.keys.attempts_of(key).to_vec();
-            let plan = state
-                .keys
-                .plan_claim(key, grant.as_ref(), answers, is_wanted, wall_now());
-            match plan {
-                Ok(plan) => plan,
-                Err(verdict) => {
-                    state.apply_verdict(key, &verdict, &attempts);
-                    return verdict;
-                }
-            }
-        }
-        .carry_out(&self.shared, &self.call)
-        .await;
+        let plan = {
+            let mut state = self.shared.lock();
+            state.plan_claim(&self.call, clock_now(), wall_now())
+        };
+        let mut result = match plan {
+            Ok(plan) => plan.carry_out(&self.shared.claims, &self.call).await,
+            Err(verdict) => return verdict,
+        };
         for _ in 0..RECLAIMS_MAX {
             match self.decide(result) {
                 ClaimVerdict::Reclaim(revision, record) => {
@@ -302,21 +217,8 @@
     }
 
     fn decide(&self, result: ClaimResult) -> ClaimVerdict {
-        let key = self.call.key;
-        let mut guard = self.shared.lock();
-        let state = &mut *guard;
-        let now = clock_now();
-        if result == ClaimResult::Away {
-            state.table_failed(now);
-        }
-        let grant = state.slots.grant(self.call.slot, now);
-        let is_wanted = state.is_wanted(key);
-        let attempts = state.keys.attempts_of(key).to_vec();
-        let verdict = state
-            .keys
-            .on_claim(key, result, grant.as_ref(), is_wanted, wall_now());
-        state.apply_verdict(key, &verdict, &attempts);
-        verdict
+        let mut state = self.shared.lock();
+        state.on_claim(&self.call, result, clock_now(), wall_now())
     }
 
     async fn finish(&self, end: RunEnd) {
@@ -332,18 +234,10 @@
         };
         // The answer is whole before anybody is told that the run is over.
         let _ = self.run.buffer.push(last);
+        let bytes = self.run.buffer.bytes();
         let claim = {
             let mut guard = self.shared.lock();
-            let attempts = guard.keys.attempts_of(key).to_vec();
-            for attempt in attempts {
-                if guard.attempts.state_of(attempt) == Some(AttemptState::Started) {
-                    guard.attempts.end(attempt, state);
-                }
-            }
-            let bytes = self.run.buffer.bytes();
-            let claim = guard.keys.on_end(key, key_end, bytes, clock_now());
-            guard.pass_turn(key);
-            claim
+            guard.on_end(key, key_end, state, bytes, clock_now())
         };
         self.shared.records.notify_one();
         self.remove_claim(claim).await;
@@ -365,15 +259,7 @@
     }
 
     fn give_up(&self, error: &SwitchError) {
-        let key = self.call.key;
-        {
-            let mut guard = self.shared.lock();
-            let state = &mut *guard;
-            let attempts = state.keys.attempts_of(key).to_vec();
-            state.keys.give_up(key);
-            end_unstarted(state, &attempts, RunOutcome::NotRun);
-            state.pass_turn(key);
-        }
+        self.shared.lock().give_up(self.call.key);
         let _ = self.run.buffer.push(refused(error));
     }
 
@@ -401,18 +287,3 @@
         other => other,
     }
 }
-
-impl ClaimPlan {
-    async fn carry_out(self, shared: &GuardShared, call: &KeyedCall) -> ClaimResult {
-        match self {
-            Self::Create(record) => {
-                let claims = &shared.claims;
-                let reads_back = call.in_outage == crate::documents::OutageRule::Refuse;
-                claims
-                    .write(call.key, RowRevision::ABSENT, &record, reads_back)
-                    .await
-            }
-            Self::Read => shared.claims.read(call.key).await,
-        }
-    }
-}
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -2,25 +2,27 @@
 //! service, runs unrepeatable calls at most once, and knows what ran.
 
 mod answer_buffer;
-mod attempt_book;
+pub(crate) mod attempt_book;
 mod backend_run;
-mod claim_record;
+pub(crate) mod claim_record;
 mod claim_rules;
-mod claim_store;
+pub(crate) mod claim_store;
 pub(crate) mod events;
 mod key_book;
-mod key_entry;
-mod keyed_call;
+pub(crate) mod key_entry;
+mod key_records;
+mod key_state;
+pub(crate) mod keyed_call;
 mod keyed_run;
 mod part_sink;
 mod record_keeper;
 mod run_edge;
-mod run_queue;
+pub(crate) mod run_queue;
 mod run_task;
 mod serving_gate;
-mod shared;
+pub(crate) mod shared;
 mod slot_keeper;
-mod slot_table;
+pub(crate) mod slot_table;
 mod slots;
 #[cfg(test)]
 mod tests;
--- a/src/guard/record_keeper.rs
+++ b/src/guard/record_keeper.rs
@@ -9,12 +9,11 @@
 
 use super::claim_record::{ClaimRecord, ClaimState};
 use super::events;
-use super::key_entry::{ClaimResult, PendingRecord};
+use super::key_entry::{ClaimResult, PendingRecord, RecordEnd};
 use super::shared::GuardShared;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::metrics::count_event;
-use crate::platform::RowRevision;
 use crate::time::{clock_now, wall_now};
 
 /// How often records that could not be written are tried again.
@@ -56,17 +55,12 @@
         .await;
     let is_away = result == ClaimResult::Away;
     let mut state = shared.lock();
-    match result {
-        ClaimResult::Written(revision) => {
-            state.keys.on_recorded(key, revision, pending.has_ended);
-        }
-        ClaimResult::Found(revision, found) => {
-            let has_ended = note_found(&record, &found);
-            state.keys.on_recorded(key, revision, has_ended);
-        }
-        ClaimResult::Absent => state.keys.on_record_missing(key),
-        ClaimResult::Unreadable => state.keys.on_recorded(key, RowRevision::ABSENT, true),
-        ClaimResult::Away => state.table_failed(clock_now()),
+    if is_away {
+        state.table_failed(clock_now());
+    }
+    if state.keys.on_record(&pending, result) == RecordEnd::Doubled {
+        log_event!(events::CLAIM_DOUBLED, "under fence {}", record.fence);
+        count_event("claims_doubled", 1);
     }
     drop(state);
     if !is_away {
@@ -75,23 +69,6 @@
     }
 }
 
-/// Whether nothing is left to be written beside the row that was found in place of ours.
-fn note_found(ours: &ClaimRecord, found: &ClaimRecord) -> bool {
-    if found.holder == ours.holder && found.nonce == ours.nonce {
-        // An earlier write of ours whose answer was lost.
-        return matches!(found.state, ClaimState::Finished(_));
-    }
-    // Every key that runs without a claim is one that the next holder doubts: it writes no claim.
-    log_event!(
-        events::CLAIM_DOUBLED,
-        "by {} under fence {}",
-        found.holder.host,
-        found.fence
-    );
-    count_event("claims_doubled", 1);
-    true
-}
-
 async fn fill_record(
     shared: &Arc<GuardShared>,
     pending: &PendingRecord,
--- a/src/guard/run_edge.rs
+++ b/src/guard/run_edge.rs
@@ -19,6 +19,8 @@
 use super::serving_gate::ServingGate;
 use super::shared::{BackendServer, GuardShared, GuardState};
 use super::slot_keeper::keep_slots;
+use super::slot_table::SlotTable;
+use super::slots::SLOT_COUNT;
 use crate::control::SharedSnapshot;
 use crate::daemon::DrainState;
 use crate::delivery::{RunOrder, SettleOrder, SettleReply};
@@ -88,7 +90,8 @@
         host: edges.identity.host.clone(),
         incarnation: edges.identity.incarnation,
     };
-    let state = GuardState::new(queue, holder, limits.slot_lease);
+    let slots = SlotTable::new(holder.clone(), limits.slot_lease, SLOT_COUNT);
+    let state = GuardState::new(queue, holder, slots);
     let claims = ClaimStore {
         service: service.clone(),
         table: edges.table,
--- a/src/guard/shared.rs
+++ b/src/guard/shared.rs
@@ -38,29 +38,29 @@
 }
 
 /// What all requests of this process share.
-pub(super) struct GuardShared {
-    pub(super) service: ByteString,
-    pub(super) host: ByteString,
-    pub(super) incarnation: u64,
-    pub(super) backend: BackendServer,
-    pub(super) gate: ServingGate,
-    pub(super) board: StatusBoard,
-    pub(super) drain: DrainState,
-    pub(super) claims: ClaimStore,
+pub(crate) struct GuardShared {
+    pub(crate) service: ByteString,
+    pub(crate) host: ByteString,
+    pub(crate) incarnation: u64,
+    pub(crate) backend: BackendServer,
+    pub(crate) gate: ServingGate,
+    pub(crate) board: StatusBoard,
+    pub(crate) drain: DrainState,
+    pub(crate) claims: ClaimStore,
     /// Told when there may be records to write.
-    pub(super) records: Notify,
-    pub(super) state: Mutex<GuardState>,
+    pub(crate) records: Notify,
+    pub(crate) state: Mutex<GuardState>,
 }
 
 /// What the decisions work on. Held under one lock, for short steps only: a settled attempt must
 /// not start in the same moment.
-pub(super) struct GuardState {
-    pub(super) attempts: AttemptBook,
-    pub(super) queue: RunQueue,
-    pub(super) keys: KeyBook,
-    pub(super) slots: SlotTable,
+pub(crate) struct GuardState {
+    pub(crate) attempts: AttemptBook,
+    pub(crate) queue: RunQueue,
+    pub(crate) keys: KeyBook,
+    pub(crate) slots: SlotTable,
     /// The runs of the keys in the book, sorted by key.
-    pub(super) runs: Vec<(KeyHash, Arc<KeyRun>)>,
+    pub(crate) runs: Vec<(KeyHash, Arc<KeyRun>)>,
     /// Until when the table counts as away after it did not answer.
     table_away_until: ClockTime,
     /// Who waits to be told to start, sorted by ticket.
@@ -68,31 +68,31 @@
 }
 
 impl GuardState {
-    pub(super) fn new(queue: RunQueue, holder: LeaseHolder, lease_length: Duration) -> Self {
+    pub(crate) const fn new(queue: RunQueue, holder: LeaseHolder, slots: SlotTable) -> Self {
         Self {
-            attempts: AttemptBook::default(),
+            attempts: AttemptBook::new(),
             queue,
-            keys: KeyBook::new(holder.clone()),
-            slots: SlotTable::new(holder, lease_length),
+            keys: KeyBook::new(holder),
+            slots,
             runs: Vec::new(),
-            table_away_until: ClockTime::default(),
+            table_away_until: ClockTime(0),
             starts: Vec::new(),
         }
     }
 
     /// Whether the table is worth asking.
-    pub(super) fn table_answers(&self, now: ClockTime) -> bool {
+    pub(crate) fn table_answers(&self, now: ClockTime) -> bool {
         now >= self.table_away_until
     }
 
     /// The table did not answer. Without this pause each call in an outage would hold its place
     /// before the backend server for as long as the table's time limit.
-    pub(super) fn table_failed(&mut self, now: ClockTime) {
+    pub(crate) fn table_failed(&mut self, now: ClockTime) {
         self.table_away_until = now + TABLE_PAUSE;
     }
 
     /// Tells those that may start now.
-    pub(super) fn tell_started(&mut self, started: Vec<RunTicket>) {
+    pub(crate) fn tell_started(&mut self, started: Vec<RunTicket>) {
         for ticket in started {
             let found = self.starts.binary_search_by_key(&ticket, |(one, _)| *one);
             if let Ok(at) = found {
@@ -112,12 +112,12 @@
 }
 
 impl GuardShared {
-    pub(super) fn lock(&self) -> MutexGuard<'_, GuardState> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, GuardState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Lets an order in, or says why not. After a refusal the attempt never runs here.
-    pub(super) fn admit(&self, order: &RunOrder, now: ClockTime) -> SwitchResult<()> {
+    pub(crate) fn admit(&self, order: &RunOrder, now: ClockTime) -> SwitchResult<()> {
         if order.incarnation != self.incarnation {
             return Err(refusal(
                 ErrorKind::BackendLeaving,
@@ -149,7 +149,7 @@
     }
 
     /// Waits for a place at the backend server until `deadline`, and as long as `is_wanted`.
-    pub(super) async fn take_place(
+    pub(crate) async fn take_place(
         self: &Arc<Self>,
         priority: RequestPriority,
         deadline: ClockTime,
@@ -202,7 +202,7 @@
     }
 
     /// How busy this host is, as far as it knows itself.
-    pub(super) fn load(&self) -> LoadReport {
+    pub(crate) fn load(&self) -> LoadReport {
         let state = self.lock();
         let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
         LoadReport {
@@ -214,13 +214,13 @@
     }
 
     /// Notes how the run of `attempt` ended.
-    pub(super) fn end_attempt(&self, attempt: AttemptId, state: AttemptState) {
+    pub(crate) fn end_attempt(&self, attempt: AttemptId, state: AttemptState) {
         self.lock().attempts.end(attempt, state);
     }
 }
 
 /// A place in the queue or at the backend server, given back when dropped.
-pub(super) struct PlaceGuard {
+pub(crate) struct PlaceGuard {
     shared: Arc<GuardShared>,
     ticket: RunTicket,
 }
@@ -237,7 +237,7 @@
 }
 
 /// A refusal of something that did not run.
-pub(super) fn refusal(kind: ErrorKind, detail: &str) -> SwitchError {
+pub(crate) fn refusal(kind: ErrorKind, detail: &str) -> SwitchError {
     SwitchError::new(kind, detail).with_outcome(RunOutcome::NotRun)
 }
 
--- a/src/guard/slot_table.rs
+++ b/src/guard/slot_table.rs
@@ -5,7 +5,7 @@
 use bytestring::ByteString;
 
 use super::keyed_call::SlotGrant;
-use super::slots::{SLOT_COUNT, name_digest};
+use super::slots::name_digest;
 use crate::leases::{LeaseHolder, LeaseMachine, LeaseRecord, LeaseStep};
 use crate::membership::SlotHold;
 use crate::platform::RowRevision;
@@ -17,7 +17,7 @@
 
 /// This process's side of every slot.
 #[derive(Debug)]
-pub(super) struct SlotTable {
+pub(crate) struct SlotTable {
     holder: LeaseHolder,
     sides: Vec<SlotSide>,
     /// Whether the process is leaving: nothing is wanted, everything is given back.
@@ -35,15 +35,16 @@
 }
 
 impl SlotTable {
-    /// The side of `holder`, whose leases last `length` from each renewal.
-    pub(super) fn new(holder: LeaseHolder, length: Duration) -> Self {
+    /// The side of `holder` of the first `slot_count` slots, whose leases last `length` from each
+    /// renewal.
+    pub(crate) fn new(holder: LeaseHolder, length: Duration, slot_count: u16) -> Self {
         let side = |_| SlotSide {
             lease: LeaseMachine::new(holder.clone(), length),
             is_wanted: false,
             unwanted_since: None,
             is_closing: false,
         };
-        let sides = (0..SLOT_COUNT).map(side).collect();
+        let sides = (0..slot_count).map(side).collect();
         Self {
             holder,
             sides,
@@ -53,7 +54,7 @@
 
     /// Takes over which hosts may hold slots, this one among them, and whether calls of the service
     /// may run without a claim in an outage.
-    pub(super) fn on_hosts(
+    pub(crate) fn on_hosts(
         &mut self,
         service: &str,
         hosts: &[ByteString],
@@ -61,7 +62,7 @@
         now: ClockTime,
     ) {
         let own = &self.holder.host;
-        for (slot, side) in (0..SLOT_COUNT).zip(&mut self.sides) {
+        for (slot, side) in (0..).zip(&mut self.sides) {
             let winner = best_host(service, slot, hosts);
             side.is_wanted = !self.is_leaving && winner.is_none_or(|host| host == own);
             side.unwanted_since = match (side.is_wanted, side.unwanted_since) {
@@ -73,7 +74,7 @@
     }
 
     /// From now on nothing is wanted.
-    pub(super) fn leave(&mut self) {
+    pub(crate) fn leave(&mut self) {
         self.is_leaving = true;
         for side in &mut self.sides {
             side.is_wanted = false;
@@ -82,18 +83,18 @@
     }
 
     /// The rows of all slots stand as read at `now`.
-    pub(super) fn on_listed(
+    pub(crate) fn on_listed(
         &mut self,
         mut row_of: impl FnMut(u16) -> Option<(RowRevision, LeaseRecord)>,
         now: ClockTime,
     ) {
-        for (slot, side) in (0..SLOT_COUNT).zip(&mut self.sides) {
+        for (slot, side) in (0..).zip(&mut self.sides) {
             side.lease.on_read(row_of(slot), now);
         }
     }
 
     /// Whether the rows have to be read: something is in doubt, or wanted and not held.
-    pub(super) fn needs_reading(&self, now: ClockTime) -> bool {
+    pub(crate) fn needs_reading(&self, now: ClockTime) -> bool {
         let mut sides = self.sides.iter();
         sides.any(|side| {
             let is_missing = side.is_wanted && side.lease.fence_at(now).is_none();
@@ -103,7 +104,7 @@
 
     /// Writes that are due, at most `limit`. `may_renew` says whether a held slot's calls all have
     /// their trace in the table.
-    pub(super) fn due_writes(
+    pub(crate) fn due_writes(
         &mut self,
         limit: usize,
         now: ClockTime,
@@ -111,7 +112,7 @@
         may_renew: impl Fn(u16) -> bool,
     ) -> Vec<SlotWrite> {
         let mut writes = Vec::new();
-        for (slot, side) in (0..SLOT_COUNT).zip(&mut self.sides) {
+        for (slot, side) in (0..).zip(&mut self.sides) {
             let is_held = side.lease.fence_at(now).is_some();
             let is_kept = side.is_wanted || (is_held && !side.is_closing);
             if writes.len() >= limit || !is_kept || side.lease.is_in_doubt() || !may_renew(slot) {
@@ -129,12 +130,12 @@
     }
 
     /// The write of `slot` took effect.
-    pub(super) fn on_written(&mut self, slot: u16, revision: RowRevision) {
+    pub(crate) fn on_written(&mut self, slot: u16, revision: RowRevision) {
         self.side(slot).lease.on_written(revision);
     }
 
     /// Another write to the row of `slot` came first.
-    pub(super) fn on_conflict(
+    pub(crate) fn on_conflict(
         &mut self,
         slot: u16,
         row: Option<(RowRevision, LeaseRecord)>,
@@ -144,19 +145,19 @@
     }
 
     /// It is not known whether the write of `slot` took effect.
-    pub(super) fn on_doubt(&mut self, slot: u16) {
+    pub(crate) fn on_doubt(&mut self, slot: u16) {
         self.side(slot).lease.on_doubt();
     }
 
     /// Closes held slots that another host should have. `is_idle` says whether nothing of a slot is
     /// under way; only then is it given back, by the returned writes.
-    pub(super) fn give_back(
+    pub(crate) fn give_back(
         &mut self,
         now: ClockTime,
         is_idle: impl Fn(u16) -> bool,
     ) -> Vec<SlotWrite> {
         let mut writes = Vec::new();
-        for (slot, side) in (0..SLOT_COUNT).zip(&mut self.sides) {
+        for (slot, side) in (0..).zip(&mut self.sides) {
             if side.lease.fence_at(now).is_none() {
                 side.is_closing = self.is_leaving;
                 continue;
@@ -180,7 +181,7 @@
     }
 
     /// What the lease on `slot` allows now; `None` when this process may start nothing in it.
-    pub(super) fn grant(&self, slot: u16, now: ClockTime) -> Option<SlotGrant> {
+    pub(crate) fn grant(&self, slot: u16, now: ClockTime) -> Option<SlotGrant> {
         let side = self.sides.get(usize::from(slot))?;
         let record = side.lease.held_record(now).filter(|_| !side.is_closing)?;
         Some(SlotGrant {
@@ -192,27 +193,31 @@
     }
 
     /// The slots that are open here.
-    pub(super) fn holds(&self, now: ClockTime) -> Vec<SlotHold> {
+    pub(crate) fn holds(&self, now: ClockTime) -> Vec<SlotHold> {
         let hold = |slot| {
             let fence = self.grant(slot, now)?.fence;
             Some(SlotHold { slot, fence })
         };
-        (0..SLOT_COUNT).filter_map(hold).collect()
+        self.slots().filter_map(hold).collect()
     }
 
     /// Whether any lease is held, open or about to be given back.
-    pub(super) fn holds_any(&self, now: ClockTime) -> bool {
+    pub(crate) fn holds_any(&self, now: ClockTime) -> bool {
         let mut sides = self.sides.iter();
         sides.any(|side| side.lease.fence_at(now).is_some())
     }
 
     /// The slots that are wanted here and not held.
-    pub(super) fn missing(&self, now: ClockTime) -> Vec<u16> {
+    pub(crate) fn missing(&self, now: ClockTime) -> Vec<u16> {
         let is_missing = |slot: &u16| {
             let side = &self.sides[usize::from(*slot)];
             side.is_wanted && side.lease.fence_at(now).is_none()
         };
-        (0..SLOT_COUNT).filter(is_missing).collect()
+        self.slots().filter(is_missing).collect()
+    }
+
+    fn slots(&self) -> impl Iterator<Item = u16> {
+        (0..).zip(&self.sides).map(|(slot, _)| slot)
     }
 
     fn side(&mut self, slot: u16) -> &mut SlotSide {
@@ -222,10 +227,10 @@
 
 /// A write to the row of one slot.
 #[derive(Clone, Debug)]
-pub(super) struct SlotWrite {
-    pub(super) slot: u16,
-    pub(super) expected: RowRevision,
-    pub(super) record: LeaseRecord,
+pub(crate) struct SlotWrite {
+    pub(crate) slot: u16,
+    pub(crate) expected: RowRevision,
+    pub(crate) record: LeaseRecord,
 }
 
 /// The host of `hosts` that should hold `slot`, by rendezvous hashing: a host that goes or comes
--- a/src/guard/slots.rs
+++ b/src/guard/slots.rs
@@ -13,7 +13,7 @@
 }
 
 /// The first bytes of the digest of `names`, told apart by their lengths.
-pub(super) fn name_digest(names: &[&str]) -> [u8; 16] {
+pub(crate) fn name_digest(names: &[&str]) -> [u8; 16] {
     let mut hasher = blake3::Hasher::new();
     for name in names {
         hasher.update(&(name.len() as u64).to_be_bytes());
@@ -25,11 +25,11 @@
 }
 
 /// The table's key of the lease on `slot` of `service`.
-pub(super) fn lease_key(service: &ByteString, slot: u16) -> String {
+pub(crate) fn lease_key(service: &ByteString, slot: u16) -> String {
     format!("{}{slot:02}", lease_prefix(service))
 }
 
 /// What the keys of all leases of `service` begin with.
-pub(super) fn lease_prefix(service: &ByteString) -> String {
+pub(crate) fn lease_prefix(service: &ByteString) -> String {
     format!("leases/SLOTS/{service}/")
 }
--- a/src/guard/tests/attempts.rs
+++ b/src/guard/tests/attempts.rs
@@ -70,7 +70,7 @@
 #[test]
 fn not_run_stays_true() {
     run_cases(CASES, CASE_BYTES, |u| {
-        let mut book = AttemptBook::default();
+        let mut book = AttemptBook::new();
         let mut now = ClockTime::from_millis(1_000_000);
         let mut attempts = Vec::new();
         for _ in 0..EVENTS {
--- a/src/guard/tests/mod.rs
+++ b/src/guard/tests/mod.rs
@@ -4,4 +4,5 @@
 mod fakes;
 mod keyed;
 mod queue;
+mod soak;
 mod streams;
