Keep the time line of the disturbances; deadlines below the caller's wait

Cause: the documents of the lab had the default deadline of 30 s for normal calls, which is also how long the lab's caller waited, so that an answer at the deadline came too late for it. The lab's documents now have deadlines of 4, 10 and 15 s, so that no final answer within 30 s is a loss beyond doubt.

--- a/src/lab/faults/fault_driver.rs
+++ b/src/lab/faults/fault_driver.rs
@@ -13,7 +13,7 @@
 use crate::lab::launch::{ChildProcess, LabSystem, put_document};
 use crate::lab::stand_ins::FaultSettings;
 use crate::platform::ListedState;
-use crate::time::{ClockTime, clock_now};
+use crate::time::{ClockTime, clock_now, wall_now};
 use crate::weights::WeightsDigest;
 
 const STEP: Duration = Duration::from_millis(20);
@@ -32,6 +32,8 @@
     pub(super) deeds: BTreeMap<&'static str, u64>,
     /// Graceful stops that did not end well or in time.
     pub(super) bad_stops: Vec<String>,
+    /// What was done when, for finding a cause.
+    pub(super) timeline: Vec<String>,
     /// Every version of the weights that was published.
     pub(super) versions: Vec<WeightsDigest>,
 }
@@ -105,7 +107,7 @@
             return Ok(());
         }
         *self.tally.deeds.entry(disturbance.deed.name()).or_default() += 1;
-        log::info!("{disturbance:?}");
+        self.note(&format!("{disturbance:?}"));
         self.begin(&disturbance).await?;
         let lasts = match disturbance.deed {
             FaultDeed::Drain => STOP_WITHIN,
@@ -193,7 +195,7 @@
 
     async fn undo(&mut self, disturbance: &Disturbance) -> SwitchResult<()> {
         let Disturbance { target, deed, .. } = *disturbance;
-        log::info!("undone: {disturbance:?}");
+        self.note(&format!("undone: {disturbance:?}"));
         match (deed, target) {
             (FaultDeed::Freeze, _) => {
                 self.process(target).thaw();
@@ -234,6 +236,11 @@
         }
     }
 
+    fn note(&mut self, what: &str) {
+        let at = wall_now().0;
+        self.tally.timeline.push(format!("{at} {what}"));
+    }
+
     async fn set_faults(&mut self, target: FaultTarget, faults: FaultSettings) -> SwitchResult<()> {
         LabSystem::set_faults(self.process(target), faults).await
     }
@@ -265,7 +272,7 @@
         let put = put_document(admin, &document, self.document_version, PUT_WITHIN).await;
         match put {
             Ok(()) => self.document_version += 1,
-            Err(error) => log::info!("{version} not accepted: {error}"),
+            Err(error) => self.note(&format!("{version} not accepted: {error}")),
         }
         Ok(())
     }
--- a/src/lab/faults/fault_run.rs
+++ b/src/lab/faults/fault_run.rs
@@ -38,6 +38,8 @@
     disturbances: BTreeMap<&'static str, u64>,
     versions: usize,
     bad_stops: Vec<String>,
+    #[serde(skip)]
+    timeline: Vec<String>,
 }
 
 impl FaultReport {
@@ -56,7 +58,9 @@
         let mut system = LabSystem::start(shape, || {}).await?;
         let outcome = self.disturb(&mut system).await;
         if let Some(path) = &self.logs {
-            let written = std::fs::write(path, system.logs().await);
+            let timeline = outcome.as_ref().map(|report| report.timeline.join("\n"));
+            let text = format!("{}\n{}", timeline.unwrap_or_default(), system.logs().await);
+            let written = std::fs::write(path, text);
             written.map_err(|fault| failed(format!("--logs: {}: {fault}", path.display())))?;
         }
         system.end().await;
@@ -100,6 +104,7 @@
             disturbances: tally.deeds,
             versions: judge.versions.len(),
             bad_stops: tally.bad_stops,
+            timeline: tally.timeline,
         })
     }
 
--- a/src/lab/launch/company.rs
+++ b/src/lab/launch/company.rs
@@ -4,8 +4,8 @@
 
 use crate::derives::{key, plain};
 use crate::documents::{
-    AccountSpec, HostSelection, OutageRule, RolloutSpec, RouteSpec, ServiceDocument, ServiceKind,
-    SpreadObjective, TableAwayRule, WeightsSpec,
+    AccountSpec, DeadlineSpec, HostSelection, OutageRule, RolloutSpec, RouteSpec, ServiceDocument,
+    ServiceKind, SpreadObjective, TableAwayRule, WeightsSpec,
 };
 use crate::weights::WeightsDigest;
 
@@ -121,6 +121,13 @@
 const ACCOUNT_RATE: u32 = 5_000;
 const ACCOUNT_CONCURRENCY: u32 = 2_000;
 const OUT_OF_SERVICE: u32 = 2;
+/// Short, so that a caller who waits half a minute has seen the end of every call.
+const DEADLINES: DeadlineSpec = DeadlineSpec {
+    urgent_ms: 4_000,
+    normal_ms: 10_000,
+    batch_ms: 15_000,
+    stream_ms: 20_000,
+};
 
 impl Company {
     /// The company called `name` on the command line.
@@ -207,7 +214,7 @@
                 ..RolloutSpec::default()
             },
             accounts: self.accounts.iter().map(|name| account(name)).collect(),
-            deadlines: crate::documents::DeadlineSpec::default(),
+            deadlines: DEADLINES,
             routes: Vec::new(),
             retry: crate::documents::RetrySpec::default(),
             prefix_affinity: false,
