--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -31,7 +31,7 @@
 const PACE_PER_NEIGHBOUR: Duration = Duration::from_millis(90);
 const PACE_SHORTEST: Duration = Duration::from_millis(500);
 /// How long backend servers' processes wait at most before their first reading of the table.
-const FIRST_READ_WITHIN: Duration = Duration::from_secs(1);
+const FIRST_READ_WITHIN: Duration = Duration::from_millis(300);
 
 /// The control thread's loop.
 pub(super) struct ControlLoop {
@@ -143,7 +143,6 @@
             ControlEvent::Rows(rows) => rows.iter().for_each(|row| self.machine.on_row(row)),
             ControlEvent::TableAnswered(answers) => self.machine.on_table(answers),
             ControlEvent::List(entries) => self.machine.on_list(&entries, now),
-            ControlEvent::Facts(facts) => self.machine.on_facts(&facts, now),
             ControlEvent::Watcher(facts) => self.machine.on_watcher(&facts, now),
             ControlEvent::Frame(host, frame) => self.on_frame(&host, *frame),
             ControlEvent::Lost(host) => self.on_lost(&host),
--- a/src/control/control_machine.rs
+++ b/src/control/control_machine.rs
@@ -85,11 +85,6 @@
         &self.identity
     }
 
-    /// What this process says of itself to everyone.
-    pub(crate) const fn own_facts(&self) -> &MemberFacts {
-        &self.own_facts
-    }
-
     /// The documents in force.
     pub(crate) const fn documents(&self) -> &HeldDocuments {
         &self.documents
--- a/src/control/control_thread.rs
+++ b/src/control/control_thread.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytestring::ByteString;
 use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 use volo_http::server::route::Router;
 
 use super::control_loop::ControlLoop;
@@ -22,6 +24,8 @@
 use crate::time::ClockTime;
 use crate::transport::PeerClient;
 
+/// How long an accepting host waits for a neighbour to take over the change.
+const PASSED_ON_WITHIN: Duration = Duration::from_millis(250);
 /// Events that wait for the control thread at most.
 const EVENTS_WAITING: usize = 1024;
 
@@ -47,8 +51,6 @@
     TableAnswered(bool),
     /// The platform's list.
     List(Vec<HostEntry>),
-    /// What hosts said of themselves.
-    Facts(Vec<MemberFacts>),
     /// What a host said of itself when it asked for this process's word.
     Watcher(MemberFacts),
     /// A frame from a watched host.
@@ -118,6 +120,7 @@
             events: sender,
             drain,
             fresh,
+            passed_on: Arc::default(),
         },
     }
 }
@@ -170,10 +173,18 @@
         self.routes.fresh.get()
     }
 
-    /// Hands rows of documents to the control thread.
-    pub(crate) async fn offer_rows(&self, rows: Vec<Bytes>) {
+    /// Hands the row of an accepted document to the control thread, and returns when a neighbour has
+    /// taken it over, or after a short while.
+    ///
+    /// If this host died and the table went away at the same moment, right behind the author's
+    /// answer, nobody would know of the change until the table is back. One would notice an accepted
+    /// change that is in force nowhere. So a second process has it before the author is told.
+    pub(crate) async fn put_in_force(&self, row: Bytes) {
+        let passed_on = self.routes.passed_on.notified();
         // The control thread ends with the process only.
-        let _ = self.routes.events.send(ControlEvent::Rows(rows)).await;
+        let _ = self.routes.events.send(ControlEvent::Rows(vec![row])).await;
+        // Nobody takes it over when there is no neighbour; it stands in the table all the same.
+        let _ = timeout(PASSED_ON_WITHIN, passed_on).await;
     }
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,7 +16,7 @@
 mod warm_up;
 
 pub(crate) use control_machine::ControlMachine;
-pub(crate) use control_thread::{ControlEdges, ControlEvent, ControlHandle, start_control};
+pub(crate) use control_thread::{ControlEdges, ControlHandle, start_control};
 pub(crate) use peer_messages::{
     PULL_PATH, PeerFrame, PullOrder, PullReply, WATCH_PATH, WatchOrder,
 };
--- a/src/control/peer_routes.rs
+++ b/src/control/peer_routes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -36,6 +36,8 @@
     pub(super) events: mpsc::Sender<ControlEvent>,
     pub(super) drain: DrainState,
     pub(super) fresh: FreshMark,
+    /// Told whenever a neighbour has taken over documents.
+    pub(super) passed_on: Arc<Notify>,
 }
 
 /// The routes under `/peer/control/`.
@@ -57,6 +59,9 @@
     match read_message::<PullOrder>(request.into_body(), ORDER_BYTES_MAX).await {
         Ok(order) => {
             let rows = state.spread.borrow().rows_beyond(&order.have);
+            if !rows.is_empty() {
+                state.passed_on.notify_waiters();
+            }
             message_reply(&PullReply { rows })
         }
         Err(error) => error_reply(&error),
--- a/src/documents/mod.rs
+++ b/src/documents/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) use held::{DocumentVersion, HeldDocument, HeldDocuments, OfferOutcome};
 pub(crate) use hint::{HINT_KEY, HintRecord};
 pub(crate) use record::{
-    ChangeMark, DOCUMENTS_PREFIX, DocumentRecord, document_key, history_key, history_prefix,
+    ChangeMark, DOCUMENTS_PREFIX, DocumentRecord, document_key, history_prefix,
 };
 pub use schema::{
     AccountSpec, DeadlineSpec, HostSelection, OutageRule, RequestPriority, RetrySpec, RolloutSpec,
--- a/src/documents/table_reader.rs
+++ b/src/documents/table_reader.rs
@@ -43,6 +43,8 @@
     whole_due: ClockTime,
     poll_due: ClockTime,
     failures: u32,
+    /// Whether the table has answered or failed since the start.
+    asked_once: bool,
     wanted: Vec<Expected>,
     /// The documents to read before the next poll.
     round: Vec<ByteString>,
@@ -62,6 +64,7 @@
             whole_due: first,
             poll_due: first,
             failures: 0,
+            asked_once: false,
             wanted: Vec::new(),
             round: Vec::new(),
         }
@@ -87,7 +90,8 @@
             return ReaderStep::WaitUntil(self.poll_due);
         }
         let is_stale = self.age(now).is_none_or(|age| age >= STALE_AFTER);
-        if !is_reader && !is_stale {
+        // What neighbours say does not spare a new process its own first reading.
+        if self.asked_once && !is_reader && !is_stale {
             let stale_at = self.fresh_at.unwrap_or(now) + STALE_AFTER;
             let jitter = POLL_PAUSE * u32::from(spread) / u32::from(u8::MAX);
             self.poll_due = stale_at.max(now) + jitter;
@@ -101,6 +105,7 @@
 
     /// Every document was read; the reading was sent at `sent`.
     pub(crate) fn on_all(&mut self, sent: ClockTime, now: ClockTime) {
+        self.asked_once = true;
         self.whole_due = now + WHOLE_PAUSE;
         self.answered(sent, now);
     }
@@ -142,6 +147,7 @@
 
     /// The table did not answer.
     pub(crate) fn on_away(&mut self, now: ClockTime, spread: u8) {
+        self.asked_once = true;
         self.failures = self.failures.saturating_add(1);
         self.round.clear();
         let longest = POLL_PAUSE * 2u32.saturating_pow(self.failures.min(6));
--- a/src/documents/tests/mod.rs
+++ b/src/documents/tests/mod.rs
@@ -2,4 +2,5 @@
 
 mod acceptance;
 mod check;
+mod table_reader;
 mod unknown_fields;
--- /dev/null
+++ b/src/documents/tests/table_reader.rs
@@ -0,0 +1,87 @@
+//! When a process reads the table.
+
+use crate::documents::{HeldDocuments, HintRecord, ReaderStep, TableReader};
+use crate::time::ClockTime;
+
+const SPREAD: u8 = 128;
+
+fn seconds(count: u64) -> ClockTime {
+    ClockTime::from_millis(1000 * count)
+}
+
+fn waits(step: &ReaderStep) -> bool {
+    matches!(step, ReaderStep::WaitUntil(_))
+}
+
+/// Reads the table in one run of `span` seconds, answered at once, the neighbours' word coming each
+/// second if `is_told`.
+fn reads_within(span: u64, is_reader: bool, is_told: bool) -> usize {
+    let mut reader = TableReader::new(seconds(0));
+    let held = HeldDocuments::default();
+    let mut reads = 0;
+    for tick in 0..span * 10 {
+        let now = ClockTime::from_millis(100 * tick);
+        if is_told && tick % 10 == 0 {
+            reader.on_neighbour_fresh(now);
+        }
+        match reader.next_step(now, is_reader, SPREAD) {
+            ReaderStep::WaitUntil(_) => continue,
+            ReaderStep::ReadAll => reader.on_all(now, now),
+            ReaderStep::ReadHint => reader.on_hint(&HintRecord::default(), &held, now, now),
+            ReaderStep::ReadDocument(_) => reader.on_document(),
+        }
+        reads += 1;
+    }
+    reads
+}
+
+// Symptom: the table's reads grow with the processes. Events: nothing fails. Cause, without the age
+// that neighbours tell: everyone polls for itself.
+#[test]
+fn only_readers_poll_while_neighbours_tell() {
+    assert_eq!(reads_within(120, true, true), 120);
+    assert_eq!(reads_within(120, false, true), 1);
+}
+
+#[test]
+fn whoever_hears_nothing_fresh_reads_for_itself() {
+    let reads = reads_within(120, false, false);
+    assert!((15..=24).contains(&reads), "{reads} reads");
+}
+
+#[test]
+fn an_expected_change_is_looked_for_until_it_is_given_up() {
+    let mut reader = TableReader::new(seconds(0));
+    let held = HeldDocuments::default();
+    let mut hint = HintRecord::default();
+    hint.expect(&"pisar".into(), 1);
+    reader.on_all(seconds(0), seconds(0));
+    let mut looks = 0;
+    for second in 1..=30 {
+        let now = seconds(second);
+        assert_eq!(reader.next_step(now, true, SPREAD), ReaderStep::ReadHint);
+        reader.on_hint(&hint, &held, now, now);
+        if reader.next_step(now, true, SPREAD) == ReaderStep::ReadDocument("pisar".into()) {
+            looks += 1;
+            reader.on_document();
+        }
+    }
+    assert_eq!(looks, 15, "an abandoned change is looked for 15 s");
+}
+
+#[test]
+fn failures_make_the_pauses_longer() {
+    let mut reader = TableReader::new(seconds(0));
+    let mut now = seconds(0);
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        reader.on_away(now, u8::MAX);
+        let ReaderStep::WaitUntil(due) = reader.next_step(now, true, SPREAD) else {
+            panic!("it pauses");
+        };
+        pauses.push(due.since(now).as_secs());
+        now = due;
+    }
+    assert_eq!(pauses, [2, 4, 8, 8, 8, 8]);
+    assert!(!waits(&reader.next_step(now, true, SPREAD)));
+}
--- a/src/lab/documents/fault_plan.rs
+++ b/src/lab/documents/fault_plan.rs
@@ -19,6 +19,8 @@
     AnswersLost,
     /// The entry host that accepted is killed right after its answer.
     AcceptorKilledAfter,
+    /// The same, and the table is down for three seconds from then on.
+    AcceptorAndTableLost,
     /// The entry host that is asked is killed while it works on the change.
     AcceptorKilledAmid,
     /// Every entry host is killed at the acceptance and started again.
@@ -33,11 +35,12 @@
     Race,
 }
 
-const FAULTS: [ChangeFault; 10] = [
+const FAULTS: [ChangeFault; 11] = [
     ChangeFault::TableDownAfter,
     ChangeFault::TableSilentAfter,
     ChangeFault::AnswersLost,
     ChangeFault::AcceptorKilledAfter,
+    ChangeFault::AcceptorAndTableLost,
     ChangeFault::AcceptorKilledAmid,
     ChangeFault::EntriesRestarted,
     ChangeFault::BackendRestarted,
--- a/src/lab/documents/run.rs
+++ b/src/lab/documents/run.rs
@@ -11,17 +11,11 @@
 use super::fault_plan::ChangeFault;
 use super::observer::ObserverBoard;
 use super::operators::{OperatorChange, PutEnd};
-use super::report::{DocumentsReport, FaultCount, SlowChange};
-use crate::documents::{
-    DocumentRecord, DocumentVersion, ServiceDocument, document_key, history_prefix,
-};
-use crate::errors::{ErrorKind, SwitchResult};
-use crate::lab::launch::{Company, LabClient, LabSystem, SystemShape, put_document};
-use crate::lab::stand_ins::FaultSettings;
-use crate::platform::TableStore;
-use crate::platform::http::{HttpTable, PlatformClient};
+use super::report::{DocumentsReport, SlowChange};
+use crate::documents::{DocumentVersion, ServiceDocument};
+use crate::errors::SwitchResult;
+use crate::lab::launch::{Company, LabSystem, SystemShape, put_document};
 use crate::time::{ClockTime, clock_now};
-use crate::transport::{ClientLimits, PeerClient};
 
 const FIRST_WITHIN: Duration = Duration::from_secs(20);
 /// How long a change may take until it counts as not in force.
--- a/src/lab/documents/strike.rs
+++ b/src/lab/documents/strike.rs
@@ -75,6 +75,11 @@
             ChangeFault::AnswersLost => {
                 LabSystem::set_faults(&self.system.table, FaultSettings::default()).await
             }
+            ChangeFault::AcceptorAndTableLost => {
+                self.system.entries[asked].process.kill().await;
+                LabSystem::set_faults(&self.system.table, down).await?;
+                self.restart_entry(asked).await
+            }
             ChangeFault::AcceptorKilledAfter => {
                 self.system.entries[asked].process.kill().await;
                 self.restart_entry(asked).await
@@ -141,7 +146,7 @@
     /// Ends what the fault began.
     pub(super) async fn mend(&self, fault: ChangeFault) -> SwitchResult<()> {
         match fault {
-            ChangeFault::TableDownAfter => {
+            ChangeFault::TableDownAfter | ChangeFault::AcceptorAndTableLost => {
                 sleep(TABLE_OUTAGE).await;
                 LabSystem::set_faults(&self.system.table, FaultSettings::default()).await
             }
--- a/src/operator/change_put.rs
+++ b/src/operator/change_put.rs
@@ -23,7 +23,7 @@
             AcceptanceStep::WaitUntil(due) => sleep(due.since(now)).await,
             AcceptanceStep::Done(end) => {
                 if let AcceptanceEnd::Accepted { row: Some(row), .. } = &*end {
-                    control.offer_rows(vec![row.clone()]).await;
+                    control.put_in_force(row.clone()).await;
                 }
                 return *end;
             }
