Keep control within 3 KB a second: slower paces for entry hosts, changes told alone

Cause: each of some 30 streams spoke every 90 ms times their number, entry hosts' streams as often as workers', and each change told every version to every watcher. Now entry hosts speak every 2 s, workers every 120 ms times their number, fewer entry hosts are watched, and only versions that changed are told.

A neighbour that does not give what it said it had is not asked again until it says so anew: the control thread would otherwise ask in a loop.

--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -1,7 +1,6 @@
 //! The control thread's loop: takes in events, lets the machine decide, carries out what follows,
 //! and publishes the state.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,16 +19,19 @@
 use super::spread_state::SpreadSender;
 use crate::daemon::DrainState;
 use crate::documents::DocumentVersion;
-use crate::platform::HostRole;
+use crate::platform::{HostEntry, HostRole};
 use crate::time::clock_now;
 
 const TICK: Duration = Duration::from_millis(200);
 /// Events taken in before the state is published.
 const EVENTS_AT_ONCE: usize = 64;
-/// The pace of frames that are not urgent, for each neighbour that is watched: the more there are,
-/// the slower each speaks, so that all of them together stay within what control may receive.
-const PACE_PER_NEIGHBOUR: Duration = Duration::from_millis(90);
-const PACE_SHORTEST: Duration = Duration::from_millis(500);
+/// The pace of frames from backend servers' processes that are not urgent, for each that is watched:
+/// the more there are, the slower each speaks, so that all of them together stay within what control
+/// may receive.
+const PACE_PER_BACKEND: Duration = Duration::from_millis(120);
+const BACKEND_PACE_SHORTEST: Duration = Duration::from_millis(500);
+/// The pace of frames from entry hosts that are not urgent; they tell no load.
+const ENTRY_PACE: Duration = Duration::from_secs(2);
 /// How long backend servers' processes wait at most before their first reading of the table.
 const FIRST_READ_WITHIN: Duration = Duration::from_millis(300);
 
@@ -58,6 +60,19 @@
     asked: bool,
 }
 
+impl RunningWatch {
+    /// Takes in the versions that changed at the neighbour.
+    fn take_versions(&mut self, changed: Vec<DocumentVersion>) {
+        for version in changed {
+            let place = |known: &DocumentVersion| known.service.cmp(&version.service);
+            match self.versions.binary_search_by(place) {
+                Ok(at) => self.versions[at] = version,
+                Err(at) => self.versions.insert(at, version),
+            }
+        }
+    }
+}
+
 impl ControlLoop {
     pub(super) fn new(
         machine: ControlMachine,
@@ -171,7 +186,7 @@
             }
             PeerFrame::Members(facts) => self.machine.on_facts(&facts, now),
             PeerFrame::Documents(versions) => {
-                self.watches[at].versions = versions;
+                self.watches[at].take_versions(versions);
                 self.watches[at].asked = true;
                 self.pull_from(at);
             }
@@ -181,7 +196,10 @@
     fn on_lost(&mut self, host: &str) {
         self.machine.on_lost(host, clock_now());
         if let Some(at) = self.watch_of(host) {
-            self.watches[at].asked = true;
+            let running = &mut self.watches[at];
+            running.asked = true;
+            // The process that comes next on that host may know less.
+            running.versions.clear();
         }
     }
 
@@ -191,9 +209,17 @@
         for row in rows.unwrap_or_default() {
             self.machine.on_row(&row);
         }
+        if let Some(at) = self.watch_of(host).filter(|_| answered) {
+            // What it did not give it does not have, whatever it said: asking it again and again
+            // would keep both busy.
+            let machine = &self.machine;
+            self.watches[at]
+                .versions
+                .retain(|there| there.version <= machine.documents().version_of(&there.service));
+        }
         // Another neighbour may have what this one did not give.
         let other = (0..self.watches.len())
-            .filter(|at| answered || *self.watches[*at].watch.host != *host)
+            .filter(|at| *self.watches[*at].watch.host != *host)
             .find(|at| self.machine.lacks_any(&self.watches[*at].versions));
         if let Some(at) = other {
             self.pull_from(at);
@@ -225,18 +251,13 @@
     /// Ends the watches that are no longer wanted and begins the new ones.
     fn renew_watches(&mut self) {
         let neighbours = self.machine.neighbours();
-        let wanted: Vec<(ByteString, SocketAddr)> = neighbours
-            .into_iter()
-            .filter_map(|host| {
-                let address = self.machine.members().get(&host)?.facts.entry.peer_address;
-                Some((host, address))
-            })
+        let wanted: Vec<HostEntry> = neighbours
+            .iter()
+            .filter_map(|host| Some(self.machine.members().get(host)?.facts.entry.clone()))
             .collect();
-        let count = u32::try_from(wanted.len()).unwrap_or(u32::MAX);
-        let pace = (PACE_PER_NEIGHBOUR * count).max(PACE_SHORTEST);
         let is_wanted = |running: &RunningWatch| {
-            let found = wanted.binary_search_by(|(host, _)| host.cmp(&running.watch.host));
-            found.is_ok_and(|at| wanted[at].1 == running.watch.address)
+            let found = wanted.binary_search_by(|entry| entry.host.cmp(&running.watch.host));
+            found.is_ok_and(|at| wanted[at].peer_address == running.watch.address)
         };
         let (kept, ended): (Vec<_>, Vec<_>) = std::mem::take(&mut self.watches)
             .into_iter()
@@ -246,20 +267,27 @@
             running.task.abort();
             self.machine.on_unwatched(&running.watch.host);
         }
-        for (host, address) in wanted {
-            if let Err(at) = self.place_of(&host) {
-                self.machine.on_watched(&host, clock_now());
-                let running = self.begin_watch(host, address, pace);
+        let is_backend = |entry: &&HostEntry| entry.role == HostRole::Backend;
+        let backends = u32::try_from(wanted.iter().filter(is_backend).count()).unwrap_or(u32::MAX);
+        let backend_pace = (PACE_PER_BACKEND * backends).max(BACKEND_PACE_SHORTEST);
+        for entry in wanted {
+            if let Err(at) = self.place_of(&entry.host) {
+                self.machine.on_watched(&entry.host, clock_now());
+                let pace = match entry.role {
+                    HostRole::Entry => ENTRY_PACE,
+                    HostRole::Backend => backend_pace,
+                };
+                let running = self.begin_watch(&entry, pace);
                 self.watches.insert(at, running);
             }
         }
     }
 
-    fn begin_watch(&self, host: ByteString, address: SocketAddr, pace: Duration) -> RunningWatch {
+    fn begin_watch(&self, entry: &HostEntry, pace: Duration) -> RunningWatch {
         let watch = PeerWatch {
             own_host: self.machine.identity().host.clone(),
-            host,
-            address,
+            host: entry.host.clone(),
+            address: entry.peer_address,
             pace,
             client: self.edges.client.clone(),
             spread: self.spread.subscribe(),
--- a/src/control/peer_messages.rs
+++ b/src/control/peer_messages.rs
@@ -37,7 +37,7 @@
     Status(Box<HostStatus>),
     /// Sent at the watcher's pace, whether anything changed or not.
     Paced(Option<LoadChange>, Option<u64>),
-    /// The versions in force there: at first, and at once when one changed.
+    /// The versions in force there at first, and at once those that changed.
     Documents(Vec<DocumentVersion>),
     /// Facts about hosts that are news there.
     Members(Vec<MemberFacts>),
--- a/src/control/peer_routes.rs
+++ b/src/control/peer_routes.rs
@@ -165,9 +165,9 @@
     is_first: bool,
 ) -> SwitchResult<()> {
     let newest = spread.borrow_and_update().clone();
-    let versions = newest.versions();
-    if is_first || versions != sent.versions() {
-        writer.write(&PeerFrame::Documents(versions)).await?;
+    let changed = newest.versions_beyond(sent);
+    if is_first || !changed.is_empty() {
+        writer.write(&PeerFrame::Documents(changed)).await?;
     }
     let facts = newest.facts_beyond(sent);
     if !facts.is_empty() {
--- a/src/control/spread_state.rs
+++ b/src/control/spread_state.rs
@@ -21,10 +21,17 @@
 }
 
 impl SpreadState {
-    /// The versions in force.
-    pub(crate) fn versions(&self) -> Vec<DocumentVersion> {
+    /// The versions in force that are newer than in `sent`.
+    pub(crate) fn versions_beyond(&self, sent: &Self) -> Vec<DocumentVersion> {
+        let version_there = |held: &HeldDocument| {
+            let found = sent
+                .documents
+                .binary_search_by(|there| there.version.service.cmp(&held.version.service));
+            found.map_or(0, |at| sent.documents[at].version.version)
+        };
         self.documents
             .iter()
+            .filter(|held| held.version.version > version_there(held))
             .map(|held| held.version.clone())
             .collect()
     }
--- a/src/documents/table_reader.rs
+++ b/src/documents/table_reader.rs
@@ -15,8 +15,9 @@
 pub(crate) const POLL_PAUSE: Duration = Duration::from_secs(1);
 /// How often a reader reads every document, whatever the hint row says.
 const WHOLE_PAUSE: Duration = Duration::from_mins(1);
-/// How old what came from neighbours may be before a process reads the table for itself.
-const STALE_AFTER: Duration = Duration::from_secs(5);
+/// How old what came from neighbours may be before a process reads the table for itself: a reader's
+/// pause and the paces of a few hops fit. Changes are told at once and do not wait for this.
+const STALE_AFTER: Duration = Duration::from_secs(12);
 /// How long a change that the hint row names is looked for; longer than a change is tried.
 const EXPECT_FOR: Duration = Duration::from_secs(15);
 /// The longest pause between two reads that fail.
--- a/src/documents/tests/table_reader.rs
+++ b/src/documents/tests/table_reader.rs
@@ -46,7 +46,7 @@
 #[test]
 fn whoever_hears_nothing_fresh_reads_for_itself() {
     let reads = reads_within(120, false, false);
-    assert!((15..=24).contains(&reads), "{reads} reads");
+    assert!((9..=11).contains(&reads), "{reads} reads");
 }
 
 #[test]
--- a/src/lab/documents/judge.rs
+++ b/src/lab/documents/judge.rs
@@ -18,6 +18,7 @@
 /// While nothing changes, how long the table's reads are counted.
 const QUIET_SPAN: Duration = Duration::from_secs(10);
 const SLOWEST_SHOWN: usize = 5;
+const READ_AGAIN: usize = 5;
 
 impl DocumentsRun {
     /// Ends the run and says what it found.
@@ -92,9 +93,22 @@
 
     /// Every version of a document, from its row and its history.
     async fn read_records(&self, service: &str) -> SwitchResult<Vec<DocumentRecord>> {
+        // The stand-in keeps a port silent for good that was silenced once, and the system may give
+        // that port to a new connection; the next one gets another.
+        let mut outcome = self.try_read_records(service).await;
+        for _ in 0..READ_AGAIN {
+            if outcome.is_ok() {
+                break;
+            }
+            outcome = self.try_read_records(service).await;
+        }
+        outcome
+    }
+
+    async fn try_read_records(&self, service: &str) -> SwitchResult<Vec<DocumentRecord>> {
         let client = Arc::new(PeerClient::new(ClientLimits::default()));
         let address = self.system.table.address("")?;
-        let within = Duration::from_secs(5);
+        let within = Duration::from_secs(1);
         let away = ErrorKind::TableUnavailable;
         let table = HttpTable(PlatformClient::new(address, client, within, away));
         let mut rows = table.list(&history_prefix(service)).await?;
--- a/src/membership/neighbours.rs
+++ b/src/membership/neighbours.rs
@@ -10,10 +10,10 @@
 
 /// Backend servers that an entry host watches at most.
 const BACKENDS_WATCHED: usize = 24;
-/// Entry hosts of its own data centre that a process watches at most.
-const ENTRIES_NEAR: usize = 4;
-/// Entry hosts of other data centres that a process watches at most.
-const ENTRIES_FAR: usize = 3;
+/// Entry hosts of its own data centre and of others that an entry host watches at most.
+const ENTRIES_OF_ENTRY: (usize, usize) = (3, 2);
+/// The same for a backend server's process, to which nobody looks for documents.
+const ENTRIES_OF_BACKEND: (usize, usize) = (2, 1);
 /// Hosts that were given up and are asked at a time.
 const LOST_ASKED: usize = 4;
 /// Entry hosts of a data centre that read the table for it.
@@ -43,11 +43,15 @@
 }
 
 fn choose_present(own: &HostIdentity, present: &[&HostEntry]) -> Vec<ByteString> {
+    let (near_count, far_count) = match own.role {
+        HostRole::Entry => ENTRIES_OF_ENTRY,
+        HostRole::Backend => ENTRIES_OF_BACKEND,
+    };
     let is_near = |entry: &&&HostEntry| entry.data_centre == own.data_centre;
     let entries = || present.iter().filter(|entry| entry.role == HostRole::Entry);
-    let mut chosen = top(&own.host, entries().filter(is_near), ENTRIES_NEAR);
+    let mut chosen = top(&own.host, entries().filter(is_near), near_count);
     let far = entries().filter(|entry| !is_near(entry));
-    chosen.extend(top(&own.host, far, ENTRIES_FAR));
+    chosen.extend(top(&own.host, far, far_count));
     if own.role == HostRole::Entry {
         chosen.extend(choose_backends(own, present));
     }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod admin_client;
 mod change_put;
 mod command;
+mod document_commands;
 pub(crate) mod messages;
 mod run_command;
 mod state_views;
