Keep places for urgent requests, and budgets of retries by cause

Normal and batch requests now leave an eighth of a backend server's places, at least one of two or more, to urgent ones.

--- a/src/admission/admission_book.rs
+++ b/src/admission/admission_book.rs
@@ -7,7 +7,7 @@
 
 use super::account_state::AccountState;
 use super::fair_queue::{AccountKey, FairQueue, TicketKey};
-use super::retry_budget::{RetryBudget, spend_both};
+use super::retry_budget::{RetryBudget, RetryCause, spend_both};
 use super::service_rate::ServiceRate;
 use crate::derives::key;
 use crate::documents::{AccountSpec, RequestPriority};
@@ -146,9 +146,9 @@
     }
 
     /// Takes one retry from the service's and the account's budget, if both have one.
-    pub(crate) fn spend_retry(&mut self, account: AccountKey) -> bool {
+    pub(crate) fn spend_retry(&mut self, account: AccountKey, cause: RetryCause) -> bool {
         let account = &mut self.accounts[account.0 as usize];
-        spend_both(&mut self.retries, &mut account.retries)
+        spend_both(&mut self.retries, &mut account.retries, cause)
     }
 
     /// Lets a request wait.
--- a/src/delivery/request_run.rs
+++ b/src/delivery/request_run.rs
@@ -12,6 +12,7 @@
 use super::placed_attempt::PlacedAttempt;
 use super::request_job::{CallerPart, CallerSink, RequestJob};
 use super::service_desk::{AdmissionPass, PlaceWish};
+use crate::admission::RetryCause;
 use crate::documents::RequestPriority;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
 use crate::events::log_event;
@@ -37,6 +38,8 @@
     plan: AttemptPlan,
     target: PickTarget,
     avoid: Option<BackendKey>,
+    /// Whether the newest attempt has been started by its host.
+    has_started: bool,
 }
 
 /// How an attempt ended.
@@ -73,6 +76,7 @@
             plan: AttemptPlan::new(traits),
             target,
             avoid: None,
+            has_started: false,
         }
     }
 
@@ -104,6 +108,7 @@
         let picked = placed.picked().clone();
         let order = self.order(&picked);
         self.plan.begin_attempt();
+        self.has_started = false;
         match self.carry_out(&order, placed).await {
             AttemptEnd::Whole | AttemptEnd::CallerGone => Ok(()),
             AttemptEnd::Failed(error) => Err(self.follow(error, &order, &picked).await),
@@ -254,6 +259,7 @@
     }
 
     async fn take_start(&mut self, serving: Option<ServingVersion>) -> SwitchResult<()> {
+        self.has_started = true;
         let digest = serving.as_ref().map(|serving| serving.digest);
         let wanted = self.plan.resume_version();
         if wanted.is_some() && wanted != digest {
@@ -291,7 +297,12 @@
             NextStep::GiveUp(error) => return Some(error),
             NextStep::Settle => return Some(self.plan.conclude(settled_twice())),
         };
-        if !self.pass.spend_retry() {
+        let cause = if self.has_started {
+            RetryCause::Cut
+        } else {
+            RetryCause::Refused
+        };
+        if !self.pass.spend_retry(cause) {
             let detail = format!("no retry is left after: {reason:?}");
             let error = SwitchError::new(ErrorKind::RetryBudgetSpent, detail);
             return Some(self.plan.conclude(error));
--- a/src/delivery/service_desk.rs
+++ b/src/delivery/service_desk.rs
@@ -11,7 +11,7 @@
 
 use super::order_book::{OrderBook, OrderTurn};
 use super::placed_attempt::PlacedAttempt;
-use crate::admission::{AccountKey, AdmissionBook, PlaceResult, TicketKey, WaitWish};
+use crate::admission::{AccountKey, AdmissionBook, PlaceResult, RetryCause, TicketKey, WaitWish};
 use crate::control::{ControlSnapshot, ServiceRecord};
 use crate::derives::key;
 use crate::documents::RequestPriority;
@@ -271,8 +271,9 @@
     }
 
     /// Takes one retry from the budgets, if both have one.
-    pub(crate) fn spend_retry(&self) -> bool {
-        self.desk.lock().admission.spend_retry(self.account)
+    pub(crate) fn spend_retry(&self, cause: RetryCause) -> bool {
+        let mut state = self.desk.lock();
+        state.admission.spend_retry(self.account, cause)
     }
 
     /// A host has taken the call: the next one with its order key may go.
--- a/src/routing/backend_pool.rs
+++ b/src/routing/backend_pool.rs
@@ -117,7 +117,7 @@
         now: ClockTime,
     ) {
         self.needs_weights = document.kind == ServiceKind::Model;
-        self.entries = entry_count(snapshot, identity);
+        self.entries = sender_count(snapshot, document, identity);
         let mut known = Vec::with_capacity(self.by_host.len());
         for member in &snapshot.members {
             if serves(member, document) {
@@ -215,20 +215,6 @@
         self.by_host.contains(&key)
     }
 
-    /// Requests that all usable backend servers run at a time.
-    pub(crate) fn capacity(&self) -> u32 {
-        let usable = self.tiers.iter().flatten();
-        usable
-            .filter_map(|key| self.backend(*key))
-            .map(|backend| backend.estimate.capacity())
-            .sum()
-    }
-
-    /// Entry hosts that share the backend servers of this data centre.
-    pub(crate) const fn entries(&self) -> u32 {
-        self.entries
-    }
-
     pub(super) fn backend(&self, key: BackendKey) -> Option<&BackendServer> {
         self.arena.get(key.0 as usize)?.as_ref()
     }
@@ -334,6 +320,21 @@
     }
 }
 
+/// Entry hosts that are there and may send to the service's backend servers, this one among them.
+fn sender_count(
+    snapshot: &ControlSnapshot,
+    document: &ServiceDocument,
+    identity: &HostIdentity,
+) -> u32 {
+    let others = snapshot.members.iter().filter(|member| {
+        member.role == HostRole::Entry
+            && member.state == MemberState::Live
+            && document.data_centres.contains(&member.data_centre)
+            && member.host != identity.host
+    });
+    u32::try_from(others.count()).unwrap_or(u32::MAX - 1) + 1
+}
+
 /// Entry hosts of this data centre that are there, this one among them.
 pub(crate) fn entry_count(snapshot: &ControlSnapshot, identity: &HostIdentity) -> u32 {
     let others = snapshot.members.iter().filter(|member| {
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -14,6 +14,8 @@
 use crate::membership::HostStatus;
 use crate::time::ClockTime;
 
+/// One place in so many is kept for urgent requests.
+const HEADROOM_PART: u32 = 8;
 /// What is kept of the earlier requests when another has ended.
 const KEPT: f64 = 0.95;
 
@@ -102,22 +104,33 @@
         is_there && !status.leaving && !self.shunned && has_weights
     }
 
-    /// Whether one more request would run at once.
-    pub(super) const fn is_free(&self) -> bool {
-        self.estimate.total() < self.estimate.capacity()
+    /// Whether one more request would run at once, with the headroom kept if it is not urgent.
+    pub(super) fn is_free(&self, urgent: bool) -> bool {
+        self.estimate.total() < self.places(urgent)
     }
 
     /// Whether one more request may wait there. Urgent requests may, since the host puts them
     /// first; others wait here, but each entry host may always use its fair part of the backend
     /// server, or one that came late would find it full for good.
     pub(super) fn takes_waiting(&self, urgent: bool, entries: u32) -> bool {
-        let capacity = self.estimate.capacity();
-        let fair_part = capacity.div_ceil(entries.max(1));
+        let fair_part = self.places(urgent).div_ceil(entries.max(1));
         let may_wait = urgent || self.estimate.own() < fair_part;
-        let most = capacity.saturating_add(self.estimate.queue_room());
+        let most = self
+            .estimate
+            .capacity()
+            .saturating_add(self.estimate.queue_room());
         may_wait && self.estimate.total() < most
     }
 
+    fn places(&self, urgent: bool) -> u32 {
+        let capacity = self.estimate.capacity();
+        if urgent {
+            capacity
+        } else {
+            capacity - headroom_of(capacity)
+        }
+    }
+
     /// How long one more request would take there, by the pace of its own or else by `typical`, the
     /// pace of all; smaller is better. A free backend server that is half used may be full by the
     /// time that the next report tells, so the used part counts beside the pace.
@@ -150,6 +163,17 @@
     }
 }
 
+/// Places of a backend server that runs `capacity` requests at a time which only urgent ones take.
+/// Without them, an urgent request that comes in an overload waits until one of the others ends,
+/// however far it goes before those that wait.
+pub(crate) const fn headroom_of(capacity: u32) -> u32 {
+    match capacity {
+        0 | 1 => 0,
+        _ if capacity < HEADROOM_PART => 1,
+        _ => capacity / HEADROOM_PART,
+    }
+}
+
 /// How long requests took by their cost: a moving sum of both, so that a long request does not make
 /// a backend server look slow.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -14,4 +14,5 @@
 pub(crate) use backend_pool::{
     BackendKey, BackendPool, NoPick, PickTarget, PickWish, PickedBackend, entry_count,
 };
+pub(crate) use backend_server::headroom_of;
 pub(crate) use rendezvous::{name_hash, rendezvous_weight};
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -163,7 +163,7 @@
             return false;
         };
         let has_room = match room {
-            RoomKind::Free => backend.is_free(),
+            RoomKind::Free => backend.is_free(wish.urgent),
             RoomKind::Waiting => backend.takes_waiting(wish.urgent, self.entries),
         };
         wish.avoid != Some(key)
