--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -17,20 +17,23 @@
 use crate::platform::http::HttpWeights;
 use crate::platform::{HostRole, WeightSource};
 use crate::transport::{ClientLimits, HttpServer, PeerClient, bind_listener};
-use crate::weights::{WeightsEdges, WeightsLimits, start_weights};
+use crate::weights::{WeightsEdges, WeightsHandle, WeightsLimits, ahead_of_weights, start_weights};
 
 /// How long a read from the origin may take; its link is shared by all hosts that read, so that one
 /// chunk may take far longer than the platform's other answers.
 const ORIGIN_READ_WITHIN: Duration = Duration::from_secs(20);
 
 /// Runs the host process until its graceful stop is done.
-pub(super) async fn run_host(settings: HostSettings) -> SwitchResult<()> {
+pub(super) async fn run_host(
+    settings: HostSettings,
+    wrap: impl FnOnce(Router) -> Router,
+) -> SwitchResult<()> {
     let listener = bind_listener(settings.common.peer_address).await?;
     let address = listener
         .local_addr()
         .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
     let host = HostParts::start(&settings, address);
-    let server = HttpServer::on(listener, host.routes);
+    let server = HttpServer::on(listener, wrap(host.routes));
     println!("listening peer={address}");
     tokio::spawn(tell_leaving(host.drain.clone(), host.board));
     server.run(host.drain).await;
@@ -66,6 +69,7 @@
         let backend = backend_server(settings);
         let mut routes = probe_routes(drain.clone(), Arc::new(AtomicBool::new(true)))
             .merge(control.peer_routes());
+        let mut pacer = None;
         if let BackendServer::Model(engine) = &backend {
             let parts = WeightsParts {
                 engine: Arc::clone(engine),
@@ -75,7 +79,13 @@
                 board: board.clone(),
                 drain: drain.clone(),
             };
-            routes = routes.merge(weights_routes(settings, parts));
+            let weights = start_host_weights(settings, parts);
+            pacer = weights.as_ref().map(|weights| weights.link_pacer().clone());
+            if let Some(weights) = weights {
+                routes = routes
+                    .merge(weights.peer_routes())
+                    .merge(weights.engine_routes());
+            }
         }
         let edges = GuardEdges {
             identity,
@@ -94,7 +104,11 @@
             slot_lease: settings.slot_lease,
         };
         let guard = start_guard(edges, limits);
-        routes = routes.merge(guard.peer_routes());
+        let live = match pacer {
+            Some(pacer) => ahead_of_weights(guard.peer_routes(), pacer),
+            None => guard.peer_routes(),
+        };
+        routes = routes.merge(live);
         Self {
             guard,
             routes,
@@ -113,17 +127,15 @@
     drain: DrainState,
 }
 
-fn weights_routes(settings: &HostSettings, parts: WeightsParts) -> Router {
+/// Starts the weights' edge; none without an origin, which the settings allow only plain services.
+fn start_host_weights(settings: &HostSettings, parts: WeightsParts) -> Option<WeightsHandle> {
     let source = |address: SocketAddr| -> Arc<dyn WeightSource> {
         let common = &settings.common;
         let client =
             common.patient_client(address, ErrorKind::OriginUnavailable, ORIGIN_READ_WITHIN);
         Arc::new(HttpWeights(client))
     };
-    let Some(origin) = settings.origin_address.map(source) else {
-        // The settings were checked: a model engine's host has an origin.
-        return Router::new();
-    };
+    let origin = settings.origin_address.map(source)?;
     let edges = WeightsEdges {
         origin,
         store: settings.store_address.map(source),
@@ -139,8 +151,7 @@
         link_bytes_per_second: settings.link_bytes_per_second,
         memory_bytes: settings.memory_bytes,
     };
-    let weights = start_weights(edges, limits);
-    weights.peer_routes().merge(weights.engine_routes())
+    Some(start_weights(edges, limits))
 }
 
 fn backend_server(settings: &HostSettings) -> BackendServer {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -5,13 +5,24 @@
 
 use std::process::ExitCode;
 
+use volo_http::server::route::Router;
+
 use crate::daemon::run_process;
 use settings::HostSettings;
 
 /// The program's main function.
 #[must_use]
 pub fn host_main() -> ExitCode {
-    let matches = HostSettings::command().get_matches();
+    run_wrapped_host(std::env::args(), |routes| routes)
+}
+
+/// Runs the host process with the settings in `arguments` and `wrap` around its routes, which is
+/// where the lab puts faults.
+pub(crate) fn run_wrapped_host(
+    arguments: impl Iterator<Item = String>,
+    wrap: impl FnOnce(Router) -> Router,
+) -> ExitCode {
+    let matches = HostSettings::command().get_matches_from(arguments);
     let (settings, only_checks) = HostSettings::read(matches);
     match settings {
         Err(faults) => {
@@ -26,7 +37,7 @@
         }
         Ok(settings) => {
             let threads = settings.common.traffic_threads;
-            run_process("savory-host", threads, daemon::run_host(settings))
+            run_process("savory-host", threads, daemon::run_host(settings, wrap))
         }
     }
 }
--- a/src/lab/weights/burst.rs
+++ b/src/lab/weights/burst.rs
@@ -42,6 +42,8 @@
     pub(super) messages_per_host: f64,
     /// Questions alone.
     pub(super) asks_per_host: f64,
+    /// Chunks that arrived corrupted and were refused.
+    pub(super) corrupt_refused: u64,
     /// How busy the machine was, with whatever.
     pub(super) machine_busy_share: f64,
 }
@@ -97,6 +99,7 @@
             duplicate_bytes_share: as_float(counts.duplicate) / as_float(counts.came).max(1.0),
             messages_per_host: as_float(counts.asks + counts.pulls + counts.reads) / hosts,
             asks_per_host: as_float(counts.asks) / hosts,
+            corrupt_refused: counts.corrupt,
             machine_busy_share: busy,
         })
     }
@@ -123,6 +126,7 @@
             duplicate: self.sum_event("weights_duplicate_bytes").await,
             came: self.sum_event("weights_peer_bytes").await
                 + self.sum_event("weights_origin_bytes").await,
+            corrupt: self.sum_retries("chunk_corrupt").await,
         }
     }
 }
@@ -135,6 +139,7 @@
     reads: u64,
     duplicate: u64,
     came: u64,
+    corrupt: u64,
 }
 
 impl SwarmCounts {
@@ -145,6 +150,7 @@
             reads: self.reads.saturating_sub(earlier.reads),
             duplicate: self.duplicate.saturating_sub(earlier.duplicate),
             came: self.came.saturating_sub(earlier.came),
+            corrupt: self.corrupt.saturating_sub(earlier.corrupt),
         }
     }
 }
--- a/src/lab/weights/mod.rs
+++ b/src/lab/weights/mod.rs
@@ -10,6 +10,8 @@
 mod plot;
 mod report;
 mod shape;
+mod spoiling_host;
 mod swarm;
 
 pub(crate) use command::{run_weights, weights_command};
+pub(crate) use spoiling_host::{run_spoiling_host, spoiling_host_command};
--- a/src/lab/weights/swarm.rs
+++ b/src/lab/weights/swarm.rs
@@ -187,8 +187,18 @@
 
     /// The sum over the live hosts of what they counted as event `name`.
     pub(super) async fn sum_event(&self, name: &str) -> u64 {
+        self.sum("savory_events", &format!("event=\"{name}\""))
+            .await
+    }
+
+    /// The sum over the live hosts of their retries because of `reason`.
+    pub(super) async fn sum_retries(&self, reason: &str) -> u64 {
+        self.sum("savory_retries", &format!("reason=\"{reason}\""))
+            .await
+    }
+
+    async fn sum(&self, metric: &str, label: &str) -> u64 {
         let client = LabClient::default();
-        let label = format!("event=\"{name}\"");
         let mut sum = 0;
         for host in self.hosts.iter().filter(|host| !host.is_killed) {
             let Ok(address) = host.process.address("peer") else {
@@ -197,7 +207,7 @@
             let text = client.text(address, "/metrics").await.unwrap_or_default();
             let lines = text
                 .lines()
-                .filter(|line| line.starts_with("savory_events") && line.contains(&label));
+                .filter(|line| line.starts_with(metric) && line.contains(label));
             let counts = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
             sum += counts.map(whole).sum::<u64>();
         }
@@ -258,25 +268,20 @@
     }));
     let engine_address = listen(StandInKind::Engine(engine.clone())).await?;
     let host = format!("{}-{}-{}", names.model, data_centre.name, index + 1);
-    let order = common(
-        LaunchOrder::new("savory-host", &host),
-        &host,
-        data_centre,
-        platform,
-    )
-    .setting("service", names.model)
-    .setting(
-        "engine-dialect",
-        match dialect {
-            LabDialect::MetricsText => "metrics_text",
-            LabDialect::JsonState => "json_state",
-        },
-    )
-    .setting("engine-address", engine_address)
-    .setting("origin-address", platform.origin)
-    .setting("link-bytes-per-second", shape.host_rate())
-    .setting("memory-bytes", shape.size * VERSIONS_HELD)
-    .setting("traffic-threads", 1);
+    let order = common(launch_host(&host, shape), &host, data_centre, platform)
+        .setting("service", names.model)
+        .setting(
+            "engine-dialect",
+            match dialect {
+                LabDialect::MetricsText => "metrics_text",
+                LabDialect::JsonState => "json_state",
+            },
+        )
+        .setting("engine-address", engine_address)
+        .setting("origin-address", platform.origin)
+        .setting("link-bytes-per-second", shape.host_rate())
+        .setting("memory-bytes", shape.size * VERSIONS_HELD)
+        .setting("traffic-threads", 1);
     Ok(SwarmHost {
         process: ChildProcess::start(&order).await?,
         engine,
@@ -286,6 +291,17 @@
     })
 }
 
+/// The host process; one that spoils what it sends where chunks are to arrive corrupted.
+fn launch_host(host: &str, shape: &BurstShape) -> LaunchOrder {
+    if shape.corrupt_percent == 0 {
+        return LaunchOrder::new("savory-host", host);
+    }
+    LaunchOrder::new("savory-lab", host)
+        .argument("spoiling-host")
+        .setting("spoilt-percent", shape.corrupt_percent)
+        .argument("--")
+}
+
 async fn start_entry(
     data_centre: DataCentre,
     platform: PlatformAddresses,
--- /dev/null
+++ b/src/weights/live_bytes.rs
@@ -0,0 +1,64 @@
+//! Tells the link of live bytes, so that weights wait behind them.
+
+use std::convert::Infallible;
+
+use futures::StreamExt;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use motore::layer::Layer;
+use motore::service::Service;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::{Route, Router};
+
+use super::link_pacer::{LinkDirection, LinkPacer};
+
+/// `routes` with every byte of their answers taken from the link before weights.
+///
+/// Questions are a few hundred bytes and are left out; answers stream for minutes.
+pub(crate) fn ahead_of_weights(routes: Router, pacer: LinkPacer) -> Router {
+    routes.layer(LiveLayer(pacer))
+}
+
+#[derive(Clone)]
+struct LiveLayer(LinkPacer);
+
+impl Layer<Route> for LiveLayer {
+    type Service = LiveService;
+
+    fn layer(self, inner: Route) -> LiveService {
+        LiveService {
+            inner,
+            pacer: self.0,
+        }
+    }
+}
+
+struct LiveService {
+    inner: Route,
+    pacer: LinkPacer,
+}
+
+impl Service<ServerContext, Request> for LiveService {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        context: &mut ServerContext,
+        request: Request,
+    ) -> Result<Response, Infallible> {
+        let (head, body) = self.inner.call(context, request).await?.into_parts();
+        let pacer = self.pacer.clone();
+        let parts = body.into_data_stream().map(move |part| {
+            part.map(|bytes| {
+                let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+                pacer.take_live(LinkDirection::Up, length);
+                Frame::data(bytes)
+            })
+        });
+        Ok(Response::from_parts(head, Body::from_stream(parts)))
+    }
+}
