--- a/src/control/control_machine.rs
+++ b/src/control/control_machine.rs
@@ -154,7 +154,8 @@
         let facts = self.facts_after(&status);
         self.members.on_status(status, now);
         if let Some(facts) = facts {
-            self.changes.facts |= self.members.on_facts(&facts, now);
+            self.members.on_facts(&facts, now);
+            self.changes.facts = true;
         }
     }
 
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -93,6 +93,25 @@
     assert_eq!(state_of(&mut table, now), MemberState::Live);
 }
 
+// Symptom: a live host has no status for as long as its watcher lives, and gets no requests. Events:
+// its first status comes before the facts that follow from it. Cause, without the comparison: the
+// facts are newer than the listed ones, and what the host has just said is erased with them.
+#[test]
+fn a_status_that_comes_before_its_facts_is_kept() {
+    let mut table = MemberTable::new("observer".into());
+    let now = ClockTime::from_millis(1000);
+    table.on_list(&[entry("pisar-1")], now);
+    assert!(table.on_status(status(1), now));
+    let facts = MemberFacts {
+        entry: entry("pisar-1"),
+        incarnation: 7,
+        sequence: 0,
+    };
+    table.on_facts(&facts, now);
+    let member = table.get("pisar-1").expect("it is known");
+    assert_eq!(member.status.as_deref(), Some(&status(1)));
+}
+
 #[test]
 fn the_word_of_an_earlier_process_does_not_count() {
     let mut table = MemberTable::new("observer".into());
