Hold the entry host's edges against fake hosts; try repeatable requests elsewhere in time

An attempt of a repeatable request now gets a third of the time that is left, at least a second, and is tried elsewhere. If the host had started it, that counts against the host.

Tests over loopback: resume at another host, cut answers, foreign frames, silent connections, a caller that leaves, refusals.

--- a/src/delivery/attempt_plan.rs
+++ b/src/delivery/attempt_plan.rs
@@ -12,6 +12,11 @@
 use crate::time::ClockTime;
 use crate::weights::WeightsDigest;
 
+/// An attempt gets this part of the time that is left to the deadline, as a divisor.
+const ATTEMPT_PART: u32 = 3;
+/// What an attempt gets at least.
+const ATTEMPT_SHORTEST: Duration = Duration::from_secs(1);
+
 /// What does not change between a request's attempts.
 #[apply(key!)]
 pub(crate) struct PlanTraits {
@@ -123,6 +128,11 @@
         self.attempts
     }
 
+    /// Whether the caller has part of the answer.
+    pub(crate) const fn has_passed_on(&self) -> bool {
+        self.passed_on
+    }
+
     /// Tokens that the caller has.
     pub(crate) const fn tokens(&self) -> u32 {
         self.tokens
@@ -142,6 +152,21 @@
         }
     }
 
+    /// When the attempt that begins now has had its time without a byte of its answer.
+    ///
+    /// A host goes on saying that it is alive while the connection behind it, to its backend
+    /// server, is silent for good. The request would be held until its deadline, and nothing would
+    /// be left of its time for another host. A repeatable one is given a part of it and tried
+    /// elsewhere.
+    pub(crate) fn attempt_limit(&self, now: ClockTime) -> ClockTime {
+        let has_retries = self.attempts < self.traits.attempts_max;
+        if self.passed_on || !self.traits.repeatable || !has_retries {
+            return self.limit();
+        }
+        let part = self.traits.deadline.since(now) / ATTEMPT_PART;
+        (now + part.max(ATTEMPT_SHORTEST)).min(self.limit())
+    }
+
     /// Decides after `error`, the end of an attempt. `jitter` is random.
     pub(crate) fn after_failure(
         &mut self,
--- a/src/delivery/request_run.rs
+++ b/src/delivery/request_run.rs
@@ -20,7 +20,7 @@
 use crate::membership::{LoadReport, ServingVersion};
 use crate::metrics;
 use crate::routing::{BackendKey, PickTarget, PickWish, PickedBackend, name_hash};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 
 /// Bytes of a prompt that name its beginning.
 const PREFIX_BYTES: usize = 256;
@@ -215,12 +215,19 @@
     /// left or the time is over, the host learns of it by that.
     async fn pass_on(&mut self, mut stream: RunStream) -> SwitchResult<LoadReport> {
         let mut taken = false;
+        let first_limit = self.plan.attempt_limit(clock_now());
         loop {
-            let left = self.plan.limit().since(clock_now());
+            let has_part = self.plan.has_passed_on();
+            let limit = if has_part {
+                self.plan.limit()
+            } else {
+                first_limit
+            };
+            let left = limit.since(clock_now());
             let part = tokio::select! {
                 part = stream.next() => part?,
                 () = self.sink.closed() => return Err(caller_gone()),
-                () = sleep(left) => return Err(self.too_late()),
+                () = sleep(left) => return Err(self.too_late(limit)),
             };
             if !taken {
                 taken = true;
@@ -331,8 +338,18 @@
             .after_settling(error, reply.as_ref(), clock_now(), rand::random())
     }
 
-    fn too_late(&self) -> SwitchError {
-        let detail = if self.plan.tokens() > 0 {
+    fn too_late(&self, limit: ClockTime) -> SwitchError {
+        if limit < self.plan.limit() {
+            let detail = "the host is alive, but no answer came in the attempt's part of the time";
+            // One that still waits at the host says nothing against it.
+            let kind = if self.has_started {
+                ErrorKind::PeerSilent
+            } else {
+                ErrorKind::DeadlinePassed
+            };
+            return SwitchError::new(kind, detail);
+        }
+        let detail = if self.plan.has_passed_on() {
             "the answer took longer than a stream may"
         } else {
             "no answer came by the deadline"
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -77,7 +77,13 @@
     let (control, board) = start_own_control(&settings, &client, &drain);
     let hosts = HostCaller::new(client, settings.silence);
     let limit = settings.body_limit;
-    let traffic = Arc::new(EntryTraffic::new(&control, hosts, drain.clone(), limit));
+    let traffic = Arc::new(EntryTraffic::new(
+        control.identity().clone(),
+        control.snapshot(),
+        hosts,
+        drain.clone(),
+        limit,
+    ));
     let ready = Arc::new(AtomicBool::new(false));
     let kept = traffic.clone();
     tokio::spawn(async move { kept.keep_desks().await });
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,8 @@
 mod reply;
 mod routes;
 mod settings;
+#[cfg(test)]
+mod tests;
 mod traffic;
 
 pub use daemon::entry_main;
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -14,7 +14,7 @@
 
 use super::caller_head::CallerHead;
 use crate::admission::find_account;
-use crate::control::{ControlHandle, ServiceRecord, SharedSnapshot};
+use crate::control::{ServiceRecord, SharedSnapshot};
 use crate::daemon::DrainState;
 use crate::delivery::{
     AdmissionPass, CALLER_PARTS, CallKey, CallerPart, HostCaller, RequestJob, RequestRun, RunCall,
@@ -54,14 +54,15 @@
 
 impl EntryTraffic {
     pub(super) fn new(
-        control: &ControlHandle,
+        identity: HostIdentity,
+        snapshot: SharedSnapshot,
         hosts: HostCaller,
         drain: DrainState,
         body_limit: usize,
     ) -> Self {
         Self {
-            identity: control.identity().clone(),
-            snapshot: control.snapshot(),
+            identity,
+            snapshot,
             hosts,
             drain,
             refuses: AtomicBool::new(false),
