Begin the answer with its first part, not when a backend server has the request

The head went out when an attempt was started. If that attempt failed before its first token, the caller had status 200 and got an error event in place of a plain refusal, and if the next one ran on another version, the head named the wrong one.

--- a/src/delivery/request_job.rs
+++ b/src/delivery/request_job.rs
@@ -12,9 +12,18 @@
 use crate::derives::plain;
 use crate::documents::RequestPriority;
 use crate::errors::SwitchError;
+use crate::guard::slot_of;
 use crate::membership::ServingVersion;
+use crate::routing::{PickTarget, name_hash};
 use crate::time::ClockTime;
 
+/// Bytes of a prompt that name its beginning.
+const PREFIX_BYTES: usize = 256;
+/// Bytes of a prompt that make a token, roughly.
+const BYTES_PER_TOKEN: u64 = 4;
+/// What a plain service's call counts as, in tokens.
+const PLAIN_COST: u64 = 64;
+
 /// One request, read and checked.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestJob {
@@ -39,10 +48,44 @@
     pub(crate) call: RunCall,
 }
 
+impl RequestJob {
+    /// Its estimated cost, in tokens.
+    pub(super) fn cost(&self) -> u64 {
+        match &self.call {
+            RunCall::Generate {
+                prompt, max_tokens, ..
+            } => prompt.len() as u64 / BYTES_PER_TOKEN + u64::from(*max_tokens) + 1,
+            RunCall::Forward { .. } => PLAIN_COST,
+        }
+    }
+
+    /// The hash of its prompt's beginning, if the document wants such requests to meet.
+    pub(super) fn prefix(&self) -> Option<u64> {
+        match &self.call {
+            RunCall::Generate { prompt, .. } if self.service.document.prefix_affinity => {
+                let end = prompt.floor_char_boundary(PREFIX_BYTES);
+                Some(name_hash(&prompt[..end]))
+            }
+            _ => None,
+        }
+    }
+
+    /// Where its first attempt may go.
+    pub(super) fn first_target(&self) -> PickTarget {
+        match &self.call_key {
+            Some(key) => {
+                let service = &self.service.document.service;
+                PickTarget::Slot(slot_of(service, &self.account, &key.order_key))
+            }
+            None => PickTarget::Any,
+        }
+    }
+}
+
 /// One part of what a caller gets.
 #[apply(plain!)]
 pub(crate) enum CallerPart {
-    /// A backend server has the request.
+    /// The answer begins, on this version.
     Started(Option<ServingVersion>),
     /// The head of a plain service's answer.
     Head(AnswerHead),
--- a/src/delivery/request_run.rs
+++ b/src/delivery/request_run.rs
@@ -16,19 +16,11 @@
 use crate::documents::RequestPriority;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
 use crate::events::log_event;
-use crate::guard::slot_of;
 use crate::membership::{LoadReport, ServingVersion};
 use crate::metrics;
-use crate::routing::{BackendKey, PickTarget, PickWish, PickedBackend, name_hash};
+use crate::routing::{BackendKey, PickTarget, PickWish, PickedBackend};
 use crate::time::{ClockTime, clock_now};
 
-/// Bytes of a prompt that name its beginning.
-const PREFIX_BYTES: usize = 256;
-/// Bytes of a prompt that make a token, roughly.
-const BYTES_PER_TOKEN: u64 = 4;
-/// What a plain service's call counts as, in tokens.
-const PLAIN_COST: u64 = 64;
-
 /// One request under way.
 pub(crate) struct RequestRun {
     job: RequestJob,
@@ -40,6 +32,9 @@
     avoid: Option<BackendKey>,
     /// Whether the newest attempt has been started by its host.
     has_started: bool,
+    /// The version that it runs on.
+    serving: Option<ServingVersion>,
+    has_told_start: bool,
 }
 
 /// How an attempt ended.
@@ -67,7 +62,7 @@
             deadline: job.deadline,
             stream_end: job.stream_end,
         };
-        let target = first_target(&job);
+        let target = job.first_target();
         Self {
             job,
             pass,
@@ -77,6 +72,8 @@
             target,
             avoid: None,
             has_started: false,
+            serving: None,
+            has_told_start: false,
         }
     }
 
@@ -109,6 +106,7 @@
         let order = self.order(&picked);
         self.plan.begin_attempt();
         self.has_started = false;
+        self.serving = None;
         match self.carry_out(&order, placed).await {
             AttemptEnd::Whole | AttemptEnd::CallerGone => Ok(()),
             AttemptEnd::Failed(error) => Err(self.follow(error, &order, &picked).await),
@@ -126,7 +124,7 @@
         PlaceWish {
             pick,
             priority: self.job.priority,
-            cost: cost_of(&self.job.call),
+            cost: self.job.cost(),
             goes_first: is_retry || pick.target != PickTarget::Any,
             limit: self.plan.limit(),
         }
@@ -140,21 +138,11 @@
         PickWish {
             target,
             urgent: self.job.priority == RequestPriority::Urgent,
-            prefix: self.prefix(),
+            prefix: self.job.prefix(),
             avoid: self.avoid,
         }
     }
 
-    fn prefix(&self) -> Option<u64> {
-        match &self.job.call {
-            RunCall::Generate { prompt, .. } if self.job.service.document.prefix_affinity => {
-                let end = prompt.floor_char_boundary(PREFIX_BYTES);
-                Some(name_hash(&prompt[..end]))
-            }
-            _ => None,
-        }
-    }
-
     fn order(&self, picked: &PickedBackend) -> RunOrder {
         let job = &self.job;
         let left = self.plan.limit().since(clock_now());
@@ -243,12 +231,14 @@
     async fn take_part(&mut self, part: CheckedPart) -> SwitchResult<Option<LoadReport>> {
         match part {
             CheckedPart::Alive | CheckedPart::Foreign => {}
-            CheckedPart::Started(serving) => self.take_start(serving).await?,
+            CheckedPart::Started(serving) => self.take_start(serving)?,
             CheckedPart::Head(head) => {
+                self.tell_start().await?;
                 self.plan.note_head();
                 self.send(CallerPart::Head(head)).await?;
             }
             CheckedPart::Token(text) => {
+                self.tell_start().await?;
                 self.plan.note_token();
                 self.send(CallerPart::Token(text)).await?;
             }
@@ -258,6 +248,7 @@
                 replayed,
                 load,
             } => {
+                self.tell_start().await?;
                 self.send(CallerPart::Whole { reason, replayed }).await?;
                 return Ok(Some(load));
             }
@@ -265,7 +256,7 @@
         Ok(None)
     }
 
-    async fn take_start(&mut self, serving: Option<ServingVersion>) -> SwitchResult<()> {
+    fn take_start(&mut self, serving: Option<ServingVersion>) -> SwitchResult<()> {
         self.has_started = true;
         let digest = serving.as_ref().map(|serving| serving.digest);
         let wanted = self.plan.resume_version();
@@ -274,12 +265,22 @@
             return Err(SwitchError::new(ErrorKind::AnswerDamaged, detail));
         }
         self.plan.note_version(digest);
-        if self.plan.tokens() == 0 {
-            self.send(CallerPart::Started(serving)).await?;
-        }
+        self.serving = serving;
         Ok(())
     }
 
+    /// Tells the caller which version answers, before the first part of the answer and not before:
+    /// an attempt that fails without one may be followed by another on another version, or by a
+    /// plain refusal.
+    async fn tell_start(&mut self) -> SwitchResult<()> {
+        if self.has_told_start {
+            return Ok(());
+        }
+        self.has_told_start = true;
+        let serving = self.serving.take();
+        self.send(CallerPart::Started(serving)).await
+    }
+
     async fn send(&self, part: CallerPart) -> SwitchResult<()> {
         self.sink.send(part).await.map_err(|_| caller_gone())
     }
@@ -358,26 +359,6 @@
     }
 }
 
-fn first_target(job: &RequestJob) -> PickTarget {
-    match &job.call_key {
-        Some(key) => {
-            let service = &job.service.document.service;
-            PickTarget::Slot(slot_of(service, &job.account, &key.order_key))
-        }
-        None => PickTarget::Any,
-    }
-}
-
-/// The estimated cost of a call, in tokens.
-fn cost_of(call: &RunCall) -> u64 {
-    match call {
-        RunCall::Generate {
-            prompt, max_tokens, ..
-        } => prompt.len() as u64 / BYTES_PER_TOKEN + u64::from(*max_tokens) + 1,
-        RunCall::Forward { .. } => PLAIN_COST,
-    }
-}
-
 fn caller_gone() -> SwitchError {
     SwitchError::new(ErrorKind::CallerGone, "the caller left")
 }
--- a/src/entry/tests/fake_host.rs
+++ b/src/entry/tests/fake_host.rs
@@ -278,7 +278,10 @@
             HostWay::Whole | HostWay::Crossed | HostWay::CutAfter(_) => {}
         }
         let mut hasher = blake3::Hasher::new();
-        self.send(RunPart::Started { serving: serving() }).await?;
+        self.send(RunPart::Started {
+            serving: Some(serving()),
+        })
+        .await?;
         let from = self.head(order).await?;
         for index in from..TOKENS {
             if way == HostWay::CutAfter(index) {
@@ -328,11 +331,11 @@
     }
 }
 
-fn serving() -> Option<ServingVersion> {
-    Some(ServingVersion {
+fn serving() -> ServingVersion {
+    ServingVersion {
         version: "v1".into(),
         digest: WeightsDigest::of(b"v1"),
-    })
+    }
 }
 
 const fn load() -> LoadReport {
@@ -351,7 +354,7 @@
         sequence: 1,
         leaving: false,
         load: load(),
-        serving: serving(),
+        serving: Some(serving()),
         staging: None,
         slots: Vec::new(),
     })
