Tell others before a host goes out of service; split the largest files

A host that changed its version closed its gate first and said so after; requests that were on their way met a closed gate, were refused and went elsewhere.

The measurement tells live requests during the transfer from those during the change of versions. Fetch plan, fetch worker and activation are split by concern; nothing else changes in them.

--- a/src/lab/weights/burst.rs
+++ b/src/lab/weights/burst.rs
@@ -28,6 +28,8 @@
 pub(super) struct BurstFigures {
     /// From the acceptance of the document until the last live host served the weights.
     pub(super) seconds: f64,
+    /// The same until the first did.
+    pub(super) first_seconds: f64,
     /// The same until half of them did.
     pub(super) half_seconds: f64,
     /// The least that any scheme could take.
@@ -66,6 +68,7 @@
         self.want(version, manifest, replaces).await?;
         let begun = clock_now();
         let bound = shape.bound_seconds(shape.size, shape.hosts);
+        let mut first_seconds = 0.0;
         let mut half_seconds = 0.0;
         loop {
             let seconds = clock_now().since(begun).as_secs_f64();
@@ -73,6 +76,9 @@
                 self.kill_some(shape).await;
             }
             let (serving, live) = self.count_serving(&manifest.digest);
+            if serving > 0 && first_seconds == 0.0 {
+                first_seconds = seconds;
+            }
             if serving * 2 >= live && half_seconds == 0.0 {
                 half_seconds = seconds;
             }
@@ -92,6 +98,7 @@
         let hosts = as_float(shape.hosts as u64);
         Ok(BurstFigures {
             seconds,
+            first_seconds,
             half_seconds,
             bound_seconds: bound,
             ratio: seconds / bound,
--- a/src/lab/weights/command.rs
+++ b/src/lab/weights/command.rs
@@ -252,12 +252,17 @@
     let calls = LiveCalls::begin(entry, who, versions.clone(), "before");
     tokio::time::sleep(LIVE_BEFORE).await;
     let before = calls.end().await.ok_or_else(gone)?;
+    let before = before.figures(Duration::ZERO, Duration::MAX);
     let calls = LiveCalls::begin(entry, who, versions, "during");
     let burst = swarm.burst(shape, &second, ("v2", 1)).await;
-    let during = calls.end().await.ok_or_else(gone)?;
+    let calls = calls.end().await.ok_or_else(gone)?;
+    let burst = burst?;
+    let first = Duration::from_secs_f64(burst.first_seconds);
     Ok(LiveReport {
         before,
-        during,
-        burst: burst?,
+        during: calls.figures(Duration::ZERO, Duration::MAX),
+        transfer: calls.figures(Duration::ZERO, first),
+        rollout: calls.figures(first, Duration::MAX),
+        burst,
     })
 }
--- a/src/lab/weights/live.rs
+++ b/src/lab/weights/live.rs
@@ -1,6 +1,5 @@
 //! Live requests before and during a burst.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -12,8 +11,9 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::derives::plain;
-use crate::lab::calls::{CallAsk, CallOrder, CallOutcome, LabCaller};
+use crate::lab::calls::{CallAsk, CallOrder, CallOutcome, CallRecord, LabCaller};
 use crate::lab::stand_ins::answer_text;
+use crate::time::clock_now;
 use crate::weights::WeightsDigest;
 
 const CALLS_PER_SECOND: u32 = 40;
@@ -37,10 +37,35 @@
     pub(super) p50_ms: f64,
 }
 
+/// What came of the calls, in the order in which they were made.
+pub(super) struct LiveRecords {
+    versions: Vec<WeightsDigest>,
+    records: Vec<LiveRecord>,
+}
+
+struct LiveRecord {
+    prompt: String,
+    /// When it was made, from the first call on.
+    made_after: Duration,
+    record: CallRecord,
+}
+
+impl LiveRecords {
+    /// The figures of the calls made between `from` and `until`, from the first call on.
+    pub(super) fn figures(&self, from: Duration, until: Duration) -> LiveFigures {
+        let mut tally = LiveTally::new(&self.versions);
+        let made = |call: &&LiveRecord| call.made_after >= from && call.made_after < until;
+        for call in self.records.iter().filter(made) {
+            tally.take(&call.prompt, &call.record.outcome, call.record.whole);
+        }
+        tally.figures()
+    }
+}
+
 /// Calls at a fixed rate, whatever the answers take, until it is ended.
 pub(super) struct LiveCalls {
     stop: Arc<AtomicBool>,
-    task: JoinHandle<LiveFigures>,
+    task: JoinHandle<LiveRecords>,
 }
 
 impl LiveCalls {
@@ -56,9 +81,10 @@
         let stopped = Arc::clone(&stop);
         let task = tokio::spawn(async move {
             let caller = Arc::new(LabCaller::new(ANSWER_WITHIN));
+            let begun = clock_now();
             let mut ticks = interval(Duration::from_secs(1) / CALLS_PER_SECOND);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
-            let mut calls = VecDeque::new();
+            let mut calls = Vec::new();
             while !stopped.load(Ordering::Relaxed) {
                 ticks.tick().await;
                 let prompt = format!("{label} {}", calls.len());
@@ -75,38 +101,41 @@
                     attempt: 1,
                 };
                 let caller = Arc::clone(&caller);
-                calls.push_back(tokio::spawn(async move {
-                    (prompt, caller.call(entry, &order).await)
+                let made_after = clock_now().since(begun);
+                calls.push(tokio::spawn(async move {
+                    LiveRecord {
+                        prompt,
+                        made_after,
+                        record: caller.call(entry, &order).await,
+                    }
                 }));
             }
-            let mut tally = LiveTally::new(versions);
+            let mut records = Vec::new();
             for call in calls {
-                if let Ok((prompt, record)) = call.await {
-                    tally.take(&prompt, &record.outcome, record.whole);
-                }
+                records.extend(call.await.ok());
             }
-            tally.figures()
+            LiveRecords { versions, records }
         });
         Self { stop, task }
     }
 
-    /// Ends the calls and says what came of them.
-    pub(super) async fn end(self) -> Option<LiveFigures> {
+    /// Ends the calls and returns what came of them.
+    pub(super) async fn end(self) -> Option<LiveRecords> {
         self.stop.store(true, Ordering::Relaxed);
         self.task.await.ok()
     }
 }
 
-struct LiveTally {
-    versions: Vec<WeightsDigest>,
+struct LiveTally<'a> {
+    versions: &'a [WeightsDigest],
     calls: u64,
     unanswered: u64,
     mixed: u64,
     micros: Option<Histogram<u64>>,
 }
 
-impl LiveTally {
-    fn new(versions: Vec<WeightsDigest>) -> Self {
+impl<'a> LiveTally<'a> {
+    fn new(versions: &'a [WeightsDigest]) -> Self {
         Self {
             versions,
             calls: 0,
--- a/src/lab/weights/report.rs
+++ b/src/lab/weights/report.rs
@@ -52,6 +52,10 @@
     pub(super) before: LiveFigures,
     /// During.
     pub(super) during: LiveFigures,
+    /// The part of these that were made until the first host served the new weights.
+    pub(super) transfer: LiveFigures,
+    /// The part that were made while hosts went over to them.
+    pub(super) rollout: LiveFigures,
     /// The burst, in which each host went out of service under a permit.
     pub(super) burst: BurstFigures,
 }
--- a/src/lab/weights/swarm.rs
+++ b/src/lab/weights/swarm.rs
@@ -16,7 +16,7 @@
 };
 use crate::lab::stand_ins::{
     ANY_PORT, EngineShape, EngineStandIn, FaultSettings, LabDialect, ListStandIn, ObjectsStandIn,
-    PublishOrder, PublishedManifest, StandIn, StandInKind, TableStandIn, WeightsStandIn,
+    PublishOrder, PublishedManifest, StandIn, StandInKind, WeightsStandIn,
 };
 use crate::platform::{HostEntry, HostRole, ListedState};
 use crate::time::clock_now;
@@ -51,13 +51,10 @@
     pub(super) hosts: Vec<SwarmHost>,
     /// The origin.
     pub(super) origin: Arc<WeightsStandIn>,
-    /// The table.
-    pub(super) table: Arc<TableStandIn>,
     /// The entry host.
     pub(super) entry: ChildProcess,
     names: CompanyNames,
     shape: BurstShape,
-    platform: PlatformAddresses,
     list: Arc<ListStandIn>,
 }
 
@@ -77,7 +74,6 @@
             SpreadObjective::OriginBytes => Company::Skupno,
         };
         let names = company.names();
-        let table: Arc<TableStandIn> = Arc::default();
         let list: Arc<ListStandIn> = Arc::default();
         let origin = Arc::new(WeightsStandIn::new(shape.origin_rate(), ORIGIN_BACKLOG));
         let objects = StandInKind::Objects(Arc::new(ObjectsStandIn::default()));
@@ -87,7 +83,7 @@
             ..FaultSettings::default()
         });
         let platform = PlatformAddresses {
-            table: listen(StandInKind::Table(table.clone())).await?,
+            table: listen(StandInKind::Table(Arc::default())).await?,
             objects: listen(objects).await?,
             list: listen(StandInKind::Hosts(list.clone())).await?,
             origin: source.address(),
@@ -104,11 +100,9 @@
         let swarm = Self {
             hosts,
             origin,
-            table,
             entry,
             names,
             shape: shape.clone(),
-            platform,
             list,
         };
         swarm.publish_list()?;
--- a/src/weights/activation.rs
+++ b/src/weights/activation.rs
@@ -11,11 +11,11 @@
 use super::digest::WeightsDigest;
 use super::rollout_book::RolloutBook;
 use super::rollout_row::{PermitAnswer, RolloutRow, RowOutcome, SeenRow};
+use super::version_change::{ChangePhase, EngineReport, VersionChange};
 use super::wanted_version::WantedVersion;
-use crate::derives::{key, plain};
+use crate::derives::plain;
 use crate::documents::TableAwayRule;
-use crate::engines::EngineState;
-use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::errors::SwitchResult;
 use crate::leases::LeaseHolder;
 use crate::membership::ServingVersion;
 use crate::platform::RowRevision;
@@ -23,14 +23,7 @@
 
 /// How often the engine is looked at while nothing changes.
 const WATCH_SPAN: Duration = Duration::from_secs(1);
-/// How often it is looked at while an order is under way.
-const READ_BACK_SPAN: Duration = Duration::from_millis(200);
-/// How long an order in doubt is waited for before it is given again.
-const DOUBT_SPAN: Duration = Duration::from_secs(10);
-const ORDER_TRIES: u32 = 3;
-/// How long a host waits before it tries a version again that its engine did not load.
-const FAILED_SPAN: Duration = Duration::from_secs(30);
-const CHECK_SPAN: Duration = Duration::from_millis(200);
+pub(super) const CHECK_SPAN: Duration = Duration::from_millis(200);
 
 /// What the edge has to do next.
 #[apply(plain!)]
@@ -77,53 +70,18 @@
     pub(crate) part: f64,
 }
 
-#[apply(key!)]
-enum ChangePhase {
-    /// Requests of the old version end.
-    Closing,
-    /// The order is about to be given.
-    Ready,
-    /// The order is under way.
-    Ordering,
-    /// The order was answered, or its answer was lost; the engine is read back.
-    ReadingBack,
-}
-
-/// A change of version under way.
-#[apply(plain!)]
-struct VersionChange {
-    target: ServingVersion,
-    phase: ChangePhase,
-    /// Whether the host served something before.
-    is_swap: bool,
-    tries: u32,
-    ordered_at: ClockTime,
-    answered_at: ClockTime,
-    refusal: Option<SwitchError>,
-}
-
-#[apply(plain!)]
-struct EngineReport {
-    serving: Option<ServingVersion>,
-    fence: u64,
-    /// When it was read.
-    read_at: ClockTime,
-    /// The moment that it speaks of.
-    as_of: ClockTime,
-}
-
 /// One host's activation.
 #[derive(Debug)]
 pub(crate) struct ActivationMachine {
-    report: Option<EngineReport>,
+    pub(super) report: Option<EngineReport>,
     /// Reports about earlier moments say nothing about now.
-    valid_from: ClockTime,
-    read_after: ClockTime,
-    change: Option<VersionChange>,
-    book: RolloutBook,
+    pub(super) valid_from: ClockTime,
+    pub(super) read_after: ClockTime,
+    pub(super) change: Option<VersionChange>,
+    pub(super) book: RolloutBook,
     /// The last version that the engine served, for a way back.
-    last_served: Option<ServingVersion>,
-    failed: Option<(ServingVersion, ClockTime)>,
+    pub(super) last_served: Option<ServingVersion>,
+    pub(super) failed: Option<(ServingVersion, ClockTime)>,
 }
 
 impl ActivationMachine {
@@ -284,168 +242,6 @@
         Some(self.begin(target, false, now))
     }
 
-    fn begin(&mut self, target: ServingVersion, is_swap: bool, now: ClockTime) -> ActivationStep {
-        assert!(
-            !is_swap || self.book.has_permit(now),
-            "a host went out of service without a permit"
-        );
-        self.change = Some(VersionChange {
-            target,
-            phase: ChangePhase::Closing,
-            is_swap,
-            tries: 0,
-            ordered_at: now,
-            answered_at: now,
-            refusal: None,
-        });
-        ActivationStep::CloseGate
-    }
-
-    fn change_step(&mut self, view: &ActivationView<'_>, now: ClockTime) -> ActivationStep {
-        if let Some(step) = self.book.renew_step(now) {
-            return step;
-        }
-        let Some(change) = self.change.clone() else {
-            return ActivationStep::WaitUntil(now);
-        };
-        match change.phase {
-            ChangePhase::Closing => self.close_step(&change, now),
-            ChangePhase::Ready => self.order_step(&change, view, now),
-            ChangePhase::Ordering => ActivationStep::WaitUntil(now + CHECK_SPAN),
-            ChangePhase::ReadingBack => self.read_engine(now),
-        }
-    }
-
-    fn close_step(&mut self, change: &VersionChange, now: ClockTime) -> ActivationStep {
-        if change.is_swap && !self.book.has_permit(now) {
-            // Others may be out of service in its place by now; the old version goes on.
-            self.change = None;
-            return self.read_engine(now);
-        }
-        ActivationStep::CloseGate
-    }
-
-    fn order_step(
-        &mut self,
-        change: &VersionChange,
-        view: &ActivationView<'_>,
-        now: ClockTime,
-    ) -> ActivationStep {
-        let is_first = change.tries == 0;
-        if is_first && change.is_swap && !self.book.has_permit(now) {
-            self.change = None;
-            return self.read_engine(now);
-        }
-        assert!(
-            (view.is_whole)(change.target.digest),
-            "an order was due for weights that are not whole"
-        );
-        let seen = self.report.as_ref().map_or(0, |report| report.fence);
-        let fence = self.book.next_fence(seen);
-        if let Some(change) = self.change.as_mut() {
-            change.phase = ChangePhase::Ordering;
-            change.ordered_at = now;
-            change.tries += 1;
-            change.refusal = None;
-        }
-        ActivationStep::Order {
-            fence,
-            serving: change.target.clone(),
-        }
-    }
-
-    fn read_engine(&self, now: ClockTime) -> ActivationStep {
-        if now < self.read_after {
-            return ActivationStep::WaitUntil(self.read_after);
-        }
-        ActivationStep::ReadEngine
-    }
-
-    /// Whether all requests ended after [`ActivationStep::CloseGate`].
-    pub(crate) fn on_gate_closed(&mut self, all_ended: bool) {
-        if let Some(change) = self.change.as_mut()
-            && all_ended
-            && change.phase == ChangePhase::Closing
-        {
-            change.phase = ChangePhase::Ready;
-        }
-    }
-
-    /// The order was answered, or its answer did not come.
-    pub(crate) fn on_ordered(&mut self, answer: SwitchResult<()>, now: ClockTime) {
-        if let Some(change) = self.change.as_mut() {
-            assert_eq!(change.phase, ChangePhase::Ordering, "two orders at a time");
-            change.phase = ChangePhase::ReadingBack;
-            change.answered_at = now;
-            change.refusal = answer.err();
-        }
-        self.read_after = now;
-    }
-
-    /// The engine's state, or why it could not be read, asked at `asked_at`.
-    pub(crate) fn on_engine(
-        &mut self,
-        answer: SwitchResult<EngineState>,
-        asked_at: ClockTime,
-        now: ClockTime,
-    ) {
-        self.read_after = now + READ_BACK_SPAN;
-        let Ok(state) = answer else {
-            return;
-        };
-        let report = EngineReport {
-            serving: state.serving,
-            fence: state.fence,
-            read_at: now,
-            as_of: asked_at - Duration::from_millis(state.age_ms),
-        };
-        self.report = Some(report.clone());
-        if let Some(change) = self.change.clone()
-            && change.phase == ChangePhase::ReadingBack
-        {
-            self.settle(&change, &report, now);
-        }
-    }
-
-    /// What an order came to, by what the engine reports after it.
-    fn settle(&mut self, change: &VersionChange, report: &EngineReport, now: ClockTime) {
-        if report.as_of < change.ordered_at {
-            return;
-        }
-        if report.serving.as_ref() == Some(&change.target) {
-            self.valid_from = change.ordered_at;
-            self.change = None;
-            return;
-        }
-        let is_old = report.as_of < change.answered_at;
-        match &change.refusal {
-            Some(error) if error.kind == ErrorKind::ActivationFailed && is_old => {}
-            Some(error) if error.kind == ErrorKind::ActivationFailed => {
-                self.give_up(change, &error.detail, now);
-            }
-            Some(error) if error.kind == ErrorKind::OrderStale => self.order_again(change, now),
-            _ if now.since(change.answered_at) >= DOUBT_SPAN => self.order_again(change, now),
-            _ => {}
-        }
-    }
-
-    fn order_again(&mut self, change: &VersionChange, now: ClockTime) {
-        if change.tries >= ORDER_TRIES {
-            self.give_up(change, "the engine does not report the version", now);
-            return;
-        }
-        if let Some(change) = self.change.as_mut() {
-            change.phase = ChangePhase::Ready;
-        }
-    }
-
-    fn give_up(&mut self, change: &VersionChange, reason: &str, now: ClockTime) {
-        self.failed = Some((change.target.clone(), now + FAILED_SPAN));
-        self.valid_from = change.answered_at;
-        self.book.note_failure(&change.target, reason);
-        self.change = None;
-    }
-
     /// The row, or why it could not be read.
     pub(crate) fn on_row(&mut self, answer: SwitchResult<SeenRow>, part: f64, now: ClockTime) {
         self.book.on_row(answer, part, now);
--- a/src/weights/activation_edge.rs
+++ b/src/weights/activation_edge.rs
@@ -22,7 +22,7 @@
 use crate::membership::ServingVersion;
 use crate::metrics;
 use crate::platform::{RowRevision, TableRow, WriteResult};
-use crate::time::{ClockTime, clock_now};
+use crate::time::clock_now;
 
 const WAIT_MOST: Duration = Duration::from_millis(200);
 const WAIT_LEAST: Duration = Duration::from_millis(5);
@@ -239,6 +239,8 @@
             (Some(wanted), Some(gate)) if gate.digest == wanted.digest => Some(wanted.serving()),
             (_, gate) => gate.cloned(),
         };
+        // A host that is about to change says so before its gate closes.
+        let serving = serving.filter(|_| !self.machine.is_swapping());
         let is_done = match (wanted, &serving) {
             (Some(wanted), Some(serving)) => serving.digest == wanted.digest,
             (None, _) => true,
--- a/src/weights/fetch_worker.rs
+++ b/src/weights/fetch_worker.rs
@@ -6,18 +6,18 @@
 
 use rand::RngExt;
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::events;
 use super::fetch_edge::FetchEdge;
-use super::fetch_plan::{FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource};
+use super::fetch_plan::{FetchLimits, FetchPlan};
+use super::fetch_run::FetchRun;
 use super::link_pacer::LinkPacer;
 use super::manifest::VersionManifest;
 use super::manifest_doubt::ManifestDoubt;
 use super::manifest_edge::find_manifest;
 use super::messages::HaveWord;
-use super::peer_table::PeerKey;
 use super::staged_version::{StagedVersion, VersionShelf};
 use super::wanted_version::{WantedVersion, line_host, wanting_hosts};
 use super::weights_thread::{WeightsEdges, WeightsLimits};
@@ -35,13 +35,6 @@
 const TURN_SPAN_TIME: Duration = Duration::from_millis(1500);
 const TURN_SPAN_BYTES: Duration = Duration::from_secs(4);
 
-/// What happened to a step of the plan.
-enum FetchNews {
-    Asked(PeerKey, SwitchResult<HaveWord>),
-    Pulled(FlightId, u32, SwitchResult<HaveWord>),
-    Read(FlightId, u32, SwitchResult<()>),
-}
-
 /// What the worker works with.
 pub(crate) struct FetchWorker {
     /// The process's edges.
@@ -68,16 +61,6 @@
     Done,
 }
 
-struct FetchRun {
-    edge: FetchEdge,
-    plan: FetchPlan,
-    doubt: ManifestDoubt,
-    is_manifest_doubted: bool,
-    under_way: Vec<(FlightId, AbortHandle)>,
-    news_sender: mpsc::UnboundedSender<FetchNews>,
-    news: mpsc::UnboundedReceiver<FetchNews>,
-}
-
 impl FetchWorker {
     /// Works until the process ends.
     pub(crate) async fn run(mut self) {
@@ -326,120 +309,3 @@
         }
     }
 }
-
-impl FetchRun {
-    fn step(&mut self) {
-        let now = clock_now();
-        for step in self.plan.next_steps(now) {
-            self.carry_out(step);
-        }
-        let claimed = self.plan.claimed();
-        self.edge.board.claim(self.edge.version.digest(), claimed);
-    }
-
-    fn carry_out(&mut self, step: FetchStep) {
-        let edge = self.edge.clone();
-        let news = self.news_sender.clone();
-        match step {
-            FetchStep::Ask(key) => {
-                let address = self.plan.peers().get(key).host.address;
-                tokio::spawn(async move {
-                    let _ = news.send(FetchNews::Asked(key, edge.ask(address).await));
-                });
-            }
-            FetchStep::Fetch {
-                flight,
-                index,
-                source: FlightSource::Peer(key),
-            } => {
-                let address = self.plan.peers().get(key).host.address;
-                let task = tokio::spawn(async move {
-                    let pulled = edge.pull(address, index).await;
-                    let _ = news.send(FetchNews::Pulled(flight, index, pulled));
-                });
-                self.under_way.push((flight, task.abort_handle()));
-            }
-            FetchStep::Fetch {
-                flight,
-                index,
-                source: FlightSource::Origin,
-            } => {
-                let task = tokio::spawn(async move {
-                    let read = edge.read_origin(index).await;
-                    let _ = news.send(FetchNews::Read(flight, index, read));
-                });
-                self.under_way.push((flight, task.abort_handle()));
-            }
-            FetchStep::Cancel(flight, source) => {
-                metrics::count_retry(ErrorKind::PeerSilent);
-                if let FlightSource::Peer(key) = source {
-                    // The connection may have gone silent for good while new ones work.
-                    self.edge
-                        .client
-                        .drop_pool(self.plan.peers().get(key).host.address);
-                }
-                self.abort(flight);
-            }
-        }
-    }
-
-    fn take(&mut self, news: FetchNews) {
-        let now = clock_now();
-        match news {
-            FetchNews::Asked(key, answer) => {
-                if let Ok(word) = &answer {
-                    self.plan.on_word(word, now);
-                }
-                let failure = answer.err().map(|error| error.kind);
-                self.plan.on_asked(key, failure, now);
-            }
-            FetchNews::Pulled(flight, index, pulled) => {
-                if let Ok(word) = &pulled {
-                    self.plan.on_word(word, now);
-                }
-                self.take_chunk(flight, index, pulled.map(|_| ()));
-            }
-            FetchNews::Read(flight, index, read) => self.take_chunk(flight, index, read),
-        }
-    }
-
-    fn take_chunk(&mut self, flight: FlightId, index: u32, result: SwitchResult<()>) {
-        let now = clock_now();
-        self.under_way.retain(|(known, _)| *known != flight);
-        match result {
-            Ok(()) => {
-                assert!(
-                    self.edge.version.chunk(index).is_some(),
-                    "a chunk was reported that was not kept"
-                );
-                for twin in self.plan.on_delivered(flight, now) {
-                    self.abort(twin);
-                }
-            }
-            Err(error) => {
-                metrics::count_retry(error.kind);
-                tell_failure(&error);
-                if error.kind == ErrorKind::ChunkCorrupt {
-                    self.is_manifest_doubted |= self.doubt.on_mismatch(index);
-                }
-                self.plan
-                    .on_failed(flight, error.kind, error.retry_after, now);
-            }
-        }
-    }
-
-    fn abort(&mut self, flight: FlightId) {
-        for (_, task) in self.under_way.iter().filter(|(known, _)| *known == flight) {
-            task.abort();
-        }
-        self.under_way.retain(|(known, _)| *known != flight);
-    }
-}
-
-fn tell_failure(error: &SwitchError) {
-    let event = match error.kind {
-        ErrorKind::ChunkCorrupt | ErrorKind::BodyTooLarge => events::CHUNK_REFUSED,
-        _ => events::SOURCE_FAILED,
-    };
-    log_event!(event, "{error}");
-}
--- a/src/weights/peer_service.rs
+++ b/src/weights/peer_service.rs
@@ -179,7 +179,9 @@
 
 /// One of the uploads that may go on at a time; free again when dropped, or after
 /// [`UPLOAD_LONGEST`].
-struct UploadSlot(Arc<Mutex<Option<OwnedSemaphorePermit>>>);
+struct UploadSlot {
+    _permit: Arc<Mutex<Option<OwnedSemaphorePermit>>>,
+}
 
 impl UploadSlot {
     fn new(permit: OwnedSemaphorePermit) -> Self {
@@ -191,6 +193,6 @@
                 drop(permit.lock().unwrap_or_else(PoisonError::into_inner).take());
             }
         });
-        Self(shared)
+        Self { _permit: shared }
     }
 }
--- a/src/weights/peer_table.rs
+++ b/src/weights/peer_table.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytestring::ByteString;
 use macro_rules_attribute::apply;
 
 use super::chunk_map::ChunkMap;
