--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -8,7 +8,7 @@
 mod claim_rules;
 pub(crate) mod claim_store;
 pub(crate) mod events;
-mod key_book;
+pub(crate) mod key_book;
 pub(crate) mod key_entry;
 mod key_records;
 mod key_state;
