--- a/src/guard/key_records.rs
+++ b/src/guard/key_records.rs
@@ -15,10 +15,7 @@
             .take(limit)
             .map(|entry| PendingRecord {
                 key: entry.call.key,
-                expected: entry
-                    .claim
-                    .or(entry.standing)
-                    .unwrap_or(RowRevision::ABSENT),
+                expected: entry.claim.unwrap_or(RowRevision::ABSENT),
                 record: self.record_of(entry.call.key, wall),
                 has_ended: matches!(entry.state, KeyState::Ran { .. }),
             })
@@ -56,7 +53,6 @@
             }
             ClaimResult::Absent => {
                 entry.claim = None;
-                entry.standing = None;
                 RecordEnd::Waits
             }
             ClaimResult::Away => RecordEnd::Waits,
--- a/src/lab/calls/call_judge.rs
+++ b/src/lab/calls/call_judge.rs
@@ -1,5 +1,7 @@
 //! Judges finished calls against what the stand-ins compute and record.
 
+use std::collections::BTreeMap;
+
 use macro_rules_attribute::apply;
 use serde::Serialize;
 
@@ -46,6 +48,8 @@
     pub(crate) mixed_versions: u64,
     /// Answers that belong to another call.
     pub(crate) crossed: u64,
+    /// The codes with which calls ended that were not answered, by class.
+    pub(crate) ends: BTreeMap<String, u64>,
     /// One line for each finding.
     pub(crate) findings: Vec<String>,
 }
@@ -117,7 +121,7 @@
             self.judge_attempt(call, attempt, counts);
         }
         if let Some(last) = call.attempts.last() {
-            count_end(last, counts);
+            count_end(call.class, last, counts);
         }
         if call.class.is_once() {
             self.judge_once(call, counts);
@@ -269,7 +273,11 @@
     )
 }
 
-fn count_end(last: &CallAttempt, counts: &mut CallCounts) {
+fn count_end(class: CallClass, last: &CallAttempt, counts: &mut CallCounts) {
+    if let Some(code) = end_code(&last.outcome) {
+        let end = format!("{}: {code}", class.name());
+        *counts.ends.entry(end).or_default() += 1;
+    }
     match &last.outcome {
         CallOutcome::Whole { .. } => counts.answered += 1,
         CallOutcome::ServiceFault { .. } => counts.service_faults += 1,
@@ -281,6 +289,19 @@
     }
 }
 
+/// How a call ended that was not answered.
+fn end_code(outcome: &CallOutcome) -> Option<&str> {
+    match outcome {
+        CallOutcome::Whole { .. } => None,
+        CallOutcome::Refused { code, .. } => Some(code),
+        CallOutcome::ServiceFault { .. } => Some("service fault"),
+        CallOutcome::Broken { .. } => Some("broken stream"),
+        CallOutcome::CutClean { .. } => Some("cut stream"),
+        CallOutcome::ConnectionLost(_) => Some("connection lost"),
+        CallOutcome::NoAnswer => Some("no answer"),
+    }
+}
+
 fn note(counts: &mut CallCounts, what: &str, attempt: &CallAttempt) {
     let line = format!(
         "{what}: \"{}\" request {} through entry {} at {}: {:?}",
--- a/src/lab/faults/command.rs
+++ b/src/lab/faults/command.rs
@@ -5,10 +5,26 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use super::disturbance::FaultDeed;
 use super::fault_run::FaultRun;
 use crate::lab::launch::Company;
 use crate::lab::run_lab;
 
+const DEEDS: [&str; 12] = [
+    FaultDeed::Kill.name(),
+    FaultDeed::Freeze.name(),
+    FaultDeed::Drain.name(),
+    FaultDeed::Down.name(),
+    FaultDeed::Slow.name(),
+    FaultDeed::LoseAnswers.name(),
+    FaultDeed::SilenceOpen.name(),
+    FaultDeed::Lag.name(),
+    FaultDeed::BadChunks.name(),
+    FaultDeed::BadStreams.name(),
+    FaultDeed::Refuse.name(),
+    FaultDeed::NewVersion.name(),
+];
+
 /// The subcommand.
 pub(crate) fn faults_command() -> Command {
     Command::new("faults")
@@ -28,6 +44,14 @@
                 .value_parser(["auroras", "skupno"])
                 .help("Whose data centres and services it has"),
         )
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_name("DEED,…")
+                .value_delimiter(',')
+                .value_parser(DEEDS)
+                .help("Do only these; all when it is not given"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
@@ -60,6 +84,10 @@
         seed: number("seed"),
         span: Duration::from_secs(number("seconds")),
         rate: number("rate"),
+        only: matches
+            .get_many::<String>("only")
+            .map(|deeds| deeds.cloned().collect())
+            .unwrap_or_default(),
         prints_json: matches.get_flag("json"),
         logs: matches.get_one::<String>("logs").map(Into::into),
     };
--- a/src/lab/load/open_loop.rs
+++ b/src/lab/load/open_loop.rs
@@ -137,7 +137,9 @@
                     result.first_token.saturating_record(micros);
                 }
                 CallOutcome::Refused { code, .. } => result.note_refusal(code),
-                CallOutcome::Broken { .. } => result.note_refusal("broken".to_owned()),
+                CallOutcome::Broken { error, .. } => {
+                    result.note_refusal(format!("broken stream: {}", code_in(&error)));
+                }
                 CallOutcome::ServiceFault { .. } => result.note_refusal("service".to_owned()),
                 CallOutcome::CutClean { .. }
                 | CallOutcome::ConnectionLost(_)
@@ -163,6 +165,13 @@
     }
 }
 
+/// The code in the error event that ended a stream.
+fn code_in(event: &str) -> String {
+    let event: serde_json::Value = serde_json::from_str(event).unwrap_or_default();
+    let code = event["error"]["code"].as_str();
+    code.unwrap_or("no code").to_owned()
+}
+
 async fn tick(bar: ProgressBar, span: Duration) {
     for _ in 0..span.as_secs() {
         tokio::time::sleep(Duration::from_secs(1)).await;
--- a/src/lab/soak/guard_host.rs
+++ b/src/lab/soak/guard_host.rs
@@ -7,7 +7,7 @@
 use bytestring::ByteString;
 use futures::FutureExt;
 
-use super::guard_table::{FateTable, NoObjects};
+use super::guard_table::{FateTable, NoObjects, OperationFate};
 use crate::delivery::{AnswerDigest, AttemptId, RunPart, SettleReply};
 use crate::errors::RunOutcome;
 use crate::guard::attempt_book::AttemptState;
