--- a/src/lab/slopes/command.rs
+++ b/src/lab/slopes/command.rs
@@ -4,6 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use super::machine::{MachineCost, measure_machine};
 use super::run::{SlopesReport, measure_slopes};
 use crate::lab::run_lab;
 
@@ -28,6 +29,12 @@
                 .value_parser(value_parser!(u64).range(3..=60))
                 .help("Entry hosts of the largest point; it has twice as many workers"),
         )
+        .arg(
+            Arg::new("decisions-only")
+                .long("decisions-only")
+                .action(ArgAction::SetTrue)
+                .help("Measure the decisions alone, without processes"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
@@ -42,6 +49,10 @@
     let seconds = number("seconds");
     let largest = usize::try_from(number("largest")).unwrap_or(usize::MAX);
     let is_json = matches.get_flag("json");
+    if matches.get_flag("decisions-only") {
+        print_machine(&measure_machine());
+        return ExitCode::SUCCESS;
+    }
     run_lab(async move {
         let report = measure_slopes(seconds, largest).await?;
         if is_json {
@@ -53,7 +64,17 @@
     })
 }
 
+fn print_machine(costs: &[MachineCost]) {
+    for cost in costs {
+        println!(
+            "{:>5} hosts: a tick {:.1} us, a frame with its snapshot {:.1} us",
+            cost.hosts, cost.tick_us, cost.frame_us
+        );
+    }
+}
+
 fn print_points(report: &SlopesReport) {
+    print_machine(&report.machine);
     println!(
         "a request with its answer costs {:.0} bytes on the wire, a frame of an open stream {:.0}",
         report.transport.exchange_bytes, report.transport.frame_bytes
--- a/src/lab/slopes/mod.rs
+++ b/src/lab/slopes/mod.rs
@@ -2,6 +2,7 @@
 //! documents and the number of accounts.
 
 mod command;
+mod machine;
 mod run;
 mod sample;
 mod transports;
--- a/src/lab/slopes/run.rs
+++ b/src/lab/slopes/run.rs
@@ -6,6 +6,7 @@
 use macro_rules_attribute::apply;
 use tokio::time::sleep;
 
+use super::machine::{MachineCost, measure_machine};
 use super::sample::{
     ConnectionCount, ProcessorTime, growth, read_connections, read_processor, read_resident,
 };
@@ -27,6 +28,8 @@
 pub(super) struct SlopesReport {
     /// How long each point was measured.
     pub(super) seconds: u64,
+    /// What the control thread's decisions cost.
+    pub(super) machine: Vec<MachineCost>,
     /// What one word costs, as an exchange and as a frame.
     pub(super) transport: TransportCost,
     /// Each point.
@@ -87,6 +90,7 @@
     }
     Ok(SlopesReport {
         seconds,
+        machine: measure_machine(),
         transport,
         points,
     })
