--- a/src/documents/acceptance.rs
+++ b/src/documents/acceptance.rs
@@ -259,18 +259,9 @@
     /// The row as it stands after a conflict or a lost answer.
     fn on_read_back(&mut self, row: Option<TableRow>) -> SwitchResult<()> {
         let revision = row.as_ref().map_or(RowRevision::ABSENT, |row| row.revision);
-        if revision < self.expected() {
-            // A stale read tells nothing; the write below or the next read does.
-            self.stage = Stage::WriteDocument;
-            return Ok(());
-        }
-        if revision == self.expected() {
-            // Not written so far, but the lost write may still arrive. The same change under the
-            // same revision takes effect once, whichever of the two comes first.
-            self.stage = Stage::WriteDocument;
-            return Ok(());
-        }
-        let Some(row) = row else {
+        let Some(row) = row.filter(|_| revision > self.expected()) else {
+            // Not written so far, or a stale read; the lost write may still arrive. The same change
+            // under the same revision takes effect once, whichever of the two comes first.
             self.stage = Stage::WriteDocument;
             return Ok(());
         };
