Test that the link's pacing holds over any span of time

Two chunks are never through within less than a chunk's time, whatever pauses lie between them, and weights wait behind live bytes. Until now only the measurement's times said so.

--- /dev/null
+++ b/src/weights/tests/link.rs
@@ -0,0 +1,43 @@
+//! The link's pacing.
+
+use std::time::Duration;
+
+use crate::test_support::run_cases;
+use crate::time::ClockTime;
+use crate::weights::link_pacer::LinkBucket;
+
+const RATE: u64 = 1_000_000;
+const CHUNK: u64 = 1_000;
+const CHUNK_SPAN: Duration = Duration::from_millis(1);
+
+/// Symptom: weights take more of the link than they were given. Events: chunks sent or come in
+/// bursts after pauses. Cause: pauses that count as credit.
+#[test]
+fn no_span_of_time_carries_more_than_the_rate_and_one_chunk() {
+    run_cases(100, 256, |u| {
+        let mut bucket = LinkBucket::new(RATE);
+        let mut now = ClockTime(0);
+        let mut through = Vec::new();
+        for _ in 0..30 {
+            now = now + Duration::from_micros(u.int_in_range(0..=3_000)?);
+            through.push(if u.arbitrary()? {
+                bucket.reserve(CHUNK, now)
+            } else {
+                bucket.arrive(CHUNK, now)
+            });
+        }
+        for pair in through.windows(2) {
+            assert!(pair[1].since(pair[0]) >= CHUNK_SPAN, "two chunks at a time");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn weights_wait_behind_live_bytes() {
+    let now = ClockTime::from_millis(10);
+    let mut bucket = LinkBucket::new(RATE);
+    bucket.take_live(5 * CHUNK, now);
+    assert_eq!(bucket.backlog(now), 5 * CHUNK_SPAN);
+    assert_eq!(bucket.reserve(CHUNK, now), now + 6 * CHUNK_SPAN);
+}
