--- a/src/lab/launch/lab_system.rs
+++ b/src/lab/launch/lab_system.rs
@@ -8,8 +8,9 @@
 
 use super::admin_client::read_admin;
 use super::child_process::{ChildProcess, LaunchOrder};
-use super::company::{Company, CompanyNames, DataCentre, OPERATOR_KEY};
+use super::company::{CompanyNames, DataCentre, OPERATOR_KEY};
 use super::lab_client::LabClient;
+use super::system_parts::{BackendNode, EntryNode, SystemShape};
 use crate::errors::SwitchResult;
 use crate::lab::stand_ins::{ANY_PORT, FaultSettings, PublishOrder, PublishedManifest};
 use crate::platform::{HostEntry, HostRole, ListedState};
@@ -23,91 +24,6 @@
 const PORT_PAUSE: Duration = Duration::from_millis(250);
 const CHUNK_BYTES: usize = 64 * 1024;
 
-/// How large the system is and how its parts behave.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SystemShape {
-    /// Whose names it has.
-    pub(crate) company: Company,
-    /// Entry hosts, spread over the data centres.
-    pub(crate) entries: usize,
-    /// Model engines.
-    pub(crate) models: usize,
-    /// Workers of the desk.
-    pub(crate) desks: usize,
-    /// Requests that an engine runs at a time.
-    pub(crate) running_max: u64,
-    /// Tokens a second of each running request.
-    pub(crate) tokens_per_second: u64,
-    /// How long a plain service takes for a call.
-    pub(crate) service_ms: u64,
-    /// How long a graceful stop lasts at least.
-    pub(crate) linger_ms: u64,
-    /// How long a lease on keys lasts.
-    pub(crate) slot_lease_ms: u64,
-    /// Bytes a second of the origin's link; 0 means no pacing.
-    pub(crate) origin_bytes_per_second: u64,
-}
-
-impl SystemShape {
-    /// Three entry hosts and six backend servers in three data centres.
-    pub(crate) const fn small(company: Company) -> Self {
-        Self {
-            company,
-            entries: 3,
-            models: 3,
-            desks: 2,
-            running_max: 8,
-            tokens_per_second: 200,
-            service_ms: 5,
-            linger_ms: 1_000,
-            slot_lease_ms: 120_000,
-            origin_bytes_per_second: 8 * 1024 * 1024,
-        }
-    }
-}
-
-/// An entry host.
-#[derive(Debug)]
-pub(crate) struct EntryNode {
-    /// Its name.
-    pub(crate) host: String,
-    /// Where it stands.
-    pub(crate) data_centre: DataCentre,
-    /// Its process.
-    pub(crate) process: ChildProcess,
-}
-
-impl EntryNode {
-    /// Where callers reach it.
-    pub(crate) fn caller(&self) -> SwitchResult<SocketAddr> {
-        self.process.address("caller")
-    }
-
-    /// Where operators reach it.
-    pub(crate) fn admin(&self) -> SwitchResult<SocketAddr> {
-        self.process.address("admin")
-    }
-}
-
-/// A backend server with its host process.
-#[derive(Debug)]
-pub(crate) struct BackendNode {
-    /// Its name.
-    pub(crate) host: String,
-    /// Where it stands.
-    pub(crate) data_centre: DataCentre,
-    /// The service that it serves.
-    pub(crate) service: &'static str,
-    /// The dialect of its engine.
-    pub(crate) dialect: &'static str,
-    /// Its engine or plain service.
-    pub(crate) engine: ChildProcess,
-    /// Its host process.
-    pub(crate) process: ChildProcess,
-    /// What the list says of it.
-    pub(crate) listed: ListedState,
-}
-
 /// The whole system. Ends with all its processes when it is dropped.
 #[derive(Debug)]
 pub(crate) struct LabSystem {
--- a/src/lab/launch/mod.rs
+++ b/src/lab/launch/mod.rs
@@ -6,9 +6,11 @@
 mod company;
 mod lab_client;
 mod lab_system;
+mod system_parts;
 
 pub(crate) use admin_client::{put_document, read_admin};
 pub(crate) use child_process::{ChildProcess, LaunchOrder};
 pub(crate) use company::{Company, CompanyNames, DataCentre, OPERATOR_KEY, account_key};
 pub(crate) use lab_client::LabClient;
-pub(crate) use lab_system::{BackendNode, EntryNode, LabSystem, SystemShape};
+pub(crate) use lab_system::LabSystem;
+pub(crate) use system_parts::{BackendNode, EntryNode, SystemShape};
