Let the driver of membership watch its hosts, as the control loop does

Cause: the driver never told the table that it watches the hosts, so that a listed host that nobody watches counted as live, which is what the table is to say of those. The control loop tells it with each watch. The check is as it was.

--- a/src/lab/soak/membership.rs
+++ b/src/lab/soak/membership.rs
@@ -66,6 +66,9 @@
         heard_leaving: vec![0; HOSTS],
     };
     run.show_list();
+    for host in &run.hosts {
+        run.table.on_watched(&host.name, run.now);
+    }
     for _ in 0..STEPS {
         run.now = run.now + Duration::from_millis(u.int_in_range(10..=1500)?);
         let index = u.choose_index(HOSTS)?;
