Take tokens only behind the word which version makes them

A token without that frame is now damage, and an attempt forgets the version of one that gave nothing.

--- a/src/delivery/answer_check.rs
+++ b/src/delivery/answer_check.rs
@@ -128,6 +128,12 @@
     }
 
     fn take_token(&mut self, index: u32, text: ByteString) -> SwitchResult<CheckedPart> {
+        if !self.started {
+            // Which version it comes from was told by the frame that is missing. Counted under the
+            // version of an earlier attempt, it would let an answer go on with another's tokens.
+            let detail = "a token came before the word that the attempt had started";
+            return Err(SwitchError::new(ErrorKind::AnswerDamaged, detail));
+        }
         if index != self.next_index {
             let detail = format!("token {index} came where {} was due", self.next_index);
             return Err(SwitchError::new(ErrorKind::AnswerDamaged, detail));
--- a/src/delivery/attempt_plan.rs
+++ b/src/delivery/attempt_plan.rs
@@ -98,6 +98,9 @@
             "an unrepeatable call was about to be sent twice"
         );
         self.may_have_run |= self.in_doubt;
+        if self.tokens == 0 {
+            self.version = None;
+        }
         self.attempts += 1;
         self.in_doubt = true;
     }
--- a/src/delivery/tests.rs
+++ b/src/delivery/tests.rs
@@ -4,7 +4,10 @@
 
 use super::backoff::retry_wait;
 use super::order_book::OrderBook;
-use super::{AttemptPlan, NextStep, PlanTraits, RetryPlace, SettleReply};
+use super::{
+    AnswerCheck, AttemptId, AttemptPlan, NextStep, PlanTraits, RetryPlace, RunFrame, RunPart,
+    SettleReply,
+};
 use crate::errors::{ErrorKind, SwitchError};
 use crate::lab::soak::delivery::run_case;
 use crate::test_support::run_cases;
@@ -16,6 +19,24 @@
     run_cases(3000, 512, run_case);
 }
 
+/// Symptom: an answer mixed the tokens of two versions. Events: an attempt starts on one version and
+/// is cut; the next runs on another, and the frame that says so is lost; the third goes on with the
+/// first version. Cause: tokens were counted under whatever version was named last.
+#[test]
+fn tokens_count_only_behind_the_word_which_version_makes_them() {
+    let attempt = AttemptId::fresh();
+    let mut check = AnswerCheck::new(attempt, 0);
+    let token = RunPart::Token {
+        index: 0,
+        text: "t".into(),
+    };
+    let outcome = check.take(RunFrame {
+        attempt,
+        part: token,
+    });
+    assert_eq!(outcome.unwrap_err().kind, ErrorKind::AnswerDamaged);
+}
+
 #[test]
 fn backoff_spreads_over_its_whole_span() {
     assert_eq!(retry_wait(1, 0, None), Duration::ZERO);
