--- a/src/guard/key_book.rs
+++ b/src/guard/key_book.rs
@@ -7,8 +7,7 @@
 use super::claim_record::{ClaimRecord, ClaimState};
 use super::claim_rules::{is_ahead, is_doubtful};
 use super::key_entry::{
-    CallAnswer, ClaimPlan, ClaimResult, ClaimVerdict, KeyEnd, KeyEntry, KeyPhase, KeyState,
-    not_known, refuse,
+    CallAnswer, ClaimPlan, ClaimResult, ClaimVerdict, KeyEnd, KeyEntry, KeyPhase, KeyState, refuse,
 };
 use super::keyed_call::{KeyHash, KeyedCall, OrderHash, SlotGrant};
 use crate::delivery::AttemptId;
@@ -19,9 +18,12 @@
 
 /// How long an ended call is remembered here after its record was written.
 const KEPT_FOR: Duration = Duration::from_mins(10);
-/// Calls remembered at most, while they can be forgotten.
-const KEYS_MAX: usize = 10_000;
-/// Bytes of answers kept here at most, while they can be forgotten.
+/// How long it is remembered when there are many: longer than a key is young enough to run without
+/// a claim, since then only this memory says that it ran.
+const KEPT_AT_LEAST: Duration = Duration::from_mins(2);
+/// Calls remembered at most; further ones are refused.
+const KEYS_MAX: usize = 50_000;
+/// Bytes of answers kept here, beyond which they are forgotten sooner.
 const KEPT_BYTES_MAX: usize = 64 * 1024 * 1024;
 
 /// The keyed calls that this process knows, sorted by key.
@@ -72,29 +74,18 @@
         if grant.is_none() {
             return CallAnswer::Refuse(ErrorKind::NotSlotHolder, RunOutcome::NotRun);
         }
-        let (nonce, removing) = match found {
+        if found.is_err() && self.entries.len() >= KEYS_MAX {
+            return CallAnswer::Refuse(ErrorKind::BackendBusy, RunOutcome::NotRun);
+        }
+        match found {
             // An earlier claim of ours may stand: under the same nonce it counts as this one.
-            Ok(at) => {
-                let earlier = self.entries.remove(at);
-                (earlier.nonce, earlier.removing)
+            Ok(at) => self.entries[at].begin_again(attempt, now),
+            Err(at) => {
+                let nonce = self.new_nonce();
+                let entry = KeyEntry::new(call.clone(), nonce, attempt, now);
+                self.entries.insert(at, entry);
             }
-            Err(_) => (self.new_nonce(), None),
-        };
-        let entry = KeyEntry {
-            call: call.clone(),
-            nonce,
-            state: KeyState::Waiting,
-            claim: None,
-            removing,
-            fence: 0,
-            attempts: vec![attempt],
-            kept_bytes: 0,
-            touched: now,
-        };
-        let at = self
-            .entries
-            .partition_point(|entry| entry.call.key < call.key);
-        self.entries.insert(at, entry);
+        }
         let has_turn = self.enter_lane(call);
         CallAnswer::New { has_turn }
     }
@@ -147,10 +138,7 @@
             ClaimResult::Found(revision, record) => {
                 self.on_found(key, revision, record, grant, is_wanted, wall)
             }
-            ClaimResult::Absent | ClaimResult::Unreadable => {
-                self.remove(key);
-                not_known()
-            }
+            ClaimResult::Absent | ClaimResult::Unreadable => entry.doubt(),
             ClaimResult::Away => entry.outage_verdict(grant, is_wanted, wall),
         }
     }
@@ -167,7 +155,7 @@
         let is_own_holder = record.holder == self.holder;
         let entry = self.waiting_entry(key);
         let is_own = is_own_holder && record.nonce == entry.nonce;
-        let in_doubt = grant.is_none_or(|grant| is_doubtful(&entry.call, grant, wall));
+        let in_doubt = grant.is_some_and(|grant| is_doubtful(&entry.call, grant, wall));
         if record.fingerprint != entry.call.fingerprint {
             self.remove(key);
             return refuse(ErrorKind::KeyReused);
@@ -184,10 +172,7 @@
                 }
                 entry.hand_over_claimed(revision, grant, is_wanted)
             }
-            ClaimState::Started => {
-                self.remove(key);
-                not_known()
-            }
+            ClaimState::Started => entry.doubt(),
         }
     }
 
@@ -356,9 +341,10 @@
     /// again.
     fn forget(&mut self, now: ClockTime) {
         let kept: usize = self.entries.iter().map(|entry| entry.kept_bytes).sum();
-        let is_full = self.entries.len() > KEYS_MAX || kept > KEPT_BYTES_MAX;
+        let is_full = self.entries.len() > KEYS_MAX / 2 || kept > KEPT_BYTES_MAX;
+        let kept_for = if is_full { KEPT_AT_LEAST } else { KEPT_FOR };
         self.entries.retain(|entry| {
-            let is_old = is_full || now.since(entry.touched) > KEPT_FOR;
+            let is_old = now.since(entry.touched) > kept_for;
             !(entry.is_settled() && is_old)
         });
     }
--- a/src/guard/key_entry.rs
+++ b/src/guard/key_entry.rs
@@ -120,6 +120,10 @@
     pub(crate) state: KeyState,
     /// The claim as it stands, if one is known to stand.
     pub(crate) claim: Option<RowRevision>,
+    /// Whether it was once answered that it may have run: it never runs without a claim.
+    pub(super) may_have_run: bool,
+    /// The revision of a row of ours that is no trace to count on, if one was seen.
+    pub(super) standing: Option<RowRevision>,
     /// The revision at which an order to remove its claim may still be on its way.
     pub(crate) removing: Option<RowRevision>,
     pub(crate) fence: u64,
@@ -145,6 +149,36 @@
 }
 
 impl KeyEntry {
+    /// A key that has just come, in `attempt`.
+    pub(super) fn new(call: KeyedCall, nonce: u64, attempt: AttemptId, now: ClockTime) -> Self {
+        Self {
+            call,
+            nonce,
+            state: KeyState::Waiting,
+            claim: None,
+            may_have_run: false,
+            standing: None,
+            removing: None,
+            fence: 0,
+            attempts: vec![attempt],
+            kept_bytes: 0,
+            touched: now,
+        }
+    }
+
+    /// A key that was given up before comes again, in `attempt`.
+    pub(super) fn begin_again(&mut self, attempt: AttemptId, now: ClockTime) {
+        assert!(
+            self.state == KeyState::Abandoned,
+            "a key began again that was {:?}",
+            self.state
+        );
+        self.state = KeyState::Waiting;
+        self.claim = None;
+        self.attempts = vec![attempt];
+        self.touched = now;
+    }
+
     /// Hands the call over under `grant`, if its claim at `revision` still counts.
     ///
     /// Between the writing and now the lease may have lapsed: its next holder would start calls
@@ -179,6 +213,9 @@
         is_wanted: bool,
         wall: WallTime,
     ) -> ClaimVerdict {
+        if self.may_have_run {
+            return self.doubt();
+        }
         let runs = |grant: &&SlotGrant| is_wanted && may_run_unclaimed(&self.call, grant, wall);
         if let Some(grant) = grant.filter(runs) {
             self.state = KeyState::Running;
@@ -189,8 +226,25 @@
         refuse(ErrorKind::ClaimUnavailable)
     }
 
+    /// It may have run elsewhere, or may not.
+    ///
+    /// The next call looks again: whoever ran it may write its answer down later. What was found is
+    /// remembered, or a call in an outage would run it.
+    pub(super) const fn doubt(&mut self) -> ClaimVerdict {
+        self.state = KeyState::Abandoned;
+        self.may_have_run = true;
+        ClaimVerdict::Refuse(ErrorKind::OutcomeUnknown, RunOutcome::NotKnown, None)
+    }
+
     /// Its row stands at `revision`, with its answer if `has_ended`.
+    ///
+    /// A row that an order to remove it may still take away is no trace: it has to be written over
+    /// first, or a lease would be renewed and passed on without the next holder's doubting the key.
     pub(crate) fn on_recorded(&mut self, revision: RowRevision, has_ended: bool) {
+        if self.removing == Some(revision) {
+            self.standing = Some(revision);
+            return;
+        }
         self.claim = Some(revision);
         if has_ended && matches!(self.state, KeyState::Ran { .. }) {
             self.state = KeyState::Ran { recorded: true };
@@ -226,8 +280,3 @@
 pub(crate) const fn refuse(kind: ErrorKind) -> ClaimVerdict {
     ClaimVerdict::Refuse(kind, RunOutcome::NotRun, None)
 }
-
-/// The refusal of a call that may have run.
-pub(crate) const fn not_known() -> ClaimVerdict {
-    ClaimVerdict::Refuse(ErrorKind::OutcomeUnknown, RunOutcome::NotKnown, None)
-}
--- a/src/guard/key_records.rs
+++ b/src/guard/key_records.rs
@@ -15,7 +15,10 @@
             .take(limit)
             .map(|entry| PendingRecord {
                 key: entry.call.key,
-                expected: entry.claim.unwrap_or(RowRevision::ABSENT),
+                expected: entry
+                    .claim
+                    .or(entry.standing)
+                    .unwrap_or(RowRevision::ABSENT),
                 record: self.record_of(entry.call.key, wall),
                 has_ended: matches!(entry.state, KeyState::Ran { .. }),
             })
@@ -53,6 +56,7 @@
             }
             ClaimResult::Absent => {
                 entry.claim = None;
+                entry.standing = None;
                 RecordEnd::Waits
             }
             ClaimResult::Away => RecordEnd::Waits,
--- a/src/guard/run_queue.rs
+++ b/src/guard/run_queue.rs
@@ -6,12 +6,11 @@
 
 use crate::derives::key;
 use crate::documents::RequestPriority;
+use crate::routing::headroom_of;
 use crate::time::ClockTime;
 
 /// How much of the newest run's length goes into the mean, as one in so many.
 const MEAN_WEIGHT: u32 = 8;
-/// One place in so many is left to urgent requests.
-const HEADROOM_PART: u32 = 8;
 
 /// One request in the queue or at the backend server.
 #[apply(key!)]
@@ -210,12 +209,3 @@
 fn count(places: u32) -> usize {
     usize::try_from(places).unwrap_or(usize::MAX)
 }
-
-/// Places that only urgent requests take, of a backend server that runs `running_max` at a time.
-const fn headroom_of(running_max: u32) -> u32 {
-    match running_max {
-        0 | 1 => 0,
-        2..HEADROOM_PART => 1,
-        _ => running_max / HEADROOM_PART,
-    }
-}
--- a/src/guard/tests/mod.rs
+++ b/src/guard/tests/mod.rs
@@ -4,6 +4,7 @@
 mod fakes;
 mod forward;
 mod keyed;
+mod keys;
 mod queue;
 mod soak;
 mod streams;
--- a/src/lab/soak/guard_host.rs
+++ b/src/lab/soak/guard_host.rs
@@ -7,7 +7,7 @@
 use bytestring::ByteString;
 use futures::FutureExt;
 
-use super::guard_table::{FateTable, NoObjects, OperationFate};
+use super::guard_table::{FateTable, NoObjects};
 use crate::delivery::{AnswerDigest, AttemptId, RunPart, SettleReply};
 use crate::errors::RunOutcome;
 use crate::guard::attempt_book::AttemptState;
@@ -422,11 +422,6 @@
     pub(super) fn is_traced(&self) -> bool {
         (0..SLOTS).all(|slot| !self.state.keys.has_untraced(slot))
     }
-
-    /// Whether no run is under way.
-    pub(super) const fn is_quiet(&self) -> bool {
-        self.tasks.is_empty()
-    }
 }
 
 /// The answer that the backend server gives to `key`.
