Remember an order to remove a claim through a run without one

Events, from a trace of that case: a call is claimed and given up since the lease lapsed in between; the order to remove the claim is held up on its way. The call comes again in an outage and runs without a claim; the backend server does not take it. It comes once more, runs without a claim, and nobody knows how that ended. The table is back: the old claim is found and taken for the trace of that run. Then the order arrives and the claim goes; the next holder sees none and runs the call. Cause: the end of a run that was not taken set the remembered order to that run's claim, which was none. Ruled out: the doubt window (the lease had rightly been renewed once a trace was believed to stand) and the clocks (4.5 s apart at most). After: the case holds; a test of the single sequence fails without the change ("the claim may go at any time") and passes with it.

--- a/src/guard/key_book.rs
+++ b/src/guard/key_book.rs
@@ -210,8 +210,11 @@
         if end != KeyEnd::NotRun {
             return None;
         }
-        entry.removing = entry.claim.take();
-        entry.removing
+        // A run without a claim ends with none to remove; an earlier order to remove one may still be
+        // on its way, and forgetting it would let the row pass for a trace of the next run.
+        let claim = entry.claim.take();
+        entry.removing = claim.or(entry.removing);
+        claim
     }
 
     /// `key` leaves its lane; the one behind it gets its turn.
--- a/src/guard/tests/keys.rs
+++ b/src/guard/tests/keys.rs
@@ -107,3 +107,28 @@
     let verdict = book.plan_claim(key, Some(&grant()), false, true, WALL);
     assert_eq!(verdict, Err(unknown));
 }
+
+// Symptom: as above. Events: as above, and between the two a run in the outage that the backend
+// server did not take. Cause: the end of that run, which has no claim to remove, made the book forget
+// the order that is still on its way.
+#[test]
+fn an_order_to_remove_is_remembered_through_a_run_without_a_claim() {
+    let mut book = book();
+    let key = call().key;
+    begin(&mut book);
+    let first = claim_of(&mut book);
+    let written = ClaimResult::Written(CLAIM);
+    book.on_claim(key, written, Some(&grant()), false, WALL);
+    book.next_turn(key);
+    for end in [KeyEnd::NotRun, KeyEnd::NotKnown] {
+        begin(&mut book);
+        let verdict = book.plan_claim(key, Some(&grant()), false, true, WALL);
+        assert_eq!(verdict, Err(ClaimVerdict::HandOver(1)));
+        let claim = book.on_end(key, end, 0, NOW);
+        assert_eq!(claim, None, "the order is on its way already");
+        book.next_turn(key);
+    }
+    let pending = book.pending_records(1, WALL).remove(0);
+    book.on_record(&pending, ClaimResult::Found(CLAIM, first));
+    assert!(book.has_untraced(0), "the claim may go at any time");
+}
