Let a chunk cross between data centres once

Ruled out: the streams themselves, which already go to places of the own data centre first.

Change: one host of a data centre, by rendezvous hashing, brings a chunk in; the others pull it there; the next in line brings it if it does not come. Hosts of other data centres are asked less often.

--- a/src/weights/fetch_choice.rs
+++ b/src/weights/fetch_choice.rs
@@ -15,6 +15,9 @@
 const HEDGES_MAX: usize = 2;
 const FLIGHTS_PER_CHUNK: usize = 2;
 const ASK_CALM: Duration = Duration::from_millis(1500);
+/// How many times less often hosts of other data centres are asked: only what nobody here holds is
+/// pulled from there.
+const ASK_FAR_PACE: u32 = 3;
 
 impl FetchPlan {
     pub(super) fn plan_origin_reads(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
@@ -98,24 +101,36 @@
         }
     }
 
-    /// The rarest chunk that somebody who has room holds, from whoever has most room.
+    /// The rarest chunk that somebody who has room holds, from whoever has most room. What this host
+    /// has to bring into its data centre goes first: others wait for it.
     fn choose_pull(&mut self, now: ClockTime) -> Option<(u32, PeerKey)> {
         let count = self.held.count();
         let first = self.rng.random_range(0..count);
-        let mut best: Option<(u16, u32)> = None;
+        let mut best: Option<(bool, u16, u32)> = None;
         for index in (first..count).chain(0..first) {
             let copies = self.peers.copies(index);
-            let is_better = best.is_none_or(|(rarest, _)| copies < rarest);
-            let is_wanted = copies > 0 && is_better && !self.held.contains(index);
-            if is_wanted && !self.is_flying(index) && self.has_holder(index, now) {
-                best = Some((copies, index));
+            let is_wanted = copies > 0 && !self.held.contains(index);
+            if !is_wanted || self.is_flying(index) {
+                continue;
+            }
+            let is_near = self.is_held_near(index);
+            let rank = (is_near, copies, index);
+            let is_better = best.is_none_or(|best| (is_near, copies) < (best.0, best.1));
+            if is_better && self.has_holder(index, now) {
+                best = Some(rank);
             }
         }
-        let (_, index) = best?;
+        let (_, _, index) = best?;
         let key = self.choose_holder(index, now)?;
         Some((index, key))
     }
 
+    /// Whether a host of this data centre said that it holds chunk `index`.
+    fn is_held_near(&self, index: u32) -> bool {
+        let mut listed = self.peers.listed();
+        listed.any(|(key, peer)| peer.holds(index) && self.peers.is_near(key))
+    }
+
     /// In the endgame, a second source for the chunk that is the latest. Bounded, so that the last
     /// chunks of many hosts do not flood the links.
     fn choose_hedge(&mut self, now: ClockTime) -> Option<(u32, PeerKey)> {
@@ -139,10 +154,17 @@
         })
     }
 
-    fn has_holder(&self, index: u32, now: ClockTime) -> bool {
-        self.peers
-            .listed()
-            .any(|(key, _)| self.can_give(key, index, now))
+    fn has_holder(&mut self, index: u32, now: ClockTime) -> bool {
+        let may_import = self.may_import(index, now);
+        self.peers.listed().any(|(key, _)| {
+            self.can_give(key, index, now) && (may_import || self.peers.is_near(key))
+        })
+    }
+
+    /// Whether chunk `index` may be pulled from another data centre: nobody of this one holds it,
+    /// and it is this host's turn to bring it in.
+    fn may_import(&mut self, index: u32, now: ClockTime) -> bool {
+        !self.is_held_near(index) && self.imports.may_import(index, now)
     }
 
     fn can_give(&self, key: PeerKey, index: u32, now: ClockTime) -> bool {
@@ -154,7 +176,9 @@
     }
 
     fn choose_holder(&mut self, index: u32, now: ClockTime) -> Option<PeerKey> {
+        let may_import = self.may_import(index, now);
         let holders = self.peers.listed().map(|(key, _)| key);
+        let holders = holders.filter(|key| may_import || self.peers.is_near(*key));
         let holders = holders.filter(|key| self.can_give(*key, index, now));
         let mut choices: Vec<PeerKey> = holders.collect();
         let least = choices.iter().map(|key| self.peers.get(*key).pulls).min()?;
@@ -180,7 +204,12 @@
             .map(|(key, _)| key)
             .collect();
         for key in keys.into_iter().chain(self.turns.take_watched()) {
-            let jitter = every.mul_f64(self.rng.random_range(0.75..1.25));
+            let pace = if self.peers.is_near(key) {
+                1
+            } else {
+                ASK_FAR_PACE
+            };
+            let jitter = (every * pace).mul_f64(self.rng.random_range(0.75..1.25));
             let peer = self.peers.get_mut(key);
             let last = peer.heard_at.max(peer.asked_at);
             let is_time = last.is_none_or(|last| now.since(last) >= jitter);
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -12,6 +12,7 @@
 
 use super::chunk_map::ChunkMap;
 use super::digest::WeightsDigest;
+use super::import_turns::ImportTurns;
 use super::messages::HaveWord;
 use super::origin_turns::OriginTurns;
 use super::peer_table::{PeerContact, PeerKey, PeerTable, PlanHost};
@@ -106,6 +107,7 @@
     pub(super) held: ChunkMap,
     pub(super) peers: PeerTable,
     pub(super) turns: OriginTurns,
+    pub(super) imports: ImportTurns,
     pub(super) flights: Vec<Flight>,
     next_flight: u64,
     /// How long a pull usually takes.
@@ -132,6 +134,7 @@
             limits,
             objective,
             peers: PeerTable::new(me.clone(), chunks),
+            imports: ImportTurns::new(me.clone(), digest, chunks),
             turns: OriginTurns::new(me, (digest, objective), chunks, limits.turn_span, now),
             held,
             flights: Vec::new(),
@@ -146,6 +149,7 @@
     pub(crate) fn set_hosts(&mut self, hosts: &[PlanHost]) {
         self.peers.set_hosts(hosts, self.limits.neighbours);
         self.turns.set_hosts(hosts);
+        self.imports.set_hosts(hosts);
     }
 
     /// The record of a host.
--- /dev/null
+++ b/src/weights/import_turns.rs
@@ -0,0 +1,69 @@
+//! Which host brings a chunk into its data centre.
+//!
+//! Links between data centres are narrow and shared with live answers. If each host pulled chunks
+//! from wherever they are, a version would cross them once for each host, and answers would wait
+//! behind it. One would notice streams that pause while a version spreads. So one host of a data
+//! centre brings a chunk in, by rendezvous hashing, and the others pull it from there. If it does
+//! not come, the next in line brings it.
+
+use std::time::Duration;
+
+use super::digest::WeightsDigest;
+use super::peer_table::PlanHost;
+use super::source_line::{LineHost, SourceLine};
+use crate::documents::SpreadObjective;
+use crate::time::ClockTime;
+
+/// How long each in the line has before the next brings the chunk in: a chunk takes 27 ms on the
+/// narrowest link in use, and hosts hear of each other's chunks within some 100 ms.
+const IMPORT_SPAN: Duration = Duration::from_millis(500);
+
+/// One host's view of its data centre's lines for one version.
+#[derive(Debug)]
+pub(crate) struct ImportTurns {
+    me: LineHost,
+    digest: WeightsDigest,
+    /// This host's turn for each chunk; 0 is the first.
+    turns: Vec<u32>,
+    /// When each chunk was first seen in another data centre.
+    seen_at: Vec<Option<ClockTime>>,
+}
+
+impl ImportTurns {
+    /// The view of `me` before it knows of others: it is the first in every line.
+    pub(crate) fn new(me: LineHost, digest: WeightsDigest, chunks: u32) -> Self {
+        let chunks = usize::try_from(chunks).unwrap_or(usize::MAX);
+        Self {
+            me,
+            digest,
+            turns: vec![0; chunks],
+            seen_at: vec![None; chunks],
+        }
+    }
+
+    /// A new view of the live hosts that want the version.
+    pub(crate) fn set_hosts(&mut self, hosts: &[PlanHost]) {
+        let lines = hosts.iter().map(|host| &host.line);
+        let near = lines.filter(|line| line.data_centre == self.me.data_centre);
+        let mut near: Vec<LineHost> = near.cloned().collect();
+        if !near.iter().any(|line| line.host == self.me.host) {
+            near.push(self.me.clone());
+        }
+        let line = SourceLine::new(SpreadObjective::Time, self.digest, &self.me.region, &near);
+        for (index, turn) in (0..).zip(self.turns.iter_mut()) {
+            *turn = line.turn_of(&self.me.host, index).unwrap_or(0);
+        }
+    }
+
+    /// Whether this host may pull chunk `index` from another data centre, where it was seen.
+    pub(crate) fn may_import(&mut self, index: u32, now: ClockTime) -> bool {
+        let Ok(at) = usize::try_from(index) else {
+            return false;
+        };
+        let (Some(turn), Some(seen_at)) = (self.turns.get(at), self.seen_at.get_mut(at)) else {
+            return false;
+        };
+        let seen_at = *seen_at.get_or_insert(now);
+        now.since(seen_at) >= IMPORT_SPAN * *turn
+    }
+}
--- a/src/weights/mod.rs
+++ b/src/weights/mod.rs
@@ -11,6 +11,7 @@
 mod fetch_plan;
 mod fetch_run;
 mod fetch_worker;
+mod import_turns;
 mod link_pacer;
 mod live_bytes;
 mod manifest;
--- a/src/weights/peer_table.rs
+++ b/src/weights/peer_table.rs
@@ -125,6 +125,11 @@
         all.filter(|(_, peer)| peer.is_listed)
     }
 
+    /// Whether the host at `key` stands in this host's data centre.
+    pub(crate) fn is_near(&self, key: PeerKey) -> bool {
+        self.get(key).host.line.data_centre == self.me.data_centre
+    }
+
     /// How many hosts are known to hold chunk `index`.
     pub(crate) fn copies(&self, index: u32) -> u16 {
         let at = usize::try_from(index).unwrap_or(usize::MAX);
