Let live answers pass chunks on a host's link

Cause: four uploads and five pulls at a time held events of the engine beside them up for more than the 120 ms after which a stream counts as late; half of the streams were late while a version spread, although their first event came within 0.2 s. Ruled out: the links between data centres, which carry each chunk once now.

Change: two uploads at a time, each asker keeps its turn up to 120 ms; three pulls.

--- a/src/replication/chunk_fetch.rs
+++ b/src/replication/chunk_fetch.rs
@@ -35,6 +35,9 @@
 /// How long the first in a chunk's line has before the next looks after it. All hosts have to be
 /// whole eight seconds after a version was named.
 const TURN_SPAN: Duration = Duration::from_millis(800);
+/// Chunks under way to this host. More would only wait behind each other, and requests to the engine
+/// behind them.
+const PULLS_MAX: usize = 3;
 /// Chunks under way from the origin to one host. Some eight hosts read at a time; the fewer chunks
 /// share the origin's link, the sooner each of them can be passed on.
 const ORIGIN_READS_MAX: usize = 1;
@@ -84,6 +87,7 @@
     /// A fetch of `target`, of which `held` is staged.
     pub(super) fn new(edges: FetchEdges, target: ModelVersion, held: ChunkMap) -> Self {
         let limits = FetchLimits {
+            pulls_max: PULLS_MAX,
             turn_span: TURN_SPAN,
             origin_reads_max: ORIGIN_READS_MAX,
             origin_within: ORIGIN_WITHIN,
--- a/src/replication/chunk_routes.rs
+++ b/src/replication/chunk_routes.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 use volo_http::request::Request;
 use volo_http::response::Response;
 use volo_http::server::route::{Router, get, post};
@@ -16,9 +17,12 @@
 use crate::transport::{error_reply, message_reply, read_message};
 
 const ASK_BYTES_MAX: usize = 4 * 1024;
-/// Chunks that are sent at the same time. One more only makes all of them slower: the link carries
-/// one chunk in 27 ms.
-const UPLOADS_MAX: usize = 4;
+/// Chunks that are sent at the same time. The engine's live answers leave over the same link, which
+/// carries a chunk in 27 ms: each chunk that is on its way holds every event up for so long.
+const UPLOADS_MAX: usize = 2;
+/// How long a host that asks for a chunk is kept waiting for its turn, rather than being turned away
+/// to ask again.
+const TURN_WITHIN: Duration = Duration::from_millis(120);
 /// When a host that was turned away should come back: about when a chunk has left.
 const BUSY_WAIT: Duration = Duration::from_millis(30);
 
@@ -76,7 +80,7 @@
 }
 
 async fn chunk_of(service: &ChunkService, ask: &ChunkAsk) -> SwitchResult<ChunkReply> {
-    let Ok(_upload) = service.uploads.try_acquire() else {
+    let Ok(Ok(_upload)) = timeout(TURN_WITHIN, service.uploads.acquire()).await else {
         let busy = SwitchError::new(ErrorKind::UploadBusy, "enough chunks are on their way");
         return Err(busy.come_back_in(BUSY_WAIT));
     };
