Change engines one after the other; hold fetched chunks in memory until their load

Cause: all hosts became whole within half a second and all engines stopped taking requests together; for two seconds no place was left. A version that a newer one followed after four seconds was never served, so that from its bound on every request was refused.

Change: chunks wait in memory, are staged, read back and checked right before the order; engines change in turns, until shortly before the bound; entry hosts are told before the order; a fetch that is half done is ended although a newer version is wanted.

Kept: the older version must be replaced in time whatever follows it.

--- a/src/replication/chunk_fetch.rs
+++ b/src/replication/chunk_fetch.rs
@@ -275,7 +275,7 @@
         .call::<_, ChunkReply>(address, GET_PATH, &ask, PULL_WITHIN);
     let reply = called.await?;
     let bytes = Bytes::from(reply.bytes);
-    edges.store.keep(target, index, bytes).await?;
+    edges.store.keep(target, index, bytes)?;
     metrics::count_event("chunks_from_hosts", 1);
     Ok(reply.word)
 }
@@ -287,5 +287,5 @@
     };
     let bytes = origin.read_chunk(target, index, ORIGIN_WITHIN).await?;
     metrics::count_event("chunks_from_origin", 1);
-    edges.store.keep(target, index, bytes).await
+    edges.store.keep(target, index, bytes)
 }
--- a/src/replication/chunk_store.rs
+++ b/src/replication/chunk_store.rs
@@ -1,6 +1,8 @@
-//! The chunks that are staged at this host's engine, as all of the process shares them.
+//! The chunks that this host holds, as all of the process shares them. Chunks that are fetched stay in
+//! memory until the engine has loaded their version; those of a version that it serves lie staged at
+//! the engine and are read back from there.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,148 +11,240 @@
 use super::events;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
-use crate::fleet::ModelVersion;
+use crate::fleet::{ModelVersion, WeightsVersion};
 use crate::platform::{ChunkDigests, EngineClient};
 use crate::weights::{ChunkMap, HaveWord};
 
 /// The engine is on the same host and answers within a few milliseconds.
 const STAGE_WITHIN: Duration = Duration::from_millis(1500);
+/// Versions that are held at a time: one that waits to be loaded, one that is fetched, and the one
+/// that is served.
+const VERSIONS_MAX: usize = 3;
+/// How many staged chunks are read to see whether any of the wanted version is staged at all.
+const SAMPLES: u32 = 3;
+/// How often a chunk is staged again that does not read back as it was written.
+const STAGE_TRIES: u32 = 3;
 
-/// What is staged of one version.
+/// Where a version's chunks are.
 #[derive(Clone, Debug)]
-struct StagedChunks {
+enum ChunkPlace {
+    /// In memory, each once it has come.
+    Memory(Vec<Option<Bytes>>),
+    /// Staged at the engine.
+    Engine,
+}
+
+/// What is held of one version.
+#[derive(Clone, Debug)]
+struct HeldVersion {
     target: ModelVersion,
     digests: Arc<ChunkDigests>,
     held: ChunkMap,
     claimed: ChunkMap,
+    place: ChunkPlace,
 }
 
-/// The staged chunks. Clones share them.
+/// The held chunks. Clones share them.
 #[derive(Clone)]
 pub(super) struct ChunkStore {
     host: ByteString,
     engine: EngineClient,
-    staged: Arc<Mutex<Option<StagedChunks>>>,
+    /// Sorted by version.
+    versions: Arc<Mutex<Vec<HeldVersion>>>,
 }
 
 impl ChunkStore {
-    /// The chunks at `engine`, for the host called `host`.
+    /// The chunks of the host called `host`, whose engine is `engine`.
     pub(super) fn new(host: ByteString, engine: EngineClient) -> Self {
         Self {
             host,
             engine,
-            staged: Arc::default(),
+            versions: Arc::default(),
         }
     }
 
-    /// From now on the engine stages `target`; what is staged already is believed until it is read
-    /// back.
+    /// The engine serves `target`, whose chunks are staged there; other hosts may need them.
     ///
     /// # Errors
     ///
     /// When the engine does not tell what is staged.
-    pub(super) async fn begin(
+    pub(super) async fn begin_served(
         &self,
         target: &ModelVersion,
         digests: Arc<ChunkDigests>,
-        is_staged: bool,
     ) -> SwitchResult<()> {
         let mut held = ChunkMap::empty(digests.count());
-        if is_staged {
-            for index in self.engine.staged(&target.model, STAGE_WITHIN).await? {
-                held.insert(index);
+        for index in self.engine.staged(&target.model, STAGE_WITHIN).await? {
+            held.insert(index);
+        }
+        self.begin(target, digests, held, ChunkPlace::Engine);
+        Ok(())
+    }
+
+    /// `target` is fetched from now on. What is staged of it already is taken over: an engine that
+    /// crashed keeps what was staged.
+    ///
+    /// # Errors
+    ///
+    /// When the engine does not answer.
+    pub(super) async fn begin_fetch(
+        &self,
+        target: &ModelVersion,
+        digests: Arc<ChunkDigests>,
+    ) -> SwitchResult<()> {
+        let count = digests.count();
+        let mut chunks = vec![None; usize::try_from(count).unwrap_or(0)];
+        let mut held = ChunkMap::empty(count);
+        let staged = self.engine.staged(&target.model, STAGE_WITHIN).await?;
+        let mut misses = 0;
+        for index in staged {
+            let read = self
+                .engine
+                .read_chunk(&target.model, index, STAGE_WITHIN)
+                .await;
+            let slot = usize::try_from(index)
+                .ok()
+                .and_then(|at| chunks.get_mut(at));
+            match (read, slot) {
+                (Ok(bytes), Some(slot)) if digests.matches(index, &bytes) => {
+                    *slot = Some(bytes);
+                    held.insert(index);
+                }
+                _ => misses += 1,
+            }
+            if misses >= SAMPLES && held.len() == 0 {
+                break;
             }
         }
-        let claimed = ChunkMap::empty(digests.count());
-        *self.lock() = Some(StagedChunks {
+        self.begin(target, digests, held, ChunkPlace::Memory(chunks));
+        Ok(())
+    }
+
+    fn begin(
+        &self,
+        target: &ModelVersion,
+        digests: Arc<ChunkDigests>,
+        held: ChunkMap,
+        place: ChunkPlace,
+    ) {
+        let version = HeldVersion {
             target: target.clone(),
+            claimed: ChunkMap::empty(digests.count()),
             digests,
             held,
-            claimed,
-        });
-        Ok(())
+            place,
+        };
+        let mut versions = self.lock();
+        match versions.binary_search_by(|known| known.target.cmp(target)) {
+            Ok(at) => versions[at] = version,
+            Err(at) => versions.insert(at, version),
+        }
+        if versions.len() > VERSIONS_MAX {
+            versions.remove(0);
+        }
     }
 
-    /// Whether `target` is what is staged.
-    pub(super) fn is_at(&self, target: &ModelVersion) -> bool {
-        self.lock()
-            .as_ref()
-            .is_some_and(|staged| staged.target == *target)
+    /// Whether `target` is held, or being fetched.
+    pub(super) fn knows(&self, target: &ModelVersion) -> bool {
+        self.with(target, |_| ()).is_some()
+    }
+
+    /// The newest whole version of `model` that is newer than `than` and in memory.
+    pub(super) fn newest_whole(
+        &self,
+        model: &str,
+        than: Option<WeightsVersion>,
+    ) -> Option<ModelVersion> {
+        let versions = self.lock();
+        let mut newest = versions.iter().rev().filter(|version| {
+            let is_newer = *version.target.model == *model && Some(version.target.version) > than;
+            is_newer && version.held.is_full() && matches!(version.place, ChunkPlace::Memory(_))
+        });
+        newest.next().map(|version| version.target.clone())
     }
 
     /// The digests of `target`, if they are known.
     pub(super) fn digests(&self, target: &ModelVersion) -> Option<Arc<ChunkDigests>> {
-        let staged = self.lock();
-        let staged = staged.as_ref().filter(|staged| staged.target == *target);
-        staged.map(|staged| staged.digests.clone())
+        self.with(target, |version| version.digests.clone())
     }
 
     /// The chunks of `target` that are held.
     pub(super) fn held(&self, target: &ModelVersion) -> Option<ChunkMap> {
-        let staged = self.lock();
-        let staged = staged.as_ref().filter(|staged| staged.target == *target);
-        staged.map(|staged| staged.held.clone())
+        self.with(target, |version| version.held.clone())
     }
 
-    /// What this host says of `target`; nothing if it does not stage it.
+    /// What this host says of `target`; nothing if it does not know it.
     pub(super) fn word(&self, target: &ModelVersion) -> Option<HaveWord> {
-        let staged = self.lock();
-        let staged = staged.as_ref().filter(|staged| staged.target == *target)?;
-        Some(HaveWord {
+        self.with(target, |version| HaveWord {
             host: self.host.clone(),
-            held: staged.held.clone(),
-            claimed: staged.claimed.clone(),
+            held: version.held.clone(),
+            claimed: version.claimed.clone(),
             backlog_ms: 0,
         })
     }
 
     /// Says which chunks this host is about to read from the origin.
     pub(super) fn claim(&self, target: &ModelVersion, claimed: ChunkMap) {
-        self.change(target, |staged| staged.claimed = claimed);
+        self.with(target, |version| version.claimed = claimed);
     }
 
-    /// Checks a chunk and stages it. A chunk that does not match is never staged or passed on.
+    /// Checks a chunk and keeps it. One that does not match is never kept or passed on.
     ///
     /// # Errors
     ///
-    /// `ChunkCorrupt` when it does not match, or when another version is wanted meanwhile; else when
-    /// the engine does not take it.
-    pub(super) async fn keep(
-        &self,
-        target: &ModelVersion,
-        index: u32,
-        bytes: Bytes,
-    ) -> SwitchResult<()> {
-        let corrupt = |detail: String| SwitchError::new(ErrorKind::ChunkCorrupt, detail);
-        let Some(digests) = self.digests(target) else {
-            return Err(corrupt("another version is staged now".to_owned()));
-        };
+    /// `ChunkCorrupt` when it does not match, `ChunkMissing` when the version is not fetched.
+    pub(super) fn keep(&self, target: &ModelVersion, index: u32, bytes: Bytes) -> SwitchResult<()> {
+        let digests = self.digests(target).ok_or_else(|| missing(index))?;
         if !digests.matches(index, &bytes) {
-            return Err(corrupt(format!("chunk {index} does not match its digest")));
+            let detail = format!("chunk {index} does not match its digest");
+            return Err(SwitchError::new(ErrorKind::ChunkCorrupt, detail));
         }
-        let staging = self
-            .engine
-            .stage_chunk(&target.model, index, bytes, STAGE_WITHIN);
-        staging.await?;
-        self.change(target, |staged| staged.held.insert(index));
+        self.with(target, |version| {
+            if let ChunkPlace::Memory(chunks) = &mut version.place
+                && let Some(slot) = usize::try_from(index)
+                    .ok()
+                    .and_then(|at| chunks.get_mut(at))
+            {
+                *slot = Some(bytes);
+                version.held.insert(index);
+            }
+        });
         Ok(())
     }
 
-    /// Reads a chunk back and checks it. One that has gone bad is no longer held.
+    /// A chunk, read back and checked if it is staged. One that has gone bad is no longer held.
     ///
     /// # Errors
     ///
     /// `ChunkMissing` when it is not held or has gone bad.
     pub(super) async fn read(&self, target: &ModelVersion, index: u32) -> SwitchResult<Bytes> {
-        let missing = || {
-            let detail = format!("chunk {index} is not here");
-            SwitchError::new(ErrorKind::ChunkMissing, detail)
-        };
-        let digests = self.digests(target).ok_or_else(missing)?;
-        let is_held = self.held(target).is_some_and(|held| held.contains(index));
-        if !is_held {
-            return Err(missing());
+        let place = self.with(target, |version| {
+            let in_memory = match &version.place {
+                ChunkPlace::Memory(chunks) => {
+                    let at = usize::try_from(index).unwrap_or(usize::MAX);
+                    Some(chunks.get(at).cloned().flatten())
+                }
+                ChunkPlace::Engine => None,
+            };
+            (
+                in_memory,
+                version.held.contains(index),
+                version.digests.clone(),
+            )
+        });
+        match place {
+            Some((Some(Some(bytes)), _, _)) => Ok(bytes),
+            Some((None, true, digests)) => self.read_staged(target, index, &digests).await,
+            _ => Err(missing(index)),
         }
+    }
+
+    async fn read_staged(
+        &self,
+        target: &ModelVersion,
+        index: u32,
+        digests: &ChunkDigests,
+    ) -> SwitchResult<Bytes> {
         let read = self
             .engine
             .read_chunk(&target.model, index, STAGE_WITHIN)
@@ -164,41 +258,87 @@
                     "model={} chunk={index}",
                     target.model
                 );
-                self.change(target, |staged| staged.held.remove(index));
-                Err(missing())
+                self.with(target, |version| version.held.remove(index));
+                Err(missing(index))
             }
         }
     }
 
-    /// Reads every chunk back. Returns whether all are there and match.
+    /// Stages a whole version at the engine and reads every chunk back: staged bytes go bad, and
+    /// the engine loads whatever is there.
     ///
     /// # Errors
     ///
-    /// When the engine does not answer.
-    pub(super) async fn check_all(&self, target: &ModelVersion) -> SwitchResult<bool> {
-        let Some(held) = self.held(target) else {
-            return Ok(false);
-        };
-        for index in 0..held.count() {
-            match self.read(target, index).await {
-                Ok(_) => {}
-                Err(error) if error.kind == ErrorKind::ChunkMissing => {}
-                Err(error) => return Err(error),
+    /// When the engine does not answer, or a chunk does not read back as it was written.
+    pub(super) async fn stage(&self, target: &ModelVersion) -> SwitchResult<()> {
+        let digests = self.digests(target).ok_or_else(|| missing(0))?;
+        for index in 0..digests.count() {
+            self.stage_chunk(target, index, &digests).await?;
+        }
+        for index in 0..digests.count() {
+            let read = self.engine.read_chunk(&target.model, index, STAGE_WITHIN);
+            if !digests.matches(index, &read.await?) {
+                log_event!(
+                    events::STAGED_CHUNK_BAD,
+                    "model={} chunk={index}",
+                    target.model
+                );
+                self.stage_chunk(target, index, &digests).await?;
             }
         }
-        Ok(self.held(target).is_some_and(|held| held.is_full()))
+        Ok(())
     }
 
-    fn change(&self, target: &ModelVersion, change: impl FnOnce(&mut StagedChunks)) {
-        let mut staged = self.lock();
-        if let Some(staged) = staged.as_mut()
-            && staged.target == *target
-        {
-            change(staged);
+    async fn stage_chunk(
+        &self,
+        target: &ModelVersion,
+        index: u32,
+        digests: &ChunkDigests,
+    ) -> SwitchResult<()> {
+        for _ in 0..STAGE_TRIES {
+            let bytes = self.read(target, index).await?;
+            if !digests.matches(index, &bytes) {
+                continue;
+            }
+            let staging = self
+                .engine
+                .stage_chunk(&target.model, index, bytes, STAGE_WITHIN);
+            return staging.await;
         }
+        Err(missing(index))
+    }
+
+    /// The engine serves `target`: its chunks lie staged, and memory is given back.
+    pub(super) fn note_served(&self, target: &ModelVersion) {
+        self.with(target, |version| version.place = ChunkPlace::Engine);
+        // What was staged before has been written over.
+        let mut versions = self.lock();
+        versions.retain(|version| {
+            version.target >= *target || matches!(version.place, ChunkPlace::Memory(_))
+        });
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Option<StagedChunks>> {
-        self.staged.lock().unwrap_or_else(PoisonError::into_inner)
+    /// A version is no longer fetched; its chunks go.
+    pub(super) fn forget(&self, target: &ModelVersion) {
+        self.lock().retain(|version| version.target != *target);
     }
+
+    fn with<T>(
+        &self,
+        target: &ModelVersion,
+        action: impl FnOnce(&mut HeldVersion) -> T,
+    ) -> Option<T> {
+        let mut versions = self.lock();
+        let found = versions.binary_search_by(|version| version.target.cmp(target));
+        found.ok().map(|at| action(&mut versions[at]))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<HeldVersion>> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn missing(index: u32) -> SwitchError {
+    let detail = format!("chunk {index} is not here");
+    SwitchError::new(ErrorKind::ChunkMissing, detail)
 }
--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -6,13 +6,13 @@
 
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
 
 use super::chunk_routes::chunk_routes;
 use super::chunk_store::ChunkStore;
 use super::events;
-use super::load_reports::{ReportEdges, report_load};
-use super::version_loop::VersionLoop;
+use super::load_reports::{EngineWatch, ReportEdges, report_load};
+use super::version_load::VersionLoad;
+use super::version_loop::{HostPlace, VersionLoop};
 use super::view_poll::ViewPoll;
 use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
@@ -44,7 +44,7 @@
     let client = Arc::new(PeerClient::new(ClientLimits::default()));
     let engine = EngineClient::new(address, client.clone());
     let book = SharedBook::default();
-    let state = Arc::new(watch::Sender::new(None));
+    let watch = Arc::new(EngineWatch::default());
     let me = LineHost {
         host: settings.ip.to_string().into(),
         data_centre: settings.data_centre.clone(),
@@ -60,7 +60,7 @@
         engine: engine.clone(),
         address,
         book: book.clone(),
-        state: state.clone(),
+        watch: watch.clone(),
     };
     tokio::spawn(report_load(reports, socket));
     let poll = ViewPoll {
@@ -71,17 +71,28 @@
         data_centre: settings.data_centre.clone(),
     };
     tokio::spawn(poll.run());
-    let versions = VersionLoop {
+    let place = HostPlace {
         service,
         me,
         address,
         peer_port: settings.peer_port,
+    };
+    let loads = VersionLoad {
+        place: place.clone(),
+        book: book.clone(),
+        engine,
+        store: store.clone(),
+        watch: watch.clone(),
+        bound: settings.bounds.weights_within,
+    };
+    tokio::spawn(loads.run());
+    let versions = VersionLoop {
+        place,
         link_bytes_per_s: settings.link_bytes_per_s,
         book,
         client,
-        engine,
         store: store.clone(),
-        state,
+        watch,
     };
     tokio::spawn(versions.run());
     let peers = SocketAddr::new(settings.ip, settings.peer_port);
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -9,6 +9,8 @@
 pub(crate) mod events;
 mod host_daemon;
 mod load_reports;
+mod load_turn;
+mod version_load;
 mod version_loop;
 mod view_poll;
 
