Pace chunks by the link, in both directions

Cause: a permit for an upload was given back when the answer's bytes were handed over, not when they had left; up to ten chunks stood in a host's link, and its engine's events came over 120 ms late. Streams of that time were on time by their first event and their pauses. Ruled out: pauses over 300 ms (1 of 342 streams), late first events (4 of 342).

Change: the product's link pacer (80 % of the link) in place of permits, its backlog told to other hosts, six pulls at a time; the log line of a stream tells its first event and its longest pause.

--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -6,6 +6,7 @@
 
 use super::events;
 use super::request_job::RequestJob;
+use super::stream_relay::StreamPace;
 use crate::errors::{ErrorKind, SwitchError, answer_for};
 use crate::events::log_event;
 use crate::metrics;
@@ -25,6 +26,29 @@
     );
 }
 
+/// The request got a stream to its end.
+pub(super) fn log_stream_end(
+    job: &RequestJob,
+    backend: &str,
+    status: StatusCode,
+    pace: StreamPace,
+    now: ClockTime,
+) {
+    let first = pace.first_at.unwrap_or(now).since(job.arrived);
+    metrics::record_seconds("first_event", first.as_secs_f64());
+    metrics::record_seconds("longest_pause", pace.longest_pause.as_secs_f64());
+    log_event!(
+        events::REQUEST_ENDED,
+        "id={} route={} backend={backend} status={} first_ms={} pause_ms={} ms={}",
+        attempt_of(job),
+        job.routed.rule.name,
+        status.as_u16(),
+        first.as_millis(),
+        pace.longest_pause.as_millis(),
+        now.since(job.arrived).as_millis()
+    );
+}
+
 /// The request was refused or failed.
 pub(super) fn log_refusal(
     job: &RequestJob,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -11,7 +11,7 @@
 
 use super::event_reader::EventReader;
 use super::forward::{Forwarder, next_answer};
-use super::request_log::{log_broken, log_end, log_resumed};
+use super::request_log::{log_broken, log_resumed, log_stream_end};
 use super::send_attempt::OpenAnswer;
 use crate::daemon::LiveGuard;
 use crate::fleet::CallEnd;
@@ -36,9 +36,30 @@
     reader: EventReader,
     last_event: Option<u64>,
     is_finished: bool,
+    pace: StreamPace,
     _live: LiveGuard,
 }
 
+/// How a stream's events came, for its log line.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StreamPace {
+    /// When the first came.
+    pub(super) first_at: Option<ClockTime>,
+    last_at: Option<ClockTime>,
+    /// The longest pause between two.
+    pub(super) longest_pause: Duration,
+}
+
+impl StreamPace {
+    fn note(&mut self, now: ClockTime) {
+        if let Some(last_at) = self.last_at {
+            self.longest_pause = self.longest_pause.max(now.since(last_at));
+        }
+        self.first_at = self.first_at.or(Some(now));
+        self.last_at = Some(now);
+    }
+}
+
 impl StreamRelay {
     /// The stream of `answer`.
     pub(super) fn new(forwarder: Forwarder, answer: OpenAnswer, live: LiveGuard) -> Self {
@@ -49,6 +70,7 @@
             reader: EventReader::default(),
             last_event,
             is_finished: false,
+            pace: StreamPace::default(),
             _live: live,
         }
     }
@@ -81,6 +103,7 @@
         loop {
             let events = self.take_events();
             if !events.is_empty() {
+                self.pace.note(clock_now());
                 return RelayStep::Events(events);
             }
             let left = self.forwarder.job.time_left(clock_now());
@@ -154,12 +177,8 @@
             return;
         };
         let job = &self.forwarder.job;
-        log_end(
-            job,
-            &answer.ticket.facts.id,
-            answer.facts.status,
-            clock_now(),
-        );
+        let backend = &answer.ticket.facts.id;
+        log_stream_end(job, backend, answer.facts.status, self.pace, clock_now());
         put_away(&self.forwarder, answer);
     }
 
--- a/src/replication/chunk_fetch.rs
+++ b/src/replication/chunk_fetch.rs
@@ -23,7 +23,7 @@
 use crate::transport::PeerClient;
 use crate::weights::{
     ChunkMap, FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource, HaveWord, LineHost,
-    PeerKey, PlanHost, WeightsDigest,
+    LinkPacer, PeerKey, PlanHost, WeightsDigest,
 };
 
 /// How often the plan is looked at when nothing happens.
@@ -37,7 +37,7 @@
 const TURN_SPAN: Duration = Duration::from_millis(800);
 /// Chunks under way to this host. More would only wait behind each other, and requests to the engine
 /// behind them.
-const PULLS_MAX: usize = 3;
+const PULLS_MAX: usize = 6;
 /// Chunks under way from the origin to one host. Some eight hosts read at a time; the fewer chunks
 /// share the origin's link, the sooner each of them can be passed on.
 const ORIGIN_READS_MAX: usize = 1;
@@ -53,6 +53,8 @@
     pub(super) me: LineHost,
     /// How long a chunk takes on this host's idle link.
     pub(super) chunk_span: Duration,
+    /// This host's link.
+    pub(super) pacer: LinkPacer,
 }
 
 /// Why a fetch ended.
@@ -273,19 +275,44 @@
     let called = edges
         .client
         .call::<_, ChunkReply>(address, GET_PATH, &ask, PULL_WITHIN);
-    let reply = called.await?;
+    let t0 = clock_now();
+    let reply = called.await;
+    println!(
+        "PULL v{} chunk {index} {address} {} {:?}",
+        target.version.0,
+        clock_now().since(t0).as_millis(),
+        reply.as_ref().err().map(|e| e.kind)
+    );
+    let reply = reply?;
     let bytes = Bytes::from(reply.bytes);
+    take_in(edges, &bytes).await;
     edges.store.keep(target, index, bytes)?;
     metrics::count_event("chunks_from_hosts", 1);
     Ok(reply.word)
 }
 
+/// The next chunk is asked for when the link has taken this one in: requests to the engine come over
+/// the same link.
+async fn take_in(edges: &FetchEdges, bytes: &Bytes) {
+    let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+    edges.pacer.take_in(length).await;
+}
+
 async fn read_origin(edges: &FetchEdges, target: &ModelVersion, index: u32) -> SwitchResult<()> {
     let Some(origin) = &edges.origin else {
         let detail = "the document names no origin of weights";
         return Err(SwitchError::new(ErrorKind::OriginUnavailable, detail));
     };
-    let bytes = origin.read_chunk(target, index, ORIGIN_WITHIN).await?;
+    let t0 = clock_now();
+    let bytes = origin.read_chunk(target, index, ORIGIN_WITHIN).await;
+    println!(
+        "ORIGIN v{} chunk {index} {} {}",
+        target.version.0,
+        clock_now().since(t0).as_millis(),
+        bytes.is_ok()
+    );
+    let bytes = bytes?;
     metrics::count_event("chunks_from_origin", 1);
+    take_in(edges, &bytes).await;
     edges.store.keep(target, index, bytes)
 }
--- a/src/replication/chunk_routes.rs
+++ b/src/replication/chunk_routes.rs
@@ -1,11 +1,8 @@
 //! What a host of a backend server answers other hosts.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
-use tokio::sync::Semaphore;
-use tokio::time::timeout;
 use volo_http::request::Request;
 use volo_http::response::Response;
 use volo_http::server::route::{Router, get, post};
@@ -15,21 +12,17 @@
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::metrics;
 use crate::transport::{error_reply, message_reply, read_message};
+use crate::weights::{HaveWord, LinkDirection, LinkPacer};
 
 const ASK_BYTES_MAX: usize = 4 * 1024;
-/// Chunks that are sent at the same time. The engine's live answers leave over the same link, which
-/// carries a chunk in 27 ms: each chunk that is on its way holds every event up for so long.
-const UPLOADS_MAX: usize = 2;
-/// How long a host that asks for a chunk is kept waiting for its turn, rather than being turned away
-/// to ask again.
+/// How long a host that asks for a chunk is kept waiting for the link, rather than being turned away
+/// to ask elsewhere.
 const TURN_WITHIN: Duration = Duration::from_millis(120);
-/// When a host that was turned away should come back: about when a chunk has left.
-const BUSY_WAIT: Duration = Duration::from_millis(30);
 
 #[derive(Clone)]
 struct ChunkService {
     store: ChunkStore,
-    uploads: Arc<Semaphore>,
+    pacer: LinkPacer,
 }
 
 #[derive(Clone, Copy)]
@@ -40,11 +33,8 @@
 }
 
 /// The routes.
-pub(super) fn chunk_routes(store: ChunkStore) -> Router {
-    let service = ChunkService {
-        store,
-        uploads: Arc::new(Semaphore::new(UPLOADS_MAX)),
-    };
+pub(super) fn chunk_routes(store: ChunkStore, pacer: LinkPacer) -> Router {
+    let service = ChunkService { store, pacer };
     let handler = |call: ChunkCall| {
         let service = service.clone();
         move |request: Request| answer(service.clone(), call, request)
@@ -75,17 +65,25 @@
     answered.unwrap_or_else(|error| error_reply(&error))
 }
 
-fn word_of(service: &ChunkService, ask: &ChunkAsk) -> SwitchResult<crate::weights::HaveWord> {
-    service.store.word(&ask.target).ok_or_else(not_here)
+/// What this host says of a version, with how long its link is busy: others then ask a host whose
+/// link is idle.
+fn word_of(service: &ChunkService, ask: &ChunkAsk) -> SwitchResult<HaveWord> {
+    let mut word = service.store.word(&ask.target).ok_or_else(not_here)?;
+    let backlog = service.pacer.backlog(LinkDirection::Up);
+    word.backlog_ms = u64::try_from(backlog.as_millis()).unwrap_or(u64::MAX);
+    Ok(word)
 }
 
+/// A chunk, when the link is free for it. The engine's live answers leave over the same link: what is
+/// sent without regard to its rate stands before them in the link's queue.
 async fn chunk_of(service: &ChunkService, ask: &ChunkAsk) -> SwitchResult<ChunkReply> {
-    let Ok(Ok(_upload)) = timeout(TURN_WITHIN, service.uploads.acquire()).await else {
-        let busy = SwitchError::new(ErrorKind::UploadBusy, "enough chunks are on their way");
-        return Err(busy.come_back_in(BUSY_WAIT));
-    };
     let index = ask.index.ok_or_else(not_here)?;
     let bytes = service.store.read(&ask.target, index).await?;
+    let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+    if let Err(backlog) = service.pacer.send_out(length, TURN_WITHIN).await {
+        let busy = SwitchError::new(ErrorKind::UploadBusy, "enough chunks are on their way");
+        return Err(busy.come_back_in(backlog));
+    }
     metrics::count_event("chunks_sent", 1);
     Ok(ChunkReply {
         word: word_of(service, ask)?,
--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -20,10 +20,15 @@
 use crate::platform::{EngineClient, PlatformSettings, StoreClient};
 use crate::sync::SharedBook;
 use crate::transport::{ClientLimits, HttpServer, PeerClient};
-use crate::weights::LineHost;
+use crate::weights::{LineHost, LinkPacer};
 
 /// Other hosts find out within one call that this one is gone; nothing waits for it.
 const STOP_LINGER: Duration = Duration::from_millis(100);
+/// The part of the link that weights may fill. The rest is for the engine's live answers and for what
+/// goes with each chunk: headers, questions, packets.
+const WEIGHTS_SHARE: f64 = 0.8;
+/// The size of a chunk in use; only estimates of time come from it.
+const CHUNK_BYTES: f64 = 24_576.0;
 const STOP_LONGEST: Duration = Duration::from_millis(400);
 
 /// Runs until the process is told to stop.
@@ -71,6 +76,8 @@
         data_centre: settings.data_centre.clone(),
     };
     tokio::spawn(poll.run());
+    let chunk_span = Duration::from_secs_f64(CHUNK_BYTES / settings.link_bytes_per_s.max(1.0));
+    let pacer = LinkPacer::new(weights_rate(settings.link_bytes_per_s));
     let place = HostPlace {
         service,
         me,
@@ -88,7 +95,8 @@
     tokio::spawn(loads.run());
     let versions = VersionLoop {
         place,
-        link_bytes_per_s: settings.link_bytes_per_s,
+        chunk_span,
+        pacer: pacer.clone(),
         book,
         client,
         store: store.clone(),
@@ -96,7 +104,7 @@
     };
     tokio::spawn(versions.run());
     let peers = SocketAddr::new(settings.ip, settings.peer_port);
-    let server = HttpServer::bind(peers, chunk_routes(store)).await?;
+    let server = HttpServer::bind(peers, chunk_routes(store, pacer)).await?;
     log_event!(events::SERVING, "host={} peers={peers}", settings.host);
     let drain = DrainState::new(STOP_LINGER, STOP_LONGEST);
     tokio::select! {
@@ -107,6 +115,16 @@
     Ok(())
 }
 
+/// The part of the link that weights may fill, in bytes a second.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a rate is positive and far below 2^53 bytes a second"
+)]
+fn weights_rate(link_bytes_per_s: f64) -> u64 {
+    (link_bytes_per_s * WEIGHTS_SHARE) as u64
+}
+
 /// The settings of this process do not change while it lives; without a handler the signal would
 /// end it.
 async fn ignore_hangups() {
--- a/src/replication/version_loop.rs
+++ b/src/replication/version_loop.rs
@@ -19,7 +19,7 @@
 use crate::platform::{ChunkDigests, OriginClient};
 use crate::sync::{ControlSnapshot, SharedBook};
 use crate::transport::PeerClient;
-use crate::weights::{LineHost, PlanHost};
+use crate::weights::{LineHost, LinkPacer, PlanHost};
 
 /// How often it is looked whether another version is wanted.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
@@ -74,7 +74,9 @@
 /// What the loop works with.
 pub(super) struct VersionLoop {
     pub(super) place: HostPlace,
-    pub(super) link_bytes_per_s: f64,
+    /// How long a chunk takes on this host's idle link.
+    pub(super) chunk_span: Duration,
+    pub(super) pacer: LinkPacer,
     pub(super) book: SharedBook,
     pub(super) client: Arc<PeerClient>,
     pub(super) store: ChunkStore,
@@ -184,7 +186,8 @@
             client: self.client.clone(),
             origin: self.origin(&snapshot),
             me: self.place.me.clone(),
-            chunk_span: Duration::from_secs_f64(24_576.0 / self.link_bytes_per_s.max(1.0)),
+            chunk_span: self.chunk_span,
+            pacer: self.pacer.clone(),
         };
         let mut fetch = ChunkFetch::new(edges, target.clone(), held);
         loop {
--- a/src/weights/mod.rs
+++ b/src/weights/mod.rs
@@ -38,6 +38,7 @@
 pub(crate) use activation::{ActivationMachine, ActivationStep, ActivationView};
 pub(crate) use chunk_map::ChunkMap;
 pub(crate) use fetch_plan::{FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource};
+pub(crate) use link_pacer::{LinkDirection, LinkPacer};
 pub(crate) use live_bytes::ahead_of_weights;
 pub(crate) use manifest::VersionManifest;
 pub(crate) use messages::HaveWord;
