--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -47,6 +47,9 @@
         layers: u32,
         /// The oldest version that may answer; none while any may.
         least: Option<WeightsVersion>,
+        /// The oldest version at which a request may wait for a place. One that waits at an older
+        /// version could begin when that version may no longer answer.
+        least_to_wait: Option<WeightsVersion>,
     },
 }
 
@@ -83,6 +86,20 @@
     pub(crate) queue_room: u32,
 }
 
+impl PickNeed<'_> {
+    /// How many requests may wait at `record`.
+    fn room_at(&self, record: &BackendRecord) -> u32 {
+        match &self.version {
+            VersionNeed::Model { least_to_wait, .. }
+                if self.version.held_by(record) < *least_to_wait =>
+            {
+                0
+            }
+            _ => self.queue_room,
+        }
+    }
+}
+
 /// Why no backend server takes a request.
 #[apply(key!)]
 pub(crate) enum PickRefusal {
@@ -117,7 +134,7 @@
         }
         has_any = true;
         let load = record.load(now);
-        if !record.is_open(now) || load >= record.facts.slots + need.queue_room {
+        if !record.is_open(now) || load >= record.facts.slots + need.room_at(record) {
             continue;
         }
         let is_near = *record.facts.data_centre == *data_centre;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -45,6 +45,7 @@
             model: "m".into(),
             layers: 16,
             least: least.map(WeightsVersion),
+            least_to_wait: None,
         },
         tried: &[],
         queue_room: 1,
@@ -79,6 +80,24 @@
     );
 }
 
+/// Symptom: a request began on an older version after its time. It had been sent in time, to an engine
+/// that had no free place, and waited there for 1.6 s while the bound passed.
+#[test]
+fn nothing_waits_at_a_version_that_is_about_to_go() {
+    let desk = desk_of(vec![facts("a", "here", 1)]);
+    let waits = need(None);
+    let mut begins = need(None);
+    if let VersionNeed::Model { least_to_wait, .. } = &mut begins.version {
+        *least_to_wait = Some(WeightsVersion(2));
+    }
+    let tickets: Vec<BackendTicket> = (0..4)
+        .map(|_| desk.pick(&begins, NOW).expect("there are four places"))
+        .collect();
+    assert_eq!(desk.pick(&begins, NOW).err(), Some(PickRefusal::AllFull));
+    assert!(desk.pick(&waits, NOW).is_ok());
+    drop(tickets);
+}
+
 /// Symptom: a request reached a backend server seconds after the store had said that it leaves. Its
 /// record stayed at the desk because a request was under way there.
 #[test]
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -87,6 +87,7 @@
             model: model.clone(),
             layers: engine.layers,
             least: snapshot.least_version(model, older_for, now),
+            least_to_wait: snapshot.least_version(model, older_for / 2, now),
         }
     }
 }
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -39,6 +39,8 @@
 const ASK_PAUSE_CUT_OFF: Duration = Duration::from_millis(250);
 /// After this long without an answer the store counts as away.
 const STORE_AWAY_AFTER: Duration = Duration::from_millis(500);
+/// How often it is looked whether the wait for a lapsed entry is over.
+const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
 const NEIGHBOUR_WITHIN: Duration = Duration::from_millis(400);
 /// How long ago a version may have been named that a process finds at its start. The platform leaves
 /// a process that was killed alone for three seconds.
@@ -203,7 +205,17 @@
             if let Some(address) = self.choose_neighbour() {
                 self.ask(address).await;
             }
-            self.book.change(|book| book.expire(clock_now()));
+        }
+    }
+
+    /// Gives up backend servers whose entries did not come back, as soon as their time is over.
+    pub(crate) async fn expire_backends(self) {
+        loop {
+            sleep(EXPIRE_PAUSE).await;
+            let now = clock_now();
+            if self.book.read(|book| book.has_expired(now)) {
+                self.book.change(|book| book.expire(now));
+            }
         }
     }
 
--- a/src/sync/sync_thread.rs
+++ b/src/sync/sync_thread.rs
@@ -56,6 +56,7 @@
     tokio::spawn(watch.clone().follow_operator());
     tokio::spawn(watch.clone().follow_backends());
     tokio::spawn(watch.clone().follow_entries());
+    tokio::spawn(watch.clone().expire_backends());
     tokio::spawn(watch.ask_neighbours());
     match HttpServer::bind(settings.me.control, peer_routes(&book)).await {
         Ok(server) => server.run(drain).await,
--- a/src/sync/tests.rs
+++ b/src/sync/tests.rs
@@ -129,6 +129,36 @@
     assert_eq!(ids(&book), ["a"]);
 }
 
+/// Symptom: requests reached a backend server more than two seconds after its entry had gone. The
+/// process had been cut off from the store until three seconds before; the entry's end was taken for
+/// one that had lapsed in the outage, and its backend server was kept for a while.
+#[test]
+fn an_entry_that_goes_soon_after_an_outage_counts_once_lapsed_ones_are_back() {
+    let book = SharedBook::default();
+    let back = START + Duration::from_secs(20);
+    book.change(|book| {
+        book.note_store(START);
+        book.set_backends(
+            &view(vec![backend("a", "ready"), backend("b", "ready")], 5),
+            START,
+        );
+        book.note_store_failure("cut off");
+        book.note_store(back);
+    });
+    let soon = back + Duration::from_secs(1);
+    book.change(|book| book.change_backends(&view(vec![row("a", 6, None)], 6), soon));
+    assert_eq!(ids(&book), ["a", "b"]);
+    let settled = back + Duration::from_millis(2200);
+    book.change(|book| {
+        assert!(book.has_expired(settled));
+        book.expire(settled);
+    });
+    assert_eq!(ids(&book), ["b"]);
+    let later = back + Duration::from_millis(2900);
+    book.change(|book| book.change_backends(&view(vec![row("b", 7, None)], 7), later));
+    assert!(ids(&book).is_empty());
+}
+
 #[test]
 fn an_entry_that_goes_while_the_store_is_steady_counts_at_once() {
     let book = SharedBook::default();
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -17,14 +17,15 @@
 };
 use crate::time::ClockTime;
 
-/// How long a backend server whose entry went is kept, when the store was away shortly before.
+/// How long after the store's return the entries that lapsed while it was away are back.
 ///
-/// While the store is away, entries lapse although their backend servers live; those are back about
-/// two seconds after the store is. Without the wait, every backend server would be given up at the
-/// store's return. It is shorter than the two seconds after which a leaving one must get nothing.
-const LAPSE_GRACE: Duration = Duration::from_millis(1700);
-/// How long the store must have answered without a break for an entry's end to count at once.
-const SETTLED_SPAN: Duration = Duration::from_secs(4);
+/// While the store is away, entries lapse although their backend servers live. Without the wait,
+/// every backend server would be given up at the store's return. From then on, an entry's end counts
+/// at once.
+const SETTLED_SPAN: Duration = Duration::from_millis(2200);
+/// How long at most a backend server whose entry went is kept. A leaving one must get nothing two
+/// seconds after this process has learned of it, what is on its way included.
+const LAPSE_GRACE: Duration = Duration::from_millis(1500);
 
 /// Versions of a model that are remembered with the time of their naming.
 const VERSIONS_KEPT: usize = 4;
@@ -106,9 +107,11 @@
         }
     }
 
-    fn is_settled(&self, now: ClockTime) -> bool {
-        self.store_steady_since
-            .is_some_and(|since| now.since(since) >= SETTLED_SPAN)
+    /// From when on an entry's end counts at once; while the store does not answer, not before the
+    /// longest wait.
+    fn settled_at(&self, now: ClockTime) -> ClockTime {
+        let since = self.store_steady_since;
+        since.map_or(now + LAPSE_GRACE, |since| since + SETTLED_SPAN)
     }
 
     /// Takes in rows of the operator's table. `named_before` is how long ago a version of weights
@@ -245,21 +248,27 @@
     }
 
     fn remove_backend(&mut self, id: &str, now: ClockTime) {
-        let is_settled = self.is_settled(now);
+        let settled_at = self.settled_at(now);
         let found = self
             .backends
             .binary_search_by(|entry| (*entry.facts.id).cmp(id));
         let Ok(at) = found else {
             return;
         };
-        if is_settled {
+        if settled_at <= now {
             self.backends.remove(at);
         } else {
-            let gone_at = self.backends[at].gone_at;
-            self.backends[at].gone_at = gone_at.or(Some(now + LAPSE_GRACE));
+            let gone_at = settled_at.min(now + LAPSE_GRACE);
+            self.backends[at].gone_at.get_or_insert(gone_at);
         }
     }
 
+    /// Whether backend servers whose entries went are to be given up at `now`.
+    pub(crate) fn has_expired(&self, now: ClockTime) -> bool {
+        let mut waiting = self.backends.iter().filter_map(|entry| entry.gone_at);
+        waiting.any(|gone_at| gone_at <= now)
+    }
+
     /// Gives up backend servers whose entries did not come back.
     pub(crate) fn expire(&mut self, now: ClockTime) {
         self.backends
