--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -109,7 +109,7 @@
     })
 }
 
-fn caller_routes(gateway: Arc<GatewayState>) -> Router {
+pub(super) fn caller_routes(gateway: Arc<GatewayState>) -> Router {
     Router::new().fallback(move |request: Request| answer_request(gateway.clone(), request))
 }
 
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,10 +1,14 @@
+mod fake_backend;
+mod intake;
+mod sends;
+
 use std::time::Duration;
 
-use super::event_reader::EventReader;
-use super::gateway_state::GatewayState;
-use super::reply::{refusal_reply, status_of};
 use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
+use crate::gateway::event_reader::EventReader;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::reply::{refusal_reply, status_of};
 use crate::platform::TimeBounds;
 use crate::sync::SharedSnapshot;
 use crate::time::ClockTime;
@@ -69,9 +73,9 @@
     retry_extra: 100.0,
 };
 
-fn gateway() -> GatewayState {
+fn gateway_on(snapshot: SharedSnapshot, bounds: TimeBounds) -> GatewayState {
     let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
-    GatewayState::new(SharedSnapshot::default(), "here".into(), drain, BOUNDS)
+    GatewayState::new(snapshot, "here".into(), drain, bounds)
 }
 
 /// Symptom: streams were cut in the middle seven seconds after a planned stop had begun. A client had
@@ -79,7 +83,7 @@
 /// running when the process had to end.
 #[test]
 fn a_stopping_process_takes_requests_for_three_seconds_only() {
-    let gateway = gateway();
+    let gateway = gateway_on(SharedSnapshot::default(), BOUNDS);
     let begun = ClockTime::from_millis(50_000);
     assert!(!gateway.refuses_new(begun));
     gateway.begin_stop(begun);
--- /dev/null
+++ b/src/gateway/tests/sends.rs
@@ -0,0 +1,201 @@
+//! What follows a send, by what is known after it and what the route allows.
+
+use super::fake_backend::{BackendWay, FakeBackend, FakeEntry, field};
+
+/// The status of an answer, what it ends with, and how many requests each of two fakes saw.
+async fn outcome(ways: [BackendWay; 2], kind: &str) -> (u16, String, [usize; 2]) {
+    let first = FakeBackend::start(ways[0]).await;
+    let second = FakeBackend::start(ways[1]).await;
+    let entry = FakeEntry::start(&[&first, &second]).await;
+    let answer = entry.ask(kind).await;
+    let status = answer
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok())
+        .unwrap_or(0);
+    (status, answer, [first.arrivals(), second.arrivals()])
+}
+
+const KINDS: [&str; 2] = ["safe", "once"];
+
+#[tokio::test]
+async fn an_answer_is_passed_on_as_it_is() {
+    let (status, answer, arrivals) = outcome([BackendWay::Whole, BackendWay::Whole], "once").await;
+    assert_eq!((status, arrivals), (200, [1, 0]));
+    assert_eq!(
+        field(&answer, "savoryswitch-response-seal").as_deref(),
+        Some("seal-of-it")
+    );
+    assert!(answer.ends_with("whole"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_backend_servers_own_failure_is_its_answer() {
+    let (status, answer, arrivals) = outcome([BackendWay::Fail, BackendWay::Whole], "safe").await;
+    assert_eq!((status, arrivals), (500, [1, 0]));
+    assert!(answer.ends_with("failed"), "{answer}");
+}
+
+/// Symptom: a mail reply was doubled. The connection broke after the request had been sent; the entry
+/// host sent it to a second backend server, and the first had run it. Only what the backend server
+/// itself says it did not run may be sent again.
+#[tokio::test]
+async fn what_may_have_run_is_sent_again_only_if_it_may_be_repeated() {
+    for way in [
+        BackendWay::CloseUnanswered,
+        BackendWay::CutBody,
+        BackendWay::Foreign,
+    ] {
+        let (status, _, arrivals) = outcome([way, BackendWay::Whole], "safe").await;
+        assert_eq!((status, arrivals), (200, [1, 1]), "{way:?}");
+        let (status, answer, arrivals) = outcome([way, BackendWay::Whole], "once").await;
+        assert_eq!((status, arrivals), (502, [1, 0]), "{way:?}");
+        assert_eq!(
+            field(&answer, "savoryswitch-response-seal"),
+            None,
+            "{way:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn what_did_not_run_is_sent_elsewhere_whatever_its_kind() {
+    for way in [BackendWay::NotRun, BackendWay::Misdirected] {
+        for kind in KINDS {
+            let (status, _, arrivals) = outcome([way, BackendWay::Whole], kind).await;
+            assert_eq!((status, arrivals), (200, [1, 1]), "{way:?} {kind}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn when_nobody_runs_it_the_client_is_told_so_and_when_to_come_back() {
+    for kind in KINDS {
+        let (status, answer, arrivals) =
+            outcome([BackendWay::NotRun, BackendWay::NotRun], kind).await;
+        assert_eq!((status, arrivals), (503, [1, 1]), "{kind}");
+        assert!(field(&answer, "retry-after").is_some(), "{answer}");
+    }
+}
+
+#[tokio::test]
+async fn a_backend_server_that_is_not_there_costs_no_attempt() {
+    let gone = {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listener.local_addr().expect("it is bound")
+    };
+    let first = FakeBackend {
+        address: gone,
+        requests: std::sync::Arc::default(),
+    };
+    let second = FakeBackend::start(BackendWay::Whole).await;
+    let entry = FakeEntry::start(&[&first, &second]).await;
+    let answer = entry.ask("once").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(second.arrivals(), 1);
+}
+
+/// Symptom: a client got another client's answer. The backend server had sent two answers to one
+/// request, and the second was taken for that of the next request on the connection.
+#[tokio::test]
+async fn an_answer_behind_an_answer_goes_to_nobody() {
+    let backend = FakeBackend::start(BackendWay::WholeAndStray).await;
+    let entry = FakeEntry::start(&[&backend]).await;
+    for _ in 0..3 {
+        let answer = entry.ask("safe").await;
+        assert!(!answer.contains("stray"), "{answer}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_behind_its_last_whole_event() {
+    let ways = [
+        BackendWay::EventsCut { to: 2 },
+        BackendWay::Events { to: 5 },
+    ];
+    let (status, answer, arrivals) = outcome(ways, "resumed").await;
+    assert_eq!((status, arrivals), (200, [1, 1]));
+    for id in 1..=5 {
+        let count = answer.matches(&format!("data: part {id}\n\n")).count();
+        assert_eq!(count, 1, "event {id} in {answer}");
+    }
+    assert!(!answer.contains("99"), "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+/// Symptom: a client took half a stream for a whole one. The backend server broke off, the route does
+/// not allow another run, and the entry host ended the answer in the regular way.
+#[tokio::test]
+async fn a_stream_that_cannot_go_on_never_looks_complete() {
+    let ways = [
+        BackendWay::EventsCut { to: 2 },
+        BackendWay::Events { to: 5 },
+    ];
+    let (_, answer, arrivals) = outcome(ways, "single").await;
+    assert_eq!(arrivals, [1, 0]);
+    assert!(answer.contains("data: part 2\n\n"), "{answer}");
+    assert!(
+        !answer.contains("99") && !answer.ends_with("0\r\n\r\n"),
+        "{answer}"
+    );
+}
+
+#[tokio::test]
+async fn the_request_arrives_unchanged_without_the_key_and_with_the_account() {
+    let backend = FakeBackend::start(BackendWay::Whole).await;
+    let entry = FakeEntry::start(&[&backend]).await;
+    entry.ask("safe").await;
+    let requests = backend.requests.lock().expect("no test thread panicked");
+    let request = &requests[0];
+    assert!(
+        request.starts_with("POST /safe/x?y=1 HTTP/1.1\r\n"),
+        "{request}"
+    );
+    assert!(request.ends_with("\r\n\r\nbody"), "{request}");
+    assert_eq!(field(request, "host").as_deref(), Some("Desk.example:80"));
+    assert_eq!(field(request, "authorization"), None);
+    assert_eq!(
+        field(request, "savoryswitch-tenant").as_deref(),
+        Some("lodge")
+    );
+    assert_eq!(
+        field(request, "savoryswitch-target-instance").as_deref(),
+        Some("i-0")
+    );
+    let left: u64 = field(request, "savoryswitch-deadline-ms")
+        .and_then(|text| text.parse().ok())
+        .expect("it is always told");
+    assert!((1..=2000).contains(&left), "{left}");
+}
+
+/// Symptom: a backend server went on working for clients that had left. The connection to it stayed
+/// open until its answer had come.
+#[tokio::test]
+async fn a_client_that_leaves_frees_its_place_at_once() {
+    use tokio::io::AsyncWriteExt;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let silent = FakeBackend {
+        address: listener.local_addr().expect("it is bound"),
+        requests: std::sync::Arc::default(),
+    };
+    let entry = FakeEntry::start(&[&silent]).await;
+    let mut client = tokio::net::TcpStream::connect(entry.address)
+        .await
+        .expect("it listens");
+    let request = "GET /safe/x HTTP/1.1\r\nhost: desk.example\r\nsavoryswitch-attempt-id: a1\r\n\
+         authorization: Bearer secret\r\n\r\n";
+    client
+        .write_all(request.as_bytes())
+        .await
+        .expect("it reads");
+    let (mut backend, _) = listener.accept().await.expect("the entry host connects");
+    let mut buffer = [0; 4096];
+    let read = tokio::io::AsyncReadExt::read(&mut backend, &mut buffer).await;
+    assert!(read.is_ok_and(|read| read > 0));
+    drop(client);
+    // The entry host closes: nothing more can be read from it.
+    let read = tokio::io::AsyncReadExt::read(&mut backend, &mut buffer).await;
+    assert!(matches!(read, Ok(0) | Err(_)));
+}
--- a/src/sync/snapshot.rs
+++ b/src/sync/snapshot.rs
@@ -60,7 +60,7 @@
     }
 
     /// Puts a newer one in its place.
-    pub(super) fn store(&self, snapshot: ControlSnapshot) {
+    pub(crate) fn store(&self, snapshot: ControlSnapshot) {
         self.newest.store(Arc::new(snapshot));
     }
 }
