--- a/src/fleet/backend_facts.rs
+++ b/src/fleet/backend_facts.rs
@@ -139,8 +139,10 @@
 pub(crate) struct WantedWeights {
     /// What is wanted.
     pub(crate) target: ModelVersion,
-    /// When it was named, at the latest.
+    /// When it was named, as far as is known.
     pub(crate) named_at: ClockTime,
+    /// Whether somebody was told at that moment; else it is an assumption on the safe side.
+    pub(crate) is_certain: bool,
 }
 
 impl WantedWeights {
--- a/src/replication/view_poll.rs
+++ b/src/replication/view_poll.rs
@@ -13,7 +13,7 @@
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::platform::{StoreClient, TableName};
-use crate::sync::{EntryRecord, PeerView, SharedBook, VIEW_PATH, ViewBook};
+use crate::sync::{EntryRecord, NamingTime, PeerView, SharedBook, VIEW_PATH, ViewBook};
 use crate::time::clock_now;
 use crate::transport::PeerClient;
 
@@ -117,8 +117,12 @@
             .store
             .read_table(TableName::Operator, STORE_WITHIN)
             .await?;
+        let named = NamingTime {
+            at: clock_now() - NAMED_BEFORE,
+            is_certain: false,
+        };
         self.book
-            .change(|book| book.take_operator_rows(&operator.rows, NAMED_BEFORE, clock_now()));
+            .change(|book| book.take_operator_rows(&operator.rows, named));
         let backends = self
             .store
             .read_table(TableName::Backends, STORE_WITHIN)
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -14,4 +14,4 @@
 pub(crate) use peer_messages::{EntryRecord, PeerView, VIEW_PATH};
 pub(crate) use snapshot::{ControlSnapshot, SharedSnapshot};
 pub(crate) use sync_thread::{SyncSettings, start_sync};
-pub(crate) use view_book::{SharedBook, ViewBook};
+pub(crate) use view_book::{NamingTime, SharedBook, ViewBook};
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -45,13 +45,15 @@
     pub(crate) wait_ms: u64,
 }
 
-/// A version of weights with how long ago it was named, at the latest.
+/// A version of weights with how long ago it was named.
 #[apply(message!)]
 pub(crate) struct WantedWord {
     /// What is wanted.
     pub(crate) target: ModelVersion,
-    /// For how many milliseconds it has been known.
+    /// For how many milliseconds it has been named.
     pub(crate) age_ms: u64,
+    /// Whether somebody was told at that moment.
+    pub(crate) is_certain: bool,
 }
 
 /// What the answering process knows beyond that.
@@ -61,7 +63,7 @@
     /// The document, if it is newer.
     #[serde(with = "serde_bytes")]
     pub(crate) document: Option<Vec<u8>>,
-    /// The versions of weights that are newer.
+    /// The versions of weights; also those that are known, since their age may not be.
     pub(crate) wanted: Vec<WantedWord>,
     /// The list of backend servers with its revision, if that is newer.
     pub(crate) backends: Option<(u64, Vec<BackendFacts>)>,
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -9,11 +9,11 @@
 
 use super::events;
 use super::peer_messages::{EntryRecord, PeerView, VIEW_PATH};
-use super::view_book::{SharedBook, ViewBook};
+use super::view_book::{NamingTime, SharedBook, ViewBook};
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::platform::{StoreClient, TableName, TableView, WatchAnswer};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 use crate::transport::PeerClient;
 
 /// How long the store holds a watch of the operator's table open. A connection may go silent for
@@ -42,9 +42,10 @@
 /// How often it is looked whether the wait for a lapsed entry is over.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
 const NEIGHBOUR_WITHIN: Duration = Duration::from_millis(400);
-/// How long ago a version may have been named that a process finds at its start. The platform leaves
-/// a process that was killed alone for three seconds.
-const NAMED_BEFORE_START: Duration = Duration::from_secs(5);
+/// How long ago a version is taken to have been named that a process finds at its start, as long as
+/// no neighbour knows better. Requests then begin on older weights for a second more.
+const NAMED_BEFORE_START: Duration = Duration::from_secs(6);
+/// How long a change is on its way from the store.
 const NAMED_BEFORE_WATCH: Duration = Duration::from_millis(100);
 
 /// What the watching works with.
@@ -67,11 +68,16 @@
     pub(crate) async fn follow_operator(self) {
         let mut pause = FailurePause::default();
         let mut since = None;
-        let mut named_before = NAMED_BEFORE_START;
+        // Until when nothing was missed, while the watch is broken.
+        let mut missed_since = Some(clock_now() - NAMED_BEFORE_START);
+        let mut answered_at = clock_now();
         loop {
-            let followed = self.operator_step(&mut since, named_before).await;
+            let followed = self.operator_step(&mut since, missed_since).await;
             if followed.is_ok() {
-                named_before = NAMED_BEFORE_WATCH;
+                answered_at = clock_now();
+                missed_since = None;
+            } else {
+                missed_since = missed_since.or(Some(answered_at));
             }
             self.note_outcome(&followed, &mut pause).await;
         }
@@ -80,7 +86,7 @@
     async fn operator_step(
         &self,
         since: &mut Option<u64>,
-        named_before: Duration,
+        missed_since: Option<ClockTime>,
     ) -> SwitchResult<()> {
         let table = TableName::Operator;
         let view = match *since {
@@ -100,8 +106,12 @@
         };
         *since = Some(view.revision.max(since.unwrap_or(0)));
         if !view.rows.is_empty() {
+            let named = NamingTime {
+                at: missed_since.unwrap_or(clock_now() - NAMED_BEFORE_WATCH),
+                is_certain: missed_since.is_none(),
+            };
             self.book
-                .change(|book| book.take_operator_rows(&view.rows, named_before, clock_now()));
+                .change(|book| book.take_operator_rows(&view.rows, named));
         }
         Ok(())
     }
@@ -192,6 +202,9 @@
     /// older replaces something newer.
     pub(crate) async fn ask_neighbours(self) {
         loop {
+            if let Some(address) = self.choose_neighbour() {
+                self.ask(address).await;
+            }
             let now = clock_now();
             let silence = self.book.read(|book| book.store_silence(now));
             let is_cut_off = silence >= STORE_AWAY_AFTER;
@@ -202,9 +215,6 @@
             };
             let part = rand::rng().random_range(0.75..1.25);
             sleep(pause.mul_f64(part)).await;
-            if let Some(address) = self.choose_neighbour() {
-                self.ask(address).await;
-            }
         }
     }
 
--- a/src/sync/tests.rs
+++ b/src/sync/tests.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::view_book::SharedBook;
+use super::view_book::{NamingTime, SharedBook};
 use crate::fleet::WeightsVersion;
 use crate::platform::{StoreRow, TableView};
 use crate::time::ClockTime;
@@ -10,6 +10,13 @@
 const START: ClockTime = ClockTime::from_millis(100_000);
 const GRACE: Duration = Duration::from_secs(8);
 
+fn told_at(at: ClockTime) -> NamingTime {
+    NamingTime {
+        at,
+        is_certain: true,
+    }
+}
+
 fn row(key: &str, revision: u64, value: Option<&str>) -> StoreRow {
     StoreRow {
         key: key.to_owned(),
@@ -60,7 +67,7 @@
 fn a_document_never_goes_back_whoever_brings_it() {
     let book = SharedBook::default();
     let take = |book: &SharedBook, rows: &[StoreRow]| {
-        book.change(|book| book.take_operator_rows(rows, Duration::ZERO, START));
+        book.change(|book| book.take_operator_rows(rows, told_at(START)));
     };
     take(&book, &[document(7)]);
     take(&book, &[document(5)]);
@@ -83,7 +90,7 @@
     let book = SharedBook::default();
     let name = |version: u64, at: ClockTime| {
         let rows = [named(version)];
-        book.change(|book| book.take_operator_rows(&rows, Duration::ZERO, at));
+        book.change(|book| book.take_operator_rows(&rows, told_at(at)));
     };
     name(2, START);
     name(3, START + Duration::from_secs(4));
@@ -101,6 +108,36 @@
     assert_eq!(newest, Some(WeightsVersion(3)));
 }
 
+#[test]
+fn a_process_that_has_just_started_can_tell_a_time_before_its_start() {
+    let now = crate::time::clock_now();
+    let before = now - Duration::from_mins(10);
+    assert_eq!(now.since(before), Duration::from_mins(10));
+}
+
+/// Symptom: a request began on older weights behind the bound, sent by an entry host that had just
+/// started. It had found the version in the store and had counted from its own start.
+#[test]
+fn a_process_that_starts_learns_from_a_neighbour_when_a_version_was_named() {
+    let witness = SharedBook::default();
+    witness.change(|book| book.take_operator_rows(&[named(2)], told_at(START)));
+    let started_at = START + Duration::from_secs(7);
+    for assumed in [1, 6, 30] {
+        let book = SharedBook::default();
+        let named_at = NamingTime {
+            at: started_at - Duration::from_secs(assumed),
+            is_certain: false,
+        };
+        book.change(|book| book.take_operator_rows(&[named(2)], named_at));
+        let ask = book.read(super::ViewBook::ask);
+        let view = witness.read(|witness| witness.answer(&ask, started_at));
+        book.change(|book| book.merge(view, started_at));
+        let snapshot = book.snapshot().load();
+        let wanted = snapshot.newest_version("m").expect("it was named");
+        assert_eq!(wanted.named_at, START, "assumed {assumed} s");
+    }
+}
+
 /// Symptom: all requests were refused for two seconds after the store came back. Every backend
 /// server's entry had lapsed while it was away, although all of them lived.
 #[test]
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -31,6 +31,34 @@
 /// Versions of a model that are remembered with the time of their naming.
 const VERSIONS_KEPT: usize = 4;
 
+/// When a version of weights was named.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NamingTime {
+    /// The moment, or one that is surely earlier.
+    pub(crate) at: ClockTime,
+    /// Whether it is the moment.
+    pub(crate) is_certain: bool,
+}
+
+impl NamingTime {
+    /// Puts this time in the place of one that is known less well.
+    ///
+    /// A process that starts finds a version in the store and does not know how long ago it was
+    /// named. Taken for new, requests began on older weights behind the bound; taken for old, all
+    /// were refused though the bound was seconds away. A neighbour that was there knows.
+    fn improve(self, wanted: &mut WantedWeights) {
+        let is_better = match (wanted.is_certain, self.is_certain) {
+            (false, true) => true,
+            (true, false) => false,
+            _ => self.at < wanted.named_at,
+        };
+        if is_better {
+            wanted.named_at = self.at;
+            wanted.is_certain = self.is_certain;
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct BackendEntry {
     facts: Arc<BackendFacts>,
@@ -115,14 +143,9 @@
         since.map_or(now + LAPSE_GRACE, |since| since + SETTLED_SPAN)
     }
 
-    /// Takes in rows of the operator's table. `named_before` is how long ago a version of weights
-    /// that is new to this process may have been named.
-    pub(crate) fn take_operator_rows(
-        &mut self,
-        rows: &[StoreRow],
-        named_before: Duration,
-        now: ClockTime,
-    ) {
+    /// Takes in rows of the operator's table. `named` tells when versions of weights that are new to
+    /// this process were named.
+    pub(crate) fn take_operator_rows(&mut self, rows: &[StoreRow], named: NamingTime) {
         for row in rows {
             let Some(value) = &row.value else {
                 continue;
@@ -130,7 +153,7 @@
             match DocumentRow::of(&row.key) {
                 DocumentRow::Document => self.take_document(value.clone()),
                 DocumentRow::WantedVersion => match read_wanted_version(value) {
-                    Ok(target) => self.want(&target, now - named_before),
+                    Ok(target) => self.want(&target, named),
                     Err(error) => log_event!(events::ENTRY_UNREADABLE, "{}: {error}", row.key),
                 },
                 DocumentRow::Other => {}
@@ -163,16 +186,18 @@
         });
     }
 
-    fn want(&mut self, target: &ModelVersion, named_at: ClockTime) {
+    fn want(&mut self, target: &ModelVersion, named: NamingTime) {
         let found = self
             .wanted
             .binary_search_by(|wanted| wanted.target.cmp(target));
-        let Err(at) = found else {
-            return;
+        let at = match found {
+            Ok(at) => return named.improve(&mut self.wanted[at]),
+            Err(at) => at,
         };
         let wanted = WantedWeights {
             target: target.clone(),
-            named_at,
+            named_at: named.at,
+            is_certain: named.is_certain,
         };
         self.wanted.insert(at, wanted);
         self.forget_versions(&target.model);
@@ -317,16 +342,16 @@
             .document
             .as_ref()
             .filter(|held| ask.document < Some(held.catalog.version));
-        let is_new = |wanted: &&WantedWeights| !ask.wanted.contains(&wanted.target);
         let word = |wanted: &WantedWeights| WantedWord {
             target: wanted.target.clone(),
             age_ms: u64::try_from(now.since(wanted.named_at).as_millis()).unwrap_or(u64::MAX),
+            is_certain: wanted.is_certain,
         };
         let has_newer_backends = self.backends_revision > ask.backends_revision;
         let live = self.backends.iter().filter(|entry| entry.gone_at.is_none());
         PeerView {
             document: document.map(|held| held.text.to_vec()),
-            wanted: self.wanted.iter().filter(is_new).map(word).collect(),
+            wanted: self.wanted.iter().map(word).collect(),
             backends: has_newer_backends.then(|| {
                 let facts = live.map(|entry| (*entry.facts).clone());
                 (self.backends_revision, facts.collect())
@@ -345,7 +370,11 @@
             self.take_document(text.into());
         }
         for word in view.wanted {
-            self.want(&word.target, now - Duration::from_millis(word.age_ms));
+            let named = NamingTime {
+                at: now - Duration::from_millis(word.age_ms),
+                is_certain: word.is_certain,
+            };
+            self.want(&word.target, named);
         }
         if let Some((revision, backends)) = view.backends
             && revision > self.backends_revision
--- a/src/time/mod.rs
+++ b/src/time/mod.rs
@@ -50,11 +50,18 @@
 #[derive(Copy, Eq, PartialOrd, Ord, Default)]
 pub struct WallTime(pub u64);
 
+/// What the monotonic clock shows when the process starts.
+///
+/// A process that starts is told of things that happened before. With a clock that begins at zero all
+/// of them would seem to have happened at the start: older weights were served on behind their bound.
+const CLOCK_START: Duration = Duration::from_hours(24);
+
 /// Reads the monotonic clock. Only the edges of a process call this.
 #[must_use]
 pub(crate) fn clock_now() -> ClockTime {
     static START: OnceLock<Instant> = OnceLock::new();
-    ClockTime(micros(START.get_or_init(Instant::now).elapsed()))
+    let running = START.get_or_init(Instant::now).elapsed();
+    ClockTime(micros(CLOCK_START + running))
 }
 
 /// Reads the wall clock. Only the edges of a process call this.
