Take versions that are found behind an outage for new; keep places from returned requests

After an outage the requests that had been refused came back together and took all places, so that new ones came late in their turn. Both with a test that failed first.

--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -10,7 +10,7 @@
 use crate::errors::ErrorKind;
 use crate::time::ClockTime;
 
-/// One place in so many stays free where nothing may wait.
+/// One place in so many stays free where nothing may wait, and for new requests before returned ones.
 const SPARE_PART: u32 = 6;
 
 /// How good a backend server is for a request, the best first.
@@ -87,6 +87,8 @@
     pub(crate) tried: &'a [BackendKey],
     /// How many requests may wait at a backend server beyond those that it works on.
     pub(crate) queue_room: u32,
+    /// Whether the request was refused before, and comes late however it is served.
+    pub(crate) is_returned: bool,
 }
 
 impl PickNeed<'_> {
@@ -100,6 +102,8 @@
             {
                 slots - slots / SPARE_PART
             }
+            // A place that it takes from a new request turns that one into a late one as well.
+            VersionNeed::Model { .. } if self.is_returned => slots - slots / SPARE_PART,
             _ => slots + self.queue_room,
         }
     }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -49,6 +49,7 @@
         },
         tried: &[],
         queue_room: 1,
+        is_returned: false,
     }
 }
 
@@ -68,6 +69,24 @@
     assert!(desk.pick(&need(None), NOW).is_ok());
 }
 
+/// Symptom: after an outage nearly every request was late for several seconds. Those that had been
+/// refused came back together and took every place, so that new ones waited, were refused and came
+/// back late in their turn.
+#[test]
+fn a_returned_request_leaves_places_to_new_ones() {
+    let mut backend = facts("a", "here", 1);
+    backend.slots = 6;
+    let desk = desk_of(vec![backend]);
+    let mut returned = need(None);
+    returned.is_returned = true;
+    let tickets: Vec<BackendTicket> = (0..5)
+        .map(|_| desk.pick(&returned, NOW).expect("there are five places"))
+        .collect();
+    assert_eq!(desk.pick(&returned, NOW).err(), Some(PickRefusal::AllFull));
+    assert!(desk.pick(&need(None), NOW).is_ok());
+    drop(tickets);
+}
+
 #[test]
 fn an_older_version_gets_nothing_once_a_newer_one_is_due() {
     let desk = desk_of(vec![facts("a", "here", 1), facts("b", "there", 2)]);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -196,6 +196,7 @@
             queue_room: queue_room(&need),
             version: need,
             tried: &forwarder.tried,
+            is_returned: job.is_returned(),
         };
         let refusal = match gateway.desk.pick(&need, now) {
             Ok(ticket) => return Ok((ticket, need.version)),
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -48,6 +48,38 @@
 /// How long a change is on its way from the store.
 const NAMED_BEFORE_WATCH: Duration = Duration::from_millis(100);
 
+/// What is known of the moment at which versions that are found in the store were named.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum NamingKnowledge {
+    /// The process has just started; they may be old.
+    Started,
+    /// The table was followed; they are new.
+    Followed,
+    /// The store was away, or the way to it was cut. The bound of a version counts only while both are
+    /// there, and new weights cannot be told of meanwhile: they are taken for new. Taken for as old as
+    /// the outage, every request was refused at the store's return until the weights had been fetched.
+    Interrupted,
+}
+
+impl NamingKnowledge {
+    pub(super) fn naming_time(self, now: ClockTime) -> NamingTime {
+        match self {
+            Self::Started => NamingTime {
+                at: now - NAMED_BEFORE_START,
+                is_certain: false,
+            },
+            Self::Followed => NamingTime {
+                at: now - NAMED_BEFORE_WATCH,
+                is_certain: true,
+            },
+            Self::Interrupted => NamingTime {
+                at: now - NAMED_BEFORE_WATCH,
+                is_certain: false,
+            },
+        }
+    }
+}
+
 /// What the watching works with.
 #[derive(Clone)]
 pub(crate) struct StoreWatch {
@@ -68,17 +100,14 @@
     pub(crate) async fn follow_operator(self) {
         let mut pause = FailurePause::default();
         let mut since = None;
-        // Until when nothing was missed, while the watch is broken.
-        let mut missed_since = Some(clock_now() - NAMED_BEFORE_START);
-        let mut answered_at = clock_now();
+        let mut knowledge = NamingKnowledge::Started;
         loop {
-            let followed = self.operator_step(&mut since, missed_since).await;
-            if followed.is_ok() {
-                answered_at = clock_now();
-                missed_since = None;
-            } else {
-                missed_since = missed_since.or(Some(answered_at));
-            }
+            let followed = self.operator_step(&mut since, knowledge).await;
+            knowledge = match (&followed, knowledge) {
+                (Ok(()), _) => NamingKnowledge::Followed,
+                (Err(_), NamingKnowledge::Started) => NamingKnowledge::Started,
+                (Err(_), _) => NamingKnowledge::Interrupted,
+            };
             self.note_outcome(&followed, &mut pause).await;
         }
     }
@@ -86,7 +115,7 @@
     async fn operator_step(
         &self,
         since: &mut Option<u64>,
-        missed_since: Option<ClockTime>,
+        knowledge: NamingKnowledge,
     ) -> SwitchResult<()> {
         let table = TableName::Operator;
         let view = match *since {
@@ -106,10 +135,7 @@
         };
         *since = Some(view.revision.max(since.unwrap_or(0)));
         if !view.rows.is_empty() {
-            let named = NamingTime {
-                at: missed_since.unwrap_or(clock_now() - NAMED_BEFORE_WATCH),
-                is_certain: missed_since.is_none(),
-            };
+            let named = knowledge.naming_time(clock_now());
             self.book
                 .change(|book| book.take_operator_rows(&view.rows, named));
         }
--- a/src/sync/tests.rs
+++ b/src/sync/tests.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use super::store_watch::NamingKnowledge;
 use super::view_book::{NamingTime, SharedBook};
 use crate::fleet::WeightsVersion;
 use crate::platform::{StoreRow, TableView};
@@ -108,6 +109,19 @@
     assert_eq!(newest, Some(WeightsVersion(3)));
 }
 
+/// Symptom: every request was refused for six seconds after the store came back. Two versions had been
+/// named while it was away; they were taken for as old as the outage, so that older weights counted as
+/// overdue although nobody could have known of the new ones.
+#[test]
+fn a_version_that_is_found_behind_an_outage_is_taken_for_new() {
+    let named_at = |knowledge: NamingKnowledge| knowledge.naming_time(START).at;
+    let age = |knowledge: NamingKnowledge| START.since(named_at(knowledge));
+    assert!(age(NamingKnowledge::Interrupted) <= Duration::from_millis(100));
+    assert!(!NamingKnowledge::Interrupted.naming_time(START).is_certain);
+    assert!(age(NamingKnowledge::Started) >= Duration::from_secs(6));
+    assert!(NamingKnowledge::Followed.naming_time(START).is_certain);
+}
+
 #[test]
 fn a_process_that_has_just_started_can_tell_a_time_before_its_start() {
     let now = crate::time::clock_now();
