Give a narrow link fewer chunks; rest a backend server that could not be reached

Ruled out: a host of ours that held the requests (sent within 20 ms), a client's close that was not seen (test over sockets). Also taken out: two lines of tracing that had been left in the fetch.

Changes: chunks that come slowly from two hosts in a row halve the rate of weights on this host's link and the chunks under way, quick ones give it back; a backend server that could not be reached or fell silent rests for 0.4 s. The test of the link failed first.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -16,6 +16,9 @@
 /// How long nothing new goes to a backend server that said it is full. Its queue gets shorter by a
 /// request about each 100 ms.
 const FULL_REST: Duration = Duration::from_millis(100);
+/// How long nothing new goes to a backend server that could not be reached or fell silent. Where its
+/// link has become narrow, some calls still succeed, so that the breaker stays closed.
+const FAILED_REST: Duration = Duration::from_millis(400);
 /// How long fresh connections are preferred after a connection delivered bytes that belong to no
 /// request. More of them may be on their way on other connections of the same backend server.
 const FRESH_SPAN: Duration = Duration::from_secs(10);
@@ -146,7 +149,10 @@
                 self.breaker.note_nothing(now);
                 false
             }
-            CallEnd::Failed => self.breaker.note_failure(now, jitter),
+            CallEnd::Failed => {
+                self.rest_until = now + FAILED_REST;
+                self.breaker.note_failure(now, jitter)
+            }
             CallEnd::Nothing => {
                 self.breaker.note_nothing(now);
                 false
--- a/src/replication/chunk_fetch.rs
+++ b/src/replication/chunk_fetch.rs
@@ -2,7 +2,7 @@
 //! what came of them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +28,11 @@
 
 /// How often the plan is looked at when nothing happens.
 const STEP_PAUSE: Duration = Duration::from_millis(40);
+/// A chunk that takes longer came over a link that carries less than it should: while a version
+/// spreads, half of the chunks come within 150 ms and all but a few within 550.
+const PULL_SLOW: Duration = Duration::from_millis(700);
+/// A chunk that takes no longer shows that the link carries what it should.
+const PULL_FAST: Duration = Duration::from_millis(250);
 const ASK_WITHIN: Duration = Duration::from_millis(500);
 const PULL_WITHIN: Duration = Duration::from_secs(4);
 /// A chunk takes 27 ms on the origin's idle link; all hosts that read share it.
@@ -56,6 +61,35 @@
     pub(super) chunk_span: Duration,
     /// This host's link.
     pub(super) pacer: LinkPacer,
+    /// The host from which the last chunk came, if it came slowly.
+    pub(super) slow_host: Arc<Mutex<Option<SocketAddr>>>,
+}
+
+impl FetchEdges {
+    /// A chunk came from `address` in `took`. Slow ones from two hosts in a row mean that the link of
+    /// this host is slow.
+    fn watch_link(&self, address: SocketAddr, took: Duration) {
+        let mut slow_host = self
+            .slow_host
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if took < PULL_SLOW {
+            *slow_host = None;
+            if took < PULL_FAST {
+                self.pacer.speed_up();
+            }
+        } else if slow_host
+            .replace(address)
+            .is_some_and(|last| last != address)
+        {
+            log_event!(
+                events::LINK_SLOW,
+                "took_ms={} from={address}",
+                took.as_millis()
+            );
+            self.pacer.slow_down();
+        }
+    }
 }
 
 /// Why a fetch ended.
@@ -135,6 +169,8 @@
             if self.mismatches >= MISMATCHES_MAX {
                 return FetchEnd::DigestsDoubted;
             }
+            let pulls_max = self.edges.pacer.chunks_under_way(PULLS_MAX);
+            self.plan.set_pulls_max(pulls_max);
             for step in self.plan.next_steps(clock_now()) {
                 self.carry_out(step);
             }
@@ -276,15 +312,9 @@
     let called = edges
         .client
         .call::<_, ChunkReply>(address, GET_PATH, &ask, PULL_WITHIN);
-    let t0 = clock_now();
-    let reply = called.await;
-    println!(
-        "PULL v{} chunk {index} {address} {} {:?}",
-        target.version.0,
-        clock_now().since(t0).as_millis(),
-        reply.as_ref().err().map(|e| e.kind)
-    );
-    let reply = reply?;
+    let asked_at = clock_now();
+    let reply = called.await?;
+    edges.watch_link(address, clock_now().since(asked_at));
     let bytes = Bytes::from(reply.bytes);
     take_in(edges, &bytes).await;
     edges.store.keep(target, index, bytes)?;
@@ -304,15 +334,7 @@
         let detail = "the document names no origin of weights";
         return Err(SwitchError::new(ErrorKind::OriginUnavailable, detail));
     };
-    let t0 = clock_now();
-    let bytes = origin.read_chunk(target, index, ORIGIN_WITHIN).await;
-    println!(
-        "ORIGIN v{} chunk {index} {} {}",
-        target.version.0,
-        clock_now().since(t0).as_millis(),
-        bytes.is_ok()
-    );
-    let bytes = bytes?;
+    let bytes = origin.read_chunk(target, index, ORIGIN_WITHIN).await?;
     metrics::count_event("chunks_from_origin", 1);
     take_in(edges, &bytes).await;
     edges.store.keep(target, index, bytes)
--- a/src/replication/events.rs
+++ b/src/replication/events.rs
@@ -25,6 +25,10 @@
 pub(crate) const ENTRIES_SILENT: LogEvent =
     LogEvent::warn(1314, "no entry host answers; the store is read instead");
 pub(crate) const STORE_UNREAD: LogEvent = LogEvent::warn(1315, "the store was not read");
+pub(crate) const LINK_SLOW: LogEvent = LogEvent::warn(
+    1316,
+    "the link carries less than it should; weights get less of it",
+);
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -44,4 +48,5 @@
     VERSION_GIVEN_UP,
     ENTRIES_SILENT,
     STORE_UNREAD,
+    LINK_SLOW,
 ];
--- a/src/replication/version_loop.rs
+++ b/src/replication/version_loop.rs
@@ -231,6 +231,7 @@
             me: self.place.me.clone(),
             chunk_span: self.chunk_span,
             pacer: self.pacer.clone(),
+            slow_host: Arc::default(),
         };
         let mut fetch = ChunkFetch::new(edges, target.clone(), held);
         loop {
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -159,6 +159,11 @@
         self.imports.set_hosts(hosts);
     }
 
+    /// From now on at most `pulls_max` chunks are under way from other hosts.
+    pub(crate) const fn set_pulls_max(&mut self, pulls_max: usize) {
+        self.limits.pulls_max = pulls_max;
+    }
+
     /// The record of a host.
     pub(crate) const fn peers(&self) -> &PeerTable {
         &self.peers
--- a/src/weights/link_pacer.rs
+++ b/src/weights/link_pacer.rs
@@ -9,6 +9,8 @@
 use crate::time::{ClockTime, clock_now};
 
 const MICROS_PER_SECOND: u128 = 1_000_000;
+/// The rate is taken down to a sixteenth at most.
+const HALVINGS_MAX: u32 = 4;
 
 /// One direction of a link: a token bucket whose only burst is the chunk that goes next.
 #[apply(plain!)]
@@ -87,6 +89,19 @@
 struct LinkState {
     down: LinkBucket,
     up: LinkBucket,
+    /// The rate of the link as it should be.
+    full_rate: u64,
+    /// How many times that rate is halved now.
+    halvings: u32,
+}
+
+impl LinkState {
+    fn set_halvings(&mut self, halvings: u32) {
+        self.halvings = halvings;
+        let rate = (self.full_rate >> halvings).max(u64::from(self.full_rate > 0));
+        self.down.bytes_per_second = rate;
+        self.up.bytes_per_second = rate;
+    }
 }
 
 impl LinkPacer {
@@ -95,6 +110,8 @@
         let state = LinkState {
             down: LinkBucket::new(bytes_per_second),
             up: LinkBucket::new(bytes_per_second),
+            full_rate: bytes_per_second,
+            halvings: 0,
         };
         Self {
             shared: Arc::new(Mutex::new(state)),
@@ -107,6 +124,28 @@
         self.with(direction, |bucket| bucket.take_live(bytes, now));
     }
 
+    /// Weights came far too slowly for this link: it carries less than it should, and whatever goes
+    /// beyond that stands before live answers. Halves the rate of both directions.
+    pub(crate) fn slow_down(&self) {
+        let mut state = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
+        let halvings = (state.halvings + 1).min(HALVINGS_MAX);
+        state.set_halvings(halvings);
+    }
+
+    /// How many of `most` chunks may be under way to this host: all at the full rate, fewer at less, or
+    /// those that are under way would fill a narrow link for seconds.
+    pub(crate) fn chunks_under_way(&self, most: usize) -> usize {
+        let state = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
+        (most >> state.halvings).max(1)
+    }
+
+    /// Weights came as fast as they should. Takes one halving back.
+    pub(crate) fn speed_up(&self) {
+        let mut state = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
+        let halvings = state.halvings.saturating_sub(1);
+        state.set_halvings(halvings);
+    }
+
     /// How long the link is busy with what it was given.
     pub(crate) fn backlog(&self, direction: LinkDirection) -> Duration {
         let now = clock_now();
--- a/src/weights/tests/link.rs
+++ b/src/weights/tests/link.rs
@@ -4,7 +4,7 @@
 
 use crate::test_support::run_cases;
 use crate::time::ClockTime;
-use crate::weights::link_pacer::LinkBucket;
+use crate::weights::link_pacer::{LinkBucket, LinkPacer};
 
 const RATE: u64 = 1_000_000;
 const CHUNK: u64 = 1_000;
@@ -41,3 +41,25 @@
     assert_eq!(bucket.backlog(now), 5 * CHUNK_SPAN);
     assert_eq!(bucket.reserve(CHUNK, now), now + 6 * CHUNK_SPAN);
 }
+
+/// Symptom: requests reached an engine a second late while weights were spreading. Its host's link had
+/// become eight times narrower, and weights went on to be sent at the rate that it should have.
+#[test]
+fn a_link_that_became_narrow_is_given_less() {
+    let pacer = LinkPacer::new(1_000_000);
+    let full = pacer.span_of(24_000);
+    for _ in 0..3 {
+        pacer.slow_down();
+    }
+    assert_eq!(pacer.span_of(24_000), full * 8);
+    assert_eq!(pacer.chunks_under_way(6), 1);
+    for _ in 0..20 {
+        pacer.slow_down();
+    }
+    assert_eq!(pacer.span_of(24_000), full * 16);
+    for _ in 0..20 {
+        pacer.speed_up();
+    }
+    assert_eq!(pacer.span_of(24_000), full);
+    assert_eq!(pacer.chunks_under_way(6), 6);
+}
