Leave a backend server alone at whose address another one answers

Ruled out: versions that changed on the way (none was expected then).

Change: an answer that names another backend server ends the sends to the one that was meant for 6 s; chunks that were found staged are not staged again. The test failed with the short rest.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -19,6 +19,9 @@
 /// How long nothing new goes to a backend server that could not be reached or fell silent. Where its
 /// link has become narrow, some calls still succeed, so that the breaker stays closed.
 const FAILED_REST: Duration = Duration::from_millis(400);
+/// How long nothing goes to a backend server at whose address another one answered. It has ended, and
+/// its entry in the store goes within some heartbeats; until then each send would be turned away.
+const REPLACED_REST: Duration = Duration::from_secs(6);
 /// How long fresh connections are preferred after a connection delivered bytes that belong to no
 /// request. More of them may be on their way on other connections of the same backend server.
 const FRESH_SPAN: Duration = Duration::from_secs(10);
@@ -30,6 +33,8 @@
     Answered,
     /// It said that it is full or does not serve this.
     Refused,
+    /// Another one answers at its address.
+    Replaced,
     /// It could not be reached, or broke off, or sent what does not read.
     Failed,
     /// The client left, or the end says nothing about the backend server.
@@ -139,6 +144,11 @@
                 self.breaker.note_success();
                 false
             }
+            CallEnd::Replaced => {
+                self.rest_until = now + REPLACED_REST;
+                self.breaker.note_nothing(now);
+                false
+            }
             CallEnd::Refused => {
                 self.rest_until = now + FULL_REST;
                 self.breaker.note_nothing(now);
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -104,7 +104,8 @@
             return Err(SendFailure::unknown(ErrorKind::PeerSilent, detail));
         }
     };
-    let facts = answer_facts(parts.status, &parts.headers, job.head.attempt.as_ref());
+    let asked = (job.head.attempt.as_ref(), &ticket.facts.id);
+    let facts = answer_facts(parts.status, &parts.headers, asked);
     judge(
         gateway,
         OpenAnswer {
@@ -178,10 +179,11 @@
             .ticket
             .with_record(|record| record.note_load(load, now));
     }
-    let kind = match answer.facts.word {
+    let (kind, end) = match answer.facts.word {
         AnswerWord::Run => return Ok(answer),
-        AnswerWord::NotRun => ErrorKind::BackendBusy,
-        AnswerWord::Misdirected => ErrorKind::VersionMismatch,
+        AnswerWord::NotRun => (ErrorKind::BackendBusy, CallEnd::Refused),
+        AnswerWord::Misdirected => (ErrorKind::VersionMismatch, CallEnd::Refused),
+        AnswerWord::Replaced => (ErrorKind::BackendLeaving, CallEnd::Replaced),
         AnswerWord::Foreign => {
             answer
                 .ticket
@@ -193,7 +195,7 @@
         }
     };
     let status = answer.facts.status;
-    answer.ticket.end(CallEnd::Refused, now);
+    answer.ticket.end(end, now);
     Err(SendFailure {
         may_have_run: false,
         has_arrived: true,
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -32,8 +32,10 @@
     Foreign,
     /// Says that it did not run the request.
     NotRun,
-    /// Says that another backend server is meant.
+    /// Says that it has another version than the expected one.
     Misdirected,
+    /// Says that it is another backend server than the one that was meant.
+    Replaced,
     /// Reads the request and closes the connection.
     CloseUnanswered,
     /// Closes within the body of its answer.
@@ -119,6 +121,10 @@
             (head("503 Service Unavailable", attempt, extra, ""), false)
         }
         BackendWay::Misdirected => (head("421 Misdirected Request", attempt, "", ""), false),
+        BackendWay::Replaced => {
+            let extra = "savoryswitch-instance-id: i-new\r\n";
+            (head("421 Misdirected Request", attempt, extra, ""), false)
+        }
         BackendWay::CloseUnanswered => (String::new(), true),
         BackendWay::CutBody => {
             let whole = head("200 OK", attempt, "", "whole answer");
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -199,3 +199,20 @@
     let read = tokio::io::AsyncReadExt::read(&mut backend, &mut buffer).await;
     assert!(matches!(read, Ok(0) | Err(_)));
 }
+
+/// Symptom: after a restart of all engines, hundreds of requests were turned away twice and refused.
+/// The entries of the earlier starts were still in the store, and each was tried again and again at an
+/// address where another backend server answered.
+#[tokio::test]
+async fn a_backend_server_that_was_replaced_is_not_tried_again() {
+    let replaced = FakeBackend::start(BackendWay::Replaced).await;
+    let other = FakeBackend::start(BackendWay::Whole).await;
+    let entry = FakeEntry::start(&[&replaced, &other]).await;
+    for _ in 0..4 {
+        let answer = entry.ask("once").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        // Longer than a backend server rests that is only full.
+        tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+    }
+    assert_eq!((replaced.arrivals(), other.arrivals()), (1, 4));
+}
--- a/src/platform/backend_call.rs
+++ b/src/platform/backend_call.rs
@@ -15,6 +15,8 @@
 use crate::fleet::{LoadWord, WeightsVersion};
 
 const TARGET_ID: HeaderName = HeaderName::from_static("savoryswitch-target-instance");
+/// The backend server that answers, whichever was meant.
+const BACKEND_ID: HeaderName = HeaderName::from_static("savoryswitch-instance-id");
 const ACCOUNT: HeaderName = HeaderName::from_static("savoryswitch-tenant");
 const PRIORITY: HeaderName = HeaderName::from_static("savoryswitch-request-priority");
 const EXPECTED_VERSION: HeaderName = HeaderName::from_static("savoryswitch-expected-version");
@@ -96,8 +98,10 @@
     Run,
     /// The backend server did not run it.
     NotRun,
-    /// Another backend server, or another version, is at this address; the request was not run.
+    /// Another version than the expected one is loaded; the request was not run.
     Misdirected,
+    /// Another backend server is at this address; the request was not run.
+    Replaced,
     /// The answer belongs to another request.
     Foreign,
 }
@@ -121,17 +125,17 @@
     pub(crate) headers: HeaderMap,
 }
 
-/// Reads the header of an answer to `attempt`.
+/// Reads the header of an answer to `attempt`, for which `backend` was meant.
 pub(crate) fn answer_facts(
     status: StatusCode,
     headers: &HeaderMap,
-    attempt: Option<&ByteString>,
+    (attempt, backend): (Option<&ByteString>, &ByteString),
 ) -> AnswerFacts {
     let closes = text_of(headers, &CONNECTION)
         .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
     AnswerFacts {
         status,
-        word: answer_word(status, headers, attempt),
+        word: answer_word(status, headers, (attempt, backend)),
         load: text_of(headers, &LOAD).and_then(read_load),
         version: text_of(headers, &VERSIONS)
             .and_then(|text| text.trim().parse().ok())
@@ -145,12 +149,15 @@
 fn answer_word(
     status: StatusCode,
     headers: &HeaderMap,
-    attempt: Option<&ByteString>,
+    (attempt, backend): (Option<&ByteString>, &ByteString),
 ) -> AnswerWord {
     if text_of(headers, &ATTEMPT_ID) != attempt.map(|attempt| &**attempt) {
         AnswerWord::Foreign
     } else if status == StatusCode::MISDIRECTED_REQUEST {
-        AnswerWord::Misdirected
+        match text_of(headers, &BACKEND_ID) {
+            Some(id) if *id != **backend => AnswerWord::Replaced,
+            _ => AnswerWord::Misdirected,
+        }
     } else if headers.contains_key(NOT_RUN) {
         AnswerWord::NotRun
     } else {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -129,7 +129,8 @@
 fn an_answer_counts_only_with_the_attempt_that_was_asked_for() {
     let attempt = ByteString::from("a1");
     let word = |status: StatusCode, fields: &[(&'static str, &'static str)]| {
-        answer_facts(status, &headers(fields), Some(&attempt)).word
+        let meant = ByteString::from("i-1");
+        answer_facts(status, &headers(fields), (Some(&attempt), &meant)).word
     };
     let own = ("savoryswitch-attempt-id", "a1");
     assert_eq!(word(StatusCode::OK, &[own]), AnswerWord::Run);
@@ -149,6 +150,16 @@
         word(StatusCode::MISDIRECTED_REQUEST, &[own]),
         AnswerWord::Misdirected
     );
+    let same = ("savoryswitch-instance-id", "i-1");
+    assert_eq!(
+        word(StatusCode::MISDIRECTED_REQUEST, &[own, same]),
+        AnswerWord::Misdirected
+    );
+    let other = ("savoryswitch-instance-id", "i-2");
+    assert_eq!(
+        word(StatusCode::MISDIRECTED_REQUEST, &[own, other]),
+        AnswerWord::Replaced
+    );
 }
 
 #[test]
--- a/src/replication/chunk_store.rs
+++ b/src/replication/chunk_store.rs
@@ -41,6 +41,8 @@
     digests: Arc<ChunkDigests>,
     held: ChunkMap,
     claimed: ChunkMap,
+    /// The chunks that were found staged, and need not be staged again.
+    staged: ChunkMap,
     place: ChunkPlace,
 }
 
@@ -130,6 +132,7 @@
         let version = HeldVersion {
             target: target.clone(),
             claimed: ChunkMap::empty(digests.count()),
+            staged: held.clone(),
             digests,
             held,
             place,
@@ -272,7 +275,9 @@
     /// When the engine does not answer, or a chunk does not read back as it was written.
     pub(super) async fn stage(&self, target: &ModelVersion) -> SwitchResult<()> {
         let digests = self.digests(target).ok_or_else(|| missing(0))?;
-        for index in 0..digests.count() {
+        let staged = self.with(target, |version| version.staged.clone());
+        let staged = staged.ok_or_else(|| missing(0))?;
+        for index in (0..digests.count()).filter(|index| !staged.contains(*index)) {
             self.stage_chunk(target, index, &digests).await?;
         }
         for index in 0..digests.count() {
