--- a/src/catalog/service_catalog.rs
+++ b/src/catalog/service_catalog.rs
@@ -63,8 +63,6 @@
     pub(crate) timeout: Duration,
     /// Within which time an answer, or a stream's first event, is fully useful.
     pub(crate) target: Duration,
-    /// The longest pause between two events of a stream that is still on time.
-    pub(crate) gap_target: Option<Duration>,
     /// Its rank; 0 is the most urgent.
     pub(crate) rank: u8,
     /// Where its requests go.
@@ -98,20 +96,10 @@
 /// The figures that a model service publishes about its engines.
 #[apply(plain!)]
 pub(crate) struct EngineFacts {
-    /// How many requests an engine works on at once.
-    pub(crate) slots: u32,
     /// The names of its models.
     pub(crate) models: Vec<ByteString>,
     /// How many layers a model has.
     pub(crate) layers: u32,
-    /// How many chunks a version's weights have.
-    pub(crate) chunks: u32,
-    /// Milliseconds of one token step.
-    pub(crate) step_ms: f64,
-    /// Steps in one pass.
-    pub(crate) stride: u32,
-    /// Prompt tokens that are read in a second.
-    pub(crate) read_per_s: f64,
 }
 
 /// A service's origin of weights.
@@ -126,10 +114,6 @@
 pub(crate) struct BackendService {
     /// Its name.
     pub(crate) name: ByteString,
-    /// The path of its health check.
-    pub(crate) health_path: Option<ByteString>,
-    /// How many connections one of its backend servers accepts from all callers together.
-    pub(crate) connections_max: u32,
     /// Set for model services.
     pub(crate) engine: Option<EngineFacts>,
     /// Set for the service that hands out weights.
@@ -145,7 +129,7 @@
     pub(crate) rank: Option<u8>,
 }
 
-/// What a client may send, and how long it may take.
+/// What a client may send.
 #[apply(plain!)]
 #[derive(Copy)]
 pub(crate) struct CallerLimits {
@@ -153,10 +137,6 @@
     pub(crate) header_bytes: usize,
     /// The most bytes of a request's body.
     pub(crate) body_bytes: usize,
-    /// How long a request's header may take to arrive.
-    pub(crate) header_within: Duration,
-    /// How long a connection may stay without a request.
-    pub(crate) idle_within: Duration,
 }
 
 /// A document in force.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -10,7 +10,6 @@
         repeat: RepeatRule::Idempotent,
         timeout: Duration::from_secs(1),
         target: Duration::from_millis(100),
-        gap_target: None,
         rank: 0,
         shares: vec![
             ServiceShare {
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -259,7 +259,6 @@
         repeat,
         timeout: Duration::from_secs(2),
         target: Duration::from_millis(400),
-        gap_target: None,
         rank: 1,
         shares: vec![ServiceShare {
             service: "desk".into(),
@@ -273,8 +272,6 @@
         routes: RouteTable::new(rules.into()),
         services: vec![BackendService {
             name: "desk".into(),
-            health_path: None,
-            connections_max: 10,
             engine: None,
             origin: None,
         }],
@@ -286,8 +283,6 @@
         limits: CallerLimits {
             header_bytes: 2048,
             body_bytes: 1024,
-            header_within: Duration::from_secs(3),
-            idle_within: Duration::from_secs(15),
         },
     }
 }
--- a/src/platform/document_row.rs
+++ b/src/platform/document_row.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytestring::ByteString;
 use serde::Deserialize;
 
 use crate::catalog::{
@@ -14,7 +13,6 @@
 
 const DOCUMENT_KEY: &str = "config";
 const VERSION_KEY_PREFIX: &str = "version/";
-const DEFAULT_CONNECTIONS_MAX: u32 = 64;
 const DEFAULT_ATTEMPTS_MAX: u32 = 1;
 const DEFAULT_TIMEOUT_MS: f64 = 60_000.0;
 
@@ -76,7 +74,6 @@
     public: bool,
     #[serde(default)]
     stream_resume: bool,
-    gap_target_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -88,28 +85,16 @@
 #[derive(Deserialize)]
 struct ServiceText {
     name: String,
-    health_path: Option<String>,
-    max_connections: Option<u32>,
     engine: Option<EngineText>,
     origin: Option<String>,
 }
 
 #[derive(Deserialize)]
 struct EngineText {
-    #[serde(default)]
-    slots: u32,
     #[serde(default)]
     models: Vec<ModelText>,
     #[serde(default = "one")]
     layers: u32,
-    #[serde(default)]
-    chunks: u32,
-    #[serde(default)]
-    step_ms: f64,
-    #[serde(default = "one")]
-    stride: u32,
-    #[serde(default)]
-    read_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -122,8 +107,6 @@
 struct LimitsText {
     max_header_bytes: usize,
     max_body_bytes: usize,
-    header_timeout_ms: f64,
-    idle_timeout_ms: f64,
 }
 
 impl Default for LimitsText {
@@ -131,8 +114,6 @@
         Self {
             max_header_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
-            header_timeout_ms: 3000.0,
-            idle_timeout_ms: 15_000.0,
         }
     }
 }
@@ -184,8 +165,6 @@
         limits: CallerLimits {
             header_bytes: text.limits.max_header_bytes,
             body_bytes: text.limits.max_body_bytes,
-            header_within: millis(text.limits.header_timeout_ms),
-            idle_within: millis(text.limits.idle_timeout_ms),
         },
     })
 }
@@ -232,7 +211,6 @@
         repeat,
         timeout: millis(text.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS)),
         target: millis(text.target_latency_ms),
-        gap_target: text.gap_target_ms.map(millis),
         rank: text.priority,
         shares,
         attempts_max: text.max_attempts.unwrap_or(DEFAULT_ATTEMPTS_MAX),
@@ -244,8 +222,6 @@
     let origin = text.origin.and_then(|address| address.parse().ok());
     BackendService {
         name: text.name.into(),
-        health_path: text.health_path.map(ByteString::from),
-        connections_max: text.max_connections.unwrap_or(DEFAULT_CONNECTIONS_MAX),
         engine: text.engine.map(read_engine),
         origin: origin.map(|address| WeightsOrigin { address }),
     }
@@ -253,17 +229,12 @@
 
 fn read_engine(text: EngineText) -> EngineFacts {
     EngineFacts {
-        slots: text.slots,
         models: text
             .models
             .into_iter()
             .map(|model| model.name.into())
             .collect(),
         layers: text.layers,
-        chunks: text.chunks,
-        step_ms: text.step_ms,
-        stride: text.stride,
-        read_per_s: text.read_per_s,
     }
 }
 
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -15,7 +15,7 @@
 use crate::fleet::{EngineHoldings, HeldLayers, ModelVersion, WeightsVersion};
 use crate::transport::{PeerClient, read_body};
 
-const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
+const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// What an engine holds, in the store's entries and in its own report.
 #[derive(Default, Deserialize)]
@@ -82,8 +82,6 @@
     pub(crate) queued: u32,
     /// Requests that it works on.
     pub(crate) active: u32,
-    /// How many times longer than usual its steps take.
-    pub(crate) pace: f64,
 }
 
 #[derive(Deserialize)]
@@ -99,7 +97,6 @@
     queued: u32,
     #[serde(default)]
     active: u32,
-    pace: Option<f64>,
 }
 
 /// An order to load a whole version from what is staged.
@@ -170,7 +167,6 @@
             orders_taken: text.sequence,
             queued: text.queued,
             active: text.active,
-            pace: text.pace.unwrap_or(1.0),
         })
     }
 
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -11,13 +11,11 @@
 use macro_rules_attribute::apply;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
-use volo_http::body::Body;
 
+use super::engine_calls::exchange;
 use crate::derives::{key, plain};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
-use crate::transport::{PeerClient, read_body};
-
-const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+use crate::transport::PeerClient;
 
 /// The tables that the system reads or writes.
 #[apply(key!)]
@@ -223,31 +221,13 @@
         body: Bytes,
         within: Duration,
     ) -> SwitchResult<(StatusCode, Bytes)> {
-        let request = http::Request::builder()
-            .method(method)
-            .uri(path)
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Body::from(body))
-            .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
-        let whole = async {
-            let answer = self.client.send(self.address, request, within).await?;
-            let status = answer.status();
-            let body = read_body(answer.into_body(), ANSWER_BYTES_MAX).await?;
-            Ok::<_, SwitchError>((status, body))
-        };
-        match tokio::time::timeout(within, whole).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => {
-                self.client.drop_pool(self.address);
-                Err(unavailable(error.to_string()))
-            }
-            Err(_) => {
-                // A connection on which an answer was lost delivers nothing further, and one that
-                // went silent shows itself only in this way. The next call opens a new one.
-                self.client.drop_pool(self.address);
-                Err(unavailable(format!("no answer within {within:?}")))
-            }
-        }
+        let called = exchange(&self.client, self.address, (method, path, body), within).await;
+        called.map_err(|error| {
+            // A connection on which an answer was lost delivers nothing further. The next call opens
+            // a new one.
+            self.client.drop_pool(self.address);
+            unavailable(error.to_string())
+        })
     }
 }
 
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -2,8 +2,10 @@
 //! hosts: from the platform's store, and from its neighbours while the store does not answer it.
 
 pub(crate) mod events;
+mod naming_time;
 mod peer_messages;
 mod peer_routes;
+mod shared_book;
 mod snapshot;
 mod store_watch;
 mod sync_thread;
@@ -11,7 +13,9 @@
 mod tests;
 mod view_book;
 
+pub(crate) use naming_time::NamingTime;
 pub(crate) use peer_messages::{EntryRecord, PeerView, VIEW_PATH};
+pub(crate) use shared_book::SharedBook;
 pub(crate) use snapshot::{ControlSnapshot, SharedSnapshot};
 pub(crate) use sync_thread::{SyncSettings, start_sync};
-pub(crate) use view_book::{NamingTime, SharedBook, ViewBook};
+pub(crate) use view_book::ViewBook;
--- a/src/sync/peer_routes.rs
+++ b/src/sync/peer_routes.rs
@@ -9,7 +9,7 @@
 use volo_http::server::route::{Router, get, post};
 
 use super::peer_messages::{PeerAsk, VIEW_PATH};
-use super::view_book::SharedBook;
+use super::shared_book::SharedBook;
 use crate::metrics;
 use crate::time::clock_now;
 use crate::transport::{error_reply, message_reply, read_message};
--- /dev/null
+++ b/src/sync/shared_book.rs
@@ -0,0 +1,43 @@
+//! The control state as the tasks of a process share it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::sync::watch;
+
+use super::snapshot::SharedSnapshot;
+use super::view_book::ViewBook;
+
+/// The control state with the snapshot that is made of it. Clones share both.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SharedBook {
+    book: Arc<Mutex<ViewBook>>,
+    snapshot: SharedSnapshot,
+    /// Counts changes.
+    changes: Arc<watch::Sender<u64>>,
+}
+
+impl SharedBook {
+    /// Where the traffic finds the newest snapshot.
+    pub(crate) fn snapshot(&self) -> SharedSnapshot {
+        self.snapshot.clone()
+    }
+
+    /// Reads the control state.
+    pub(crate) fn read<T>(&self, reader: impl FnOnce(&ViewBook) -> T) -> T {
+        reader(&self.book.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Changes the control state and shows the traffic what came of it.
+    pub(crate) fn change(&self, change: impl FnOnce(&mut ViewBook)) {
+        let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut book);
+        self.snapshot.store(book.snapshot());
+        drop(book);
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    /// Follows the changes.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -8,12 +8,14 @@
 use tokio::time::sleep;
 
 use super::events;
+use super::naming_time::NamingKnowledge;
 use super::peer_messages::{EntryRecord, PeerView, VIEW_PATH};
-use super::view_book::{NamingTime, SharedBook, ViewBook};
+use super::shared_book::SharedBook;
+use super::view_book::ViewBook;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::platform::{StoreClient, TableName, TableView, WatchAnswer};
-use crate::time::{ClockTime, clock_now};
+use crate::time::clock_now;
 use crate::transport::PeerClient;
 
 /// How long the store holds a watch of the operator's table open. A connection may go silent for
@@ -42,44 +44,6 @@
 /// How often it is looked whether the wait for a lapsed entry is over.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
 const NEIGHBOUR_WITHIN: Duration = Duration::from_millis(400);
-/// How long ago a version is taken to have been named that a process finds at its start, as long as
-/// no neighbour knows better. Requests then begin on older weights for a second more.
-const NAMED_BEFORE_START: Duration = Duration::from_secs(6);
-/// How long a change is on its way from the store.
-const NAMED_BEFORE_WATCH: Duration = Duration::from_millis(100);
-
-/// What is known of the moment at which versions that are found in the store were named.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum NamingKnowledge {
-    /// The process has just started; they may be old.
-    Started,
-    /// The table was followed; they are new.
-    Followed,
-    /// The store was away, or the way to it was cut. The bound of a version counts only while both are
-    /// there, and new weights cannot be told of meanwhile: they are taken for new. Taken for as old as
-    /// the outage, every request was refused at the store's return until the weights had been fetched.
-    Interrupted,
-}
-
-impl NamingKnowledge {
-    pub(super) fn naming_time(self, now: ClockTime) -> NamingTime {
-        match self {
-            Self::Started => NamingTime {
-                at: now - NAMED_BEFORE_START,
-                is_certain: false,
-            },
-            Self::Followed => NamingTime {
-                at: now - NAMED_BEFORE_WATCH,
-                is_certain: true,
-            },
-            Self::Interrupted => NamingTime {
-                at: now - NAMED_BEFORE_WATCH,
-                is_certain: false,
-            },
-        }
-    }
-}
-
 /// What the watching works with.
 #[derive(Clone)]
 pub(crate) struct StoreWatch {
--- a/src/sync/tests.rs
+++ b/src/sync/tests.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 
-use super::store_watch::NamingKnowledge;
-use super::view_book::{NamingTime, SharedBook};
+use super::naming_time::{NamingKnowledge, NamingTime};
+use super::shared_book::SharedBook;
 use crate::fleet::WeightsVersion;
 use crate::platform::{StoreRow, TableView};
 use crate::time::ClockTime;
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -1,15 +1,16 @@
 //! The control state of one process: takes in what the store and the neighbours say, in whatever
 //! order it arrives, and never goes back.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::watch;
+use bytestring::ByteString;
 
 use super::events;
+use super::naming_time::NamingTime;
 use super::peer_messages::{EntryRecord, PeerAsk, PeerView, WantedWord};
-use super::snapshot::{ControlSnapshot, SharedSnapshot};
+use super::snapshot::ControlSnapshot;
 use crate::catalog::{CatalogVersion, ServiceCatalog};
 use crate::events::log_event;
 use crate::fleet::{BackendFacts, FleetView, ModelVersion, WantedWeights};
@@ -31,34 +32,6 @@
 /// Versions of a model that are remembered with the time of their naming.
 const VERSIONS_KEPT: usize = 4;
 
-/// When a version of weights was named.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct NamingTime {
-    /// The moment, or one that is surely earlier.
-    pub(crate) at: ClockTime,
-    /// Whether it is the moment.
-    pub(crate) is_certain: bool,
-}
-
-impl NamingTime {
-    /// Puts this time in the place of one that is known less well.
-    ///
-    /// A process that starts finds a version in the store and does not know how long ago it was
-    /// named. Taken for new, requests began on older weights behind the bound; taken for old, all
-    /// were refused though the bound was seconds away. A neighbour that was there knows.
-    fn improve(self, wanted: &mut WantedWeights) {
-        let is_better = match (wanted.is_certain, self.is_certain) {
-            (false, true) => true,
-            (true, false) => false,
-            _ => self.at < wanted.named_at,
-        };
-        if is_better {
-            wanted.named_at = self.at;
-            wanted.is_certain = self.is_certain;
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct BackendEntry {
     facts: Arc<BackendFacts>,
@@ -232,16 +205,7 @@
             );
             return;
         }
-        let listed = |id: &str| view.rows.iter().any(|row| row.key == id);
-        let missing: Vec<String> = self
-            .backends
-            .iter()
-            .filter(|entry| !listed(&entry.facts.id))
-            .map(|entry| entry.facts.id.to_string())
-            .collect();
-        for id in missing {
-            self.remove_backend(&id, now);
-        }
+        self.remove_unlisted(|id| view.rows.iter().any(|row| row.key == id), now);
         self.change_backends(view, now);
     }
 
@@ -273,6 +237,15 @@
         }
     }
 
+    /// The entries of backend servers that a whole list does not have went.
+    fn remove_unlisted(&mut self, is_listed: impl Fn(&str) -> bool, now: ClockTime) {
+        let ids = self.backends.iter().map(|entry| entry.facts.id.clone());
+        let missing: Vec<ByteString> = ids.filter(|id| !is_listed(id)).collect();
+        for id in missing {
+            self.remove_backend(&id, now);
+        }
+    }
+
     fn remove_backend(&mut self, id: &str, now: ClockTime) {
         let settled_at = self.settled_at(now);
         let found = self
@@ -386,23 +359,15 @@
 
     fn replace_backends(&mut self, revision: u64, backends: Vec<BackendFacts>, now: ClockTime) {
         log_event!(events::NEIGHBOUR_KNEW, "backends revision={revision}");
-        let listed = |id: &str| backends.iter().any(|facts| *facts.id == *id);
-        let missing: Vec<String> = self
-            .backends
-            .iter()
-            .filter(|entry| !listed(&entry.facts.id))
-            .map(|entry| entry.facts.id.to_string())
-            .collect();
-        for id in missing {
-            self.remove_backend(&id, now);
-        }
+        self.remove_unlisted(|id| backends.iter().any(|facts| *facts.id == *id), now);
         for facts in backends {
             self.put_backend(facts);
         }
         self.backends_revision = revision;
     }
 
-    fn snapshot(&self) -> ControlSnapshot {
+    /// What the traffic sees of it.
+    pub(super) fn snapshot(&self) -> ControlSnapshot {
         let backends = self.backends.iter().map(|entry| entry.facts.clone());
         ControlSnapshot {
             catalog: self.document.as_ref().map(|held| held.catalog.clone()),
@@ -414,38 +379,3 @@
         }
     }
 }
-
-/// The control state with the snapshot that is made of it. Clones share both.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct SharedBook {
-    book: Arc<Mutex<ViewBook>>,
-    snapshot: SharedSnapshot,
-    /// Counts changes.
-    changes: Arc<watch::Sender<u64>>,
-}
-
-impl SharedBook {
-    /// Where the traffic finds the newest snapshot.
-    pub(crate) fn snapshot(&self) -> SharedSnapshot {
-        self.snapshot.clone()
-    }
-
-    /// Reads the control state.
-    pub(crate) fn read<T>(&self, reader: impl FnOnce(&ViewBook) -> T) -> T {
-        reader(&self.book.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Changes the control state and shows the traffic what came of it.
-    pub(crate) fn change(&self, change: impl FnOnce(&mut ViewBook)) {
-        let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
-        change(&mut book);
-        self.snapshot.store(book.snapshot());
-        drop(book);
-        self.changes.send_modify(|changes| *changes += 1);
-    }
-
-    /// Follows the changes.
-    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
-    }
-}
