An assumption about a version's age at a start does not spread

Change: what is told of a version says how well its age is known (assumed at a start, resumed behind an outage, witnessed); better knowledge replaces worse, and only equally good knowledge takes the earlier time. The test opens with the symptom and failed with the flag of before.

--- a/src/fleet/backend_facts.rs
+++ b/src/fleet/backend_facts.rs
@@ -141,8 +141,20 @@
     pub(crate) target: ModelVersion,
     /// When it was named, as far as is known.
     pub(crate) named_at: ClockTime,
-    /// Whether somebody was told at that moment; else it is an assumption on the safe side.
-    pub(crate) is_certain: bool,
+    /// How well that is known.
+    pub(crate) certainty: NamingCertainty,
+}
+
+/// How well it is known when a version was named, the least first.
+#[apply(key!)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub(crate) enum NamingCertainty {
+    /// A process found it at its start and took it for old.
+    Assumed,
+    /// A process that was cut off from the store found it when it was back and took it for new.
+    Resumed,
+    /// A process that followed the store was told at that moment.
+    Witnessed,
 }
 
 impl WantedWeights {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use backend_desk::{BackendDesk, BackendKey, BackendTicket, SharedDesk};
 pub(crate) use backend_facts::{
     BackendFacts, BackendPhase, EngineHoldings, FleetView, HeldLayers, LoadReport, LoadWord,
-    ModelVersion, WantedWeights, WeightsVersion,
+    ModelVersion, NamingCertainty, WantedWeights, WeightsVersion,
 };
 pub(crate) use backend_record::CallEnd;
 pub(crate) use pick::{PickNeed, PickRefusal, VersionNeed};
--- a/src/replication/view_poll.rs
+++ b/src/replication/view_poll.rs
@@ -12,6 +12,7 @@
 use super::events;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
+use crate::fleet::NamingCertainty;
 use crate::platform::{StoreClient, TableName};
 use crate::sync::{EntryRecord, NamingTime, PeerView, SharedBook, VIEW_PATH, ViewBook};
 use crate::time::clock_now;
@@ -119,7 +120,7 @@
             .await?;
         let named = NamingTime {
             at: clock_now() - NAMED_BEFORE,
-            is_certain: false,
+            certainty: NamingCertainty::Assumed,
         };
         self.book
             .change(|book| book.take_operator_rows(&operator.rows, named));
--- a/src/sync/naming_time.rs
+++ b/src/sync/naming_time.rs
@@ -1,8 +1,9 @@
 //! When a version of weights was named, as far as a process can know.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
-use crate::fleet::WantedWeights;
+use crate::fleet::{NamingCertainty, WantedWeights};
 use crate::time::ClockTime;
 
 /// How long ago a version is taken to have been named that a process finds at its start, as long as
@@ -16,8 +17,8 @@
 pub(crate) struct NamingTime {
     /// The moment, or one that is surely earlier.
     pub(crate) at: ClockTime,
-    /// Whether it is the moment.
-    pub(crate) is_certain: bool,
+    /// How well it is known.
+    pub(crate) certainty: NamingCertainty,
 }
 
 impl NamingTime {
@@ -27,14 +28,14 @@
     /// named. Taken for new, requests began on older weights behind the bound; taken for old, all
     /// were refused though the bound was seconds away. A neighbour that was there knows.
     pub(super) fn improve(self, wanted: &mut WantedWeights) {
-        let is_better = match (wanted.is_certain, self.is_certain) {
-            (false, true) => true,
-            (true, false) => false,
-            _ => self.at < wanted.named_at,
+        let is_better = match self.certainty.cmp(&wanted.certainty) {
+            Ordering::Greater => true,
+            Ordering::Less => false,
+            Ordering::Equal => self.at < wanted.named_at,
         };
         if is_better {
             wanted.named_at = self.at;
-            wanted.is_certain = self.is_certain;
+            wanted.certainty = self.certainty;
         }
     }
 }
@@ -57,15 +58,15 @@
         match self {
             Self::Started => NamingTime {
                 at: now - NAMED_BEFORE_START,
-                is_certain: false,
+                certainty: NamingCertainty::Assumed,
             },
             Self::Followed => NamingTime {
                 at: now - NAMED_BEFORE_WATCH,
-                is_certain: true,
+                certainty: NamingCertainty::Witnessed,
             },
             Self::Interrupted => NamingTime {
                 at: now - NAMED_BEFORE_WATCH,
-                is_certain: false,
+                certainty: NamingCertainty::Resumed,
             },
         }
     }
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -10,7 +10,7 @@
 
 use crate::catalog::CatalogVersion;
 use crate::derives::message;
-use crate::fleet::{BackendFacts, ModelVersion};
+use crate::fleet::{BackendFacts, ModelVersion, NamingCertainty};
 
 /// The path of the call.
 pub(crate) const VIEW_PATH: &str = "/peer/view";
@@ -52,8 +52,8 @@
     pub(crate) target: ModelVersion,
     /// For how many milliseconds it has been named.
     pub(crate) age_ms: u64,
-    /// Whether somebody was told at that moment.
-    pub(crate) is_certain: bool,
+    /// How well that is known.
+    pub(crate) certainty: NamingCertainty,
 }
 
 /// What the answering process knows beyond that.
--- a/src/sync/tests.rs
+++ b/src/sync/tests.rs
@@ -4,7 +4,7 @@
 
 use super::naming_time::{NamingKnowledge, NamingTime};
 use super::shared_book::SharedBook;
-use crate::fleet::WeightsVersion;
+use crate::fleet::{NamingCertainty, WeightsVersion};
 use crate::platform::{StoreRow, TableView};
 use crate::time::ClockTime;
 
@@ -14,7 +14,7 @@
 fn told_at(at: ClockTime) -> NamingTime {
     NamingTime {
         at,
-        is_certain: true,
+        certainty: NamingCertainty::Witnessed,
     }
 }
 
@@ -117,9 +117,42 @@
     let named_at = |knowledge: NamingKnowledge| knowledge.naming_time(START).at;
     let age = |knowledge: NamingKnowledge| START.since(named_at(knowledge));
     assert!(age(NamingKnowledge::Interrupted) <= Duration::from_millis(100));
-    assert!(!NamingKnowledge::Interrupted.naming_time(START).is_certain);
+    let certainty = |knowledge: NamingKnowledge| knowledge.naming_time(START).certainty;
+    assert_eq!(
+        certainty(NamingKnowledge::Interrupted),
+        NamingCertainty::Resumed
+    );
     assert!(age(NamingKnowledge::Started) >= Duration::from_secs(6));
-    assert!(NamingKnowledge::Followed.naming_time(START).is_certain);
+    assert_eq!(
+        certainty(NamingKnowledge::Followed),
+        NamingCertainty::Witnessed
+    );
+}
+
+/// Symptom: every entry host refused all requests for five seconds. One of them had restarted and took
+/// the version that it found for old; the others, which had been cut off from the store and knew no
+/// moment either, took its assumption over.
+#[test]
+fn an_assumption_at_a_start_does_not_spread() {
+    let back = START + Duration::from_secs(20);
+    let resumed = SharedBook::default();
+    let found = NamingKnowledge::Interrupted.naming_time(back);
+    resumed.change(|book| book.take_operator_rows(&[named(2)], found));
+    let started = SharedBook::default();
+    let assumed = NamingKnowledge::Started.naming_time(back);
+    started.change(|book| book.take_operator_rows(&[named(2)], assumed));
+    let exchange = |asks: &SharedBook, answers: &SharedBook| {
+        let ask = asks.read(super::ViewBook::ask);
+        let view = answers.read(|book| book.answer(&ask, back));
+        asks.change(|book| book.merge(view, back));
+    };
+    exchange(&resumed, &started);
+    exchange(&started, &resumed);
+    for book in [resumed, started] {
+        let snapshot = book.snapshot().load();
+        let wanted = snapshot.newest_version("m").expect("it was named");
+        assert_eq!(wanted.named_at, found.at);
+    }
 }
 
 #[test]
@@ -140,7 +173,7 @@
         let book = SharedBook::default();
         let named_at = NamingTime {
             at: started_at - Duration::from_secs(assumed),
-            is_certain: false,
+            certainty: NamingCertainty::Assumed,
         };
         book.change(|book| book.take_operator_rows(&[named(2)], named_at));
         let ask = book.read(super::ViewBook::ask);
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -170,7 +170,7 @@
         let wanted = WantedWeights {
             target: target.clone(),
             named_at: named.at,
-            is_certain: named.is_certain,
+            certainty: named.certainty,
         };
         self.wanted.insert(at, wanted);
         self.forget_versions(&target.model);
@@ -318,7 +318,7 @@
         let word = |wanted: &WantedWeights| WantedWord {
             target: wanted.target.clone(),
             age_ms: u64::try_from(now.since(wanted.named_at).as_millis()).unwrap_or(u64::MAX),
-            is_certain: wanted.is_certain,
+            certainty: wanted.certainty,
         };
         let has_newer_backends = self.backends_revision > ask.backends_revision;
         let live = self.backends.iter().filter(|entry| entry.gone_at.is_none());
@@ -345,7 +345,7 @@
         for word in view.wanted {
             let named = NamingTime {
                 at: now - Duration::from_millis(word.age_ms),
-                is_certain: word.is_certain,
+                certainty: word.certainty,
             };
             self.want(&word.target, named);
         }
