Let the word of a load wear off; go on after a send that never left

Found by reading: a process that was killed right after it had told that its engine was about to load kept requests from that engine until it told again; and a request that one backend server had refused as not run was given up when the next could not be reached, although a third was free. Both with a test that failed first. The tests' unreachable addresses hold their ports now.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -22,6 +22,9 @@
 /// How long nothing goes to a backend server at whose address another one answered. It has ended, and
 /// its entry in the store goes within some heartbeats; until then each send would be turned away.
 const REPLACED_REST: Duration = Duration::from_secs(6);
+/// How long the word that an engine is about to load weights holds. It is told five times a second; a
+/// process that died right after it had told would keep requests from its engine for good.
+const LOADING_SPAN: Duration = Duration::from_millis(1500);
 /// How long fresh connections are preferred after a connection delivered bytes that belong to no
 /// request. More of them may be on their way on other connections of the same backend server.
 const FRESH_SPAN: Duration = Duration::from_secs(10);
@@ -57,8 +60,8 @@
     pub(crate) facts: Arc<BackendFacts>,
     /// What its engine has loaded, from whoever said it last.
     pub(super) holdings: EngineHoldings,
-    /// Whether it is about to load weights.
-    pub(super) is_loading: bool,
+    /// Until when it is taken to be about to load weights.
+    loading_until: ClockTime,
     /// This entry host's requests under way there.
     pub(super) own: u32,
     heard: Option<LoadHeard>,
@@ -72,7 +75,7 @@
         Self {
             holdings: facts.holdings.clone(),
             facts,
-            is_loading: false,
+            loading_until: ClockTime(0),
             own: 0,
             heard: None,
             breaker: CircuitBreaker::default(),
@@ -102,9 +105,14 @@
         }
     }
 
+    /// Whether it is about to load weights, as far as was told lately.
+    fn is_loading(&self, now: ClockTime) -> bool {
+        now < self.loading_until
+    }
+
     /// Whether it may get requests at `now`.
     pub(super) fn is_open(&self, now: ClockTime) -> bool {
-        !self.is_loading && self.rest_until <= now && self.breaker.lets_pass(now)
+        !self.is_loading(now) && self.rest_until <= now && self.breaker.lets_pass(now)
     }
 
     /// Whether a connection that was used before is to be avoided.
@@ -125,7 +133,12 @@
     /// The process beside it told its state.
     pub(super) fn note_report(&mut self, report: LoadReport, now: ClockTime) {
         self.hear(report.active + report.queued, now);
-        self.is_loading = report.is_loading;
+        let span = if report.is_loading {
+            LOADING_SPAN
+        } else {
+            Duration::ZERO
+        };
+        self.loading_until = now + span;
         self.holdings = report.holdings;
     }
 
@@ -155,7 +168,7 @@
                 false
             }
             // An engine that changes its weights cuts off what it still works on.
-            CallEnd::Failed if self.is_loading => {
+            CallEnd::Failed if self.is_loading(now) => {
                 self.breaker.note_nothing(now);
                 false
             }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -87,6 +87,28 @@
     drop(tickets);
 }
 
+/// Symptom: an engine got no request any more although it served. The process beside it had told that
+/// it was about to load weights, and was killed before it could tell that it had.
+#[test]
+fn the_word_that_an_engine_is_about_to_load_wears_off() {
+    let backend = facts("a", "here", 1);
+    let report = LoadReport {
+        address: backend.address,
+        active: 0,
+        queued: 0,
+        is_loading: true,
+        holdings: backend.holdings.clone(),
+    };
+    let desk = desk_of(vec![backend]);
+    desk.lock().note_report(report, NOW);
+    assert_eq!(
+        desk.pick(&need(None), NOW).err(),
+        Some(PickRefusal::AllFull)
+    );
+    let later = NOW + std::time::Duration::from_secs(2);
+    assert!(desk.pick(&need(None), later).is_ok());
+}
+
 #[test]
 fn an_older_version_gets_nothing_once_a_newer_one_is_due() {
     let desk = desk_of(vec![facts("a", "here", 1), facts("b", "there", 2)]);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -87,7 +87,7 @@
     fn may_follow(&mut self, failure: &SendFailure, now: ClockTime) -> bool {
         if !failure.has_arrived {
             self.unsent += 1;
-            let is_open = self.arrivals == 0 || self.may_repeat(now);
+            let is_open = !self.may_have_run || self.may_repeat(now);
             return self.unsent < UNSENT_MAX && is_open && !self.job.time_left(now).is_zero();
         }
         self.arrivals += 1;
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -16,6 +16,20 @@
     (status, answer, [first.arrivals(), second.arrivals()])
 }
 
+/// A backend server that refuses connections. The socket holds its port, so that no other test gets it.
+fn unreachable_backend() -> (socket2::Socket, FakeBackend) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
+        .expect("a socket can be had");
+    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("a free port");
+    let address = socket.local_addr().expect("it is bound").as_socket();
+    let backend = FakeBackend {
+        address: address.expect("it is an IP address"),
+        requests: std::sync::Arc::default(),
+    };
+    (socket, backend)
+}
+
 const KINDS: [&str; 2] = ["safe", "once"];
 
 #[tokio::test]
@@ -80,14 +94,7 @@
 
 #[tokio::test]
 async fn a_backend_server_that_is_not_there_costs_no_attempt() {
-    let gone = {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        listener.local_addr().expect("it is bound")
-    };
-    let first = FakeBackend {
-        address: gone,
-        requests: std::sync::Arc::default(),
-    };
+    let (_held, first) = unreachable_backend();
     let second = FakeBackend::start(BackendWay::Whole).await;
     let entry = FakeEntry::start(&[&first, &second]).await;
     let answer = entry.ask("once").await;
@@ -216,3 +223,18 @@
     }
     assert_eq!((replaced.arrivals(), other.arrivals()), (1, 4));
 }
+
+/// Symptom: a wake-up call was refused though a backend server was free. The first one had said that it
+/// did not run it, the second could not be reached, and the third was not asked.
+#[tokio::test]
+async fn a_send_that_never_left_is_followed_by_another_as_long_as_nothing_ran() {
+    let refusing = FakeBackend::start(BackendWay::NotRun).await;
+    let (_held, unreachable) = unreachable_backend();
+    let free = FakeBackend::start(BackendWay::Whole).await;
+    // The order of the second and the third is left to chance.
+    for _ in 0..8 {
+        let entry = FakeEntry::start(&[&refusing, &unreachable, &free]).await;
+        let answer = entry.ask("once").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
