--- a/src/catalog/route_table.rs
+++ b/src/catalog/route_table.rs
@@ -1,24 +1,26 @@
 //! Finds the route of a request by its host and the longest prefix of its path.
 
 use std::cmp::Ordering;
+use std::sync::Arc;
 
 use super::service_catalog::RouteRule;
 
 /// The routes of a document, sorted by host and prefix.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RouteTable {
-    rules: Vec<RouteRule>,
+    rules: Vec<Arc<RouteRule>>,
 }
 
 impl RouteTable {
     /// The table of `rules`, in any order.
-    pub(crate) fn new(mut rules: Vec<RouteRule>) -> Self {
+    pub(crate) fn new(rules: Vec<RouteRule>) -> Self {
+        let mut rules: Vec<Arc<RouteRule>> = rules.into_iter().map(Arc::new).collect();
         rules.sort_by(|left, right| compare(left, &right.host, &right.prefix));
         Self { rules }
     }
 
     /// The route with the longest prefix that begins `path`, among the routes of `host`.
-    pub(crate) fn find(&self, host: &str, path: &str) -> Option<&RouteRule> {
+    pub(crate) fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
         // Every prefix ends with a slash, so only the places behind a slash can end one.
         let mut end = path.len();
         while let Some(slash) = path[..end].rfind('/') {
@@ -31,11 +33,11 @@
     }
 
     /// All routes.
-    pub(crate) fn rules(&self) -> &[RouteRule] {
+    pub(crate) fn rules(&self) -> &[Arc<RouteRule>] {
         &self.rules
     }
 
-    fn exact(&self, host: &str, prefix: &str) -> Option<&RouteRule> {
+    fn exact(&self, host: &str, prefix: &str) -> Option<&Arc<RouteRule>> {
         let found = self
             .rules
             .binary_search_by(|rule| compare(rule, host, prefix));
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -83,7 +83,7 @@
         let engine = snapshot
             .catalog
             .as_ref()
-            .and_then(|catalog| catalog.service(&self.routed.service)?.engine.clone());
+            .and_then(|catalog| catalog.service(&self.routed.service)?.engine.as_ref());
         let (Some(engine), Some(model)) = (engine, &self.head.model) else {
             return VersionNeed::None;
         };
@@ -127,7 +127,7 @@
         SwitchError::new(ErrorKind::NoBackend, detail)
     })?;
     Ok(RoutedRequest {
-        rule: Arc::new(rule.clone()),
+        rule: rule.clone(),
         service,
         account: known.map(|account| account.name.clone()),
         rank: known.and_then(|account| account.rank).unwrap_or(rule.rank),
