--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -18,6 +18,7 @@
 use crate::fleet::{BackendFacts, BackendPhase, EngineHoldings, FleetView};
 use crate::gateway::daemon::caller_routes;
 use crate::gateway::gateway_state::GatewayState;
+use crate::platform::samples::{ATTEMPT, BACKEND_ID, DEADLINE, NOT_RUN, SEAL};
 use crate::sync::{ControlSnapshot, SharedSnapshot};
 use crate::transport::{HttpServer, bind_listener};
 
@@ -79,7 +80,7 @@
         seen.lock()
             .expect("no test thread panicked")
             .push(request.clone());
-        let attempt = field(&request, "savoryswitch-attempt-id").unwrap_or_default();
+        let attempt = field(&request, ATTEMPT).unwrap_or_default();
         let last: u64 = field(&request, "last-event-id")
             .and_then(|text| text.parse().ok())
             .unwrap_or(0);
@@ -94,8 +95,8 @@
 fn answer_text(way: BackendWay, attempt: &str, last: u64) -> (String, bool) {
     let head = |status: &str, attempt: &str, extra: &str, body: &str| {
         format!(
-            "HTTP/1.1 {status}\r\nsavoryswitch-attempt-id: {attempt}\r\n\
-             savoryswitch-response-seal: seal-of-it\r\n{extra}content-length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status}\r\n{ATTEMPT}: {attempt}\r\n\
+             {SEAL}: seal-of-it\r\n{extra}content-length: {}\r\n\r\n{body}",
             body.len()
         )
     };
@@ -103,7 +104,7 @@
         let parts = (last + 1..=to).map(|id| format!("id: {id}\ndata: part {id}\n\n"));
         let body = parts.chain([rest.to_owned()]).collect::<Vec<_>>().concat();
         format!(
-            "HTTP/1.1 200 OK\r\nsavoryswitch-attempt-id: {attempt}\r\n\
+            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n",
             body.len()
         )
@@ -117,13 +118,13 @@
         }
         BackendWay::Foreign => (head("200 OK", "another", "", "foreign"), false),
         BackendWay::NotRun => {
-            let extra = "savoryswitch-not-executed: 1\r\n";
-            (head("503 Service Unavailable", attempt, extra, ""), false)
+            let extra = format!("{NOT_RUN}: 1\r\n");
+            (head("503 Service Unavailable", attempt, &extra, ""), false)
         }
         BackendWay::Misdirected => (head("421 Misdirected Request", attempt, "", ""), false),
         BackendWay::Replaced => {
-            let extra = "savoryswitch-instance-id: i-new\r\n";
-            (head("421 Misdirected Request", attempt, extra, ""), false)
+            let extra = format!("{BACKEND_ID}: i-new\r\n");
+            (head("421 Misdirected Request", attempt, &extra, ""), false)
         }
         BackendWay::CloseUnanswered => (String::new(), true),
         BackendWay::CutBody => {
@@ -235,7 +236,7 @@
     pub(super) async fn ask(&self, kind: &str) -> String {
         let request = format!(
             "POST /{kind}/x?y=1 HTTP/1.1\r\nhost: Desk.example:80\r\n\
-             savoryswitch-attempt-id: a1\r\nsavoryswitch-deadline-ms: 2000\r\n\
+             {ATTEMPT}: a1\r\n{DEADLINE}: 2000\r\n\
              authorization: Bearer secret\r\ncontent-length: 4\r\nconnection: close\r\n\r\nbody"
         );
         self.send(&request).await
--- a/src/gateway/tests/intake.rs
+++ b/src/gateway/tests/intake.rs
@@ -1,6 +1,7 @@
 //! Requests that are refused before any backend server sees them.
 
 use super::fake_backend::{BackendWay, FakeBackend, FakeEntry};
+use crate::platform::samples::ATTEMPT;
 use crate::time::{ClockTime, clock_now};
 
 async fn refused(request: &str) -> (u16, usize) {
@@ -13,7 +14,7 @@
 
 fn request(path: &str, fields: &str, body: &str) -> String {
     format!(
-        "POST {path} HTTP/1.1\r\nhost: desk.example\r\nsavoryswitch-attempt-id: a1\r\n\
+        "POST {path} HTTP/1.1\r\nhost: desk.example\r\n{ATTEMPT}: a1\r\n\
          connection: close\r\n{fields}\r\n{body}"
     )
 }
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -1,6 +1,7 @@
 //! What follows a send, by what is known after it and what the route allows.
 
 use super::fake_backend::{BackendWay, FakeBackend, FakeEntry, field};
+use crate::platform::samples::{ACCOUNT, ATTEMPT, DEADLINE, SEAL, TARGET_ID};
 
 /// The status of an answer, what it ends with, and how many requests each of two fakes saw.
 async fn outcome(ways: [BackendWay; 2], kind: &str) -> (u16, String, [usize; 2]) {
@@ -36,10 +37,7 @@
 async fn an_answer_is_passed_on_as_it_is() {
     let (status, answer, arrivals) = outcome([BackendWay::Whole, BackendWay::Whole], "once").await;
     assert_eq!((status, arrivals), (200, [1, 0]));
-    assert_eq!(
-        field(&answer, "savoryswitch-response-seal").as_deref(),
-        Some("seal-of-it")
-    );
+    assert_eq!(field(&answer, SEAL).as_deref(), Some("seal-of-it"));
     assert!(answer.ends_with("whole"), "{answer}");
 }
 
@@ -64,11 +62,7 @@
         assert_eq!((status, arrivals), (200, [1, 1]), "{way:?}");
         let (status, answer, arrivals) = outcome([way, BackendWay::Whole], "once").await;
         assert_eq!((status, arrivals), (502, [1, 0]), "{way:?}");
-        assert_eq!(
-            field(&answer, "savoryswitch-response-seal"),
-            None,
-            "{way:?}"
-        );
+        assert_eq!(field(&answer, SEAL), None, "{way:?}");
     }
 }
 
@@ -161,15 +155,9 @@
     assert!(request.ends_with("\r\n\r\nbody"), "{request}");
     assert_eq!(field(request, "host").as_deref(), Some("Desk.example:80"));
     assert_eq!(field(request, "authorization"), None);
-    assert_eq!(
-        field(request, "savoryswitch-tenant").as_deref(),
-        Some("lodge")
-    );
-    assert_eq!(
-        field(request, "savoryswitch-target-instance").as_deref(),
-        Some("i-0")
-    );
-    let left: u64 = field(request, "savoryswitch-deadline-ms")
+    assert_eq!(field(request, ACCOUNT).as_deref(), Some("lodge"));
+    assert_eq!(field(request, TARGET_ID).as_deref(), Some("i-0"));
+    let left: u64 = field(request, DEADLINE)
         .and_then(|text| text.parse().ok())
         .expect("it is always told");
     assert!((1..=2000).contains(&left), "{left}");
@@ -191,8 +179,10 @@
     let mut client = tokio::net::TcpStream::connect(entry.address)
         .await
         .expect("it listens");
-    let request = "GET /safe/x HTTP/1.1\r\nhost: desk.example\r\nsavoryswitch-attempt-id: a1\r\n\
-         authorization: Bearer secret\r\n\r\n";
+    let request = format!(
+        "GET /safe/x HTTP/1.1\r\nhost: desk.example\r\n{ATTEMPT}: a1\r\n\
+         authorization: Bearer secret\r\n\r\n"
+    );
     client
         .write_all(request.as_bytes())
         .await
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,8 @@
 mod document_row;
 mod engine_calls;
 mod request_head;
+#[cfg(test)]
+pub(crate) mod samples;
 mod settings_file;
 mod store_client;
 #[cfg(test)]
--- /dev/null
+++ b/src/platform/samples.rs
@@ -0,0 +1,33 @@
+//! The platform's words for tests in other folders, so that these need not know them.
+
+/// The name of the client's attempt.
+pub(crate) const ATTEMPT: &str = "savoryswitch-attempt-id";
+/// How long the client, or a backend server, has.
+pub(crate) const DEADLINE: &str = "savoryswitch-deadline-ms";
+/// A backend server's mark on its answer.
+pub(crate) const SEAL: &str = "savoryswitch-response-seal";
+/// Says that the backend server did not run the request.
+pub(crate) const NOT_RUN: &str = "savoryswitch-not-executed";
+/// The backend server that answers.
+pub(crate) const BACKEND_ID: &str = "savoryswitch-instance-id";
+/// The backend server that is meant.
+pub(crate) const TARGET_ID: &str = "savoryswitch-target-instance";
+/// The client account.
+pub(crate) const ACCOUNT: &str = "savoryswitch-tenant";
+
+/// The key and the text of the operator's document with nothing but a version.
+pub(crate) fn document_sample(version: u64) -> (&'static str, String) {
+    ("config", format!("{{\"version\":{version}}}"))
+}
+
+/// The key and the text of the row that names a version of the model `m`.
+pub(crate) fn naming_sample(version: u64) -> (&'static str, String) {
+    let text = format!("{{\"model\":\"m\",\"version\":{version}}}");
+    ("version/m", text)
+}
+
+/// The text of a serving backend server's entry.
+pub(crate) fn backend_sample() -> String {
+    let fields = "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1";
+    format!("{{{fields},\"state\":\"ready\"}}")
+}
--- a/src/sync/tests.rs
+++ b/src/sync/tests.rs
@@ -5,6 +5,7 @@
 use super::naming_time::{NamingKnowledge, NamingTime};
 use super::shared_book::SharedBook;
 use crate::fleet::{NamingCertainty, WeightsVersion};
+use crate::platform::samples::{backend_sample, document_sample, naming_sample};
 use crate::platform::{StoreRow, TableView};
 use crate::time::ClockTime;
 
@@ -27,23 +28,17 @@
 }
 
 fn document(version: u64) -> StoreRow {
-    row(
-        "config",
-        version,
-        Some(&format!("{{\"version\":{version}}}")),
-    )
+    let (key, text) = document_sample(version);
+    row(key, version, Some(&text))
 }
 
 fn named(version: u64) -> StoreRow {
-    let text = format!("{{\"model\":\"m\",\"version\":{version}}}");
-    row("version/m", version, Some(&text))
+    let (key, text) = naming_sample(version);
+    row(key, version, Some(&text))
 }
 
-fn backend(id: &str, state: &str) -> StoreRow {
-    let text = format!(
-        "{{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1,\"state\":\"{state}\"}}"
-    );
-    row(id, 1, Some(&text))
+fn backend(id: &str) -> StoreRow {
+    row(id, 1, Some(&backend_sample()))
 }
 
 fn view(rows: Vec<StoreRow>, revision: u64) -> TableView {
@@ -192,10 +187,7 @@
     let book = SharedBook::default();
     book.change(|book| {
         book.note_store(START);
-        book.set_backends(
-            &view(vec![backend("a", "ready"), backend("b", "ready")], 5),
-            START,
-        );
+        book.set_backends(&view(vec![backend("a"), backend("b")], 5), START);
         book.note_store_failure("silent");
     });
     let back = START + Duration::from_secs(20);
@@ -207,7 +199,7 @@
     assert_eq!(ids(&book), ["a", "b"]);
     let later = back + Duration::from_secs(1);
     book.change(|book| {
-        book.change_backends(&view(vec![backend("a", "ready")], 10), later);
+        book.change_backends(&view(vec![backend("a")], 10), later);
         book.expire(back + Duration::from_secs(2));
     });
     assert_eq!(ids(&book), ["a"]);
@@ -222,10 +214,7 @@
     let back = START + Duration::from_secs(20);
     book.change(|book| {
         book.note_store(START);
-        book.set_backends(
-            &view(vec![backend("a", "ready"), backend("b", "ready")], 5),
-            START,
-        );
+        book.set_backends(&view(vec![backend("a"), backend("b")], 5), START);
         book.note_store_failure("cut off");
         book.note_store(back);
     });
@@ -249,7 +238,7 @@
     let later = START + Duration::from_secs(10);
     book.change(|book| {
         book.note_store(START);
-        book.set_backends(&view(vec![backend("a", "ready")], 5), START);
+        book.set_backends(&view(vec![backend("a")], 5), START);
         book.change_backends(&view(vec![row("a", 6, None)], 6), later);
     });
     assert!(ids(&book).is_empty());
@@ -260,7 +249,7 @@
     let book = SharedBook::default();
     book.change(|book| {
         book.note_store(START);
-        book.set_backends(&view(vec![backend("a", "ready")], 50), START);
+        book.set_backends(&view(vec![backend("a")], 50), START);
         book.set_backends(&view(Vec::new(), 40), START + Duration::from_secs(10));
     });
     assert_eq!(ids(&book), ["a"]);
