Write a line when a client leaves, and when readiness changes

Cause: two events stood in the catalogue and were never logged; a request whose client had left had no line at all, so that its id led nowhere.

Change: a request that is dropped before its end was told says so, with its sends and its age; readiness is told when it changes.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::StatusCode;
@@ -114,8 +115,12 @@
 }
 
 fn ready_routes(book: SharedBook, drain: DrainState) -> Router {
+    let was_ready = Arc::new(AtomicBool::new(false));
     let readiness = move || {
         let is_ready = book.read(ViewBook::is_usable) && !drain.is_draining();
+        if was_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
+            log_event!(events::READY_CHANGED, "ready={is_ready}");
+        }
         async move {
             if is_ready {
                 StatusCode::OK
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,7 +14,7 @@
 use super::gateway_state::GatewayState;
 use super::reply::unknown_end;
 use super::request_job::RequestJob;
-use super::request_log::{log_end, log_send_failed};
+use super::request_log::{log_client_gone, log_end, log_send_failed};
 use super::send_attempt::{OpenAnswer, SendFailure, send_attempt};
 use super::stream_relay::{StreamRelay, put_away};
 use crate::daemon::LiveGuard;
@@ -57,9 +57,26 @@
     /// The worst that is known of the sends so far.
     may_have_run: bool,
     last_failure: Option<SendFailure>,
+    /// Whether its end has been told in the log.
+    is_ended: bool,
+}
+
+impl Drop for Forwarder {
+    /// The request's future was dropped before its end: the client closed its connection. Without a
+    /// line, nobody could tell from the log what became of the request.
+    fn drop(&mut self) {
+        if !self.is_ended {
+            log_client_gone(&self.job, self.tried.len(), clock_now());
+        }
+    }
 }
 
 impl Forwarder {
+    /// The request's end is told elsewhere.
+    pub(super) const fn note_end(&mut self) {
+        self.is_ended = true;
+    }
+
     pub(super) fn new(gateway: Arc<GatewayState>, job: RequestJob) -> Self {
         gateway.earn_retry(&job.routed.service);
         Self {
@@ -70,6 +87,7 @@
             unsent: 0,
             may_have_run: false,
             last_failure: None,
+            is_ended: false,
         }
     }
 
@@ -103,6 +121,7 @@
     /// The end of a request that no backend server answered.
     fn give_up(&mut self, refusal: Option<PickRefusal>) -> SwitchError {
         let now = clock_now();
+        self.note_end();
         let detail = match &self.last_failure {
             Some(failure) => failure.detail.clone(),
             None => format!("{refusal:?}"),
@@ -236,7 +255,10 @@
             return stream_reply(forwarder, answer, live).await;
         }
         match read_whole(&forwarder, answer).await {
-            Ok(reply) => return Ok(reply),
+            Ok(reply) => {
+                forwarder.note_end();
+                return Ok(reply);
+            }
             Err(failure) => {
                 let may_follow = forwarder.may_repeat(clock_now())
                     && forwarder.gateway.spend_retry(&forwarder.job.routed.service);
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -101,6 +101,18 @@
     );
 }
 
+/// The client closed its connection before the request's end.
+pub(super) fn log_client_gone(job: &RequestJob, sends: usize, now: ClockTime) {
+    metrics::count_event("client_gone", 1);
+    log_event!(
+        events::CLIENT_GONE,
+        "id={} route={} sends={sends} ms={}",
+        attempt_of(job),
+        job.routed.rule.name,
+        now.since(job.arrived).as_millis()
+    );
+}
+
 /// The name of the client's attempt.
 pub(super) fn attempt_of(job: &RequestJob) -> &str {
     job.head.attempt.as_deref().unwrap_or("-")
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -90,6 +90,7 @@
                     }
                     if let Err(end) = self.resume(&why).await {
                         log_broken(&self.forwarder.job, self.last_event, &end);
+                        self.forwarder.note_end();
                         self.is_finished = true;
                         return Some(Err(io::Error::other(end)));
                     }
@@ -173,6 +174,7 @@
 
     fn finish(&mut self) {
         self.is_finished = true;
+        self.forwarder.note_end();
         let Some(answer) = self.answer.take() else {
             return;
         };
