Go on serving after SIGHUP

Cause: the server library calls its shutdown hooks after SIGHUP as after SIGTERM, so that every process of the system began a graceful stop when the platform told it that its settings file had changed. The handlers of the daemons themselves only kept the signal from killing the process.

Ruled out: blocking the signal in all threads (another thread would have to wait for it); serving without the library's run loop. The loop goes on accepting until its hook returns, so the hook now waits for a stop that the process itself has begun, by SIGTERM or SIGINT. A listener whose loop fails begins a stop, as before.

Both daemons read their settings again and say so (events 0106 and 0107, before 1206 and 1210).

Test: a_hangup_does_not_stop_the_server, which failed first ("a hangup began the stop").

--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -1,8 +1,11 @@
 //! The graceful stop: told once, waits until nothing is under way.
 
+use std::convert::Infallible;
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -56,6 +59,27 @@
         }
     }
 
+    /// Begins the stop when the process is told to end by SIGTERM or SIGINT; never returns.
+    pub(crate) async fn follow_signals(&self) -> Infallible {
+        let stops = (
+            signal(SignalKind::terminate()),
+            signal(SignalKind::interrupt()),
+        );
+        match stops {
+            (Ok(mut terminate), Ok(mut interrupt)) => {
+                tokio::select! {
+                    _ = terminate.recv() => {}
+                    _ = interrupt.recv() => {}
+                }
+                self.begin();
+            }
+            (Err(fault), _) | (_, Err(fault)) => {
+                log_event!(events::SIGNALS_UNHEARD, "SIGTERM and SIGINT: {fault}");
+            }
+        }
+        pending().await
+    }
+
     /// Whether the stop has begun.
     pub(crate) fn is_draining(&self) -> bool {
         *self.shared.draining.borrow()
--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -9,6 +9,10 @@
     LogEvent::warn(103, "graceful stop ended with requests under way");
 pub(crate) const ACCEPT_FAILED: LogEvent = LogEvent::warn(104, "a connection was not accepted");
 pub(crate) const SERVER_FAILED: LogEvent = LogEvent::error(105, "a listener stopped");
+pub(crate) const SETTINGS_READ: LogEvent = LogEvent::info(106, "settings read again");
+pub(crate) const SETTINGS_UNREADABLE: LogEvent =
+    LogEvent::error(107, "the settings do not read; the earlier ones stay");
+pub(crate) const SIGNALS_UNHEARD: LogEvent = LogEvent::error(108, "signals cannot be followed");
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -18,4 +22,7 @@
     DRAIN_CUT_SHORT,
     ACCEPT_FAILED,
     SERVER_FAILED,
+    SETTINGS_READ,
+    SETTINGS_UNREADABLE,
+    SIGNALS_UNHEARD,
 ];
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -7,7 +7,6 @@
 
 use http::StatusCode;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 use volo_http::request::Request;
 use volo_http::server::route::{Router, get};
@@ -19,7 +18,7 @@
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
 use crate::fleet::LoadReport;
-use crate::platform::{PlatformSettings, READY_PATH, TimeBounds, read_settings};
+use crate::platform::{PlatformSettings, READY_PATH, TimeBounds};
 use crate::sync::{EntryRecord, SharedBook, SyncSettings, ViewBook, start_sync};
 use crate::time::clock_now;
 use crate::transport::{HttpServer, bind_listener, decode_message};
@@ -64,7 +63,6 @@
         settings.bounds,
     ));
     tokio::spawn(take_reports(gateway.clone(), me.reports));
-    tokio::spawn(read_settings_again());
     tokio::spawn(note_stop(gateway.clone()));
     log_event!(
         events::SERVING,
@@ -158,18 +156,3 @@
         }
     }
 }
-
-/// Reads the settings again when the platform says that they have changed. What is bound at the
-/// start stays; a file that does not read is told and changes nothing.
-async fn read_settings_again() {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
-        log_event!(events::SETTINGS_UNREADABLE, "no handler for SIGHUP");
-        return;
-    };
-    while hangups.recv().await.is_some() {
-        match read_settings() {
-            Ok(settings) => log_event!(events::SETTINGS_READ, "host={}", settings.host),
-            Err(error) => log_event!(events::SETTINGS_UNREADABLE, "{error}"),
-        }
-    }
-}
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -8,12 +8,9 @@
 pub(crate) const STREAM_RESUMED: LogEvent = LogEvent::info(1203, "stream resumed elsewhere");
 pub(crate) const STREAM_BROKEN: LogEvent = LogEvent::warn(1204, "stream broken off");
 pub(crate) const CLIENT_GONE: LogEvent = LogEvent::info(1205, "the client left");
-pub(crate) const SETTINGS_READ: LogEvent = LogEvent::info(1206, "settings read again");
 pub(crate) const READY_CHANGED: LogEvent = LogEvent::info(1207, "readiness changed");
 pub(crate) const SERVING: LogEvent = LogEvent::info(1208, "listening");
 pub(crate) const REPORT_UNREADABLE: LogEvent = LogEvent::warn(1209, "a load report does not read");
-pub(crate) const SETTINGS_UNREADABLE: LogEvent =
-    LogEvent::error(1210, "the settings do not read; the earlier ones stay");
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -23,9 +20,7 @@
     STREAM_RESUMED,
     STREAM_BROKEN,
     CLIENT_GONE,
-    SETTINGS_READ,
     READY_CHANGED,
     SERVING,
     REPORT_UNREADABLE,
-    SETTINGS_UNREADABLE,
 ];
--- a/src/platform/command.rs
+++ b/src/platform/command.rs
@@ -1,13 +1,16 @@
 //! The subcommand with which a program runs on the users' platform.
 
-use std::future::Future;
+use std::convert::Infallible;
+use std::future::{Future, pending};
 use std::process::ExitCode;
 
 use clap::Command;
+use tokio::signal::unix::{SignalKind, signal};
 
 use super::settings_file::{PlatformSettings, read_settings};
-use crate::daemon::run_on_one_thread;
+use crate::daemon::{events, run_on_one_thread};
 use crate::errors::SwitchResult;
+use crate::events::log_event;
 
 /// The subcommand's name.
 pub(crate) const PLATFORM_COMMAND: &str = "platform";
@@ -29,10 +32,35 @@
     D: Future<Output = SwitchResult<()>>,
 {
     match read_settings() {
-        Ok(settings) => run_on_one_thread(name, daemon(settings)),
+        Ok(settings) => {
+            let daemon = daemon(settings);
+            run_on_one_thread(name, async {
+                tokio::select! {
+                    ended = daemon => ended,
+                    never = follow_settings() => match never {},
+                }
+            })
+        }
         Err(error) => {
             eprintln!("{name}: {error}");
             ExitCode::from(2)
         }
     }
 }
+
+/// Reads the settings file again at each SIGHUP, with which the platform tells that it has changed.
+/// What is bound at the start stays; a file that does not read is told and changes nothing.
+async fn follow_settings() -> Infallible {
+    match signal(SignalKind::hangup()) {
+        Ok(mut hangups) => {
+            while hangups.recv().await.is_some() {
+                match read_settings() {
+                    Ok(settings) => log_event!(events::SETTINGS_READ, "host={}", settings.host),
+                    Err(error) => log_event!(events::SETTINGS_UNREADABLE, "{error}"),
+                }
+            }
+        }
+        Err(fault) => log_event!(events::SIGNALS_UNHEARD, "SIGHUP: {fault}"),
+    }
+    pending().await
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -24,7 +24,7 @@
 pub(crate) use document_row::{DocumentRow, read_document, read_wanted_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 pub(crate) use request_head::{RequestHead, read_request_head};
-pub(crate) use settings_file::{PlatformSettings, TimeBounds, read_settings};
+pub(crate) use settings_file::{PlatformSettings, TimeBounds};
 pub(crate) use store_client::{StoreClient, StoreRow, TableName, TableView, WatchAnswer};
 pub(crate) use weights_origin::{ChunkDigests, OriginClient};
 
--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
 
 use super::chunk_routes::chunk_routes;
 use super::chunk_store::ChunkStore;
@@ -110,7 +109,6 @@
     tokio::select! {
         () = server.run(drain.clone()) => {}
         () = drain.finished() => {}
-        () = ignore_hangups() => {}
     }
     Ok(())
 }
@@ -124,12 +122,3 @@
 fn weights_rate(link_bytes_per_s: f64) -> u64 {
     (link_bytes_per_s * WEIGHTS_SHARE) as u64
 }
-
-/// The settings of this process do not change while it lives; without a handler the signal would
-/// end it.
-async fn ignore_hangups() {
-    if let Ok(mut hangups) = signal(SignalKind::hangup()) {
-        while hangups.recv().await.is_some() {}
-    }
-    std::future::pending::<()>().await;
-}
--- a/src/transport/accept.rs
+++ b/src/transport/accept.rs
@@ -9,7 +9,7 @@
 use volo::net::conn::{Conn, ConnInfo, ConnStream};
 use volo::net::incoming::{Incoming, MakeIncoming};
 
-use crate::daemon::events;
+use crate::daemon::{DrainState, events};
 use crate::events::log_event;
 
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
@@ -23,11 +23,20 @@
 #[derive(Debug)]
 pub(super) struct PacedIncoming {
     listener: TcpListener,
+    drain: DrainState,
 }
 
 impl PacedIncoming {
-    pub(super) const fn new(listener: TcpListener) -> Self {
-        Self { listener }
+    pub(super) const fn new(listener: TcpListener, drain: DrainState) -> Self {
+        Self { listener, drain }
+    }
+}
+
+impl Drop for PacedIncoming {
+    /// The library's loop over new connections has ended. If that was no stop, it has failed: the
+    /// process would live on and take no connection. It stops instead, and is started anew.
+    fn drop(&mut self) {
+        self.drain.begin();
     }
 }
 
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -53,6 +53,10 @@
     /// The library gives open connections at most 28 s after its shutdown hooks. A stream of
     /// several minutes would be cut, and its caller would see a broken answer at each planned
     /// stop. The hook therefore waits for the process's own count of requests under way.
+    ///
+    /// The library also calls its hooks after SIGHUP, with which a platform tells that a settings
+    /// file has changed: processes would end one after the other. It goes on accepting until the
+    /// hook returns, so the hook waits for a stop that this process itself has begun.
     pub(crate) async fn run(self, drain: DrainState) {
         let mut server = Server::new(self.router).http1_only();
         server
@@ -60,12 +64,20 @@
             .set_max_headers(HEADERS_MAX)
             .set_half_close(false);
         let hook_drain = drain.clone();
-        let outcome = server
-            .register_shutdown_hook(move || Box::pin(async move { hook_drain.drained().await }))
-            .run(PacedIncoming::new(self.listener))
-            .await;
-        if let Err(fault) = outcome {
-            log_event!(events::SERVER_FAILED, "{fault}");
+        let stop = async move {
+            hook_drain.begun().await;
+            hook_drain.drained().await;
+        };
+        let serving = server
+            .register_shutdown_hook(move || Box::pin(stop))
+            .run(PacedIncoming::new(self.listener, drain.clone()));
+        tokio::select! {
+            outcome = serving => {
+                if let Err(fault) = outcome {
+                    log_event!(events::SERVER_FAILED, "{fault}");
+                }
+            }
+            never = drain.follow_signals() => match never {},
         }
     }
 }
--- a/src/transport/tests.rs
+++ b/src/transport/tests.rs
@@ -6,14 +6,18 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use http::StatusCode;
+use nix::sys::signal::{Signal, raise};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
 use volo_http::body::Body;
+use volo_http::server::route::{Router, any};
 
 use super::{
-    ClientLimits, FrameReader, PeerClient, decode_message, encode_message, error_reply,
-    frame_channel, read_body,
+    ClientLimits, FrameReader, HttpServer, PeerClient, decode_message, encode_message, error_reply,
+    frame_channel, message_reply, read_body,
 };
+use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
 
 const LONG: Duration = Duration::from_secs(30);
@@ -171,3 +175,26 @@
         .await;
     assert_eq!(parts.len(), 1);
 }
+
+// Symptom: processes end one after the other when the platform changes their settings files, and
+// requests are refused meanwhile. Events: SIGHUP, the signal that says so. Cause: the server library
+// takes SIGHUP for an order to stop, as it does SIGTERM.
+#[tokio::test]
+async fn a_hangup_does_not_stop_the_server() {
+    let mut hangups = signal(SignalKind::hangup()).expect("a handler");
+    let drain = DrainState::new(Duration::ZERO, LONG);
+    let routes = Router::new().route("/", any(async || message_reply(&7_u32)));
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let server = HttpServer::bind(address, routes).await.expect("a port");
+    let peer = server.local_address().expect("an address");
+    let serving = tokio::spawn(server.run(drain.clone()));
+    let client = PeerClient::new(ClientLimits::default());
+    for round in 0..3 {
+        raise(Signal::SIGHUP).expect("a signal to this process");
+        hangups.recv().await;
+        let answered = client.call::<_, u32>(peer, "/", &round, LONG).await;
+        assert_eq!(answered.expect("it goes on serving"), 7);
+        assert!(!drain.is_draining(), "a hangup began the stop");
+    }
+    assert!(!serving.is_finished());
+}
