Write the log from a thread of its own, and bound it

Cause: each line was written by the thread that serves the requests, so that a reader of the log that stops reading held every request up; and a storm of failures wrote as many lines as it had failures.

Lines now go into a queue of 2,048 that is never waited for; a thread gathers those of 50 ms and writes them in one call. Informational lines are bounded to 500 a second and 1,000 at once; warnings and errors, of which none is written for each request, are not. What is left out is counted (savory_events{event="log_lines_left_out"}) and told in event 0109.

--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -13,6 +13,7 @@
 pub(crate) const SETTINGS_UNREADABLE: LogEvent =
     LogEvent::error(107, "the settings do not read; the earlier ones stay");
 pub(crate) const SIGNALS_UNHEARD: LogEvent = LogEvent::error(108, "signals cannot be followed");
+pub(crate) const LINES_LEFT_OUT: LogEvent = LogEvent::warn(109, "log lines were left out");
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -25,4 +26,5 @@
     SETTINGS_READ,
     SETTINGS_UNREADABLE,
     SIGNALS_UNHEARD,
+    LINES_LEFT_OUT,
 ];
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 
 mod drain;
 pub(crate) mod events;
+mod log_output;
 mod probes;
 mod process;
 #[cfg(test)]
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -1,24 +1,26 @@
 //! Starting a process: logs, threads, exit code.
 
 use std::future::Future;
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 use super::events;
+use super::log_output::start_log;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 
 /// Starts the logs; `RUST_LOG` sets what is shown, `info` by default.
 pub(crate) fn start_logs() {
-    start_logs_to(env_logger::Target::Stderr);
+    start_logs_to(io::stderr());
 }
 
-fn start_logs_to(target: env_logger::Target) {
+fn start_logs_to(output: impl Write + Send + 'static) {
     let environment = env_logger::Env::default().default_filter_or("info,volo=warn,volo_http=warn");
-    // A second start, as tests do it, keeps the first.
-    let _ = env_logger::Builder::from_env(environment)
-        .target(target)
-        .format_timestamp_millis()
-        .try_init();
+    let mut builder = env_logger::Builder::from_env(environment);
+    builder.format_timestamp_millis();
+    if let Err(fault) = start_log(builder, output) {
+        eprintln!("the log cannot be written: {fault}");
+    }
 }
 
 /// Runs `daemon` on `threads` traffic threads and turns its end into an exit code.
@@ -38,7 +40,7 @@
 where
     F: Future<Output = SwitchResult<()>>,
 {
-    start_logs_to(env_logger::Target::Stdout);
+    start_logs_to(io::stdout());
     run_on(tokio::runtime::Builder::new_current_thread(), name, daemon)
 }
 
@@ -54,7 +56,9 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(daemon) {
+    let ended = runtime.block_on(daemon);
+    log::logger().flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{name}: {error}");
