Take no request once a planned stop is over

Cause: the stop was over as soon as nothing was under way after 2.3 s, but requests were taken for 2.8 s. One that a client's kept connection brought between the two was passed on, and the process ended 0.1 s later. The stop now lingers for as long as requests are taken, and refuses them once it is over.

Ruled out: the library's own graceful end, which runs after the drain's.

Test: nothing_is_taken_once_the_stop_is_over, which failed first.

--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -121,6 +121,11 @@
         self.shared.finished.send_replace(true);
     }
 
+    /// Whether the stop is over: the process ends, and can finish nothing more.
+    pub(crate) fn is_finished(&self) -> bool {
+        *self.shared.finished.borrow()
+    }
+
     /// Returns when the stop is over, so that streams without an end of their own can end.
     pub(crate) async fn finished(&self) {
         let mut finished = self.shared.finished.subscribe();
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,7 +12,7 @@
 use volo_http::server::route::{Router, get};
 
 use super::events;
-use super::gateway_state::GatewayState;
+use super::gateway_state::{GatewayState, STOP_TAKES};
 use super::request_intake::answer_request;
 use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
@@ -23,9 +23,6 @@
 use crate::time::clock_now;
 use crate::transport::{HttpServer, bind_listener, decode_message};
 
-/// How long a stopping process goes on as before: the balancer asks once a second and takes a
-/// process out after two answers that are not 200.
-const STOP_LINGER: Duration = Duration::from_millis(2300);
 /// The part of the grace that is kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// Time for the last answers to leave the process.
@@ -95,10 +92,10 @@
     SocketAddr::new(ip, port)
 }
 
-/// The graceful stop within the platform's grace.
+/// The graceful stop within the platform's grace. It is not over while requests are still taken.
 fn drain_state(bounds: &TimeBounds) -> DrainState {
-    let longest = bounds.stop_within.saturating_sub(STOP_LINGER + STOP_MARGIN);
-    DrainState::new(STOP_LINGER.min(bounds.stop_within), longest)
+    let longest = bounds.stop_within.saturating_sub(STOP_TAKES + STOP_MARGIN);
+    DrainState::new(STOP_TAKES.min(bounds.stop_within), longest)
 }
 
 fn address_of(field: &str, address: Option<SocketAddr>) -> SwitchResult<SocketAddr> {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -19,7 +19,7 @@
 
 /// For how long a stopping process takes new requests: the balancer asks for its readiness once a
 /// second and stops sending after two refusals.
-const STOP_TAKES: Duration = Duration::from_millis(2800);
+pub(super) const STOP_TAKES: Duration = Duration::from_millis(2800);
 
 /// The shared state.
 pub(super) struct GatewayState {
@@ -81,10 +81,10 @@
     /// is not ready, and clients keep connections for longer. A stream that is taken late in the
     /// stop is cut when the process is killed at the end of its grace. One would notice streams that
     /// end together a few seconds after a planned stop. A refusal sends the client to another entry
-    /// host at once.
+    /// host at once. A stop that is over refuses as well: nobody waits for what would still be taken.
     pub(super) fn refuses_new(&self, now: ClockTime) -> bool {
         let begun = self.stop_begun.get();
-        begun.is_some_and(|begun| now.since(*begun) >= STOP_TAKES)
+        self.drain.is_finished() || begun.is_some_and(|begun| now.since(*begun) >= STOP_TAKES)
     }
 
     /// For how long after a version was named requests may begin on an older one.
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -90,3 +90,15 @@
     assert!(!gateway.refuses_new(begun + Duration::from_millis(2500)));
     assert!(gateway.refuses_new(begun + Duration::from_secs(3)));
 }
+
+/// Symptom: a stream was cut a tenth of a second after it had been taken, in a planned stop. The last
+/// request had just ended, so that the stop was over; a client's kept connection brought one more, which
+/// was passed on, and the process ended.
+#[tokio::test]
+async fn nothing_is_taken_once_the_stop_is_over() {
+    let gateway = gateway_on(SharedSnapshot::default(), BOUNDS);
+    let begun = ClockTime::from_millis(50_000);
+    gateway.begin_stop(begun);
+    gateway.drain.drained().await;
+    assert!(gateway.refuses_new(begun + Duration::from_millis(1)));
+}
