Take back what waits at older weights before their bound

Cause: an entry host sends to an engine with older weights only where a place seems free, but other entry hosts send there too, and engines that change leave their requests to the others. A stream that was resumed 7.03 s after a version was named waited at its engine for 1.03 s and began 58 ms behind the bound. The time for which the head of an answer is waited for now ends 0.25 s before the bound; an engine drops what waits when its connection closes, and the request goes on elsewhere.

Test: a_request_that_waits_at_older_weights_is_taken_back_before_their_bound, seen to fail with the limit taken out.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 use super::reply::unknown_end;
 use super::request_job::RequestJob;
 use super::request_log::{log_client_gone, log_end, log_send_failed};
-use super::send_attempt::{OpenAnswer, SendFailure, send_attempt};
+use super::send_attempt::{HeadWait, OpenAnswer, SendFailure, send_attempt};
 use super::stream_relay::{StreamRelay, put_away};
 use crate::daemon::LiveGuard;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
@@ -143,8 +143,22 @@
             .come_back_in(COME_BACK_LEAST + spread)
     }
 
-    /// How long the head of the next answer may take.
-    fn head_within(&self, now: ClockTime) -> Duration {
+    /// How long the head of the next answer may take, if the request is taken back at `taken_back`.
+    pub(super) fn head_wait(&self, taken_back: Option<ClockTime>, now: ClockTime) -> HeadWait {
+        let patience = HeadWait {
+            within: self.patience(now),
+            silence: CallEnd::Failed,
+        };
+        match taken_back.map(|at| at.since(now)) {
+            Some(within) if within < patience.within => HeadWait {
+                within,
+                silence: CallEnd::Nothing,
+            },
+            _ => patience,
+        }
+    }
+
+    fn patience(&self, now: ClockTime) -> Duration {
         let left = self.job.time_left(now);
         let can_repeat = self.job.repeat().is_repeatable()
             && self.arrivals + 1 < self.job.routed.rule.attempts_max;
@@ -178,8 +192,13 @@
         let job = forwarder.job.clone();
         forwarder.tried.push(ticket.key);
         let backend = ticket.facts.id.clone();
-        let head_within = forwarder.head_within(clock_now());
-        let sent = send_attempt(&gateway, &job, ticket, (&need, last_event), head_within);
+        let taken_back = job.taken_back_at(
+            &gateway.snapshot(),
+            ticket.version,
+            gateway.take_back_after(),
+        );
+        let wait = forwarder.head_wait(taken_back, clock_now());
+        let sent = send_attempt(&gateway, &job, ticket, (&need, last_event), wait);
         match sent.await {
             Ok(answer) => {
                 forwarder.arrivals += 1;
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -17,6 +17,10 @@
 /// was sent to an engine with a free place to begin.
 const VERSION_MARGIN: Duration = Duration::from_millis(800);
 
+/// How much earlier than the bound a request that has not begun on older weights is taken back: time
+/// for the close to reach the backend server, 1 to 6 ms away, over a link that carries weights.
+const TAKE_BACK_MARGIN: Duration = Duration::from_millis(250);
+
 /// For how long a stopping process takes new requests: the balancer asks for its readiness once a
 /// second and stops sending after two refusals.
 pub(super) const STOP_TAKES: Duration = Duration::from_millis(2800);
@@ -92,6 +96,11 @@
         self.bounds.weights_within.saturating_sub(VERSION_MARGIN)
     }
 
+    /// How long after a version was named a request that waits at an older one is taken back.
+    pub(super) fn take_back_after(&self) -> Duration {
+        self.bounds.weights_within.saturating_sub(TAKE_BACK_MARGIN)
+    }
+
     /// The process beside a backend server told its state.
     pub(super) fn note_report(&self, report: LoadReport, now: ClockTime) {
         self.desk.lock().note_report(report, now);
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -9,7 +9,7 @@
 
 use crate::catalog::{RepeatRule, RouteRule, ServiceCatalog};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
-use crate::fleet::VersionNeed;
+use crate::fleet::{VersionNeed, WeightsVersion};
 use crate::platform::{PRIORITY_MAX, RequestHead};
 use crate::routing::name_hash;
 use crate::sync::ControlSnapshot;
@@ -95,6 +95,23 @@
             least_to_wait: snapshot.least_version(model, wait_for, now),
         }
     }
+
+    /// When it is taken back from a backend server that holds version `held` and has not begun it by
+    /// then, `bound` after a newer version was named.
+    ///
+    /// A request is sent where a place seems free, but other entry hosts send there too, and engines
+    /// that change their weights leave theirs to the others: it can wait at the engine until its
+    /// version may no longer answer. One would notice answers of older weights behind their bound.
+    /// An engine drops what waits when its connection closes.
+    pub(super) fn taken_back_at(
+        &self,
+        snapshot: &ControlSnapshot,
+        held: Option<WeightsVersion>,
+        bound: Duration,
+    ) -> Option<ClockTime> {
+        let model = self.head.model.as_ref()?;
+        held.and_then(|held| snapshot.held_until(model, Some(held), bound))
+    }
 }
 
 /// Finds the route and the client account of a request.
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -31,6 +31,14 @@
     pub(super) body: Incoming,
 }
 
+/// How long a send waits for the head of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct HeadWait {
+    pub(super) within: Duration,
+    /// What it says of the backend server when none comes.
+    pub(super) silence: CallEnd,
+}
+
 /// What is known after a send that brought no answer.
 #[derive(Debug)]
 pub(super) struct SendFailure {
@@ -62,14 +70,14 @@
     }
 }
 
-/// Sends `job` to the backend server of `ticket` and waits up to `head_within` for the answer's
-/// head.
+/// Sends `job` to the backend server of `ticket` and waits for the answer's head as long as `wait`
+/// says.
 pub(super) async fn send_attempt(
     gateway: &Arc<GatewayState>,
     job: &RequestJob,
     ticket: BackendTicket,
     (need, last_event): (&VersionNeed, Option<u64>),
-    head_within: Duration,
+    wait: HeadWait,
 ) -> Result<OpenAnswer, SendFailure> {
     let mut connection = match connect(gateway, job, &ticket).await {
         Ok(connection) => connection,
@@ -85,7 +93,7 @@
             return Err(SendFailure::not_sent(fault.to_string()));
         }
     };
-    let sent = timeout(head_within, connection.send(request)).await;
+    let sent = timeout(wait.within, connection.send(request)).await;
     let (parts, body) = match sent {
         Ok(Ok(answer)) => answer.into_parts(),
         Ok(Err(SendFault::NotSent(detail))) => {
@@ -99,8 +107,8 @@
         }
         Err(_) => {
             gateway.shelf.drop_all(ticket.key);
-            ticket.end(CallEnd::Failed, clock_now());
-            let detail = format!("no head within {head_within:?}");
+            ticket.end(wait.silence, clock_now());
+            let detail = format!("no head within {:?}", wait.within);
             return Err(SendFailure::unknown(ErrorKind::PeerSilent, detail));
         }
     };
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -246,7 +246,7 @@
 /// A test ends when nothing came for so long; longer than any answer of a fake takes.
 const QUIET_SPAN: Duration = Duration::from_millis(1500);
 
-fn catalog() -> ServiceCatalog {
+pub(super) fn catalog() -> ServiceCatalog {
     let kinds = [
         ("safe", RepeatRule::Idempotent),
         ("once", RepeatRule::AtMostOnce),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,15 +2,23 @@
 mod intake;
 mod sends;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+
+use self::fake_backend::catalog;
 use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
+use crate::fleet::{CallEnd, ModelVersion, NamingCertainty, WantedWeights, WeightsVersion};
 use crate::gateway::event_reader::EventReader;
+use crate::gateway::forward::Forwarder;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::reply::{refusal_reply, status_of};
-use crate::platform::TimeBounds;
-use crate::sync::SharedSnapshot;
+use crate::gateway::request_job::{RequestJob, route_request};
+use crate::platform::{RequestHead, TimeBounds};
+use crate::sync::{ControlSnapshot, SharedSnapshot};
 use crate::time::ClockTime;
 
 fn taken(reader: &mut EventReader) -> Vec<(Option<u64>, String)> {
@@ -91,6 +99,70 @@
     assert!(gateway.refuses_new(begun + Duration::from_secs(3)));
 }
 
+/// A request on the route of `kind` that came at `arrived`.
+fn job_of(kind: &str, arrived: ClockTime) -> RequestJob {
+    let head = RequestHead {
+        attempt: Some("a1".into()),
+        deadline: None,
+        secret: Some("secret".into()),
+        model: Some("m".into()),
+        prompt_tokens: 1000,
+        output_tokens_max: 100,
+        output_tokens_guess: None,
+        last_event: None,
+    };
+    let path = format!("/{kind}/x");
+    let routed = route_request(&catalog(), &head, "desk.example", &path).expect("a route");
+    RequestJob {
+        head,
+        routed,
+        method: Method::POST,
+        uri: path.parse().expect("a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        arrived,
+        deadline: arrived + Duration::from_secs(6),
+    }
+}
+
+/// Symptom: an answer began on the first version of weights 58 ms after its bound. An engine was cut
+/// off and its streams were resumed on one that still held the first version and seemed to have a
+/// place; others had come there too, and the stream waited at the engine for a second.
+#[test]
+fn a_request_that_waits_at_older_weights_is_taken_back_before_their_bound() {
+    let named_at = ClockTime::from_millis(50_000);
+    let target = ModelVersion {
+        model: "m".into(),
+        version: WeightsVersion(2),
+    };
+    let snapshot = ControlSnapshot {
+        wanted: Arc::new(vec![WantedWeights {
+            target,
+            named_at,
+            certainty: NamingCertainty::Witnessed,
+        }]),
+        ..ControlSnapshot::default()
+    };
+    let now = named_at + Duration::from_millis(7000);
+    let gateway = Arc::new(gateway_on(SharedSnapshot::default(), BOUNDS));
+    let forwarder = Forwarder::new(gateway.clone(), job_of("resumed", now));
+    let wait_at = |held: u64| {
+        let held = Some(WeightsVersion(held));
+        let after = gateway.take_back_after();
+        let taken_back = forwarder.job.taken_back_at(&snapshot, held, after);
+        forwarder.head_wait(taken_back, now)
+    };
+    let bound = (named_at + BOUNDS.weights_within).since(now);
+    assert!(wait_at(1).within < bound, "it is back before the bound");
+    assert_eq!(
+        wait_at(1).silence,
+        CallEnd::Nothing,
+        "the engine did nothing wrong"
+    );
+    assert!(wait_at(2).within > bound);
+    assert_eq!(wait_at(2).silence, CallEnd::Failed);
+}
+
 /// Symptom: a stream was cut a tenth of a second after it had been taken, in a planned stop. The last
 /// request had just ended, so that the stop was over; a client's kept connection brought one more, which
 /// was passed on, and the process ended.
--- a/src/sync/snapshot.rs
+++ b/src/sync/snapshot.rs
@@ -45,6 +45,21 @@
         };
         named.find(is_due).map(|wanted| wanted.target.version)
     }
+
+    /// Until when requests may begin on version `held` of `model`, if a newer one must have replaced
+    /// it `bound` after it was named; none while nothing newer was named.
+    pub(crate) fn held_until(
+        &self,
+        model: &str,
+        held: Option<WeightsVersion>,
+        bound: Duration,
+    ) -> Option<ClockTime> {
+        let newer = self
+            .wanted
+            .iter()
+            .filter(|wanted| *wanted.target.model == *model && Some(wanted.target.version) > held);
+        newer.map(|wanted| wanted.named_at + bound).min()
+    }
 }
 
 /// Where the newest snapshot stands. Clones share it.
--- a/src/sync/tests.rs
+++ b/src/sync/tests.rs
@@ -98,6 +98,10 @@
     assert_eq!(least(7), None);
     assert_eq!(least(9), Some(WeightsVersion(2)));
     assert_eq!(least(12), Some(WeightsVersion(3)));
+    let until = |held: u64| snapshot.held_until("m", Some(WeightsVersion(held)), GRACE);
+    assert_eq!(until(1), Some(START + GRACE), "the second ends the first");
+    assert_eq!(until(2), Some(START + Duration::from_secs(12)));
+    assert_eq!(until(3), None);
     let newest = snapshot
         .newest_version("m")
         .map(|wanted| wanted.target.version);
