--- a/src/control/peer_routes.rs
+++ b/src/control/peer_routes.rs
@@ -133,7 +133,7 @@
 
 /// Whether more than load and progress changed.
 fn is_urgent(sent: &HostStatus, newest: &HostStatus) -> bool {
-    sent.leaving != newest.leaving || sent.serving != newest.serving || sent.slots != newest.slots
+    sent.leaving != newest.leaving || sent.serving != newest.serving
 }
 
 async fn send_paced(
--- a/src/daemon/log_output.rs
+++ b/src/daemon/log_output.rs
@@ -4,7 +4,7 @@
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, TryRecvError, TrySendError, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -164,10 +164,7 @@
                     LogItem::Line(line) => bytes.extend_from_slice(&line),
                     LogItem::Finish(done) => finished.push(done),
                 }
-                next = match self.items.try_recv() {
-                    Ok(item) => Some(item),
-                    Err(TryRecvError::Empty | TryRecvError::Disconnected) => None,
-                };
+                next = self.items.try_recv().ok();
             }
             // There is nowhere to tell that the log itself cannot be written.
             let _ = output.write_all(&bytes).and_then(|()| output.flush());
--- a/src/delivery/answer_check.rs
+++ b/src/delivery/answer_check.rs
@@ -27,8 +27,6 @@
     Whole {
         /// Why a model ended.
         reason: ByteString,
-        /// Whether it is the kept answer of an earlier run.
-        replayed: bool,
         /// How busy the host is.
         load: LoadReport,
     },
@@ -94,16 +92,11 @@
             RunPart::End {
                 digest,
                 reason,
-                replayed,
                 load,
             } => {
                 self.check_digest(digest)?;
                 self.ended = true;
-                Ok(CheckedPart::Whole {
-                    reason,
-                    replayed,
-                    load,
-                })
+                Ok(CheckedPart::Whole { reason, load })
             }
             RunPart::Broken { kind, detail } => {
                 self.ended = true;
--- a/src/delivery/attempt_plan.rs
+++ b/src/delivery/attempt_plan.rs
@@ -22,8 +22,6 @@
 pub(crate) struct PlanTraits {
     /// Whether it may run again when it is not known whether it ran.
     pub(crate) repeatable: bool,
-    /// Whether a key names it, so that its host replays the first run's answer.
-    pub(crate) keyed: bool,
     /// Attempts at most.
     pub(crate) attempts_max: u32,
     /// When the first byte of the answer is too late.
@@ -32,24 +30,13 @@
     pub(crate) stream_end: ClockTime,
 }
 
-/// Where a retry goes.
-#[apply(key!)]
-pub(crate) enum RetryPlace {
-    /// To another host, if there is one.
-    Elsewhere,
-    /// To the same process on the same host, which keeps the first run's answer.
-    SameHost,
-}
-
 /// What to do after a failed attempt.
 #[apply(plain!)]
 pub(crate) enum NextStep {
-    /// Wait, then try again, if the budgets allow it.
+    /// Wait, then try again at another host, if there is one and the budgets allow it.
     Retry {
         /// How long to wait.
         wait: Duration,
-        /// Where to.
-        place: RetryPlace,
     },
     /// Ask the host, on a fresh connection, what became of the attempt.
     Settle,
@@ -90,11 +77,11 @@
     ///
     /// # Panics
     ///
-    /// When an unrepeatable call without a key would be sent although an earlier attempt may have
-    /// run: it would run twice.
+    /// When an unrepeatable call would be sent although an earlier attempt may have run: it would run
+    /// twice.
     pub(crate) fn begin_attempt(&mut self) {
         assert!(
-            self.traits.repeatable || self.traits.keyed || !(self.may_have_run || self.in_doubt),
+            self.traits.repeatable || !(self.may_have_run || self.in_doubt),
             "an unrepeatable call was about to be sent twice"
         );
         self.may_have_run |= self.in_doubt;
@@ -186,7 +173,7 @@
         if self.in_doubt && !self.traits.repeatable {
             return self.settle_or_give_up(error);
         }
-        self.retry_or_give_up(error, RetryPlace::Elsewhere, now, jitter)
+        self.retry_or_give_up(error, now, jitter)
     }
 
     /// Decides after the host's word about an attempt that ended with `error`. `None`: the host
@@ -202,10 +189,7 @@
             Some(SettleReply::NotRun) => {
                 self.in_doubt = false;
                 let error = error.with_outcome(RunOutcome::NotRun);
-                self.retry_or_give_up(error, RetryPlace::Elsewhere, now, jitter)
-            }
-            Some(SettleReply::Running | SettleReply::Ran) if self.traits.keyed => {
-                self.retry_or_give_up(error, RetryPlace::SameHost, now, jitter)
+                self.retry_or_give_up(error, now, jitter)
             }
             Some(SettleReply::Running | SettleReply::Ran | SettleReply::NotKnown) | None => {
                 self.give_up(error)
@@ -231,28 +215,21 @@
         }
     }
 
-    fn retry_or_give_up(
-        &self,
-        error: SwitchError,
-        place: RetryPlace,
-        now: ClockTime,
-        jitter: u32,
-    ) -> NextStep {
-        let can_go_on = (!self.passed_on || self.can_resume(&error)) && self.may_go_to(place);
+    fn retry_or_give_up(&self, error: SwitchError, now: ClockTime, jitter: u32) -> NextStep {
+        let can_go_on = (!self.passed_on || self.can_resume(&error)) && self.may_run_again();
         let wait = retry_wait(self.attempts, jitter, error.retry_after);
         let in_time = now + wait < self.limit();
         if can_go_on && in_time && self.attempts < self.traits.attempts_max {
-            NextStep::Retry { wait, place }
+            NextStep::Retry { wait }
         } else {
             self.give_up(error)
         }
     }
 
-    /// An unrepeatable call that may have run goes only to the process that knows what it ran: any
-    /// other could run it again.
-    const fn may_go_to(&self, place: RetryPlace) -> bool {
+    /// An unrepeatable call that may have run goes to nobody else, who could run it again.
+    const fn may_run_again(&self) -> bool {
         let may_have_run = self.may_have_run || self.in_doubt;
-        self.traits.repeatable || !may_have_run || matches!(place, RetryPlace::SameHost)
+        self.traits.repeatable || !may_have_run
     }
 
     /// A model's answer goes on behind the tokens that the caller has, on the version that made
@@ -290,8 +267,6 @@
             | Kind::BackendBusy
             | Kind::WeightsNotReady
             | Kind::VersionMismatch
-            | Kind::NotSlotHolder
-            | Kind::LeaseLapsed
             | Kind::ConnectFailed
             | Kind::EngineRefused
             | Kind::OrderStale
--- a/src/delivery/messages.rs
+++ b/src/delivery/messages.rs
@@ -8,7 +8,7 @@
 use uuid::Uuid;
 
 use crate::derives::{key, message};
-use crate::documents::{OutageRule, RequestPriority};
+use crate::documents::RequestPriority;
 use crate::errors::{ErrorKind, RunOutcome};
 use crate::membership::{LoadReport, ServingVersion};
 use crate::weights::WeightsDigest;
@@ -55,29 +55,10 @@
     pub(crate) deadline_ms: u64,
     /// Whether it may run again when it is not known whether it ran.
     pub(crate) repeatable: bool,
-    /// The key that names an unrepeatable call, if the caller gave one.
-    pub(crate) call_key: Option<CallKey>,
     /// What is to be done.
     pub(crate) call: RunCall,
 }
 
-/// The idempotency key of an unrepeatable call.
-#[apply(message!)]
-#[derive(Eq)]
-pub(crate) struct CallKey {
-    /// The key, within service and account.
-    pub(crate) key: ByteString,
-    /// Calls with the same order key run on one host, in the order in which they came; the key
-    /// itself when the caller gave none.
-    pub(crate) order_key: ByteString,
-    /// When the caller made the key, in wall-clock milliseconds, if it says so.
-    pub(crate) made_ms: Option<u64>,
-    /// The digest of the request, to tell a repeated call from a reused key.
-    pub(crate) fingerprint: [u8; 16],
-    /// What to do while the table is away.
-    pub(crate) in_outage: OutageRule,
-}
-
 /// What is to be done.
 #[apply(message!)]
 pub(crate) enum RunCall {
@@ -152,8 +133,6 @@
         digest: AnswerDigest,
         /// Why a model ended.
         reason: ByteString,
-        /// Whether this is the kept answer of an earlier run of the same key.
-        replayed: bool,
         /// How busy the host is now.
         load: LoadReport,
     },
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -16,11 +16,11 @@
 mod tests;
 
 pub(crate) use answer_check::{AnswerCheck, CheckedPart};
-pub(crate) use attempt_plan::{AttemptPlan, NextStep, PlanTraits, RetryPlace};
+pub(crate) use attempt_plan::{AttemptPlan, NextStep, PlanTraits};
 pub(crate) use host_call::HostCaller;
 pub(crate) use messages::{
-    AnswerDigest, AnswerHead, AttemptId, CallKey, RunCall, RunFrame, RunOrder, RunPart,
-    SettleOrder, SettleReply,
+    AnswerDigest, AnswerHead, AttemptId, RunCall, RunFrame, RunOrder, RunPart, SettleOrder,
+    SettleReply,
 };
 pub(crate) use request_job::{CALLER_PARTS, CallerPart, RequestJob};
 pub(crate) use request_run::RequestRun;
--- a/src/delivery/order_book.rs
+++ b/src/delivery/order_book.rs
@@ -11,13 +11,12 @@
     number: u64,
 }
 
-/// The calls that no host has taken yet, by order key and arrival.
+/// The calls that have not ended yet, by order key and arrival.
 ///
 /// A wake-up call and its cancel come one after the other, and may be of different priority. Sent
 /// out on two connections at once, or past each other in the queue, the cancel can arrive first: it
 /// cancels nothing, then the wake-up runs. One would notice guests woken who had cancelled. A call
-/// therefore goes only when every earlier one with its order key has been taken by its host, which
-/// runs them in the order in which it took them.
+/// therefore goes only when every earlier one with its order key has ended here.
 #[derive(Debug, Default)]
 pub(super) struct OrderBook {
     /// Sorted.
@@ -39,14 +38,14 @@
         turn
     }
 
-    /// Whether every earlier call with the same order key has been taken.
+    /// Whether every earlier call with the same order key has ended.
     pub(super) fn may_go(&self, turn: OrderTurn) -> bool {
         match self.turns.binary_search(&turn) {
             Ok(place) | Err(place) => place == 0 || self.turns[place - 1].order != turn.order,
         }
     }
 
-    /// A host has taken the call, or it has ended. Returns whether it was still in the book.
+    /// The call has ended. Returns whether it was still in the book.
     pub(super) fn leave(&mut self, turn: OrderTurn) -> bool {
         let found = self.turns.binary_search(&turn);
         if let Ok(place) = found {
--- a/src/delivery/request_job.rs
+++ b/src/delivery/request_job.rs
@@ -7,14 +7,13 @@
 use macro_rules_attribute::apply;
 use tokio::sync::mpsc;
 
-use super::messages::{AnswerHead, CallKey, RunCall};
+use super::messages::{AnswerHead, RunCall};
 use crate::control::ServiceRecord;
 use crate::derives::plain;
 use crate::documents::RequestPriority;
 use crate::errors::SwitchError;
-use crate::guard::slot_of;
 use crate::membership::ServingVersion;
-use crate::routing::{PickTarget, name_hash};
+use crate::routing::name_hash;
 use crate::time::ClockTime;
 
 /// Bytes of a prompt that name its beginning.
@@ -42,8 +41,6 @@
     pub(crate) stream_end: ClockTime,
     /// Whether it may run again when it is not known whether it ran.
     pub(crate) repeatable: bool,
-    /// The key that names it, if it is unrepeatable and the caller gave one.
-    pub(crate) call_key: Option<CallKey>,
     /// What is to be done.
     pub(crate) call: RunCall,
 }
@@ -69,17 +66,6 @@
             _ => None,
         }
     }
-
-    /// Where its first attempt may go.
-    pub(super) fn first_target(&self) -> PickTarget {
-        match &self.call_key {
-            Some(key) => {
-                let service = &self.service.document.service;
-                PickTarget::Slot(slot_of(service, &self.account, &key.order_key))
-            }
-            None => PickTarget::Any,
-        }
-    }
 }
 
 /// One part of what a caller gets.
@@ -97,8 +83,6 @@
     Whole {
         /// Why a model ended.
         reason: ByteString,
-        /// Whether it is the kept answer of an earlier run.
-        replayed: bool,
     },
     /// The answer is not whole and will not be.
     Failed(SwitchError),
--- a/src/delivery/request_run.rs
+++ b/src/delivery/request_run.rs
@@ -3,7 +3,7 @@
 use tokio::time::sleep;
 
 use super::answer_check::CheckedPart;
-use super::attempt_plan::{AttemptPlan, NextStep, PlanTraits, RetryPlace};
+use super::attempt_plan::{AttemptPlan, NextStep, PlanTraits};
 use super::events;
 use super::host_call::{HostCaller, RunStream};
 use super::messages::{AttemptId, RunCall, RunOrder, SettleOrder};
@@ -26,7 +26,6 @@
     hosts: HostCaller,
     sink: CallerSink,
     plan: AttemptPlan,
-    target: PickTarget,
     avoid: Option<BackendKey>,
     /// Whether the newest attempt has been started by its host.
     has_started: bool,
@@ -55,19 +54,16 @@
     ) -> Self {
         let traits = PlanTraits {
             repeatable: job.repeatable,
-            keyed: job.call_key.is_some(),
             attempts_max: job.service.document.retry.attempts_max,
             deadline: job.deadline,
             stream_end: job.stream_end,
         };
-        let target = job.first_target();
         Self {
             job,
             pass,
             hosts,
             sink,
             plan: AttemptPlan::new(traits),
-            target,
             avoid: None,
             has_started: false,
             serving: None,
@@ -128,7 +124,7 @@
     fn pick_wish(&self) -> PickWish {
         let target = match self.plan.resume_version() {
             Some(version) => PickTarget::Version(version),
-            None => self.target,
+            None => PickTarget::Any,
         };
         PickWish {
             target,
@@ -150,7 +146,6 @@
             priority: job.priority,
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             repeatable: job.repeatable,
-            call_key: job.call_key.clone(),
             call: self.call_now(),
         }
     }
@@ -197,7 +192,6 @@
     /// Passes an attempt's answer on to the caller. Returning drops the stream: when the caller has
     /// left or the time is over, the host learns of it by that.
     async fn pass_on(&mut self, mut stream: RunStream) -> SwitchResult<LoadReport> {
-        let mut taken = false;
         let first_limit = self.plan.attempt_limit(clock_now());
         loop {
             let has_part = self.plan.has_passed_on();
@@ -212,10 +206,6 @@
                 () = self.sink.closed() => return Err(caller_gone()),
                 () = sleep(left) => return Err(self.too_late(limit)),
             };
-            if !taken {
-                taken = true;
-                self.pass.note_taken(clock_now());
-            }
             if let Some(load) = self.take_part(part).await? {
                 return Ok(load);
             }
@@ -238,13 +228,9 @@
                 self.send(CallerPart::Token(text)).await?;
             }
             CheckedPart::Body(bytes) => self.send(CallerPart::Body(bytes.into())).await?,
-            CheckedPart::Whole {
-                reason,
-                replayed,
-                load,
-            } => {
+            CheckedPart::Whole { reason, load } => {
                 self.tell_start().await?;
-                self.send(CallerPart::Whole { reason, replayed }).await?;
+                self.send(CallerPart::Whole { reason }).await?;
                 return Ok(Some(load));
             }
         }
@@ -295,8 +281,8 @@
             NextStep::Settle => self.settle(error, order, picked).await,
             step => step,
         };
-        let (wait, place) = match step {
-            NextStep::Retry { wait, place } => (wait, place),
+        let wait = match step {
+            NextStep::Retry { wait } => wait,
             NextStep::GiveUp(error) => return Some(error),
             NextStep::Settle => return Some(self.plan.conclude(settled_twice())),
         };
@@ -311,10 +297,7 @@
             return Some(self.plan.conclude(error));
         }
         metrics::count_retry(reason);
-        match place {
-            RetryPlace::Elsewhere => self.avoid = Some(picked.key),
-            RetryPlace::SameHost => self.target = PickTarget::Same(picked.key, picked.incarnation),
-        }
+        self.avoid = Some(picked.key);
         sleep(wait).await;
         None
     }
--- a/src/delivery/service_desk.rs
+++ b/src/delivery/service_desk.rs
@@ -18,7 +18,7 @@
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::membership::HostIdentity;
 use crate::metrics;
-use crate::routing::{BackendPool, NoPick, PickTarget, PickWish, PickedBackend, entry_count};
+use crate::routing::{BackendPool, NoPick, PickWish, PickedBackend, entry_count};
 use crate::time::{ClockTime, clock_now};
 
 /// How long a request waits while no backend server could take it at all. One that restarts or
@@ -245,8 +245,7 @@
     ///
     /// # Errors
     ///
-    /// `QueueFull` and `DeadlineUnreachable` at once; later `DeadlineUnreachable`, `NoBackend` or
-    /// `NotSlotHolder`.
+    /// `QueueFull` and `DeadlineUnreachable` at once; later `DeadlineUnreachable` or `NoBackend`.
     pub(crate) async fn place(&self, wish: &PlaceWish) -> SwitchResult<PlacedAttempt> {
         let now = clock_now();
         let (sender, mut receiver) = oneshot::channel();
@@ -264,7 +263,7 @@
             return placed.map_err(|_| lost_waiter());
         }
         match guard.give_up() {
-            Some(obstacle) => Err(refusal(wish, obstacle)),
+            Some(obstacle) => Err(refusal(obstacle)),
             // It was placed in this very moment.
             None => receiver.await.map_err(|_| lost_waiter()),
         }
@@ -276,17 +275,6 @@
         state.admission.spend_retry(self.account, cause)
     }
 
-    /// A host has taken the call: the next one with its order key may go.
-    pub(crate) fn note_taken(&self, now: ClockTime) {
-        let Some(turn) = self.turn else {
-            return;
-        };
-        let was_first = self.desk.lock().orders.leave(turn);
-        if was_first {
-            self.desk.dispatch(now);
-        }
-    }
-
     fn begin_waiting(
         &self,
         wish: &PlaceWish,
@@ -341,17 +329,13 @@
     }
 }
 
-fn refusal(wish: &PlaceWish, obstacle: NoPick) -> SwitchError {
-    match (obstacle, wish.pick.target) {
-        (NoPick::Nobody, PickTarget::Slot(_)) => {
-            let detail = "no backend server holds the lease for this key";
-            SwitchError::new(ErrorKind::NotSlotHolder, detail)
-        }
-        (NoPick::Nobody, _) => {
+fn refusal(obstacle: NoPick) -> SwitchError {
+    match obstacle {
+        NoPick::Nobody => {
             let detail = "no backend server can take it";
             SwitchError::new(ErrorKind::NoBackend, detail)
         }
-        (NoPick::Full, _) => {
+        NoPick::Full => {
             let detail = "no backend server had room in time";
             SwitchError::new(ErrorKind::DeadlineUnreachable, detail)
         }
--- a/src/documents/schema.rs
+++ b/src/documents/schema.rs
@@ -230,20 +230,21 @@
     pub path_prefix: ByteString,
     /// Whether the call may be run again when it is not known whether it ran.
     pub repeatable: bool,
-    /// What to do with unrepeatable calls while the table is away.
+    /// Has no effect any more: no call needs the table, so that calls run while it is away. Documents
+    /// that name it stay valid.
     #[serde(default)]
     pub in_outage: OutageRule,
 }
 
-/// What to do with unrepeatable keyed calls while the table is away.
+/// What used to be done with unrepeatable calls while the table was away.
 #[apply(key!)]
 #[derive(Default, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum OutageRule {
-    /// Refuse them: a claim is written before each.
+    /// They were refused.
     #[default]
     Refuse,
-    /// Run those whose key was made just now on the host that holds the lease for the key.
+    /// Those whose key had just been made were run.
     Lease,
 }
 
--- a/src/engines/plain_edge.rs
+++ b/src/engines/plain_edge.rs
@@ -8,7 +8,7 @@
 use bytestring::ByteString;
 use futures::future::BoxFuture;
 use futures::{FutureExt, StreamExt};
-use http::header::{CONNECTION, HeaderName, HeaderValue};
+use http::header::{CONNECTION, HeaderValue};
 use http_body_util::BodyExt;
 use macro_rules_attribute::apply;
 use volo_http::body::Body;
@@ -19,10 +19,6 @@
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::transport::PeerClient;
 
-/// The header that carries the fencing number of the lease under which a call runs, for services
-/// that check it.
-const FENCE_HEADER: HeaderName = HeaderName::from_static("savory-fence");
-
 /// A call to a plain service.
 #[apply(plain!)]
 pub(crate) struct PlainCall {
@@ -34,8 +30,6 @@
     pub(crate) headers: Vec<(ByteString, Bytes)>,
     /// The whole body.
     pub(crate) body: Bytes,
-    /// The fencing number of the lease under which it runs, for calls that have one.
-    pub(crate) fence: Option<u64>,
     /// How long the service may take to begin its answer.
     pub(crate) head_within: Duration,
 }
@@ -97,9 +91,6 @@
     for (name, value) in &call.headers {
         builder = builder.header(&**name, value.as_ref());
     }
-    if let Some(fence) = call.fence {
-        builder = builder.header(FENCE_HEADER, fence);
-    }
     builder
         .header(CONNECTION, HeaderValue::from_static("close"))
         .body(Body::from(call.body))
--- a/src/entry/caller_head.rs
+++ b/src/entry/caller_head.rs
@@ -15,7 +15,6 @@
 const DEADLINE: &str = "savory-deadline-ms";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 const ORDER_KEY: &str = "savory-order-key";
-const KEY_TIME: &str = "savory-key-time-ms";
 const ATTEMPT: &str = "savory-attempt";
 /// Names the request in its answer.
 pub(super) const REQUEST_ID: &str = "savory-request-id";
@@ -31,9 +30,8 @@
     pub(super) secret: ByteString,
     pub(super) priority: RequestPriority,
     pub(super) deadline_ms: Option<u64>,
-    pub(super) key: Option<ByteString>,
+    /// Calls with the same order key go one after the other.
     pub(super) order_key: Option<ByteString>,
-    pub(super) key_time_ms: Option<u64>,
 }
 
 impl CallerHead {
@@ -48,17 +46,13 @@
         for (name, value) in [(IDEMPOTENCY_KEY, &key), (ORDER_KEY, &order_key)] {
             check_key(name, value.as_deref())?;
         }
-        let given_time = number_of(headers, KEY_TIME)?;
-        let key_time_ms = given_time.or_else(|| time_in_key(key.as_deref()));
         number_of(headers, ATTEMPT)?;
         Ok(Self {
             account: text_of(headers, ACCOUNT)?.ok_or_else(|| missing(ACCOUNT))?,
             secret: secret_of(headers)?,
             priority: priority_of(headers)?,
             deadline_ms: number_of(headers, DEADLINE)?,
-            key,
             order_key,
-            key_time_ms,
         })
     }
 }
@@ -75,13 +69,11 @@
 ///
 /// A caller that sends a keyed call again may have had it run the first time. "Not run" would then
 /// be false, although this time nothing ran; the caller would make a new key, and a guest would be
-/// woken twice. Without the word that this is the first time, only who has read the key's record
-/// may say so.
+/// woken twice. It is said only with the word that this is the first time.
 pub(super) fn as_told(error: SwitchError, headers: &HeaderMap) -> SwitchError {
     let is_keyed = headers.contains_key(IDEMPOTENCY_KEY);
     let is_first = number_of(headers, ATTEMPT).ok().flatten() == Some(1);
-    let has_read_record = error.kind == ErrorKind::KeyReused;
-    if is_keyed && !is_first && !has_read_record && error.run_outcome() == RunOutcome::NotRun {
+    if is_keyed && !is_first && error.run_outcome() == RunOutcome::NotRun {
         return error.with_outcome(RunOutcome::NotKnown);
     }
     error
@@ -143,16 +135,6 @@
     (1..=KEY_LENGTH_MAX).contains(&text.len()) && text.bytes().all(fits)
 }
 
-/// The time that a `UUIDv7` key carries, in Unix milliseconds.
-fn time_in_key(key: Option<&str>) -> Option<u64> {
-    let made = Uuid::parse_str(key?).ok()?;
-    if made.get_version_num() != 7 {
-        return None;
-    }
-    let (seconds, nanos) = made.get_timestamp()?.to_unix();
-    Some(seconds * 1000 + u64::from(nanos) / 1_000_000)
-}
-
 fn missing(name: &str) -> SwitchError {
     let detail = format!("the header {name} is missing");
     SwitchError::new(ErrorKind::AccountUnknown, detail)
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -77,7 +77,6 @@
             resume_version: None,
         },
         repeatable: true,
-        call_key: None,
     };
     let mut answer = traffic.start(&service, &head, shape)?;
     let serving = first_part(&mut answer).await?;
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -29,7 +29,7 @@
 const EXAMPLE: &str = "Example:
   savory-entry --host-name entry-1 --data-centre lima-hall-a --region peru \\
     --caller-address 10.0.0.1:8080 --peer-address 10.0.0.1:7000 --admin-address 10.0.0.1:9000 \\
-    --operator-key-digest HEX --table-address 10.0.9.1:80 --objects-address 10.0.9.1:81 \\
+    --operator-key-digest HEX --table-address 10.0.9.1:80 \\
     --list-address 10.0.9.1:82
 
 Each setting is also read from the environment: --host-name from SAVORY_HOST_NAME, and so on.";
--- a/src/entry/plain_call.rs
+++ b/src/entry/plain_call.rs
@@ -14,8 +14,8 @@
 use super::caller_head::CallerHead;
 use super::reply::note_run;
 use super::traffic::{CallShape, EntryTraffic};
-use crate::delivery::{AnswerHead, CallKey, CallerPart, RunCall};
-use crate::documents::{OutageRule, RouteSpec, ServiceDocument, ServiceKind};
+use crate::delivery::{AnswerHead, CallerPart, RunCall};
+use crate::documents::{RouteSpec, ServiceDocument, ServiceKind};
 use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
 
 /// The path that plain services are found under.
@@ -54,12 +54,6 @@
         return Err(SwitchError::new(ErrorKind::BadRequest, detail));
     }
     let body = traffic.read_body(body).await?;
-    let rule = rule_of(&service.document, &parts.method, path);
-    let call_key = if rule.repeatable {
-        None
-    } else {
-        key_of(&head, &parts.method, path, &body, rule.in_outage)
-    };
     let shape = CallShape {
         call: RunCall::Forward {
             method: parts.method.as_str().into(),
@@ -67,8 +61,7 @@
             headers: passed_headers(&parts.headers),
             body,
         },
-        repeatable: rule.repeatable,
-        call_key,
+        repeatable: is_repeatable(&service.document, &parts.method, path),
     };
     let answer = traffic.start(&service, &head, shape)?;
     let mut reply = reply_of(answer).await?;
@@ -88,15 +81,9 @@
     }
 }
 
-/// What holds for one call.
-struct CallRule {
-    repeatable: bool,
-    in_outage: OutageRule,
-}
-
 /// The first route of the document that fits; without one, only methods that change nothing may be
 /// repeated.
-fn rule_of(document: &ServiceDocument, method: &Method, path: &str) -> CallRule {
+fn is_repeatable(document: &ServiceDocument, method: &Method, path: &str) -> bool {
     let fits = |route: &&RouteSpec| {
         let method_fits = route
             .method
@@ -105,44 +92,9 @@
         method_fits && path.starts_with(&*route.path_prefix)
     };
     match document.routes.iter().find(fits) {
-        Some(route) => CallRule {
-            repeatable: route.repeatable,
-            in_outage: route.in_outage,
-        },
-        None => CallRule {
-            repeatable: method.is_safe(),
-            in_outage: OutageRule::default(),
-        },
-    }
-}
-
-fn key_of(
-    head: &CallerHead,
-    method: &Method,
-    path: &str,
-    body: &Bytes,
-    in_outage: OutageRule,
-) -> Option<CallKey> {
-    let key = head.key.clone()?;
-    Some(CallKey {
-        order_key: head.order_key.clone().unwrap_or_else(|| key.clone()),
-        key,
-        made_ms: head.key_time_ms,
-        fingerprint: fingerprint(method, path, body),
-        in_outage,
-    })
-}
-
-/// Tells a repeated call from another call with a reused key.
-fn fingerprint(method: &Method, path: &str, body: &Bytes) -> [u8; 16] {
-    let mut hasher = blake3::Hasher::new();
-    for part in [method.as_str().as_bytes(), path.as_bytes(), body] {
-        hasher.update(&(part.len() as u64).to_be_bytes());
-        hasher.update(part);
+        Some(route) => route.repeatable,
+        None => method.is_safe(),
     }
-    let mut digest = [0; 16];
-    hasher.finalize_xof().fill(&mut digest);
-    digest
 }
 
 fn passed_headers(headers: &HeaderMap) -> Vec<(ByteString, Bytes)> {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -5,8 +5,8 @@
 
 use crate::settings::{
     CommonSettings, DATA_CENTRE, HOST_NAME, LEAVE_LINGER, LEAVE_LONGEST, LIST_ADDRESS,
-    OBJECTS_ADDRESS, PEER_ADDRESS, PLATFORM_TIMEOUT, REGION, SettingReader, SettingSpec,
-    TABLE_ADDRESS, TRAFFIC_THREADS,
+    PEER_ADDRESS, PLATFORM_TIMEOUT, REGION, SettingReader, SettingSpec, TABLE_ADDRESS,
+    TRAFFIC_THREADS,
 };
 
 const CALLER_ADDRESS: SettingSpec = SettingSpec::required(
@@ -47,7 +47,6 @@
     ADMIN_ADDRESS,
     OPERATOR_KEY_DIGEST,
     TABLE_ADDRESS,
-    OBJECTS_ADDRESS,
     LIST_ADDRESS,
     PLATFORM_TIMEOUT,
     BODY_LIMIT,
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -16,7 +16,7 @@
 use crate::control::{ServiceRecord, SharedSnapshot};
 use crate::daemon::DrainState;
 use crate::delivery::{
-    AdmissionPass, CALLER_PARTS, CallKey, CallerPart, HostCaller, RequestJob, RequestRun, RunCall,
+    AdmissionPass, CALLER_PARTS, CallerPart, HostCaller, RequestJob, RequestRun, RunCall,
     ServiceDesk,
 };
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
@@ -48,7 +48,6 @@
 pub(super) struct CallShape {
     pub(super) call: RunCall,
     pub(super) repeatable: bool,
-    pub(super) call_key: Option<CallKey>,
 }
 
 impl EntryTraffic {
@@ -128,11 +127,10 @@
             deadline: now + Duration::from_millis(deadline_ms),
             stream_end: now + Duration::from_millis(deadline_ms + deadlines.stream_ms),
             repeatable: shape.repeatable,
-            call_key: shape.call_key,
             call: shape.call,
             service: service.clone(),
         };
-        let order = job.call_key.as_ref().map(|key| order_hash(&job, key));
+        let order = head.order_key.as_ref().map(|key| order_hash(&job, key));
         let desk = self.desk(&service.document.service, now);
         let pass = self.admit(&desk, &job, order, now)?;
         let (sink, parts) = mpsc::channel(CALLER_PARTS);
@@ -217,6 +215,6 @@
 }
 
 /// The hash of the account's order key.
-fn order_hash(job: &RequestJob, key: &CallKey) -> u64 {
-    name_hash(&format!("{}/{}", job.account, key.order_key))
+fn order_hash(job: &RequestJob, order_key: &str) -> u64 {
+    name_hash(&format!("{}/{order_key}", job.account))
 }
--- a/src/errors/kind.rs
+++ b/src/errors/kind.rs
@@ -51,16 +51,8 @@
     WeightsNotReady,
     /// The host serves another version than the request began with.
     VersionMismatch,
-    /// Another host holds the lease for this key.
-    NotSlotHolder,
-    /// The host's lease for this key has lapsed.
-    LeaseLapsed,
-    /// The claim that the call needs cannot be written now.
-    ClaimUnavailable,
-    /// The first run of this key is still under way.
-    KeyInProgress,
-    /// The key was used before with another request.
-    KeyReused,
+    /// This attempt came to its host before.
+    AttemptDoubled,
     /// No connection to the backend server's host could be made.
     ConnectFailed,
     /// The other end went silent after the request was sent.
@@ -127,7 +119,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 56] = [
+    pub const ALL: [Self; 52] = [
         Self::BadRequest,
         Self::BadHeader,
         Self::HeadersTooLarge,
@@ -148,11 +140,7 @@
         Self::EntryLeaving,
         Self::WeightsNotReady,
         Self::VersionMismatch,
-        Self::NotSlotHolder,
-        Self::LeaseLapsed,
-        Self::ClaimUnavailable,
-        Self::KeyInProgress,
-        Self::KeyReused,
+        Self::AttemptDoubled,
         Self::ConnectFailed,
         Self::PeerSilent,
         Self::AnswerCut,
--- a/src/errors/switch_error.rs
+++ b/src/errors/switch_error.rs
@@ -58,7 +58,7 @@
     pub fn retry_wait(&self) -> Option<Duration> {
         self.retry_after.or(match answer_for(self.kind).retry {
             RetryAdvice::Never => None,
-            RetryAdvice::After(wait) | RetryAdvice::SameKeyAfter(wait) => Some(wait),
+            RetryAdvice::After(wait) | RetryAdvice::RepeatableAfter(wait) => Some(wait),
         })
     }
 }
--- a/src/errors/table.rs
+++ b/src/errors/table.rs
@@ -41,9 +41,8 @@
     Never,
     /// Ask again after this long.
     After(Duration),
-    /// Ask again after this long with the same idempotency key; without one, only if the request
-    /// may be repeated.
-    SameKeyAfter(Duration),
+    /// Ask again after this long, only if the request may be repeated.
+    RepeatableAfter(Duration),
 }
 
 /// One row of the table.
@@ -157,7 +156,7 @@
             504,
             "deadline_passed",
             NotKnown,
-            same_key(1000),
+            repeatable(1000),
             "The deadline passed while the request was under way.",
         ),
         Kind::NoBackend => row(
@@ -202,40 +201,12 @@
             after(200),
             "The host serves another version than the request began with.",
         ),
-        Kind::NotSlotHolder => row(
-            503,
-            "not_slot_holder",
-            NotRun,
-            after(500),
-            "Another host holds the lease for this key.",
-        ),
-        Kind::LeaseLapsed => row(
-            503,
-            "lease_lapsed",
-            NotRun,
-            after(1000),
-            "The host's lease for this key has lapsed.",
-        ),
-        Kind::ClaimUnavailable => row(
-            503,
-            "claim_unavailable",
-            NotRun,
-            same_key(2000),
-            "The claim that the call needs cannot be written now.",
-        ),
-        Kind::KeyInProgress => row(
+        Kind::AttemptDoubled => row(
             409,
-            "key_in_progress",
+            "attempt_doubled",
             NotKnown,
-            same_key(1000),
-            "The first run of this key is still under way.",
-        ),
-        Kind::KeyReused => row(
-            422,
-            "key_reused",
-            NotRun,
             never(),
-            "The key was used before with another request.",
+            "This attempt came to its host before.",
         ),
         Kind::ConnectFailed => row(
             502,
@@ -248,28 +219,28 @@
             504,
             "peer_silent",
             NotKnown,
-            same_key(1000),
+            repeatable(1000),
             "The other end went silent after the request was sent.",
         ),
         Kind::AnswerCut => row(
             502,
             "answer_cut",
             NotKnown,
-            same_key(500),
+            repeatable(500),
             "The answer broke off before its end.",
         ),
         Kind::AnswerForeign => row(
             502,
             "answer_foreign",
             NotKnown,
-            same_key(500),
+            repeatable(500),
             "The answer belongs to another request.",
         ),
         Kind::AnswerDamaged => row(
             502,
             "answer_damaged",
             NotKnown,
-            same_key(500),
+            repeatable(500),
             "The answer does not match its digest.",
         ),
         Kind::EngineRefused => row(
@@ -283,21 +254,21 @@
             502,
             "engine_failed",
             NotKnown,
-            same_key(500),
+            repeatable(500),
             "The engine failed while it ran the request.",
         ),
         Kind::RetryBudgetSpent => row(
             503,
             "retry_budget_spent",
             NotKnown,
-            same_key(2000),
+            repeatable(2000),
             "No retries are left in the service's or account's budget.",
         ),
         Kind::OutcomeUnknown => row(
             502,
             "outcome_unknown",
             NotKnown,
-            same_key(1000),
+            repeatable(1000),
             "It cannot be told whether the call ran.",
         ),
         Kind::CallerGone => row(
@@ -339,7 +310,7 @@
             503,
             "document_in_doubt",
             NotKnown,
-            same_key(2000),
+            repeatable(2000),
             "The change may have been written; ask for what stands.",
         ),
         Kind::TableUnavailable => row(
@@ -451,7 +422,7 @@
             500,
             "internal",
             NotKnown,
-            same_key(1000),
+            repeatable(1000),
             "An invariant was about to break; the request was given up.",
         ),
     }
@@ -481,6 +452,6 @@
     RetryAdvice::After(Duration::from_millis(millis))
 }
 
-const fn same_key(millis: u64) -> RetryAdvice {
-    RetryAdvice::SameKeyAfter(Duration::from_millis(millis))
+const fn repeatable(millis: u64) -> RetryAdvice {
+    RetryAdvice::RepeatableAfter(Duration::from_millis(millis))
 }
--- a/src/guard/answer_buffer.rs
+++ b/src/guard/answer_buffer.rs
@@ -8,11 +8,10 @@
 /// Bytes of one answer that are kept at most; a longer one breaks off.
 const ANSWER_BYTES_MAX: usize = 32 * 1024 * 1024;
 
-/// An answer that grows part by part and may be read by several, each from its beginning.
+/// An answer that grows part by part, whoever reads it.
 ///
 /// An unrepeatable call that was handed over must run to its end, or nobody can say what it did.
-/// Its answer therefore does not depend on the connection of the caller that asked first, and is
-/// there for the one that asks again.
+/// Its answer therefore does not depend on the connection of the entry host that asked.
 #[derive(Debug, Default)]
 pub(super) struct AnswerBuffer {
     state: watch::Sender<BufferState>,
@@ -62,16 +61,6 @@
             Err(_) => Vec::new(),
         }
     }
-
-    /// All parts so far.
-    pub(super) fn parts(&self) -> Vec<RunPart> {
-        self.state.borrow().parts.clone()
-    }
-
-    /// Bytes held.
-    pub(super) fn bytes(&self) -> usize {
-        self.state.borrow().bytes
-    }
 }
 
 /// Whether nothing follows `part`.
--- a/src/guard/backend_run.rs
+++ b/src/guard/backend_run.rs
@@ -250,7 +250,6 @@
     RunPart::End {
         digest: AnswerDigest::from_hasher(hasher),
         reason,
-        replayed: false,
         load: LoadReport::default(),
     }
 }
--- a/src/guard/run_edge.rs
+++ b/src/guard/run_edge.rs
@@ -5,40 +5,28 @@
 
 use bytestring::ByteString;
 use http::StatusCode;
-use tokio::sync::Notify;
 use volo_http::request::Request;
 use volo_http::response::Response;
 use volo_http::server::route::{Router, post};
 
-use super::claim_store::ClaimStore;
 use super::events;
 use super::part_sink::AttemptWriter;
-use super::record_keeper::keep_records;
 use super::run_queue::RunQueue;
 use super::run_task::run_order;
 use super::serving_gate::ServingGate;
 use super::shared::{BackendServer, GuardShared, GuardState};
-use super::slot_keeper::keep_slots;
-use super::slot_table::SlotTable;
-use super::slots::SLOT_COUNT;
-use crate::control::SharedSnapshot;
 use crate::daemon::DrainState;
 use crate::delivery::{RunOrder, SettleOrder, SettleReply};
 use crate::engines::EngineEdge;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
-use crate::leases::LeaseHolder;
 use crate::membership::{HostIdentity, StatusBoard};
 use crate::metrics::set_level;
-use crate::stores::{ObjectStore, TableStore};
 use crate::time::clock_now;
 use crate::transport::{error_reply, frame_channel, message_reply, read_message};
 
 /// Frames that wait for a slow entry host; then the run waits.
 const FRAMES_AHEAD: usize = 64;
-/// How long a stopping process waits for its last records and leases.
-const FINISH_WITHIN: Duration = Duration::from_secs(3);
-const FINISH_CHECK: Duration = Duration::from_millis(50);
 /// The largest order, in bytes.
 const ORDER_BYTES_MAX: usize = 32 * 1024 * 1024;
 
@@ -55,12 +43,6 @@
     pub(crate) board: StatusBoard,
     /// The graceful stop.
     pub(crate) drain: DrainState,
-    /// The platform's table, for leases and claims.
-    pub(crate) table: Arc<dyn TableStore>,
-    /// The platform's object store, for large answers.
-    pub(crate) objects: Arc<dyn ObjectStore>,
-    /// What the control thread knows.
-    pub(crate) snapshot: SharedSnapshot,
 }
 
 /// Settings of the guard.
@@ -72,8 +54,6 @@
     pub(crate) waiting_max: usize,
     /// How often the engine is asked for its state.
     pub(crate) engine_check: Duration,
-    /// How long a lease on a slot of keys lasts from each renewal.
-    pub(crate) slot_lease: Duration,
 }
 
 /// The rest of the process's hold on the guard.
@@ -86,45 +66,21 @@
 pub(crate) fn start_guard(edges: GuardEdges, limits: GuardLimits) -> GuardHandle {
     let service: ByteString = edges.identity.service.clone().unwrap_or_default();
     let queue = RunQueue::new(limits.running_max, limits.waiting_max);
-    let holder = LeaseHolder {
-        host: edges.identity.host.clone(),
-        incarnation: edges.identity.incarnation,
-    };
-    let slots = SlotTable::new(holder.clone(), limits.slot_lease, SLOT_COUNT);
-    let state = GuardState::new(queue, holder, slots);
-    let claims = ClaimStore {
-        service: service.clone(),
-        table: edges.table,
-        objects: edges.objects,
-    };
+    let state = GuardState::new(queue);
     let shared = Arc::new(GuardShared {
         service,
-        host: edges.identity.host,
         incarnation: edges.identity.incarnation,
         backend: edges.backend,
         gate: edges.gate,
         board: edges.board,
         drain: edges.drain,
-        claims,
-        records: Notify::new(),
         state: Mutex::new(state),
     });
     tokio::spawn(watch_backend(Arc::clone(&shared), limits));
-    tokio::spawn(keep_slots(Arc::clone(&shared), edges.snapshot));
-    tokio::spawn(keep_records(Arc::clone(&shared)));
     GuardHandle { shared }
 }
 
 impl GuardHandle {
-    /// Waits until every lease is given back, for a while: other hosts can then take the slots at
-    /// once, and need not wait until the leases lapse.
-    pub(crate) async fn finish(&self) {
-        let ends = clock_now() + FINISH_WITHIN;
-        while clock_now() < ends && self.shared.lock().slots.holds_any(clock_now()) {
-            tokio::time::sleep(FINISH_CHECK).await;
-        }
-    }
-
     /// What entry hosts may ask.
     pub(crate) fn peer_routes(&self) -> Router {
         let run_shared = Arc::clone(&self.shared);
--- a/src/guard/run_task.rs
+++ b/src/guard/run_task.rs
@@ -6,8 +6,6 @@
 use super::answer_buffer::{AnswerBuffer, is_last};
 use super::attempt_book::AttemptState;
 use super::backend_run::{RunEnd, SecondTry, run_forward, run_generate};
-use super::keyed_call::KeyedCall;
-use super::keyed_run::run_keyed;
 use super::part_sink::{AttemptWriter, PartSink, broken_part, refused_part};
 use super::serving_gate::ServingPass;
 use super::shared::{BackendServer, GuardShared, GuardState, PlaceGuard, refusal};
@@ -19,7 +17,7 @@
 use crate::time::{ClockTime, clock_now};
 
 /// The stage that refusals are counted under.
-pub(super) const STAGE: &str = "guard";
+const STAGE: &str = "guard";
 /// How long an unrepeatable call that was handed over may take. It is let to finish whoever leaves,
 /// so its request's deadline does not bound it.
 const KEPT_RUN_WITHIN: Duration = Duration::from_mins(10);
@@ -42,10 +40,6 @@
         run_live(&shared, order, deadline, writer).await;
         return;
     }
-    if let Some(call) = KeyedCall::of(&order) {
-        run_keyed(shared, call, order, deadline, writer, live).await;
-        return;
-    }
     let buffer = Arc::new(AnswerBuffer::default());
     let attempt = order.attempt;
     let run = run_kept(Arc::clone(&shared), order, deadline, Arc::clone(&buffer));
@@ -53,11 +47,7 @@
         run.await;
         drop(live);
     });
-    let is_first = true;
-    if relay_buffer(&shared, &buffer, &writer, is_first)
-        .await
-        .is_err()
-    {
+    if relay_buffer(&shared, &buffer, &writer).await.is_err() {
         shared.lock().attempts.withdraw(attempt);
     }
 }
@@ -81,10 +71,10 @@
         Ok(Err(error)) | Err(error) => not_run(shared, &order, &error),
     };
     // An entry host that has left asks for what became of its attempt.
-    let _ = writer.send(with_load(shared, last, false)).await;
+    let _ = writer.send(with_load(shared, last)).await;
 }
 
-/// Runs an unrepeatable call without a key: once for its attempt, whoever leaves.
+/// Runs an unrepeatable call: once for its attempt, whoever leaves.
 async fn run_kept(
     shared: Arc<GuardShared>,
     order: RunOrder,
@@ -120,7 +110,7 @@
         return not_run(shared, &order, &error);
     }
     let attempt = order.attempt;
-    let end = call_backend(shared, order, pass.as_ref(), deadline, None, sink).await;
+    let end = call_backend(shared, order, pass.as_ref(), deadline, sink).await;
     drop(place);
     let (state, last) = match end {
         RunEnd::Ran(last) => (AttemptState::Ran, last),
@@ -132,12 +122,11 @@
 }
 
 /// Hands the order's call to the backend server.
-pub(super) async fn call_backend(
+async fn call_backend(
     shared: &Arc<GuardShared>,
     order: RunOrder,
     pass: Option<&ServingPass>,
     deadline: ClockTime,
-    fence: Option<u64>,
     sink: &PartSink,
 ) -> RunEnd {
     let first_within = match sink {
@@ -181,7 +170,6 @@
                 path,
                 headers,
                 body,
-                fence,
                 head_within: first_within,
             };
             let may_try = || shared.lock().second_tries.take();
@@ -199,10 +187,7 @@
 }
 
 /// The pass for a model's version; plain services need none.
-pub(super) fn enter_gate(
-    shared: &GuardShared,
-    call: &RunCall,
-) -> SwitchResult<Option<ServingPass>> {
+fn enter_gate(shared: &GuardShared, call: &RunCall) -> SwitchResult<Option<ServingPass>> {
     match call {
         RunCall::Generate { resume_version, .. } => {
             shared.gate.enter(resume_version.as_ref()).map(Some)
@@ -212,11 +197,10 @@
 }
 
 /// Passes a kept answer on, from its beginning to its end. Fails when the entry host has left.
-pub(super) async fn relay_buffer(
+async fn relay_buffer(
     shared: &Arc<GuardShared>,
     buffer: &AnswerBuffer,
     writer: &AttemptWriter,
-    is_first: bool,
 ) -> SwitchResult<()> {
     let mut sent = 0;
     loop {
@@ -227,7 +211,7 @@
         sent += parts.len();
         for part in parts {
             let has_ended = is_last(&part);
-            writer.send(with_load(shared, part, !is_first)).await?;
+            writer.send(with_load(shared, part)).await?;
             if has_ended {
                 return Ok(());
             }
@@ -241,23 +225,17 @@
 }
 
 /// Counts a refusal and gives its frame.
-pub(super) fn refused(error: &SwitchError) -> RunPart {
+fn refused(error: &SwitchError) -> RunPart {
     count_refusal(error.kind, STAGE);
     refused_part(error)
 }
 
-/// Fills in how busy this host is now, and whether the answer is an earlier run's.
-fn with_load(shared: &GuardShared, part: RunPart, is_replay: bool) -> RunPart {
+/// Fills in how busy this host is now.
+fn with_load(shared: &GuardShared, part: RunPart) -> RunPart {
     match part {
-        RunPart::End {
-            digest,
-            reason,
-            replayed,
-            ..
-        } => RunPart::End {
+        RunPart::End { digest, reason, .. } => RunPart::End {
             digest,
             reason,
-            replayed: replayed || is_replay,
             load: shared.load(),
         },
         other => other,
--- a/src/guard/shared.rs
+++ b/src/guard/shared.rs
@@ -4,27 +4,19 @@
 use std::time::Duration;
 
 use bytestring::ByteString;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 
 use super::attempt_book::{Arrival, AttemptBook, AttemptState};
-use super::claim_store::ClaimStore;
-use super::key_book::KeyBook;
-use super::keyed_call::KeyHash;
-use super::keyed_run::KeyRun;
 use super::run_queue::{QueueAnswer, QueueRefusal, RunQueue, RunTicket};
 use super::serving_gate::ServingGate;
-use super::slot_table::SlotTable;
 use crate::daemon::DrainState;
 use crate::delivery::{AttemptId, RunOrder};
 use crate::documents::RequestPriority;
 use crate::engines::{EngineEdge, PlainEdge};
 use crate::errors::{ErrorKind, RunOutcome, SwitchError, SwitchResult};
-use crate::leases::LeaseHolder;
 use crate::membership::{LoadReport, StatusBoard};
 use crate::time::{ClockTime, clock_now};
 
-/// How long the table is left alone after it did not answer.
-const TABLE_PAUSE: Duration = Duration::from_secs(1);
 /// How often a call that waits looks whether anybody still wants it.
 const WANTED_EVERY: Duration = Duration::from_millis(200);
 
@@ -40,15 +32,11 @@
 /// What all requests of this process share.
 pub(crate) struct GuardShared {
     pub(crate) service: ByteString,
-    pub(crate) host: ByteString,
     pub(crate) incarnation: u64,
     pub(crate) backend: BackendServer,
     pub(crate) gate: ServingGate,
     pub(crate) board: StatusBoard,
     pub(crate) drain: DrainState,
-    pub(crate) claims: ClaimStore,
-    /// Told when there may be records to write.
-    pub(crate) records: Notify,
     pub(crate) state: Mutex<GuardState>,
 }
 
@@ -89,41 +77,20 @@
     pub(crate) attempts: AttemptBook,
     pub(crate) queue: RunQueue,
     pub(super) second_tries: TryBudget,
-    pub(crate) keys: KeyBook,
-    pub(crate) slots: SlotTable,
-    /// The runs of the keys in the book, sorted by key.
-    pub(crate) runs: Vec<(KeyHash, Arc<KeyRun>)>,
-    /// Until when the table counts as away after it did not answer.
-    table_away_until: ClockTime,
     /// Who waits to be told to start, sorted by ticket.
     starts: Vec<(RunTicket, oneshot::Sender<()>)>,
 }
 
 impl GuardState {
-    pub(crate) const fn new(queue: RunQueue, holder: LeaseHolder, slots: SlotTable) -> Self {
+    pub(crate) const fn new(queue: RunQueue) -> Self {
         Self {
             attempts: AttemptBook::new(),
             queue,
             second_tries: TryBudget::new(),
-            keys: KeyBook::new(holder),
-            slots,
-            runs: Vec::new(),
-            table_away_until: ClockTime(0),
             starts: Vec::new(),
         }
     }
 
-    /// Whether the table is worth asking.
-    pub(crate) fn table_answers(&self, now: ClockTime) -> bool {
-        now >= self.table_away_until
-    }
-
-    /// The table did not answer. Without this pause each call in an outage would hold its place
-    /// before the backend server for as long as the table's time limit.
-    pub(crate) fn table_failed(&mut self, now: ClockTime) {
-        self.table_away_until = now + TABLE_PAUSE;
-    }
-
     /// Tells those that may start now.
     pub(crate) fn tell_started(&mut self, started: Vec<RunTicket>) {
         for ticket in started {
@@ -278,7 +245,7 @@
     let error = match arrival {
         Arrival::Fresh => return Ok(()),
         Arrival::Buried => refusal(ErrorKind::CallerGone, "it was given up before it came"),
-        Arrival::Doubled => SwitchError::new(ErrorKind::KeyInProgress, "this attempt came before")
+        Arrival::Doubled => SwitchError::new(ErrorKind::AttemptDoubled, "this attempt came before")
             .with_outcome(RunOutcome::NotKnown),
         Arrival::TooOld => SwitchError::new(
             ErrorKind::OutcomeUnknown,
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -12,7 +12,7 @@
 use crate::daemon::{DrainState, probe_routes};
 use crate::engines::{EngineEdge, HttpPlain, JsonStateEngine, MetricsTextEngine};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
-use crate::guard::{BackendServer, GuardEdges, GuardHandle, GuardLimits, ServingGate, start_guard};
+use crate::guard::{BackendServer, GuardEdges, GuardLimits, ServingGate, start_guard};
 use crate::membership::StatusBoard;
 use crate::settings::CommonSettings;
 use crate::stores::http::HttpWeights;
@@ -38,13 +38,11 @@
     println!("listening peer={address}");
     tokio::spawn(tell_leaving(host.drain.clone(), host.board));
     server.run(host.drain).await;
-    host.guard.finish().await;
     Ok(())
 }
 
 /// What runs in the process.
 struct HostParts {
-    guard: GuardHandle,
     routes: Router,
     board: StatusBoard,
     drain: DrainState,
@@ -64,7 +62,6 @@
             client: Arc::clone(&client),
         };
         let control = start_control(identity.clone(), edges, board.clone(), drain.clone());
-        let snapshot = control.snapshot();
         let gate = ServingGate::default();
         let backend = backend_server(settings);
         let mut routes = probe_routes(drain.clone(), Arc::new(AtomicBool::new(true)))
@@ -93,15 +90,11 @@
             gate,
             board: board.clone(),
             drain: drain.clone(),
-            table: common.table(),
-            objects: common.objects(),
-            snapshot,
         };
         let limits = GuardLimits {
             running_max: settings.running_max,
             waiting_max: settings.waiting_max,
             engine_check: settings.engine_check,
-            slot_lease: settings.slot_lease,
         };
         let guard = start_guard(edges, limits);
         let live = match pacer {
@@ -110,7 +103,6 @@
         };
         routes = routes.merge(live);
         Self {
-            guard,
             routes,
             board,
             drain,
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -12,8 +12,8 @@
 use crate::derives::key;
 use crate::settings::{
     CommonSettings, DATA_CENTRE, HOST_NAME, LEAVE_LINGER, LEAVE_LONGEST, LIST_ADDRESS,
-    OBJECTS_ADDRESS, PEER_ADDRESS, PLATFORM_TIMEOUT, REGION, SettingReader, SettingSpec,
-    SettingsFaults, TABLE_ADDRESS, TRAFFIC_THREADS,
+    PEER_ADDRESS, PLATFORM_TIMEOUT, REGION, SettingReader, SettingSpec, SettingsFaults,
+    TABLE_ADDRESS, TRAFFIC_THREADS,
 };
 
 const SERVICE: SettingSpec = SettingSpec::required(
@@ -73,14 +73,6 @@
     "64",
     "Requests that wait on this host at most",
 );
-const SLOT_LEASE: SettingSpec = SettingSpec::optional(
-    "slot-lease-ms",
-    "MILLISECONDS",
-    "120000",
-    "How long a lease on keys lasts: how long keyed calls may run while the table is away, and how \
-     long they wait after a host's unclean death",
-);
-
 /// Every setting of `savory-host`.
 pub(super) const SPECS: &[SettingSpec] = &[
     HOST_NAME,
@@ -88,7 +80,6 @@
     REGION,
     PEER_ADDRESS,
     TABLE_ADDRESS,
-    OBJECTS_ADDRESS,
     LIST_ADDRESS,
     PLATFORM_TIMEOUT,
     TRAFFIC_THREADS,
@@ -104,13 +95,12 @@
     ENGINE_CHECK,
     RUNNING_MAX,
     WAITING_MAX,
-    SLOT_LEASE,
 ];
 
 const EXAMPLE: &str = "Example:
   savory-host --host-name lima-a-07 --data-centre lima-hall-a --region lima \\
     --peer-address 10.3.0.7:7400 --table-address 10.3.0.2:7000 \\
-    --objects-address 10.3.0.2:7001 --list-address 10.3.0.2:7002 \\
+    --list-address 10.3.0.2:7002 \\
     --service alert-desk --engine-dialect plain --engine-address 127.0.0.1:8000
 
 Each flag is also an environment variable: --host-name is SAVORY_HOST_NAME.";
@@ -162,7 +152,6 @@
     pub(super) engine_check: Duration,
     pub(super) running_max: u32,
     pub(super) waiting_max: usize,
-    pub(super) slot_lease: Duration,
 }
 
 impl HostSettings {
@@ -191,7 +180,6 @@
             engine_check: reader.millis(ENGINE_CHECK.flag, 10..=60_000),
             running_max: small(reader.number(RUNNING_MAX.flag, 1..=100_000)),
             waiting_max: reader.count(WAITING_MAX.flag, 0..=100_000),
-            slot_lease: reader.millis(SLOT_LEASE.flag, 1_000..=3_600_000),
         };
         let needs_origin = settings.dialect != EngineDialect::Plain;
         if needs_origin && settings.origin_address.is_none() {
--- a/src/lab/soak/command.rs
+++ b/src/lab/soak/command.rs
@@ -22,7 +22,7 @@
         .about("Drives every state machine through random cases until the time is over")
         .after_help(
             "Example:\n  savory-lab soak --seed 7 --minutes 10\n  \
-             savory-lab soak --slice guard --case 12345",
+             savory-lab soak --slice weights --case 12345",
         )
         .arg(
             Arg::new("seed")
--- a/src/lab/soak/rollout.rs
+++ b/src/lab/soak/rollout.rs
@@ -9,10 +9,10 @@
 use crate::documents::{RolloutSpec, SpreadObjective, TableAwayRule, WeightsSpec};
 use crate::engines::EngineState;
 use crate::errors::{ErrorKind, SwitchError};
-use crate::leases::LeaseHolder;
 use crate::membership::{LoadReport, ServingVersion};
 use crate::stores::RowRevision;
 use crate::time::ClockTime;
+use crate::weights::LeaseHolder;
 use crate::weights::{
     ActivationMachine, ActivationStep, ActivationView, RolloutRow, RowOutcome, SeenRow,
     WantedVersion, WeightsDigest,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,6 @@
 mod guard;
 mod host;
 mod lab;
-mod leases;
 mod membership;
 mod metrics;
 mod operator;
--- a/src/membership/messages.rs
+++ b/src/membership/messages.rs
@@ -25,8 +25,6 @@
     pub(crate) serving: Option<ServingVersion>,
     /// How far the next version is.
     pub(crate) staging: Option<StagingProgress>,
-    /// The key slots whose leases it holds, sorted.
-    pub(crate) slots: Vec<SlotHold>,
 }
 
 /// How busy a backend server is.
@@ -65,16 +63,6 @@
     pub(crate) chunks_all: u32,
 }
 
-/// A lease on a slot of keys.
-#[apply(message!)]
-#[derive(Copy, Eq, PartialOrd, Ord)]
-pub(crate) struct SlotHold {
-    /// The slot.
-    pub(crate) slot: u16,
-    /// The lease's fencing number.
-    pub(crate) fence: u64,
-}
-
 /// What every process knows of a host: who it is and whether it goes. Told on from neighbour to
 /// neighbour; a greater (`incarnation`, `sequence`) replaces a smaller one.
 #[apply(message!)]
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -12,8 +12,6 @@
 
 pub(crate) use identity::HostIdentity;
 pub(crate) use member_table::{MemberTable, MemberView};
-pub(crate) use messages::{
-    HostStatus, LoadReport, MemberFacts, ServingVersion, SlotHold, StagingProgress,
-};
+pub(crate) use messages::{HostStatus, LoadReport, MemberFacts, ServingVersion, StagingProgress};
 pub(crate) use neighbours::{choose_neighbours, choose_table_readers};
 pub(crate) use status_board::StatusBoard;
--- a/src/membership/status_board.rs
+++ b/src/membership/status_board.rs
@@ -24,7 +24,6 @@
             load: LoadReport::default(),
             serving: None,
             staging: None,
-            slots: Vec::new(),
         };
         Self {
             status: Arc::new(watch::Sender::new(status)),
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -42,7 +42,6 @@
         load: LoadReport::default(),
         serving: None,
         staging: None,
-        slots: Vec::new(),
     }
 }
 
--- a/src/routing/backend_pool.rs
+++ b/src/routing/backend_pool.rs
@@ -39,10 +39,6 @@
     Any,
     /// One that serves this version.
     Version(WeightsDigest),
-    /// The holder of this slot of keys.
-    Slot(u16),
-    /// This one, in this incarnation.
-    Same(BackendKey, u64),
 }
 
 /// What a request wants of its pick.
@@ -143,11 +139,7 @@
         wish: &PickWish,
         now: ClockTime,
     ) -> Result<PickedBackend, NoPick> {
-        let key = match wish.target {
-            PickTarget::Any | PickTarget::Version(_) => self.pick_any(wish, now)?,
-            PickTarget::Slot(slot) => self.pick_holder(slot, wish, now)?,
-            PickTarget::Same(key, incarnation) => self.pick_same(key, incarnation)?,
-        };
+        let key = self.pick_any(wish, now)?;
         let backend = self.backend_mut(key).ok_or(NoPick::Nobody)?;
         backend.breaker.note_passed(now);
         backend.estimate.begin(now);
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -154,13 +154,6 @@
             false
         }
     }
-
-    /// The fencing number under which it holds `slot`.
-    pub(super) fn fence_of(&self, slot: u16) -> Option<u64> {
-        let status = self.status.as_ref()?;
-        let found = status.slots.binary_search_by_key(&slot, |hold| hold.slot);
-        found.ok().map(|at| status.slots[at].fence)
-    }
 }
 
 /// Places of a backend server that runs `capacity` requests at a time which only urgent ones take.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,5 +1,5 @@
 //! Routing: which backend server takes a request. A few random candidates by corrected load and pace, the
-//! nearest first, with a breaker for each; keyed calls go to the holder of their slot.
+//! nearest first, with a breaker for each.
 
 mod backend_pool;
 mod backend_server;
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -56,50 +56,6 @@
         })
     }
 
-    /// The holder of `slot` with the greatest fencing number.
-    pub(super) fn pick_holder(
-        &self,
-        slot: u16,
-        wish: &PickWish,
-        now: ClockTime,
-    ) -> Result<BackendKey, NoPick> {
-        let holders = self.by_host.iter().filter_map(|key| {
-            let backend = self.backend(*key)?;
-            let usable = backend.is_usable(self.needs_weights);
-            backend
-                .fence_of(slot)
-                .filter(|_| usable)
-                .map(|fence| (fence, *key))
-        });
-        let (_, key) = holders.max().ok_or(NoPick::Nobody)?;
-        let has_room = [RoomKind::Free, RoomKind::Waiting]
-            .into_iter()
-            .any(|room| self.fits(key, room, wish, now));
-        if has_room || wish.avoid == Some(key) {
-            Ok(key)
-        } else {
-            Err(NoPick::Full)
-        }
-    }
-
-    /// The backend server `key`, if the process there is still the same.
-    pub(super) fn pick_same(
-        &self,
-        key: BackendKey,
-        incarnation: u64,
-    ) -> Result<BackendKey, NoPick> {
-        let backend = self.backend(key).ok_or(NoPick::Nobody)?;
-        let is_same = backend
-            .status
-            .as_ref()
-            .is_some_and(|status| status.incarnation == incarnation);
-        if is_same {
-            Ok(key)
-        } else {
-            Err(NoPick::Nobody)
-        }
-    }
-
     fn pick_in_tier(
         &mut self,
         tier: usize,
@@ -189,7 +145,7 @@
             .as_ref()
             .and_then(|status| status.serving.as_ref())
             .is_some_and(|serving| serving.digest == digest),
-        PickTarget::Any | PickTarget::Slot(_) | PickTarget::Same(..) => true,
+        PickTarget::Any => true,
     }
 }
 
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -11,8 +11,8 @@
 use crate::daemon::DrainState;
 use crate::errors::ErrorKind;
 use crate::membership::HostIdentity;
-use crate::stores::http::{HttpHostList, HttpObjects, HttpTable, PlatformClient};
-use crate::stores::{HostList, HostRole, ObjectStore, TableStore};
+use crate::stores::http::{HttpHostList, HttpTable, PlatformClient};
+use crate::stores::{HostList, HostRole, TableStore};
 use crate::time::wall_now;
 use crate::transport::{ClientLimits, PeerClient};
 
@@ -38,8 +38,6 @@
 );
 pub(crate) const TABLE_ADDRESS: SettingSpec =
     SettingSpec::required("table-address", "IP:PORT", "The platform's table");
-pub(crate) const OBJECTS_ADDRESS: SettingSpec =
-    SettingSpec::required("objects-address", "IP:PORT", "The platform's object store");
 pub(crate) const LIST_ADDRESS: SettingSpec =
     SettingSpec::required("list-address", "IP:PORT", "The platform's list of hosts");
 pub(crate) const PLATFORM_TIMEOUT: SettingSpec = SettingSpec::optional(
@@ -76,7 +74,6 @@
     /// The platform's table.
     pub(crate) table_address: SocketAddr,
     /// The platform's object store.
-    pub(crate) objects_address: SocketAddr,
     /// The platform's list of hosts.
     pub(crate) list_address: SocketAddr,
     /// How long the platform may take to answer.
@@ -98,7 +95,6 @@
             region: reader.name(REGION.flag),
             peer_address: reader.address(PEER_ADDRESS.flag),
             table_address: reader.address(TABLE_ADDRESS.flag),
-            objects_address: reader.address(OBJECTS_ADDRESS.flag),
             list_address: reader.address(LIST_ADDRESS.flag),
             platform_timeout: reader.millis(PLATFORM_TIMEOUT.flag, 50..=60_000),
             traffic_threads: reader.count(TRAFFIC_THREADS.flag, 1..=64),
@@ -132,13 +128,6 @@
         ))
     }
 
-    /// The platform's object store.
-    pub(crate) fn objects(&self) -> Arc<dyn ObjectStore> {
-        Arc::new(HttpObjects(
-            self.client(self.objects_address, ErrorKind::StoreUnavailable),
-        ))
-    }
-
     /// The platform's list of hosts.
     pub(crate) fn host_list(&self) -> Arc<dyn HostList> {
         Arc::new(HttpHostList(
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,8 +10,8 @@
 
 pub(crate) use common::CommonSettings;
 pub(crate) use common::{
-    DATA_CENTRE, HOST_NAME, LEAVE_LINGER, LEAVE_LONGEST, LIST_ADDRESS, OBJECTS_ADDRESS,
-    PEER_ADDRESS, PLATFORM_TIMEOUT, REGION, TABLE_ADDRESS, TRAFFIC_THREADS,
+    DATA_CENTRE, HOST_NAME, LEAVE_LINGER, LEAVE_LONGEST, LIST_ADDRESS, PEER_ADDRESS,
+    PLATFORM_TIMEOUT, REGION, TABLE_ADDRESS, TRAFFIC_THREADS,
 };
 pub(crate) use reader::{SettingReader, SettingsFaults};
 pub(crate) use spec::SettingSpec;
--- a/src/stores/http.rs
+++ b/src/stores/http.rs
@@ -14,9 +14,7 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::{
-    HostEntry, HostList, ObjectStore, RowRevision, TableRow, TableStore, WeightSource, WriteResult,
-};
+use super::{HostEntry, HostList, RowRevision, TableRow, TableStore, WeightSource, WriteResult};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::transport::{PeerClient, read_body};
 
@@ -226,15 +224,6 @@
     ) -> BoxFuture<'a, SwitchResult<WriteResult>> {
         self.change_row(Method::PUT, key, expected, value).boxed()
     }
-
-    fn remove<'a>(
-        &'a self,
-        key: &'a str,
-        expected: RowRevision,
-    ) -> BoxFuture<'a, SwitchResult<WriteResult>> {
-        self.change_row(Method::DELETE, key, expected, Bytes::new())
-            .boxed()
-    }
 }
 
 /// The list of hosts over HTTP.
@@ -256,37 +245,6 @@
     }
 }
 
-/// The object store over HTTP.
-pub(crate) struct HttpObjects(pub(crate) PlatformClient);
-
-impl ObjectStore for HttpObjects {
-    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, SwitchResult<Option<Bytes>>> {
-        async move {
-            let path = format!("/objects/v1/{name}");
-            let answer = self.0.call(Method::GET, &path, Bytes::new()).await?;
-            match answer.status {
-                StatusCode::OK => Ok(Some(answer.body)),
-                StatusCode::NOT_FOUND => Ok(None),
-                _ => Err(self.0.unexpected(&answer)),
-            }
-        }
-        .boxed()
-    }
-
-    fn put<'a>(&'a self, name: &'a str, object: Bytes) -> BoxFuture<'a, SwitchResult<()>> {
-        async move {
-            let path = format!("/objects/v1/{name}");
-            let answer = self.0.call(Method::PUT, &path, object).await?;
-            if answer.status == StatusCode::OK {
-                Ok(())
-            } else {
-                Err(self.0.unexpected(&answer))
-            }
-        }
-        .boxed()
-    }
-}
-
 /// The origin or the weight store over HTTP.
 pub(crate) struct HttpWeights(pub(crate) PlatformClient);
 
--- a/src/stores/mod.rs
+++ b/src/stores/mod.rs
@@ -5,11 +5,9 @@
 pub(crate) mod events;
 pub(crate) mod host_list;
 pub(crate) mod http;
-pub(crate) mod object_store;
 pub(crate) mod table_store;
 pub(crate) mod weight_source;
 
 pub(crate) use host_list::{HostEntry, HostList, HostRole, ListedState};
-pub(crate) use object_store::ObjectStore;
 pub(crate) use table_store::{RowRevision, TableRow, TableStore, WriteResult};
 pub(crate) use weight_source::WeightSource;
--- a/src/stores/table_store.rs
+++ b/src/stores/table_store.rs
@@ -55,11 +55,4 @@
         expected: RowRevision,
         value: Bytes,
     ) -> BoxFuture<'a, SwitchResult<WriteResult>>;
-
-    /// Removes a row if it stands at revision `expected`.
-    fn remove<'a>(
-        &'a self,
-        key: &'a str,
-        expected: RowRevision,
-    ) -> BoxFuture<'a, SwitchResult<WriteResult>>;
 }
--- a/src/weights/activation.rs
+++ b/src/weights/activation.rs
@@ -16,10 +16,10 @@
 use crate::derives::plain;
 use crate::documents::TableAwayRule;
 use crate::errors::SwitchResult;
-use crate::leases::LeaseHolder;
 use crate::membership::ServingVersion;
 use crate::stores::RowRevision;
 use crate::time::ClockTime;
+use crate::weights::LeaseHolder;
 
 /// How often the engine is looked at while nothing changes.
 const WATCH_SPAN: Duration = Duration::from_secs(1);
--- a/src/weights/activation_edge.rs
+++ b/src/weights/activation_edge.rs
@@ -18,11 +18,11 @@
 use crate::engines::LoadOrder;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
-use crate::leases::LeaseHolder;
 use crate::membership::ServingVersion;
 use crate::metrics;
 use crate::stores::{RowRevision, TableRow, WriteResult};
 use crate::time::clock_now;
+use crate::weights::LeaseHolder;
 
 const WAIT_MOST: Duration = Duration::from_millis(200);
 const WAIT_LEAST: Duration = Duration::from_millis(5);
--- a/src/weights/rollout_book.rs
+++ b/src/weights/rollout_book.rs
@@ -11,10 +11,10 @@
 };
 use super::wanted_version::WantedVersion;
 use crate::errors::SwitchResult;
-use crate::leases::LeaseHolder;
 use crate::membership::ServingVersion;
 use crate::stores::RowRevision;
 use crate::time::ClockTime;
+use crate::weights::LeaseHolder;
 
 /// How long a reading of the row counts.
 const ROW_SPAN: Duration = Duration::from_secs(2);
--- a/src/weights/rollout_row.rs
+++ b/src/weights/rollout_row.rs
@@ -8,9 +8,9 @@
 
 use super::wanted_version::WantedVersion;
 use crate::derives::{message, plain};
-use crate::leases::LeaseHolder;
 use crate::stores::RowRevision;
 use crate::time::ClockTime;
+use crate::weights::LeaseHolder;
 
 /// How long a permit holds from each renewal.
 pub(crate) const PERMIT_LENGTH: Duration = Duration::from_secs(10);
