Reset connections to backend servers that are given up

Cause: a request that is sent to a host which stands still, or over a link that is full, waits on the way. When the entry host gave it up it closed the connection in order, and the close waited behind the request: 3.4 s later, when the host went on, its backend server was handed the request of a client that had left 2.4 s after asking. Connections to backend servers now end with a reset, which drops what waits.

Ruled out: requests of clients that had left being sent only then (the entry host's log has no send after 1.2 s).

Test: a_connection_that_is_given_up_is_reset, seen to fail with the option taken out.

--- a/src/gateway/backend_connection.rs
+++ b/src/gateway/backend_connection.rs
@@ -54,6 +54,11 @@
         };
         let set = stream.set_nodelay(true);
         set.map_err(|fault| failed(fault.to_string()))?;
+        // A request that is given up must not arrive later. While its host stands still, or its link is
+        // full, it waits on the way, and an orderly close would wait behind it: the backend server would
+        // be handed requests of clients that have long left. A reset drops what waits.
+        let set = stream.set_zero_linger();
+        set.map_err(|fault| failed(fault.to_string()))?;
         let shaken = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = shaken.map_err(|fault| failed(fault.to_string()))?;
         // How the connection ended shows in the request that was on it.
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,3 +1,4 @@
+mod connection;
 mod fake_backend;
 mod intake;
 mod sends;
