Charge streams that go on elsewhere to the retry budget

Cause: the first send behind a stream that broke off was not taken from the retry budget; only further ones were.

Test: a_stream_that_goes_on_elsewhere_costs_a_retry, which failed first.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -92,10 +92,15 @@
     }
 
     /// Whether another send is allowed after one that may have run.
-    pub(super) fn may_repeat(&self, now: ClockTime) -> bool {
+    fn may_repeat(&self, now: ClockTime) -> bool {
         self.job.repeat().is_repeatable() && self.has_attempts(now)
     }
 
+    /// The same, with the retry budget, which is spent if it is.
+    pub(super) fn may_repeat_paid(&self, now: ClockTime) -> bool {
+        self.may_repeat(now) && self.gateway.spend_retry(&self.job.routed.service)
+    }
+
     fn has_attempts(&self, now: ClockTime) -> bool {
         let is_within = self.arrivals < self.job.routed.rule.attempts_max;
         is_within && !self.job.time_left(now).is_zero()
@@ -279,8 +284,7 @@
                 return Ok(reply);
             }
             Err(failure) => {
-                let may_follow = forwarder.may_repeat(clock_now())
-                    && forwarder.gateway.spend_retry(&forwarder.job.routed.service);
+                let may_follow = forwarder.may_repeat_paid(clock_now());
                 forwarder.may_have_run = true;
                 forwarder.last_failure = Some(failure);
                 if !may_follow {
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -148,7 +148,7 @@
     async fn resume(&mut self, why: &str) -> Result<(), String> {
         let since: ClockTime = clock_now();
         self.reader = EventReader::default();
-        if !self.forwarder.may_repeat(since) {
+        if !self.forwarder.may_repeat_paid(since) {
             return Err(why.to_owned());
         }
         match next_answer(&mut self.forwarder, self.last_event).await {
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -18,6 +18,7 @@
 use crate::fleet::{BackendFacts, BackendPhase, EngineHoldings, FleetView};
 use crate::gateway::daemon::caller_routes;
 use crate::gateway::gateway_state::GatewayState;
+use crate::platform::TimeBounds;
 use crate::platform::samples::{ATTEMPT, BACKEND_ID, DEADLINE, NOT_RUN, SEAL};
 use crate::sync::{ControlSnapshot, SharedSnapshot};
 use crate::transport::{HttpServer, bind_listener};
@@ -181,6 +182,11 @@
 impl FakeEntry {
     /// An entry host in front of `backends`, with a route for each kind of request.
     pub(super) async fn start(backends: &[&FakeBackend]) -> Self {
+        Self::start_with(backends, BOUNDS).await
+    }
+
+    /// The same with other bounds.
+    pub(super) async fn start_with(backends: &[&FakeBackend], bounds: TimeBounds) -> Self {
         let snapshot = SharedSnapshot::default();
         let facts = backends.iter().enumerate().map(|(at, backend)| {
             Arc::new(BackendFacts {
@@ -205,7 +211,7 @@
             }),
             ..ControlSnapshot::default()
         });
-        let gateway = Arc::new(gateway_on(snapshot, BOUNDS));
+        let gateway = Arc::new(gateway_on(snapshot, bounds));
         let listener = bind_listener(([127, 0, 0, 1], 0).into())
             .await
             .expect("a free port");
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -1,6 +1,8 @@
 //! What follows a send, by what is known after it and what the route allows.
 
+use super::BOUNDS;
 use super::fake_backend::{BackendWay, FakeBackend, FakeEntry, field};
+use crate::platform::TimeBounds;
 use crate::platform::samples::{ACCOUNT, ATTEMPT, DEADLINE, SEAL, TARGET_ID};
 
 /// The status of an answer, what it ends with, and how many requests each of two fakes saw.
@@ -124,6 +126,24 @@
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
 }
 
+/// Symptom: a service got more second sends than the entry hosts may make together. Engines cut off what
+/// they worked on when they changed their weights, and the streams that went on elsewhere were counted
+/// nowhere.
+#[tokio::test]
+async fn a_stream_that_goes_on_elsewhere_costs_a_retry() {
+    let first = FakeBackend::start(BackendWay::EventsCut { to: 2 }).await;
+    let second = FakeBackend::start(BackendWay::Events { to: 5 }).await;
+    let bounds = TimeBounds {
+        retry_ratio: 0.0,
+        retry_extra: 0.0,
+        ..BOUNDS
+    };
+    let entry = FakeEntry::start_with(&[&first, &second], bounds).await;
+    let answer = entry.ask("resumed").await;
+    assert_eq!((first.arrivals(), second.arrivals()), (1, 0), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "it is not whole: {answer}");
+}
+
 /// Symptom: a client took half a stream for a whole one. The backend server broke off, the route does
 /// not allow another run, and the entry host ended the answer in the regular way.
 #[tokio::test]
