Let a stream that goes on elsewhere go first in the engine's queue

Cause: an engine that changes its weights cuts off up to six streams, which go on at other engines. There they waited behind requests that had just come; a pause over 0.3 s makes a stream late, as a late first event does, but the place that it held elsewhere has just become free.

Test: a_stream_that_goes_on_is_more_urgent_than_any_new_request.

--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -19,6 +19,10 @@
 /// A client says how long it will wait from then on, so a retry says less than the first attempt.
 const RETURNED_AFTER: Duration = Duration::from_millis(20);
 
+/// The rank of a stream that goes on at another engine: its client sees the pause, and a place that it
+/// held elsewhere has just become free.
+const PRIORITY_RESUMED: u8 = 0;
+
 /// How much earlier nothing waits for a place at an older version any more: engines that change send
 /// what they worked on to the others, where a request has waited 1.6 s.
 const WAIT_MARGIN: Duration = Duration::from_millis(1500);
@@ -64,12 +68,15 @@
         asked + RETURNED_AFTER < timeout
     }
 
-    /// How urgent it is to a model engine's own queue.
-    pub(super) fn engine_priority(&self) -> u8 {
-        if self.is_returned() {
+    /// How urgent it is to a model engine's own queue; `is_resumed` when its client has seen a part of
+    /// the answer.
+    pub(super) fn engine_priority(&self, is_resumed: bool) -> u8 {
+        if is_resumed {
+            PRIORITY_RESUMED
+        } else if self.is_returned() {
             PRIORITY_MAX
         } else {
-            self.routed.rank.min(PRIORITY_MAX - 1)
+            self.routed.rank.clamp(PRIORITY_RESUMED + 1, PRIORITY_MAX - 1)
         }
     }
 
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -153,7 +153,7 @@
         VersionNeed::None => (None, None),
         // While any version may answer, one that changes on the way is no reason to be refused.
         VersionNeed::Model { least, .. } => {
-            (Some(job.engine_priority()), least.and(ticket.version))
+            (Some(job.engine_priority(last_event.is_some())), least.and(ticket.version))
         }
     };
     let facts = SendFacts {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -126,6 +126,18 @@
     }
 }
 
+/// Symptom: streams that an engine cut off when it changed its weights paused for half a second and more.
+/// They waited in the other engines' queues behind requests that had just come.
+#[test]
+fn a_stream_that_goes_on_is_more_urgent_than_any_new_request() {
+    let now = ClockTime::from_millis(50_000);
+    for rank in [0, 1, 9] {
+        let mut job = job_of("resumed", now);
+        job.routed.rank = rank;
+        assert!(job.engine_priority(true) < job.engine_priority(false));
+    }
+}
+
 /// Symptom: an answer began on the first version of weights 58 ms after its bound. An engine was cut
 /// off and its streams were resumed on one that still held the first version and seemed to have a
 /// place; others had come there too, and the stream waited at the engine for a second.
