Tell clients of streams that nothing comes before they stop waiting

Cause: clients close a stream that brings nothing for 2 s, four times the route's target or eight times its longest pause, whichever is most (2.4 s here). Where the hosts of some engines stand still, a request waits 1.2 s at one and then at another; its client left while it was still waiting, and what stood in the frozen engine ran for nobody 2.3 s later. Such a client is now told 0.1 s earlier that the outcome is not known, and can ask again, on time for the last third of its deadline; after that nothing is sent on for it.

Ruled out: closes that came late (event 1202 tells the end of each such send 1.1 s before its client left).

Test: a_client_is_told_before_it_stops_waiting_for_a_stream.

--- a/src/catalog/service_catalog.rs
+++ b/src/catalog/service_catalog.rs
@@ -63,6 +63,8 @@
     pub(crate) timeout: Duration,
     /// Within which time an answer, or a stream's first event, is fully useful.
     pub(crate) target: Duration,
+    /// How long a stream may pause between two events without being late.
+    pub(crate) pause: Duration,
     /// Its rank; 0 is the most urgent.
     pub(crate) rank: u8,
     /// Where its requests go.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -10,6 +10,7 @@
         repeat: RepeatRule::Idempotent,
         timeout: Duration::from_secs(1),
         target: Duration::from_millis(100),
+        pause: Duration::ZERO,
         rank: 0,
         shares: vec![
             ServiceShare {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -31,6 +31,9 @@
 const PATIENCE_TARGETS: u32 = 2;
 /// How long the first event of a stream may take before another backend server is tried.
 const FIRST_EVENT_WITHIN: Duration = Duration::from_millis(1200);
+/// How long before a client would close its connection it is told that nothing comes: the way to it
+/// takes 1 to 3 ms, and this process may be busy.
+const TELL_MARGIN: Duration = Duration::from_millis(100);
 /// The part of the latency target for which a request may wait for a place. Waiting longer and
 /// being refused then costs the client more than being refused at once.
 const HOLD_PART: u32 = 8;
@@ -57,6 +60,8 @@
     /// The worst that is known of the sends so far.
     may_have_run: bool,
     last_failure: Option<SendFailure>,
+    /// When the client is told that nothing comes, if nothing has come by then.
+    answer_due: ClockTime,
     /// Whether its end has been told in the log.
     is_ended: bool,
 }
@@ -79,6 +84,7 @@
 
     pub(super) fn new(gateway: Arc<GatewayState>, job: RequestJob) -> Self {
         gateway.earn_retry(&job.routed.service);
+        let answer_due = due_before(&job, job.arrived);
         Self {
             gateway,
             job: Arc::new(job),
@@ -87,10 +93,21 @@
             unsent: 0,
             may_have_run: false,
             last_failure: None,
+            answer_due,
             is_ended: false,
         }
     }
 
+    /// The client of a stream got its last event at `since`.
+    pub(super) fn note_event(&mut self, since: ClockTime) {
+        self.answer_due = due_before(&self.job, since);
+    }
+
+    /// How long the client waits yet for what comes next.
+    fn wait_left(&self, now: ClockTime) -> Duration {
+        self.answer_due.since(now).min(self.job.time_left(now))
+    }
+
     /// Whether another send is allowed after one that may have run.
     fn may_repeat(&self, now: ClockTime) -> bool {
         self.job.repeat().is_repeatable() && self.has_attempts(now)
@@ -103,7 +120,7 @@
 
     fn has_attempts(&self, now: ClockTime) -> bool {
         let is_within = self.arrivals < self.job.routed.rule.attempts_max;
-        is_within && !self.job.time_left(now).is_zero()
+        is_within && !self.wait_left(now).is_zero()
     }
 
     /// Whether `failure` may be followed by another send. Spends the budget if it needs it.
@@ -111,7 +128,7 @@
         if !failure.has_arrived {
             self.unsent += 1;
             let is_open = !self.may_have_run || self.may_repeat(now);
-            return self.unsent < UNSENT_MAX && is_open && !self.job.time_left(now).is_zero();
+            return self.unsent < UNSENT_MAX && is_open && !self.wait_left(now).is_zero();
         }
         self.arrivals += 1;
         self.may_have_run |= failure.may_have_run;
@@ -164,7 +181,7 @@
     }
 
     fn patience(&self, now: ClockTime) -> Duration {
-        let left = self.job.time_left(now);
+        let left = self.wait_left(now);
         let can_repeat = self.job.repeat().is_repeatable()
             && self.arrivals + 1 < self.job.routed.rule.attempts_max;
         if !can_repeat {
@@ -179,6 +196,20 @@
     }
 }
 
+/// When a client that got something at `since` is told that nothing more comes; the deadline for
+/// anything but a stream.
+///
+/// Clients close their connection when a stream brings nothing for too long. Whatever still works for one
+/// then works for nobody, and the client learns nothing. One would notice clients that leave after the
+/// same span each, while hosts stand still. They are told a little earlier, and can ask again.
+fn due_before(job: &RequestJob, since: ClockTime) -> ClockTime {
+    if job.repeat().is_stream() {
+        job.given_up_at(since) - TELL_MARGIN
+    } else {
+        job.deadline
+    }
+}
+
 /// Sends the request until a backend server answers it, as far as that is allowed.
 ///
 /// # Errors
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -19,6 +19,13 @@
 /// A client says how long it will wait from then on, so a retry says less than the first attempt.
 const RETURNED_AFTER: Duration = Duration::from_millis(20);
 
+/// How long clients wait for an event of a stream, the first one included: at least so long, so many
+/// times the route's latency target and so many times its longest pause, whichever is most. The figures
+/// are the platform's.
+const CLIENT_PATIENCE_LEAST: Duration = Duration::from_secs(2);
+const CLIENT_PATIENCE_TARGETS: u32 = 4;
+const CLIENT_PATIENCE_PAUSES: u32 = 8;
+
 /// The rank of a stream that goes on at another engine: its client sees the pause, and a place that it
 /// held elsewhere has just become free.
 const PRIORITY_RESUMED: u8 = 0;
@@ -61,6 +68,16 @@
         self.deadline.since(now)
     }
 
+    /// When its client stops waiting for the next event of a stream that last brought something at
+    /// `since`, or was sent then.
+    pub(super) fn given_up_at(&self, since: ClockTime) -> ClockTime {
+        let rule = &self.routed.rule;
+        let patience = CLIENT_PATIENCE_LEAST
+            .max(rule.target * CLIENT_PATIENCE_TARGETS)
+            .max(rule.pause * CLIENT_PATIENCE_PAUSES);
+        self.deadline.min(since + patience)
+    }
+
     /// Whether the client was refused before and came back.
     pub(super) fn is_returned(&self) -> bool {
         let timeout = self.routed.rule.timeout;
@@ -76,7 +93,9 @@
         } else if self.is_returned() {
             PRIORITY_MAX
         } else {
-            self.routed.rank.clamp(PRIORITY_RESUMED + 1, PRIORITY_MAX - 1)
+            self.routed
+                .rank
+                .clamp(PRIORITY_RESUMED + 1, PRIORITY_MAX - 1)
         }
     }
 
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -152,9 +152,10 @@
     let (priority, version) = match need {
         VersionNeed::None => (None, None),
         // While any version may answer, one that changes on the way is no reason to be refused.
-        VersionNeed::Model { least, .. } => {
-            (Some(job.engine_priority(last_event.is_some())), least.and(ticket.version))
-        }
+        VersionNeed::Model { least, .. } => (
+            Some(job.engine_priority(last_event.is_some())),
+            least.and(ticket.version),
+        ),
     };
     let facts = SendFacts {
         time_left: job.time_left(clock_now()),
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -104,7 +104,9 @@
         loop {
             let events = self.take_events();
             if !events.is_empty() {
-                self.pace.note(clock_now());
+                let now = clock_now();
+                self.pace.note(now);
+                self.forwarder.note_event(now);
                 return RelayStep::Events(events);
             }
             let left = self.forwarder.job.time_left(clock_now());
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -266,6 +266,7 @@
         repeat,
         timeout: Duration::from_secs(2),
         target: Duration::from_millis(400),
+        pause: Duration::from_millis(300),
         rank: 1,
         shares: vec![ServiceShare {
             service: "desk".into(),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -138,6 +138,25 @@
     }
 }
 
+/// Symptom: backend servers worked for clients that had left. Events: the hosts of some engines stand still;
+/// a stream waits at one of them and then at another. Cause: the client was left waiting until it closed
+/// its connection, and nobody could tell it to ask again.
+#[test]
+fn a_client_is_told_before_it_stops_waiting_for_a_stream() {
+    let now = ClockTime::from_millis(50_000);
+    let gateway = Arc::new(gateway_on(SharedSnapshot::default(), BOUNDS));
+    let wait_of = |kind: &str, later: Duration| {
+        let forwarder = Forwarder::new(gateway.clone(), job_of(kind, now));
+        forwarder.head_wait(None, now + later).within
+    };
+    // The route's pauses are 0.3 s; clients wait for eight of them, 2.4 s.
+    let left = wait_of("resumed", Duration::from_secs(2));
+    assert!(left > Duration::ZERO && left < Duration::from_millis(400));
+    let left = wait_of("single", Duration::from_millis(2350));
+    assert_eq!(left, Duration::ZERO);
+    assert!(wait_of("once", Duration::from_secs(2)) > Duration::from_secs(3));
+}
+
 /// Symptom: an answer began on the first version of weights 58 ms after its bound. An engine was cut
 /// off and its streams were resumed on one that still held the first version and seemed to have a
 /// place; others had come there too, and the stream waited at the engine for a second.
--- a/src/platform/document_row.rs
+++ b/src/platform/document_row.rs
@@ -74,6 +74,9 @@
     public: bool,
     #[serde(default)]
     stream_resume: bool,
+    /// The longest pause between two events of an answer that is still on time; streams only.
+    #[serde(default)]
+    gap_target_ms: f64,
 }
 
 #[derive(Deserialize)]
@@ -211,6 +214,7 @@
         repeat,
         timeout: millis(text.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS)),
         target: millis(text.target_latency_ms),
+        pause: millis(text.gap_target_ms),
         rank: text.priority,
         shares,
         attempts_max: text.max_attempts.unwrap_or(DEFAULT_ATTEMPTS_MAX),
