--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,5 +10,5 @@
 mod tests;
 
 pub(crate) use drain::{DrainState, LiveGuard};
-pub(crate) use probes::probe_routes;
+pub(crate) use probes::{metrics_routes, probe_routes};
 pub(crate) use process::{run_on_one_thread, run_process};
--- a/src/daemon/probes.rs
+++ b/src/daemon/probes.rs
@@ -19,7 +19,12 @@
     Router::new()
         .route("/livez", get(async || "live\n"))
         .route("/readyz", get(readiness))
-        .route("/metrics", get(async || metrics::render_text()))
+        .merge(metrics_routes())
+}
+
+/// Counters and histograms as Prometheus text.
+pub(crate) fn metrics_routes() -> Router {
+    Router::new().route("/metrics", get(async || metrics::render_text()))
 }
 
 fn readiness_answer(is_ready: bool) -> (StatusCode, &'static str) {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -43,8 +43,8 @@
         .about("Takes callers' requests, picks a backend server and relays the answer")
         .after_help(EXAMPLE);
     let matches = with_platform(SettingReader::command(command, SPECS)).get_matches();
-    if matches.subcommand_name() == Some(PLATFORM_COMMAND) {
-        return run_on_platform(NAME, run_gateway);
+    if let Some(arguments) = matches.subcommand_matches(PLATFORM_COMMAND) {
+        return run_on_platform(NAME, arguments, run_gateway);
     }
     let mut reader = SettingReader::new(matches, SPECS);
     let only_checks = reader.only_checks();
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -21,7 +21,7 @@
 use crate::platform::{PlatformSettings, READY_PATH, TimeBounds};
 use crate::sync::{EntryRecord, SharedBook, SyncSettings, ViewBook, start_sync};
 use crate::time::clock_now;
-use crate::transport::{HttpServer, bind_listener, decode_message};
+use crate::transport::{HttpServer, bind_listener, decode_message, start_metrics};
 
 /// The part of the grace that is kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
@@ -52,6 +52,7 @@
     };
     let callers = bind_listener(callers).await?;
     let ready = bind_listener(ready).await?;
+    start_metrics(settings.metrics_address, drain.clone()).await?;
     let book = start_sync(sync, drain.clone());
     let gateway = Arc::new(GatewayState::new(
         book.snapshot(),
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -25,8 +25,8 @@
     wrap: impl FnOnce(Router) -> Router,
 ) -> ExitCode {
     let matches = with_platform(HostSettings::command()).get_matches_from(arguments);
-    if matches.subcommand_name() == Some(PLATFORM_COMMAND) {
-        return run_on_platform("savory-host", run_backend_host);
+    if let Some(arguments) = matches.subcommand_matches(PLATFORM_COMMAND) {
+        return run_on_platform("savory-host", arguments, run_backend_host);
     }
     let (settings, only_checks) = HostSettings::read(matches);
     match settings {
--- a/src/platform/command.rs
+++ b/src/platform/command.rs
@@ -2,9 +2,10 @@
 
 use std::convert::Infallible;
 use std::future::{Future, pending};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use clap::Command;
+use clap::{Arg, ArgMatches, Command, value_parser};
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::settings_file::{PlatformSettings, read_settings};
@@ -14,25 +15,39 @@
 
 /// The subcommand's name.
 pub(crate) const PLATFORM_COMMAND: &str = "platform";
+const METRICS_PORT: &str = "metrics-port";
 
 /// `command` with the subcommand; what it needs else does not hold for the subcommand.
 pub(crate) fn with_platform(command: Command) -> Command {
+    let metrics_port = Arg::new(METRICS_PORT)
+        .long(METRICS_PORT)
+        .env("SAVORY_METRICS_PORT")
+        .value_name("PORT")
+        .value_parser(value_parser!(u16).range(1..))
+        .help("Serve counters and histograms as Prometheus text at /metrics of this port");
     let platform = Command::new(PLATFORM_COMMAND)
-        .about("Run on the users' platform, with the settings file that it writes");
+        .about("Run on the users' platform, with the settings file that it writes")
+        .arg(metrics_port);
     command
         .subcommand_negates_reqs(true)
         .args_conflicts_with_subcommands(true)
         .subcommand(platform)
 }
 
-/// Runs `daemon` with the settings of the platform's file.
-pub(crate) fn run_on_platform<F, D>(name: &'static str, daemon: F) -> ExitCode
+/// Runs `daemon` with the settings of the platform's file and the subcommand's `arguments`.
+pub(crate) fn run_on_platform<F, D>(
+    name: &'static str,
+    arguments: &ArgMatches,
+    daemon: F,
+) -> ExitCode
 where
     F: FnOnce(PlatformSettings) -> D,
     D: Future<Output = SwitchResult<()>>,
 {
     match read_settings() {
-        Ok(settings) => {
+        Ok(mut settings) => {
+            let port = arguments.get_one::<u16>(METRICS_PORT);
+            settings.metrics_address = port.map(|port| SocketAddr::new(settings.ip, *port));
             let daemon = daemon(settings);
             run_on_one_thread(name, async {
                 tokio::select! {
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -40,6 +40,8 @@
     pub(crate) ready_address: Option<SocketAddr>,
     /// Where the system's other processes call an entry host.
     pub(crate) control_address: Option<SocketAddr>,
+    /// Where counters and histograms are served; nowhere without a port for them.
+    pub(crate) metrics_address: Option<SocketAddr>,
     /// The first of the ports that are free for traffic between the system's processes.
     pub(crate) peer_port: u16,
     /// Where some entry hosts listen for other processes; may be stale.
@@ -146,6 +148,7 @@
         caller_address: address("listen.front", file.listen.front.as_deref())?,
         ready_address: address("listen.ready_addr", file.listen.ready_addr.as_deref())?,
         control_address: address("listen.control", file.listen.control.as_deref())?,
+        metrics_address: None,
         peer_port: file.port_range.0,
         seeds: seeds.collect(),
         backend_address: address("app", file.app.as_deref())?,
--- a/src/replication/chunk_routes.rs
+++ b/src/replication/chunk_routes.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use volo_http::request::Request;
 use volo_http::response::Response;
-use volo_http::server::route::{Router, get, post};
+use volo_http::server::route::{Router, post};
 
 use super::chunk_messages::{ChunkAsk, ChunkReply, DIGESTS_PATH, GET_PATH, HAVE_PATH};
 use super::chunk_store::ChunkStore;
@@ -43,7 +43,6 @@
         .route(HAVE_PATH, post(handler(ChunkCall::Have)))
         .route(GET_PATH, post(handler(ChunkCall::Get)))
         .route(DIGESTS_PATH, post(handler(ChunkCall::Digests)))
-        .route("/metrics", get(async || metrics::render_text()))
         .fallback(async || StatusCode::NOT_FOUND)
 }
 
--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -18,7 +18,7 @@
 use crate::events::log_event;
 use crate::platform::{EngineClient, PlatformSettings, StoreClient};
 use crate::sync::SharedBook;
-use crate::transport::{ClientLimits, HttpServer, PeerClient};
+use crate::transport::{ClientLimits, HttpServer, PeerClient, start_metrics};
 use crate::weights::{LineHost, LinkPacer};
 
 /// Other hosts find out within one call that this one is gone; nothing waits for it.
@@ -106,6 +106,7 @@
     let server = HttpServer::bind(peers, chunk_routes(store, pacer)).await?;
     log_event!(events::SERVING, "host={} peers={peers}", settings.host);
     let drain = DrainState::new(STOP_LINGER, STOP_LONGEST);
+    start_metrics(settings.metrics_address, drain.clone()).await?;
     tokio::select! {
         () = server.run(drain.clone()) => {}
         () = drain.finished() => {}
--- a/src/sync/peer_routes.rs
+++ b/src/sync/peer_routes.rs
@@ -6,11 +6,10 @@
 use tokio::time::timeout;
 use volo_http::request::Request;
 use volo_http::response::Response;
-use volo_http::server::route::{Router, get, post};
+use volo_http::server::route::{Router, post};
 
 use super::peer_messages::{PeerAsk, VIEW_PATH};
 use super::shared_book::SharedBook;
-use crate::metrics;
 use crate::time::clock_now;
 use crate::transport::{error_reply, message_reply, read_message};
 
@@ -24,7 +23,6 @@
     let handler = move |request: Request| answer_view(book.clone(), request);
     Router::new()
         .route(VIEW_PATH, post(handler))
-        .route("/metrics", get(async || metrics::render_text()))
         .fallback(async || StatusCode::NOT_FOUND)
 }
 
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -12,7 +12,7 @@
 
 use super::accept::PacedIncoming;
 use super::frames::decode_message;
-use crate::daemon::{DrainState, events};
+use crate::daemon::{DrainState, events, metrics_routes};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
 
@@ -82,6 +82,22 @@
     }
 }
 
+/// Serves counters and histograms at `address`, if there is one, until the process stops.
+///
+/// # Errors
+///
+/// `SettingInvalid` when the address cannot be had.
+pub(crate) async fn start_metrics(
+    address: Option<SocketAddr>,
+    drain: DrainState,
+) -> SwitchResult<()> {
+    if let Some(address) = address {
+        let server = HttpServer::bind(address, metrics_routes()).await?;
+        tokio::spawn(server.run(drain));
+    }
+    Ok(())
+}
+
 /// Binds `address`; port 0 takes a free one.
 ///
 /// # Errors
