--- a/src/lab/launch/company.rs
+++ b/src/lab/launch/company.rs
@@ -180,7 +180,7 @@
             method: Some("POST".into()),
             path_prefix: self.desk_path.into(),
             repeatable: false,
-            in_outage: OutageRule::Lease,
+            in_outage: OutageRule::default(),
         };
         ServiceDocument {
             routes: vec![once, repeatable_route()],
@@ -227,7 +227,7 @@
         method: None,
         path_prefix: "/".into(),
         repeatable: true,
-        in_outage: OutageRule::Refuse,
+        in_outage: OutageRule::default(),
     }
 }
 
