Forget what a host said it holds once it does not answer

Cause: one host of a data centre brings a chunk in, and the others pull it from there. A host that had brought chunks in and was then replaced stayed listed and silent; what it had said kept the others from bringing the chunks in again, and from reading them from the origin, for thirteen seconds. A question that is not answered now takes its words back until it is heard again, and a host from which a chunk did not come is asked at once.

Ruled out: the origin (back two seconds before the first host was whole), the links (two hosts of the third data centre had the whole in time).

Test: chunks_of_a_host_that_is_no_more_are_brought_in_again, which failed first.

--- a/src/weights/fetch_choice.rs
+++ b/src/weights/fetch_choice.rs
@@ -200,7 +200,7 @@
         let keys: Vec<PeerKey> = self
             .peers
             .listed()
-            .filter(|(_, peer)| peer.is_neighbour)
+            .filter(|(_, peer)| peer.is_neighbour || peer.is_doubted)
             .map(|(key, _)| key)
             .collect();
         for key in keys.into_iter().chain(self.turns.take_watched()) {
@@ -212,9 +212,10 @@
             let jitter = (every * pace).mul_f64(self.rng.random_range(0.75..1.25));
             let peer = self.peers.get_mut(key);
             let last = peer.heard_at.max(peer.asked_at);
-            let is_time = last.is_none_or(|last| now.since(last) >= jitter);
+            let is_time = peer.is_doubted || last.is_none_or(|last| now.since(last) >= jitter);
             if is_time && peer.contact != PeerContact::Asked && peer.rest_until <= now {
                 peer.contact = PeerContact::Asked;
+                peer.is_doubted = false;
                 peer.asked_at = Some(now);
                 steps.push(FetchStep::Ask(key));
             }
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -201,15 +201,14 @@
     /// The answer to [`FetchStep::Ask`] came, or did not.
     pub(crate) fn on_asked(&mut self, key: PeerKey, failure: Option<ErrorKind>, now: ClockTime) {
         let part = self.rng.random();
-        let peer = self.peers.get_mut(key);
-        peer.contact = PeerContact::Quiet;
         match failure {
             // It has not begun with this version yet: it is there, and holds nothing.
-            None | Some(ErrorKind::ChunkMissing) => peer.heard_at = Some(now),
-            Some(_) => {
-                peer.contact = PeerContact::Silent;
-                peer.strike(now, part);
+            None | Some(ErrorKind::ChunkMissing) => {
+                let peer = self.peers.get_mut(key);
+                peer.contact = PeerContact::Quiet;
+                peer.heard_at = Some(now);
             }
+            Some(_) => self.peers.lose(key, now, part),
         }
     }
 
@@ -259,7 +258,12 @@
             (FlightSource::Peer(key), ErrorKind::ChunkMissing) => {
                 self.peers.forget_chunk(key, flight.index);
             }
-            (FlightSource::Peer(key), _) => self.peers.get_mut(key).strike(now, part),
+            (FlightSource::Peer(key), _) => {
+                // Whether it is there at all is asked next.
+                let peer = self.peers.get_mut(key);
+                peer.strike(now, part);
+                peer.is_doubted = true;
+            }
         }
     }
 
--- a/src/weights/peer_table.rs
+++ b/src/weights/peer_table.rs
@@ -58,6 +58,8 @@
     pub(crate) asked_at: Option<ClockTime>,
     /// How the last asking went.
     pub(crate) contact: PeerContact,
+    /// Whether a chunk did not come from it since it was last asked.
+    pub(crate) is_doubted: bool,
     /// Chunks under way from it.
     pub(crate) pulls: u32,
     /// Until when nothing is asked of it, after failures.
@@ -172,6 +174,21 @@
         self.count_copies();
     }
 
+    /// A host did not answer: what it said of itself counts no more until it is heard again.
+    ///
+    /// A host that was replaced, has lost power or is cut off stays listed for a while. As long as it
+    /// counted as holding chunks, the others of its data centre neither brought them in from another one
+    /// nor read them from the origin, and waited for it. One would notice data centres without weights
+    /// beside others that have them whole.
+    pub(crate) fn lose(&mut self, key: PeerKey, now: ClockTime, part: f64) {
+        let peer = &mut self.peers[key.at()];
+        peer.contact = PeerContact::Silent;
+        peer.held = None;
+        peer.claimed = None;
+        peer.strike(now, part);
+        self.count_copies();
+    }
+
     fn list(&mut self, host: &PlanHost) {
         match self.place(&host.line.host) {
             Ok(at) => {
@@ -250,6 +267,7 @@
             heard_at: None,
             asked_at: None,
             contact: PeerContact::Quiet,
+            is_doubted: false,
             pulls: 0,
             rest_until: ClockTime(0),
             busy_until: ClockTime(0),
--- /dev/null
+++ b/src/weights/tests/lost_hosts.rs
@@ -0,0 +1,109 @@
+//! Hosts that said what they hold and are no more.
+
+use std::time::Duration;
+
+use crate::documents::SpreadObjective;
+use crate::errors::ErrorKind;
+use crate::time::ClockTime;
+use crate::weights::{
+    ChunkMap, FetchLimits, FetchPlan, FetchStep, FlightSource, HaveWord, LineHost, PeerKey,
+    PlanHost, WeightsDigest,
+};
+
+const START: ClockTime = ClockTime::from_millis(100_000);
+const CHUNKS: u32 = 4;
+
+fn line(host: &str, data_centre: &str) -> LineHost {
+    LineHost {
+        host: host.into(),
+        data_centre: data_centre.into(),
+        region: "all".into(),
+    }
+}
+
+fn plan_host(host: &str, data_centre: &str, port: u16) -> PlanHost {
+    PlanHost {
+        line: line(host, data_centre),
+        address: ([127, 0, 0, 1], port).into(),
+    }
+}
+
+fn holds_all(host: &str) -> HaveWord {
+    HaveWord {
+        host: host.into(),
+        held: ChunkMap::full(CHUNKS),
+        claimed: ChunkMap::empty(CHUNKS),
+        backlog_ms: 0,
+    }
+}
+
+fn plan_with(limits: FetchLimits) -> FetchPlan {
+    let mut plan = FetchPlan::new(
+        line("me", "here"),
+        (WeightsDigest::of(b"v2"), SpreadObjective::OriginBytes),
+        ChunkMap::empty(CHUNKS),
+        limits,
+        (Duration::from_millis(27), 1),
+        START,
+    );
+    plan.set_hosts(&[plan_host("far", "there", 1), plan_host("near", "here", 2)]);
+    plan.on_word(&holds_all("near"), START);
+    plan.on_word(&holds_all("far"), START);
+    plan
+}
+
+/// Whom the plan pulls from at `now`; what it asks others does not matter here.
+fn pulls(plan: &mut FetchPlan, now: ClockTime) -> Vec<PeerKey> {
+    let steps = plan.next_steps(now);
+    let sources = steps.iter().filter_map(|step| match step {
+        FetchStep::Fetch {
+            source: FlightSource::Peer(key),
+            ..
+        } => Some(*key),
+        _ => None,
+    });
+    sources.collect()
+}
+
+/// Symptom: the hosts of two data centres got no weights for thirteen seconds, while those of the third
+/// held all of them. Events: one host of a data centre had brought some chunks in, said so, and was
+/// replaced; its address stayed listed for a while and answered nothing. Cause: what it had said kept
+/// the others from bringing the chunks in once more.
+#[test]
+fn chunks_of_a_host_that_is_no_more_are_brought_in_again() {
+    let mut plan = plan_with(FetchLimits::default());
+    let near = plan.peers().find("near").expect("it is listed");
+    let far = plan.peers().find("far").expect("it is listed");
+    let first = pulls(&mut plan, START);
+    assert!(!first.is_empty() && first.iter().all(|key| *key == near));
+    // The pulls hang, and so does the question that follows.
+    let mut now = START + Duration::from_secs(2);
+    let _ = pulls(&mut plan, now);
+    plan.on_asked(near, Some(ErrorKind::PeerSilent), now);
+    now = now + Duration::from_secs(2);
+    let second = pulls(&mut plan, now);
+    assert!(
+        second.contains(&far),
+        "{second:?}: nothing is brought in from the other data centre"
+    );
+    // Heard again, it gives what it holds.
+    plan.on_word(&holds_all("near"), now);
+    assert_eq!(plan.peers().copies(0), 2);
+}
+
+/// A host that nobody asks of its own accord is asked once a pull from it has failed.
+#[test]
+fn a_host_from_which_a_pull_failed_is_asked() {
+    let limits = FetchLimits {
+        neighbours: 0,
+        ..FetchLimits::default()
+    };
+    let mut plan = plan_with(limits);
+    let near = plan.peers().find("near").expect("it is listed");
+    let _ = plan.next_steps(START);
+    let now = START + Duration::from_secs(2);
+    let _ = plan.next_steps(now);
+    let later = now + Duration::from_secs(2);
+    let asks = plan.next_steps(later);
+    assert!(asks.contains(&FetchStep::Ask(near)), "{asks:?}");
+}
--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -2,5 +2,6 @@
 
 mod checks;
 mod link;
+mod lost_hosts;
 mod rollout;
 mod spread;
