Tell when the store's word is behind what is known, and who told a version

The record of the incident could not tell whether the store's row of the version had gone back or was read wrongly: [1102] did not say who told a version, and nothing told that the store's word was older than what is known. [1111] and [1112] do; [1100] and [1102] name the source with the store's revision.

--- a/src/sync/events.rs
+++ b/src/sync/events.rs
@@ -25,6 +25,13 @@
 pub(crate) const THREAD_FAILED: LogEvent = LogEvent::error(1109, "the control thread failed");
 pub(crate) const NEIGHBOUR_SILENT: LogEvent = LogEvent::debug(1110, "a neighbour did not answer");
 
+pub(crate) const NAMING_BEHIND: LogEvent = LogEvent::warn(
+    1111,
+    "the store names an older version of weights than was named before",
+);
+pub(crate) const DOCUMENT_BEHIND: LogEvent =
+    LogEvent::warn(1112, "an older document was told than the one in force");
+
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
     DOCUMENT_IN_FORCE,
@@ -38,4 +45,6 @@
     STALE_READ,
     THREAD_FAILED,
     NEIGHBOUR_SILENT,
+    NAMING_BEHIND,
+    DOCUMENT_BEHIND,
 ];
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -1,6 +1,7 @@
 //! The control state of one process: takes in what the store and the neighbours say, in whatever
 //! order it arrives, and never goes back.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use super::snapshot::ControlSnapshot;
 use crate::catalog::{CatalogVersion, ServiceCatalog};
 use crate::events::log_event;
-use crate::fleet::{BackendFacts, FleetView, ModelVersion, WantedWeights};
+use crate::fleet::{BackendFacts, FleetView, ModelVersion, WantedWeights, WeightsVersion};
 use crate::platform::{
     DocumentRow, StoreRow, TableView, read_backend_row, read_document, read_wanted_version,
 };
@@ -32,6 +33,24 @@
 /// Versions of a model that are remembered with the time of their naming.
 const VERSIONS_KEPT: usize = 4;
 
+/// Who said something, for the log.
+#[derive(Clone, Copy, Debug)]
+enum WordSource {
+    /// The store, in a row of this revision.
+    Store(u64),
+    /// Another process of the system.
+    Neighbour,
+}
+
+impl fmt::Display for WordSource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store(revision) => write!(formatter, "store/{revision}"),
+            Self::Neighbour => formatter.write_str("neighbour"),
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct BackendEntry {
     facts: Arc<BackendFacts>,
@@ -123,10 +142,11 @@
             let Some(value) = &row.value else {
                 continue;
             };
+            let source = WordSource::Store(row.revision);
             match DocumentRow::of(&row.key) {
-                DocumentRow::Document => self.take_document(value.clone()),
+                DocumentRow::Document => self.take_document(value.clone(), source),
                 DocumentRow::WantedVersion => match read_wanted_version(value) {
-                    Ok(target) => self.want(&target, named),
+                    Ok(target) => self.want(&target, named, source),
                     Err(error) => log_event!(events::ENTRY_UNREADABLE, "{}: {error}", row.key),
                 },
                 DocumentRow::Other => {}
@@ -135,7 +155,7 @@
     }
 
     /// Puts a document in force if it is newer than the one that is.
-    fn take_document(&mut self, text: Bytes) {
+    fn take_document(&mut self, text: Bytes, source: WordSource) {
         let catalog = match read_document(&text) {
             Ok(catalog) => catalog,
             Err(error) => {
@@ -143,12 +163,21 @@
                 return;
             }
         };
-        if self.document_version() >= Some(catalog.version) {
+        if let Some(known) = self.document_version()
+            && known >= catalog.version
+        {
+            if known > catalog.version {
+                let (version, known) = (catalog.version.0, known.0);
+                log_event!(
+                    events::DOCUMENT_BEHIND,
+                    "version={version} known={known} from={source}"
+                );
+            }
             return;
         }
         log_event!(
             events::DOCUMENT_IN_FORCE,
-            "version={} routes={} accounts={}",
+            "version={} routes={} accounts={} from={source}",
             catalog.version.0,
             catalog.routes.rules().len(),
             catalog.accounts.len()
@@ -159,7 +188,8 @@
         });
     }
 
-    fn want(&mut self, target: &ModelVersion, named: NamingTime) {
+    fn want(&mut self, target: &ModelVersion, named: NamingTime, source: WordSource) {
+        self.note_naming_behind(target, source);
         let found = self
             .wanted
             .binary_search_by(|wanted| wanted.target.cmp(target));
@@ -177,11 +207,38 @@
         let version = target.version.0;
         log_event!(
             events::WEIGHTS_WANTED,
-            "model={} version={version}",
-            target.model
+            "model={} version={version} from={source} certainty={:?}",
+            target.model,
+            named.certainty
         );
     }
 
+    /// The store names an older version than was named before.
+    ///
+    /// Its row was written over by an older naming that was done late. Processes that live stay with
+    /// the newer version; one that starts would learn the older one from the store.
+    fn note_naming_behind(&self, target: &ModelVersion, source: WordSource) {
+        let known = self.newest_wanted(&target.model);
+        if let (WordSource::Store(_), Some(known)) = (source, known)
+            && known > target.version
+        {
+            log_event!(
+                events::NAMING_BEHIND,
+                "model={} version={} known={} from={source}",
+                target.model,
+                target.version.0,
+                known.0
+            );
+        }
+    }
+
+    /// The newest version of `model` that is known to be wanted.
+    fn newest_wanted(&self, model: &str) -> Option<WeightsVersion> {
+        let mut newest_first = self.wanted.iter().rev();
+        let newest = newest_first.find(|wanted| *wanted.target.model == *model);
+        newest.map(|wanted| wanted.target.version)
+    }
+
     /// Keeps the newest versions of a model; those before them can no longer bind anything.
     fn forget_versions(&mut self, model: &str) {
         let is_of = |wanted: &WantedWeights| *wanted.target.model == *model;
@@ -340,14 +397,14 @@
     /// Takes in what a neighbour knew beyond this process.
     pub(crate) fn merge(&mut self, view: PeerView, now: ClockTime) {
         if let Some(text) = view.document {
-            self.take_document(text.into());
+            self.take_document(text.into(), WordSource::Neighbour);
         }
         for word in view.wanted {
             let named = NamingTime {
                 at: now - Duration::from_millis(word.age_ms),
                 certainty: word.certainty,
             };
-            self.want(&word.target, named);
+            self.want(&word.target, named, WordSource::Neighbour);
         }
         if let Some((revision, backends)) = view.backends
             && revision > self.backends_revision
