--- /dev/null
+++ b/src/platform/fake_store.rs
@@ -0,0 +1,209 @@
+//! A stand-in of the platform's store for tests in other folders: rows in tables, one counter of
+//! revisions, transactions under a condition, reads and watches.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::time::timeout;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::Router;
+
+use super::store_client::TableName;
+use crate::daemon::DrainState;
+use crate::transport::{HttpServer, json_reply, read_body};
+
+const BODY_BYTES_MAX: usize = 1024 * 1024;
+
+#[derive(Clone)]
+struct FakeRow {
+    table: String,
+    key: String,
+    revision: u64,
+    /// None once it was removed.
+    value: Option<String>,
+}
+
+#[derive(Default)]
+struct FakeRows {
+    revision: u64,
+    /// Transactions that were done.
+    done: usize,
+    rows: Vec<FakeRow>,
+}
+
+impl FakeRows {
+    fn put(&mut self, table: &str, key: &str, value: Option<String>) {
+        self.revision += 1;
+        self.rows.retain(|row| row.table != table || row.key != key);
+        self.rows.push(FakeRow {
+            table: table.to_owned(),
+            key: key.to_owned(),
+            revision: self.revision,
+            value,
+        });
+    }
+
+    fn revision_of(&self, table: &str, key: &str) -> u64 {
+        let mut rows = self.rows.iter();
+        let found = rows.find(|row| row.table == table && row.key == key && row.value.is_some());
+        found.map_or(0, |row| row.revision)
+    }
+
+    fn behind(&self, table: &str, since: u64) -> Vec<&FakeRow> {
+        let rows = self.rows.iter();
+        let mut found: Vec<&FakeRow> = rows
+            .filter(|row| row.table == table && row.revision > since)
+            .collect();
+        found.sort_by_key(|row| row.revision);
+        found
+    }
+
+    fn live(&self, table: &str) -> Vec<&FakeRow> {
+        let mut found = self.behind(table, 0);
+        found.retain(|row| row.value.is_some());
+        found.sort_by(|left, right| left.key.cmp(&right.key));
+        found
+    }
+}
+
+/// The store; its clones share the rows.
+#[derive(Clone)]
+pub(crate) struct FakeStore {
+    /// Where it answers.
+    pub(crate) address: SocketAddr,
+    rows: Arc<Mutex<FakeRows>>,
+    changes: Arc<watch::Sender<u64>>,
+}
+
+impl FakeStore {
+    /// Starts a store without rows.
+    pub(crate) async fn start() -> Self {
+        let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = crate::transport::bind_listener(local).await;
+        let listener = listener.expect("a free port");
+        let store = Self {
+            address: listener.local_addr().expect("it is bound"),
+            rows: Arc::default(),
+            changes: Arc::default(),
+        };
+        let answering = store.clone();
+        let router = Router::new().fallback(move |request: Request| {
+            let store = answering.clone();
+            async move { store.answer(request).await }
+        });
+        let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
+        tokio::spawn(HttpServer::on(listener, router).run(drain));
+        store
+    }
+
+    /// Somebody else writes a row, whatever stands there.
+    pub(crate) fn put(&self, table: TableName, key: &str, value: &str) {
+        let value = BASE64.encode(value);
+        self.lock().put(table.as_str(), key, Some(value));
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    /// How many transactions it has done.
+    pub(crate) fn transactions_done(&self) -> usize {
+        self.lock().done
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FakeRows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let field = |name: &str| {
+            let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+            let found = fields.find(|(field, _)| *field == name);
+            found.map_or("", |(_, value)| value).to_owned()
+        };
+        let table = field("table");
+        let (status, body) = match request.uri().path() {
+            "/v1/rows-get" => (StatusCode::OK, self.read(&table)),
+            "/v1/rows-feed" => {
+                let number = |name: &str| field(name).parse::<u64>().unwrap_or(0);
+                let wait = Duration::from_millis(number("wait_ms"));
+                let body = self.watch(&table, number("since_rev"), wait).await;
+                (StatusCode::OK, body)
+            }
+            "/v1/rows-tx" => {
+                let body = read_body(request.into_body(), BODY_BYTES_MAX).await;
+                let body = body.expect("the call has a body");
+                self.transact(&serde_json::from_slice(&body).expect("the call is JSON"))
+            }
+            _ => (StatusCode::NOT_FOUND, json!({})),
+        };
+        json_reply(status, &body)
+    }
+
+    fn read(&self, table: &str) -> Value {
+        let rows = self.lock();
+        let found: Vec<Value> = rows.live(table).into_iter().map(row_text).collect();
+        json!({ "rows": found, "truncated": false, "ver": rows.revision })
+    }
+
+    async fn watch(&self, table: &str, since: u64, wait: Duration) -> Value {
+        let mut changes = self.changes.subscribe();
+        let news = async {
+            while self.lock().behind(table, since).is_empty() {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // Without a change the answer has no rows.
+        let _ = timeout(wait, news).await;
+        let rows = self.lock();
+        let found: Vec<Value> = rows
+            .behind(table, since)
+            .into_iter()
+            .map(row_text)
+            .collect();
+        json!({ "rows": found, "ver": rows.revision })
+    }
+
+    fn transact(&self, call: &Value) -> (StatusCode, Value) {
+        let mut rows = self.lock();
+        let entries = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let text = |entry: &Value, name: &str| entry[name].as_str().unwrap_or("").to_owned();
+        let is_met = |entry: &Value| {
+            let found = rows.revision_of(&text(entry, "table"), &text(entry, "key"));
+            Some(found) == entry["ver"].as_u64()
+        };
+        let conditions = entries("precondition");
+        if !conditions.iter().all(is_met) {
+            let named = |row: &&FakeRow| {
+                let mut conditions = conditions.iter();
+                conditions.any(|entry| text(entry, "key") == row.key && row.value.is_some())
+            };
+            let found: Vec<Value> = rows.rows.iter().filter(named).map(row_text).collect();
+            let body = json!({ "rows": found, "ver": rows.revision });
+            return (StatusCode::PRECONDITION_FAILED, body);
+        }
+        for entry in entries("writes") {
+            let value = Some(text(&entry, "value"));
+            rows.put(&text(&entry, "table"), &text(&entry, "key"), value);
+        }
+        rows.done += 1;
+        let revision = rows.revision;
+        drop(rows);
+        self.changes.send_modify(|changes| *changes += 1);
+        (StatusCode::OK, json!({ "ver": revision }))
+    }
+}
+
+fn row_text(row: &FakeRow) -> Value {
+    match &row.value {
+        Some(value) => json!({ "key": row.key, "ver": row.revision, "value": value }),
+        None => json!({ "key": row.key, "ver": row.revision, "deleted": true }),
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,8 @@
 mod command;
 mod document_row;
 mod engine_calls;
+#[cfg(test)]
+mod fake_store;
 mod request_head;
 #[cfg(test)]
 pub(crate) mod samples;
@@ -23,6 +25,8 @@
 pub(crate) use command::{PLATFORM_COMMAND, run_on_platform, with_platform};
 pub(crate) use document_row::{DocumentRow, read_document, read_wanted_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
+#[cfg(test)]
+pub(crate) use fake_store::FakeStore;
 pub(crate) use request_head::{RequestHead, read_request_head};
 pub(crate) use settings_file::{PlatformSettings, TimeBounds};
 pub(crate) use store_client::{StoreClient, StoreRow, TableName, TableView, WatchAnswer};
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -29,7 +29,7 @@
 }
 
 impl TableName {
-    const fn as_str(self) -> &'static str {
+    pub(super) const fn as_str(self) -> &'static str {
         match self {
             Self::Operator => "op",
             Self::Backends => "servers",
--- a/src/sync/sync_thread.rs
+++ b/src/sync/sync_thread.rs
@@ -44,7 +44,7 @@
     book
 }
 
-async fn run_sync(settings: SyncSettings, book: SharedBook, drain: DrainState) {
+pub(super) async fn run_sync(settings: SyncSettings, book: SharedBook, drain: DrainState) {
     let client = Arc::new(PeerClient::new(ClientLimits::default()));
     let watch = StoreWatch {
         store: StoreClient::new(settings.store_address, client.clone()),
