Record in the store which version of weights was named last

Cause: a naming that got no answer is done by the store seconds later, over a newer one. Processes that live never go back, but what they know was kept in their memory only; after a loss of power of all hosts the row that had gone back was all there was. Class: what must last was kept where only the last writer counts.

Ruled out: a stale or partial read (the row's revision grows: 74 says version 3, 75 says version 2) and a surviving process that told the older version (all thirty were down).

Mend: entry hosts write the newest version that they know into a row of the system's own, each write under the condition of the revision that it replaces, and read these rows before the operator's. An entry host also takes in newer versions from whoever asks it.

The record costs one write for each entry host and naming, most of them refused, and one read at a start.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -29,7 +29,9 @@
 pub(crate) use fake_store::FakeStore;
 pub(crate) use request_head::{RequestHead, read_request_head};
 pub(crate) use settings_file::{PlatformSettings, TimeBounds};
-pub(crate) use store_client::{StoreClient, StoreRow, TableName, TableView, WatchAnswer};
+pub(crate) use store_client::{
+    StoreClient, StoreRow, TableName, TableView, WatchAnswer, WriteOutcome,
+};
 pub(crate) use weights_origin::{ChunkDigests, OriginClient};
 
 /// The path of the readiness check that the platform's balancer asks.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -10,6 +10,7 @@
 use http::{Method, StatusCode};
 use macro_rules_attribute::apply;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::engine_calls::exchange;
@@ -24,8 +25,8 @@
     Operator,
     /// The backend servers' own entries.
     Backends,
-    /// The entry hosts' own entries.
-    Entries,
+    /// The system's own: the entry hosts, and which versions of weights were named last.
+    Own,
 }
 
 impl TableName {
@@ -33,7 +34,8 @@
         match self {
             Self::Operator => "op",
             Self::Backends => "servers",
-            Self::Entries => "savory-entries",
+            // The name is from the rows that stood there first.
+            Self::Own => "savory-entries",
         }
     }
 }
@@ -86,13 +88,42 @@
     ver: u64,
 }
 
+/// What became of a write under a condition.
+#[apply(plain!)]
+pub(crate) enum WriteOutcome {
+    /// It was done.
+    Done {
+        /// The row's revision now.
+        revision: u64,
+    },
+    /// The row has another revision than was expected.
+    Refused {
+        /// The row as it stands; none when there is none.
+        row: Option<StoreRow>,
+    },
+}
+
 #[derive(Serialize)]
 struct ChangeText<'a> {
-    precondition: [(); 0],
+    precondition: Vec<ConditionText<'a>>,
     writes: [WriteText<'a>; 1],
     remove: [(); 0],
 }
 
+#[derive(Serialize)]
+struct ConditionText<'a> {
+    table: &'static str,
+    part: &'static str,
+    key: &'a str,
+    /// The revision that the row must have; 0 while there is none.
+    ver: u64,
+}
+
+#[derive(Deserialize)]
+struct DoneText {
+    ver: u64,
+}
+
 #[derive(Serialize)]
 struct WriteText<'a> {
     table: &'static str,
@@ -188,25 +219,60 @@
         value: &[u8],
         within: Duration,
     ) -> SwitchResult<()> {
-        let change = ChangeText {
-            precondition: [],
-            writes: [WriteText {
-                table: table.as_str(),
-                part: "",
-                key,
-                value: BASE64.encode(value),
-            }],
-            remove: [],
-        };
-        let body = serde_json::to_vec(&change)
-            .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
-        let called = self.call(Method::POST, "/v1/rows-tx", body.into(), within);
-        match called.await? {
+        let change = change_text(Vec::new(), table, (key, value));
+        match self.transact(&change, within).await? {
             (StatusCode::OK, _) => Ok(()),
             (status, _) => Err(refused(status)),
         }
     }
 
+    /// Writes a row that must have revision `expected`, 0 while there must be none.
+    ///
+    /// # Errors
+    ///
+    /// `TableUnavailable`; the write may have been done all the same, or be done later if the row
+    /// still has that revision then.
+    pub(crate) async fn write_row_at(
+        &self,
+        table: TableName,
+        (key, expected): (&str, u64),
+        value: &[u8],
+        within: Duration,
+    ) -> SwitchResult<WriteOutcome> {
+        let condition = ConditionText {
+            table: table.as_str(),
+            part: "",
+            key,
+            ver: expected,
+        };
+        let change = change_text(vec![condition], table, (key, value));
+        let (status, body) = self.transact(&change, within).await?;
+        match status {
+            StatusCode::OK => {
+                let done: DoneText = parse(&body)?;
+                Ok(WriteOutcome::Done { revision: done.ver })
+            }
+            StatusCode::PRECONDITION_FAILED => {
+                let mut rows = parse_rows(&body)?.rows;
+                rows.retain(|row| row.key == key && row.value.is_some());
+                let row = rows.pop().map(RowText::into_row).transpose()?;
+                Ok(WriteOutcome::Refused { row })
+            }
+            status => Err(refused(status)),
+        }
+    }
+
+    async fn transact(
+        &self,
+        change: &ChangeText<'_>,
+        within: Duration,
+    ) -> SwitchResult<(StatusCode, Bytes)> {
+        let body = serde_json::to_vec(change)
+            .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
+        let called = self.call(Method::POST, "/v1/rows-tx", body.into(), within);
+        called.await
+    }
+
     async fn get(&self, path: &str, within: Duration) -> SwitchResult<Bytes> {
         match self.call(Method::GET, path, Bytes::new(), within).await? {
             (StatusCode::OK, body) => Ok(body),
@@ -250,7 +316,28 @@
     }
 }
 
+fn change_text<'a>(
+    precondition: Vec<ConditionText<'a>>,
+    table: TableName,
+    (key, value): (&'a str, &[u8]),
+) -> ChangeText<'a> {
+    ChangeText {
+        precondition,
+        writes: [WriteText {
+            table: table.as_str(),
+            part: "",
+            key,
+            value: BASE64.encode(value),
+        }],
+        remove: [],
+    }
+}
+
 fn parse_rows(body: &[u8]) -> SwitchResult<RowsText> {
+    parse(body)
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> SwitchResult<T> {
     serde_json::from_slice(body)
         .map_err(|fault| unavailable(format!("an answer does not read: {fault}")))
 }
--- a/src/replication/view_poll.rs
+++ b/src/replication/view_poll.rs
@@ -14,7 +14,7 @@
 use crate::events::log_event;
 use crate::fleet::NamingCertainty;
 use crate::platform::{StoreClient, TableName};
-use crate::sync::{EntryRecord, NamingTime, PeerView, SharedBook, VIEW_PATH, ViewBook};
+use crate::sync::{EntryRecord, NamingTime, OwnRows, PeerView, SharedBook, VIEW_PATH};
 use crate::time::clock_now;
 use crate::transport::PeerClient;
 
@@ -69,7 +69,7 @@
         let Some(address) = self.choose_entry() else {
             return false;
         };
-        let mut ask = self.book.read(ViewBook::ask);
+        let mut ask = self.book.read(|book| book.ask(clock_now()));
         ask.wait_ms = u64::try_from(POLL_WAIT.as_millis()).unwrap_or(0);
         let called = self
             .client
@@ -106,14 +106,7 @@
     }
 
     async fn read_store(&self) -> SwitchResult<()> {
-        let entries = self
-            .store
-            .read_table(TableName::Entries, STORE_WITHIN)
-            .await?;
-        let rows = entries.rows.iter().filter_map(|row| row.value.as_ref());
-        let entries = rows.filter_map(|value| serde_json::from_slice(value).ok());
-        let entries: Vec<EntryRecord> = entries.collect();
-        self.book.change(|book| book.add_entries(entries));
+        let own = self.store.read_table(TableName::Own, STORE_WITHIN).await?;
         let operator = self
             .store
             .read_table(TableName::Operator, STORE_WITHIN)
@@ -122,8 +115,10 @@
             at: clock_now() - NAMED_BEFORE,
             certainty: NamingCertainty::Assumed,
         };
-        self.book
-            .change(|book| book.take_operator_rows(&operator.rows, named));
+        self.book.change(|book| {
+            book.take_own_rows(OwnRows::of(&own), named);
+            book.take_operator_rows(&operator.rows, named);
+        });
         let backends = self
             .store
             .read_table(TableName::Backends, STORE_WITHIN)
--- a/src/sync/events.rs
+++ b/src/sync/events.rs
@@ -29,6 +29,12 @@
     1111,
     "the store names an older version of weights than was named before",
 );
+pub(crate) const VERSION_RECORDED: LogEvent =
+    LogEvent::info(1113, "the store keeps which version was named last");
+pub(crate) const RECORD_FAILED: LogEvent = LogEvent::warn(
+    1114,
+    "the store did not take the record of a version; it is written again",
+);
 pub(crate) const DOCUMENT_BEHIND: LogEvent =
     LogEvent::warn(1112, "an older document was told than the one in force");
 
@@ -47,4 +53,6 @@
     NEIGHBOUR_SILENT,
     NAMING_BEHIND,
     DOCUMENT_BEHIND,
+    VERSION_RECORDED,
+    RECORD_FAILED,
 ];
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod events;
 mod naming_time;
+mod own_rows;
 mod peer_messages;
 mod peer_routes;
 mod shared_book;
@@ -14,6 +15,7 @@
 mod view_book;
 
 pub(crate) use naming_time::NamingTime;
+pub(crate) use own_rows::OwnRows;
 pub(crate) use peer_messages::{EntryRecord, PeerView, VIEW_PATH};
 pub(crate) use shared_book::SharedBook;
 pub(crate) use snapshot::{ControlSnapshot, SharedSnapshot};
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -36,7 +36,7 @@
     /// The version of its document.
     pub(crate) document: Option<CatalogVersion>,
     /// The versions of weights that it knows to be wanted.
-    pub(crate) wanted: Vec<ModelVersion>,
+    pub(crate) wanted: Vec<WantedWord>,
     /// The store's revision of its list of backend servers.
     pub(crate) backends_revision: u64,
     /// How many entry hosts it knows.
--- a/src/sync/peer_routes.rs
+++ b/src/sync/peer_routes.rs
@@ -41,9 +41,19 @@
     let _ = timeout(wait, news).await;
 }
 
+/// Whoever asks may know a version that this process does not: entry hosts that have all started
+/// again, beside hosts of backend servers that lived on.
+fn take_words(book: &SharedBook, ask: &PeerAsk) {
+    let now = clock_now();
+    if book.read(|book| book.learns_from(&ask.wanted)) {
+        book.change(|book| book.take_words(&ask.wanted, now));
+    }
+}
+
 async fn answer_view(book: SharedBook, request: Request) -> Response {
     match read_message::<PeerAsk>(request.into_body(), ASK_BYTES_MAX).await {
         Ok(ask) => {
+            take_words(&book, &ask);
             await_news(&book, &ask).await;
             let view = book.read(|book| book.answer(&ask, clock_now()));
             message_reply(&view)
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -9,12 +9,13 @@
 
 use super::events;
 use super::naming_time::NamingKnowledge;
+use super::own_rows::{OwnRows, VersionRecord, version_key};
 use super::peer_messages::{EntryRecord, PeerView, VIEW_PATH};
 use super::shared_book::SharedBook;
 use super::view_book::ViewBook;
-use crate::errors::SwitchResult;
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
-use crate::platform::{StoreClient, TableName, TableView, WatchAnswer};
+use crate::platform::{StoreClient, TableName, TableView, WatchAnswer, WriteOutcome};
 use crate::time::clock_now;
 use crate::transport::PeerClient;
 
@@ -44,6 +45,10 @@
 /// How often it is looked whether the wait for a lapsed entry is over.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
 const NEIGHBOUR_WITHIN: Duration = Duration::from_millis(400);
+/// The pause between two looks for versions that are to be recorded. A version that is named while all
+/// hosts are about to lose power must be in the store before; a write takes some 4 ms.
+const RECORD_PAUSE: Duration = Duration::from_millis(20);
+
 /// What the watching works with.
 #[derive(Clone)]
 pub(crate) struct StoreWatch {
@@ -76,6 +81,21 @@
         }
     }
 
+    /// Reads the system's own rows.
+    ///
+    /// A process reads them before the operator's: with a document it is ready, and would otherwise
+    /// believe an operator's row that has gone back.
+    async fn read_own_rows(&self) -> SwitchResult<()> {
+        let read = self.store.read_table(TableName::Own, STORE_WITHIN);
+        self.take_own_rows(OwnRows::of(&read.await?));
+        Ok(())
+    }
+
+    fn take_own_rows(&self, own: OwnRows) {
+        let named = self.own_knowledge().naming_time(clock_now());
+        self.book.change(|book| book.take_own_rows(own, named));
+    }
+
     async fn operator_step(
         &self,
         since: &mut Option<u64>,
@@ -83,7 +103,10 @@
     ) -> SwitchResult<()> {
         let table = TableName::Operator;
         let view = match *since {
-            None => self.store.read_table(table, STORE_WITHIN).await?,
+            None => {
+                self.read_own_rows().await?;
+                self.store.read_table(table, STORE_WITHIN).await?
+            }
             Some(since_revision) => {
                 let watched =
                     self.store
@@ -169,18 +192,76 @@
     async fn entries_step(&self, is_entered: &mut bool) -> SwitchResult<()> {
         if !*is_entered {
             let text = serde_json::to_vec(&self.me).unwrap_or_default();
-            let written =
-                self.store
-                    .write_row(TableName::Entries, &self.me.host, &text, STORE_WITHIN);
+            let written = self
+                .store
+                .write_row(TableName::Own, &self.me.host, &text, STORE_WITHIN);
             written.await?;
             *is_entered = true;
         }
-        let read = self.store.read_table(TableName::Entries, STORE_WITHIN);
-        let view = read.await?;
-        let rows = view.rows.iter().filter_map(|row| row.value.as_ref());
-        let entries = rows.filter_map(|value| serde_json::from_slice(value).ok());
-        let entries: Vec<EntryRecord> = entries.collect();
-        self.book.change(|book| book.add_entries(entries));
+        self.read_own_rows().await
+    }
+
+    /// What is known of when versions were named that the system's own rows record.
+    fn own_knowledge(&self) -> NamingKnowledge {
+        if self.book.read(ViewBook::is_usable) {
+            // What is new to a process that has lived was named while it was cut off.
+            NamingKnowledge::Interrupted
+        } else {
+            NamingKnowledge::Started
+        }
+    }
+
+    /// Records in the store which versions were named last, so that they outlive all processes.
+    pub(crate) async fn record_versions(self) {
+        let mut changes = self.book.changes();
+        let mut pause = FailurePause::default();
+        loop {
+            for record in self.book.read(ViewBook::unrecorded) {
+                match self.record_version(record).await {
+                    Ok(()) => pause = FailurePause::default(),
+                    Err(error) => {
+                        log_event!(events::RECORD_FAILED, "{error}");
+                        sleep(pause.next()).await;
+                        changes.mark_changed();
+                    }
+                }
+            }
+            sleep(RECORD_PAUSE).await;
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Writes a record over the one that is known. Where another stands, that one is taken in; if it
+    /// is older still, the next look writes over it.
+    async fn record_version(&self, mut record: VersionRecord) -> SwitchResult<()> {
+        let text = serde_json::to_vec(&record.target)
+            .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
+        let key = version_key(&record.target.model);
+        let expected = (&*key, record.revision);
+        let written = self
+            .store
+            .write_row_at(TableName::Own, expected, &text, STORE_WITHIN);
+        match written.await? {
+            WriteOutcome::Done { revision } => {
+                record.revision = revision;
+                let (model, version) = (&record.target.model, record.target.version.0);
+                log_event!(
+                    events::VERSION_RECORDED,
+                    "model={model} version={version} revision={revision}"
+                );
+                self.take_own_rows(OwnRows::with_record(record));
+            }
+            WriteOutcome::Refused { row } => {
+                let model = record.target.model;
+                let revision = row.as_ref().map_or(0, |row| row.revision);
+                let rows = row.into_iter().collect();
+                self.take_own_rows(OwnRows::of(&TableView { rows, revision }));
+                self.book
+                    .change(|book| book.note_record_row(&model, revision));
+            }
+        }
         Ok(())
     }
 
@@ -236,7 +317,7 @@
     }
 
     async fn ask(&self, address: SocketAddr) {
-        let ask = self.book.read(ViewBook::ask);
+        let ask = self.book.read(|book| book.ask(clock_now()));
         let called = self
             .client
             .call::<_, PeerView>(address, VIEW_PATH, &ask, NEIGHBOUR_WITHIN);
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -7,8 +7,8 @@
 use crate::fleet::{NamingCertainty, WeightsVersion};
 use crate::platform::samples::{backend_sample, document_sample, naming_sample};
 use crate::platform::{StoreRow, TableView};
+use crate::sync::SharedBook;
 use crate::sync::naming_time::{NamingKnowledge, NamingTime};
-use crate::sync::{SharedBook, ViewBook};
 use crate::time::ClockTime;
 
 const START: ClockTime = ClockTime::from_millis(100_000);
@@ -72,7 +72,7 @@
     assert_eq!(version_of(&book), 7);
     let neighbour = SharedBook::default();
     take(&neighbour, &[document(6)]);
-    let ask = book.read(ViewBook::ask);
+    let ask = book.read(|book| book.ask(START));
     let older = neighbour.read(|neighbour| neighbour.answer(&ask, START));
     assert!(older.document.is_none());
     take(&neighbour, &[document(9)]);
@@ -143,7 +143,7 @@
     let assumed = NamingKnowledge::Started.naming_time(back);
     started.change(|book| book.take_operator_rows(&[named(2)], assumed));
     let exchange = |asks: &SharedBook, answers: &SharedBook| {
-        let ask = asks.read(ViewBook::ask);
+        let ask = asks.read(|book| book.ask(back));
         let view = answers.read(|book| book.answer(&ask, back));
         asks.change(|book| book.merge(view, back));
     };
@@ -177,7 +177,7 @@
             certainty: NamingCertainty::Assumed,
         };
         book.change(|book| book.take_operator_rows(&[named(2)], named_at));
-        let ask = book.read(ViewBook::ask);
+        let ask = book.read(|book| book.ask(START));
         let view = witness.read(|witness| witness.answer(&ask, started_at));
         book.change(|book| book.merge(view, started_at));
         let snapshot = book.snapshot().load();
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -8,13 +8,15 @@
 use tokio::time::{sleep, timeout};
 
 use crate::daemon::DrainState;
-use crate::fleet::WeightsVersion;
+use crate::fleet::{NamingCertainty, WeightsVersion};
 use crate::platform::samples::{document_sample, naming_sample};
-use crate::platform::{FakeStore, TableName};
+use crate::platform::{FakeStore, StoreRow, TableName};
 use crate::sync::sync_thread::run_sync;
-use crate::sync::{ControlSnapshot, EntryRecord, SharedBook, SyncSettings};
+use crate::sync::{ControlSnapshot, EntryRecord, NamingTime, SharedBook, SyncSettings};
+use crate::time::ClockTime;
 
 const WAIT_MAX: Duration = Duration::from_secs(10);
+const START: ClockTime = ClockTime::from_millis(100_000);
 
 /// An entry host's control thread, which can lose power.
 struct EntryProcess {
@@ -118,3 +120,54 @@
     assert_eq!(newest(&snapshot), Some(WeightsVersion(3)));
     second.lose_power();
 }
+
+/// A version that was named while the row of its record held what somebody else had written would be
+/// lost again with all processes; and a look for it after each change of the view, each of which is
+/// one, would keep the thread and the store busy for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_record_that_does_not_read_is_written_over_once() {
+    let store = FakeStore::start().await;
+    put_document(&store, 1);
+    store.put(TableName::Own, "weights/m", "{\"model\":7}");
+    store.put(TableName::Own, "another", "no entry of an entry host");
+    name_version(&store, 3);
+    let first = EntryProcess::start("first", &store);
+    first.believes(|snapshot| newest(snapshot).is_some()).await;
+    await_transactions(&store, 2).await;
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(store.transactions_done(), 2, "its entry and one record");
+    name_version(&store, 2);
+    first.lose_power();
+    let second = EntryProcess::start("second", &store);
+    let snapshot = second.believes(|snapshot| snapshot.catalog.is_some()).await;
+    assert_eq!(newest(&snapshot), Some(WeightsVersion(3)));
+    second.lose_power();
+}
+
+/// All entry hosts were started again beside hosts of backend servers that lived on, and did not know
+/// the version that these had been told: a host that came new was told the older one.
+#[test]
+fn an_entry_host_learns_a_version_from_whoever_asks_it() {
+    let lived = SharedBook::default();
+    let told = |at| NamingTime {
+        at,
+        certainty: NamingCertainty::Witnessed,
+    };
+    let (key, text) = naming_sample(3);
+    let row = StoreRow {
+        key: key.to_owned(),
+        revision: 1,
+        value: Some(text.into()),
+    };
+    lived.change(|book| book.take_operator_rows(&[row], told(START)));
+    let later = START + Duration::from_secs(20);
+    let words = lived.read(|book| book.ask(later)).wanted;
+    let started = SharedBook::default();
+    assert!(started.read(|book| book.learns_from(&words)));
+    started.change(|book| book.take_words(&words, later));
+    assert!(!started.read(|book| book.learns_from(&words)));
+    let snapshot = started.snapshot().load();
+    assert_eq!(newest(&snapshot), Some(WeightsVersion(3)));
+    let wanted = snapshot.newest_version("m").expect("it was told");
+    assert_eq!(wanted.named_at, START);
+}
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -10,11 +10,13 @@
 
 use super::events;
 use super::naming_time::NamingTime;
+use super::own_rows::{OwnRows, VersionRecord};
 use super::peer_messages::{EntryRecord, PeerAsk, PeerView, WantedWord};
 use super::snapshot::ControlSnapshot;
 use crate::catalog::{CatalogVersion, ServiceCatalog};
 use crate::events::log_event;
 use crate::fleet::{BackendFacts, FleetView, ModelVersion, WantedWeights, WeightsVersion};
+use crate::metrics;
 use crate::platform::{
     DocumentRow, StoreRow, TableView, read_backend_row, read_document, read_wanted_version,
 };
@@ -36,8 +38,10 @@
 /// Who said something, for the log.
 #[derive(Clone, Copy, Debug)]
 enum WordSource {
-    /// The store, in a row of this revision.
+    /// The store, in the operator's row of this revision.
     Store(u64),
+    /// The store, in the system's own row of this revision.
+    Record(u64),
     /// Another process of the system.
     Neighbour,
 }
@@ -46,6 +50,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Store(revision) => write!(formatter, "store/{revision}"),
+            Self::Record(revision) => write!(formatter, "record/{revision}"),
             Self::Neighbour => formatter.write_str("neighbour"),
         }
     }
@@ -70,6 +75,8 @@
     document: Option<DocumentHeld>,
     /// Sorted by model and version.
     wanted: Vec<WantedWeights>,
+    /// The versions that the store's own rows record, sorted by model.
+    records: Vec<VersionRecord>,
     /// Sorted by id.
     backends: Vec<BackendEntry>,
     /// The store's revision of the list of backend servers; none before it was read.
@@ -189,7 +196,10 @@
     }
 
     fn want(&mut self, target: &ModelVersion, named: NamingTime, source: WordSource) {
-        self.note_naming_behind(target, source);
+        let known = self.newest_wanted(&target.model);
+        if known > Some(target.version) {
+            note_naming_behind(target, known, source);
+        }
         let found = self
             .wanted
             .binary_search_by(|wanted| wanted.target.cmp(target));
@@ -204,30 +214,13 @@
         };
         self.wanted.insert(at, wanted);
         self.forget_versions(&target.model);
-        let version = target.version.0;
-        log_event!(
-            events::WEIGHTS_WANTED,
-            "model={} version={version} from={source} certainty={:?}",
-            target.model,
-            named.certainty
-        );
-    }
-
-    /// The store names an older version than was named before.
-    ///
-    /// Its row was written over by an older naming that was done late. Processes that live stay with
-    /// the newer version; one that starts would learn the older one from the store.
-    fn note_naming_behind(&self, target: &ModelVersion, source: WordSource) {
-        let known = self.newest_wanted(&target.model);
-        if let (WordSource::Store(_), Some(known)) = (source, known)
-            && known > target.version
-        {
+        if known < Some(target.version) {
+            let (model, version) = (&target.model, target.version.0);
+            let certainty = named.certainty;
+            metrics::set_level("version_wanted", model, version);
             log_event!(
-                events::NAMING_BEHIND,
-                "model={} version={} known={} from={source}",
-                target.model,
-                target.version.0,
-                known.0
+                events::WEIGHTS_WANTED,
+                "model={model} version={version} from={source} certainty={certainty:?}"
             );
         }
     }
@@ -331,6 +324,85 @@
             .retain(|entry| entry.gone_at.is_none_or(|gone_at| now < gone_at));
     }
 
+    /// Takes in the system's own rows. `named` tells when recorded versions that are new to this
+    /// process were named.
+    pub(crate) fn take_own_rows(&mut self, own: OwnRows, named: NamingTime) {
+        self.add_entries(own.entries);
+        for record in own.records {
+            self.take_record(record, named);
+        }
+    }
+
+    /// Takes in a version that the store records.
+    pub(crate) fn take_record(&mut self, record: VersionRecord, named: NamingTime) {
+        let source = WordSource::Record(record.revision);
+        self.want(&record.target, named, source);
+        let model = &record.target.model;
+        match self.find_record(model) {
+            Ok(at) if self.records[at].revision < record.revision => self.records[at] = record,
+            Ok(_) => {}
+            Err(at) => self.records.insert(at, record),
+        }
+    }
+
+    /// The row that records a version of `model` has `revision`, 0 when there is none, whatever stands
+    /// in it: one that somebody else wrote and that does not read is written over.
+    pub(crate) fn note_record_row(&mut self, model: &ByteString, revision: u64) {
+        match self.find_record(model) {
+            Ok(at) if revision == 0 => {
+                self.records.remove(at);
+            }
+            Ok(at) => self.records[at].revision = revision,
+            Err(_) if revision == 0 => {}
+            Err(at) => {
+                let target = ModelVersion {
+                    model: model.clone(),
+                    version: WeightsVersion::default(),
+                };
+                self.records.insert(at, VersionRecord { target, revision });
+            }
+        }
+    }
+
+    fn find_record(&self, model: &str) -> Result<usize, usize> {
+        self.records
+            .binary_search_by(|record| (*record.target.model).cmp(model))
+    }
+
+    /// The versions that are to be recorded in the store, each with the revision that its row has.
+    ///
+    /// The operator's row of a version can go back: the store may do a naming that got no answer
+    /// seconds later, over a newer one. Processes that live stay with the newer version; when all of
+    /// them had started again, every engine was loaded with the older one. One would notice
+    /// `[1102]` with an older version behind the starts. The record only grows, since each write names
+    /// the revision that it replaces.
+    pub(crate) fn unrecorded(&self) -> Vec<VersionRecord> {
+        if self.store_steady_since.is_none() {
+            return Vec::new();
+        }
+        let models = self
+            .wanted
+            .chunk_by(|left, right| left.target.model == right.target.model);
+        let newest = models.filter_map(<[WantedWeights]>::last);
+        newest.filter_map(|wanted| self.record_of(wanted)).collect()
+    }
+
+    /// What is to be recorded of `wanted`, if anything is.
+    fn record_of(&self, wanted: &WantedWeights) -> Option<VersionRecord> {
+        let target = &wanted.target;
+        // The first version is what a process believes that knows of none.
+        if target.version <= WeightsVersion(1) {
+            return None;
+        }
+        let known = self.find_record(&target.model).ok();
+        let known = known.map(|at| &self.records[at]);
+        let is_behind = known.is_none_or(|known| known.target.version < target.version);
+        is_behind.then(|| VersionRecord {
+            target: target.clone(),
+            revision: known.map_or(0, |known| known.revision),
+        })
+    }
+
     /// Takes in the entry hosts that are known elsewhere.
     pub(crate) fn add_entries(&mut self, entries: Vec<EntryRecord>) {
         for entry in entries {
@@ -344,15 +416,11 @@
         }
     }
 
-    /// What this process knows already, for a neighbour.
-    pub(crate) fn ask(&self) -> PeerAsk {
+    /// What this process knows already at `now`, for a neighbour.
+    pub(crate) fn ask(&self, now: ClockTime) -> PeerAsk {
         PeerAsk {
             document: self.document_version(),
-            wanted: self
-                .wanted
-                .iter()
-                .map(|wanted| wanted.target.clone())
-                .collect(),
+            wanted: self.wanted_words(now),
             backends_revision: self.backends_revision,
             entries: self.entries.len(),
             wait_ms: 0,
@@ -363,7 +431,37 @@
     pub(crate) fn has_urgent_news(&self, ask: &PeerAsk) -> bool {
         let mut wanted = self.wanted.iter();
         ask.document < self.document_version()
-            || wanted.any(|wanted| !ask.wanted.contains(&wanted.target))
+            || wanted.any(|wanted| ask.wanted.iter().all(|word| word.target != wanted.target))
+    }
+
+    /// The versions that are known to be wanted, with their ages at `now`.
+    fn wanted_words(&self, now: ClockTime) -> Vec<WantedWord> {
+        let word = |wanted: &WantedWeights| WantedWord {
+            target: wanted.target.clone(),
+            age_ms: u64::try_from(now.since(wanted.named_at).as_millis()).unwrap_or(u64::MAX),
+            certainty: wanted.certainty,
+        };
+        self.wanted.iter().map(word).collect()
+    }
+
+    /// Whether `words` name a newer version than is known.
+    pub(crate) fn learns_from(&self, words: &[WantedWord]) -> bool {
+        let is_news = |word: &WantedWord| {
+            let target = &word.target;
+            self.newest_wanted(&target.model) < Some(target.version)
+        };
+        words.iter().any(is_news)
+    }
+
+    /// Takes in the versions that another process knows to be wanted.
+    pub(crate) fn take_words(&mut self, words: &[WantedWord], now: ClockTime) {
+        for word in words {
+            let named = NamingTime {
+                at: now - Duration::from_millis(word.age_ms),
+                certainty: word.certainty,
+            };
+            self.want(&word.target, named, WordSource::Neighbour);
+        }
     }
 
     /// What a neighbour that asks does not know yet.
@@ -372,16 +470,11 @@
             .document
             .as_ref()
             .filter(|held| ask.document < Some(held.catalog.version));
-        let word = |wanted: &WantedWeights| WantedWord {
-            target: wanted.target.clone(),
-            age_ms: u64::try_from(now.since(wanted.named_at).as_millis()).unwrap_or(u64::MAX),
-            certainty: wanted.certainty,
-        };
         let has_newer_backends = self.backends_revision > ask.backends_revision;
         let live = self.backends.iter().filter(|entry| entry.gone_at.is_none());
         PeerView {
             document: document.map(|held| held.text.to_vec()),
-            wanted: self.wanted.iter().map(word).collect(),
+            wanted: self.wanted_words(now),
             backends: has_newer_backends.then(|| {
                 let facts = live.map(|entry| (*entry.facts).clone());
                 (self.backends_revision, facts.collect())
@@ -399,13 +492,7 @@
         if let Some(text) = view.document {
             self.take_document(text.into(), WordSource::Neighbour);
         }
-        for word in view.wanted {
-            let named = NamingTime {
-                at: now - Duration::from_millis(word.age_ms),
-                certainty: word.certainty,
-            };
-            self.want(&word.target, named, WordSource::Neighbour);
-        }
+        self.take_words(&view.wanted, now);
         if let Some((revision, backends)) = view.backends
             && revision > self.backends_revision
         {
@@ -436,3 +523,18 @@
         }
     }
 }
+
+/// Tells that the store names an older version than was named before.
+///
+/// Its row was written over by an older naming that was done late. Processes that live stay with the
+/// newer version, and without a line nobody would know why the store says another.
+fn note_naming_behind(target: &ModelVersion, known: Option<WeightsVersion>, source: WordSource) {
+    if let (WordSource::Store(_), Some(known)) = (source, known) {
+        let (model, version) = (&target.model, target.version.0);
+        log_event!(
+            events::NAMING_BEHIND,
+            "model={model} version={version} known={} from={source}",
+            known.0
+        );
+    }
+}
