Decode when a backend server started, and how often it has told the store

Both will tell an incarnation's words from a former one's and late entries from newer ones; nothing acts on them yet.

--- a/src/fleet/backend_facts.rs
+++ b/src/fleet/backend_facts.rs
@@ -8,7 +8,7 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::{key, message, plain};
-use crate::time::ClockTime;
+use crate::time::{ClockTime, WallTime};
 
 /// The number of a version of a model's weights; grows with each that is named.
 #[apply(key!)]
@@ -87,8 +87,13 @@
 #[apply(message!)]
 #[derive(Eq)]
 pub(crate) struct BackendFacts {
-    /// Names this start of it; another start has another name.
+    /// Its name. It may start again under it, and then knows nothing of before.
     pub(crate) id: ByteString,
+    /// When it started, by its own clock: with its name, the incarnation that these facts tell of.
+    /// None where it does not say so.
+    pub(crate) born: Option<WallTime>,
+    /// How many times this incarnation has told the store of itself, if it says so.
+    pub(crate) told: Option<u64>,
     /// Its service.
     pub(crate) service: ByteString,
     /// Where it answers; used again by others some time after it has ended.
@@ -117,6 +122,8 @@
 pub(crate) struct LoadReport {
     /// Where the backend server answers.
     pub(crate) address: SocketAddr,
+    /// When it started, by its own clock, if it says so.
+    pub(crate) born: Option<WallTime>,
     /// Requests that it works on.
     pub(crate) active: u32,
     /// Requests that wait at it.
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -10,6 +10,8 @@
 fn facts(id: &str, data_centre: &str, version: u64) -> BackendFacts {
     let version = WeightsVersion(version);
     BackendFacts {
+        born: None,
+        told: None,
         id: ByteString::from(id),
         service: "writer".into(),
         address: ([10, 0, 0, 1], 80).into(),
@@ -93,6 +95,7 @@
 fn the_word_that_an_engine_is_about_to_load_wears_off() {
     let backend = facts("a", "here", 1);
     let report = LoadReport {
+        born: None,
         address: backend.address,
         active: 0,
         queued: 0,
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -190,6 +190,8 @@
         let snapshot = SharedSnapshot::default();
         let facts = backends.iter().enumerate().map(|(at, backend)| {
             Arc::new(BackendFacts {
+                born: None,
+                told: None,
                 id: format!("i-{at}").into(),
                 service: "desk".into(),
                 address: backend.address,
--- a/src/platform/backend_row.rs
+++ b/src/platform/backend_row.rs
@@ -8,6 +8,7 @@
 use super::engine_calls::{HoldingsText, read_holdings};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{BackendFacts, BackendPhase};
+use crate::time::WallTime;
 
 const LEAVING_WORD: &str = "draining";
 
@@ -21,6 +22,10 @@
     slots: u32,
     #[serde(default)]
     state: String,
+    /// The Unix millisecond of its start.
+    born: Option<u64>,
+    /// Counts its entries since its start; nothing to do with the store's revisions.
+    sequence: Option<u64>,
     #[serde(flatten)]
     holdings: HoldingsText,
 }
@@ -42,6 +47,8 @@
     };
     Ok(BackendFacts {
         id: ByteString::from(id),
+        born: text.born.map(WallTime),
+        told: text.sequence,
         service: text.service.into(),
         address: text.address,
         data_centre: text.zone.into(),
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -13,6 +13,7 @@
 use crate::derives::{key, plain};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{EngineHoldings, HeldLayers, ModelVersion, WeightsVersion};
+use crate::time::WallTime;
 use crate::transport::{PeerClient, read_body};
 
 const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
@@ -74,6 +75,8 @@
 pub(crate) struct EngineReport {
     /// The versions and layers that it holds.
     pub(crate) holdings: EngineHoldings,
+    /// When it started, by its own clock, if it says so.
+    pub(crate) born: Option<WallTime>,
     /// Whether it carries out an order.
     pub(crate) is_busy: bool,
     /// How many orders it has accepted since it started; expected back with the next order.
@@ -88,6 +91,8 @@
 struct ReportText {
     #[serde(flatten)]
     holdings: HoldingsText,
+    /// The Unix millisecond of its start.
+    born: Option<u64>,
     #[serde(default)]
     busy: bool,
     /// Counts orders; nothing to do with the store's revisions.
@@ -163,6 +168,7 @@
         })?;
         Ok(EngineReport {
             holdings: read_holdings(text.holdings),
+            born: text.born.map(WallTime),
             is_busy: text.busy,
             orders_taken: text.sequence,
             queued: text.queued,
--- a/src/replication/load_reports.rs
+++ b/src/replication/load_reports.rs
@@ -83,6 +83,7 @@
 async fn send_report(edges: &ReportEdges, socket: &UdpSocket, report: &EngineReport) {
     let message = LoadReport {
         address: edges.address,
+        born: report.born,
         active: report.active,
         queued: report.queued,
         is_loading: report.is_busy || edges.watch.loads.load(Ordering::Relaxed),
