--- a/src/fleet/tests.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,3 +1,5 @@
+mod incarnations;
+
 use std::sync::Arc;
 
 use bytestring::ByteString;
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -31,3 +31,11 @@
     let fields = "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1";
     format!("{{{fields},\"state\":\"ready\"}}")
 }
+
+/// The text of a backend server's entry of the incarnation that started at `born`, its `told`th, with
+/// `state`.
+pub(crate) fn entry_sample(born: Option<u64>, told: u64, state: &str) -> String {
+    let fields = "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1";
+    let born = born.map_or_else(String::new, |born| format!(",\"born\":{born}"));
+    format!("{{{fields},\"state\":\"{state}\",\"sequence\":{told}{born}}}")
+}
--- /dev/null
+++ b/src/sync/tests/incarnations.rs
@@ -0,0 +1,92 @@
+//! Which word of a backend server the control state believes: incarnations, and entries that come late.
+
+use std::time::Duration;
+
+use super::{START, ids, row, view};
+use crate::fleet::BackendPhase;
+use crate::platform::samples::entry_sample;
+use crate::platform::{StoreRow, TableView};
+use crate::sync::SharedBook;
+
+fn entry(born: Option<u64>, told: u64, state: &str, revision: u64) -> StoreRow {
+    row("a", revision, Some(&entry_sample(born, told, state)))
+}
+
+fn book_of(first: StoreRow) -> SharedBook {
+    let book = SharedBook::default();
+    let revision = first.revision;
+    book.change(|book| {
+        book.note_store(START);
+        book.set_backends(&view(vec![first], revision), START);
+    });
+    book
+}
+
+fn take(book: &SharedBook, later: StoreRow) {
+    let revision = later.revision;
+    let now = START + Duration::from_secs(10);
+    let changed: TableView = view(vec![later], revision);
+    book.change(|book| book.change_backends(&changed, now));
+}
+
+fn known(book: &SharedBook) -> (Option<u64>, BackendPhase) {
+    let snapshot = book.snapshot().load();
+    let facts = snapshot.fleet.backends.first().expect("it is listed");
+    (facts.born.map(|born| born.0), facts.phase)
+}
+
+/// A request reached a backend server seconds after it had said that it leaves. An earlier entry of its
+/// own had got no answer, and the store did it late, over the one that said so.
+#[test]
+fn an_earlier_entry_that_is_done_late_does_not_bring_a_leaving_one_back() {
+    for born in [None, Some(7)] {
+        let book = book_of(entry(born, 11, "draining", 20));
+        take(&book, entry(born, 10, "ready", 21));
+        assert_eq!(known(&book).1, BackendPhase::Leaving, "born {born:?}");
+        take(&book, entry(born, 12, "draining", 22));
+        assert_eq!(known(&book).1, BackendPhase::Leaving, "born {born:?}");
+    }
+}
+
+/// A backend server had ended and its entry was gone. An entry that it had written before was done late
+/// and brought it back for three heartbeats.
+#[test]
+fn an_entry_that_is_done_late_does_not_bring_one_back_that_is_gone() {
+    for born in [None, Some(7)] {
+        let book = book_of(entry(born, 11, "ready", 20));
+        take(&book, row("a", 21, None));
+        assert!(ids(&book).is_empty());
+        take(&book, entry(born, 10, "ready", 22));
+        assert!(ids(&book).is_empty(), "born {born:?}");
+        // It lives after all: its entry had lapsed.
+        take(&book, entry(born, 12, "ready", 23));
+        assert_eq!(ids(&book), ["a"], "born {born:?}");
+    }
+}
+
+/// A backend server that starts again under its name counts its entries anew. Taken for late, they would
+/// leave it out for as long as the former one had lived.
+#[test]
+fn the_first_entry_of_a_new_incarnation_counts_and_late_ones_of_the_former_do_not() {
+    let book = book_of(entry(Some(7), 500, "draining", 20));
+    take(&book, entry(Some(9), 1, "ready", 21));
+    assert_eq!(known(&book), (Some(9), BackendPhase::Serving));
+    take(&book, entry(Some(7), 501, "draining", 22));
+    assert_eq!(known(&book), (Some(9), BackendPhase::Serving));
+    take(&book, row("a", 23, None));
+    take(&book, entry(Some(7), 502, "ready", 24));
+    assert!(ids(&book).is_empty(), "the former one is not back");
+    take(&book, entry(Some(12), 1, "ready", 25));
+    assert_eq!(known(&book), (Some(12), BackendPhase::Serving));
+}
+
+/// Neighbours pass entries on. One that lies behind must not bring a former incarnation back.
+#[test]
+fn a_neighbour_that_knows_a_former_incarnation_changes_nothing() {
+    let book = book_of(entry(Some(9), 1, "ready", 20));
+    let behind = book_of(entry(Some(7), 500, "draining", 30));
+    let ask = book.read(|book| book.ask(START));
+    let told = behind.read(|behind| behind.answer(&ask, START));
+    book.change(|book| book.merge(told, START));
+    assert_eq!(known(&book), (Some(9), BackendPhase::Serving));
+}
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -1,3 +1,4 @@
+mod incarnations;
 mod restarts;
 
 use std::time::Duration;
