--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -33,8 +33,10 @@
 #[derive(Default)]
 struct FakeRows {
     revision: u64,
-    /// Transactions that were done.
-    done: usize,
+    /// Calls that asked for a change, whatever became of them.
+    change_calls: usize,
+    /// The revision from which on the history is known.
+    history_from: u64,
     rows: Vec<FakeRow>,
 }
 
@@ -65,6 +67,10 @@
         found
     }
 
+    fn has_news(&self, table: &str, since: u64) -> bool {
+        since < self.history_from || !self.behind(table, since).is_empty()
+    }
+
     fn live(&self, table: &str) -> Vec<&FakeRow> {
         let mut found = self.behind(table, 0);
         found.retain(|row| row.value.is_some());
@@ -110,9 +116,27 @@
         self.changes.send_modify(|changes| *changes += 1);
     }
 
-    /// How many transactions it has done.
-    pub(crate) fn transactions_done(&self) -> usize {
-        self.lock().done
+    /// How many calls asked for a change, refused ones included.
+    pub(crate) fn change_calls(&self) -> usize {
+        self.lock().change_calls
+    }
+
+    /// The text of a row, if there is one.
+    pub(crate) fn text_of(&self, table: TableName, key: &str) -> Option<String> {
+        let rows = self.lock();
+        let mut rows = rows.rows.iter();
+        let row = rows.find(|row| row.table == table.as_str() && row.key == key)?;
+        let bytes = BASE64.decode(row.value.as_ref()?).ok()?;
+        String::from_utf8(bytes).ok()
+    }
+
+    /// It forgets what changed before; watches of before have to read the tables anew.
+    pub(crate) fn forget_history(&self) {
+        let mut rows = self.lock();
+        rows.revision += 1;
+        rows.history_from = rows.revision;
+        drop(rows);
+        self.changes.send_modify(|changes| *changes += 1);
     }
 
     fn lock(&self) -> MutexGuard<'_, FakeRows> {
@@ -132,8 +156,7 @@
             "/v1/rows-feed" => {
                 let number = |name: &str| field(name).parse::<u64>().unwrap_or(0);
                 let wait = Duration::from_millis(number("wait_ms"));
-                let body = self.watch(&table, number("since_rev"), wait).await;
-                (StatusCode::OK, body)
+                self.watch(&table, number("since_rev"), wait).await
             }
             "/v1/rows-tx" => {
                 let body = read_body(request.into_body(), BODY_BYTES_MAX).await;
@@ -151,10 +174,10 @@
         json!({ "rows": found, "truncated": false, "ver": rows.revision })
     }
 
-    async fn watch(&self, table: &str, since: u64, wait: Duration) -> Value {
+    async fn watch(&self, table: &str, since: u64, wait: Duration) -> (StatusCode, Value) {
         let mut changes = self.changes.subscribe();
         let news = async {
-            while self.lock().behind(table, since).is_empty() {
+            while !self.lock().has_news(table, since) {
                 if changes.changed().await.is_err() {
                     return;
                 }
@@ -163,16 +186,18 @@
         // Without a change the answer has no rows.
         let _ = timeout(wait, news).await;
         let rows = self.lock();
-        let found: Vec<Value> = rows
-            .behind(table, since)
-            .into_iter()
-            .map(row_text)
-            .collect();
-        json!({ "rows": found, "ver": rows.revision })
+        if since < rows.history_from {
+            return (StatusCode::GONE, json!({}));
+        }
+        let changed = rows.behind(table, since);
+        let found: Vec<Value> = changed.into_iter().map(row_text).collect();
+        let body = json!({ "rows": found, "ver": rows.revision });
+        (StatusCode::OK, body)
     }
 
     fn transact(&self, call: &Value) -> (StatusCode, Value) {
         let mut rows = self.lock();
+        rows.change_calls += 1;
         let entries = |name: &str| call[name].as_array().cloned().unwrap_or_default();
         let text = |entry: &Value, name: &str| entry[name].as_str().unwrap_or("").to_owned();
         let is_met = |entry: &Value| {
@@ -193,7 +218,6 @@
             let value = Some(text(&entry, "value"));
             rows.put(&text(&entry, "table"), &text(&entry, "key"), value);
         }
-        rows.done += 1;
         let revision = rows.revision;
         drop(rows);
         self.changes.send_modify(|changes| *changes += 1);
