Drive the view of backend servers and versions through random words

A driver over the control state and the desk of two entry hosts: entries, reports, neighbours, restarts of one and of all, cuts, late writes of entries, namings and records, in any order. Invariants: no request begins on an older version behind the bound while in touch; a former incarnation's word changes nothing; a leaving backend server is not used; each that lives and holds the newest version is used when all is well again.

It found, each seen failing in it and mended here: - a naming that was repeated made a version new that a process had found at its start; - an older version whose naming was done late counted as named that moment, and neighbours took it over: it was named before every newer one; - with more than four versions in quick succession the one that was due was forgotten; eight are kept, and the oldest of them inherits the time of the one before; - behind a cut the operator's row may have gone back meanwhile: the system's own rows are read again at once, not up to ten seconds later.

--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -1,5 +1,7 @@
 //! The platform's words for tests in other folders, so that these need not know them.
 
+use std::net::SocketAddr;
+
 /// The name of the client's attempt.
 pub(crate) const ATTEMPT: &str = "savoryswitch-attempt-id";
 /// How long the client, or a backend server, has.
@@ -39,3 +41,23 @@
     let born = born.map_or_else(String::new, |born| format!(",\"born\":{born}"));
     format!("{{{fields},\"state\":\"{state}\",\"sequence\":{told}{born}}}")
 }
+
+/// [`entry_sample`] at `address`, with all 16 layers of `version` of the model `m`; with none for 0.
+pub(crate) fn holding_sample(
+    (address, born): (SocketAddr, u64),
+    told: u64,
+    state: &str,
+    version: u64,
+) -> String {
+    let held = if version == 0 {
+        String::from("\"models\":[],\"layers\":[]")
+    } else {
+        format!(
+            "\"models\":[{{\"name\":\"m\",\"version\":{version}}}],\
+             \"layers\":[{{\"from\":0,\"to\":16,\"version\":{version}}}]"
+        )
+    };
+    let place = format!("\"service\":\"s\",\"address\":\"{address}\",\"zone\":\"z\",\"slots\":4");
+    let telling = format!("\"state\":\"{state}\",\"sequence\":{told},\"born\":{born}");
+    format!("{{{place},{telling},{held}}}")
+}
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -99,6 +99,10 @@
             *since = Some(self.read_operator(knowledge).await?);
             return Ok(());
         };
+        if matches!(knowledge, NamingKnowledge::Interrupted) {
+            // The operator's row of a version that was named meanwhile may have gone back since.
+            self.read_own_rows().await?;
+        }
         let table = TableName::Operator;
         let watched = self
             .store
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -1,3 +1,5 @@
+mod driver;
+mod driver_world;
 mod incarnations;
 mod restarts;
 
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -16,7 +16,9 @@
 use super::snapshot::ControlSnapshot;
 use crate::catalog::{CatalogVersion, ServiceCatalog};
 use crate::events::log_event;
-use crate::fleet::{BackendFacts, FleetView, ModelVersion, WantedWeights, WeightsVersion};
+use crate::fleet::{
+    BackendFacts, FleetView, ModelVersion, NamingCertainty, WantedWeights, WeightsVersion,
+};
 use crate::metrics;
 use crate::platform::{
     DocumentRow, StoreRow, TableView, read_backend_row, read_document, read_wanted_version,
@@ -30,8 +32,9 @@
 /// at once.
 const SETTLED_SPAN: Duration = Duration::from_millis(2200);
 
-/// Versions of a model that are remembered with the time of their naming.
-const VERSIONS_KEPT: usize = 4;
+/// Versions of a model that are remembered with the time of their naming. Each binds from its own; a
+/// deployment names a few in a minute at most.
+const VERSIONS_KEPT: usize = 8;
 
 /// Who said something, for the log.
 #[derive(Clone, Copy, Debug)]
@@ -49,12 +52,13 @@
 impl WordSource {
     /// Whether it tells when a version was named that is known already.
     ///
-    /// A row that is read again says nothing new of it. Taken for a naming of that moment, it allowed
-    /// requests to begin on older weights behind the bound, by as much as the version was old.
+    /// A row that is read again, or written again by a naming that was repeated, says nothing new of
+    /// it. Taken for a naming of that moment, it allowed requests to begin on older weights behind the
+    /// bound, by as much as the version was old.
     const fn tells_naming(self) -> bool {
         match self {
-            Self::Change(_) | Self::Neighbour => true,
-            Self::Table(_) | Self::Record(_) => false,
+            Self::Neighbour => true,
+            Self::Change(_) | Self::Table(_) | Self::Record(_) => false,
         }
     }
 }
@@ -236,6 +240,7 @@
             }
             Err(at) => at,
         };
+        let named = self.bounded_naming(at, target, named, source);
         let wanted = WantedWeights {
             target: target.clone(),
             named_at: named.at,
@@ -254,6 +259,32 @@
         }
     }
 
+    /// When a version that is new to this process was named at the latest, if its place is `at`.
+    ///
+    /// Versions grow: one that is older than another which is known was named before it, whenever its
+    /// row was written. Taken for new, a naming that was done late let requests begin on what it had
+    /// replaced long before.
+    fn bounded_naming(
+        &self,
+        at: usize,
+        target: &ModelVersion,
+        named: NamingTime,
+        source: WordSource,
+    ) -> NamingTime {
+        let next = self.wanted.get(at);
+        match next.filter(|next| next.target.model == target.model) {
+            Some(next) => NamingTime {
+                at: named.at.min(next.named_at),
+                certainty: if source.tells_naming() {
+                    named.certainty
+                } else {
+                    NamingCertainty::Assumed
+                },
+            },
+            None => named,
+        }
+    }
+
     /// The newest version of `model` that is known to be wanted.
     fn newest_wanted(&self, model: &str) -> Option<WeightsVersion> {
         let mut newest_first = self.wanted.iter().rev();
@@ -261,16 +292,20 @@
         newest.map(|wanted| wanted.target.version)
     }
 
-    /// Keeps the newest versions of a model; those before them can no longer bind anything.
+    /// Keeps the newest versions of a model. The oldest of these binds from when the one before it did.
+    ///
+    /// Without that, versions named in quick succession let requests begin on the oldest weights behind
+    /// the bound: the version that had to replace them was forgotten, and those that were left were not
+    /// due yet.
     fn forget_versions(&mut self, model: &str) {
         let is_of = |wanted: &WantedWeights| *wanted.target.model == *model;
         let count = self.wanted.iter().filter(|wanted| is_of(wanted)).count();
-        let mut surplus = count.saturating_sub(VERSIONS_KEPT);
-        self.wanted.retain(|wanted| {
-            let goes = surplus > 0 && is_of(wanted);
-            surplus -= usize::from(goes);
-            !goes
-        });
+        let first = self.wanted.iter().position(is_of);
+        if let (true, Some(first)) = (count > VERSIONS_KEPT, first) {
+            let oldest = self.wanted.remove(first);
+            let next = &mut self.wanted[first];
+            next.named_at = next.named_at.min(oldest.named_at);
+        }
     }
 
     /// Takes in the whole table of backend servers.
