--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use volo_http::body::Body;
 
+use super::json_object::JsonObject;
 use crate::derives::{key, plain};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{EngineHoldings, HeldLayers, ModelVersion, WeightsVersion};
@@ -22,28 +23,28 @@
 #[derive(Default, Deserialize)]
 pub(super) struct HoldingsText {
     #[serde(default)]
-    models: Vec<ModelText>,
-    #[serde(default)]
-    layers: LayersText,
+    pub(super) models: Vec<JsonObject<ModelText>>,
+    pub(super) layers: Option<LayersText>,
 }
 
+/// A model that an engine has loaded.
 #[derive(Deserialize)]
-struct ModelText {
+pub(super) struct ModelText {
     name: String,
     version: u64,
 }
 
-#[derive(Default, Deserialize)]
+/// The layers that an engine holds.
+#[derive(Deserialize)]
 #[serde(untagged)]
-enum LayersText {
-    Many(Vec<RangeText>),
-    One(RangeText),
-    #[default]
-    None,
+pub(super) enum LayersText {
+    Many(Vec<JsonObject<RangeText>>),
+    One(JsonObject<RangeText>),
 }
 
+/// Layers of one version.
 #[derive(Deserialize)]
-struct RangeText {
+pub(super) struct RangeText {
     from: u32,
     to: u32,
     version: u64,
@@ -51,15 +52,18 @@
 
 pub(super) fn read_holdings(text: HoldingsText) -> EngineHoldings {
     let ranges = match text.layers {
-        LayersText::Many(ranges) => ranges,
-        LayersText::One(range) => vec![range],
-        LayersText::None => Vec::new(),
+        Some(LayersText::Many(ranges)) => ranges,
+        Some(LayersText::One(range)) => vec![range],
+        None => Vec::new(),
     };
-    let models = text.models.into_iter().map(|model| ModelVersion {
-        model: model.name.into(),
-        version: WeightsVersion(model.version),
-    });
-    let layers = ranges.into_iter().map(|range| HeldLayers {
+    let models = text
+        .models
+        .into_iter()
+        .map(|JsonObject(model)| ModelVersion {
+            model: model.name.into(),
+            version: WeightsVersion(model.version),
+        });
+    let layers = ranges.into_iter().map(|JsonObject(range)| HeldLayers {
         from: range.from,
         to: range.to,
         version: WeightsVersion(range.version),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod engine_calls;
 #[cfg(test)]
 mod fake_store;
+mod json_object;
 mod request_head;
 #[cfg(test)]
 pub(crate) mod samples;
--- a/src/platform/tests.rs
+++ b/src/platform/tests/mod.rs
@@ -1,3 +1,5 @@
+mod entries;
+
 use bytestring::ByteString;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -2,6 +2,7 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
+use serde_json::{Map, Value, json};
 
 /// Runs `property` on `cases` inputs of `size` random bytes each. The inputs are the same in every
 /// run; arbtest prints the seed of the one that fails. Its own search is bounded by time, which
@@ -18,3 +19,77 @@
         arbtest(&mut property).seed(seed).run();
     }
 }
+
+/// How deep JSON that is made up is nested.
+const JSON_DEPTH: usize = 3;
+/// How long texts and lists get.
+const JSON_LENGTH: usize = 600;
+
+/// Any JSON.
+pub(crate) fn any_json(u: &mut Unstructured<'_>) -> Result<Value> {
+    json_below(u, JSON_DEPTH)
+}
+
+fn json_below(u: &mut Unstructured<'_>, depth: usize) -> Result<Value> {
+    let kinds = if depth == 0 { 7 } else { 9 };
+    Ok(match u.int_in_range(0..=kinds)? {
+        0 => Value::Null,
+        1 => json!(u.arbitrary::<bool>()?),
+        2 => json!(u.arbitrary::<i64>()?),
+        3 => json!(*u.choose(&[0, 1, u64::from(u32::MAX), u64::from(u32::MAX) + 1, u64::MAX])?),
+        4 => json!(*u.choose(&[-1.0, -0.5, 0.5, 1.0, 1e19, 1e300, f64::MIN, f64::MAX])?),
+        5 => json!(*u.choose(&["", "0", "null", "x", "-1", "\u{0}\n", "é"])?),
+        6 => json!("x".repeat(u.int_in_range(0..=JSON_LENGTH)?)),
+        7 => json!(u.arbitrary::<String>()?),
+        8 => Value::Array(vec![json_below(u, depth - 1)?; u.int_in_range(0..=3)?]),
+        _ => {
+            let mut fields = Map::new();
+            for _ in 0..u.int_in_range(0..=3)? {
+                fields.insert(u.arbitrary()?, json_below(u, depth - 1)?);
+            }
+            Value::Object(fields)
+        }
+    })
+}
+
+/// Takes a field away, puts something else in its place, makes it longer or nests it, somewhere in
+/// `value`.
+pub(crate) fn spoil_json(u: &mut Unstructured<'_>, value: &mut Value) -> Result<()> {
+    let keys: Vec<String> = match value {
+        Value::Object(fields) => fields.keys().cloned().collect(),
+        Value::Array(items) if !items.is_empty() && u.ratio(1, 2)? => {
+            let at = u.choose_index(items.len())?;
+            return spoil_json(u, &mut items[at]);
+        }
+        _ => Vec::new(),
+    };
+    if keys.is_empty() || u.ratio(1, 20)? {
+        return change_json(u, value);
+    }
+    let key = u.choose(&keys)?;
+    if u.ratio(1, 4)? {
+        if let Value::Object(fields) = value {
+            fields.remove(key);
+        }
+        return Ok(());
+    }
+    let field = &mut value[&**key];
+    if (field.is_object() || field.is_array()) && u.ratio(3, 4)? {
+        return spoil_json(u, field);
+    }
+    change_json(u, field)
+}
+
+fn change_json(u: &mut Unstructured<'_>, value: &mut Value) -> Result<()> {
+    *value = match (u.int_in_range(0..=3)?, &*value) {
+        (0, Value::String(text)) => json!(text.repeat(JSON_LENGTH)),
+        (0, Value::Array(items)) if !items.is_empty() => {
+            Value::Array(vec![items[0].clone(); JSON_LENGTH])
+        }
+        (0, Value::Number(_)) => json!(u64::MAX),
+        (1, value) => json!([value]),
+        (2, value) => json!({ "x": value }),
+        _ => any_json(u)?,
+    };
+    Ok(())
+}
