Read documents and named versions that another writer left without harm

Cause: a time of a document went into a span unchecked, and one of 1e300 ms ends the thread that follows the store ("cannot convert float seconds to Duration"); so did a bound of the settings file. A row with nothing but a list of one number was a document of that version without any route, which no later one replaces; random rows found it. A named version counted whatever key it stood under, and 0 was one.

Ruled out: infinite numbers and numbers that are none in JSON, which do not read; in the settings file they do.

Spans are between none and an hour, documents and versions are objects, a version counts from 1 and under the key of its own model. A document is still taken as a whole or not at all: one route, service or client account that does not read leaves the earlier one in force. Each was seen failing without its check.

--- a/src/platform/document_row.rs
+++ b/src/platform/document_row.rs
@@ -1,9 +1,11 @@
 //! The operator's document, as it stands in the store.
 
-use std::time::Duration;
+use std::num::NonZeroU64;
 
 use serde::Deserialize;
 
+use super::json_object::read_object;
+use super::millis::millis;
 use crate::catalog::{
     AccountRecord, BackendService, CallerLimits, CatalogVersion, EngineFacts, RepeatRule,
     RouteRule, RouteTable, ServiceCatalog, ServiceShare, WeightsOrigin,
@@ -132,7 +134,8 @@
 #[derive(Deserialize)]
 struct VersionText {
     model: String,
-    version: u64,
+    /// Counts from 1.
+    version: NonZeroU64,
 }
 
 const fn one() -> u32 {
@@ -141,11 +144,16 @@
 
 /// Reads the document.
 ///
+/// It is taken as a whole or not at all: one route, service or client account that does not read
+/// leaves the earlier document in force. The store accepts only valid ones, and without a route that
+/// was meant, requests would be answered as if it had been taken away. What does not stop it: a route
+/// of an unknown kind may not be repeated, a service whose origin is no address has none.
+///
 /// # Errors
 ///
 /// `DocumentInvalid` when it does not read.
 pub(crate) fn read_document(value: &[u8]) -> SwitchResult<ServiceCatalog> {
-    let text: DocumentText = serde_json::from_slice(value).map_err(|fault| invalid(&fault))?;
+    let text: DocumentText = read_object(value).map_err(|fault| invalid(&fault))?;
     let mut services: Vec<BackendService> = text.services.into_iter().map(read_service).collect();
     services.sort_by(|left, right| left.name.cmp(&right.name));
     let mut accounts = Vec::new();
@@ -172,16 +180,20 @@
     })
 }
 
-/// Reads which version of a model's weights is wanted.
+/// Reads which version of a model's weights is wanted, in the row with `key`.
 ///
 /// # Errors
 ///
-/// `DocumentInvalid` when it does not read.
-pub(crate) fn read_wanted_version(value: &[u8]) -> SwitchResult<ModelVersion> {
-    let text: VersionText = serde_json::from_slice(value).map_err(|fault| invalid(&fault))?;
+/// `DocumentInvalid` when it does not read, or is of another model than its key.
+pub(crate) fn read_wanted_version(key: &str, value: &[u8]) -> SwitchResult<ModelVersion> {
+    let text: VersionText = read_object(value).map_err(|fault| invalid(&fault))?;
+    if key.strip_prefix(VERSION_KEY_PREFIX) != Some(&*text.model) {
+        // Taken for what it says, it would name a version of a model that has a row of its own.
+        return Err(invalid(&"it is of another model than its key"));
+    }
     Ok(ModelVersion {
         model: text.model.into(),
-        version: WeightsVersion(text.version),
+        version: WeightsVersion(text.version.get()),
     })
 }
 
@@ -242,10 +254,6 @@
     }
 }
 
-fn millis(value: f64) -> Duration {
-    Duration::from_secs_f64(value.max(0.0) / 1000.0)
-}
-
-fn invalid(fault: &serde_json::Error) -> SwitchError {
+fn invalid(fault: &dyn std::fmt::Display) -> SwitchError {
     SwitchError::new(ErrorKind::DocumentInvalid, fault.to_string())
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 #[cfg(test)]
 mod fake_store;
 mod json_object;
+mod millis;
 mod request_head;
 #[cfg(test)]
 pub(crate) mod samples;
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -7,6 +7,7 @@
 use bytestring::ByteString;
 use serde::Deserialize;
 
+use super::millis::{millis, seconds};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 
 /// The variable that names the settings file.
@@ -161,8 +162,6 @@
 }
 
 fn time_bounds(text: &BoundsText) -> TimeBounds {
-    let millis = |value: f64| Duration::from_secs_f64(value.max(0.0) / 1000.0);
-    let seconds = |value: f64| Duration::from_secs_f64(value.max(0.0));
     TimeBounds {
         stop_within: seconds(text.grace_s),
         weights_within: millis(text.version_ms),
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,3 +1,4 @@
+mod documents;
 mod entries;
 
 use bytestring::ByteString;
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -152,7 +152,7 @@
             let source = WordSource::Store(row.revision);
             match DocumentRow::of(&row.key) {
                 DocumentRow::Document => self.take_document(value.clone(), source),
-                DocumentRow::WantedVersion => match read_wanted_version(value) {
+                DocumentRow::WantedVersion => match read_wanted_version(&row.key, value) {
                     Ok(target) => self.want(&target, named, source),
                     Err(error) => log_event!(events::ENTRY_UNREADABLE, "{}: {error}", row.key),
                 },
