Read each of the store's rows by itself

Cause: a read, a watch or an answer to a condition failed as a whole when the bytes of one row did not decode. One row of another writer stopped its table for as long as it stood there: no document, no backend server and no version was told any more, and the record of a version could not be written over such a row.

A read that is told that more rows follow, and gets none, asked again without a pause.

Ruled out: skipping such a row. What it named before would stay in force. It becomes a row with its key and revision from which nothing reads; only one without a key, of which nobody can say what it is about, is left out.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod samples;
 mod settings_file;
 mod store_client;
+mod store_rows;
 #[cfg(test)]
 mod tests;
 mod weights_origin;
@@ -31,9 +32,8 @@
 pub(crate) use fake_store::FakeStore;
 pub(crate) use request_head::{RequestHead, read_request_head};
 pub(crate) use settings_file::{PlatformSettings, TimeBounds};
-pub(crate) use store_client::{
-    StoreClient, StoreRow, TableName, TableView, WatchAnswer, WriteOutcome,
-};
+pub(crate) use store_client::{StoreClient, TableName, WatchAnswer, WriteOutcome};
+pub(crate) use store_rows::{StoreRow, TableView};
 pub(crate) use weights_origin::{ChunkDigests, OriginClient};
 
 /// The path of the readiness check that the platform's balancer asks.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -10,10 +10,10 @@
 use http::{Method, StatusCode};
 use macro_rules_attribute::apply;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::engine_calls::exchange;
+use super::store_rows::{RowsPage, StoreRow, TableView, read_page};
 use crate::derives::{key, plain};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::transport::PeerClient;
@@ -40,26 +40,6 @@
     }
 }
 
-/// A row as the store told it.
-#[apply(plain!)]
-pub(crate) struct StoreRow {
-    /// Its key.
-    pub(crate) key: String,
-    /// The store's revision at which it was last written or removed.
-    pub(crate) revision: u64,
-    /// Its bytes; none when the row was removed.
-    pub(crate) value: Option<Bytes>,
-}
-
-/// A table as of one moment.
-#[apply(plain!)]
-pub(crate) struct TableView {
-    /// Its rows, sorted by key.
-    pub(crate) rows: Vec<StoreRow>,
-    /// The store's revision as of which they were read.
-    pub(crate) revision: u64,
-}
-
 /// What a watch of a table found.
 #[apply(plain!)]
 pub(crate) enum WatchAnswer {
@@ -69,25 +49,6 @@
     HistoryLost,
 }
 
-#[derive(Deserialize)]
-struct RowText {
-    key: String,
-    value: Option<String>,
-    #[serde(default)]
-    ver: u64,
-    #[serde(default)]
-    deleted: bool,
-}
-
-#[derive(Deserialize)]
-struct RowsText {
-    #[serde(default)]
-    rows: Vec<RowText>,
-    #[serde(default)]
-    truncated: bool,
-    ver: u64,
-}
-
 /// What became of a write under a condition.
 #[apply(plain!)]
 pub(crate) enum WriteOutcome {
@@ -162,16 +123,19 @@
             let from = from.map_or_else(String::new, |from| format!("&from={}", encode(&from)));
             let path = format!("/v1/rows-get?table={name}&part={from}");
             let answer = self.get(&path, within).await?;
-            let page = parse_rows(&answer)?;
-            for row in page.rows {
-                rows.push(row.into_row()?);
-            }
-            if !page.truncated {
+            let page = parse_page(&answer)?;
+            let read = rows.len();
+            rows.extend(page.view.rows);
+            if !page.is_truncated {
                 return Ok(TableView {
                     rows,
-                    revision: page.ver,
+                    revision: page.view.revision,
                 });
             }
+            // The same page would be asked for again, and again without a pause.
+            if rows.len() == read {
+                return Err(unavailable("an answer has no rows and goes on".to_owned()));
+            }
         }
     }
 
@@ -196,12 +160,8 @@
         match status {
             StatusCode::GONE => Ok(WatchAnswer::HistoryLost),
             StatusCode::OK => {
-                let page = parse_rows(&body)?;
-                let rows = page.rows.into_iter().map(RowText::into_row);
-                Ok(WatchAnswer::Changed(TableView {
-                    rows: rows.collect::<SwitchResult<_>>()?,
-                    revision: page.ver,
-                }))
+                let page = parse_page(&body)?;
+                Ok(WatchAnswer::Changed(page.view))
             }
             status => Err(refused(status)),
         }
@@ -249,14 +209,14 @@
         let (status, body) = self.transact(&change, within).await?;
         match status {
             StatusCode::OK => {
-                let done: DoneText = parse(&body)?;
+                let done: DoneText =
+                    serde_json::from_slice(&body).map_err(|fault| unreadable(&fault))?;
                 Ok(WriteOutcome::Done { revision: done.ver })
             }
             StatusCode::PRECONDITION_FAILED => {
-                let mut rows = parse_rows(&body)?.rows;
+                let mut rows = parse_page(&body)?.view.rows;
                 rows.retain(|row| row.key == key && row.value.is_some());
-                let row = rows.pop().map(RowText::into_row).transpose()?;
-                Ok(WriteOutcome::Refused { row })
+                Ok(WriteOutcome::Refused { row: rows.pop() })
             }
             status => Err(refused(status)),
         }
@@ -297,25 +257,6 @@
     }
 }
 
-impl RowText {
-    fn into_row(self) -> SwitchResult<StoreRow> {
-        let value = match self.value {
-            Some(text) if !self.deleted => {
-                let bytes = BASE64.decode(&text).map_err(|fault| {
-                    unavailable(format!("row {} does not read: {fault}", self.key))
-                })?;
-                Some(bytes.into())
-            }
-            _ => None,
-        };
-        Ok(StoreRow {
-            key: self.key,
-            revision: self.ver,
-            value,
-        })
-    }
-}
-
 fn change_text<'a>(
     precondition: Vec<ConditionText<'a>>,
     table: TableName,
@@ -333,13 +274,12 @@
     }
 }
 
-fn parse_rows(body: &[u8]) -> SwitchResult<RowsText> {
-    parse(body)
+fn parse_page(body: &[u8]) -> SwitchResult<RowsPage> {
+    read_page(body).map_err(|fault| unreadable(&fault))
 }
 
-fn parse<T: DeserializeOwned>(body: &[u8]) -> SwitchResult<T> {
-    serde_json::from_slice(body)
-        .map_err(|fault| unavailable(format!("an answer does not read: {fault}")))
+fn unreadable(fault: &serde_json::Error) -> SwitchError {
+    unavailable(format!("an answer does not read: {fault}"))
 }
 
 fn encode(text: &str) -> String {
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,5 +1,6 @@
 mod documents;
 mod entries;
+mod rows;
 
 use bytestring::ByteString;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
