Give up what an entry named once it does not read, and tell of it once

Cause: an entry that stopped reading left in force what it had said before, and each read of the same row told of it again. The system's own rows counted whatever key they stood under, so that a row of another writer replaced the addresses of an entry host or the record of another model.

Ruled out: giving such a backend server up like one whose entry lapsed.

Not covered: the end of a row of the operator's table that goes while the store forgets its history is not told.

--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -105,8 +105,13 @@
 
     /// Somebody else writes a row, whatever stands there.
     pub(crate) fn put(&self, table: TableName, key: &str, value: &str) {
-        let value = BASE64.encode(value);
-        self.lock().put(table.as_str(), key, Some(value));
+        self.put_raw(table, key, &BASE64.encode(value));
+    }
+
+    /// Somebody else writes a row whose bytes need not decode.
+    pub(crate) fn put_raw(&self, table: TableName, key: &str, value: &str) {
+        let value = Some(value.to_owned());
+        self.lock().put(table.as_str(), key, value);
         self.changes.send_modify(|changes| *changes += 1);
     }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -30,6 +30,7 @@
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 #[cfg(test)]
 pub(crate) use fake_store::FakeStore;
+pub(crate) use json_object::read_object;
 pub(crate) use request_head::{RequestHead, read_request_head};
 pub(crate) use settings_file::{PlatformSettings, TimeBounds};
 pub(crate) use store_client::{StoreClient, TableName, WatchAnswer, WriteOutcome};
--- a/src/sync/events.rs
+++ b/src/sync/events.rs
@@ -14,8 +14,6 @@
     1105,
     "the store has forgotten its history; the table is read as a whole",
 );
-pub(crate) const ENTRY_UNREADABLE: LogEvent =
-    LogEvent::warn(1106, "an entry of the store does not read");
 pub(crate) const NEIGHBOUR_KNEW: LogEvent =
     LogEvent::info(1107, "a neighbour knew something newer");
 pub(crate) const STALE_READ: LogEvent = LogEvent::info(
@@ -38,6 +36,13 @@
 pub(crate) const DOCUMENT_BEHIND: LogEvent =
     LogEvent::warn(1112, "an older document was told than the one in force");
 
+pub(crate) const ROW_UNREADABLE: LogEvent = LogEvent::warn(
+    1115,
+    "a row of the store does not read; it has no effect here",
+);
+pub(crate) const ROW_READABLE: LogEvent =
+    LogEvent::info(1116, "a row of the store reads again or is gone");
+
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
     DOCUMENT_IN_FORCE,
@@ -46,7 +51,6 @@
     STORE_LOST,
     STORE_BACK,
     HISTORY_LOST,
-    ENTRY_UNREADABLE,
     NEIGHBOUR_KNEW,
     STALE_READ,
     THREAD_FAILED,
@@ -55,4 +59,6 @@
     DOCUMENT_BEHIND,
     VERSION_RECORDED,
     RECORD_FAILED,
+    ROW_UNREADABLE,
+    ROW_READABLE,
 ];
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -12,6 +12,7 @@
 mod sync_thread;
 #[cfg(test)]
 mod tests;
+mod unreadable_rows;
 mod view_book;
 
 pub(crate) use naming_time::NamingTime;
--- a/src/sync/own_rows.rs
+++ b/src/sync/own_rows.rs
@@ -2,14 +2,13 @@
 //! version of each model's weights was named last.
 
 use macro_rules_attribute::apply;
+use serde::de::DeserializeOwned;
 
-use super::events;
 use super::peer_messages::EntryRecord;
 use crate::derives::plain;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
-use crate::events::log_event;
-use crate::fleet::ModelVersion;
-use crate::platform::{StoreRow, TableView};
+use crate::fleet::{ModelVersion, WeightsVersion};
+use crate::platform::{StoreRow, TableView, read_object};
 
 /// Begins the keys of versions; those of entry hosts are their names, which hold no slash.
 const VERSION_KEY_PREFIX: &str = "weights/";
@@ -28,49 +27,73 @@
 pub(crate) struct OwnRows {
     pub(super) entries: Vec<EntryRecord>,
     pub(super) records: Vec<VersionRecord>,
+    /// The keys of the rows that were read, each with whether it did.
+    pub(super) readings: Vec<(String, SwitchResult<()>)>,
+    /// Whether these are all rows that there are.
+    pub(super) is_whole: bool,
 }
 
 impl OwnRows {
-    /// Reads the rows of `view`. One that does not read is told, and the others hold.
+    /// Reads the rows of `view`, which has all of them. Where one does not read, the others hold.
     pub(crate) fn of(view: &TableView) -> Self {
+        let mut own = Self::of_rows(&view.rows);
+        own.is_whole = true;
+        own
+    }
+
+    /// Reads some of the rows.
+    pub(super) fn of_rows(rows: &[StoreRow]) -> Self {
         let mut own = Self::default();
-        for row in &view.rows {
-            if let Err(error) = own.take(row) {
-                log_event!(events::ENTRY_UNREADABLE, "{error}");
+        for row in rows {
+            if let Some(value) = &row.value {
+                let read = own.take(row, value);
+                own.readings.push((row.key.clone(), read));
             }
         }
         own
     }
 
-    /// Just `record`.
+    /// Just `record`, as it was written.
     pub(super) fn with_record(record: VersionRecord) -> Self {
         Self {
-            entries: Vec::new(),
+            readings: vec![(version_key(&record.target.model), Ok(()))],
             records: vec![record],
+            ..Self::default()
         }
     }
 
-    fn take(&mut self, row: &StoreRow) -> SwitchResult<()> {
-        let Some(value) = &row.value else {
-            return Ok(());
-        };
-        let unreadable = |fault: serde_json::Error| {
-            let detail = format!("the own row {}: {fault}", row.key);
-            SwitchError::new(ErrorKind::MessageInvalid, detail)
-        };
-        if row.key.starts_with(VERSION_KEY_PREFIX) {
+    /// A row counts only under the key that its writer gives it: taken for what it says, one that
+    /// somebody else wrote would replace the row of another entry host or model.
+    fn take(&mut self, row: &StoreRow, value: &[u8]) -> SwitchResult<()> {
+        if let Some(model) = row.key.strip_prefix(VERSION_KEY_PREFIX) {
+            let target: ModelVersion = read(value)?;
+            check(*target.model == *model, "it is of another model")?;
+            check(target.version > WeightsVersion(0), "versions begin with 1")?;
             self.records.push(VersionRecord {
-                target: serde_json::from_slice(value).map_err(unreadable)?,
+                target,
                 revision: row.revision,
             });
         } else {
-            let entry = serde_json::from_slice(value).map_err(unreadable)?;
+            let entry: EntryRecord = read(value)?;
+            check(*entry.host == *row.key, "it is of another host")?;
             self.entries.push(entry);
         }
         Ok(())
     }
 }
 
+fn read<T: DeserializeOwned>(value: &[u8]) -> SwitchResult<T> {
+    read_object(value).map_err(|fault| invalid(&fault.to_string()))
+}
+
+fn check(holds: bool, fault: &str) -> SwitchResult<()> {
+    if holds { Ok(()) } else { Err(invalid(fault)) }
+}
+
+fn invalid(fault: &str) -> SwitchError {
+    SwitchError::new(ErrorKind::MessageInvalid, fault)
+}
+
 /// The key of the row that records a version of `model`.
 pub(super) fn version_key(model: &str) -> String {
     format!("{VERSION_KEY_PREFIX}{model}")
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -256,8 +256,7 @@
             WriteOutcome::Refused { row } => {
                 let model = record.target.model;
                 let revision = row.as_ref().map_or(0, |row| row.revision);
-                let rows = row.into_iter().collect();
-                self.take_own_rows(OwnRows::of(&TableView { rows, revision }));
+                self.take_own_rows(OwnRows::of_rows(row.as_slice()));
                 self.book
                     .change(|book| book.note_record_row(&model, revision));
             }
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -1,4 +1,5 @@
 mod restarts;
+mod unreadable;
 
 use std::time::Duration;
 
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -19,13 +19,13 @@
 const START: ClockTime = ClockTime::from_millis(100_000);
 
 /// An entry host's control thread, which can lose power.
-struct EntryProcess {
+pub(super) struct EntryProcess {
     runtime: Runtime,
-    book: SharedBook,
+    pub(super) book: SharedBook,
 }
 
 impl EntryProcess {
-    fn start(name: &'static str, store: &FakeStore) -> Self {
+    pub(super) fn start(name: &'static str, store: &FakeStore) -> Self {
         let local = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = SyncSettings {
             me: EntryRecord {
@@ -49,12 +49,15 @@
     }
 
     /// Nothing of it is left, and nothing is said on the way.
-    fn lose_power(self) {
+    pub(super) fn lose_power(self) {
         self.runtime.shutdown_background();
     }
 
     /// What it believes as soon as `is_there` holds.
-    async fn believes(&self, is_there: impl Fn(&ControlSnapshot) -> bool) -> Arc<ControlSnapshot> {
+    pub(super) async fn believes(
+        &self,
+        is_there: impl Fn(&ControlSnapshot) -> bool,
+    ) -> Arc<ControlSnapshot> {
         let mut changes = self.book.changes();
         let waiting = async {
             loop {
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -13,12 +13,15 @@
 use super::own_rows::{OwnRows, VersionRecord};
 use super::peer_messages::{EntryRecord, PeerAsk, PeerView, WantedWord};
 use super::snapshot::ControlSnapshot;
+use super::unreadable_rows::{RowReading, UnreadableRows};
 use crate::catalog::{CatalogVersion, ServiceCatalog};
+use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::fleet::{BackendFacts, FleetView, ModelVersion, WantedWeights, WeightsVersion};
 use crate::metrics;
 use crate::platform::{
-    DocumentRow, StoreRow, TableView, read_backend_row, read_document, read_wanted_version,
+    DocumentRow, StoreRow, TableName, TableView, read_backend_row, read_document,
+    read_wanted_version,
 };
 use crate::time::ClockTime;
 
@@ -87,6 +90,8 @@
     store_answered: Option<ClockTime>,
     /// When the store last began to answer again.
     store_steady_since: Option<ClockTime>,
+    /// The store's rows that do not read.
+    unreadable: UnreadableRows,
 }
 
 impl ViewBook {
@@ -146,30 +151,29 @@
     /// this process were named.
     pub(crate) fn take_operator_rows(&mut self, rows: &[StoreRow], named: NamingTime) {
         for row in rows {
+            let table = TableName::Operator;
             let Some(value) = &row.value else {
+                self.unreadable.note(table, &row.key, RowReading::Gone);
                 continue;
             };
             let source = WordSource::Store(row.revision);
-            match DocumentRow::of(&row.key) {
+            let kind = DocumentRow::of(&row.key);
+            let read = match kind {
                 DocumentRow::Document => self.take_document(value.clone(), source),
-                DocumentRow::WantedVersion => match read_wanted_version(&row.key, value) {
-                    Ok(target) => self.want(&target, named, source),
-                    Err(error) => log_event!(events::ENTRY_UNREADABLE, "{}: {error}", row.key),
-                },
-                DocumentRow::Other => {}
+                DocumentRow::WantedVersion => read_wanted_version(&row.key, value)
+                    .map(|target| self.want(&target, named, source)),
+                DocumentRow::Other => Ok(()),
+            };
+            let begins = self.unreadable.note(table, &row.key, RowReading::of(&read));
+            if begins && kind == DocumentRow::Document {
+                note_document_fault(&read);
             }
         }
     }
 
     /// Puts a document in force if it is newer than the one that is.
-    fn take_document(&mut self, text: Bytes, source: WordSource) {
-        let catalog = match read_document(&text) {
-            Ok(catalog) => catalog,
-            Err(error) => {
-                log_event!(events::DOCUMENT_UNREADABLE, "{error}");
-                return;
-            }
-        };
+    fn take_document(&mut self, text: Bytes, source: WordSource) -> SwitchResult<()> {
+        let catalog = read_document(&text)?;
         if let Some(known) = self.document_version()
             && known >= catalog.version
         {
@@ -180,7 +184,7 @@
                     "version={version} known={known} from={source}"
                 );
             }
-            return;
+            return Ok(());
         }
         log_event!(
             events::DOCUMENT_IN_FORCE,
@@ -193,6 +197,7 @@
             catalog: Arc::new(catalog),
             text,
         });
+        Ok(())
     }
 
     fn want(&mut self, target: &ModelVersion, named: NamingTime, source: WordSource) {
@@ -255,19 +260,26 @@
             );
             return;
         }
-        self.remove_unlisted(|id| view.rows.iter().any(|row| row.key == id), now);
+        let is_listed = |id: &str| view.rows.iter().any(|row| row.key == id);
+        self.remove_unlisted(is_listed, now);
+        self.unreadable.keep_listed(TableName::Backends, is_listed);
         self.change_backends(view, now);
     }
 
     /// Takes in what changed in the table of backend servers.
     pub(crate) fn change_backends(&mut self, view: &TableView, now: ClockTime) {
         for row in &view.rows {
-            match &row.value {
-                None => self.remove_backend(&row.key, now),
-                Some(value) => match read_backend_row(&row.key, value) {
-                    Ok(facts) => self.put_backend(facts),
-                    Err(error) => log_event!(events::ENTRY_UNREADABLE, "{error}"),
-                },
+            let table = TableName::Backends;
+            let Some(value) = &row.value else {
+                self.remove_backend(&row.key, now);
+                self.unreadable.note(table, &row.key, RowReading::Gone);
+                continue;
+            };
+            let read = read_backend_row(&row.key, value);
+            self.unreadable.note(table, &row.key, RowReading::of(&read));
+            match read {
+                Ok(facts) => self.put_backend(facts),
+                Err(_) => self.drop_backend(&row.key),
             }
         }
         self.backends_revision = self.backends_revision.max(view.revision);
@@ -287,6 +299,13 @@
         }
     }
 
+    /// The entry called `id` names no backend server any more, because somebody else wrote over it. It
+    /// did not lapse while the store was away, so that nothing is to be waited for: what answers at the
+    /// address that it had named is no longer known.
+    fn drop_backend(&mut self, id: &str) {
+        self.backends.retain(|entry| *entry.facts.id != *id);
+    }
+
     /// The entries of backend servers that a whole list does not have went.
     fn remove_unlisted(&mut self, is_listed: impl Fn(&str) -> bool, now: ClockTime) {
         let ids = self.backends.iter().map(|entry| entry.facts.id.clone());
@@ -327,6 +346,7 @@
     /// Takes in the system's own rows. `named` tells when recorded versions that are new to this
     /// process were named.
     pub(crate) fn take_own_rows(&mut self, own: OwnRows, named: NamingTime) {
+        self.unreadable.note_own(&own);
         self.add_entries(own.entries);
         for record in own.records {
             self.take_record(record, named);
@@ -490,7 +510,8 @@
     /// Takes in what a neighbour knew beyond this process.
     pub(crate) fn merge(&mut self, view: PeerView, now: ClockTime) {
         if let Some(text) = view.document {
-            self.take_document(text.into(), WordSource::Neighbour);
+            let read = self.take_document(text.into(), WordSource::Neighbour);
+            note_document_fault(&read);
         }
         self.take_words(&view.wanted, now);
         if let Some((revision, backends)) = view.backends
@@ -524,6 +545,13 @@
     }
 }
 
+/// Tells that a document does not read, if it does not.
+fn note_document_fault(read: &SwitchResult<()>) {
+    if let Err(error) = read {
+        log_event!(events::DOCUMENT_UNREADABLE, "{error}");
+    }
+}
+
 /// Tells that the store names an older version than was named before.
 ///
 /// Its row was written over by an older naming that was done late. Processes that live stay with the
