Bound how deep a message between processes is nested

Cause: the library follows a thousand lists in each other, which fill the stack of a thread and end the process ("has overflowed its stack"). A datagram of load has room for them, and nobody checks who sends it.

Ruled out: lengths of four billion, which end at the message's own end, and the depth of JSON, which the library bounds at 128. Random messages found it, in a build without optimisation; with it, it was not tried.

--- a/src/transport/frames.rs
+++ b/src/transport/frames.rs
@@ -18,6 +18,12 @@
 /// The largest frame that is read, in bytes; a chunk of weights fits with its head.
 const FRAME_BYTES_MAX: usize = 64 * 1024 * 1024;
 const LENGTH_BYTES: usize = 4;
+/// How deep a message is nested at most; ours are below ten.
+///
+/// A thousand lists in each other, which the library takes by itself, fill the stack of a thread and
+/// end the process; a datagram has room for them. One would notice "has overflowed its stack" as the
+/// last line of a process.
+const MESSAGE_DEPTH_MAX: usize = 64;
 
 /// The bytes of `message`.
 pub(crate) fn encode_message<M: Serialize>(message: &M) -> SwitchResult<Bytes> {
@@ -29,7 +35,9 @@
 
 /// The message in `bytes`.
 pub(crate) fn decode_message<M: DeserializeOwned>(bytes: &[u8]) -> SwitchResult<M> {
-    rmp_serde::from_slice(bytes)
+    let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
+    decoder.set_max_depth(MESSAGE_DEPTH_MAX);
+    M::deserialize(&mut decoder)
         .map_err(|fault| SwitchError::new(ErrorKind::MessageInvalid, fault.to_string()))
 }
 
--- a/src/transport/tests.rs
+++ b/src/transport/tests.rs
@@ -23,6 +23,21 @@
 const LONG: Duration = Duration::from_secs(30);
 const SHORT: Duration = Duration::from_millis(200);
 
+/// Symptom: a process ended with "has overflowed its stack". A message held a thousand lists in each
+/// other, which a datagram has room for.
+#[test]
+fn a_message_that_is_nested_too_deep_does_not_read() {
+    /// A list of one, which holds the next.
+    const LIST: u8 = 0x91;
+    for depth in [100, 1000, 100_000] {
+        let nested = vec![LIST; depth];
+        assert!(decode_message::<serde_json::Value>(&nested).is_err());
+    }
+    let message = serde_json::json!([[[[[[[[["ours are not as deep"]]]]]]]]]);
+    let bytes = encode_message(&message).expect("it encodes");
+    assert_eq!(decode_message(&bytes).ok(), Some(message));
+}
+
 #[tokio::test]
 async fn frames_come_through_in_order_and_end() {
     let (writer, body) = frame_channel(4);
