Take no list of digests that is empty, cut off or no hexadecimal

Cause: with an empty list, all chunks of a version are held at once and the engine is ordered to load whatever is staged. A list from another host could end within a digest, and a byte could begin with a sign, since numbers may.

Ruled out: a list of another model or version, which was refused already.

Seen failing without each check: "assertion failed: read(&empty).is_err()", "sent(&[7; 63]).is_err()", "+aabab…".

--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,3 +1,4 @@
+mod digests;
 mod documents;
 mod entries;
 mod rows;
--- a/src/platform/weights_origin.rs
+++ b/src/platform/weights_origin.rs
@@ -11,6 +11,7 @@
 use sha2::{Digest, Sha256};
 
 use super::engine_calls::exchange;
+use super::json_object::read_object;
 use crate::derives::message;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::ModelVersion;
@@ -19,13 +20,42 @@
 const DIGEST_BYTES: usize = 32;
 
 /// The digests of a version's chunks, by which each is checked before it is kept or passed on.
+///
+/// There is at least one: with none, a host holds all chunks of the version as soon as it has heard of
+/// it, and orders the engine to load whatever is staged.
 #[apply(message!)]
+#[serde(try_from = "DigestsMessage")]
 pub(crate) struct ChunkDigests {
     #[serde(with = "serde_bytes")]
     digests: Vec<u8>,
 }
 
+/// The digests as another process sends them.
+#[derive(Deserialize)]
+struct DigestsMessage {
+    #[serde(with = "serde_bytes")]
+    digests: Vec<u8>,
+}
+
+impl TryFrom<DigestsMessage> for ChunkDigests {
+    type Error = &'static str;
+
+    fn try_from(message: DigestsMessage) -> Result<Self, Self::Error> {
+        Self::new(message.digests)
+    }
+}
+
 impl ChunkDigests {
+    fn new(digests: Vec<u8>) -> Result<Self, &'static str> {
+        if digests.is_empty() {
+            return Err("there are no digests");
+        }
+        if !digests.len().is_multiple_of(DIGEST_BYTES) {
+            return Err("the last digest is cut off");
+        }
+        Ok(Self { digests })
+    }
+
     /// How many chunks there are.
     pub(crate) fn count(&self) -> u32 {
         u32::try_from(self.digests.len() / DIGEST_BYTES).unwrap_or(u32::MAX)
@@ -74,16 +104,7 @@
     ) -> SwitchResult<ChunkDigests> {
         let path = format!("/v1/manifest/{}?version={}", target.model, target.version.0);
         let body = self.get(&path, within).await?;
-        let text: DigestsText =
-            serde_json::from_slice(&body).map_err(|fault| invalid(&fault.to_string()))?;
-        if *text.model != *target.model || text.version != target.version.0 {
-            return Err(invalid("it is of another version"));
-        }
-        let mut digests = Vec::with_capacity(text.digests.len() * DIGEST_BYTES);
-        for digest in &text.digests {
-            push_digest(&mut digests, digest)?;
-        }
-        Ok(ChunkDigests { digests })
+        read_digests(target, &body)
     }
 
     /// Reads a chunk, which is not checked yet.
@@ -119,9 +140,24 @@
     }
 }
 
+/// Reads the origin's list of the digests of `target`.
+pub(super) fn read_digests(target: &ModelVersion, body: &[u8]) -> SwitchResult<ChunkDigests> {
+    let text: DigestsText = read_object(body).map_err(|fault| invalid(&fault.to_string()))?;
+    if *text.model != *target.model || text.version != target.version.0 {
+        return Err(invalid("it is of another version"));
+    }
+    let mut digests = Vec::with_capacity(text.digests.len() * DIGEST_BYTES);
+    for digest in &text.digests {
+        push_digest(&mut digests, digest)?;
+    }
+    ChunkDigests::new(digests).map_err(invalid)
+}
+
 fn push_digest(digests: &mut Vec<u8>, text: &str) -> SwitchResult<()> {
-    if text.len() != DIGEST_BYTES * 2 || !text.is_ascii() {
-        return Err(invalid("a digest has the wrong length"));
+    // A number may begin with a sign, a digest's byte may not.
+    let is_hex = text.bytes().all(|digit| digit.is_ascii_hexdigit());
+    if text.len() != DIGEST_BYTES * 2 || !is_hex {
+        return Err(invalid("a digest has the wrong length or is none"));
     }
     for at in (0..text.len()).step_by(2) {
         let byte = u8::from_str_radix(&text[at..at + 2], 16);
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -93,3 +93,36 @@
     };
     Ok(())
 }
+
+/// Cuts `bytes` off, writes over some of them, or puts heads of very long lists and texts among them.
+pub(crate) fn spoil_bytes(u: &mut Unstructured<'_>, bytes: &mut Vec<u8>) -> Result<()> {
+    /// Heads of `MessagePack`: a list, a map, a text and bytes of four billion, nested lists.
+    const HEADS: [&[u8]; 5] = [
+        &[0xdd, 0xff, 0xff, 0xff, 0xff],
+        &[0xdf, 0xff, 0xff, 0xff, 0xff],
+        &[0xdb, 0xff, 0xff, 0xff, 0xff],
+        &[0xc6, 0xff, 0xff, 0xff, 0xff],
+        &[0x91; 4000],
+    ];
+    for _ in 0..u.int_in_range(1..=3)? {
+        let at = u.int_in_range(0..=bytes.len())?;
+        match u.int_in_range(0..=3)? {
+            0 => bytes.truncate(at),
+            1 => {
+                let head = u.choose(&HEADS)?;
+                bytes.splice(at..at, head.iter().copied());
+            }
+            2 => {
+                let head = u.choose(&HEADS)?;
+                let end = bytes.len().min(at + head.len());
+                bytes.splice(at..end, head.iter().copied());
+            }
+            _ => {
+                if let Some(byte) = bytes.get_mut(at) {
+                    *byte = u.arbitrary()?;
+                }
+            }
+        }
+    }
+    Ok(())
+}
