Stop loads and places at the greatest number

Cause: what runs and what waits at a backend server, in a datagram or an answer, and its places with the room for waiting ones were added unchecked. With figures beyond all bounds the sum began again at zero, so that the fullest counted as idle; in a build with checks the thread that takes load reports ended ("attempt to add with overflow").

Ruled out: ages and waits in messages of neighbours, which saturate already.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -127,12 +127,12 @@
 
     /// It told its load in an answer.
     pub(crate) fn note_load(&mut self, word: LoadWord, now: ClockTime) {
-        self.hear(word.running + word.waiting, now);
+        self.hear(word.running.saturating_add(word.waiting), now);
     }
 
     /// The process beside it told its state.
     pub(super) fn note_report(&mut self, report: LoadReport, now: ClockTime) {
-        self.hear(report.active + report.queued, now);
+        self.hear(report.active.saturating_add(report.queued), now);
         let span = if report.is_loading {
             LOADING_SPAN
         } else {
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -104,7 +104,7 @@
             }
             // A place that it takes from a new request turns that one into a late one as well.
             VersionNeed::Model { .. } if self.is_returned => slots - slots / SPARE_PART,
-            _ => slots + self.queue_room,
+            _ => slots.saturating_add(self.queue_room),
         }
     }
 }
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -1,3 +1,4 @@
+mod messages;
 mod restarts;
 mod unreadable;
 
