--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,6 +1,7 @@
 mod digests;
 mod documents;
 mod entries;
+mod heads;
 mod rows;
 
 use bytestring::ByteString;
