Remember rows that do not read for each table by itself

Cause: the bound of 256 rows was shared, so that as many spoilt entries of backend servers hid that the document stopped reading. Seen failing with the shared bound: "it is not hidden".

--- a/src/sync/tests/unreadable.rs
+++ b/src/sync/tests/unreadable.rs
@@ -160,6 +160,11 @@
         rows.note(TableName::Own, &key, RowReading::Unreadable(&error));
     }
     assert_eq!(rows.len(), 256);
+    let other = RowReading::Unreadable(&error);
+    assert!(
+        rows.note(TableName::Operator, "document", other),
+        "it is not hidden"
+    );
 }
 
 /// Symptom: an entry host was never ready, and its log told `[1103]` of a store that answered: one row in
--- a/src/sync/unreadable_rows.rs
+++ b/src/sync/unreadable_rows.rs
@@ -10,8 +10,9 @@
 use crate::metrics;
 use crate::platform::TableName;
 
-/// Rows that are remembered. Others may write any number of them; of those beyond this one only the
-/// counter tells.
+/// Rows of one table that are remembered. Others may write any number of them; of those beyond this one
+/// only the counter tells. Each table has its own, so that many entries of backend servers do not hide
+/// that the document stopped reading.
 const ROWS_MAX: usize = 256;
 /// Characters of what others wrote that go into one line of the log.
 const SHOWN_MAX: usize = 200;
@@ -78,7 +79,8 @@
 
     fn begin(&mut self, at: usize, (table, key): (TableName, &str), error: &SwitchError) -> bool {
         metrics::count_event("rows_unreadable", 1);
-        if self.rows.len() >= ROWS_MAX {
+        let in_table = self.rows.iter().filter(|row| row.table == table);
+        if in_table.count() >= ROWS_MAX {
             return false;
         }
         let row = RowName {
