--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,11 +9,14 @@
 mod engine_calls;
 #[cfg(test)]
 mod fake_store;
+mod json_object;
+mod millis;
 mod request_head;
 #[cfg(test)]
 pub(crate) mod samples;
 mod settings_file;
 mod store_client;
+mod store_rows;
 #[cfg(test)]
 mod tests;
 mod weights_origin;
@@ -27,11 +30,11 @@
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 #[cfg(test)]
 pub(crate) use fake_store::FakeStore;
+pub(crate) use json_object::read_object;
 pub(crate) use request_head::{RequestHead, read_request_head};
 pub(crate) use settings_file::{PlatformSettings, TimeBounds};
-pub(crate) use store_client::{
-    StoreClient, StoreRow, TableName, TableView, WatchAnswer, WriteOutcome,
-};
+pub(crate) use store_client::{StoreClient, TableName, WatchAnswer, WriteOutcome};
+pub(crate) use store_rows::{StoreRow, TableView};
 pub(crate) use weights_origin::{ChunkDigests, OriginClient};
 
 /// The path of the readiness check that the platform's balancer asks.
--- a/src/platform/tests.rs
+++ b/src/platform/tests/mod.rs
@@ -1,3 +1,9 @@
+mod digests;
+mod documents;
+mod entries;
+mod heads;
+mod rows;
+
 use bytestring::ByteString;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
--- a/src/sync/backend_list.rs
+++ b/src/sync/backend_list.rs
@@ -131,6 +131,13 @@
         }
     }
 
+    /// The entry called `id` names no backend server any more, because somebody else wrote over it. It
+    /// did not lapse while the store was away, so that nothing is to be waited for: what answers at the
+    /// address that it had named is no longer known. Its own next entry brings it back.
+    pub(super) fn drop_entry(&mut self, id: &str) {
+        self.entries.retain(|entry| *entry.facts.id != *id);
+    }
+
     /// The ids that are not among those that `is_listed` knows.
     pub(super) fn unlisted(&self, is_listed: impl Fn(&str) -> bool) -> Vec<ByteString> {
         let ids = self.all().map(|facts| facts.id.clone());
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -1,7 +1,9 @@
 mod driver;
 mod driver_world;
 mod incarnations;
+mod messages;
 mod restarts;
+mod unreadable;
 
 use std::time::Duration;
 
--- a/src/sync/version_recorder.rs
+++ b/src/sync/version_recorder.rs
@@ -12,7 +12,7 @@
 use super::view_book::ViewBook;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
-use crate::platform::{TableName, TableView, WriteOutcome};
+use crate::platform::{TableName, WriteOutcome};
 use crate::routing::name_hash;
 
 /// The pause between two looks for versions that are to be recorded. A version that is named while all
@@ -93,8 +93,7 @@
             WriteOutcome::Refused { row } => {
                 let model = record.target.model;
                 let revision = row.as_ref().map_or(0, |row| row.revision);
-                let rows = row.into_iter().collect();
-                self.take_own_rows(OwnRows::of(&TableView { rows, revision }));
+                self.take_own_rows(OwnRows::of_rows(row.as_slice()));
                 self.book
                     .change(|book| book.note_record_row(&model, revision));
             }
