Take null for the layers of an engine without weights

The list of what may not stand there loses null for this one field, since the genuine entry has it; the other fields stay as strict.

--- a/src/platform/backend_row.rs
+++ b/src/platform/backend_row.rs
@@ -39,7 +39,7 @@
     sequence: Option<u64>,
     #[serde(default, deserialize_with = "given")]
     models: Option<Vec<JsonObject<ModelText>>>,
-    #[serde(default, deserialize_with = "given")]
+    /// `null` where the engine holds none.
     layers: Option<LayersText>,
     /// The version of its software, not of any weights.
     #[serde(default, deserialize_with = "given", rename = "version")]
