--- a/src/platform/tests/entries.rs
+++ b/src/platform/tests/entries.rs
@@ -92,7 +92,7 @@
     for field in optional {
         assert!(read(&without(field)).is_ok(), "without {field}");
         // An engine without weights writes that it holds no layers so.
-        let null = (field != "layers").then(|| json!(null));
+        let null = (field != "layers").then_some(Value::Null);
         let others = [json!(true), json!({"x": 1}), json!([1])];
         for value in others.into_iter().chain(null) {
             assert!(
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -44,6 +44,8 @@
 enum WordSource {
     /// The store, with a change of the operator's row to this revision.
     Change(u64),
+    /// The store, with a change to this revision that another has followed since.
+    PastChange(u64),
     /// The store, in the operator's row of this revision, read with the whole table.
     Table(u64),
     /// The store, in the system's own row of this revision.
@@ -53,6 +55,11 @@
 }
 
 impl WordSource {
+    /// Whether it tells what stands in the operator's row now.
+    const fn stands(self) -> bool {
+        matches!(self, Self::Change(_) | Self::Table(_))
+    }
+
     /// Whether it tells when a version was named that is known already.
     ///
     /// A row that is read again, or written again by a naming that was repeated, says nothing new of
@@ -61,7 +68,7 @@
     const fn tells_naming(self) -> bool {
         match self {
             Self::Neighbour => true,
-            Self::Change(_) | Self::Table(_) | Self::Record(_) => false,
+            Self::Change(_) | Self::PastChange(_) | Self::Table(_) | Self::Record(_) => false,
         }
     }
 }
@@ -69,7 +76,7 @@
 impl fmt::Display for WordSource {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Change(revision) | Self::Table(revision) => {
+            Self::Change(revision) | Self::PastChange(revision) | Self::Table(revision) => {
                 write!(formatter, "store/{revision}")
             }
             Self::Record(revision) => write!(formatter, "record/{revision}"),
@@ -178,13 +185,18 @@
         named: NamingTime,
         source_of: impl Fn(u64) -> WordSource,
     ) {
-        for row in rows {
+        for (at, row) in rows.iter().enumerate() {
             let table = TableName::Operator;
             let Some(value) = &row.value else {
                 self.unreadable.note(table, &row.key, RowReading::Gone);
                 continue;
             };
-            let source = source_of(row.revision);
+            let is_past = rows[at + 1..].iter().any(|later| later.key == row.key);
+            let source = if is_past {
+                WordSource::PastChange(row.revision)
+            } else {
+                source_of(row.revision)
+            };
             let kind = DocumentRow::of(&row.key);
             let read = match kind {
                 DocumentRow::Document => self.take_document(value.clone(), source),
@@ -205,7 +217,7 @@
         if let Some(known) = self.document_version()
             && known >= catalog.version
         {
-            if known > catalog.version {
+            if known > catalog.version && source.stands() {
                 let (version, known) = (catalog.version.0, known.0);
                 log_event!(
                     events::DOCUMENT_BEHIND,
@@ -594,8 +606,7 @@
 /// Its row was written over by an older naming that was done late. Processes that live stay with the
 /// newer version, and without a line nobody would know why the store says another.
 fn note_naming_behind(target: &ModelVersion, known: Option<WeightsVersion>, source: WordSource) {
-    let is_operators = matches!(source, WordSource::Change(_) | WordSource::Table(_));
-    if let (true, Some(known)) = (is_operators, known) {
+    if let (true, Some(known)) = (source.stands(), known) {
         let (model, version) = (&target.model, target.version.0);
         log_event!(
             events::NAMING_BEHIND,
