Tests, failing: an engine that starts again under its name gets its weights back

A host whose engine started again under its name logs [1302] with empty holdings and then nothing: once a version was served, its chunks count as lying at the engine, so that it is neither fetched nor loaded again, and other hosts are told that all of it is held.

Stand-ins of an engine that can crash, start again and lose what was staged, and of the origin; the host's whole daemon runs beside them.

--- /dev/null
+++ b/src/platform/fake_engine.rs
@@ -0,0 +1,235 @@
+//! A stand-in of a model engine for tests in other folders. It can crash, start again under its name
+//! and know nothing of before.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use http::StatusCode;
+use serde_json::{Value, json};
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::fake_origin::{CHUNKS, LAYERS, chunk_bytes, path_and_index, serve_calls};
+use crate::fleet::WeightsVersion;
+use crate::transport::{json_reply, read_body};
+
+const BODY_BYTES_MAX: usize = 1024 * 1024;
+/// When the first incarnation of a fake engine started, in Unix milliseconds.
+const FIRST_BORN: u64 = 1_700_000_000_000;
+/// How much later each further incarnation started.
+const BORN_STEP: u64 = 20_000;
+
+/// What a restart leaves of the staged chunks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StagedRest {
+    /// All of them.
+    Kept,
+    /// None.
+    Gone,
+}
+
+/// What the engine does with a call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum CallRule {
+    /// It answers.
+    #[default]
+    Answer,
+    /// It crashed, and has not started again.
+    Silent,
+}
+
+/// A restart that comes with a call.
+#[derive(Clone, Copy, Debug)]
+struct PlannedRestart {
+    path: &'static str,
+    /// How many calls come before it.
+    calls: u32,
+    rest: StagedRest,
+}
+
+#[derive(Default)]
+struct EngineState {
+    rule: CallRule,
+    born: u64,
+    held: Option<u64>,
+    orders_taken: u64,
+    /// Orders of all incarnations.
+    orders_begun: usize,
+    /// Those of them that found a chunk missing, spoiled or of another version.
+    bad_loads: usize,
+    /// Chunks that were staged, in all incarnations.
+    stagings: usize,
+    restart_at: Option<PlannedRestart>,
+    staged: Vec<Option<Bytes>>,
+}
+
+/// An engine; its clones share its state.
+#[derive(Clone)]
+pub(crate) struct FakeEngine {
+    /// Where it answers.
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<EngineState>>,
+}
+
+impl FakeEngine {
+    /// Starts an engine that holds nothing and has nothing staged.
+    pub(crate) async fn start() -> Self {
+        let state = EngineState {
+            born: FIRST_BORN,
+            staged: vec![None; CHUNKS as usize],
+            ..EngineState::default()
+        };
+        let state = Arc::new(Mutex::new(state));
+        let answering = state.clone();
+        let address = serve_calls(move |request| answer(answering.clone(), request)).await;
+        Self { address, state }
+    }
+
+    /// It crashes; nothing answers until [`FakeEngine::restart`] or [`FakeEngine::thaw`].
+    pub(crate) fn crash(&self) {
+        self.lock().rule = CallRule::Silent;
+    }
+
+    /// It answers again, the same incarnation as before.
+    pub(crate) fn thaw(&self) {
+        self.lock().rule = CallRule::Answer;
+    }
+
+    /// It starts again under its name and knows nothing of before.
+    pub(crate) fn restart(&self, rest: StagedRest) {
+        self.lock().restart(rest);
+    }
+
+    /// It starts again just before it answers a call to a path that begins with `path`, after `calls`
+    /// of them.
+    pub(crate) fn restart_at(&self, path: &'static str, calls: u32, rest: StagedRest) {
+        self.lock().restart_at = Some(PlannedRestart { path, calls, rest });
+    }
+
+    /// The version that it holds whole.
+    pub(crate) fn held(&self) -> Option<WeightsVersion> {
+        self.lock().held.map(WeightsVersion)
+    }
+
+    /// How many orders it has begun, in all incarnations.
+    pub(crate) fn orders_begun(&self) -> usize {
+        self.lock().orders_begun
+    }
+
+    /// How many of these found a chunk missing, spoiled or of another version.
+    pub(crate) fn bad_loads(&self) -> usize {
+        self.lock().bad_loads
+    }
+
+    /// How many chunks were staged, in all incarnations.
+    pub(crate) fn stagings(&self) -> usize {
+        self.lock().stagings
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn answer(state: Arc<Mutex<EngineState>>, request: Request) -> Response {
+    let (path, index) = path_and_index(&request);
+    let body = read_body(request.into_body(), BODY_BYTES_MAX).await;
+    let body = body.expect("the call has a body");
+    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    state.restart_if_due(&path);
+    match (state.rule, path.as_str()) {
+        (CallRule::Silent, _) => json_reply(StatusCode::BAD_GATEWAY, &json!({})),
+        (_, "/v1/report") => json_reply(StatusCode::OK, &state.report()),
+        (_, "/v1/order") => json_reply(state.order(&body), &json!({})),
+        (_, "/v1/stage-put/m") => json_reply(state.stage(index, body), &json!({})),
+        (_, "/v1/stage-get/m") => state.read_staged(index),
+        _ => json_reply(StatusCode::NOT_FOUND, &json!({})),
+    }
+}
+
+impl EngineState {
+    fn restart_if_due(&mut self, path: &str) {
+        let Some(plan) = self.restart_at.as_mut() else {
+            return;
+        };
+        if !path.starts_with(plan.path) {
+            return;
+        }
+        if plan.calls > 0 {
+            plan.calls -= 1;
+            return;
+        }
+        let rest = plan.rest;
+        self.restart_at = None;
+        self.restart(rest);
+    }
+
+    fn restart(&mut self, rest: StagedRest) {
+        self.rule = CallRule::Answer;
+        self.born += BORN_STEP;
+        self.held = None;
+        self.orders_taken = 0;
+        match rest {
+            StagedRest::Kept => {}
+            StagedRest::Gone => self.staged.fill(None),
+        }
+    }
+
+    fn report(&self) -> Value {
+        let held: Vec<u64> = self.held.into_iter().collect();
+        let models = held
+            .iter()
+            .map(|version| json!({ "name": "m", "version": version, "adapters": [] }));
+        let layers = held
+            .iter()
+            .map(|version| json!({ "from": 0, "to": LAYERS, "version": version }));
+        json!({
+            "models": models.collect::<Vec<_>>(), "layers": layers.collect::<Vec<_>>(),
+            "busy": false, "sequence": self.orders_taken, "queued": 0, "active": 0,
+            "born": self.born,
+        })
+    }
+
+    fn order(&mut self, body: &[u8]) -> StatusCode {
+        let order: Value = serde_json::from_slice(body).expect("an order is JSON");
+        let version = order["version"].as_u64().expect("it names a version");
+        if order["precondition"].as_u64() != Some(self.orders_taken) {
+            return StatusCode::CONFLICT;
+        }
+        if self.held == Some(version) {
+            return StatusCode::OK;
+        }
+        let chunks = (0..).zip(&self.staged);
+        let is_whole = chunks
+            .into_iter()
+            .all(|(index, chunk)| *chunk == Some(chunk_bytes(version, index)));
+        self.bad_loads += usize::from(!is_whole);
+        self.orders_taken += 1;
+        self.orders_begun += 1;
+        self.held = Some(version);
+        StatusCode::ACCEPTED
+    }
+
+    fn stage(&mut self, index: Option<u32>, bytes: Bytes) -> StatusCode {
+        let index = index.expect("a chunk is staged under its number");
+        self.stagings += 1;
+        self.staged[index as usize] = Some(bytes);
+        StatusCode::OK
+    }
+
+    fn read_staged(&self, index: Option<u32>) -> Response {
+        let Some(index) = index else {
+            let chunks = (0_u32..).zip(&self.staged);
+            let held: Vec<u32> = chunks
+                .filter_map(|(index, chunk)| chunk.as_ref().map(|_| index))
+                .collect();
+            return json_reply(StatusCode::OK, &json!({ "held": held }));
+        };
+        match &self.staged[index as usize] {
+            Some(bytes) => Response::new(Body::from(bytes.clone())),
+            None => json_reply(StatusCode::NOT_FOUND, &json!({})),
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/fake_origin.rs
@@ -0,0 +1,141 @@
+//! A stand-in of the origin of weights for tests in other folders.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::Router;
+
+use crate::daemon::DrainState;
+use crate::transport::{HttpServer, bind_listener, json_reply};
+
+/// Chunks of a version.
+pub(super) const CHUNKS: u32 = 6;
+/// Layers of the model.
+pub(super) const LAYERS: u32 = 4;
+
+/// The origin of weights; its clones share its counts.
+#[derive(Clone)]
+pub(crate) struct FakeOrigin {
+    /// Where it answers.
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<OriginState>>,
+}
+
+struct OriginState {
+    chunks_read: usize,
+    /// How many chunks it hands out before it refuses.
+    chunks_max: usize,
+}
+
+impl FakeOrigin {
+    /// Starts an origin that has every version of the model `m`.
+    pub(crate) async fn start() -> Self {
+        let state = Arc::new(Mutex::new(OriginState {
+            chunks_read: 0,
+            chunks_max: usize::MAX,
+        }));
+        let answering = state.clone();
+        let address = serve_calls(move |request| {
+            let answer = answer(&mut lock(&answering), &request);
+            async move { answer }
+        });
+        Self {
+            address: address.await,
+            state,
+        }
+    }
+
+    /// How many chunks it has handed out.
+    pub(crate) fn chunks_read(&self) -> usize {
+        lock(&self.state).chunks_read
+    }
+
+    /// It refuses chunks once it has handed out `chunks`.
+    pub(crate) fn hand_out_only(&self, chunks: usize) {
+        lock(&self.state).chunks_max = chunks;
+    }
+
+    /// The document that names it as the origin of the service `s`.
+    pub(crate) fn document(&self) -> String {
+        let address = self.address;
+        let engine = json!({ "models": [{ "name": "m" }], "layers": LAYERS });
+        json!({ "version": 1, "services": [
+            { "name": "s", "engine": engine },
+            { "name": "o", "origin": address.to_string() },
+        ] })
+        .to_string()
+    }
+}
+
+fn lock(state: &Mutex<OriginState>) -> MutexGuard<'_, OriginState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn answer(state: &mut OriginState, request: &Request) -> Response {
+    let version = query_number(request, "version").expect("it names a version");
+    let (path, index) = path_and_index(request);
+    match (path.as_str(), index) {
+        ("/v1/manifest/m", _) => json_reply(StatusCode::OK, &digests_text(version)),
+        ("/v1/piece/m", Some(_)) if state.chunks_read >= state.chunks_max => {
+            json_reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}))
+        }
+        ("/v1/piece/m", Some(index)) => {
+            state.chunks_read += 1;
+            Response::new(Body::from(chunk_bytes(version, index)))
+        }
+        _ => json_reply(StatusCode::NOT_FOUND, &json!({})),
+    }
+}
+
+fn digests_text(version: u64) -> Value {
+    let digest = |index| {
+        let digest = Sha256::digest(chunk_bytes(version, index));
+        let bytes = digest.iter().map(|byte| format!("{byte:02x}"));
+        bytes.collect::<String>()
+    };
+    let digests: Vec<String> = (0..CHUNKS).map(digest).collect();
+    json!({ "model": "m", "version": version, "digests": digests })
+}
+
+/// Chunk `index` of `version`.
+pub(super) fn chunk_bytes(version: u64, index: u32) -> Bytes {
+    format!("chunk {index} of version {version}").into()
+}
+
+/// The path of a call, and the chunk that it names.
+pub(super) fn path_and_index(request: &Request) -> (String, Option<u32>) {
+    let index = query_number(request, "item_count");
+    let index = index.and_then(|index| u32::try_from(index).ok());
+    (request.uri().path().to_owned(), index)
+}
+
+fn query_number(request: &Request, name: &str) -> Option<u64> {
+    let query = request.uri().query()?;
+    let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+    let (_, value) = fields.find(|(field, _)| *field == name)?;
+    value.parse().ok()
+}
+
+/// Answers calls at a free port of this machine for as long as the test runs.
+pub(super) async fn serve_calls<F>(
+    answer: impl Fn(Request) -> F + Clone + Send + Sync + 'static,
+) -> SocketAddr
+where
+    F: Future<Output = Response> + Send + 'static,
+{
+    let listener = bind_listener(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let router = Router::new().fallback(move |request: Request| answer(request));
+    let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
+    tokio::spawn(HttpServer::on(listener, router).run(drain));
+    address
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,10 @@
 mod document_row;
 mod engine_calls;
 #[cfg(test)]
+mod fake_engine;
+#[cfg(test)]
+mod fake_origin;
+#[cfg(test)]
 mod fake_store;
 mod request_head;
 #[cfg(test)]
@@ -26,6 +30,10 @@
 pub(crate) use document_row::{DocumentRow, read_document, read_wanted_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 #[cfg(test)]
+pub(crate) use fake_engine::{FakeEngine, StagedRest};
+#[cfg(test)]
+pub(crate) use fake_origin::FakeOrigin;
+#[cfg(test)]
 pub(crate) use fake_store::FakeStore;
 pub(crate) use request_head::{RequestHead, read_request_head};
 pub(crate) use settings_file::{PlatformSettings, TimeBounds};
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -10,6 +10,8 @@
 mod host_daemon;
 mod load_reports;
 mod load_turn;
+#[cfg(test)]
+mod tests;
 mod version_load;
 mod version_loop;
 mod view_poll;
--- /dev/null
+++ b/src/replication/tests/mod.rs
@@ -0,0 +1,2 @@
+mod backend_host;
+mod restarts;
