End what is known of an engine with its incarnation

Cause: once an engine served a version, the host took the version's chunks for lying there, for good. After the engine had started again the version counted as held, so that it was not fetched, and only versions in memory are loaded. Ruled out: the report (it tells of empty holdings, [1302]), the order (none was given), entry hosts and the store (they told what was wanted).

A version lies at the engine only while the engine serves it; else what is staged is looked at again, chunk by chunk against the digests, and the rest is fetched. One place asks the engine and tells incarnations apart: by born; without it, by counts that went back or holdings that are gone. Late reports of a former one are passed over; three in a row are a clock that was set back. A staged chunk that is gone is staged again; before, staging failed for good.

--- a/src/platform/fake_engine.rs
+++ b/src/platform/fake_engine.rs
@@ -26,10 +26,21 @@
 pub(crate) enum StagedRest {
     /// All of them.
     Kept,
+    /// All, but half of them have gone bad.
+    HalfSpoiled,
     /// None.
     Gone,
 }
 
+/// Whether an engine says when it started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BirthWord {
+    /// It does.
+    Told,
+    /// It does not.
+    Untold,
+}
+
 /// What the engine does with a call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum CallRule {
@@ -38,6 +49,8 @@
     Answer,
     /// It crashed, and has not started again.
     Silent,
+    /// It takes an order and works on it for good.
+    HoldOrders,
 }
 
 /// A restart that comes with a call.
@@ -53,7 +66,9 @@
 struct EngineState {
     rule: CallRule,
     born: u64,
+    birth: Option<BirthWord>,
     held: Option<u64>,
+    is_busy: bool,
     orders_taken: u64,
     /// Orders of all incarnations.
     orders_begun: usize,
@@ -62,6 +77,9 @@
     /// Chunks that were staged, in all incarnations.
     stagings: usize,
     restart_at: Option<PlannedRestart>,
+    /// Answers with the state of before to this many reports.
+    stale_reports: usize,
+    former: Option<Value>,
     staged: Vec<Option<Bytes>>,
 }
 
@@ -75,9 +93,10 @@
 
 impl FakeEngine {
     /// Starts an engine that holds nothing and has nothing staged.
-    pub(crate) async fn start() -> Self {
+    pub(crate) async fn start(birth: BirthWord) -> Self {
         let state = EngineState {
             born: FIRST_BORN,
+            birth: Some(birth),
             staged: vec![None; CHUNKS as usize],
             ..EngineState::default()
         };
@@ -97,6 +116,11 @@
         self.lock().rule = CallRule::Answer;
     }
 
+    /// It takes orders from now on, but never ends one.
+    pub(crate) fn hold_orders(&self) {
+        self.lock().rule = CallRule::HoldOrders;
+    }
+
     /// It starts again under its name and knows nothing of before.
     pub(crate) fn restart(&self, rest: StagedRest) {
         self.lock().restart(rest);
@@ -108,6 +132,11 @@
         self.lock().restart_at = Some(PlannedRestart { path, calls, rest });
     }
 
+    /// The next `count` reports are those of the former incarnation, come late.
+    pub(crate) fn report_late(&self, count: usize) {
+        self.lock().stale_reports = count;
+    }
+
     /// The version that it holds whole.
     pub(crate) fn held(&self) -> Option<WeightsVersion> {
         self.lock().held.map(WeightsVersion)
@@ -167,17 +196,34 @@
     }
 
     fn restart(&mut self, rest: StagedRest) {
+        self.former = Some(self.own_report());
         self.rule = CallRule::Answer;
         self.born += BORN_STEP;
         self.held = None;
+        self.is_busy = false;
         self.orders_taken = 0;
         match rest {
             StagedRest::Kept => {}
+            StagedRest::HalfSpoiled => {
+                for chunk in self.staged.iter_mut().step_by(2) {
+                    *chunk = Some(Bytes::from_static(b"spoiled"));
+                }
+            }
             StagedRest::Gone => self.staged.fill(None),
         }
     }
 
-    fn report(&self) -> Value {
+    fn report(&mut self) -> Value {
+        if self.stale_reports > 0
+            && let Some(former) = &self.former
+        {
+            self.stale_reports -= 1;
+            return former.clone();
+        }
+        self.own_report()
+    }
+
+    fn own_report(&self) -> Value {
         let held: Vec<u64> = self.held.into_iter().collect();
         let models = held
             .iter()
@@ -185,17 +231,20 @@
         let layers = held
             .iter()
             .map(|version| json!({ "from": 0, "to": LAYERS, "version": version }));
-        json!({
+        let mut report = json!({
             "models": models.collect::<Vec<_>>(), "layers": layers.collect::<Vec<_>>(),
-            "busy": false, "sequence": self.orders_taken, "queued": 0, "active": 0,
-            "born": self.born,
-        })
+            "busy": self.is_busy, "sequence": self.orders_taken, "queued": 0, "active": 0,
+        });
+        if self.birth == Some(BirthWord::Told) {
+            report["born"] = self.born.into();
+        }
+        report
     }
 
     fn order(&mut self, body: &[u8]) -> StatusCode {
         let order: Value = serde_json::from_slice(body).expect("an order is JSON");
         let version = order["version"].as_u64().expect("it names a version");
-        if order["precondition"].as_u64() != Some(self.orders_taken) {
+        if order["precondition"].as_u64() != Some(self.orders_taken) || self.is_busy {
             return StatusCode::CONFLICT;
         }
         if self.held == Some(version) {
@@ -208,7 +257,10 @@
         self.bad_loads += usize::from(!is_whole);
         self.orders_taken += 1;
         self.orders_begun += 1;
-        self.held = Some(version);
+        match self.rule {
+            CallRule::HoldOrders => self.is_busy = true,
+            CallRule::Answer | CallRule::Silent => self.held = Some(version),
+        }
         StatusCode::ACCEPTED
     }
 
--- /dev/null
+++ b/src/replication/chunk_staging.rs
@@ -0,0 +1,137 @@
+//! Chunks on their way to the engine's staging place and back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::chunk_store::{ChunkStore, FoundChunk, missing};
+use super::events;
+use crate::errors::{ErrorKind, SwitchResult};
+use crate::events::log_event;
+use crate::fleet::ModelVersion;
+use crate::platform::ChunkDigests;
+use crate::weights::ChunkMap;
+
+/// The engine is on the same host and answers within a few milliseconds.
+const STAGE_WITHIN: Duration = Duration::from_millis(1500);
+/// How many staged chunks are read to see whether any of the wanted version is staged at all.
+const SAMPLES: usize = 3;
+
+impl ChunkStore {
+    /// Looks what lies staged of `target`, chunk by chunk against its digests, and takes it over: an
+    /// engine that crashed keeps what was staged, but a part of it may have gone bad.
+    ///
+    /// # Errors
+    ///
+    /// When the engine does not answer.
+    pub(super) async fn look(&self, target: &ModelVersion) -> SwitchResult<()> {
+        let digests = self.digests(target).ok_or_else(|| missing(0))?;
+        let mut found = Vec::new();
+        let mut misses = 0;
+        for index in self.engine.staged(&target.model, STAGE_WITHIN).await? {
+            match self.read_back(target, index, &digests).await? {
+                Some(bytes) => found.push((index, bytes)),
+                None => misses += 1,
+            }
+            if misses >= SAMPLES && found.is_empty() {
+                break;
+            }
+        }
+        self.take_staged(target, found);
+        Ok(())
+    }
+
+    /// The engine serves `target`: its chunks lie staged, other hosts may need them, and memory is
+    /// given back.
+    ///
+    /// # Errors
+    ///
+    /// When the engine does not tell what is staged.
+    pub(super) async fn adopt_served(&self, target: &ModelVersion) -> SwitchResult<()> {
+        if self.is_at_engine(target) {
+            return Ok(());
+        }
+        let digests = self.digests(target).ok_or_else(|| missing(0))?;
+        let mut staged = ChunkMap::empty(digests.count());
+        for index in self.engine.staged(&target.model, STAGE_WITHIN).await? {
+            staged.insert(index);
+        }
+        self.note_staged(target, staged);
+        Ok(())
+    }
+
+    /// A chunk, read back and checked if it is staged. One that has gone bad is no longer held.
+    ///
+    /// # Errors
+    ///
+    /// `ChunkMissing` when it is not held or has gone bad.
+    pub(super) async fn read(&self, target: &ModelVersion, index: u32) -> SwitchResult<Bytes> {
+        let digests = match self.find(target, index) {
+            Some(FoundChunk::Memory(bytes)) => return Ok(bytes),
+            Some(FoundChunk::Engine(digests)) => digests,
+            None => return Err(missing(index)),
+        };
+        if let Some(bytes) = self.read_back(target, index, &digests).await? {
+            return Ok(bytes);
+        }
+        log_bad(target, index);
+        self.drop_chunk(target, index);
+        Err(missing(index))
+    }
+
+    /// Stages a whole version at the engine and reads every chunk back: staged bytes go bad, and
+    /// the engine loads whatever is there.
+    ///
+    /// # Errors
+    ///
+    /// When the engine does not answer, or a chunk is not held.
+    pub(super) async fn stage(&self, target: &ModelVersion) -> SwitchResult<()> {
+        let digests = self.digests(target).ok_or_else(|| missing(0))?;
+        let staged = self.staged(target).ok_or_else(|| missing(0))?;
+        for index in (0..digests.count()).filter(|index| !staged.contains(*index)) {
+            self.stage_chunk(target, index).await?;
+        }
+        for index in 0..digests.count() {
+            if self.read_back(target, index, &digests).await?.is_none() {
+                log_bad(target, index);
+                self.stage_chunk(target, index).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn stage_chunk(&self, target: &ModelVersion, index: u32) -> SwitchResult<()> {
+        let bytes = self.read(target, index).await?;
+        let staging = self
+            .engine
+            .stage_chunk(&target.model, index, bytes, STAGE_WITHIN);
+        staging.await
+    }
+
+    /// A staged chunk; none if it is not there or does not match its digest.
+    async fn read_back(
+        &self,
+        target: &ModelVersion,
+        index: u32,
+        digests: &ChunkDigests,
+    ) -> SwitchResult<Option<Bytes>> {
+        let read = self
+            .engine
+            .read_chunk(&target.model, index, STAGE_WITHIN)
+            .await;
+        match read {
+            Ok(bytes) if digests.matches(index, &bytes) => Ok(Some(bytes)),
+            Ok(_) => Ok(None),
+            Err(error) if error.kind == ErrorKind::ChunkMissing => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+fn log_bad(target: &ModelVersion, index: u32) {
+    log_event!(
+        events::STAGED_CHUNK_BAD,
+        "model={} chunk={index}",
+        target.model
+    );
+}
--- a/src/replication/chunk_store.rs
+++ b/src/replication/chunk_store.rs
@@ -1,39 +1,44 @@
 //! The chunks that this host holds, as all of the process shares them. Chunks that are fetched stay in
 //! memory until the engine has loaded their version; those of a version that it serves lie staged at
-//! the engine and are read back from there.
+//! the engine and are read back from there, for as long as it serves it.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use bytes::Bytes;
 use bytestring::ByteString;
 
-use super::events;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
-use crate::events::log_event;
 use crate::fleet::{ModelVersion, WeightsVersion};
 use crate::platform::{ChunkDigests, EngineClient};
 use crate::weights::{ChunkMap, HaveWord};
 
-/// The engine is on the same host and answers within a few milliseconds.
-const STAGE_WITHIN: Duration = Duration::from_millis(1500);
 /// Versions that are held at a time: one that waits to be loaded, one that is fetched, and the one
 /// that is served.
 const VERSIONS_MAX: usize = 3;
-/// How many staged chunks are read to see whether any of the wanted version is staged at all.
-const SAMPLES: u32 = 3;
-/// How often a chunk is staged again that does not read back as it was written.
-const STAGE_TRIES: u32 = 3;
 
 /// Where a version's chunks are.
 #[derive(Clone, Debug)]
 enum ChunkPlace {
     /// In memory, each once it has come.
     Memory(Vec<Option<Bytes>>),
-    /// Staged at the engine.
+    /// Staged at the engine, which serves the version.
     Engine,
 }
 
+impl ChunkPlace {
+    fn empty(count: u32) -> Self {
+        Self::Memory(vec![None; usize::try_from(count).unwrap_or(0)])
+    }
+}
+
+/// A chunk that is held.
+pub(super) enum FoundChunk {
+    /// Here it is.
+    Memory(Bytes),
+    /// It lies staged at the engine, and is checked against these digests.
+    Engine(Arc<ChunkDigests>),
+}
+
 /// What is held of one version.
 #[derive(Clone, Debug)]
 struct HeldVersion {
@@ -43,14 +48,28 @@
     claimed: ChunkMap,
     /// The chunks that were found staged, and need not be staged again.
     staged: ChunkMap,
+    /// Whether it was looked what lies staged at this incarnation of the engine.
+    is_looked_at: bool,
     place: ChunkPlace,
 }
 
+impl HeldVersion {
+    fn forget_staged(&mut self) {
+        let count = self.digests.count();
+        self.staged = ChunkMap::empty(count);
+        self.is_looked_at = false;
+        if matches!(self.place, ChunkPlace::Engine) {
+            self.place = ChunkPlace::empty(count);
+            self.held = ChunkMap::empty(count);
+        }
+    }
+}
+
 /// The held chunks. Clones share them.
 #[derive(Clone)]
 pub(super) struct ChunkStore {
     host: ByteString,
-    engine: EngineClient,
+    pub(super) engine: EngineClient,
     /// Sorted by version.
     versions: Arc<Mutex<Vec<HeldVersion>>>,
 }
@@ -65,77 +84,17 @@
         }
     }
 
-    /// The engine serves `target`, whose chunks are staged there; other hosts may need them.
-    ///
-    /// # Errors
-    ///
-    /// When the engine does not tell what is staged.
-    pub(super) async fn begin_served(
-        &self,
-        target: &ModelVersion,
-        digests: Arc<ChunkDigests>,
-    ) -> SwitchResult<()> {
-        let mut held = ChunkMap::empty(digests.count());
-        for index in self.engine.staged(&target.model, STAGE_WITHIN).await? {
-            held.insert(index);
-        }
-        self.begin(target, digests, held, ChunkPlace::Engine);
-        Ok(())
-    }
-
-    /// `target` is fetched from now on. What is staged of it already is taken over: an engine that
-    /// crashed keeps what was staged.
-    ///
-    /// # Errors
-    ///
-    /// When the engine does not answer.
-    pub(super) async fn begin_fetch(
-        &self,
-        target: &ModelVersion,
-        digests: Arc<ChunkDigests>,
-    ) -> SwitchResult<()> {
-        let count = digests.count();
-        let mut chunks = vec![None; usize::try_from(count).unwrap_or(0)];
-        let mut held = ChunkMap::empty(count);
-        let staged = self.engine.staged(&target.model, STAGE_WITHIN).await?;
-        let mut misses = 0;
-        for index in staged {
-            let read = self
-                .engine
-                .read_chunk(&target.model, index, STAGE_WITHIN)
-                .await;
-            let slot = usize::try_from(index)
-                .ok()
-                .and_then(|at| chunks.get_mut(at));
-            match (read, slot) {
-                (Ok(bytes), Some(slot)) if digests.matches(index, &bytes) => {
-                    *slot = Some(bytes);
-                    held.insert(index);
-                }
-                _ => misses += 1,
-            }
-            if misses >= SAMPLES && held.len() == 0 {
-                break;
-            }
-        }
-        self.begin(target, digests, held, ChunkPlace::Memory(chunks));
-        Ok(())
-    }
-
-    fn begin(
-        &self,
-        target: &ModelVersion,
-        digests: Arc<ChunkDigests>,
-        held: ChunkMap,
-        place: ChunkPlace,
-    ) {
+    /// `target` is wanted from now on; nothing of it is held yet.
+    pub(super) fn begin(&self, target: &ModelVersion, digests: Arc<ChunkDigests>) {
+        let nothing = ChunkMap::empty(digests.count());
         let version = HeldVersion {
             target: target.clone(),
-            claimed: ChunkMap::empty(digests.count()),
-            staged: held.clone(),
+            held: nothing.clone(),
+            claimed: nothing.clone(),
+            staged: nothing,
+            is_looked_at: false,
+            place: ChunkPlace::empty(digests.count()),
             digests,
-            held,
-            place,
         };
         let mut versions = self.lock();
         match versions.binary_search_by(|known| known.target.cmp(target)) {
@@ -204,9 +163,7 @@
         }
         self.with(target, |version| {
             if let ChunkPlace::Memory(chunks) = &mut version.place
-                && let Some(slot) = usize::try_from(index)
-                    .ok()
-                    .and_then(|at| chunks.get_mut(at))
+                && let Some(slot) = slot_of(chunks, index)
             {
                 *slot = Some(bytes);
                 version.held.insert(index);
@@ -215,102 +172,87 @@
         Ok(())
     }
 
-    /// A chunk, read back and checked if it is staged. One that has gone bad is no longer held.
-    ///
-    /// # Errors
-    ///
-    /// `ChunkMissing` when it is not held or has gone bad.
-    pub(super) async fn read(&self, target: &ModelVersion, index: u32) -> SwitchResult<Bytes> {
-        let place = self.with(target, |version| {
-            let in_memory = match &version.place {
-                ChunkPlace::Memory(chunks) => {
-                    let at = usize::try_from(index).unwrap_or(usize::MAX);
-                    Some(chunks.get(at).cloned().flatten())
-                }
-                ChunkPlace::Engine => None,
+    /// Takes over the chunks of `target` that lie staged, each of which was checked.
+    pub(super) fn take_staged(&self, target: &ModelVersion, found: Vec<(u32, Bytes)>) {
+        self.with(target, |version| {
+            version.is_looked_at = true;
+            let ChunkPlace::Memory(chunks) = &mut version.place else {
+                return;
             };
-            (
-                in_memory,
-                version.held.contains(index),
-                version.digests.clone(),
-            )
+            for (index, bytes) in found {
+                if let Some(slot) = slot_of(chunks, index) {
+                    *slot = Some(bytes);
+                    version.held.insert(index);
+                    version.staged.insert(index);
+                }
+            }
         });
-        match place {
-            Some((Some(Some(bytes)), _, _)) => Ok(bytes),
-            Some((None, true, digests)) => self.read_staged(target, index, &digests).await,
-            _ => Err(missing(index)),
-        }
     }
 
-    async fn read_staged(
-        &self,
-        target: &ModelVersion,
-        index: u32,
-        digests: &ChunkDigests,
-    ) -> SwitchResult<Bytes> {
-        let read = self
-            .engine
-            .read_chunk(&target.model, index, STAGE_WITHIN)
-            .await;
-        match read {
-            Ok(bytes) if digests.matches(index, &bytes) => Ok(bytes),
-            Err(error) if error.kind != ErrorKind::ChunkMissing => Err(error),
-            _ => {
-                log_event!(
-                    events::STAGED_CHUNK_BAD,
-                    "model={} chunk={index}",
-                    target.model
-                );
-                self.with(target, |version| version.held.remove(index));
-                Err(missing(index))
+    /// Where chunk `index` of `target` is; none if it is not held.
+    pub(super) fn find(&self, target: &ModelVersion, index: u32) -> Option<FoundChunk> {
+        let found = self.with(target, |version| match &mut version.place {
+            ChunkPlace::Memory(chunks) => {
+                let bytes = slot_of(chunks, index).and_then(|slot| slot.clone());
+                bytes.map(FoundChunk::Memory)
             }
-        }
+            ChunkPlace::Engine => {
+                let digests = version.digests.clone();
+                let is_held = version.held.contains(index);
+                is_held.then_some(FoundChunk::Engine(digests))
+            }
+        });
+        found.flatten()
     }
 
-    /// Stages a whole version at the engine and reads every chunk back: staged bytes go bad, and
-    /// the engine loads whatever is there.
-    ///
-    /// # Errors
+    /// A staged chunk has gone bad.
+    pub(super) fn drop_chunk(&self, target: &ModelVersion, index: u32) {
+        self.with(target, |version| version.held.remove(index));
+    }
+
+    /// The chunks of `target` that were found staged.
+    pub(super) fn staged(&self, target: &ModelVersion) -> Option<ChunkMap> {
+        self.with(target, |version| version.staged.clone())
+    }
+
+    /// The engine serves `target`, of which `staged` lie staged there.
+    pub(super) fn note_staged(&self, target: &ModelVersion, staged: ChunkMap) {
+        self.with(target, |version| version.held = staged);
+        self.note_served(target);
+    }
+
+    /// Whether `target` lies at the engine, and is no longer held here.
+    pub(super) fn is_at_engine(&self, target: &ModelVersion) -> bool {
+        let is_there = |version: &mut HeldVersion| matches!(version.place, ChunkPlace::Engine);
+        self.with(target, is_there).unwrap_or(false)
+    }
+
+    /// Whether it was looked what lies staged of `target`.
+    pub(super) fn is_looked_at(&self, target: &ModelVersion) -> bool {
+        let looked_at = self.with(target, |version| version.is_looked_at);
+        looked_at.unwrap_or(false)
+    }
+
+    /// The engine does not serve `target`, or no longer: what lies staged is only known again once it
+    /// was looked at.
     ///
-    /// When the engine does not answer, or a chunk does not read back as it was written.
-    pub(super) async fn stage(&self, target: &ModelVersion) -> SwitchResult<()> {
-        let digests = self.digests(target).ok_or_else(|| missing(0))?;
-        let staged = self.with(target, |version| version.staged.clone());
-        let staged = staged.ok_or_else(|| missing(0))?;
-        for index in (0..digests.count()).filter(|index| !staged.contains(*index)) {
-            self.stage_chunk(target, index, &digests).await?;
-        }
-        for index in 0..digests.count() {
-            let read = self.engine.read_chunk(&target.model, index, STAGE_WITHIN);
-            if !digests.matches(index, &read.await?) {
-                log_event!(
-                    events::STAGED_CHUNK_BAD,
-                    "model={} chunk={index}",
-                    target.model
-                );
-                self.stage_chunk(target, index, &digests).await?;
+    /// An engine that started again serves nothing. As long as the version counted as served there, it
+    /// was neither fetched nor loaded again; one would notice `[1302]` with empty holdings and no
+    /// `[1308]` behind it.
+    pub(super) fn note_unserved(&self, target: &ModelVersion) {
+        self.with(target, |version| {
+            if matches!(version.place, ChunkPlace::Engine) {
+                version.forget_staged();
             }
-        }
-        Ok(())
+        });
     }
 
-    async fn stage_chunk(
-        &self,
-        target: &ModelVersion,
-        index: u32,
-        digests: &ChunkDigests,
-    ) -> SwitchResult<()> {
-        for _ in 0..STAGE_TRIES {
-            let bytes = self.read(target, index).await?;
-            if !digests.matches(index, &bytes) {
-                continue;
-            }
-            let staging = self
-                .engine
-                .stage_chunk(&target.model, index, bytes, STAGE_WITHIN);
-            return staging.await;
+    /// Another incarnation of the engine: what was known of the former one is looked at again. What
+    /// this host itself holds stays.
+    pub(super) fn forget_engine(&self) {
+        for version in self.lock().iter_mut() {
+            version.forget_staged();
         }
-        Err(missing(index))
     }
 
     /// The engine serves `target`: its chunks lie staged, and memory is given back.
@@ -343,7 +285,12 @@
     }
 }
 
-fn missing(index: u32) -> SwitchError {
+fn slot_of(chunks: &mut [Option<Bytes>], index: u32) -> Option<&mut Option<Bytes>> {
+    chunks.get_mut(usize::try_from(index).ok()?)
+}
+
+/// Says that a chunk is not held.
+pub(super) fn missing(index: u32) -> SwitchError {
     let detail = format!("chunk {index} is not here");
     SwitchError::new(ErrorKind::ChunkMissing, detail)
 }
--- /dev/null
+++ b/src/replication/engine_incarnation.rs
@@ -0,0 +1,114 @@
+//! Which incarnation of the engine a report tells of. An engine may start again under its name; it
+//! then holds and knows nothing of before, and counts its orders anew.
+
+use macro_rules_attribute::apply;
+
+use crate::derives::{key, plain};
+use crate::fleet::EngineHoldings;
+use crate::platform::EngineReport;
+use crate::time::WallTime;
+
+/// Reports in a row that tell of an earlier start, after which it is taken for a start with a clock
+/// that was set back. One or two can be late answers of the former incarnation; each question has one
+/// answer, so that late ones do not come in a longer row.
+const EARLIER_MAX: u32 = 3;
+
+/// One start of the engine, as this process counts them.
+#[apply(key!)]
+#[derive(Default)]
+pub(super) struct EngineIncarnation(u64);
+
+/// What a report is, beside those before it.
+#[apply(key!)]
+pub(super) enum ReportOrigin {
+    /// The incarnation that is known.
+    Known,
+    /// A later one: nothing of before holds.
+    Restarted,
+    /// An earlier one, come late.
+    Former,
+}
+
+/// What is remembered of the last report.
+#[apply(plain!)]
+struct SeenReport {
+    born: Option<WallTime>,
+    orders_taken: u64,
+    holds_any: bool,
+}
+
+/// Follows the engine from one incarnation to the next.
+#[derive(Debug, Default)]
+pub(super) struct IncarnationWatch {
+    incarnation: EngineIncarnation,
+    seen: Option<SeenReport>,
+    earlier: u32,
+}
+
+impl IncarnationWatch {
+    /// The incarnation that is known.
+    pub(super) const fn incarnation(&self) -> EngineIncarnation {
+        self.incarnation
+    }
+
+    /// Takes in the next report; `was_silent` tells that the engine did not answer before it.
+    pub(super) fn take(&mut self, report: &EngineReport, was_silent: bool) -> ReportOrigin {
+        let origin = match &self.seen {
+            None => ReportOrigin::Known,
+            Some(seen) => seen.origin_of(report, was_silent),
+        };
+        let origin = self.doubt(origin);
+        if origin == ReportOrigin::Former {
+            return origin;
+        }
+        if origin == ReportOrigin::Restarted {
+            self.incarnation = EngineIncarnation(self.incarnation.0 + 1);
+        }
+        self.seen = Some(SeenReport {
+            born: report.born,
+            orders_taken: report.orders_taken,
+            holds_any: !holds_nothing(report),
+        });
+        origin
+    }
+
+    /// An engine whose clock was set back says that it started earlier than the one before. Taken for
+    /// a late answer each time, it would never be brought its weights; the host would tell of no load.
+    const fn doubt(&mut self, origin: ReportOrigin) -> ReportOrigin {
+        if !matches!(origin, ReportOrigin::Former) {
+            self.earlier = 0;
+            return origin;
+        }
+        self.earlier += 1;
+        if self.earlier < EARLIER_MAX {
+            return origin;
+        }
+        self.earlier = 0;
+        ReportOrigin::Restarted
+    }
+}
+
+impl SeenReport {
+    fn origin_of(&self, report: &EngineReport, was_silent: bool) -> ReportOrigin {
+        match (self.born, report.born) {
+            (Some(seen), Some(born)) if born > seen => ReportOrigin::Restarted,
+            (Some(seen), Some(born)) if born < seen => ReportOrigin::Former,
+            (Some(_), Some(_)) => ReportOrigin::Known,
+            _ if self.is_forgotten_by(report, was_silent) => ReportOrigin::Restarted,
+            _ => ReportOrigin::Known,
+        }
+    }
+
+    /// Whether an engine that does not say when it started has forgotten what it knew: it took fewer
+    /// orders than before, or holds nothing although no order made it drop what it held.
+    fn is_forgotten_by(&self, report: &EngineReport, was_silent: bool) -> bool {
+        let is_idle_and_empty = holds_nothing(report) && !report.is_busy;
+        let has_dropped = self.holds_any && report.orders_taken == self.orders_taken;
+        report.orders_taken < self.orders_taken
+            || (is_idle_and_empty && (was_silent || has_dropped))
+    }
+}
+
+fn holds_nothing(report: &EngineReport) -> bool {
+    report.holdings == EngineHoldings::default()
+}
--- a/src/replication/events.rs
+++ b/src/replication/events.rs
@@ -29,6 +29,11 @@
     1316,
     "the link carries less than it should; weights get less of it",
 );
+pub(crate) const WAIT_CHANGED: LogEvent = LogEvent::info(1317, "the host waits for something else");
+pub(crate) const ENGINE_RESTARTED: LogEvent = LogEvent::warn(
+    1318,
+    "the engine has started again; what was known of it is looked at anew",
+);
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -49,4 +54,6 @@
     ENTRIES_SILENT,
     STORE_UNREAD,
     LINK_SLOW,
+    WAIT_CHANGED,
+    ENGINE_RESTARTED,
 ];
--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -8,8 +8,10 @@
 
 use super::chunk_routes::chunk_routes;
 use super::chunk_store::ChunkStore;
+use super::engine_watch::EngineWatch;
 use super::events;
-use super::load_reports::{EngineWatch, ReportEdges, report_load};
+use super::host_wait::WaitBoard;
+use super::load_reports::{ReportEdges, report_load};
 use super::version_load::VersionLoad;
 use super::version_loop::{HostPlace, VersionLoop};
 use super::view_poll::ViewPoll;
@@ -48,20 +50,20 @@
     let client = Arc::new(PeerClient::new(ClientLimits::default()));
     let engine = EngineClient::new(address, client.clone());
     let book = SharedBook::default();
-    let watch = Arc::new(EngineWatch::default());
     let me = LineHost {
         host: settings.ip.to_string().into(),
         data_centre: settings.data_centre.clone(),
         region: "all".into(),
     };
     let store = ChunkStore::new(me.host.clone(), engine.clone());
+    let watch = Arc::new(EngineWatch::new(engine.clone(), store.clone()));
+    let waits = Arc::new(WaitBoard::new(service.clone()));
     let socket = UdpSocket::bind(SocketAddr::new(settings.ip, 0)).await;
     let socket = socket.map_err(|fault| {
         let detail = format!("cannot send datagrams: {fault}");
         SwitchError::new(ErrorKind::SettingInvalid, detail)
     })?;
     let reports = ReportEdges {
-        engine: engine.clone(),
         address,
         book: book.clone(),
         watch: watch.clone(),
@@ -89,6 +91,7 @@
         engine,
         store: store.clone(),
         watch: watch.clone(),
+        waits: waits.clone(),
         bound: settings.bounds.weights_within,
     };
     tokio::spawn(loads.run());
@@ -100,6 +103,7 @@
         client,
         store: store.clone(),
         watch,
+        waits,
     };
     tokio::spawn(versions.run());
     let peers = SocketAddr::new(settings.ip, settings.peer_port);
--- a/src/replication/load_reports.rs
+++ b/src/replication/load_reports.rs
@@ -2,17 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, watch};
-use tokio::time::timeout;
 
+use super::engine_watch::{EngineState, EngineWatch};
 use super::events;
 use crate::events::log_event;
 use crate::fleet::LoadReport;
-use crate::platform::{EngineClient, EngineReport};
 use crate::sync::SharedBook;
 use crate::transport::encode_message;
 
@@ -21,35 +18,8 @@
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 const ENGINE_WITHIN: Duration = Duration::from_millis(600);
 
-/// The engine's last state, and whether it is about to change its weights.
-#[derive(Debug, Default)]
-pub(super) struct EngineWatch {
-    state: watch::Sender<Option<EngineReport>>,
-    loads: AtomicBool,
-    changed: Notify,
-}
-
-impl EngineWatch {
-    /// The engine's last state; none while it does not answer.
-    pub(super) fn report(&self) -> Option<EngineReport> {
-        self.state.borrow().clone()
-    }
-
-    /// Follows the state.
-    pub(super) fn subscribe(&self) -> watch::Receiver<Option<EngineReport>> {
-        self.state.subscribe()
-    }
-
-    /// Entry hosts are told at once whether the engine is about to change its weights.
-    pub(super) fn announce_load(&self, loads: bool) {
-        self.loads.store(loads, Ordering::Relaxed);
-        self.changed.notify_one();
-    }
-}
-
 /// What the reports work with.
 pub(super) struct ReportEdges {
-    pub(super) engine: EngineClient,
     pub(super) address: SocketAddr,
     pub(super) book: SharedBook,
     pub(super) watch: Arc<EngineWatch>,
@@ -58,35 +28,35 @@
 /// Reports for as long as the process lives.
 pub(super) async fn report_load(edges: ReportEdges, socket: UdpSocket) {
     loop {
-        let asked = edges.engine.report(ENGINE_WITHIN).await;
-        let was_there = edges.watch.report().is_some();
-        match asked {
-            Ok(report) => {
+        let was_there = edges.watch.state().is_some();
+        match edges.watch.ask(ENGINE_WITHIN).await {
+            Ok(Some(state)) => {
                 if !was_there {
-                    log_event!(events::ENGINE_BACK, "holdings={:?}", report.holdings);
+                    log_event!(events::ENGINE_BACK, "holdings={:?}", state.report.holdings);
                 }
-                send_report(&edges, &socket, &report).await;
-                edges.watch.state.send_replace(Some(report));
+                send_report(&edges, &socket, &state).await;
             }
+            Ok(None) => {}
             Err(error) => {
                 if was_there {
                     log_event!(events::ENGINE_SILENT, "{error}");
                 }
-                edges.watch.state.send_replace(None);
+                edges.watch.note_silent();
             }
         }
         // The next report is due after the pause, or as soon as there is something to tell.
-        let _ = timeout(REPORT_PAUSE, edges.watch.changed.notified()).await;
+        edges.watch.rest(REPORT_PAUSE).await;
     }
 }
 
-async fn send_report(edges: &ReportEdges, socket: &UdpSocket, report: &EngineReport) {
+async fn send_report(edges: &ReportEdges, socket: &UdpSocket, state: &EngineState) {
+    let report = &state.report;
     let message = LoadReport {
         address: edges.address,
         born: report.born,
         active: report.active,
         queued: report.queued,
-        is_loading: report.is_busy || edges.watch.loads.load(Ordering::Relaxed),
+        is_loading: edges.watch.is_loading(state),
         holdings: report.holdings.clone(),
     };
     let Ok(datagram) = encode_message(&message) else {
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -5,9 +5,13 @@
 mod chunk_fetch;
 mod chunk_messages;
 mod chunk_routes;
+mod chunk_staging;
 mod chunk_store;
+mod engine_incarnation;
+mod engine_watch;
 pub(crate) mod events;
 mod host_daemon;
+mod host_wait;
 mod load_reports;
 mod load_turn;
 #[cfg(test)]
--- a/src/replication/tests/backend_host.rs
+++ b/src/replication/tests/backend_host.rs
@@ -9,7 +9,9 @@
 
 use crate::fleet::{ModelVersion, WeightsVersion};
 use crate::platform::samples::naming_sample;
-use crate::platform::{FakeEngine, FakeOrigin, FakeStore, PlatformSettings, TableName, TimeBounds};
+use crate::platform::{
+    BirthWord, FakeEngine, FakeOrigin, FakeStore, PlatformSettings, TableName, TimeBounds,
+};
 use crate::replication::chunk_messages::{ChunkAsk, HAVE_PATH};
 use crate::replication::run_backend_host;
 use crate::transport::{ClientLimits, PeerClient};
@@ -37,8 +39,8 @@
 
 impl BackendHost {
     /// Starts a host beside an engine that holds nothing; version 1 is wanted.
-    pub(super) async fn start() -> Self {
-        let engine = FakeEngine::start().await;
+    pub(super) async fn start(birth: BirthWord) -> Self {
+        let engine = FakeEngine::start(birth).await;
         let origin = FakeOrigin::start().await;
         let store = FakeStore::start().await;
         store.put(TableName::Operator, "config", &origin.document());
--- /dev/null
+++ b/src/replication/tests/incarnations.rs
@@ -0,0 +1,94 @@
+//! Which reports tell of another incarnation of the engine.
+
+use crate::fleet::{EngineHoldings, HeldLayers, WeightsVersion};
+use crate::platform::EngineReport;
+use crate::replication::engine_incarnation::{IncarnationWatch, ReportOrigin};
+use crate::time::WallTime;
+
+const FIRST: Option<WallTime> = Some(WallTime(1_000));
+const LATER: Option<WallTime> = Some(WallTime(21_000));
+
+fn report(born: Option<WallTime>, orders_taken: u64, holds_any: bool) -> EngineReport {
+    let layers = HeldLayers {
+        from: 0,
+        to: 4,
+        version: WeightsVersion(1),
+    };
+    EngineReport {
+        holdings: EngineHoldings {
+            models: Vec::new(),
+            layers: if holds_any { vec![layers] } else { Vec::new() },
+        },
+        born,
+        is_busy: false,
+        orders_taken,
+        queued: 0,
+        active: 0,
+    }
+}
+
+fn watch_of(first: &EngineReport) -> IncarnationWatch {
+    let mut watch = IncarnationWatch::default();
+    assert_eq!(watch.take(first, true), ReportOrigin::Known);
+    watch
+}
+
+/// The time of its start decides: the counts of a new incarnation may have caught up with the former
+/// one's, and the same incarnation may be empty or silent for a while.
+#[test]
+fn a_later_start_is_another_incarnation_and_the_same_start_is_none() {
+    let mut watch = watch_of(&report(FIRST, 1, true));
+    let before = watch.incarnation();
+    assert_eq!(
+        watch.take(&report(FIRST, 1, false), true),
+        ReportOrigin::Known
+    );
+    assert_eq!(watch.incarnation(), before);
+    assert_eq!(
+        watch.take(&report(LATER, 1, true), false),
+        ReportOrigin::Restarted
+    );
+    assert!(watch.incarnation() > before);
+}
+
+/// Late answers of the former incarnation are passed over, but an engine whose clock was set back
+/// before it started again must not be taken for its former self for good.
+#[test]
+fn an_earlier_start_counts_once_it_is_told_again_and_again() {
+    let mut watch = watch_of(&report(LATER, 0, false));
+    let earlier = report(FIRST, 1, true);
+    for _ in 0..2 {
+        assert_eq!(watch.take(&earlier, false), ReportOrigin::Former);
+        assert_eq!(watch.take(&earlier, false), ReportOrigin::Former);
+        let current = watch.take(&report(LATER, 0, false), false);
+        assert_eq!(current, ReportOrigin::Known);
+    }
+    assert_eq!(watch.take(&earlier, false), ReportOrigin::Former);
+    assert_eq!(watch.take(&earlier, false), ReportOrigin::Former);
+    assert_eq!(watch.take(&earlier, false), ReportOrigin::Restarted);
+    assert_eq!(watch.take(&earlier, false), ReportOrigin::Known);
+}
+
+/// Without a time of start, only what is told can show that nothing of before is known.
+#[test]
+fn without_a_time_of_start_lost_counts_and_holdings_tell_a_restart() {
+    let told =
+        |next: EngineReport, was_silent| watch_of(&report(None, 2, true)).take(&next, was_silent);
+    let busy = EngineReport {
+        is_busy: true,
+        ..report(None, 2, false)
+    };
+    let cases = [
+        (report(None, 2, true), false, ReportOrigin::Known),
+        (report(None, 2, true), true, ReportOrigin::Known),
+        (report(None, 3, false), false, ReportOrigin::Known),
+        (busy, true, ReportOrigin::Known),
+        (report(None, 1, true), false, ReportOrigin::Restarted),
+        (report(None, 2, false), false, ReportOrigin::Restarted),
+        (report(None, 3, false), true, ReportOrigin::Restarted),
+    ];
+    for (next, was_silent, expected) in cases {
+        let origin = told(next.clone(), was_silent);
+        assert_eq!(origin, expected, "{next:?}, silent before: {was_silent}");
+    }
+}
--- a/src/replication/tests/mod.rs
+++ b/src/replication/tests/mod.rs
@@ -1,2 +1,4 @@
 mod backend_host;
+mod host_waits;
+mod incarnations;
 mod restarts;
--- a/src/replication/version_loop.rs
+++ b/src/replication/version_loop.rs
@@ -11,8 +11,9 @@
 use super::chunk_fetch::{ChunkFetch, FetchEdges, FetchEnd};
 use super::chunk_messages::{ChunkAsk, DIGESTS_PATH};
 use super::chunk_store::ChunkStore;
+use super::engine_watch::EngineWatch;
 use super::events;
-use super::load_reports::EngineWatch;
+use super::host_wait::{HostWait, WaitBoard};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
 use crate::fleet::{ModelVersion, WeightsVersion};
@@ -87,6 +88,7 @@
     pub(super) client: Arc<PeerClient>,
     pub(super) store: ChunkStore,
     pub(super) watch: Arc<EngineWatch>,
+    pub(super) waits: Arc<WaitBoard>,
 }
 
 impl VersionLoop {
@@ -113,24 +115,41 @@
     async fn step(&self) -> SwitchResult<Option<ModelVersion>> {
         let snapshot = self.book.snapshot().load();
         let Some((model, layers)) = self.place.model_of(&snapshot) else {
+            self.waits.set_fetch(HostWait::Document);
             return Ok(None);
         };
-        let Some(report) = self.watch.report() else {
+        let Some(state) = self.watch.state() else {
+            self.waits.set_fetch(HostWait::Engine);
             return Ok(None);
         };
         let target = wanted(&snapshot, model);
-        let served = report.holdings.whole_version(&target.model, layers);
+        let served = state.report.holdings.whole_version(&target.model, layers);
         if !self.store.knows(&target) {
-            let digests = Arc::new(self.read_digests(&snapshot, &target).await?);
-            if served == Some(target.version) {
-                self.store.begin_served(&target, digests).await?;
-                return Ok(None);
-            }
-            self.store.begin_fetch(&target, digests).await?;
+            self.waits.set_fetch(HostWait::Digests);
+            let digests = self.read_digests(&snapshot, &target).await?;
+            self.store.begin(&target, Arc::new(digests));
+        }
+        if served == Some(target.version) {
+            self.waits.set_fetch(HostWait::Nothing);
+            self.store.adopt_served(&target).await?;
+            return Ok(None);
+        }
+        self.look_at_unserved(target).await
+    }
+
+    /// What is to be fetched of `target`, which the engine does not serve.
+    async fn look_at_unserved(&self, target: ModelVersion) -> SwitchResult<Option<ModelVersion>> {
+        self.store.note_unserved(&target);
+        if !self.store.is_looked_at(&target) {
+            self.waits.set_fetch(HostWait::Chunks);
+            self.store.look(&target).await?;
+        }
+        if self.store.held(&target).is_some_and(|held| held.is_full()) {
+            self.waits.set_fetch(HostWait::Turn);
+            return Ok(None);
         }
-        let is_whole = self.store.held(&target).is_some_and(|held| held.is_full());
-        let is_here = is_whole || served == Some(target.version);
-        Ok((!is_here).then_some(target))
+        self.waits.set_fetch(HostWait::Chunks);
+        Ok(Some(target))
     }
 
     fn origin(&self, snapshot: &ControlSnapshot) -> Option<OriginClient> {
@@ -269,7 +288,8 @@
             return Ok(());
         };
         let digests = origin.read_digests(target, DIGESTS_WITHIN).await?;
-        self.store.begin_fetch(target, Arc::new(digests)).await
+        self.store.begin(target, Arc::new(digests));
+        Ok(())
     }
 }
 
