--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -38,76 +38,23 @@
 ///
 /// `SettingInvalid` when a setting is missing or an address cannot be had.
 pub(crate) async fn run_backend_host(settings: PlatformSettings) -> SwitchResult<()> {
-    let missing = |field: &str| {
-        let detail = format!("{field} is missing; a backend server's host needs it");
-        SwitchError::new(ErrorKind::SettingInvalid, detail)
-    };
-    let address = settings.backend_address.ok_or_else(|| missing("app"))?;
-    let service = settings
-        .backend_service
-        .clone()
-        .ok_or_else(|| missing("service"))?;
-    let client = Arc::new(PeerClient::new(ClientLimits::default()));
-    let engine = EngineClient::new(address, client.clone());
-    let book = SharedBook::default();
-    let me = LineHost {
-        host: settings.ip.to_string().into(),
-        data_centre: settings.data_centre.clone(),
-        region: "all".into(),
-    };
-    let store = ChunkStore::new(me.host.clone(), engine.clone());
-    let watch = Arc::new(EngineWatch::new(engine.clone(), store.clone()));
-    let waits = Arc::new(WaitBoard::new(service.clone()));
+    let parts = HostParts::new(&settings)?;
     let socket = UdpSocket::bind(SocketAddr::new(settings.ip, 0)).await;
     let socket = socket.map_err(|fault| {
         let detail = format!("cannot send datagrams: {fault}");
         SwitchError::new(ErrorKind::SettingInvalid, detail)
     })?;
-    let reports = ReportEdges {
-        address,
-        book: book.clone(),
-        watch: watch.clone(),
-    };
-    tokio::spawn(report_load(reports, socket));
-    let poll = ViewPoll {
-        client: client.clone(),
-        store: StoreClient::new(settings.store_address, client.clone()),
-        book: book.clone(),
-        seeds: settings.seeds.clone(),
-        data_centre: settings.data_centre.clone(),
-    };
-    tokio::spawn(poll.run());
-    let chunk_span = Duration::from_secs_f64(CHUNK_BYTES / settings.link_bytes_per_s.max(1.0));
-    let pacer = LinkPacer::new(weights_rate(settings.link_bytes_per_s));
-    let place = HostPlace {
-        service,
-        me,
-        address,
-        peer_port: settings.peer_port,
-    };
-    let loads = VersionLoad {
-        place: place.clone(),
-        book: book.clone(),
-        engine,
-        store: store.clone(),
-        watch: watch.clone(),
-        waits: waits.clone(),
-        bound: settings.bounds.weights_within,
-    };
-    tokio::spawn(loads.run());
-    let versions = VersionLoop {
-        place,
-        chunk_span,
-        pacer: pacer.clone(),
-        book,
-        client,
-        store: store.clone(),
-        watch,
-        waits,
-    };
-    tokio::spawn(versions.run());
+    tokio::spawn(report_load(parts.reports(), socket));
+    tokio::spawn(parts.poll(&settings).run());
+    tokio::spawn(parts.loads(&settings).run());
+    tokio::spawn(parts.versions(&settings).run());
+    serve_peers(&settings, parts).await
+}
+
+/// Answers other hosts until the process is told to stop.
+async fn serve_peers(settings: &PlatformSettings, parts: HostParts) -> SwitchResult<()> {
     let peers = SocketAddr::new(settings.ip, settings.peer_port);
-    let server = HttpServer::bind(peers, chunk_routes(store, pacer)).await?;
+    let server = HttpServer::bind(peers, chunk_routes(parts.store, parts.pacer)).await?;
     log_event!(events::SERVING, "host={} peers={peers}", settings.host);
     let drain = DrainState::new(STOP_LINGER, STOP_LONGEST);
     start_metrics(settings.metrics_address, drain.clone()).await?;
@@ -118,6 +65,99 @@
     Ok(())
 }
 
+/// What the daemon's tasks share.
+struct HostParts {
+    place: HostPlace,
+    client: Arc<PeerClient>,
+    engine: EngineClient,
+    book: SharedBook,
+    store: ChunkStore,
+    watch: Arc<EngineWatch>,
+    waits: Arc<WaitBoard>,
+    pacer: LinkPacer,
+}
+
+impl HostParts {
+    fn new(settings: &PlatformSettings) -> SwitchResult<Self> {
+        let place = host_place(settings)?;
+        let client = Arc::new(PeerClient::new(ClientLimits::default()));
+        let engine = EngineClient::new(place.address, client.clone());
+        let store = ChunkStore::new(place.me.host.clone(), engine.clone());
+        Ok(Self {
+            client,
+            book: SharedBook::default(),
+            watch: Arc::new(EngineWatch::new(engine.clone(), store.clone())),
+            waits: Arc::new(WaitBoard::new(place.service.clone())),
+            pacer: LinkPacer::new(weights_rate(settings.link_bytes_per_s)),
+            place,
+            engine,
+            store,
+        })
+    }
+
+    fn reports(&self) -> ReportEdges {
+        ReportEdges {
+            address: self.place.address,
+            book: self.book.clone(),
+            watch: self.watch.clone(),
+        }
+    }
+
+    fn poll(&self, settings: &PlatformSettings) -> ViewPoll {
+        ViewPoll {
+            client: self.client.clone(),
+            store: StoreClient::new(settings.store_address, self.client.clone()),
+            book: self.book.clone(),
+            seeds: settings.seeds.clone(),
+            data_centre: settings.data_centre.clone(),
+        }
+    }
+
+    fn loads(&self, settings: &PlatformSettings) -> VersionLoad {
+        VersionLoad {
+            place: self.place.clone(),
+            book: self.book.clone(),
+            engine: self.engine.clone(),
+            store: self.store.clone(),
+            watch: self.watch.clone(),
+            waits: self.waits.clone(),
+            bound: settings.bounds.weights_within,
+        }
+    }
+
+    fn versions(&self, settings: &PlatformSettings) -> VersionLoop {
+        let span = CHUNK_BYTES / settings.link_bytes_per_s.max(1.0);
+        VersionLoop {
+            place: self.place.clone(),
+            chunk_span: Duration::from_secs_f64(span),
+            pacer: self.pacer.clone(),
+            book: self.book.clone(),
+            client: self.client.clone(),
+            store: self.store.clone(),
+            watch: self.watch.clone(),
+            waits: self.waits.clone(),
+        }
+    }
+}
+
+fn host_place(settings: &PlatformSettings) -> SwitchResult<HostPlace> {
+    let missing = |field: &str| {
+        let detail = format!("{field} is missing; a backend server's host needs it");
+        SwitchError::new(ErrorKind::SettingInvalid, detail)
+    };
+    let service = settings.backend_service.clone();
+    Ok(HostPlace {
+        address: settings.backend_address.ok_or_else(|| missing("app"))?,
+        service: service.ok_or_else(|| missing("service"))?,
+        me: LineHost {
+            host: settings.ip.to_string().into(),
+            data_centre: settings.data_centre.clone(),
+            region: "all".into(),
+        },
+        peer_port: settings.peer_port,
+    })
+}
+
 /// The part of the link that weights may fill, in bytes a second.
 #[expect(
     clippy::cast_possible_truncation,
