--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,10 @@
 mod document_row;
 mod engine_calls;
 #[cfg(test)]
+mod fake_engine;
+#[cfg(test)]
+mod fake_origin;
+#[cfg(test)]
 mod fake_store;
 mod json_object;
 mod millis;
@@ -29,6 +33,10 @@
 pub(crate) use document_row::{DocumentRow, read_document, read_wanted_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 #[cfg(test)]
+pub(crate) use fake_engine::{BirthWord, FakeEngine, StagedRest};
+#[cfg(test)]
+pub(crate) use fake_origin::FakeOrigin;
+#[cfg(test)]
 pub(crate) use fake_store::FakeStore;
 pub(crate) use json_object::read_object;
 pub(crate) use request_head::{RequestHead, read_request_head};
