--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -1,6 +1,7 @@
 //! How an entry host knows the document, the wanted weights, the backend servers and the other entry
 //! hosts: from the platform's store, and from its neighbours while the store does not answer it.
 
+mod backend_list;
 pub(crate) mod events;
 mod naming_time;
 mod own_rows;
@@ -12,6 +13,7 @@
 mod sync_thread;
 #[cfg(test)]
 mod tests;
+mod version_recorder;
 mod view_book;
 
 pub(crate) use naming_time::NamingTime;
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use bytestring::ByteString;
 
+use super::backend_list::{BackendList, LAPSE_GRACE};
 use super::events;
 use super::naming_time::NamingTime;
 use super::own_rows::{OwnRows, VersionRecord};
@@ -28,9 +29,6 @@
 /// every backend server would be given up at the store's return. From then on, an entry's end counts
 /// at once.
 const SETTLED_SPAN: Duration = Duration::from_millis(2200);
-/// How long at most a backend server whose entry went is kept. A leaving one must get nothing two
-/// seconds after this process has learned of it, what is on its way included.
-const LAPSE_GRACE: Duration = Duration::from_millis(1500);
 
 /// Versions of a model that are remembered with the time of their naming.
 const VERSIONS_KEPT: usize = 4;
@@ -38,31 +36,41 @@
 /// Who said something, for the log.
 #[derive(Clone, Copy, Debug)]
 enum WordSource {
-    /// The store, in the operator's row of this revision.
-    Store(u64),
+    /// The store, with a change of the operator's row to this revision.
+    Change(u64),
+    /// The store, in the operator's row of this revision, read with the whole table.
+    Table(u64),
     /// The store, in the system's own row of this revision.
     Record(u64),
     /// Another process of the system.
     Neighbour,
 }
 
+impl WordSource {
+    /// Whether it tells when a version was named that is known already.
+    ///
+    /// A row that is read again says nothing new of it. Taken for a naming of that moment, it allowed
+    /// requests to begin on older weights behind the bound, by as much as the version was old.
+    const fn tells_naming(self) -> bool {
+        match self {
+            Self::Change(_) | Self::Neighbour => true,
+            Self::Table(_) | Self::Record(_) => false,
+        }
+    }
+}
+
 impl fmt::Display for WordSource {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Store(revision) => write!(formatter, "store/{revision}"),
+            Self::Change(revision) | Self::Table(revision) => {
+                write!(formatter, "store/{revision}")
+            }
             Self::Record(revision) => write!(formatter, "record/{revision}"),
             Self::Neighbour => formatter.write_str("neighbour"),
         }
     }
 }
 
-#[derive(Clone, Debug)]
-struct BackendEntry {
-    facts: Arc<BackendFacts>,
-    /// When it is given up, if its entry does not come back before.
-    gone_at: Option<ClockTime>,
-}
-
 #[derive(Clone, Debug)]
 struct DocumentHeld {
     catalog: Arc<ServiceCatalog>,
@@ -77,8 +85,9 @@
     wanted: Vec<WantedWeights>,
     /// The versions that the store's own rows record, sorted by model.
     records: Vec<VersionRecord>,
-    /// Sorted by id.
-    backends: Vec<BackendEntry>,
+    /// Whether the system's own rows were read.
+    has_own_rows: bool,
+    backends: BackendList,
     /// The store's revision of the list of backend servers; none before it was read.
     backends_revision: u64,
     /// Sorted.
@@ -142,14 +151,29 @@
         since.map_or(now + LAPSE_GRACE, |since| since + SETTLED_SPAN)
     }
 
-    /// Takes in rows of the operator's table. `named` tells when versions of weights that are new to
-    /// this process were named.
+    /// Takes in rows of the operator's table that have just changed. `named` tells when the versions of
+    /// weights in them were named.
     pub(crate) fn take_operator_rows(&mut self, rows: &[StoreRow], named: NamingTime) {
+        self.take_operator(rows, named, WordSource::Change);
+    }
+
+    /// Takes in the whole of the operator's table. `named` tells when versions of weights that are new
+    /// to this process were named.
+    pub(crate) fn read_operator_rows(&mut self, rows: &[StoreRow], named: NamingTime) {
+        self.take_operator(rows, named, WordSource::Table);
+    }
+
+    fn take_operator(
+        &mut self,
+        rows: &[StoreRow],
+        named: NamingTime,
+        source_of: impl Fn(u64) -> WordSource,
+    ) {
         for row in rows {
             let Some(value) = &row.value else {
                 continue;
             };
-            let source = WordSource::Store(row.revision);
+            let source = source_of(row.revision);
             match DocumentRow::of(&row.key) {
                 DocumentRow::Document => self.take_document(value.clone(), source),
                 DocumentRow::WantedVersion => match read_wanted_version(value) {
@@ -204,7 +228,12 @@
             .wanted
             .binary_search_by(|wanted| wanted.target.cmp(target));
         let at = match found {
-            Ok(at) => return named.improve(&mut self.wanted[at]),
+            Ok(at) => {
+                if source.tells_naming() {
+                    named.improve(&mut self.wanted[at]);
+                }
+                return;
+            }
             Err(at) => at,
         };
         let wanted = WantedWeights {
@@ -265,7 +294,7 @@
             match &row.value {
                 None => self.remove_backend(&row.key, now),
                 Some(value) => match read_backend_row(&row.key, value) {
-                    Ok(facts) => self.put_backend(facts),
+                    Ok(facts) => self.backends.put(facts),
                     Err(error) => log_event!(events::ENTRY_UNREADABLE, "{error}"),
                 },
             }
@@ -273,68 +302,45 @@
         self.backends_revision = self.backends_revision.max(view.revision);
     }
 
-    fn put_backend(&mut self, facts: BackendFacts) {
-        let found = self
-            .backends
-            .binary_search_by(|entry| entry.facts.id.cmp(&facts.id));
-        let entry = BackendEntry {
-            facts: Arc::new(facts),
-            gone_at: None,
-        };
-        match found {
-            Ok(at) => self.backends[at] = entry,
-            Err(at) => self.backends.insert(at, entry),
-        }
-    }
-
     /// The entries of backend servers that a whole list does not have went.
     fn remove_unlisted(&mut self, is_listed: impl Fn(&str) -> bool, now: ClockTime) {
-        let ids = self.backends.iter().map(|entry| entry.facts.id.clone());
-        let missing: Vec<ByteString> = ids.filter(|id| !is_listed(id)).collect();
-        for id in missing {
+        for id in self.backends.unlisted(is_listed) {
             self.remove_backend(&id, now);
         }
     }
 
     fn remove_backend(&mut self, id: &str, now: ClockTime) {
         let settled_at = self.settled_at(now);
-        let found = self
-            .backends
-            .binary_search_by(|entry| (*entry.facts.id).cmp(id));
-        let Ok(at) = found else {
-            return;
-        };
-        if settled_at <= now {
-            self.backends.remove(at);
-        } else {
-            let gone_at = settled_at.min(now + LAPSE_GRACE);
-            self.backends[at].gone_at.get_or_insert(gone_at);
-        }
+        self.backends.remove(id, settled_at, now);
     }
 
     /// Whether backend servers whose entries went are to be given up at `now`.
     pub(crate) fn has_expired(&self, now: ClockTime) -> bool {
-        let mut waiting = self.backends.iter().filter_map(|entry| entry.gone_at);
-        waiting.any(|gone_at| gone_at <= now)
+        self.backends.has_expired(now)
     }
 
     /// Gives up backend servers whose entries did not come back.
     pub(crate) fn expire(&mut self, now: ClockTime) {
-        self.backends
-            .retain(|entry| entry.gone_at.is_none_or(|gone_at| now < gone_at));
+        self.backends.expire(now);
     }
 
     /// Takes in the system's own rows. `named` tells when recorded versions that are new to this
     /// process were named.
     pub(crate) fn take_own_rows(&mut self, own: OwnRows, named: NamingTime) {
+        self.has_own_rows = true;
         self.add_entries(own.entries);
         for record in own.records {
             self.take_record(record, named);
         }
     }
 
+    /// Whether the system's own rows were read.
+    pub(crate) const fn has_own_rows(&self) -> bool {
+        self.has_own_rows
+    }
+
     /// Takes in a version that the store records.
-    pub(crate) fn take_record(&mut self, record: VersionRecord, named: NamingTime) {
+    fn take_record(&mut self, record: VersionRecord, named: NamingTime) {
         let source = WordSource::Record(record.revision);
         self.want(&record.target, named, source);
         let model = &record.target.model;
@@ -444,11 +450,16 @@
         self.wanted.iter().map(word).collect()
     }
 
-    /// Whether `words` name a newer version than is known.
+    /// Whether `words` name a newer version than is known, or say with more certainty when one was
+    /// named.
     pub(crate) fn learns_from(&self, words: &[WantedWord]) -> bool {
         let is_news = |word: &WantedWord| {
             let target = &word.target;
-            self.newest_wanted(&target.model) < Some(target.version)
+            let mut wanted = self.wanted.iter();
+            match wanted.find(|wanted| wanted.target == *target) {
+                Some(known) => known.certainty < word.certainty,
+                None => self.newest_wanted(&target.model) < Some(target.version),
+            }
         };
         words.iter().any(is_news)
     }
@@ -471,12 +482,11 @@
             .as_ref()
             .filter(|held| ask.document < Some(held.catalog.version));
         let has_newer_backends = self.backends_revision > ask.backends_revision;
-        let live = self.backends.iter().filter(|entry| entry.gone_at.is_none());
         PeerView {
             document: document.map(|held| held.text.to_vec()),
             wanted: self.wanted_words(now),
             backends: has_newer_backends.then(|| {
-                let facts = live.map(|entry| (*entry.facts).clone());
+                let facts = self.backends.listed().map(|facts| (**facts).clone());
                 (self.backends_revision, facts.collect())
             }),
             entries: if self.entries.len() > ask.entries {
@@ -505,18 +515,17 @@
         log_event!(events::NEIGHBOUR_KNEW, "backends revision={revision}");
         self.remove_unlisted(|id| backends.iter().any(|facts| *facts.id == *id), now);
         for facts in backends {
-            self.put_backend(facts);
+            self.backends.put(facts);
         }
         self.backends_revision = revision;
     }
 
     /// What the traffic sees of it.
     pub(super) fn snapshot(&self) -> ControlSnapshot {
-        let backends = self.backends.iter().map(|entry| entry.facts.clone());
         ControlSnapshot {
             catalog: self.document.as_ref().map(|held| held.catalog.clone()),
             fleet: Arc::new(FleetView {
-                backends: backends.collect(),
+                backends: self.backends.all().cloned().collect(),
             }),
             wanted: Arc::new(self.wanted.clone()),
             entries: Arc::new(self.entries.clone()),
@@ -529,7 +538,8 @@
 /// Its row was written over by an older naming that was done late. Processes that live stay with the
 /// newer version, and without a line nobody would know why the store says another.
 fn note_naming_behind(target: &ModelVersion, known: Option<WeightsVersion>, source: WordSource) {
-    if let (WordSource::Store(_), Some(known)) = (source, known) {
+    let is_operators = matches!(source, WordSource::Change(_) | WordSource::Table(_));
+    if let (true, Some(known)) = (is_operators, known) {
         let (model, version) = (&target.model, target.version.0);
         log_event!(
             events::NAMING_BEHIND,
