Find a version in the store's history that was written over before anybody heard of it

Cause: while no entry host lives nobody records a naming, and an older one done late over it is all that stands. A process that starts now reads, before the operator's table, the changes of that table that the store still knows, and keeps the versions in them: one to six calls at a start.

The test of figures beyond all bounds expected the time of a version to be the longest ago; it is held against the version before now, and against nothing in a book of its own. A record that somebody else wrote over is written again.

--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -16,6 +16,7 @@
 mod unreadable_rows;
 mod version_recorder;
 mod view_book;
+mod wanted_versions;
 
 pub(crate) use naming_time::NamingTime;
 pub(crate) use own_rows::OwnRows;
--- a/src/sync/own_rows.rs
+++ b/src/sync/own_rows.rs
@@ -1,6 +1,7 @@
 //! The rows that the system keeps of itself in the store: which entry hosts there are, and which
 //! version of each model's weights was named last.
 
+use bytestring::ByteString;
 use macro_rules_attribute::apply;
 use serde::de::DeserializeOwned;
 
@@ -31,6 +32,8 @@
     pub(super) readings: Vec<(String, SwitchResult<()>)>,
     /// Whether these are all rows that there are.
     pub(super) is_whole: bool,
+    /// The store's revision as of which they were read; 0 for single rows.
+    pub(super) revision: u64,
 }
 
 impl OwnRows {
@@ -38,6 +41,7 @@
     pub(crate) fn of(view: &TableView) -> Self {
         let mut own = Self::of_rows(&view.rows);
         own.is_whole = true;
+        own.revision = view.revision;
         own
     }
 
@@ -62,6 +66,13 @@
         }
     }
 
+    /// The models whose versions stand in rows that do not read.
+    pub(super) fn faulty_records(&self) -> Vec<ByteString> {
+        let faulty = self.readings.iter().filter(|(_, read)| read.is_err());
+        let models = faulty.filter_map(|(key, _)| key.strip_prefix(VERSION_KEY_PREFIX));
+        models.map(ByteString::from).collect()
+    }
+
     /// A row counts only under the key that its writer gives it: taken for what it says, one that
     /// somebody else wrote would replace the row of another entry host or model.
     fn take(&mut self, row: &StoreRow, value: &[u8]) -> SwitchResult<()> {
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -44,6 +44,10 @@
 const STORE_AWAY_AFTER: Duration = Duration::from_millis(500);
 /// How often it is looked whether the wait for a lapsed entry is over.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
+/// How many of the store's revisions are looked back at a start, the first that it still knows. Backend
+/// servers write about once a second each, and the store keeps 20 s: 600 of them make 10,000, three that
+/// change nothing some ten.
+const PAST_REVISIONS: [u64; 6] = [12_000, 2_000, 400, 100, 30, 10];
 const NEIGHBOUR_WITHIN: Duration = Duration::from_millis(400);
 
 /// What the watching works with.
@@ -78,6 +82,32 @@
         }
     }
 
+    /// Reads which versions were named in the last seconds, as far as the store still knows.
+    ///
+    /// A version that was named while no process lived is recorded nowhere. When an older naming was
+    /// then done late over it, every process that started brought the older weights back. One would
+    /// notice `[1102]` with an older version behind the starts.
+    async fn read_past_namings(&self) -> SwitchResult<()> {
+        let newest = self.book.read(ViewBook::own_revision);
+        let mut starts = PAST_REVISIONS
+            .map(|revisions| newest.saturating_sub(revisions))
+            .to_vec();
+        starts.dedup();
+        for since in starts {
+            let table = TableName::Operator;
+            let watched = self
+                .store
+                .watch_table(table, since, Duration::ZERO, STORE_WITHIN);
+            if let WatchAnswer::Changed(view) = watched.await? {
+                let named = NamingKnowledge::Started.naming_time(clock_now());
+                self.book
+                    .change(|book| book.take_past_namings(&view.rows, named));
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
     /// Reads the system's own rows.
     async fn read_own_rows(&self) -> SwitchResult<()> {
         let read = self.store.read_table(TableName::Own, STORE_WITHIN);
@@ -134,6 +164,9 @@
         if !self.book.read(ViewBook::has_own_rows) {
             self.read_own_rows().await?;
         }
+        if matches!(knowledge, NamingKnowledge::Started) {
+            self.read_past_namings().await?;
+        }
         let read = self.store.read_table(TableName::Operator, STORE_WITHIN);
         let view = read.await?;
         let named = knowledge.naming_time(clock_now());
--- a/src/sync/tests/messages.rs
+++ b/src/sync/tests/messages.rs
@@ -103,10 +103,18 @@
         certainty: NamingCertainty::Assumed,
     });
     let later = START + Duration::from_secs(20);
+    let alone = SharedBook::default();
+    alone.change(|book| book.take_words(&words, later));
+    let snapshot = alone.snapshot().load();
+    let wanted = snapshot.newest_version("m").expect("it was named");
+    assert_eq!(wanted.named_at, ClockTime(0));
     book.change(|book| book.take_words(&words, later));
     let snapshot = book.snapshot().load();
     let wanted = snapshot.newest_version("m").expect("it was named");
-    assert_eq!(wanted.named_at, ClockTime(0));
+    assert_eq!(
+        wanted.named_at, START,
+        "not before version 2, whose naming was told"
+    );
     assert_eq!(
         snapshot.least_version("m", GRACE, later),
         Some(WeightsVersion(3))
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -1,7 +1,6 @@
 //! The control state of one process: takes in what the store and the neighbours say, in whatever
 //! order it arrives, and never goes back.
 
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,13 +14,11 @@
 use super::peer_messages::{EntryRecord, PeerAsk, PeerView, WantedWord};
 use super::snapshot::ControlSnapshot;
 use super::unreadable_rows::{RowReading, UnreadableRows};
+use super::wanted_versions::{WantedVersions, WordSource};
 use crate::catalog::{CatalogVersion, ServiceCatalog};
 use crate::errors::SwitchResult;
 use crate::events::log_event;
-use crate::fleet::{
-    BackendFacts, FleetView, ModelVersion, NamingCertainty, WantedWeights, WeightsVersion,
-};
-use crate::metrics;
+use crate::fleet::{BackendFacts, FleetView};
 use crate::platform::{
     DocumentRow, StoreRow, TableName, TableView, read_backend_row, read_document,
     read_wanted_version,
@@ -35,56 +32,6 @@
 /// at once.
 const SETTLED_SPAN: Duration = Duration::from_millis(2200);
 
-/// Versions of a model that are remembered with the time of their naming. Each binds from its own; a
-/// deployment names a few in a minute at most.
-const VERSIONS_KEPT: usize = 8;
-
-/// Who said something, for the log.
-#[derive(Clone, Copy, Debug)]
-enum WordSource {
-    /// The store, with a change of the operator's row to this revision.
-    Change(u64),
-    /// The store, with a change to this revision that another has followed since.
-    PastChange(u64),
-    /// The store, in the operator's row of this revision, read with the whole table.
-    Table(u64),
-    /// The store, in the system's own row of this revision.
-    Record(u64),
-    /// Another process of the system.
-    Neighbour,
-}
-
-impl WordSource {
-    /// Whether it tells what stands in the operator's row now.
-    const fn stands(self) -> bool {
-        matches!(self, Self::Change(_) | Self::Table(_))
-    }
-
-    /// Whether it tells when a version was named that is known already.
-    ///
-    /// A row that is read again, or written again by a naming that was repeated, says nothing new of
-    /// it. Taken for a naming of that moment, it allowed requests to begin on older weights behind the
-    /// bound, by as much as the version was old.
-    const fn tells_naming(self) -> bool {
-        match self {
-            Self::Neighbour => true,
-            Self::Change(_) | Self::PastChange(_) | Self::Table(_) | Self::Record(_) => false,
-        }
-    }
-}
-
-impl fmt::Display for WordSource {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Change(revision) | Self::PastChange(revision) | Self::Table(revision) => {
-                write!(formatter, "store/{revision}")
-            }
-            Self::Record(revision) => write!(formatter, "record/{revision}"),
-            Self::Neighbour => formatter.write_str("neighbour"),
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct DocumentHeld {
     catalog: Arc<ServiceCatalog>,
@@ -95,12 +42,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct ViewBook {
     document: Option<DocumentHeld>,
-    /// Sorted by model and version.
-    wanted: Vec<WantedWeights>,
-    /// The versions that the store's own rows record, sorted by model.
-    records: Vec<VersionRecord>,
+    versions: WantedVersions,
     /// Whether the system's own rows were read.
     has_own_rows: bool,
+    /// The store's revision as of which they were.
+    own_revision: u64,
     backends: BackendList,
     /// The store's revision of the list of backend servers; none before it was read.
     backends_revision: u64,
@@ -179,6 +125,20 @@
         self.take_operator(rows, named, WordSource::Table);
     }
 
+    /// Takes in changes of the operator's table of before this process began to follow it, of which
+    /// others may have followed since. `named` tells when versions in them were named.
+    pub(crate) fn take_past_namings(&mut self, rows: &[StoreRow], named: NamingTime) {
+        for row in rows {
+            if let (Some(value), DocumentRow::WantedVersion) =
+                (&row.value, DocumentRow::of(&row.key))
+                && let Ok(target) = read_wanted_version(&row.key, value)
+            {
+                let source = WordSource::PastChange(row.revision);
+                self.versions.want(&target, named, source);
+            }
+        }
+    }
+
     fn take_operator(
         &mut self,
         rows: &[StoreRow],
@@ -201,7 +161,7 @@
             let read = match kind {
                 DocumentRow::Document => self.take_document(value.clone(), source),
                 DocumentRow::WantedVersion => read_wanted_version(&row.key, value)
-                    .map(|target| self.want(&target, named, source)),
+                    .map(|target| self.versions.want(&target, named, source)),
                 DocumentRow::Other => Ok(()),
             };
             let begins = self.unreadable.note(table, &row.key, RowReading::of(&read));
@@ -240,91 +200,6 @@
         Ok(())
     }
 
-    fn want(&mut self, target: &ModelVersion, named: NamingTime, source: WordSource) {
-        let known = self.newest_wanted(&target.model);
-        if known > Some(target.version) {
-            note_naming_behind(target, known, source);
-        }
-        let found = self
-            .wanted
-            .binary_search_by(|wanted| wanted.target.cmp(target));
-        let at = match found {
-            Ok(at) => {
-                if source.tells_naming() {
-                    named.improve(&mut self.wanted[at]);
-                }
-                return;
-            }
-            Err(at) => at,
-        };
-        let named = self.bounded_naming(at, target, named, source);
-        let wanted = WantedWeights {
-            target: target.clone(),
-            named_at: named.at,
-            certainty: named.certainty,
-        };
-        self.wanted.insert(at, wanted);
-        self.forget_versions(&target.model);
-        if known < Some(target.version) {
-            let (model, version) = (&target.model, target.version.0);
-            let certainty = named.certainty;
-            metrics::set_level("version_wanted", model, version);
-            log_event!(
-                events::WEIGHTS_WANTED,
-                "model={model} version={version} from={source} certainty={certainty:?}"
-            );
-        }
-    }
-
-    /// When a version that is new to this process was named at the latest, if its place is `at`.
-    ///
-    /// Versions grow: one that is older than another which is known was named before it, whenever its
-    /// row was written. Taken for new, a naming that was done late let requests begin on what it had
-    /// replaced long before.
-    fn bounded_naming(
-        &self,
-        at: usize,
-        target: &ModelVersion,
-        named: NamingTime,
-        source: WordSource,
-    ) -> NamingTime {
-        let next = self.wanted.get(at);
-        match next.filter(|next| next.target.model == target.model) {
-            Some(next) => NamingTime {
-                at: named.at.min(next.named_at),
-                certainty: if source.tells_naming() {
-                    named.certainty
-                } else {
-                    NamingCertainty::Assumed
-                },
-            },
-            None => named,
-        }
-    }
-
-    /// The newest version of `model` that is known to be wanted.
-    fn newest_wanted(&self, model: &str) -> Option<WeightsVersion> {
-        let mut newest_first = self.wanted.iter().rev();
-        let newest = newest_first.find(|wanted| *wanted.target.model == *model);
-        newest.map(|wanted| wanted.target.version)
-    }
-
-    /// Keeps the newest versions of a model. The oldest of these binds from when the one before it did.
-    ///
-    /// Without that, versions named in quick succession let requests begin on the oldest weights behind
-    /// the bound: the version that had to replace them was forgotten, and those that were left were not
-    /// due yet.
-    fn forget_versions(&mut self, model: &str) {
-        let is_of = |wanted: &WantedWeights| *wanted.target.model == *model;
-        let count = self.wanted.iter().filter(|wanted| is_of(wanted)).count();
-        let first = self.wanted.iter().position(is_of);
-        if let (true, Some(first)) = (count > VERSIONS_KEPT, first) {
-            let oldest = self.wanted.remove(first);
-            let next = &mut self.wanted[first];
-            next.named_at = next.named_at.min(oldest.named_at);
-        }
-    }
-
     /// Takes in the whole table of backend servers.
     pub(crate) fn set_backends(&mut self, view: &TableView, now: ClockTime) {
         if view.revision < self.backends_revision {
@@ -387,86 +262,42 @@
     /// process were named.
     pub(crate) fn take_own_rows(&mut self, own: OwnRows, named: NamingTime) {
         self.has_own_rows = true;
+        self.own_revision = self.own_revision.max(own.revision);
         self.unreadable.note_own(&own);
+        let faulty = own.faulty_records();
         self.add_entries(own.entries);
+        for model in faulty {
+            // Somebody wrote over it: the version is recorded once more.
+            self.versions.note_record_row(&model, 0);
+        }
         for record in own.records {
-            self.take_record(record, named);
+            self.versions.take_record(record, named);
         }
     }
 
+    /// The store's revision as of which the system's own rows were read last.
+    pub(crate) const fn own_revision(&self) -> u64 {
+        self.own_revision
+    }
+
     /// Whether the system's own rows were read.
     pub(crate) const fn has_own_rows(&self) -> bool {
         self.has_own_rows
     }
 
-    /// Takes in a version that the store records.
-    fn take_record(&mut self, record: VersionRecord, named: NamingTime) {
-        let source = WordSource::Record(record.revision);
-        self.want(&record.target, named, source);
-        let model = &record.target.model;
-        match self.find_record(model) {
-            Ok(at) if self.records[at].revision < record.revision => self.records[at] = record,
-            Ok(_) => {}
-            Err(at) => self.records.insert(at, record),
-        }
-    }
-
     /// The row that records a version of `model` has `revision`, 0 when there is none, whatever stands
     /// in it: one that somebody else wrote and that does not read is written over.
     pub(crate) fn note_record_row(&mut self, model: &ByteString, revision: u64) {
-        match self.find_record(model) {
-            Ok(at) if revision == 0 => {
-                self.records.remove(at);
-            }
-            Ok(at) => self.records[at].revision = revision,
-            Err(_) if revision == 0 => {}
-            Err(at) => {
-                let target = ModelVersion {
-                    model: model.clone(),
-                    version: WeightsVersion::default(),
-                };
-                self.records.insert(at, VersionRecord { target, revision });
-            }
-        }
-    }
-
-    fn find_record(&self, model: &str) -> Result<usize, usize> {
-        self.records
-            .binary_search_by(|record| (*record.target.model).cmp(model))
+        self.versions.note_record_row(model, revision);
     }
 
-    /// The versions that are to be recorded in the store, each with the revision that its row has.
-    ///
-    /// The operator's row of a version can go back: the store may do a naming that got no answer
-    /// seconds later, over a newer one. Processes that live stay with the newer version; when all of
-    /// them had started again, every engine was loaded with the older one. One would notice
-    /// `[1102]` with an older version behind the starts. The record only grows, since each write names
-    /// the revision that it replaces.
+    /// The versions that are to be recorded in the store, each with the revision that its row has; none
+    /// while the store does not answer.
     pub(crate) fn unrecorded(&self) -> Vec<VersionRecord> {
-        if self.store_steady_since.is_none() {
-            return Vec::new();
-        }
-        let models = self
-            .wanted
-            .chunk_by(|left, right| left.target.model == right.target.model);
-        let newest = models.filter_map(<[WantedWeights]>::last);
-        newest.filter_map(|wanted| self.record_of(wanted)).collect()
-    }
-
-    /// What is to be recorded of `wanted`, if anything is.
-    fn record_of(&self, wanted: &WantedWeights) -> Option<VersionRecord> {
-        let target = &wanted.target;
-        // The first version is what a process believes that knows of none.
-        if target.version <= WeightsVersion(1) {
-            return None;
+        match self.store_steady_since {
+            Some(_) => self.versions.unrecorded(),
+            None => Vec::new(),
         }
-        let known = self.find_record(&target.model).ok();
-        let known = known.map(|at| &self.records[at]);
-        let is_behind = known.is_none_or(|known| known.target.version < target.version);
-        is_behind.then(|| VersionRecord {
-            target: target.clone(),
-            revision: known.map_or(0, |known| known.revision),
-        })
     }
 
     /// Takes in the entry hosts that are known elsewhere.
@@ -486,7 +317,7 @@
     pub(crate) fn ask(&self, now: ClockTime) -> PeerAsk {
         PeerAsk {
             document: self.document_version(),
-            wanted: self.wanted_words(now),
+            wanted: self.versions.words(now),
             backends_revision: self.backends_revision,
             entries: self.entries.len(),
             wait_ms: 0,
@@ -495,44 +326,19 @@
 
     /// Whether there is something that a process that asks has to know at once.
     pub(crate) fn has_urgent_news(&self, ask: &PeerAsk) -> bool {
-        let mut wanted = self.wanted.iter();
+        let mut wanted = self.versions.all().iter();
         ask.document < self.document_version()
             || wanted.any(|wanted| ask.wanted.iter().all(|word| word.target != wanted.target))
     }
 
-    /// The versions that are known to be wanted, with their ages at `now`.
-    fn wanted_words(&self, now: ClockTime) -> Vec<WantedWord> {
-        let word = |wanted: &WantedWeights| WantedWord {
-            target: wanted.target.clone(),
-            age_ms: u64::try_from(now.since(wanted.named_at).as_millis()).unwrap_or(u64::MAX),
-            certainty: wanted.certainty,
-        };
-        self.wanted.iter().map(word).collect()
-    }
-
-    /// Whether `words` name a newer version than is known, or say with more certainty when one was
-    /// named.
+    /// Whether `words` tell more of what versions were named, and when, than is known.
     pub(crate) fn learns_from(&self, words: &[WantedWord]) -> bool {
-        let is_news = |word: &WantedWord| {
-            let target = &word.target;
-            let mut wanted = self.wanted.iter();
-            match wanted.find(|wanted| wanted.target == *target) {
-                Some(known) => known.certainty < word.certainty,
-                None => self.newest_wanted(&target.model) < Some(target.version),
-            }
-        };
-        words.iter().any(is_news)
+        self.versions.learns_from(words)
     }
 
     /// Takes in the versions that another process knows to be wanted.
     pub(crate) fn take_words(&mut self, words: &[WantedWord], now: ClockTime) {
-        for word in words {
-            let named = NamingTime {
-                at: now - Duration::from_millis(word.age_ms),
-                certainty: word.certainty,
-            };
-            self.want(&word.target, named, WordSource::Neighbour);
-        }
+        self.versions.take_words(words, now);
     }
 
     /// What a neighbour that asks does not know yet.
@@ -544,7 +350,7 @@
         let has_newer_backends = self.backends_revision > ask.backends_revision;
         PeerView {
             document: document.map(|held| held.text.to_vec()),
-            wanted: self.wanted_words(now),
+            wanted: self.versions.words(now),
             backends: has_newer_backends.then(|| {
                 let facts = self.backends.listed().map(|facts| (**facts).clone());
                 (self.backends_revision, facts.collect())
@@ -588,7 +394,7 @@
             fleet: Arc::new(FleetView {
                 backends: self.backends.all().cloned().collect(),
             }),
-            wanted: Arc::new(self.wanted.clone()),
+            wanted: Arc::new(self.versions.all().to_vec()),
             entries: Arc::new(self.entries.clone()),
         }
     }
@@ -600,18 +406,3 @@
         log_event!(events::DOCUMENT_UNREADABLE, "{error}");
     }
 }
-
-/// Tells that the store names an older version than was named before.
-///
-/// Its row was written over by an older naming that was done late. Processes that live stay with the
-/// newer version, and without a line nobody would know why the store says another.
-fn note_naming_behind(target: &ModelVersion, known: Option<WeightsVersion>, source: WordSource) {
-    if let (true, Some(known)) = (source.stands(), known) {
-        let (model, version) = (&target.model, target.version.0);
-        log_event!(
-            events::NAMING_BEHIND,
-            "model={model} version={version} known={} from={source}",
-            known.0
-        );
-    }
-}
