--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -10,13 +10,14 @@
 use crate::daemon::DrainState;
 use crate::fleet::{ModelVersion, NamingCertainty, WeightsVersion};
 use crate::platform::samples::{document_sample, naming_sample};
-use crate::platform::{FakeStore, StoreRow, TableName};
+use crate::platform::{FakeStore, StoreClient, StoreRow, TableName, WriteOutcome};
 use crate::sync::naming_time::NamingKnowledge;
 use crate::sync::own_rows::VersionRecord;
 use crate::sync::peer_messages::PeerAsk;
 use crate::sync::sync_thread::run_sync;
 use crate::sync::{ControlSnapshot, EntryRecord, NamingTime, OwnRows, SharedBook, SyncSettings};
 use crate::time::ClockTime;
+use crate::transport::{ClientLimits, PeerClient};
 
 const WAIT_MAX: Duration = Duration::from_secs(10);
 const START: ClockTime = ClockTime::from_millis(100_000);
@@ -107,6 +108,15 @@
     waited.expect("the version is recorded");
 }
 
+/// What a process believes that starts beside `store`, as soon as it could take requests.
+async fn belief_of_new(store: &FakeStore) -> Arc<ControlSnapshot> {
+    let process = EntryProcess::start("new", store);
+    let snapshot = process.believes(|snapshot| snapshot.catalog.is_some());
+    let snapshot = snapshot.await;
+    process.lose_power();
+    snapshot
+}
+
 /// All hosts lost power, and from then on requests began on weights that had been replaced half a minute
 /// before. The naming of version 2 had got no answer; the store did it late, over the naming of version 3.
 /// Processes that lived stayed with version 3 and told `[1111] … version=2 known=3 from=store/75`. Those
@@ -271,11 +281,8 @@
     for document in 2..80 {
         put_document(&store, document);
     }
-    let process = EntryProcess::start("first", &store);
-    let is_there = |snapshot: &ControlSnapshot| snapshot.catalog.is_some();
-    let snapshot = process.believes(is_there).await;
+    let snapshot = belief_of_new(&store).await;
     assert_eq!(newest(&snapshot), Some(WeightsVersion(3)));
-    process.lose_power();
 }
 
 /// A store that has forgotten its history tells what stands, and the process is ready with that.
@@ -285,11 +292,8 @@
     put_document(&store, 1);
     name_version(&store, 2);
     store.forget_history();
-    let process = EntryProcess::start("first", &store);
-    let is_there = |snapshot: &ControlSnapshot| snapshot.catalog.is_some();
-    let snapshot = process.believes(is_there).await;
+    let snapshot = belief_of_new(&store).await;
     assert_eq!(newest(&snapshot), Some(WeightsVersion(2)));
-    process.lose_power();
 }
 
 /// Entry hosts refused every stream for four seconds too long. They had started and found a version, which
@@ -323,3 +327,23 @@
     lived.change(|book| book.merge(view, now));
     assert_eq!(named_at(&lived.snapshot().load()), START);
 }
+
+/// A record of version 2 that a process had begun to write, and that the store did last, would bring the
+/// older weights back at the next restart of all.
+#[tokio::test]
+async fn a_record_that_is_written_late_does_not_replace_a_newer_one() {
+    let store = FakeStore::start().await;
+    let third = "{\"model\":\"m\",\"version\":3}";
+    store.put(TableName::Own, "weights/m", third);
+    let client = Arc::new(PeerClient::new(ClientLimits::default()));
+    let client = StoreClient::new(store.address, client);
+    let second = b"{\"model\":\"m\",\"version\":2}";
+    let writing = client.write_row_at(TableName::Own, ("weights/m", 0), second, WAIT_MAX);
+    let outcome = writing.await.expect("the store answers");
+    let WriteOutcome::Refused { row: Some(row) } = outcome else {
+        panic!("it was done: {outcome:?}");
+    };
+    assert_eq!(row.value.as_deref(), Some(third.as_bytes()));
+    let stands = store.text_of(TableName::Own, "weights/m");
+    assert_eq!(stands.as_deref(), Some(third));
+}
