--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -108,6 +108,25 @@
     active: u32,
 }
 
+/// Reads what an engine says of itself.
+///
+/// # Errors
+///
+/// `MessageInvalid` when it does not read.
+pub(super) fn read_report(body: &[u8]) -> SwitchResult<EngineReport> {
+    let text: ReportText = serde_json::from_slice(body).map_err(|fault| {
+        SwitchError::new(ErrorKind::MessageInvalid, format!("engine report: {fault}"))
+    })?;
+    Ok(EngineReport {
+        holdings: read_holdings(text.holdings),
+        born: text.born.map(WallTime),
+        is_busy: text.busy,
+        orders_taken: text.sequence,
+        queued: text.queued,
+        active: text.active,
+    })
+}
+
 /// An order to load a whole version from what is staged.
 #[apply(plain!)]
 pub(crate) struct LoadOrder {
@@ -166,18 +185,7 @@
     /// `PeerSilent`, `ConnectFailed` or `AnswerCut` when the engine does not answer.
     pub(crate) async fn report(&self, within: Duration) -> SwitchResult<EngineReport> {
         let called = self.call(Method::GET, "/v1/report", Bytes::new(), within);
-        let body = whole(called.await?)?;
-        let text: ReportText = serde_json::from_slice(&body).map_err(|fault| {
-            SwitchError::new(ErrorKind::MessageInvalid, format!("engine report: {fault}"))
-        })?;
-        Ok(EngineReport {
-            holdings: read_holdings(text.holdings),
-            born: text.born.map(WallTime),
-            is_busy: text.busy,
-            orders_taken: text.sequence,
-            queued: text.queued,
-            active: text.active,
-        })
+        read_report(&whole(called.await?)?)
     }
 
     /// Lists the chunks of `model` that are staged, of whatever version.
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -2,6 +2,7 @@
 mod documents;
 mod entries;
 mod heads;
+mod reports;
 mod rows;
 
 use bytestring::ByteString;
--- a/src/replication/tests/mod.rs
+++ b/src/replication/tests/mod.rs
@@ -1,4 +1,5 @@
 mod backend_host;
 mod host_waits;
 mod incarnations;
+mod messages;
 mod restarts;
