Let a watch tell when a version was named that was only heard of

A change tells the time of a version now if the store has told neither of it nor of a newer one before.

--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -347,3 +347,30 @@
     let stands = store.text_of(TableName::Own, "weights/m");
     assert_eq!(stands.as_deref(), Some(third));
 }
+
+/// Every stream was refused for five seconds behind an outage of the store. A process that had started
+/// meanwhile took the versions that it found at the store's return for six seconds old; the others heard of
+/// them from it first, and their own watches, which had been cut, told no more of them.
+#[test]
+fn a_watch_that_was_cut_tells_more_than_an_assumption_that_was_heard_before() {
+    let back = START + Duration::from_secs(20);
+    let (key, text) = naming_sample(2);
+    let row = StoreRow {
+        key: key.to_owned(),
+        revision: 7,
+        value: Some(text.into()),
+    };
+    let started = SharedBook::default();
+    let assumed = NamingKnowledge::Started.naming_time(back);
+    started.change(|book| book.read_operator_rows(std::slice::from_ref(&row), assumed));
+    let words = started.read(|book| book.ask(back)).wanted;
+    let cut = SharedBook::default();
+    cut.change(|book| book.take_words(&words, back));
+    let found = NamingKnowledge::Interrupted.naming_time(back);
+    cut.change(|book| book.take_operator_rows(std::slice::from_ref(&row), found));
+    assert_eq!(named_at(&cut.snapshot().load()), found.at);
+    // The same row once more tells nothing.
+    let later = NamingKnowledge::Followed.naming_time(back + Duration::from_secs(5));
+    cut.change(|book| book.take_operator_rows(&[row], later));
+    assert_eq!(named_at(&cut.snapshot().load()), found.at);
+}
--- a/src/sync/wanted_versions.rs
+++ b/src/sync/wanted_versions.rs
@@ -42,18 +42,6 @@
     pub(super) const fn stands(self) -> bool {
         matches!(self, Self::Change(_) | Self::Table(_))
     }
-
-    /// Whether it tells when a version was named that is known already.
-    ///
-    /// A row that is read again, or written again by a naming that was repeated, says nothing new of
-    /// it. Taken for a naming of that moment, it allowed requests to begin on older weights behind the
-    /// bound, by as much as the version was old.
-    const fn tells_naming(self) -> bool {
-        match self {
-            Self::Neighbour => true,
-            Self::Change(_) | Self::PastChange(_) | Self::Table(_) | Self::Record(_) => false,
-        }
-    }
 }
 
 impl fmt::Display for WordSource {
@@ -73,6 +61,8 @@
 pub(super) struct WantedVersions {
     /// Sorted by model and version.
     wanted: Vec<WantedWeights>,
+    /// Those of them that the store has told of, sorted.
+    told: Vec<ModelVersion>,
     /// The versions that the store's own rows record, sorted by model.
     records: Vec<VersionRecord>,
 }
@@ -89,12 +79,17 @@
         if known > Some(target.version) {
             note_naming_behind(target, known, source);
         }
+        let tells_naming = self.tells_naming(target, source);
         match self.find(target) {
-            Ok(at) if source.tells_naming() => named.improve(&mut self.wanted[at]),
+            Ok(at) if tells_naming => named.improve(&mut self.wanted[at]),
             Ok(_) => {}
-            Err(at) => self.insert(at, target, self.bounded_naming(at, target, named, source)),
+            Err(at) if tells_naming => self.insert(at, target, named),
+            Err(at) => self.insert(at, target, self.bounded_naming(at, target, named)),
         }
         self.raise_assumed(&target.model);
+        if !matches!(source, WordSource::Neighbour) {
+            self.note_told(target);
+        }
         if known < Some(target.version) {
             let (model, version) = (&target.model, target.version.0);
             let certainty = named.certainty;
@@ -106,6 +101,35 @@
         }
     }
 
+    /// Whether `source` tells when `target` was named.
+    ///
+    /// A row that is read again, or written again by a naming that was repeated or late, says nothing
+    /// new of it. Taken for a naming of that moment, it allowed requests to begin on older weights
+    /// behind the bound, by as much as the version was old. So a change tells it only of a version of
+    /// which, and of newer ones, the store has not told before. A neighbour is believed.
+    fn tells_naming(&self, target: &ModelVersion, source: WordSource) -> bool {
+        match source {
+            WordSource::Neighbour => true,
+            WordSource::Change(_) | WordSource::PastChange(_) => {
+                let at = self.told.partition_point(|told| told < target);
+                let next = self.told.get(at);
+                next.is_none_or(|next| next.model != target.model)
+            }
+            WordSource::Table(_) | WordSource::Record(_) => false,
+        }
+    }
+
+    fn note_told(&mut self, target: &ModelVersion) {
+        if let Err(at) = self.told.binary_search(target) {
+            self.told.insert(at, target.clone());
+        }
+        let wanted = &self.wanted;
+        self.told.retain(|told| {
+            let found = wanted.binary_search_by(|known| known.target.cmp(told));
+            found.is_ok()
+        });
+    }
+
     fn find(&self, target: &ModelVersion) -> Result<usize, usize> {
         self.wanted
             .binary_search_by(|wanted| wanted.target.cmp(target))
@@ -125,26 +149,13 @@
     ///
     /// One that is older than another which is known was named before it, whenever its row was written.
     /// Taken for new, a naming that was done late let requests begin on what it had replaced long
-    /// before. A neighbour that was told at the moment is believed.
-    fn bounded_naming(
-        &self,
-        at: usize,
-        target: &ModelVersion,
-        named: NamingTime,
-        source: WordSource,
-    ) -> NamingTime {
-        if source.tells_naming() && named.certainty == NamingCertainty::Witnessed {
-            return named;
-        }
+    /// before.
+    fn bounded_naming(&self, at: usize, target: &ModelVersion, named: NamingTime) -> NamingTime {
         let next = self.wanted.get(at);
         match next.filter(|next| next.target.model == target.model) {
             Some(next) => NamingTime {
                 at: named.at.min(next.named_at),
-                certainty: if source.tells_naming() {
-                    named.certainty
-                } else {
-                    NamingCertainty::Assumed
-                },
+                certainty: NamingCertainty::Assumed,
             },
             None => named,
         }
