Let a record that is read behind a cut not stand in the way of the watch

A record counts as told by the store only at a start. The test was extended by the record and failed.

--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -367,6 +367,12 @@
     let cut = SharedBook::default();
     cut.change(|book| book.take_words(&words, back));
     let found = NamingKnowledge::Interrupted.naming_time(back);
+    // The process that had started has recorded it, which is read before the watch goes on.
+    let record = OwnRows::with_record(VersionRecord {
+        target: words[0].target.clone(),
+        revision: 8,
+    });
+    cut.change(|book| book.take_own_rows(record, found));
     cut.change(|book| book.take_operator_rows(std::slice::from_ref(&row), found));
     assert_eq!(named_at(&cut.snapshot().load()), found.at);
     // The same row once more tells nothing.
--- a/src/sync/wanted_versions.rs
+++ b/src/sync/wanted_versions.rs
@@ -87,7 +87,13 @@
             Err(at) => self.insert(at, target, self.bounded_naming(at, target, named)),
         }
         self.raise_assumed(&target.model);
-        if !matches!(source, WordSource::Neighbour) {
+        let is_told = match source {
+            WordSource::Neighbour => false,
+            // Behind a cut the watch has yet to tell of what was named meanwhile.
+            WordSource::Record(_) => named.certainty == NamingCertainty::Assumed,
+            WordSource::Change(_) | WordSource::PastChange(_) | WordSource::Table(_) => true,
+        };
+        if is_told {
             self.note_told(target);
         }
         if known < Some(target.version) {
