--- a/src/sync/tests/driver.rs
+++ b/src/sync/tests/driver.rs
@@ -1,16 +1,18 @@
 //! Drives entry hosts through random words about backend servers and versions: entries, reports,
 //! neighbours, restarts, outages and late writes, in any order.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
 
 use super::driver_world::{LAYERS, LateWrite, RealWorld, SERVERS};
-use crate::fleet::{BackendDesk, LoadReport, PickNeed, SharedDesk, VersionNeed, WeightsVersion};
-use crate::platform::TableView;
+use crate::fleet::{
+    BackendDesk, BackendPhase, LoadReport, PickNeed, SharedDesk, VersionNeed, WeightsVersion,
+};
 use crate::sync::naming_time::NamingKnowledge;
 use crate::sync::own_rows::VersionRecord;
-use crate::sync::{ControlSnapshot, OwnRows, SharedBook};
+use crate::sync::{ControlSnapshot, OwnRows, SharedBook, ViewBook};
 use crate::test_support::run_cases;
 use crate::time::ClockTime;
 
@@ -96,7 +98,7 @@
             Some(record) => OwnRows::with_record(record.clone()),
             None => OwnRows::default(),
         };
-        let has_read = self.book.read(super::super::ViewBook::has_own_rows);
+        let has_read = self.book.read(ViewBook::has_own_rows);
         let knowledge = if has_read {
             NamingKnowledge::Interrupted
         } else {
@@ -125,7 +127,7 @@
             book.expire(now);
         });
         self.backends_seen = Some(view.revision);
-        self.hear_entries(&view);
+        self.hear_entries();
         self.show();
     }
 
@@ -134,12 +136,12 @@
         self.desk.lock().set_fleet(&self.snapshot().fleet);
     }
 
-    fn snapshot(&self) -> std::sync::Arc<ControlSnapshot> {
+    fn snapshot(&self) -> Arc<ControlSnapshot> {
         self.book.snapshot().load()
     }
 
-    /// What its own state says it has heard of the backend servers since: never less than before.
-    fn hear_entries(&mut self, _view: &TableView) {
+    /// What its state says of the backend servers: never less than before.
+    fn hear_entries(&mut self) {
         let snapshot = self.snapshot();
         for facts in &snapshot.fleet.backends {
             let Some(heard) = self.heard_of(&facts.id) else {
@@ -152,7 +154,7 @@
             }
             // An entry behind the report of a newer incarnation is passed over at the desk.
             if born == heard.born {
-                let leaves = facts.phase == crate::fleet::BackendPhase::Leaving;
+                let leaves = facts.phase == BackendPhase::Leaving;
                 let is_back = heard.leaves && !leaves;
                 assert!(!is_back, "a leaving backend server is back: {facts:?}");
                 heard.leaves = leaves;
@@ -307,7 +309,7 @@
         if !host.reaches_store {
             return;
         }
-        for record in host.book.read(super::super::ViewBook::unrecorded) {
+        for record in host.book.read(ViewBook::unrecorded) {
             if is_late {
                 let late = (self.world.now, LateWrite::Record(record));
                 self.world.store.late.push(late);
@@ -334,11 +336,7 @@
         }
         let view = told.read(|book| book.answer(&ask, now));
         self.entries[asks].book.change(|book| book.merge(view, now));
-        let nothing = TableView {
-            rows: Vec::new(),
-            revision: 0,
-        };
-        self.entries[asks].hear_entries(&nothing);
+        self.entries[asks].hear_entries();
         self.entries[asks].show();
     }
 
