Build rows of namings in one place, and count the store's done changes again

Four tests built by hand the row that the tests of the control state have already. The test of a record that does not read had once held the exact number of changes that are done; it holds it again, beside the bound on all calls.

--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -35,6 +35,8 @@
     revision: u64,
     /// Calls that asked for a change, whatever became of them.
     change_calls: usize,
+    /// Those of them that were done.
+    changes_done: usize,
     /// The revision from which on the history is known.
     history_from: u64,
     /// The rows as they stand.
@@ -133,6 +135,11 @@
         self.lock().change_calls
     }
 
+    /// How many of them were done.
+    pub(crate) fn changes_done(&self) -> usize {
+        self.lock().changes_done
+    }
+
     /// The text of a row, if there is one.
     pub(crate) fn text_of(&self, table: TableName, key: &str) -> Option<String> {
         let rows = self.lock();
@@ -231,6 +238,7 @@
             let value = Some(text(&entry, "value"));
             rows.put(&text(&entry, "table"), &text(&entry, "key"), value);
         }
+        rows.changes_done += 1;
         let revision = rows.revision;
         drop(rows);
         self.changes.send_modify(|changes| *changes += 1);
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -7,10 +7,11 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::{sleep, timeout};
 
+use super::{START, named, told_at};
 use crate::daemon::DrainState;
 use crate::fleet::{ModelVersion, NamingCertainty, WeightsVersion};
 use crate::platform::samples::{document_sample, naming_sample};
-use crate::platform::{FakeStore, StoreClient, StoreRow, TableName, WriteOutcome};
+use crate::platform::{FakeStore, StoreClient, TableName, WriteOutcome};
 use crate::sync::naming_time::NamingKnowledge;
 use crate::sync::own_rows::VersionRecord;
 use crate::sync::peer_messages::PeerAsk;
@@ -20,7 +21,6 @@
 use crate::transport::{ClientLimits, PeerClient};
 
 const WAIT_MAX: Duration = Duration::from_secs(10);
-const START: ClockTime = ClockTime::from_millis(100_000);
 
 /// An entry host's control thread, which can lose power.
 pub(super) struct EntryProcess {
@@ -157,6 +157,7 @@
     sleep(Duration::from_millis(300)).await;
     // Its entry, a record where none was known, and one over what stood there.
     assert!(store.change_calls() <= 4, "{}", store.change_calls());
+    assert_eq!(store.changes_done(), 2, "its entry and one record");
     name_version(&store, 2);
     first.lose_power();
     let second = EntryProcess::start("second", &store);
@@ -170,17 +171,7 @@
 #[test]
 fn an_entry_host_learns_a_version_from_whoever_asks_it() {
     let lived = SharedBook::default();
-    let told = |at| NamingTime {
-        at,
-        certainty: NamingCertainty::Witnessed,
-    };
-    let (key, text) = naming_sample(3);
-    let row = StoreRow {
-        key: key.to_owned(),
-        revision: 1,
-        value: Some(text.into()),
-    };
-    lived.change(|book| book.take_operator_rows(&[row], told(START)));
+    lived.change(|book| book.take_operator_rows(&[named(3)], told_at(START)));
     let later = START + Duration::from_secs(20);
     let words = lived.read(|book| book.ask(later)).wanted;
     let started = SharedBook::default();
@@ -246,20 +237,15 @@
 /// beside them had been told when, the entry hosts that had started only assumed it.
 #[test]
 fn an_entry_host_learns_from_whoever_asks_it_when_a_version_was_named() {
-    let told = |at, certainty| NamingTime { at, certainty };
-    let (key, text) = naming_sample(2);
-    let row = StoreRow {
-        key: key.to_owned(),
-        revision: 1,
-        value: Some(text.into()),
-    };
     let lived = SharedBook::default();
-    let witnessed = told(START, NamingCertainty::Witnessed);
-    lived.change(|book| book.take_operator_rows(std::slice::from_ref(&row), witnessed));
+    lived.change(|book| book.take_operator_rows(&[named(2)], told_at(START)));
     let later = START + Duration::from_secs(20);
     let started = SharedBook::default();
-    let resumed = told(later, NamingCertainty::Resumed);
-    started.change(|book| book.take_operator_rows(&[row], resumed));
+    let resumed = NamingTime {
+        at: later,
+        certainty: NamingCertainty::Resumed,
+    };
+    started.change(|book| book.take_operator_rows(&[named(2)], resumed));
     let words = lived.read(|book| book.ask(later)).wanted;
     assert!(started.read(|book| book.learns_from(&words)));
     started.change(|book| book.take_words(&words, later));
@@ -301,24 +287,12 @@
 /// before that start, so that the newer one could not be older.
 #[test]
 fn a_version_is_not_taken_for_older_than_the_one_before_it() {
-    let row = |version| {
-        let (key, text) = naming_sample(version);
-        StoreRow {
-            key: key.to_owned(),
-            revision: version,
-            value: Some(text.into()),
-        }
-    };
     let lived = SharedBook::default();
-    let witnessed = NamingTime {
-        at: START,
-        certainty: NamingCertainty::Witnessed,
-    };
-    lived.change(|book| book.take_operator_rows(&[row(2)], witnessed));
+    lived.change(|book| book.take_operator_rows(&[named(2)], told_at(START)));
     let now = START + Duration::from_secs(2);
     let found = NamingKnowledge::Started.naming_time(now);
     let started = SharedBook::default();
-    started.change(|book| book.read_operator_rows(&[row(3)], found));
+    started.change(|book| book.read_operator_rows(&[named(3)], found));
     let words = lived.read(|book| book.ask(now)).wanted;
     assert!(started.read(|book| book.learns_from(&words)));
     started.change(|book| book.take_words(&words, now));
@@ -354,15 +328,9 @@
 #[test]
 fn a_watch_that_was_cut_tells_more_than_an_assumption_that_was_heard_before() {
     let back = START + Duration::from_secs(20);
-    let (key, text) = naming_sample(2);
-    let row = StoreRow {
-        key: key.to_owned(),
-        revision: 7,
-        value: Some(text.into()),
-    };
     let started = SharedBook::default();
     let assumed = NamingKnowledge::Started.naming_time(back);
-    started.change(|book| book.read_operator_rows(std::slice::from_ref(&row), assumed));
+    started.change(|book| book.read_operator_rows(&[named(2)], assumed));
     let words = started.read(|book| book.ask(back)).wanted;
     let cut = SharedBook::default();
     cut.change(|book| book.take_words(&words, back));
@@ -373,10 +341,10 @@
         revision: 8,
     });
     cut.change(|book| book.take_own_rows(record, found));
-    cut.change(|book| book.take_operator_rows(std::slice::from_ref(&row), found));
+    cut.change(|book| book.take_operator_rows(&[named(2)], found));
     assert_eq!(named_at(&cut.snapshot().load()), found.at);
     // The same row once more tells nothing.
     let later = NamingKnowledge::Followed.naming_time(back + Duration::from_secs(5));
-    cut.change(|book| book.take_operator_rows(&[row], later));
+    cut.change(|book| book.take_operator_rows(&[named(2)], later));
     assert_eq!(named_at(&cut.snapshot().load()), found.at);
 }
