Keep the platform's words for phases and calls in its folder

Tests of entries and of restarts named the words of an entry's state and the paths of an engine's calls; they say which phase and which call now. No assertion changed.

--- a/src/platform/fake_engine.rs
+++ b/src/platform/fake_engine.rs
@@ -53,6 +53,25 @@
     HoldOrders,
 }
 
+/// A call at which an engine may start again.
+#[derive(Clone, Copy)]
+pub(crate) enum EngineCall {
+    /// A chunk is staged.
+    Stage,
+    /// Weights are ordered to be loaded.
+    Order,
+}
+
+impl EngineCall {
+    /// With what the paths of such calls begin.
+    const fn path(self) -> &'static str {
+        match self {
+            Self::Stage => "/v1/stage-put",
+            Self::Order => "/v1/order",
+        }
+    }
+}
+
 /// A restart that comes with a call.
 #[derive(Clone, Copy, Debug)]
 struct PlannedRestart {
@@ -128,9 +147,9 @@
         self.lock().restart(rest);
     }
 
-    /// It starts again just before it answers a call to a path that begins with `path`, after `calls`
-    /// of them.
-    pub(crate) fn restart_at(&self, path: &'static str, calls: u32, rest: StagedRest) {
+    /// It starts again just before it answers a `call`, after `calls` of them.
+    pub(crate) fn restart_at(&self, call: EngineCall, calls: u32, rest: StagedRest) {
+        let path = call.path();
         self.lock().restart_at = Some(PlannedRestart { path, calls, rest });
     }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -33,7 +33,7 @@
 pub(crate) use document_row::{DocumentRow, read_document, read_wanted_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 #[cfg(test)]
-pub(crate) use fake_engine::{BirthWord, FakeEngine, StagedRest};
+pub(crate) use fake_engine::{BirthWord, EngineCall, FakeEngine, StagedRest};
 #[cfg(test)]
 pub(crate) use fake_origin::FakeOrigin;
 #[cfg(test)]
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::fleet::BackendPhase;
+
 /// The name of the client's attempt.
 pub(crate) const ATTEMPT: &str = "savoryswitch-attempt-id";
 /// How long the client, or a backend server, has.
@@ -34,9 +36,10 @@
     format!("{{{fields},\"state\":\"ready\"}}")
 }
 
-/// The text of a backend server's entry of the incarnation that started at `born`, its `told`th, with
-/// `state`.
-pub(crate) fn entry_sample(born: Option<u64>, told: u64, state: &str) -> String {
+/// The text of a backend server's entry of the incarnation that started at `born`, its `told`th, in
+/// `phase`.
+pub(crate) fn entry_sample(born: Option<u64>, told: u64, phase: BackendPhase) -> String {
+    let state = state_word(phase);
     let fields = "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1";
     let born = born.map_or_else(String::new, |born| format!(",\"born\":{born}"));
     format!("{{{fields},\"state\":\"{state}\",\"sequence\":{told}{born}}}")
@@ -46,9 +49,10 @@
 pub(crate) fn holding_sample(
     (address, born): (SocketAddr, u64),
     told: u64,
-    state: &str,
+    phase: BackendPhase,
     version: u64,
 ) -> String {
+    let state = state_word(phase);
     let held = if version == 0 {
         String::from("\"models\":[],\"layers\":[]")
     } else {
@@ -61,3 +65,10 @@
     let telling = format!("\"state\":\"{state}\",\"sequence\":{told},\"born\":{born}");
     format!("{{{place},{telling},{held}}}")
 }
+
+const fn state_word(phase: BackendPhase) -> &'static str {
+    match phase {
+        BackendPhase::Serving => "ready",
+        BackendPhase::Leaving => "draining",
+    }
+}
--- a/src/replication/tests/restarts.rs
+++ b/src/replication/tests/restarts.rs
@@ -6,7 +6,7 @@
 
 use super::backend_host::BackendHost;
 use crate::fleet::WeightsVersion;
-use crate::platform::{BirthWord, StagedRest};
+use crate::platform::{BirthWord, EngineCall, StagedRest};
 use crate::weights::HaveWord;
 
 /// Longer than the host needs to see that its engine is silent.
@@ -124,7 +124,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_restart_in_the_middle_of_staging_stages_all_again() {
     let host = BackendHost::start(BirthWord::Told).await;
-    host.engine.restart_at("/v1/stage-put", 3, StagedRest::Gone);
+    host.engine
+        .restart_at(EngineCall::Stage, 3, StagedRest::Gone);
     host.await_held(1).await;
     host.end();
 }
@@ -135,7 +136,8 @@
 async fn an_order_that_meets_a_new_incarnation_is_made_out_anew() {
     let host = BackendHost::start(BirthWord::Told).await;
     host.await_served(1).await;
-    host.engine.restart_at("/v1/order", 0, StagedRest::Gone);
+    host.engine
+        .restart_at(EngineCall::Order, 0, StagedRest::Gone);
     host.name_version(2);
     host.await_held(2).await;
     host.end();
--- a/src/sync/tests/driver_world.rs
+++ b/src/sync/tests/driver_world.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::fleet::{EngineHoldings, HeldLayers, LoadReport, ModelVersion, WeightsVersion};
+use crate::fleet::{
+    BackendPhase, EngineHoldings, HeldLayers, LoadReport, ModelVersion, WeightsVersion,
+};
 use crate::platform::samples::{document_sample, holding_sample, naming_sample};
 use crate::platform::{StoreRow, TableView};
 use crate::sync::own_rows::VersionRecord;
@@ -64,8 +66,12 @@
     /// Its next entry.
     pub(super) fn tell(&mut self) -> String {
         self.told += 1;
-        let state = if self.leaves { "draining" } else { "ready" };
-        holding_sample((self.address, self.born), self.told, state, self.holds)
+        let phase = if self.leaves {
+            BackendPhase::Leaving
+        } else {
+            BackendPhase::Serving
+        };
+        holding_sample((self.address, self.born), self.told, phase, self.holds)
     }
 
     /// What the process beside it would tell of it now.
--- a/src/sync/tests/incarnations.rs
+++ b/src/sync/tests/incarnations.rs
@@ -8,8 +8,11 @@
 use crate::platform::{StoreRow, TableView};
 use crate::sync::SharedBook;
 
-fn entry(born: Option<u64>, told: u64, state: &str, revision: u64) -> StoreRow {
-    row("a", revision, Some(&entry_sample(born, told, state)))
+const SERVING: BackendPhase = BackendPhase::Serving;
+const LEAVING: BackendPhase = BackendPhase::Leaving;
+
+fn entry(born: Option<u64>, told: u64, phase: BackendPhase, revision: u64) -> StoreRow {
+    row("a", revision, Some(&entry_sample(born, told, phase)))
 }
 
 fn book_of(first: StoreRow) -> SharedBook {
@@ -40,10 +43,10 @@
 #[test]
 fn an_earlier_entry_that_is_done_late_does_not_bring_a_leaving_one_back() {
     for born in [None, Some(7)] {
-        let book = book_of(entry(born, 11, "draining", 20));
-        take(&book, entry(born, 10, "ready", 21));
+        let book = book_of(entry(born, 11, LEAVING, 20));
+        take(&book, entry(born, 10, SERVING, 21));
         assert_eq!(known(&book).1, BackendPhase::Leaving, "born {born:?}");
-        take(&book, entry(born, 12, "draining", 22));
+        take(&book, entry(born, 12, LEAVING, 22));
         assert_eq!(known(&book).1, BackendPhase::Leaving, "born {born:?}");
     }
 }
@@ -53,13 +56,13 @@
 #[test]
 fn an_entry_that_is_done_late_does_not_bring_one_back_that_is_gone() {
     for born in [None, Some(7)] {
-        let book = book_of(entry(born, 11, "ready", 20));
+        let book = book_of(entry(born, 11, SERVING, 20));
         take(&book, row("a", 21, None));
         assert!(ids(&book).is_empty());
-        take(&book, entry(born, 10, "ready", 22));
+        take(&book, entry(born, 10, SERVING, 22));
         assert!(ids(&book).is_empty(), "born {born:?}");
         // It lives after all: its entry had lapsed.
-        take(&book, entry(born, 12, "ready", 23));
+        take(&book, entry(born, 12, SERVING, 23));
         assert_eq!(ids(&book), ["a"], "born {born:?}");
     }
 }
@@ -68,23 +71,23 @@
 /// leave it out for as long as the former one had lived.
 #[test]
 fn the_first_entry_of_a_new_incarnation_counts_and_late_ones_of_the_former_do_not() {
-    let book = book_of(entry(Some(7), 500, "draining", 20));
-    take(&book, entry(Some(9), 1, "ready", 21));
+    let book = book_of(entry(Some(7), 500, LEAVING, 20));
+    take(&book, entry(Some(9), 1, SERVING, 21));
     assert_eq!(known(&book), (Some(9), BackendPhase::Serving));
-    take(&book, entry(Some(7), 501, "draining", 22));
+    take(&book, entry(Some(7), 501, LEAVING, 22));
     assert_eq!(known(&book), (Some(9), BackendPhase::Serving));
     take(&book, row("a", 23, None));
-    take(&book, entry(Some(7), 502, "ready", 24));
+    take(&book, entry(Some(7), 502, SERVING, 24));
     assert!(ids(&book).is_empty(), "the former one is not back");
-    take(&book, entry(Some(12), 1, "ready", 25));
+    take(&book, entry(Some(12), 1, SERVING, 25));
     assert_eq!(known(&book), (Some(12), BackendPhase::Serving));
 }
 
 /// Neighbours pass entries on. One that lies behind must not bring a former incarnation back.
 #[test]
 fn a_neighbour_that_knows_a_former_incarnation_changes_nothing() {
-    let book = book_of(entry(Some(9), 1, "ready", 20));
-    let behind = book_of(entry(Some(7), 500, "draining", 30));
+    let book = book_of(entry(Some(9), 1, SERVING, 20));
+    let behind = book_of(entry(Some(7), 500, LEAVING, 30));
     let ask = book.read(|book| book.ask(START));
     let told = behind.read(|behind| behind.answer(&ask, START));
     book.change(|book| book.merge(told, START));
