Know a client that comes back by the time that it stayed away

Cause: a request counted as returned when its client would wait 20 ms less than the route's timeout. Change: returned is who says at least 1.2 s less (the least time that a refusal tells), a quarter of the timeout for short ones. The rule and the time to come back stand in src/overload now, apart from input and output.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -10,6 +10,7 @@
 use super::send_attempt::{HeadWait, SendFailure};
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
 use crate::fleet::{BackendKey, CallEnd, PickRefusal};
+use crate::overload::come_back_after;
 use crate::time::{ClockTime, clock_now};
 
 /// Sends that never left this host are tried elsewhere this many times; they cost no budget.
@@ -22,10 +23,6 @@
 /// How long before a client would close its connection it is told that nothing comes: the way to it
 /// takes 1 to 3 ms, and this process may be busy.
 const TELL_MARGIN: Duration = Duration::from_millis(100);
-/// When a client that was refused for want of a place should come back: after at least this long and
-/// a random part of the spread, so that those refused together do not come back together.
-const COME_BACK_LEAST: Duration = Duration::from_millis(1200);
-const COME_BACK_SPREAD: Duration = Duration::from_secs(1);
 
 /// One request on its way.
 pub(super) struct Forwarder {
@@ -166,10 +163,9 @@
             (None, Some(failure)) => failure.kind,
             (None, None) => ErrorKind::NoBackend,
         };
-        let spread = COME_BACK_SPREAD.mul_f64(rand::random());
         SwitchError::new(kind, detail)
             .with_outcome(RunOutcome::NotRun)
-            .come_back_in(COME_BACK_LEAST + spread)
+            .come_back_in(come_back_after(rand::random()))
     }
 
     /// How long the head of the next answer may take, if the request is taken back at `taken_back`.
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -10,15 +10,12 @@
 use crate::catalog::{RepeatRule, RouteRule, ServiceCatalog};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{VersionNeed, WeightsVersion};
+use crate::overload::is_returned;
 use crate::platform::{PRIORITY_MAX, RequestHead};
 use crate::routing::name_hash;
 use crate::sync::ControlSnapshot;
 use crate::time::ClockTime;
 
-/// How much of a client's time must be gone for a request to count as one that was refused before.
-/// A client says how long it will wait from then on, so a retry says less than the first attempt.
-const RETURNED_AFTER: Duration = Duration::from_millis(20);
-
 /// How long clients wait for an event of a stream, the first one included: at least so long, so many
 /// times the route's latency target and so many times its longest pause, whichever is most. The figures
 /// are the platform's.
@@ -82,7 +79,7 @@
     pub(super) fn is_returned(&self) -> bool {
         let timeout = self.routed.rule.timeout;
         let asked = self.head.deadline.unwrap_or(timeout);
-        asked + RETURNED_AFTER < timeout
+        is_returned(asked, timeout)
     }
 
     /// How urgent it is to a model engine's own queue; `is_resumed` when its client has seen a part of
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 mod membership;
 mod metrics;
 mod operator;
+mod overload;
 mod platform;
 mod replication;
 mod routing;
