--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -195,7 +195,10 @@
 
     /// A host said what it holds, of its own accord or asked.
     pub(crate) fn on_word(&mut self, word: &HaveWord, now: ClockTime) {
-        self.peers.hear(word, now);
+        if self.peers.hear(word, now) {
+            let part = self.rng.random();
+            self.turns.on_origin_seen(part, now);
+        }
     }
 
     /// The answer to [`FetchStep::Ask`] came, or did not.
--- a/src/weights/origin_turns.rs
+++ b/src/weights/origin_turns.rs
@@ -17,7 +17,12 @@
 const LISTEN_SPAN: Duration = Duration::from_millis(500);
 const TURN_DOUBLINGS: u32 = 5;
 const REST_FIRST: Duration = Duration::from_millis(100);
-const REST_DOUBLINGS: u32 = 5;
+/// Doublings of the rest after an origin that has too much to do, up to 3.2 s.
+const LIMIT_DOUBLINGS: u32 = 5;
+/// The same after one that does not answer, up to 0.8 s. It refuses a connection at once, which costs
+/// nobody anything, and each moment that it is back unnoticed no engine may have weights to answer with:
+/// with rests of 3.2 s it was read 1.5 s late.
+const AWAY_DOUBLINGS: u32 = 3;
 /// Failures in a row after which this host counts itself as cut off from the origin.
 const CUT_OFF_FAILURES: u32 = 2;
 /// How long a word of another host counts as fresh.
@@ -165,6 +170,14 @@
         self.failures_in_row = 0;
     }
 
+    /// Another host holds a chunk that nobody held before: the origin answers. `part` is random.
+    pub(crate) fn on_origin_seen(&mut self, part: f64, now: ClockTime) {
+        if self.is_cut_off() {
+            let soon = now + REST_FIRST.mul_f64(part.clamp(0.0, 1.0));
+            self.rest_until = self.rest_until.min(soon);
+        }
+    }
+
     /// The origin did not deliver. Rests for a random part of a span that doubles (full jitter):
     /// without it, all hosts that were refused together would come back together.
     pub(crate) fn on_failed(
@@ -174,12 +187,12 @@
         part: f64,
         now: ClockTime,
     ) {
-        let count = if kind == ErrorKind::OriginLimited {
-            &mut self.limits_in_row
+        let (count, doublings) = if kind == ErrorKind::OriginLimited {
+            (&mut self.limits_in_row, LIMIT_DOUBLINGS)
         } else {
-            &mut self.failures_in_row
+            (&mut self.failures_in_row, AWAY_DOUBLINGS)
         };
-        let span = REST_FIRST * (1 << (*count).min(REST_DOUBLINGS));
+        let span = REST_FIRST * (1 << (*count).min(doublings));
         *count += 1;
         let asked = wait.unwrap_or(Duration::ZERO);
         self.rest_until = now + asked + span.mul_f64(part.clamp(0.0, 1.0));
--- a/src/weights/peer_table.rs
+++ b/src/weights/peer_table.rs
@@ -138,21 +138,24 @@
         self.copies.get(at).copied().unwrap_or(0)
     }
 
-    /// Takes in what a host said of itself. Words whose maps do not fit the version are left out.
-    pub(crate) fn hear(&mut self, word: &HaveWord, now: ClockTime) {
+    /// Takes in what a host said of itself. Words whose maps do not fit the version are left out. Returns
+    /// whether it holds a chunk that nobody was known to hold.
+    pub(crate) fn hear(&mut self, word: &HaveWord, now: ClockTime) -> bool {
         let chunks = u32::try_from(self.copies.len()).unwrap_or(u32::MAX);
         let Some(key) = self.find(&word.host) else {
-            return;
+            return false;
         };
         if !word.held.fits(chunks) || !word.claimed.fits(chunks) {
-            return;
+            return false;
         }
+        let mut is_first_copy = false;
         let peer = &mut self.peers[key.at()];
         let before = peer.held.take();
         if peer.is_listed {
             for (index, copies) in (0..).zip(self.copies.iter_mut()) {
                 let had = before.as_ref().is_some_and(|map| map.contains(index));
                 let has = word.held.contains(index);
+                is_first_copy |= has && *copies == 0;
                 *copies = (*copies + u16::from(has)).saturating_sub(u16::from(had));
             }
         }
@@ -163,6 +166,7 @@
             peer.contact = PeerContact::Quiet;
         }
         peer.busy_until = now + Duration::from_millis(word.backlog_ms);
+        is_first_copy
     }
 
     /// A host turned out not to hold a chunk that it said it holds.
--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -3,5 +3,6 @@
 mod checks;
 mod link;
 mod lost_hosts;
+mod origin_away;
 mod rollout;
 mod spread;
--- /dev/null
+++ b/src/weights/tests/origin_away.rs
@@ -0,0 +1,110 @@
+//! An origin that does not answer for some seconds.
+
+use std::time::Duration;
+
+use crate::documents::SpreadObjective;
+use crate::errors::ErrorKind;
+use crate::time::ClockTime;
+use crate::weights::{
+    ChunkMap, FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource, HaveWord, LineHost,
+    PlanHost, WeightsDigest,
+};
+
+const START: ClockTime = ClockTime::from_millis(100_000);
+const CHUNKS: u32 = 4;
+const LOOK: Duration = Duration::from_millis(10);
+const AWAY: Duration = Duration::from_secs(6);
+
+fn line(host: &str) -> LineHost {
+    LineHost {
+        host: host.into(),
+        data_centre: "here".into(),
+        region: "all".into(),
+    }
+}
+
+fn lonely_plan(seed: u64) -> FetchPlan {
+    FetchPlan::new(
+        line("me"),
+        (WeightsDigest::of(b"v2"), SpreadObjective::OriginBytes),
+        ChunkMap::empty(CHUNKS),
+        FetchLimits::default(),
+        (Duration::from_millis(27), seed),
+        START,
+    )
+}
+
+fn origin_reads(plan: &mut FetchPlan, now: ClockTime) -> Vec<FlightId> {
+    let steps = plan.next_steps(now);
+    let reads = steps.iter().filter_map(|step| match step {
+        FetchStep::Fetch {
+            flight,
+            source: FlightSource::Origin,
+            ..
+        } => Some(*flight),
+        _ => None,
+    });
+    reads.collect()
+}
+
+/// The origin refuses every connection for [`AWAY`].
+fn live_through_outage(plan: &mut FetchPlan) -> ClockTime {
+    let mut now = START;
+    while now < START + AWAY {
+        for flight in origin_reads(plan, now) {
+            plan.on_failed(flight, ErrorKind::OriginUnavailable, None, now);
+        }
+        now = now + LOOK;
+    }
+    now
+}
+
+fn first_read(plan: &mut FetchPlan, mut now: ClockTime) -> ClockTime {
+    while origin_reads(plan, now).is_empty() {
+        now = now + LOOK;
+        assert!(
+            now < START + Duration::from_secs(60),
+            "it is never asked again"
+        );
+    }
+    now
+}
+
+/// Symptom: for a second and a half after the origin of weights was back nobody read from it, while no
+/// engine could answer: the bound of the older weights had passed. Events: the origin had refused all
+/// connections for six seconds; each host rested longer after each, up to three seconds. Cause: a rest
+/// fit for an origin that has too much to do, kept towards one that is not there.
+#[test]
+fn an_origin_that_is_back_is_read_within_a_second() {
+    for seed in 0..40 {
+        let mut plan = lonely_plan(seed);
+        let back = live_through_outage(&mut plan);
+        let waited = first_read(&mut plan, back).since(back);
+        assert!(waited <= Duration::from_millis(800), "{waited:?}");
+    }
+}
+
+/// Symptom and events as above; one host had read a chunk already and said so. Cause: that a chunk which
+/// nobody had held has come says that the origin is back, and the others rested on.
+#[test]
+fn a_chunk_that_nobody_held_before_ends_the_rest_of_all() {
+    for seed in 0..40 {
+        let mut plan = lonely_plan(seed);
+        plan.set_hosts(&[PlanHost {
+            line: line("other"),
+            address: ([127, 0, 0, 1], 1).into(),
+        }]);
+        let back = live_through_outage(&mut plan);
+        let mut held = ChunkMap::empty(CHUNKS);
+        held.insert(0);
+        let word = HaveWord {
+            host: "other".into(),
+            held,
+            claimed: ChunkMap::empty(CHUNKS),
+            backlog_ms: 0,
+        };
+        plan.on_word(&word, back);
+        let waited = first_read(&mut plan, back).since(back);
+        assert!(waited <= Duration::from_millis(110), "{waited:?}");
+    }
+}
