--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -110,6 +110,7 @@
             book: self.book.clone(),
             seeds: settings.seeds.clone(),
             data_centre: settings.data_centre.clone(),
+            document_at: None,
         }
     }
 
--- a/src/replication/view_poll.rs
+++ b/src/replication/view_poll.rs
@@ -15,7 +15,7 @@
 use crate::fleet::NamingCertainty;
 use crate::platform::{StoreClient, TableName};
 use crate::sync::{EntryRecord, NamingTime, OwnRows, PeerView, SharedBook, VIEW_PATH};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 use crate::transport::PeerClient;
 
 /// How long an entry host holds the question open. A version is told the moment it is known there;
@@ -29,6 +29,9 @@
 /// Entry hosts in a row that do not answer, after which the store is read.
 const SILENT_MAX: u32 = 3;
 const STORE_WITHIN: Duration = Duration::from_millis(1200);
+/// How long a host does without a newer document than it has: it needs of it which model its engine is to
+/// serve and where the origin is, and an entry host waits for neither.
+const DOCUMENT_PAUSE: Duration = Duration::from_secs(2);
 /// How long ago a version may have been named that is found in the store.
 const NAMED_BEFORE: Duration = Duration::from_secs(5);
 
@@ -39,11 +42,13 @@
     pub(super) book: SharedBook,
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) data_centre: ByteString,
+    /// When a document last came from an entry host.
+    pub(super) document_at: Option<ClockTime>,
 }
 
 impl ViewPoll {
     /// Polls for as long as the process lives.
-    pub(super) async fn run(self) {
+    pub(super) async fn run(mut self) {
         let mut silent = 0_u32;
         loop {
             let mut pause = POLL_PAUSE;
@@ -65,16 +70,20 @@
         }
     }
 
-    async fn ask_entry(&self) -> bool {
+    async fn ask_entry(&mut self) -> bool {
         let Some(address) = self.choose_entry() else {
             return false;
         };
         let mut ask = self.book.read(|book| book.ask(clock_now()));
         ask.wait_ms = u64::try_from(POLL_WAIT.as_millis()).unwrap_or(0);
+        ask.can_wait_for_document = self.can_wait_for_document(clock_now());
         let called = self
             .client
             .call::<_, PeerView>(address, VIEW_PATH, &ask, POLL_WITHIN);
         if let Ok(view) = called.await {
+            if view.document.is_some() {
+                self.document_at = Some(clock_now());
+            }
             self.book.change(|book| book.merge(view, clock_now()));
             return true;
         }
@@ -83,6 +92,12 @@
         false
     }
 
+    /// Whether the last document that came will do at `now`.
+    pub(super) fn can_wait_for_document(&self, now: ClockTime) -> bool {
+        self.document_at
+            .is_some_and(|at| now.since(at) < DOCUMENT_PAUSE)
+    }
+
     /// Mostly an entry host of this data centre: bytes between data centres are dear.
     fn choose_entry(&self) -> Option<SocketAddr> {
         let (near, all) = self.book.read(|book| {
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -35,6 +35,11 @@
 pub(crate) struct PeerAsk {
     /// The version of its document.
     pub(crate) document: Option<CatalogVersion>,
+    /// Whether a newer one can wait for a later question. A host of a backend server needs little of it,
+    /// and a large document takes as long on its narrow link as a chunk of weights: in a storm of
+    /// documents they left half of the link to the weights, which came 1.5 s later.
+    #[serde(default)]
+    pub(crate) can_wait_for_document: bool,
     /// The versions of weights that it knows to be wanted.
     pub(crate) wanted: Vec<WantedWord>,
     /// The store's revision of its list of backend servers.
--- a/src/sync/tests/messages.rs
+++ b/src/sync/tests/messages.rs
@@ -127,6 +127,7 @@
     );
     let ask = PeerAsk {
         document: Some(CatalogVersion(u64::MAX)),
+        can_wait_for_document: false,
         wanted: words.to_vec(),
         backends_revision: u64::MAX,
         entries: usize::MAX,
--- a/src/sync/tests/storms.rs
+++ b/src/sync/tests/storms.rs
@@ -5,9 +5,11 @@
 use tokio::time::timeout;
 
 use super::restarts::EntryProcess;
+use super::{START, document, named, told_at};
 use crate::catalog::CatalogVersion;
 use crate::platform::samples::document_sample;
 use crate::platform::{FakeStore, TableName};
+use crate::sync::SharedBook;
 
 /// Versions of the document in one storm.
 const STORM: u64 = 40;
@@ -66,3 +68,27 @@
     believes_document(&process, STORM).await;
     process.lose_power();
 }
+
+/// Symptom: new weights reached the hosts of engines 1.5 s later than their links allow, and no engine could
+/// answer meanwhile. Events: an operator's tool wrote a document of 460 routes ten times a second; each
+/// host's question was answered with each of them at once, over the link on which the chunks came. Cause:
+/// a host got every document as urgently as an entry host.
+#[test]
+fn a_host_that_has_a_document_is_not_woken_for_each_newer_one() {
+    let book = SharedBook::default();
+    let mut ask = book.read(|book| book.ask(START));
+    book.change(|book| book.take_operator_rows(&[document(7)], told_at(START)));
+    assert!(book.read(|book| book.has_urgent_news(&ask)));
+    ask.can_wait_for_document = true;
+    assert!(!book.read(|book| book.has_urgent_news(&ask)));
+    assert!(
+        book.read(|book| book.answer(&ask, START))
+            .document
+            .is_none()
+    );
+    book.change(|book| book.take_operator_rows(&[named(2)], told_at(START)));
+    assert!(
+        book.read(|book| book.has_urgent_news(&ask)),
+        "a version is told at once"
+    );
+}
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -329,6 +329,7 @@
     pub(crate) fn ask(&self, now: ClockTime) -> PeerAsk {
         PeerAsk {
             document: self.document_version(),
+            can_wait_for_document: false,
             wanted: self.versions.words(now),
             backends_revision: self.backends_revision,
             entries: self.entries.len(),
@@ -339,10 +340,16 @@
     /// Whether there is something that a process that asks has to know at once.
     pub(crate) fn has_urgent_news(&self, ask: &PeerAsk) -> bool {
         let mut wanted = self.versions.all().iter();
-        ask.document < self.document_version()
+        self.newer_document(ask).is_some()
             || wanted.any(|wanted| ask.wanted.iter().all(|word| word.target != wanted.target))
     }
 
+    /// The document, if it is newer than that of the process that asks, which does not wait for it.
+    fn newer_document(&self, ask: &PeerAsk) -> Option<&DocumentHeld> {
+        let held = self.document.as_ref();
+        held.filter(|held| ask.document < Some(held.catalog.version) && !ask.can_wait_for_document)
+    }
+
     /// Whether `words` tell more of what versions were named, and when, than is known.
     pub(crate) fn learns_from(&self, words: &[WantedWord]) -> bool {
         self.versions.learns_from(words)
@@ -355,10 +362,7 @@
 
     /// What a neighbour that asks does not know yet.
     pub(crate) fn answer(&self, ask: &PeerAsk, now: ClockTime) -> PeerView {
-        let document = self
-            .document
-            .as_ref()
-            .filter(|held| ask.document < Some(held.catalog.version));
+        let document = self.newer_document(ask);
         let has_newer_backends = self.backends_revision > ask.backends_revision;
         PeerView {
             document: document.map(|held| held.text.to_vec()),
