Look back gently at a start, and ask neighbours near by

Its looks into the history, three at once and up to 100 revisions of 60 KB documents each, with those of three others that started with it, took the link between the regions for two seconds; the read of the table failed after them and the looks began anew. Of the neighbours that it asked one in two was behind the same link. Change: looks go one behind the other, from the shortest, up to 300 KB and half a second, then beside the table; half of the neighbours asked are of the same data centre.

--- a/src/sync/events.rs
+++ b/src/sync/events.rs
@@ -48,7 +48,7 @@
 );
 pub(crate) const HISTORY_UNREAD: LogEvent = LogEvent::warn(
     1118,
-    "the store's history could not be read at the start; the table counts as it stands",
+    "the store's history could not be read at the start; it is looked into again beside the table",
 );
 
 /// All of this slice's events.
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join_all;
+use bytes::Bytes;
 use rand::RngExt;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::events;
 use super::naming_time::NamingKnowledge;
@@ -52,11 +52,24 @@
 const STORE_AWAY_AFTER: Duration = Duration::from_millis(500);
 /// How often it is looked whether the wait for a lapsed entry is over.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
-/// How many of the store's revisions are looked back at a start, the first that it still knows. Backend
-/// servers write about once a second each, and the store keeps 20 s: 600 of them make 10,000, three that
-/// change nothing some ten.
-const PAST_REVISIONS: [u64; 6] = [12_000, 2_000, 400, 100, 30, 10];
+/// How many of the store's revisions are looked back at a start, one look behind the other, up to the first
+/// that it no longer knows. Backend servers write about once a second each, and the store keeps 20 s: 600 of
+/// them make 10,000, three that change nothing some ten.
+const PAST_REVISIONS: [u64; 6] = [10, 30, 100, 400, 2_000, 12_000];
+/// Bytes of history that are read at a start before no further look is taken.
+///
+/// The history holds every document of its span. Beside a storm of large documents the looks of four entry
+/// hosts that started together took the link between two regions for two seconds, and no document came
+/// over it in time. This much takes 0.1 s of 26 Mbit/s.
+const PAST_BYTES: usize = 300_000;
+/// How long a start waits for the looks. They take 8 ms each while the store is well.
+const PAST_WITHIN: Duration = Duration::from_millis(500);
+/// How often they are taken again when they fail, and the pause before each.
+const PAST_TRIES: u32 = 5;
+const PAST_PAUSE: Duration = Duration::from_secs(1);
 const NEIGHBOUR_WITHIN: Duration = Duration::from_millis(400);
+/// How often a neighbour in the same data centre is asked, out of all times.
+const NEAR_PART: f64 = 0.5;
 
 /// What the watching works with.
 #[derive(Clone)]
@@ -76,6 +89,7 @@
 impl StoreWatch {
     /// Follows the operator's table.
     pub(crate) async fn follow_operator(self) {
+        self.read_past_namings_first().await;
         let mut pause = FailurePause::default();
         let mut since = None;
         let mut knowledge = NamingKnowledge::Started;
@@ -106,31 +120,59 @@
     /// then done late over it, every process that started brought the older weights back. One would
     /// notice `[1102]` with an older version behind the starts.
     async fn read_past_namings(&self) -> SwitchResult<()> {
+        if !self.book.read(ViewBook::has_own_rows) {
+            self.read_own_rows().await?;
+        }
         let newest = self.book.read(ViewBook::own_revision);
-        let mut starts = PAST_REVISIONS
-            .map(|revisions| newest.saturating_sub(revisions))
-            .to_vec();
-        starts.dedup();
-        let looks = starts.into_iter().map(|since| {
-            let table = TableName::Operator;
-            self.store
-                .watch_table(table, since, Duration::ZERO, STORE_WITHIN)
-        });
-        // All at once: one after the other they would hold a start up by a second while the store is slow.
-        let mut failure = None;
-        for watched in join_all(looks).await {
-            match watched {
-                Ok(WatchAnswer::Changed(view)) => {
-                    let named = NamingKnowledge::Started.naming_time(clock_now());
-                    self.book
-                        .change(|book| book.take_past_namings(&view.rows, named));
-                    return Ok(());
-                }
-                Ok(WatchAnswer::HistoryLost) => {}
-                Err(error) => failure = Some(error),
+        let mut bytes = 0;
+        for revisions in PAST_REVISIONS {
+            let since = newest.saturating_sub(revisions);
+            match self.look_back(since).await? {
+                Some(read) => bytes += read,
+                None => return Ok(()),
+            }
+            if since == 0 || bytes >= PAST_BYTES {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// The same before the operator's table is first read, which would show an older naming alone. A link
+    /// that does not carry the history must not keep this process from the newest document: then the look
+    /// goes on beside it.
+    async fn read_past_namings_first(&self) {
+        let looked = timeout(PAST_WITHIN, self.read_past_namings()).await;
+        if !matches!(looked, Ok(Ok(()))) {
+            log_event!(events::HISTORY_UNREAD);
+            tokio::spawn(self.clone().read_past_namings_later());
+        }
+    }
+
+    async fn read_past_namings_later(self) {
+        for _ in 0..PAST_TRIES {
+            sleep(PAST_PAUSE).await;
+            if self.read_past_namings().await.is_ok() {
+                return;
             }
         }
-        failure.map_or(Ok(()), Err)
+    }
+
+    /// Takes in the namings behind revision `since`; returns how many bytes were read, none when the store
+    /// no longer has that history.
+    async fn look_back(&self, since: u64) -> SwitchResult<Option<usize>> {
+        let table = TableName::Operator;
+        let watched = self
+            .store
+            .watch_table(table, since, Duration::ZERO, STORE_WITHIN);
+        let WatchAnswer::Changed(view) = watched.await? else {
+            return Ok(None);
+        };
+        let named = NamingKnowledge::Started.naming_time(clock_now());
+        self.book
+            .change(|book| book.take_past_namings(&view.rows, named));
+        let values = view.rows.iter().filter_map(|row| row.value.as_ref());
+        Ok(Some(values.map(Bytes::len).sum()))
     }
 
     /// Reads the system's own rows.
@@ -190,13 +232,6 @@
         if is_behind_cut || !self.book.read(ViewBook::has_own_rows) {
             self.read_own_rows().await?;
         }
-        if matches!(knowledge, NamingKnowledge::Started)
-            && let Err(error) = self.read_past_namings().await
-        {
-            // The history holds every document of its span; a link that does not carry it in time must not
-            // keep this process from the newest one. What a look could still tell, neighbours tell as well.
-            log_event!(events::HISTORY_UNREAD, "{error}");
-        }
         let read = self.store.read_table(TableName::Operator, STORE_WITHIN);
         let view = read.await?;
         let named = knowledge.naming_time(clock_now());
@@ -331,12 +366,18 @@
         }
     }
 
+    /// One in the same data centre as often as not: the link to the others may be as full as the one to the
+    /// store.
     fn choose_neighbour(&self) -> Option<SocketAddr> {
-        let mut others: Vec<SocketAddr> = self.book.read(|book| {
-            let entries = book.entries().iter();
-            entries.map(|entry| entry.control).collect()
-        });
-        others.extend(&self.seeds);
+        let is_near_meant = rand::rng().random_bool(NEAR_PART);
+        let near = self.neighbours(|entry| entry.data_centre == self.me.data_centre);
+        let mut others = if is_near_meant && !near.is_empty() {
+            near
+        } else {
+            let mut others = self.neighbours(|_| true);
+            others.extend(&self.seeds);
+            others
+        };
         others.retain(|address| *address != self.me.control);
         others.sort_unstable();
         others.dedup();
@@ -347,6 +388,14 @@
         Some(others[at])
     }
 
+    fn neighbours(&self, is_meant: impl Fn(&EntryRecord) -> bool) -> Vec<SocketAddr> {
+        self.book.read(|book| {
+            let entries = book.entries().iter();
+            let meant = entries.filter(|entry| entry.control != self.me.control && is_meant(entry));
+            meant.map(|entry| entry.control).collect()
+        })
+    }
+
     async fn ask(&self, address: SocketAddr) {
         let ask = self.book.read(|book| book.ask(clock_now()));
         let called = self
