--- a/src/fleet/backend_desk.rs
+++ b/src/fleet/backend_desk.rs
@@ -349,7 +349,9 @@
     /// The backend server began to answer: the prompt is read.
     pub(crate) fn note_begun(&mut self) {
         let unread = std::mem::take(&mut self.unread);
-        self.with_record(|record| record.note_read(unread));
+        if unread > 0 {
+            self.with_record(|record| record.note_read(unread));
+        }
     }
 
     /// The call ended.
--- a/src/fleet/backend_facts.rs
+++ b/src/fleet/backend_facts.rs
@@ -8,6 +8,7 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::{key, message, plain};
+use crate::overload::usual_pace;
 use crate::time::{ClockTime, WallTime};
 
 /// The number of a version of a model's weights; grows with each that is named.
@@ -163,10 +164,6 @@
     pub(crate) holdings: EngineHoldings,
 }
 
-const fn usual_pace() -> f64 {
-    1.0
-}
-
 /// All backend servers, as of one moment.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FleetView {
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -7,7 +7,7 @@
 
 use super::backend_facts::{BackendFacts, EngineHoldings, LoadReport, LoadWord};
 use crate::derives::{key, plain};
-use crate::overload::EnginePlace;
+use crate::overload::{EnginePlace, usual_pace};
 use crate::routing::CircuitBreaker;
 use crate::time::{ClockTime, WallTime};
 
@@ -85,7 +85,7 @@
             loading_until: ClockTime(0),
             own: 0,
             unread_tokens: 0,
-            pace: 1.0,
+            pace: usual_pace(),
             is_own: true,
             heard: None,
             breaker: CircuitBreaker::default(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -164,7 +164,8 @@
             }
             Err(failure) => {
                 if !forwarder.may_follow_cut(failure, clock_now()) {
-                    return Err(forwarder.give_up(None));
+                    let end = forwarder.give_up(None);
+                    return failed.ok_or(end);
                 }
             }
         }
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -58,6 +58,7 @@
     for second in [
         BackendWay::Fail,
         BackendWay::NotRun,
+        BackendWay::CutBody,
         BackendWay::CloseUnanswered,
     ] {
         let (status, answer, arrivals) = outcome([BackendWay::Fail, second], "safe").await;
--- a/src/overload/entry_share.rs
+++ b/src/overload/entry_share.rs
@@ -46,13 +46,13 @@
     /// Whether this entry host has the engine that is the `rank`th of its service in `data_centre`.
     /// Entry hosts of the same data centre take them in turn; where there is none, all entry hosts do.
     pub(crate) fn has(&self, data_centre: &str, rank: usize) -> bool {
-        let is_there = |entry: &&&EntryPlace| *entry.data_centre == *data_centre;
-        let near = self.entries.iter().filter(is_there);
-        let near: Vec<&EntryPlace> = near.copied().collect();
-        let sharers = if near.is_empty() {
-            &self.entries
+        let entries = &self.entries;
+        let from = entries.partition_point(|entry| *entry.data_centre < *data_centre);
+        let to = entries.partition_point(|entry| *entry.data_centre <= *data_centre);
+        let sharers = if from < to {
+            &entries[from..to]
         } else {
-            &near
+            entries
         };
         sharers[rank % sharers.len()] == self.me
     }
--- a/src/overload/first_event.rs
+++ b/src/overload/first_event.rs
@@ -25,6 +25,11 @@
 /// figures that somebody wrote wrongly stay in the range of a span of time.
 const DELAY_MAX_S: f64 = 60.0;
 
+/// The pace of an engine that is as fast as published, or does not tell.
+pub(crate) const fn usual_pace() -> f64 {
+    1.0
+}
+
 /// How fast a service's engines are, as the document publishes it.
 #[apply(plain!)]
 #[derive(Copy)]
@@ -88,7 +93,7 @@
         }
         let mut delay = speed.reading_s(self.unread_tokens.into()) + turnover * turns;
         // A slow engine takes longer for what it has, and for the request itself.
-        delay += (delay + turnover) * (self.pace - 1.0).max(0.0);
+        delay += (delay + turnover) * (self.pace - usual_pace()).max(0.0);
         if !self.is_near {
             delay += turnover * FAR_PART;
         }
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -9,4 +9,4 @@
 
 pub(crate) use come_back::{come_back_after, is_returned};
 pub(crate) use entry_share::{EntryPlace, EntryShare};
-pub(crate) use first_event::{EnginePlace, EngineSpeed};
+pub(crate) use first_event::{EnginePlace, EngineSpeed, usual_pace};
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -14,6 +14,7 @@
 use crate::derives::{key, plain};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{EngineHoldings, HeldLayers, ModelVersion, WeightsVersion};
+use crate::overload::usual_pace;
 use crate::time::WallTime;
 use crate::transport::{PeerClient, read_body};
 
@@ -113,10 +114,6 @@
     pace: f64,
 }
 
-const fn usual_pace() -> f64 {
-    1.0
-}
-
 /// Reads what an engine says of itself.
 ///
 /// # Errors
--- a/src/sync/neighbour_asks.rs
+++ b/src/sync/neighbour_asks.rs
@@ -64,10 +64,10 @@
             near
         } else {
             let mut others = self.neighbours(|_| true);
-            others.extend(&self.seeds);
+            let seeds = self.seeds.iter().copied();
+            others.extend(seeds.filter(|address| *address != self.me.control));
             others
         };
-        others.retain(|address| *address != self.me.control);
         others.sort_unstable();
         others.dedup();
         if others.is_empty() {
--- a/src/sync/past_namings.rs
+++ b/src/sync/past_namings.rs
@@ -59,18 +59,20 @@
     /// that does not carry the history must not keep this process from the newest document: then the look
     /// goes on beside it.
     pub(super) async fn read_past_namings_first(&self) {
-        let looked = timeout(PAST_WITHIN, self.read_past_namings()).await;
-        if !matches!(looked, Ok(Ok(()))) {
-            log_event!(events::HISTORY_UNREAD);
-            tokio::spawn(self.clone().read_past_namings_later());
+        match timeout(PAST_WITHIN, self.read_past_namings()).await {
+            Ok(Ok(())) => return,
+            Ok(Err(error)) => log_event!(events::HISTORY_UNREAD, "{error}"),
+            Err(_) => log_event!(events::HISTORY_UNREAD, "not within {PAST_WITHIN:?}"),
         }
+        tokio::spawn(self.clone().read_past_namings_later());
     }
 
     async fn read_past_namings_later(self) {
         for _ in 0..PAST_TRIES {
             sleep(PAST_PAUSE).await;
-            if self.read_past_namings().await.is_ok() {
-                return;
+            match self.read_past_namings().await {
+                Ok(()) => return,
+                Err(error) => log_event!(events::HISTORY_UNREAD, "{error}"),
             }
         }
     }
--- a/src/sync/shared_book.rs
+++ b/src/sync/shared_book.rs
@@ -36,6 +36,11 @@
         self.changes.send_modify(|changes| *changes += 1);
     }
 
+    /// Changes what neither the traffic nor anybody that follows the changes sees.
+    pub(crate) fn note(&self, note: impl FnOnce(&mut ViewBook)) {
+        note(&mut self.book.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
     /// Follows the changes.
     pub(crate) fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -70,7 +70,7 @@
                 (Err(_), _) => NamingKnowledge::Interrupted,
             };
             if followed.is_ok() {
-                self.book.change(|book| book.note_operator(clock_now()));
+                self.book.note(|book| book.note_operator(clock_now()));
             }
             self.note_outcome(&followed, &mut pause).await;
         }
