--- /dev/null
+++ b/src/sync/tests/late_words.rs
@@ -0,0 +1,151 @@
+//! Words that are long on their way: when a version of weights was named is not when it was heard of.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use super::restarts::EntryProcess;
+use crate::daemon::DrainState;
+use crate::fleet::{NamingCertainty, WantedWeights, WeightsVersion};
+use crate::platform::samples::{document_sample, naming_sample};
+use crate::platform::{FakeStore, TableName};
+use crate::sync::ControlSnapshot;
+use crate::sync::peer_routes::peer_routes;
+use crate::time::{ClockTime, clock_now};
+use crate::transport::{HttpServer, bind_listener};
+
+/// How long a word is on its way. Requests that wait at an engine are taken back a quarter of a second
+/// before the bound.
+const ON_WAY: Duration = Duration::from_millis(340);
+/// How long a process follows the store before a version is named.
+const FOLLOWED: Duration = Duration::from_millis(600);
+
+fn put_document(store: &FakeStore, version: u64) {
+    let (key, text) = document_sample(version);
+    store.put(TableName::Operator, key, &text);
+}
+
+/// Names version 2; returns a moment at which the store has it already.
+fn name_version(store: &FakeStore) -> ClockTime {
+    let (key, text) = naming_sample(2);
+    store.put(TableName::Operator, key, &text);
+    clock_now()
+}
+
+fn second(snapshot: &ControlSnapshot) -> Option<&WantedWeights> {
+    let mut wanted = snapshot.wanted.iter();
+    wanted.find(|wanted| wanted.target.version == WeightsVersion(2))
+}
+
+/// What `process` believes of version 2 as soon as it knows it.
+async fn belief(process: &EntryProcess) -> WantedWeights {
+    let snapshot = process.believes(|snapshot| second(snapshot).is_some());
+    let snapshot = snapshot.await;
+    second(&snapshot).expect("it was waited for").clone()
+}
+
+/// Passes connections on to `target`; what comes back takes `on_way`.
+async fn start_slow_way(target: SocketAddr, on_way: Duration) -> SocketAddr {
+    let listener = TcpListener::bind((target.ip(), 0)).await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            tokio::spawn(pass_slowly(near, target, on_way));
+        }
+    });
+    address
+}
+
+async fn pass_slowly(near: TcpStream, target: SocketAddr, on_way: Duration) {
+    let far = TcpStream::connect(target).await;
+    let (mut far_reader, mut far_writer) = far.expect("the target listens").into_split();
+    let (mut near_reader, mut near_writer) = near.into_split();
+    let forth = tokio::spawn(async move {
+        // The connection's end is the end of this task, not a failure.
+        let _ = tokio::io::copy(&mut near_reader, &mut far_writer).await;
+    });
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(read @ 1..) = far_reader.read(&mut buffer).await {
+        sleep(on_way).await;
+        if near_writer.write_all(&buffer[..read]).await.is_err() {
+            break;
+        }
+    }
+    forth.abort();
+}
+
+/// Entry hosts far from the store let requests begin on older weights behind their bound. Documents in
+/// quick succession filled the links between the regions, and the change that named a version took
+/// seconds to arrive. It was taken for a tenth of a second old.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_was_not_named_when_a_slow_answer_of_the_store_arrives() {
+    let store = FakeStore::start().await;
+    put_document(&store, 1);
+    let process = EntryProcess::start("e1", &store);
+    process
+        .believes(|snapshot| snapshot.catalog.is_some())
+        .await;
+    sleep(FOLLOWED).await;
+    store.slow_watches(ON_WAY);
+    let named_by = name_version(&store);
+    let wanted = belief(&process).await;
+    assert_eq!(wanted.certainty, NamingCertainty::Witnessed);
+    let late = wanted.named_at.since(named_by);
+    assert!(late.is_zero(), "named {late:?} later than it was");
+    process.lose_power();
+}
+
+/// The same, where the change waits in the store while the answer before it is on its way: the store
+/// answers the next question at once, and that answer is as old as the way of the one before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_that_was_named_between_two_questions_is_as_old_as_the_first_answer() {
+    let store = FakeStore::start().await;
+    put_document(&store, 1);
+    let process = EntryProcess::start("e1", &store);
+    process
+        .believes(|snapshot| snapshot.catalog.is_some())
+        .await;
+    sleep(FOLLOWED).await;
+    store.slow_watches(ON_WAY);
+    put_document(&store, 2);
+    // The watch has its answer, which is on its way.
+    sleep(ON_WAY / 4).await;
+    let named_by = name_version(&store);
+    let wanted = belief(&process).await;
+    let late = wanted.named_at.since(named_by);
+    assert!(late.is_zero(), "named {late:?} later than it was");
+    process.lose_power();
+}
+
+/// Entry hosts far from the store took a version for named 0.4 s later than it was, for ten seconds, and
+/// told each other so: they had it from neighbours whose answers were that long on the full links between
+/// the regions. An age was told, and counted from the answer's arrival.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_age_that_a_neighbour_tells_grows_on_its_way() {
+    let store = FakeStore::start().await;
+    put_document(&store, 1);
+    let near = EntryProcess::start("near", &store);
+    near.believes(|snapshot| snapshot.catalog.is_some()).await;
+    let local = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = bind_listener(local).await.expect("a free port");
+    let answers_at = listener.local_addr().expect("it is bound");
+    let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
+    tokio::spawn(HttpServer::on(listener, peer_routes(&near.book)).run(drain));
+    let neighbour = start_slow_way(answers_at, ON_WAY).await;
+
+    let unreachable = FakeStore::start().await;
+    unreachable.set_down(true);
+    let far = EntryProcess::start_beside("far", &unreachable, vec![neighbour]);
+    far.believes(|snapshot| snapshot.catalog.is_some()).await;
+    let named_by = name_version(&store);
+    let wanted = belief(&far).await;
+    assert_eq!(wanted.certainty, NamingCertainty::Witnessed);
+    let late = wanted.named_at.since(named_by);
+    assert!(late.is_zero(), "named {late:?} later than it was");
+    near.lose_power();
+    far.lose_power();
+}
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -1,6 +1,7 @@
 mod driver;
 mod driver_world;
 mod incarnations;
+mod late_words;
 mod messages;
 mod restarts;
 mod storms;
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -30,6 +30,15 @@
 
 impl EntryProcess {
     pub(super) fn start(name: &'static str, store: &FakeStore) -> Self {
+        Self::start_beside(name, store, Vec::new())
+    }
+
+    /// The same, beside entry hosts that listen at `seeds`.
+    pub(super) fn start_beside(
+        name: &'static str,
+        store: &FakeStore,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
         let local = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = SyncSettings {
             me: EntryRecord {
@@ -39,7 +48,7 @@
                 reports: local,
             },
             store_address: store.address,
-            seeds: Vec::new(),
+            seeds,
         };
         let runtime = Builder::new_multi_thread()
             .worker_threads(1)
