--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -47,6 +47,8 @@
     row_delay: Duration,
     /// Whether it refuses all calls.
     is_down: bool,
+    /// The tables of the rows that were told, one for each row and answer.
+    told: Vec<String>,
 }
 
 impl FakeRows {
@@ -144,6 +146,13 @@
         self.lock().changes_done
     }
 
+    /// How many rows of `table` answers have told so far.
+    pub(crate) fn rows_told(&self, table: TableName) -> usize {
+        let rows = self.lock();
+        let told = rows.told.iter().filter(|told| **told == table.as_str());
+        told.count()
+    }
+
     /// The text of a row, if there is one.
     pub(crate) fn text_of(&self, table: TableName, key: &str) -> Option<String> {
         let rows = self.lock();
@@ -206,8 +215,9 @@
     }
 
     fn read(&self, table: &str) -> Value {
-        let rows = self.lock();
+        let mut rows = self.lock();
         let found: Vec<Value> = rows.live(table).into_iter().map(row_text).collect();
+        rows.told.extend(found.iter().map(|_| table.to_owned()));
         json!({ "rows": found, "truncated": false, "ver": rows.revision })
     }
 
@@ -223,13 +233,14 @@
         // Without a change the answer has no rows.
         let _ = timeout(wait, news).await;
         let (body, on_way) = {
-            let rows = self.lock();
+            let mut rows = self.lock();
             if since < rows.history_from {
                 return (StatusCode::GONE, json!({}));
             }
             let found = rows.behind(table, since);
             let found: Vec<Value> = found.into_iter().map(row_text).collect();
             let count = u32::try_from(found.len()).unwrap_or(u32::MAX);
+            rows.told.extend(found.iter().map(|_| table.to_owned()));
             let body = json!({ "rows": found, "ver": rows.revision });
             (body, rows.row_delay * count)
         };
--- a/src/sync/read_order.rs
+++ b/src/sync/read_order.rs
@@ -65,7 +65,8 @@
     silent: u32,
 }
 
-fn place_of(host: &str) -> u64 {
+/// Where the entry host called `host` stands: the greatest goes first.
+pub(super) fn place_of(host: &str) -> u64 {
     name_hash(&format!("{host}/reads"))
 }
 
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -3,7 +3,10 @@
 mod incarnations;
 mod late_words;
 mod messages;
+mod read_orders;
+mod readers;
 mod restarts;
+mod store_gate;
 mod storms;
 mod unreadable;
 
--- /dev/null
+++ b/src/sync/tests/read_orders.rs
@@ -0,0 +1,227 @@
+//! Who reads and who asks, as one process works it out.
+
+use std::time::Duration;
+
+use super::START;
+use crate::sync::EntryRecord;
+use crate::sync::operator_reading::OperatorReading;
+use crate::sync::peer_messages::OperatorWord;
+use crate::sync::read_order::{ReadOrder, ReadTurn, ReaderAnswer, place_of};
+use crate::test_support::run_cases;
+use crate::time::ClockTime;
+
+const CASES: u32 = 500;
+const CASE_BYTES: u32 = 256;
+
+fn entry(number: usize, data_centre: &str) -> EntryRecord {
+    let address = ([127, 0, 0, 1], 9000 + u16::try_from(number).unwrap_or(0)).into();
+    EntryRecord {
+        host: format!("e{number}").into(),
+        data_centre: data_centre.to_owned().into(),
+        control: address,
+        reports: address,
+    }
+}
+
+/// `count` entry hosts of one data centre, the first in the order first.
+fn ordered(count: usize) -> Vec<EntryRecord> {
+    let mut entries: Vec<EntryRecord> = (0..count).map(|number| entry(number, "a")).collect();
+    entries.sort_unstable_by_key(|entry| std::cmp::Reverse(place_of(&entry.host)));
+    entries
+}
+
+/// Whom `order` asks in its next turns, sorted; none where it reads.
+fn asked(
+    order: &mut ReadOrder,
+    entries: &[EntryRecord],
+    now: ClockTime,
+) -> Option<Vec<EntryRecord>> {
+    let mut found = Vec::new();
+    for _ in 0..2 {
+        match order.next(entries, now) {
+            ReadTurn::Read => return None,
+            ReadTurn::Ask(entry) => found.push(entry),
+        }
+    }
+    found.sort_unstable_by_key(|entry| std::cmp::Reverse(place_of(&entry.host)));
+    Some(found)
+}
+
+/// Documents reached far entry hosts 2.5 s late: all 17 of a data centre read each of them over one link.
+#[test]
+fn two_of_a_data_centre_read_and_the_others_ask_them_by_turns() {
+    let mut entries = ordered(17);
+    let readers = entries[..2].to_vec();
+    let elsewhere: Vec<EntryRecord> = (100..120).map(|number| entry(number, "b")).collect();
+    let of_place = entries.clone();
+    entries.extend(elsewhere);
+    entries.sort_unstable();
+    for (place, me) in of_place.iter().enumerate() {
+        let mut order = ReadOrder::of(me);
+        let asked = asked(&mut order, &entries, START);
+        if place < 2 {
+            assert_eq!(asked, None, "{place} reads");
+        } else {
+            assert_eq!(asked.as_ref(), Some(&readers), "{place} asks both");
+        }
+    }
+}
+
+#[test]
+fn a_process_that_knows_no_entry_hosts_reads() {
+    let me = entry(1, "a");
+    assert_eq!(ReadOrder::of(&me).next(&[], START), ReadTurn::Read);
+    let alone = [me.clone(), entry(2, "b"), entry(3, "b"), entry(4, "b")];
+    assert_eq!(ReadOrder::of(&me).next(&alone, START), ReadTurn::Read);
+}
+
+/// A reader was killed, and those that asked it had no documents until it was back.
+#[test]
+fn a_reader_that_does_not_answer_is_replaced_by_the_next_and_asked_again_later() {
+    let entries = ordered(5);
+    let mut order = ReadOrder::of(&entries[4]);
+    order.note(&entries[0].host, ReaderAnswer::Silent, START);
+    assert_eq!(
+        asked(&mut order, &entries, START),
+        Some(entries[1..3].to_vec())
+    );
+    // The next in the order sees the same, and reads.
+    let mut next = ReadOrder::of(&entries[2]);
+    next.note(&entries[0].host, ReaderAnswer::Silent, START);
+    assert_eq!(next.next(&entries, START), ReadTurn::Read);
+    let later = START + Duration::from_secs(2);
+    assert_eq!(
+        asked(&mut order, &entries, later),
+        Some(entries[..2].to_vec())
+    );
+    order.note(&entries[1].host, ReaderAnswer::Current, later);
+    // It is still away: asking it again costs a turn, and is done less often.
+    order.note(&entries[0].host, ReaderAnswer::Silent, later);
+    let soon = later + Duration::from_secs(3);
+    assert_eq!(
+        asked(&mut order, &entries, soon),
+        Some(entries[1..3].to_vec())
+    );
+    order.note(&entries[0].host, ReaderAnswer::Current, soon);
+    assert_eq!(
+        asked(&mut order, &entries, soon),
+        Some(entries[..2].to_vec())
+    );
+}
+
+/// Half of a data centre was frozen, and each of those that did not answer took its time.
+#[test]
+fn behind_two_silent_neighbours_a_process_reads_itself_once() {
+    let entries = ordered(9);
+    let mut order = ReadOrder::of(&entries[8]);
+    order.note(&entries[0].host, ReaderAnswer::Silent, START);
+    order.note(&entries[1].host, ReaderAnswer::Silent, START);
+    assert_eq!(order.next(&entries, START), ReadTurn::Read);
+    assert_eq!(
+        asked(&mut order, &entries, START),
+        Some(entries[2..4].to_vec())
+    );
+}
+
+/// The store turned the reader away and served all others; they went on asking it.
+#[test]
+fn a_reader_that_is_cut_off_from_the_store_is_replaced() {
+    let entries = ordered(5);
+    let mut reading = OperatorReading::default();
+    reading.note_read(7, START);
+    reading.note_failure();
+    let word = reading.word(START);
+    let answer = OperatorWord::answer(word.as_ref());
+    assert_eq!(answer, ReaderAnswer::Behind);
+    let mut order = ReadOrder::of(&entries[4]);
+    order.note(&entries[1].host, answer, START);
+    let replaced = vec![entries[0].clone(), entries[2].clone()];
+    assert_eq!(asked(&mut order, &entries, START), Some(replaced));
+}
+
+/// A reader's connection to the store went silent, or its answers came late: it answered at once and
+/// with old knowledge.
+#[test]
+fn a_reader_is_as_good_as_what_it_knows_is_new() {
+    let mut reading = OperatorReading::default();
+    assert_eq!(
+        OperatorWord::answer(reading.word(START).as_ref()),
+        ReaderAnswer::Behind,
+        "it knows nothing"
+    );
+    reading.note_read(7, START);
+    let after = |millis: u64| {
+        let now = START + Duration::from_millis(millis);
+        OperatorWord::answer(reading.word(now).as_ref())
+    };
+    // A watch is held open that long, and the store may be slow.
+    assert_eq!(after(1900), ReaderAnswer::Current);
+    assert_eq!(after(2600), ReaderAnswer::Behind);
+}
+
+/// Where the link between two regions is too narrow, all of a data centre would read over it.
+#[test]
+fn no_more_than_four_that_answer_are_left_out() {
+    let entries = ordered(17);
+    let mut order = ReadOrder::of(&entries[16]);
+    for reader in &entries[..8] {
+        order.note(&reader.host, ReaderAnswer::Behind, START);
+    }
+    assert_eq!(
+        asked(&mut order, &entries, START),
+        Some(entries[4..6].to_vec())
+    );
+}
+
+/// A process that is told by a neighbour knows no more than that one, as old as it is there.
+#[test]
+fn what_is_told_is_as_old_as_where_it_comes_from() {
+    let mut reader = OperatorReading::default();
+    reader.note_read(7, START);
+    let told_at = START + Duration::from_millis(1300);
+    let mut follower = OperatorReading::default();
+    follower.take_word(reader.word(told_at).expect("it has read"), told_at);
+    assert_eq!(follower.read_at(), Some(START));
+    assert_eq!(follower.revision(), Some(7));
+    assert!(!follower.is_overdue(told_at));
+    assert!(follower.is_overdue(START + Duration::from_millis(2500)));
+    // An older word changes nothing.
+    let mut older = OperatorReading::default();
+    older.note_read(3, START - Duration::from_secs(3));
+    follower.take_word(older.word(told_at).expect("it has read"), told_at);
+    assert_eq!(follower.read_at(), Some(START));
+    assert_eq!(follower.revision(), Some(7));
+}
+
+/// Whatever each has seen fail, nobody waits for somebody that waits for it: following whom each asks leads
+/// to one that reads.
+#[test]
+fn whoever_is_asked_stands_before_whoever_asks() {
+    run_cases(CASES, CASE_BYTES, |u| {
+        let entries = ordered(usize::from(u.int_in_range(1..=12_u8)?));
+        for me in &entries {
+            let mut known = entries.clone();
+            for _ in 0..u.int_in_range(0..=3_u8)? {
+                let at = u.choose_index(known.len())?;
+                if known[at] != *me {
+                    known.remove(at);
+                }
+            }
+            let mut order = ReadOrder::of(me);
+            for _ in 0..u.int_in_range(0..=12_u8)? {
+                let host = u.choose(&entries)?.host.clone();
+                let answers = [
+                    ReaderAnswer::Current,
+                    ReaderAnswer::Behind,
+                    ReaderAnswer::Silent,
+                ];
+                order.note(&host, *u.choose(&answers)?, START);
+            }
+            if let ReadTurn::Ask(entry) = order.next(&known, START) {
+                assert!(place_of(&entry.host) > place_of(&me.host));
+                assert!(known.contains(&entry));
+            }
+        }
+        Ok(())
+    });
+}
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -50,6 +50,10 @@
             store_address: store.address,
             seeds,
         };
+        Self::start_with(settings)
+    }
+
+    pub(super) fn start_with(settings: SyncSettings) -> Self {
         let runtime = Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -61,6 +65,11 @@
         Self { runtime, book }
     }
 
+    /// It does nothing for `span`, and then goes on.
+    pub(super) fn freeze(&self, span: Duration) {
+        self.runtime.spawn(async move { std::thread::sleep(span) });
+    }
+
     /// Nothing of it is left, and nothing is said on the way.
     pub(super) fn lose_power(self) {
         self.runtime.shutdown_background();
