--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -136,7 +136,7 @@
 
     fn take_reader_view(&self, view: PeerView) -> ReaderAnswer {
         let now = clock_now();
-        let word = view.operator.clone();
+        let word = view.operator;
         let is_news = view.document.is_some()
             || !view.entries.is_empty()
             || self.book.read(|book| book.learns_from(&view.wanted));
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -55,6 +55,7 @@
 
 /// How well the answering process knows the operator's table.
 #[apply(message!)]
+#[derive(Copy)]
 pub(crate) struct OperatorWord {
     /// For how many milliseconds it has not been known whether the table changed.
     pub(crate) age_ms: u64,
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -142,13 +142,11 @@
         let answer = self.send(peer, request, pace.head).await?;
         let status = answer.status();
         let reading = read_body_arriving(answer.into_body(), self.limits.answer_bytes, pace.idle);
-        match timeout(pace.whole, reading).await {
-            Ok(body) => Ok((status, body?)),
-            Err(_) => {
-                let detail = format!("{peer} did not end its answer within {:?}", pace.whole);
-                Err(SwitchError::new(ErrorKind::PeerSilent, detail))
-            }
+        if let Ok(body) = timeout(pace.whole, reading).await {
+            return Ok((status, body?));
         }
+        let detail = format!("{peer} did not end its answer within {:?}", pace.whole);
+        Err(SwitchError::new(ErrorKind::PeerSilent, detail))
     }
 
     /// Sends `message` to one of our own processes and reads its whole answer, for as long as it arrives at
