--- a/src/sync/backend_list.rs
+++ b/src/sync/backend_list.rs
@@ -14,6 +14,7 @@
 use super::events;
 use crate::events::log_event;
 use crate::fleet::BackendFacts;
+use crate::routing::name_hash;
 use crate::time::{ClockTime, WallTime};
 
 /// How long at most a backend server whose entry went is kept. A leaving one must get nothing two
@@ -25,6 +26,15 @@
 /// Backend servers that are gone and remembered at a time; all of a large deployment may go together.
 const GONE_MAX: usize = 1024;
 
+/// How long it is told that a backend server is gone. Whoever asks does so twice in a second; what else
+/// is missed shows in the digest.
+const TELL_GONE_SPAN: Duration = Duration::from_secs(5);
+
+fn digest_of(facts: &BackendFacts) -> u64 {
+    let (id, born, address) = (&facts.id, facts.born, facts.address);
+    name_hash(&format!("{id} {born:?} {address} {:?}", facts.phase))
+}
+
 /// Where a word stands among all of its backend server's.
 #[derive(Clone, Copy, Debug)]
 struct WordPlace {
@@ -53,6 +63,10 @@
 #[derive(Clone, Debug)]
 struct BackendEntry {
     facts: Arc<BackendFacts>,
+    /// The store's revision as of which they came; not before that of their last change.
+    revision: u64,
+    /// What the digest of the list holds of them.
+    digest: u64,
     /// When it is given up, if its entry does not come back before.
     gone_at: Option<ClockTime>,
 }
@@ -89,7 +103,7 @@
     ///
     /// Without that, a leaving backend server got requests again, and one that was gone came back for
     /// three heartbeats: an earlier entry of its own was done late.
-    pub(super) fn put(&mut self, facts: BackendFacts) {
+    pub(super) fn put(&mut self, facts: BackendFacts, revision: u64) {
         let place = WordPlace::of(&facts);
         let found = self.find(&facts.id);
         let (known, is_gone) = match found {
@@ -108,7 +122,9 @@
             return;
         }
         let entry = BackendEntry {
+            digest: digest_of(&facts),
             facts: Arc::new(facts),
+            revision,
             gone_at: None,
         };
         match found {
@@ -144,6 +160,31 @@
         ids.filter(|id| !is_listed(id)).collect()
     }
 
+    /// Those whose facts came behind revision `since`.
+    pub(super) fn changed_since(&self, since: u64) -> impl Iterator<Item = &BackendFacts> {
+        let changed = self
+            .entries
+            .iter()
+            .filter(move |entry| entry.revision > since);
+        changed.map(|entry| &*entry.facts)
+    }
+
+    /// The ids of those that are gone and were a short while ago at `now`.
+    pub(super) fn lately_gone(&self, now: ClockTime) -> impl Iterator<Item = &ByteString> {
+        let gone = self
+            .gone
+            .iter()
+            .filter(move |gone| now.since(gone.at) < TELL_GONE_SPAN);
+        let gone = gone.filter(|gone| self.find(&gone.id).is_err());
+        gone.map(|gone| &gone.id)
+    }
+
+    /// Of who is in the list, where, and whether it takes requests.
+    pub(super) fn digest(&self) -> u64 {
+        let digests = self.entries.iter().map(|entry| entry.digest);
+        digests.fold(0, std::ops::BitXor::bitxor)
+    }
+
     /// Whether backend servers whose entries went are to be given up at `now`.
     pub(super) fn has_expired(&self, now: ClockTime) -> bool {
         let mut waiting = self.entries.iter().filter_map(|entry| entry.gone_at);
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -1,6 +1,7 @@
 //! How an entry host knows the document, the wanted weights, the backend servers and the other entry
 //! hosts: from the platform's store, and from its neighbours while the store does not answer it.
 
+mod backend_follow;
 mod backend_list;
 pub(crate) mod events;
 mod naming_time;
--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -1,9 +1,11 @@
-//! Follows the operator's table: at the store, or at the entry hosts of the data centre that read it there.
+//! Follows the operator's table: at the store, or at the entry hosts of the data centre that read it there,
+//! and these tell the list of backend servers as well.
 
 use std::time::Duration;
 
 use tokio::time::sleep;
 
+use super::backend_follow::ListAsking;
 use super::events;
 use super::naming_time::NamingKnowledge;
 use super::operator_reading::OperatorReading;
@@ -47,6 +49,7 @@
             log_event!(events::ENTRIES_UNREAD, "{error}");
         }
         let mut order = ReadOrder::of(&self.me);
+        let mut asking = ListAsking::default();
         let mut following = OwnFollowing {
             since: None,
             knowledge: NamingKnowledge::Started,
@@ -61,7 +64,7 @@
                 ReadTurn::Ask(entry) => {
                     following.since = None;
                     following.is_whole_due = false;
-                    let answer = self.ask_reader(&entry).await;
+                    let answer = self.ask_reader(&entry, &mut asking).await;
                     order.note(&entry.host, answer, clock_now());
                     sleep(match answer {
                         ReaderAnswer::Current | ReaderAnswer::Silent => FOLLOW_PAUSE,
@@ -111,12 +114,12 @@
     }
 
     /// Asks an entry host that reads.
-    async fn ask_reader(&self, entry: &EntryRecord) -> ReaderAnswer {
+    async fn ask_reader(&self, entry: &EntryRecord, asking: &mut ListAsking) -> ReaderAnswer {
         let mut ask = self.book.read(|book| book.ask(clock_now()));
         ask.follows = true;
         ask.wait_ms = u64::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(0);
-        // Each entry host follows the backend servers by itself.
-        ask.backends_revision = u64::MAX;
+        let digest = self.book.read(ViewBook::backends_digest);
+        asking.complete(&mut ask, digest);
         let pace = AnswerPace {
             head: FOLLOW_WAIT + FOLLOW_PACE.head,
             ..FOLLOW_PACE
@@ -125,7 +128,7 @@
             .client
             .call_arriving::<_, PeerView>(entry.control, VIEW_PATH, &ask, pace);
         match called.await {
-            Ok(view) => self.take_reader_view(view),
+            Ok(view) => self.take_reader_view(view, asking),
             Err(error) => {
                 log_event!(events::NEIGHBOUR_SILENT, "{error}");
                 self.client.drop_pool(entry.control);
@@ -134,9 +137,13 @@
         }
     }
 
-    fn take_reader_view(&self, view: PeerView) -> ReaderAnswer {
+    fn take_reader_view(&self, mut view: PeerView, asking: &mut ListAsking) -> ReaderAnswer {
         let now = clock_now();
         let word = view.operator;
+        if let Some(changes) = view.backend_changes.take() {
+            self.book
+                .change(|book| asking.note(book.take_backend_changes(changes, now)));
+        }
         let is_news = view.document.is_some()
             || !view.entries.is_empty()
             || self.book.read(|book| book.learns_from(&view.wanted));
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -51,6 +51,26 @@
     /// Whether it follows the operator's table by the answers.
     #[serde(default)]
     pub(crate) follows: bool,
+    /// The digest of its list of backend servers, where another one is to be told at once.
+    #[serde(default)]
+    pub(crate) backends_digest: Option<u64>,
+}
+
+/// What changed in the list of backend servers.
+#[apply(message!)]
+pub(crate) struct BackendChanges {
+    /// The store's revision as of which the list is known.
+    pub(crate) revision: u64,
+    /// Whether `entries` are all of them.
+    pub(crate) is_whole: bool,
+    /// Those that changed behind the revision that whoever asks knows.
+    pub(crate) entries: Vec<BackendFacts>,
+    /// Those that went a short while ago.
+    pub(crate) gone: Vec<ByteString>,
+    /// The digest of the whole list.
+    pub(crate) digest: u64,
+    /// For how many milliseconds it has not been known whether the list changed.
+    pub(crate) age_ms: u64,
 }
 
 /// How well the answering process knows the operator's table.
@@ -92,4 +112,7 @@
     /// How well the operator's table is known; the rest of the answer is as of that revision.
     #[serde(default)]
     pub(crate) operator: Option<OperatorWord>,
+    /// What changed in the list of backend servers, for who follows it by the answers.
+    #[serde(default)]
+    pub(crate) backend_changes: Option<BackendChanges>,
 }
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -29,6 +29,11 @@
 /// it the watch would return for each of them. A leaving backend server may get nothing two seconds
 /// after the store's word.
 const BACKENDS_PAUSE: Duration = Duration::from_millis(500);
+/// How often it is looked whether neighbours still tell the list.
+const TOLD_PAUSE: Duration = Duration::from_millis(100);
+/// How long a start waits for a neighbour to tell it, and how often that is looked at.
+const START_WITHIN: Duration = Duration::from_millis(400);
+const START_PAUSE: Duration = Duration::from_millis(20);
 /// The pause between two reads of the entry hosts' table.
 const ENTRIES_PAUSE: Duration = Duration::from_secs(10);
 /// How long the store has for an answer beyond what it was asked to wait. It takes 4 ms usually, and
@@ -134,8 +139,15 @@
     /// Follows the backend servers' table.
     pub(crate) async fn follow_backends(self) {
         let mut pause = FailurePause::default();
+        self.await_told_backends().await;
         let mut is_whole = false;
         loop {
+            if self.book.read(|book| book.is_told_backends(clock_now())) {
+                // What is told is whole as of its revision.
+                is_whole = true;
+                sleep(TOLD_PAUSE).await;
+                continue;
+            }
             let followed = self.backends_step(&mut is_whole).await;
             self.note_outcome(&followed, &mut pause).await;
             if followed.is_ok() {
@@ -144,6 +156,15 @@
         }
     }
 
+    /// A start need not read the list if a neighbour tells it.
+    async fn await_told_backends(&self) {
+        let begun = clock_now();
+        let is_settled = |book: &ViewBook| book.operator().is_own() || book.backends_revision() > 0;
+        while !self.book.read(is_settled) && clock_now().since(begun) < START_WITHIN {
+            sleep(START_PAUSE).await;
+        }
+    }
+
     async fn backends_step(&self, is_whole: &mut bool) -> SwitchResult<()> {
         let since = self.book.read(ViewBook::backends_revision);
         if *is_whole {
@@ -165,6 +186,7 @@
         self.book.change(|book| {
             let now = clock_now();
             book.set_backends(&view, now);
+            book.note_backends(now);
             book.expire(now);
         });
         Ok(())
@@ -174,6 +196,7 @@
         self.book.change(|book| {
             let now = clock_now();
             book.change_backends(view, now);
+            book.note_backends(now);
             book.expire(now);
         });
     }
--- a/src/sync/tests/messages.rs
+++ b/src/sync/tests/messages.rs
@@ -133,6 +133,7 @@
         entries: usize::MAX,
         wait_ms: u64::MAX,
         follows: true,
+        backends_digest: Some(u64::MAX),
     };
     let answer = book.read(|book| book.answer(&ask, later));
     assert!(answer.document.is_none() && answer.backends.is_none());
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -8,6 +8,7 @@
 mod restarts;
 mod store_gate;
 mod storms;
+mod told_lists;
 mod unreadable;
 
 use std::time::Duration;
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -10,10 +10,10 @@
 use super::restarts::EntryProcess;
 use super::store_gate::{GateHarm, StoreGate};
 use crate::catalog::CatalogVersion;
-use crate::platform::samples::document_sample;
+use crate::platform::samples::{backend_sample, document_sample};
 use crate::platform::{FakeStore, TableName};
 use crate::sync::read_order::place_of;
-use crate::sync::{EntryRecord, SyncSettings};
+use crate::sync::{ControlSnapshot, EntryRecord, SyncSettings};
 
 const ENTRIES: usize = 6;
 /// Within this a document is in force everywhere, whatever became of the readers.
@@ -83,19 +83,26 @@
 
     /// All that live, whatever became of their ways, have the newest document within `bound`.
     async fn all_have_it(&self, bound: Duration) {
-        let until = Instant::now() + bound;
         let version = CatalogVersion(self.version);
+        let has_it = |snapshot: &ControlSnapshot| {
+            let catalog = snapshot.catalog.as_ref();
+            catalog.is_some_and(|catalog| catalog.version >= version)
+        };
+        self.all_believe(has_it, bound).await;
+    }
+
+    /// All that live, whatever became of their ways, know `count` backend servers within `bound`.
+    async fn all_know(&self, count: usize, bound: Duration) {
+        let know = |snapshot: &ControlSnapshot| snapshot.fleet.backends.len() == count;
+        self.all_believe(know, bound).await;
+    }
+
+    async fn all_believe(&self, is_there: impl Fn(&ControlSnapshot) -> bool, bound: Duration) {
+        let until = Instant::now() + bound;
         for (place, process) in self.processes.iter().enumerate() {
             let Some(process) = process else { continue };
-            let believes = process.believes(|snapshot| {
-                let catalog = snapshot.catalog.as_ref();
-                catalog.is_some_and(|catalog| catalog.version >= version)
-            });
-            let waited = timeout_at(until, believes).await;
-            assert!(
-                waited.is_ok(),
-                "{place} has no document {version:?} within {bound:?}"
-            );
+            let waited = timeout_at(until, process.believes(&is_there)).await;
+            assert!(waited.is_ok(), "{place} does not know it within {bound:?}");
         }
     }
 
@@ -187,6 +194,43 @@
     hall.end();
 }
 
+/// Each entry host read the list of backend servers itself, which took a sixth of the link between two regions
+/// and more calls to the store than all else.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_list_of_backend_servers_is_read_by_two_and_reaches_all() {
+    let hall = TestHall::start().await;
+    let before = hall.store.rows_told(TableName::Backends);
+    for count in 1..=4 {
+        let id = format!("b{count}");
+        hall.store.put(TableName::Backends, &id, &backend_sample());
+        hall.all_know(count, BOUND).await;
+    }
+    let told = hall.store.rows_told(TableName::Backends) - before;
+    assert!(told <= 8, "four entries were told {told} times");
+    hall.end();
+}
+
+/// A backend server that leaves may get nothing three seconds later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_list_of_backend_servers_reaches_all_whose_readers_fail() {
+    for harm in [GateHarm::Refused, GateHarm::Silent] {
+        let hall = TestHall::start().await;
+        hall.harm(0..2, harm);
+        hall.store.put(TableName::Backends, "b", &backend_sample());
+        hall.all_know(1, BOUND).await;
+        hall.end();
+    }
+    let mut hall = TestHall::start().await;
+    for place in 0..2 {
+        if let Some(process) = hall.processes[place].take() {
+            process.lose_power();
+        }
+    }
+    hall.store.put(TableName::Backends, "b", &backend_sample());
+    hall.all_know(1, BOUND).await;
+    hall.end();
+}
+
 /// Behind an outage everybody had taken itself for a reader, and all read the newest document at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_document_of_an_outage_reaches_all_behind_it() {
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -48,7 +48,9 @@
     has_own_rows: bool,
     /// The store's revision as of which they were.
     own_revision: u64,
-    backends: BackendList,
+    pub(super) backends: BackendList,
+    /// When the list was last read or found unchanged, by whichever way.
+    pub(super) backends_read: Option<ClockTime>,
     /// The store's revision of the list of backend servers; none before it was read.
     backends_revision: u64,
     /// Sorted.
@@ -241,11 +243,15 @@
             let read = read_backend_row(&row.key, value);
             self.unreadable.note(table, &row.key, RowReading::of(&read));
             match read {
-                Ok(facts) => self.backends.put(facts),
+                Ok(facts) => self.backends.put(facts, row.revision),
                 Err(_) => self.backends.drop_entry(&row.key),
             }
         }
-        self.backends_revision = self.backends_revision.max(view.revision);
+        self.set_backends_revision(view.revision);
+    }
+
+    pub(super) fn set_backends_revision(&mut self, revision: u64) {
+        self.backends_revision = self.backends_revision.max(revision);
     }
 
     /// The entries of backend servers that a whole list does not have went.
@@ -335,6 +341,7 @@
             entries: self.entries.len(),
             wait_ms: 0,
             follows: false,
+            backends_digest: None,
         }
     }
 
@@ -342,7 +349,7 @@
     pub(crate) fn has_urgent_news(&self, ask: &PeerAsk) -> bool {
         let mut wanted = self.versions.all().iter();
         self.newer_document(ask).is_some()
-            || (ask.follows && self.operator.is_cut_off())
+            || (ask.follows && (self.operator.is_cut_off() || self.has_backend_news(ask)))
             || wanted.any(|wanted| ask.wanted.iter().all(|word| word.target != wanted.target))
     }
 
@@ -365,7 +372,8 @@
     /// What a neighbour that asks does not know yet.
     pub(crate) fn answer(&self, ask: &PeerAsk, now: ClockTime) -> PeerView {
         let document = self.newer_document(ask);
-        let has_newer_backends = self.backends_revision > ask.backends_revision;
+        let has_newer_backends = !ask.follows && self.backends_revision > ask.backends_revision;
+        let changes = ask.follows.then(|| self.backend_changes(ask, now));
         PeerView {
             document: document.map(|held| held.text.to_vec()),
             wanted: self.versions.words(now),
@@ -379,6 +387,7 @@
                 Vec::new()
             },
             operator: self.operator.word(now),
+            backend_changes: changes.flatten(),
         }
     }
 
@@ -401,7 +410,7 @@
         log_event!(events::NEIGHBOUR_KNEW, "backends revision={revision}");
         self.remove_unlisted(|id| backends.iter().any(|facts| *facts.id == *id), now);
         for facts in backends {
-            self.backends.put(facts);
+            self.backends.put(facts, revision);
         }
         self.backends_revision = revision;
     }
