--- a/src/sync/backend_follow.rs
+++ b/src/sync/backend_follow.rs
@@ -8,7 +8,7 @@
 
 use super::peer_messages::{BackendChanges, PeerAsk};
 use super::view_book::ViewBook;
-use crate::time::ClockTime;
+use crate::time::{ClockTime, StoreTime};
 
 /// How old the list becomes while a reader tells it: a watch of the store that is held open for a second, the
 /// pause behind it, and a question that is held open for 0.6 s.
@@ -57,29 +57,28 @@
 }
 
 impl ViewBook {
-    /// The list was read, or what changed in it.
-    pub(super) fn note_backends(&mut self, now: ClockTime) {
-        self.backends_read = Some(now);
+    /// The store told of the list at `told_at`.
+    pub(super) fn note_backends(&mut self, told_at: StoreTime) {
+        self.backends_told = self.backends_told.max(Some(told_at));
     }
 
     /// Whether a reader tells this process the list, so that it need not read it at `now`.
     pub(super) fn is_told_backends(&self, now: ClockTime) -> bool {
-        let is_new = |at: ClockTime| now.since(at) < TOLD_AGE_MAX;
-        !self.operator().is_own() && self.backends_read.is_some_and(is_new)
+        let is_new = |told_at: StoreTime| now.since(self.earliest(told_at)) < TOLD_AGE_MAX;
+        !self.operator().is_own() && self.backends_told.is_some_and(is_new)
     }
 
     /// What changed behind what a process knows that follows the list by the answers.
     pub(super) fn backend_changes(&self, ask: &PeerAsk, now: ClockTime) -> Option<BackendChanges> {
-        let read_at = self.backends_read?;
+        let told_at = self.backends_told?;
         let since = ask.backends_revision;
-        let age = now.since(read_at).as_millis();
         Some(BackendChanges {
             revision: self.backends_revision(),
             is_whole: since == 0,
             entries: self.backends.changed_since(since).cloned().collect(),
             gone: self.backends.lately_gone(now).cloned().collect(),
             digest: self.backends.digest(),
-            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            told_at,
         })
     }
 
@@ -121,8 +120,7 @@
             self.backends.put(facts, changes.revision);
         }
         self.set_backends_revision(changes.revision);
-        let read_at = now - Duration::from_millis(changes.age_ms);
-        self.backends_read = self.backends_read.max(Some(read_at));
+        self.note_backends(changes.told_at);
         if self.backends.digest() == changes.digest {
             ListMatch::Same
         } else {
--- a/src/sync/neighbour_asks.rs
+++ b/src/sync/neighbour_asks.rs
@@ -8,7 +8,9 @@
 
 use super::events;
 use super::peer_messages::{EntryRecord, PeerView, VIEW_PATH};
+use super::store_clock::AskSpan;
 use super::store_watch::StoreWatch;
+use super::view_book::ViewBook;
 use crate::events::log_event;
 use crate::time::{ClockTime, clock_now};
 use crate::transport::AnswerPace;
@@ -106,7 +108,7 @@
                 let operator = book.operator();
                 operator.is_cut_off()
                     || (operator.is_own() && operator.is_overdue(now))
-                    || operator.read_at().is_none()
+                    || operator.word().is_none()
             }),
         }
     }
@@ -120,14 +122,18 @@
     }
 
     async fn ask(&self, address: SocketAddr, place: NeighbourPlace) {
-        let now = clock_now();
-        let mut ask = self.book.read(|book| book.ask(now));
-        ask.can_wait_for_document = !self.wants_document(place, now);
+        let mut ask = self.book.read(ViewBook::ask);
+        let asked = clock_now();
+        ask.can_wait_for_document = !self.wants_document(place, asked);
         let called =
             self.client
                 .call_arriving::<_, PeerView>(address, VIEW_PATH, &ask, NEIGHBOUR_PACE);
         match called.await {
-            Ok(view) => self.book.change(|book| book.merge(view, clock_now())),
+            Ok(view) => {
+                let heard = clock_now();
+                let span = AskSpan { asked, heard };
+                self.book.change(|book| book.merge(view, span));
+            }
             Err(error) => {
                 log_event!(events::NEIGHBOUR_SILENT, "{error}");
                 self.client.drop_pool(address);
--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -8,9 +8,10 @@
 use super::backend_follow::ListAsking;
 use super::events;
 use super::naming_time::NamingKnowledge;
-use super::operator_reading::OperatorReading;
-use super::peer_messages::{EntryRecord, OperatorWord, PeerView, VIEW_PATH};
+use super::operator_reading::judge_reader;
+use super::peer_messages::{EntryRecord, PeerView, VIEW_PATH};
 use super::read_order::{ReadOrder, ReadTurn, ReaderAnswer};
+use super::store_clock::AskSpan;
 use super::store_watch::{FailurePause, StoreWatch};
 use super::view_book::ViewBook;
 use crate::events::log_event;
@@ -86,36 +87,37 @@
                 tokio::spawn(self.clone().read_past_namings_later());
             }
         }
-        if following.since.is_none() && !following.is_whole_due {
-            following.since = self.book.read(|book| book.operator().revision());
-            if following.since.is_some() {
-                // Neighbours were asked until now.
-                following.knowledge = NamingKnowledge::Interrupted;
-            }
+        if following.since.is_none()
+            && !following.is_whole_due
+            && let Some(word) = self.book.read(|book| book.operator().word())
+        {
+            // Neighbours told all until then.
+            following.since = Some(word.revision);
+            following.knowledge = NamingKnowledge::Followed(word.told_at);
         }
         let knowledge = following.knowledge;
         let followed = self.operator_step(&mut following.since, knowledge).await;
         following.knowledge = match (&followed, knowledge) {
-            (Ok(()), _) => NamingKnowledge::Followed,
+            (Ok(told_at), _) => NamingKnowledge::Followed(*told_at),
             (Err(_), NamingKnowledge::Started) => NamingKnowledge::Started,
             (Err(_), _) => NamingKnowledge::Interrupted,
         };
         following.is_whole_due = followed.is_err() && following.since.is_none();
         match (&followed, following.since) {
-            (Ok(()), Some(revision)) => {
-                let now = clock_now();
-                self.book
-                    .note(|book| book.operator_mut().note_read(revision, now));
-            }
+            (Ok(told_at), Some(revision)) => self.book.note(|book| {
+                let known_at = book.earliest(*told_at);
+                book.operator_mut().note_read(revision, *told_at, known_at);
+            }),
             // Whoever asks has to know at once.
             _ => self.book.change(|book| book.operator_mut().note_failure()),
         }
-        self.note_outcome(&followed, &mut following.pause).await;
+        self.note_outcome(&followed.map(drop), &mut following.pause)
+            .await;
     }
 
     /// Asks an entry host that reads.
     async fn ask_reader(&self, entry: &EntryRecord, asking: &mut ListAsking) -> ReaderAnswer {
-        let mut ask = self.book.read(|book| book.ask(clock_now()));
+        let mut ask = self.book.read(ViewBook::ask);
         ask.follows = true;
         ask.wait_ms = u64::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(0);
         let digest = self.book.read(ViewBook::backends_digest);
@@ -124,11 +126,15 @@
             head: FOLLOW_WAIT + FOLLOW_PACE.head,
             ..FOLLOW_PACE
         };
+        let asked = clock_now();
         let called = self
             .client
             .call_arriving::<_, PeerView>(entry.control, VIEW_PATH, &ask, pace);
         match called.await {
-            Ok(view) => self.take_reader_view(view, asking),
+            Ok(view) => {
+                let heard = clock_now();
+                self.take_reader_view(view, AskSpan { asked, heard }, asking)
+            }
             Err(error) => {
                 log_event!(events::NEIGHBOUR_SILENT, "{error}");
                 self.client.drop_pool(entry.control);
@@ -137,24 +143,25 @@
         }
     }
 
-    fn take_reader_view(&self, mut view: PeerView, asking: &mut ListAsking) -> ReaderAnswer {
-        let now = clock_now();
-        let word = view.operator;
-        if let Some(changes) = view.backend_changes.take() {
-            self.book
-                .change(|book| asking.note(book.take_backend_changes(changes, now)));
-        }
-        let is_news = view.document.is_some()
-            || !view.entries.is_empty()
-            || self.book.read(|book| book.learns_from(&view.wanted));
-        if is_news {
-            self.book.change(|book| book.merge(view, now));
-        }
-        let answer = OperatorWord::answer(word.as_ref());
-        if let Some(word) = word {
-            self.book
-                .note(|book| OperatorReading::take_word(book.operator_mut(), word, now));
-        }
+    fn take_reader_view(
+        &self,
+        mut view: PeerView,
+        span: AskSpan,
+        asking: &mut ListAsking,
+    ) -> ReaderAnswer {
+        let (word, changes) = (view.operator, view.backend_changes.take());
+        let mut answer = ReaderAnswer::Behind;
+        self.book.change(|book| {
+            book.merge(view, span);
+            if let Some(changes) = changes {
+                asking.note(book.take_backend_changes(changes, span.heard));
+            }
+            if let Some(word) = word {
+                let known_at = book.earliest(word.told_at);
+                book.operator_mut().take_word(word, known_at);
+                answer = judge_reader(&word, known_at, span.heard);
+            }
+        });
         answer
     }
 }
--- a/src/sync/operator_reading.rs
+++ b/src/sync/operator_reading.rs
@@ -7,7 +7,7 @@
 use super::peer_messages::OperatorWord;
 use super::read_order::ReaderAnswer;
 use crate::derives::plain;
-use crate::time::ClockTime;
+use crate::time::{ClockTime, StoreTime};
 
 /// How old the knowledge of a process becomes that follows the table by itself: a watch that is held open
 /// for 1.4 s, and half a second.
@@ -15,27 +15,34 @@
 /// How old that of a process becomes that asks such a one: a question that is held open for 0.6 s more.
 const TOLD_AGE_MAX: Duration = Duration::from_millis(2500);
 
+/// What was last told of the table.
+#[apply(plain!)]
+#[derive(Copy)]
+struct TableWord {
+    told_at: StoreTime,
+    /// The earliest that this can have been on this process's clock.
+    known_at: ClockTime,
+    /// The store's revision as of which the table is known.
+    revision: u64,
+}
+
 /// The reading.
 #[apply(plain!)]
 #[derive(Copy, Default)]
 pub(crate) struct OperatorReading {
-    /// When the table was last read or found unchanged.
-    read_at: Option<ClockTime>,
-    /// The store's revision as of which it was.
-    revision: u64,
-    /// Whether this process found that out by itself, or tried to.
+    /// None before anything was told.
+    word: Option<TableWord>,
+    /// Whether this process reads the table by itself, or tried to.
     is_own: bool,
     /// Whether its last try failed.
     is_cut_off: bool,
 }
 
 impl OperatorReading {
-    /// This process read the table, or found it unchanged, as of `revision`.
-    pub(super) fn note_read(&mut self, revision: u64, now: ClockTime) {
-        self.read_at = Some(now);
-        self.revision = self.revision.max(revision);
+    /// The store told this process of the table at `told_at`, as of `revision`.
+    pub(super) fn note_read(&mut self, revision: u64, told_at: StoreTime, known_at: ClockTime) {
+        self.take(revision, told_at, known_at);
         self.is_own = true;
-        self.is_cut_off = false;
     }
 
     /// The store did not answer this process.
@@ -45,34 +52,34 @@
     }
 
     /// A neighbour told all that it knows, and this of it.
-    pub(super) fn take_word(&mut self, word: OperatorWord, now: ClockTime) {
-        let at = now - Duration::from_millis(word.age_ms);
-        self.read_at = self.read_at.max(Some(at));
-        self.revision = self.revision.max(word.revision);
+    pub(super) fn take_word(&mut self, word: OperatorWord, known_at: ClockTime) {
+        self.take(word.revision, word.told_at, known_at);
         self.is_own = false;
+    }
+
+    fn take(&mut self, revision: u64, told_at: StoreTime, known_at: ClockTime) {
         self.is_cut_off = false;
+        let known = self.word.unwrap_or(TableWord {
+            told_at,
+            known_at,
+            revision,
+        });
+        self.word = Some(TableWord {
+            told_at: known.told_at.max(told_at),
+            known_at: known.known_at.max(known_at),
+            revision: known.revision.max(revision),
+        });
     }
 
-    /// What this process tells of it at `now`; none before it knew the table.
-    pub(super) fn word(&self, now: ClockTime) -> Option<OperatorWord> {
-        let age = now.since(self.read_at?).as_millis();
-        Some(OperatorWord {
-            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
-            revision: self.revision,
+    /// What this process tells of it; none before it knew the table.
+    pub(super) fn word(&self) -> Option<OperatorWord> {
+        self.word.map(|word| OperatorWord {
+            told_at: word.told_at,
+            revision: word.revision,
             is_cut_off: self.is_cut_off,
         })
     }
 
-    /// As of which revision the table is known; none before it was.
-    pub(super) fn revision(&self) -> Option<u64> {
-        self.read_at.map(|_| self.revision)
-    }
-
-    /// When it was last known to be current.
-    pub(super) const fn read_at(&self) -> Option<ClockTime> {
-        self.read_at
-    }
-
     /// Whether the store does not answer this process for the table.
     pub(super) const fn is_cut_off(&self) -> bool {
         self.is_cut_off
@@ -90,17 +97,20 @@
         } else {
             TOLD_AGE_MAX
         };
-        self.read_at.is_none_or(|at| now.since(at) >= age_max)
+        self.word
+            .is_none_or(|word| now.since(word.known_at) >= age_max)
     }
 }
 
-impl OperatorWord {
-    /// What it says of the neighbour that told it.
-    pub(super) fn answer(word: Option<&Self>) -> ReaderAnswer {
-        let age_max = u64::try_from(TOLD_AGE_MAX.as_millis()).unwrap_or(u64::MAX);
-        match word {
-            Some(word) if !word.is_cut_off && word.age_ms < age_max => ReaderAnswer::Current,
-            _ => ReaderAnswer::Behind,
-        }
+/// What the word of a neighbour says of it at `now`, if it was true at `known_at` at the earliest.
+pub(super) fn judge_reader(
+    word: &OperatorWord,
+    known_at: ClockTime,
+    now: ClockTime,
+) -> ReaderAnswer {
+    if word.is_cut_off || now.since(known_at) >= TOLD_AGE_MAX {
+        ReaderAnswer::Behind
+    } else {
+        ReaderAnswer::Current
     }
 }
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -8,9 +8,12 @@
 use bytestring::ByteString;
 use macro_rules_attribute::apply;
 
+use super::naming_time::NamingTime;
+use super::store_clock::ClockWord;
 use crate::catalog::CatalogVersion;
 use crate::derives::message;
-use crate::fleet::{BackendFacts, ModelVersion, NamingCertainty};
+use crate::fleet::{BackendFacts, ModelVersion};
+use crate::time::StoreTime;
 
 /// The path of the call.
 pub(crate) const VIEW_PATH: &str = "/peer/view";
@@ -69,31 +72,30 @@
     pub(crate) gone: Vec<ByteString>,
     /// The digest of the whole list.
     pub(crate) digest: u64,
-    /// For how many milliseconds it has not been known whether the list changed.
-    pub(crate) age_ms: u64,
+    /// When the store last told of the list.
+    pub(crate) told_at: StoreTime,
 }
 
 /// How well the answering process knows the operator's table.
 #[apply(message!)]
 #[derive(Copy)]
 pub(crate) struct OperatorWord {
-    /// For how many milliseconds it has not been known whether the table changed.
-    pub(crate) age_ms: u64,
+    /// When the store last told of it.
+    pub(crate) told_at: StoreTime,
     /// The store's revision as of which it is known.
     pub(crate) revision: u64,
     /// Whether the store does not answer that process.
     pub(crate) is_cut_off: bool,
 }
 
-/// A version of weights with how long ago it was named.
+/// A version of weights with when it was named.
 #[apply(message!)]
 pub(crate) struct WantedWord {
     /// What is wanted.
     pub(crate) target: ModelVersion,
-    /// For how many milliseconds it has been named.
-    pub(crate) age_ms: u64,
-    /// How well that is known.
-    pub(crate) certainty: NamingCertainty,
+    /// When it was named, on the store's clock: told from process to process, it stays the same however long
+    /// a word is on its way.
+    pub(crate) named: NamingTime,
 }
 
 /// What the answering process knows beyond that.
@@ -103,7 +105,13 @@
     /// The document, if it is newer.
     #[serde(with = "serde_bytes")]
     pub(crate) document: Option<Vec<u8>>,
-    /// The versions of weights; also those that are known, since their age may not be.
+    /// What the store's clock shows as this is said, if that is known.
+    #[serde(default)]
+    pub(crate) clock: Option<ClockWord>,
+    /// For how many milliseconds the question was held open before.
+    #[serde(default)]
+    pub(crate) held_ms: u64,
+    /// The versions of weights; also those that are known, since when they were named may not be.
     pub(crate) wanted: Vec<WantedWord>,
     /// The list of backend servers with its revision, if that is newer.
     pub(crate) backends: Option<(u64, Vec<BackendFacts>)>,
--- a/src/sync/tests/read_orders.rs
+++ b/src/sync/tests/read_orders.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use super::START;
+use super::{START, store_time};
 use crate::sync::EntryRecord;
-use crate::sync::operator_reading::OperatorReading;
-use crate::sync::peer_messages::OperatorWord;
+use crate::sync::operator_reading::{OperatorReading, judge_reader};
 use crate::sync::read_order::{ReadOrder, ReadTurn, ReaderAnswer, place_of};
 use crate::test_support::run_cases;
 use crate::time::ClockTime;
@@ -128,10 +127,10 @@
 fn a_reader_that_is_cut_off_from_the_store_is_replaced() {
     let entries = ordered(5);
     let mut reading = OperatorReading::default();
-    reading.note_read(7, START);
+    reading.note_read(7, store_time(START), START);
     reading.note_failure();
-    let word = reading.word(START);
-    let answer = OperatorWord::answer(word.as_ref());
+    let word = reading.word().expect("it has read");
+    let answer = judge_reader(&word, START, START);
     assert_eq!(answer, ReaderAnswer::Behind);
     let mut order = ReadOrder::of(&entries[4]);
     order.note(&entries[1].host, answer, START);
@@ -144,16 +143,10 @@
 #[test]
 fn a_reader_is_as_good_as_what_it_knows_is_new() {
     let mut reading = OperatorReading::default();
-    assert_eq!(
-        OperatorWord::answer(reading.word(START).as_ref()),
-        ReaderAnswer::Behind,
-        "it knows nothing"
-    );
-    reading.note_read(7, START);
-    let after = |millis: u64| {
-        let now = START + Duration::from_millis(millis);
-        OperatorWord::answer(reading.word(now).as_ref())
-    };
+    assert_eq!(reading.word(), None, "it knows nothing");
+    reading.note_read(7, store_time(START), START);
+    let word = reading.word().expect("it has read");
+    let after = |millis: u64| judge_reader(&word, START, START + Duration::from_millis(millis));
     // A watch is held open that long, and the store may be slow.
     assert_eq!(after(1900), ReaderAnswer::Current);
     assert_eq!(after(2600), ReaderAnswer::Behind);
@@ -173,24 +166,25 @@
     );
 }
 
-/// A process that is told by a neighbour knows no more than that one, as old as it is there.
+/// A process that is told by a neighbour knows no more than that one, and as of the same moment; as a reader it
+/// goes on from there.
 #[test]
 fn what_is_told_is_as_old_as_where_it_comes_from() {
     let mut reader = OperatorReading::default();
-    reader.note_read(7, START);
-    let told_at = START + Duration::from_millis(1300);
+    reader.note_read(7, store_time(START), START);
+    let told = reader.word().expect("it has read");
     let mut follower = OperatorReading::default();
-    follower.take_word(reader.word(told_at).expect("it has read"), told_at);
-    assert_eq!(follower.read_at(), Some(START));
-    assert_eq!(follower.revision(), Some(7));
-    assert!(!follower.is_overdue(told_at));
+    follower.take_word(told, START);
+    assert_eq!(follower.word(), Some(told));
+    assert!(!follower.is_overdue(START + Duration::from_millis(2400)));
     assert!(follower.is_overdue(START + Duration::from_millis(2500)));
     // An older word changes nothing.
+    let earlier = START - Duration::from_secs(3);
     let mut older = OperatorReading::default();
-    older.note_read(3, START - Duration::from_secs(3));
-    follower.take_word(older.word(told_at).expect("it has read"), told_at);
-    assert_eq!(follower.read_at(), Some(START));
-    assert_eq!(follower.revision(), Some(7));
+    older.note_read(3, store_time(earlier), earlier);
+    follower.take_word(older.word().expect("it has read"), earlier);
+    assert_eq!(follower.word(), Some(told));
+    assert!(!follower.is_overdue(START + Duration::from_millis(2400)));
 }
 
 /// Whatever each has seen fail, nobody waits for somebody that waits for it: following whom each asks leads
--- a/src/sync/tests/told_lists.rs
+++ b/src/sync/tests/told_lists.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use arbitrary::{Result, Unstructured};
+use arbtest::arbitrary::{Result, Unstructured};
 
-use super::{START, ids, view};
+use super::{START, ids, new_book, store_time, view};
 use crate::fleet::BackendPhase;
 use crate::platform::StoreRow;
 use crate::platform::samples::entry_sample;
-use crate::sync::SharedBook;
 use crate::sync::backend_follow::{ListAsking, ListMatch};
+use crate::sync::{SharedBook, ViewBook};
 use crate::test_support::run_cases;
 use crate::time::ClockTime;
 
@@ -30,10 +30,10 @@
     asking: &mut ListAsking,
     now: ClockTime,
 ) -> ListMatch {
-    let mut ask = follower.read(|book| book.ask(now));
+    let mut ask = follower.read(ViewBook::ask);
     ask.follows = true;
-    asking.complete(&mut ask, follower.read(|book| book.backends_digest()));
-    let answer = reader.read(|book| book.answer(&ask, now));
+    asking.complete(&mut ask, follower.read(ViewBook::backends_digest));
+    let answer = reader.read(|book| book.answer(&ask, Duration::ZERO, now));
     assert!(answer.backends.is_none());
     let changes = answer.backend_changes.expect("the reader has a list");
     let mut found = ListMatch::Older;
@@ -43,11 +43,11 @@
 }
 
 fn reader_with(rows: Vec<StoreRow>, revision: u64) -> SharedBook {
-    let reader = SharedBook::default();
+    let reader = new_book();
     reader.change(|book| {
         book.note_store(START);
         book.set_backends(&view(rows, revision), START);
-        book.note_backends(START);
+        book.note_backends(store_time(START));
     });
     reader
 }
@@ -56,7 +56,7 @@
 fn a_process_that_starts_is_told_the_whole_list_and_then_what_changed() {
     let rows = ["a", "b", "c"].map(|id| entry(id, 5, 1, BackendPhase::Serving));
     let reader = reader_with(rows.to_vec(), 9);
-    let follower = SharedBook::default();
+    let follower = new_book();
     let mut asking = ListAsking::default();
     assert_eq!(ask(&follower, &reader, &mut asking, START), ListMatch::Same);
     assert_eq!(ids(&follower), ["a", "b", "c"]);
@@ -64,9 +64,9 @@
     let later = START + Duration::from_secs(4);
     let changed = vec![entry("b", 10, 2, BackendPhase::Leaving)];
     reader.change(|book| book.change_backends(&view(changed, 11), later));
-    let mut question = follower.read(|book| book.ask(later));
+    let mut question = follower.read(ViewBook::ask);
     question.follows = true;
-    let answer = reader.read(|book| book.answer(&question, later));
+    let answer = reader.read(|book| book.answer(&question, Duration::ZERO, later));
     let told = answer.backend_changes.expect("there is a list").entries;
     assert_eq!(told.len(), 1, "only the one that changed");
 }
@@ -75,13 +75,13 @@
 #[test]
 fn a_change_of_who_takes_requests_is_told_at_once_and_a_heartbeat_is_not() {
     let reader = reader_with(vec![entry("a", 5, 1, BackendPhase::Serving)], 9);
-    let follower = SharedBook::default();
+    let follower = new_book();
     let mut asking = ListAsking::default();
     ask(&follower, &reader, &mut asking, START);
     let is_news = || {
-        let mut question = follower.read(|book| book.ask(START));
+        let mut question = follower.read(ViewBook::ask);
         question.follows = true;
-        asking.complete(&mut question, follower.read(|book| book.backends_digest()));
+        asking.complete(&mut question, follower.read(ViewBook::backends_digest));
         reader.read(|book| book.has_urgent_news(&question))
     };
     let tell = |row: StoreRow, revision: u64| {
@@ -104,15 +104,15 @@
         ],
         20,
     );
-    let follower = SharedBook::default();
+    let follower = new_book();
     let mut asking = ListAsking::default();
     assert_eq!(ask(&follower, &second, &mut asking, START), ListMatch::Same);
     assert_eq!(ask(&follower, &first, &mut asking, START), ListMatch::Older);
     assert_eq!(ids(&follower), ["a", "b"]);
     assert!(!first.read(|book| {
-        let mut question = follower.read(|follower| follower.ask(START));
+        let mut question = follower.read(ViewBook::ask);
         question.follows = true;
-        question.backends_digest = Some(follower.read(|follower| follower.backends_digest()));
+        question.backends_digest = Some(follower.read(ViewBook::backends_digest));
         book.has_urgent_news(&question)
     }));
 }
@@ -122,7 +122,7 @@
 fn what_neither_changed_nor_went_shows_in_the_digest() {
     let rows = ["a", "b"].map(|id| entry(id, 5, 1, BackendPhase::Serving));
     let reader = reader_with(rows.to_vec(), 9);
-    let follower = SharedBook::default();
+    let follower = new_book();
     let mut asking = ListAsking::default();
     ask(&follower, &reader, &mut asking, START);
     let spoilt = super::row("a", 12, Some("no entry"));
@@ -139,7 +139,7 @@
 #[test]
 fn a_list_that_nobody_told_for_a_while_is_read() {
     let reader = reader_with(vec![entry("a", 5, 1, BackendPhase::Serving)], 9);
-    let follower = SharedBook::default();
+    let follower = new_book();
     let mut asking = ListAsking::default();
     let told_at = START + Duration::from_millis(1500);
     ask(&follower, &reader, &mut asking, told_at);
@@ -150,7 +150,7 @@
 
 fn run_case(u: &mut Unstructured<'_>) -> Result<()> {
     let reader = reader_with(Vec::new(), 1);
-    let follower = SharedBook::default();
+    let follower = new_book();
     let mut asking = ListAsking::default();
     let mut now = START;
     let mut revision = 1;
@@ -176,7 +176,7 @@
                 book.note_store(now);
             }
             book.change_backends(&view(vec![row], revision), now);
-            book.note_backends(now);
+            book.note_backends(store_time(now));
             book.expire(now);
         });
         if u.ratio(2, 3)? {
