Count the time in which a request must be back from its choice, not from its connection

A request that waits at an engine of older weights is taken back 0.25 s before their bound. The span was worked out when the engine was chosen and its timer began when the connection was open, up to 0.15 s later. What would have to be back by then is not sent.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -177,15 +177,15 @@
             .come_back_in(come_back_after(rand::random()))
     }
 
-    /// How long the head of the next answer may take, if the request is taken back at `taken_back`.
+    /// Until when the head of the next answer may take, if the request is taken back at `taken_back`.
     pub(super) fn head_wait(&self, taken_back: Option<ClockTime>, now: ClockTime) -> HeadWait {
         let patience = HeadWait {
-            within: self.patience(now),
+            until: now + self.patience(now),
             silence: CallEnd::Failed,
         };
-        match taken_back.map(|at| at.since(now)) {
-            Some(within) if within < patience.within => HeadWait {
-                within,
+        match taken_back {
+            Some(until) if until < patience.until => HeadWait {
+                until,
                 silence: CallEnd::Nothing,
             },
             _ => patience,
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -18,7 +18,7 @@
 use crate::errors::ErrorKind;
 use crate::fleet::{BackendTicket, CallEnd, VersionNeed};
 use crate::platform::{AnswerFacts, AnswerWord, SendFacts, answer_facts, send_headers};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 
 /// How long a connection to a backend server may take to open. Data centres are 1 to 3 ms apart; a
 /// lost first packet is sent again after a second, which is later than another backend server.
@@ -35,7 +35,7 @@
 /// How long a send waits for the head of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct HeadWait {
-    pub(super) within: Duration,
+    pub(super) until: ClockTime,
     /// What it says of the backend server when none comes.
     pub(super) silence: CallEnd,
 }
@@ -94,7 +94,14 @@
             return Err(SendFailure::not_sent(fault.to_string()));
         }
     };
-    let sent = timeout(wait.within, connection.send(request)).await;
+    let left = wait.until.since(clock_now());
+    if left.is_zero() {
+        // The connection took as long to open. Counted from there, a request was taken back up to that much
+        // too late, and began on older weights behind their bound.
+        ticket.end(CallEnd::Nothing, clock_now());
+        return Err(SendFailure::not_sent("its time was over".to_owned()));
+    }
+    let sent = timeout(left, connection.send(request)).await;
     let (parts, body) = match sent {
         Ok(Ok(answer)) => answer.into_parts(),
         Ok(Err(SendFault::NotSent(detail))) => {
@@ -112,7 +119,7 @@
             }
             gateway.shelf.drop_all(ticket.key);
             ticket.end(wait.silence, clock_now());
-            let detail = format!("no head within {:?}", wait.within);
+            let detail = format!("no head within {left:?}");
             return Err(SendFailure::unknown(ErrorKind::PeerSilent, detail));
         }
     };
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -152,7 +152,8 @@
     let gateway = Arc::new(gateway_on(SharedSnapshot::default(), BOUNDS));
     let wait_of = |kind: &str, later: Duration| {
         let forwarder = Forwarder::new(gateway.clone(), job_of(kind, now));
-        forwarder.head_wait(None, now + later).within
+        let wait = forwarder.head_wait(None, now + later);
+        wait.until.since(now + later)
     };
     // The route's pauses are 0.3 s; clients wait for eight of them, 2.4 s.
     let left = wait_of("resumed", Duration::from_secs(2));
@@ -189,14 +190,14 @@
         let taken_back = forwarder.job.taken_back_at(&snapshot, held, after);
         forwarder.head_wait(taken_back, now)
     };
-    let bound = (named_at + BOUNDS.weights_within).since(now);
-    assert!(wait_at(1).within < bound, "it is back before the bound");
+    let bound = named_at + BOUNDS.weights_within;
+    assert!(wait_at(1).until < bound, "it is back before the bound");
     assert_eq!(
         wait_at(1).silence,
         CallEnd::Nothing,
         "the engine did nothing wrong"
     );
-    assert!(wait_at(2).within > bound);
+    assert!(wait_at(2).until > bound);
     assert_eq!(wait_at(2).silence, CallEnd::Failed);
 }
 
