--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod events;
 mod naming_time;
 mod neighbour_asks;
+mod neighbour_words;
 mod operator_follow;
 mod operator_reading;
 mod own_rows;
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -12,7 +12,7 @@
 use super::naming_time::NamingTime;
 use super::operator_reading::OperatorReading;
 use super::own_rows::{OwnRows, VersionRecord};
-use super::peer_messages::{EntryRecord, PeerAsk, PeerView, WantedWord};
+use super::peer_messages::EntryRecord;
 use super::snapshot::ControlSnapshot;
 use super::store_clock::{AskSpan, ClockSource, ClockWord, StoreClock};
 use super::unreadable_rows::{RowReading, UnreadableRows};
@@ -20,7 +20,7 @@
 use crate::catalog::{CatalogVersion, ServiceCatalog};
 use crate::errors::SwitchResult;
 use crate::events::log_event;
-use crate::fleet::{BackendFacts, FleetView};
+use crate::fleet::FleetView;
 use crate::platform::{
     DocumentRow, StoreRow, TableName, TableView, read_backend_row, read_document,
     read_wanted_version,
@@ -35,17 +35,17 @@
 const SETTLED_SPAN: Duration = Duration::from_millis(2200);
 
 #[derive(Clone, Debug)]
-struct DocumentHeld {
-    catalog: Arc<ServiceCatalog>,
-    text: Bytes,
+pub(super) struct DocumentHeld {
+    pub(super) catalog: Arc<ServiceCatalog>,
+    pub(super) text: Bytes,
 }
 
 /// The control state.
 #[derive(Debug, Default)]
 pub(crate) struct ViewBook {
-    document: Option<DocumentHeld>,
-    versions: WantedVersions,
-    clock: StoreClock,
+    pub(super) document: Option<DocumentHeld>,
+    pub(super) versions: WantedVersions,
+    pub(super) clock: StoreClock,
     /// Whether the system's own rows were read.
     has_own_rows: bool,
     /// The store's revision as of which they were.
@@ -54,14 +54,14 @@
     /// When the store last told of the list, to whoever told it this process.
     pub(super) backends_told: Option<StoreTime>,
     /// The store's revision of the list of backend servers; none before it was read.
-    backends_revision: u64,
+    pub(super) backends_revision: u64,
     /// Sorted.
     entries: Vec<EntryRecord>,
     /// When the store last answered.
     store_answered: Option<ClockTime>,
     /// When the store last began to answer again.
     store_steady_since: Option<ClockTime>,
-    operator: OperatorReading,
+    pub(super) operator: OperatorReading,
     /// The store's rows that do not read.
     unreadable: UnreadableRows,
 }
@@ -204,7 +204,7 @@
     }
 
     /// Puts a document in force if it is newer than the one that is.
-    fn take_document(&mut self, text: Bytes, source: WordSource) -> SwitchResult<()> {
+    pub(super) fn take_document(&mut self, text: Bytes, source: WordSource) -> SwitchResult<()> {
         let catalog = read_document(&text)?;
         if let Some(known) = self.document_version()
             && known >= catalog.version
@@ -273,7 +273,7 @@
     }
 
     /// The entries of backend servers that a whole list does not have went.
-    fn remove_unlisted(&mut self, is_listed: impl Fn(&str) -> bool, now: ClockTime) {
+    pub(super) fn remove_unlisted(&mut self, is_listed: impl Fn(&str) -> bool, now: ClockTime) {
         for id in self.backends.unlisted(is_listed) {
             self.remove_backend(&id, now);
         }
@@ -349,102 +349,6 @@
         }
     }
 
-    /// What this process knows already, for a neighbour.
-    pub(crate) fn ask(&self) -> PeerAsk {
-        PeerAsk {
-            document: self.document_version(),
-            can_wait_for_document: false,
-            wanted: self.versions.all().to_vec(),
-            backends_revision: self.backends_revision,
-            entries: self.entries.len(),
-            wait_ms: 0,
-            follows: false,
-            backends_digest: None,
-        }
-    }
-
-    /// Whether there is something that a process that asks has to know at once.
-    pub(crate) fn has_urgent_news(&self, ask: &PeerAsk) -> bool {
-        let mut wanted = self.versions.all().iter();
-        self.newer_document(ask).is_some()
-            || (ask.follows && (self.operator.is_cut_off() || self.has_backend_news(ask)))
-            || wanted.any(|wanted| ask.wanted.iter().all(|word| word.target != wanted.target))
-    }
-
-    /// The document, if it is newer than that of the process that asks, which does not wait for it.
-    fn newer_document(&self, ask: &PeerAsk) -> Option<&DocumentHeld> {
-        let held = self.document.as_ref();
-        held.filter(|held| ask.document < Some(held.catalog.version) && !ask.can_wait_for_document)
-    }
-
-    /// Whether `words` tell more of what versions were named, and when, than is known.
-    pub(crate) fn learns_from(&self, words: &[WantedWord]) -> bool {
-        self.versions.learns_from(words)
-    }
-
-    /// Takes in the versions that another process knows to be wanted.
-    pub(crate) fn take_words(&mut self, words: &[WantedWord], now: ClockTime) {
-        let latest = self.clock.word(now).map(|word| word.most);
-        self.versions.take_words(words, latest);
-    }
-
-    /// What a neighbour that asks does not know yet, said at `now` after its question was held open for
-    /// `held`.
-    pub(crate) fn answer(&self, ask: &PeerAsk, held: Duration, now: ClockTime) -> PeerView {
-        let document = self.newer_document(ask);
-        let has_newer_backends = !ask.follows && self.backends_revision > ask.backends_revision;
-        let changes = ask
-            .follows
-            .then(|| self.backend_changes(ask, now))
-            .flatten();
-        PeerView {
-            document: document.map(|held| held.text.to_vec()),
-            clock: self.clock.word(now),
-            held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
-            wanted: self.versions.all().to_vec(),
-            backends: has_newer_backends.then(|| {
-                let facts = self.backends.listed().map(|facts| (**facts).clone());
-                (self.backends_revision, facts.collect())
-            }),
-            entries: if self.entries.len() > ask.entries {
-                self.entries.clone()
-            } else {
-                Vec::new()
-            },
-            operator: self.operator.word(),
-            backend_changes: changes,
-        }
-    }
-
-    /// Takes in what a neighbour knew beyond this process, asked and told within `span`.
-    pub(crate) fn merge(&mut self, view: PeerView, span: AskSpan) {
-        if let Some(word) = view.clock {
-            let asked = span.asked + Duration::from_millis(view.held_ms);
-            let span = AskSpan { asked, ..span };
-            self.clock.note(word, span, ClockSource::Neighbour);
-        }
-        if let Some(text) = view.document {
-            let read = self.take_document(text.into(), WordSource::Neighbour);
-            note_document_fault(&read);
-        }
-        self.take_words(&view.wanted, span.heard);
-        if let Some((revision, backends)) = view.backends
-            && revision > self.backends_revision
-        {
-            self.replace_backends(revision, backends, span.heard);
-        }
-        self.add_entries(view.entries);
-    }
-
-    fn replace_backends(&mut self, revision: u64, backends: Vec<BackendFacts>, now: ClockTime) {
-        log_event!(events::NEIGHBOUR_KNEW, "backends revision={revision}");
-        self.remove_unlisted(|id| backends.iter().any(|facts| *facts.id == *id), now);
-        for facts in backends {
-            self.backends.put(facts, revision);
-        }
-        self.backends_revision = revision;
-    }
-
     /// What the traffic sees of it.
     pub(super) fn snapshot(&self) -> ControlSnapshot {
         ControlSnapshot {
@@ -459,7 +363,7 @@
 }
 
 /// Tells that a document does not read, if it does not.
-fn note_document_fault(read: &SwitchResult<()>) {
+pub(super) fn note_document_fault(read: &SwitchResult<()>) {
     if let Err(error) = read {
         log_event!(events::DOCUMENT_UNREADABLE, "{error}");
     }
