Driver of delayed words: what processes believe of a naming's moment, held against the moment itself

Entry hosts near the store and far from it and hosts of engines, each with its own clock and a book; a store with a clock; answers of the store up to 2.3 s on their way, questions and answers of neighbours up to 0.4 s, held back up to 0.8 s, lost one in ten, overtaking each other; in half of the cases also restarts and cuts.

A cut is the only way in which words between a process and the store are lost; slow answers come within the time that the call has. Calls into the code stand at the top of delayed_words.rs.

--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -1,3 +1,6 @@
+mod delayed_process;
+mod delayed_words;
+mod delayed_world;
 mod driver;
 mod driver_world;
 mod incarnations;
