Bound a naming by the store's answers on both sides, and join what several hosts saw

The store counts all changes with one number and tells it with each answer of any table; a row lies behind the last answer with a lower number and before the first with as high a one. Processes tell both ends and take what holds for both, so that one host that errs moves nobody behind what another saw. Words that are as certain as what is known and say more are now learned from a question, too.

--- a/src/replication/view_poll.rs
+++ b/src/replication/view_poll.rs
@@ -136,13 +136,9 @@
             .store
             .read_table(TableName::Operator, STORE_WITHIN)
             .await?;
-        let named = NamingTime {
-            at: operator.told_at - NAMED_BEFORE,
-            slack: Duration::ZERO,
-            certainty: NamingCertainty::Assumed,
-        };
+        let named = NamingTime::guessed(operator.told_at - NAMED_BEFORE, NamingCertainty::Assumed);
         self.book.change(|book| {
-            book.note_clock(own.told_at, span);
+            book.note_told(own.revision, own.told_at, span);
             book.take_own_rows(OwnRows::of(&own), named);
             book.read_operator_rows(&operator.rows, named);
         });
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -12,6 +12,7 @@
 mod shared_book;
 mod snapshot;
 mod store_clock;
+mod store_marks;
 mod store_watch;
 mod sync_thread;
 #[cfg(test)]
--- a/src/sync/past_namings.rs
+++ b/src/sync/past_namings.rs
@@ -97,8 +97,8 @@
         let WatchAnswer::Changed(view) = watched.await? else {
             return Ok(None);
         };
-        let asked_by = self.note_clock(view.told_at, asked);
-        let named = NamingKnowledge::Started.naming_time(asked_by, view.told_at);
+        self.note_told(&view, asked);
+        let named = NamingKnowledge::Started.naming_time(view.told_at, view.told_at);
         self.book
             .change(|book| book.take_past_namings(&view.rows, named));
         let values = view.rows.iter().filter_map(|row| row.value.as_ref());
--- /dev/null
+++ b/src/sync/store_marks.rs
@@ -0,0 +1,66 @@
+//! Which revision the store had at which moments: what bounds when a row was written.
+//!
+//! The store counts all its changes with one number and tells the newest with every answer, whatever table
+//! it is about. A row of a higher revision than an answer tells was written behind that answer.
+
+use macro_rules_attribute::apply;
+
+use super::naming_time::NamingTime;
+use crate::derives::plain;
+use crate::time::StoreTime;
+
+/// Answers that are remembered. Three tables are followed, each with up to two answers a second, and a row is
+/// on its way for a few seconds.
+const MARKS_KEPT: usize = 64;
+
+/// What an answer tells.
+#[apply(plain!)]
+#[derive(Copy)]
+struct StoreMark {
+    revision: u64,
+    told_at: StoreTime,
+}
+
+/// The last answers, the oldest first.
+#[derive(Debug, Default)]
+pub(super) struct StoreMarks {
+    /// Sorted by both of their fields.
+    marks: Vec<StoreMark>,
+}
+
+impl StoreMarks {
+    /// The store told at `told_at` that `revision` is the newest.
+    pub(super) fn note(&mut self, revision: u64, told_at: StoreTime) {
+        let at = self.marks.partition_point(|mark| mark.told_at < told_at);
+        let is_behind = self.marks[..at]
+            .last()
+            .is_none_or(|last| last.revision <= revision);
+        let is_before = self.marks[at..]
+            .first()
+            .is_none_or(|next| next.revision >= revision);
+        // An answer of an older state says nothing of the rows behind it.
+        if is_behind && is_before {
+            self.marks.insert(at, StoreMark { revision, told_at });
+        }
+        if self.marks.len() > MARKS_KEPT {
+            self.marks.remove(0);
+        }
+    }
+
+    /// What `named` is, if the row that names the version has `revision`.
+    ///
+    /// An answer that is seconds on its way, over a link full of documents, tells of a change as if it were
+    /// new; so does the one behind it, of what was changed meanwhile. Taken for new, requests began on
+    /// older weights behind the bound.
+    pub(super) fn narrow(&self, named: NamingTime, revision: u64) -> NamingTime {
+        let at = self.marks.partition_point(|mark| mark.revision < revision);
+        let (Some(before), Some(after)) = (self.marks[..at].last(), self.marks.get(at)) else {
+            return named;
+        };
+        NamingTime {
+            at: named.at.max(before.told_at).min(after.told_at),
+            by: named.by.min(after.told_at),
+            ..named
+        }
+    }
+}
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -79,7 +79,7 @@
 
     /// Reads the system's own rows.
     pub(super) async fn read_own_rows(&self) -> SwitchResult<()> {
-        let (view, _) = self.read_table(TableName::Own).await?;
+        let view = self.read_table(TableName::Own).await?;
         self.take_own_rows(OwnRows::of(&view), view.told_at);
         Ok(())
     }
@@ -90,20 +90,21 @@
         self.book.change(|book| book.take_own_rows(own, named));
     }
 
-    /// Reads a whole table; tells with it when the store was asked, at the latest.
-    async fn read_table(&self, table: TableName) -> SwitchResult<(TableView, StoreTime)> {
+    /// Reads a whole table.
+    async fn read_table(&self, table: TableName) -> SwitchResult<TableView> {
         let asked = clock_now();
         let view = self.store.read_table(table, STORE_WITHIN).await?;
-        let asked_by = self.note_clock(view.told_at, asked);
-        Ok((view, asked_by))
+        self.note_told(&view, asked);
+        Ok(view)
     }
 
-    /// The store was asked at `asked` and has just answered that its clock shows `told_at`. Returns what
-    /// it showed at the question, at the latest.
-    pub(super) fn note_clock(&self, told_at: StoreTime, asked: ClockTime) -> StoreTime {
+    /// The store was asked at `asked` and has just answered with `view`. Returns what its clock showed at
+    /// the question, at the latest.
+    pub(super) fn note_told(&self, view: &TableView, asked: ClockTime) -> StoreTime {
         let heard = clock_now();
         let span = AskSpan { asked, heard };
-        self.book.note(|book| book.note_clock(told_at, span));
+        self.book
+            .note(|book| book.note_told(view.revision, view.told_at, span));
         self.book.read(|book| book.store_time(asked))
     }
 
@@ -138,7 +139,7 @@
         }
         let (revision, told_at) = match watched? {
             WatchAnswer::Changed(view) => {
-                let asked_by = self.note_clock(view.told_at, asked);
+                let asked_by = self.note_told(&view, asked);
                 if !view.rows.is_empty() {
                     let named = knowledge.naming_time(asked_by, view.told_at);
                     self.book
@@ -165,8 +166,9 @@
         if is_behind_cut || !self.book.read(ViewBook::has_own_rows) {
             self.read_own_rows().await?;
         }
-        let (view, asked_by) = self.read_table(TableName::Operator).await?;
-        let named = knowledge.naming_time(asked_by, view.told_at);
+        let view = self.read_table(TableName::Operator).await?;
+        // A read does not wait for a change.
+        let named = knowledge.naming_time(view.told_at, view.told_at);
         self.book
             .change(|book| book.read_operator_rows(&view.rows, named));
         Ok((view.revision, view.told_at))
@@ -194,14 +196,14 @@
                     .watch_table(TableName::Backends, since, BACKENDS_WAIT, STORE_WITHIN);
             match watched.await? {
                 WatchAnswer::Changed(view) => {
-                    self.note_clock(view.told_at, asked);
+                    self.note_told(&view, asked);
                     self.change_backends(&view);
                     return Ok(());
                 }
                 WatchAnswer::HistoryLost => log_event!(events::HISTORY_LOST, "table=backends"),
             }
         }
-        let (view, _) = self.read_table(TableName::Backends).await?;
+        let view = self.read_table(TableName::Backends).await?;
         // A read that is older than what is known is tried again.
         *is_whole = view.revision >= since;
         self.book.change(|book| {
--- a/src/sync/tests/late_words.rs
+++ b/src/sync/tests/late_words.rs
@@ -8,13 +8,16 @@
 use tokio::time::sleep;
 
 use super::restarts::EntryProcess;
+use super::{START, new_book};
 use crate::daemon::DrainState;
-use crate::fleet::{NamingCertainty, WantedWeights, WeightsVersion};
+use crate::fleet::{ModelVersion, NamingCertainty, WantedWeights, WeightsVersion};
 use crate::platform::samples::{document_sample, naming_sample};
 use crate::platform::{FakeStore, TableName};
-use crate::sync::ControlSnapshot;
+use crate::sync::naming_time::NamingTime;
+use crate::sync::peer_messages::WantedWord;
 use crate::sync::peer_routes::peer_routes;
-use crate::time::{ClockTime, clock_now};
+use crate::sync::{ControlSnapshot, ViewBook};
+use crate::time::{ClockTime, StoreTime, clock_now};
 use crate::transport::{HttpServer, bind_listener};
 
 /// How long a word is on its way. Requests that wait at an engine are taken back a quarter of a second
@@ -155,3 +158,60 @@
     near.lose_power();
     far.lose_power();
 }
+
+/// Every host of a region took a version for new that had been named five seconds before. Documents in quick
+/// succession kept the answers to their watches of the operator's table from arriving at all, and each
+/// believed itself cut off from the store, which answered all their other questions meanwhile: what is
+/// found behind a cut counts as new.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_that_answers_other_questions_is_not_cut_off() {
+    let store = FakeStore::start().await;
+    put_document(&store, 1);
+    let process = EntryProcess::start("e1", &store);
+    process
+        .believes(|snapshot| snapshot.catalog.is_some())
+        .await;
+    sleep(FOLLOWED).await;
+    // Longer than a watch and its answer may take together.
+    store.slow_watches(Duration::from_secs(3));
+    let named_by = name_version(&store);
+    let wanted = belief(&process).await;
+    let late = wanted.named_at.since(named_by);
+    assert!(late.is_zero(), "named {late:?} later than it was");
+    process.lose_power();
+}
+
+/// Hosts of engines that had been told quickly could not tell an entry host, which they asked, that a version
+/// had been named earlier than it took it for: of words that are equally certain the first one stayed.
+#[test]
+fn what_two_have_seen_they_know_better_together() {
+    let witnessed = |at, by| NamingTime {
+        at: StoreTime::from_millis(at),
+        by: StoreTime::from_millis(by),
+        certainty: NamingCertainty::Witnessed,
+    };
+    let word = |named| WantedWord {
+        target: ModelVersion {
+            model: "m".into(),
+            version: WeightsVersion(2),
+        },
+        named,
+    };
+    let entry = new_book();
+    let now = START;
+    entry.change(|book| book.take_words(&[word(witnessed(50_000, 90_000))], now));
+    let better = [word(witnessed(40_000, 70_000))];
+    assert!(entry.read(|book| book.learns_from(&better)));
+    entry.change(|book| book.take_words(&better, now));
+    assert!(!entry.read(|book| book.learns_from(&better)));
+    // One that surely errs does not put the moment behind what another saw.
+    let wrong = [word(witnessed(80_000, 95_000))];
+    entry.change(|book| book.take_words(&wrong, now));
+    let known = entry.read(ViewBook::ask).wanted;
+    assert_eq!(known[0].named, witnessed(70_000, 70_000));
+    let first = [word(witnessed(50_000, 70_000))];
+    let other = new_book();
+    other.change(|book| book.take_words(&better, now));
+    other.change(|book| book.take_words(&[word(witnessed(50_000, 90_000))], now));
+    assert_eq!(other.read(ViewBook::ask).wanted, first);
+}
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -254,11 +254,7 @@
     lived.change(|book| book.take_operator_rows(&[named(2)], told_at(START)));
     let later = START + Duration::from_secs(20);
     let started = new_book();
-    let resumed = NamingTime {
-        at: store_time(later),
-        slack: Duration::ZERO,
-        certainty: NamingCertainty::Resumed,
-    };
+    let resumed = NamingTime::guessed(store_time(later), NamingCertainty::Resumed);
     started.change(|book| book.take_operator_rows(&[named(2)], resumed));
     let words = lived.read(ViewBook::ask).wanted;
     assert!(started.read(|book| book.learns_from(&words)));
--- a/src/sync/tests/storms.rs
+++ b/src/sync/tests/storms.rs
@@ -11,7 +11,7 @@
 use crate::platform::samples::{document_sample, naming_sample};
 use crate::platform::{FakeStore, TableName};
 use crate::sync::past_namings::is_last_look;
-use crate::sync::peer_messages::WantedWord;
+use crate::sync::peer_messages::{PeerAsk, WantedWord};
 use crate::sync::{ControlSnapshot, NamingTime, ViewBook};
 use crate::time::clock_now;
 
@@ -103,16 +103,15 @@
     let (key, text) = naming_sample(2);
     store.put(TableName::Operator, key, &text);
     let now = clock_now();
+    let answer = |book: &ViewBook| book.answer(&PeerAsk::default(), Duration::ZERO, now);
+    let clock = process.book.read(answer).clock;
+    let known_at = clock.expect("the store has answered").most;
     let word = WantedWord {
         target: ModelVersion {
             model: "m".into(),
             version: WeightsVersion(2),
         },
-        named: NamingTime {
-            at: process.book.read(|book| book.store_time(now)) - Duration::from_secs(6),
-            slack: Duration::ZERO,
-            certainty: NamingCertainty::Assumed,
-        },
+        named: NamingTime::guessed(known_at - Duration::from_secs(6), NamingCertainty::Assumed),
     };
     process.book.change(|book| book.take_words(&[word], now));
     store.set_down(false);
