--- a/src/sync/naming_time.rs
+++ b/src/sync/naming_time.rs
@@ -49,14 +49,13 @@
     pub(super) fn and(self, known: Self) -> Self {
         match self.certainty.cmp(&known.certainty) {
             Ordering::Greater => self,
-            Ordering::Less => known,
             Ordering::Equal if self.certainty == NamingCertainty::Witnessed => {
                 let by = self.by.min(known.by);
                 let at = self.at.max(known.at).min(by);
                 Self { at, by, ..known }
             }
             Ordering::Equal if self.at < known.at => self,
-            Ordering::Equal => known,
+            Ordering::Equal | Ordering::Less => known,
         }
     }
 }
