A store that answers other questions is not away

What callers saw: as in the incident, where a whole region stands behind a full link. An answer to the operator's watch that did not come within 2.3 s counted as a cut, and what is found behind a cut as new: named 4.1 s later than it was in the test that was listed red, seconds more with each further failure. Now it counts as a cut only if the store answered nothing else since the question; the version then lies between the answers around it, as any other. Ruled out: taking every failure for slowness (an outage of the store, behind which versions are new, answers nothing; its test stays).

--- a/src/sync/naming_time.rs
+++ b/src/sync/naming_time.rs
@@ -74,6 +74,20 @@
 }
 
 impl NamingKnowledge {
+    /// What is known behind an answer that did not come, beside a store that `has_answered` other questions
+    /// meanwhile or not.
+    ///
+    /// Where it has, it is not away: an answer full of documents did not get through a full link, and
+    /// versions in it are as old as they are. Taken for new, as behind a cut, requests began on older
+    /// weights behind the bound, wherever a whole region stood behind such a link.
+    pub(super) const fn behind_failure(self, has_answered: bool) -> Self {
+        match self {
+            Self::Started => Self::Started,
+            Self::Followed(_) if has_answered => self,
+            Self::Followed(_) | Self::Interrupted => Self::Interrupted,
+        }
+    }
+
     /// When what the store tells at `told_at`, asked at `asked_by` at the latest, was named.
     pub(super) fn naming_time(self, asked_by: StoreTime, told_at: StoreTime) -> NamingTime {
         match self {
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -56,19 +56,44 @@
     pub(crate) seeds: Vec<SocketAddr>,
 }
 
+/// What the next question for the operator's table stands behind.
+#[derive(Clone, Copy)]
+struct OperatorStep {
+    knowledge: NamingKnowledge,
+    /// The one before it failed.
+    is_behind_failure: bool,
+}
+
+impl OperatorStep {
+    /// The next step, if this one fails while the store `has_answered` other questions or not.
+    const fn behind_failure(self, has_answered: bool) -> Self {
+        Self {
+            knowledge: self.knowledge.behind_failure(has_answered),
+            // A start reads all that there is anyway.
+            is_behind_failure: !matches!(self.knowledge, NamingKnowledge::Started),
+        }
+    }
+}
+
 impl StoreWatch {
     /// Follows the operator's table.
     pub(crate) async fn follow_operator(self) {
         self.read_past_namings_first().await;
         let mut pause = FailurePause::default();
         let mut since = None;
-        let mut knowledge = NamingKnowledge::Started;
+        let mut step = OperatorStep {
+            knowledge: NamingKnowledge::Started,
+            is_behind_failure: false,
+        };
         loop {
-            let followed = self.operator_step(&mut since, knowledge).await;
-            knowledge = match (&followed, knowledge) {
-                (Ok(told_at), _) => NamingKnowledge::Followed(*told_at),
-                (Err(_), NamingKnowledge::Started) => NamingKnowledge::Started,
-                (Err(_), _) => NamingKnowledge::Interrupted,
+            let asked = clock_now();
+            let followed = self.operator_step(&mut since, step).await;
+            step = match &followed {
+                Ok(told_at) => OperatorStep {
+                    knowledge: NamingKnowledge::Followed(*told_at),
+                    is_behind_failure: false,
+                },
+                Err(_) => step.behind_failure(self.has_answered_since(asked)),
             };
             if followed.is_ok() {
                 self.book.note(|book| book.note_operator(clock_now()));
@@ -77,6 +102,12 @@
         }
     }
 
+    /// Whether the store has answered any question since `asked`.
+    fn has_answered_since(&self, asked: ClockTime) -> bool {
+        self.book
+            .read(|book| book.store_answered().is_some_and(|at| at >= asked))
+    }
+
     /// Reads the system's own rows.
     pub(super) async fn read_own_rows(&self) -> SwitchResult<()> {
         let view = self.read_table(TableName::Own).await?;
@@ -112,15 +143,14 @@
     async fn operator_step(
         &self,
         since: &mut Option<u64>,
-        knowledge: NamingKnowledge,
+        step: OperatorStep,
     ) -> SwitchResult<StoreTime> {
         let Some(known) = *since else {
-            let (revision, told_at) = self.read_operator(knowledge).await?;
+            let (revision, told_at) = self.read_operator(step).await?;
             *since = Some(revision);
             return Ok(told_at);
         };
-        let is_behind_cut = matches!(knowledge, NamingKnowledge::Interrupted);
-        if is_behind_cut {
+        if step.is_behind_failure {
             // The operator's row of a version that was named meanwhile may have gone back since.
             self.read_own_rows().await?;
         }
@@ -130,7 +160,7 @@
             .store
             .watch_table(table, known, OPERATOR_WAIT, STORE_WITHIN)
             .await;
-        if is_behind_cut && watched.is_err() {
+        if step.is_behind_failure && watched.is_err() {
             // The store answers, and the watch brings nothing: its answer holds every document since it last
             // succeeded, and a link may not carry that in the time that the store is given; each try asks
             // for more. One would notice an entry host that answers 404 for routes that were added seconds
@@ -141,7 +171,7 @@
             WatchAnswer::Changed(view) => {
                 let asked_by = self.note_told(&view, asked);
                 if !view.rows.is_empty() {
-                    let named = knowledge.naming_time(asked_by, view.told_at);
+                    let named = step.knowledge.naming_time(asked_by, view.told_at);
                     self.book
                         .change(|book| book.take_operator_rows(&view.rows, named));
                 }
@@ -150,7 +180,7 @@
             WatchAnswer::HistoryLost => {
                 log_event!(events::HISTORY_LOST, "table=operator");
                 // Nothing was heard for a while before.
-                self.read_operator(NamingKnowledge::Interrupted).await?
+                self.read_operator(step.behind_failure(false)).await?
             }
         };
         *since = Some(known.max(revision));
@@ -161,14 +191,13 @@
     ///
     /// A process reads the system's own rows first: with a document it is ready, and would otherwise
     /// believe an operator's row that has gone back.
-    async fn read_operator(&self, knowledge: NamingKnowledge) -> SwitchResult<(u64, StoreTime)> {
-        let is_behind_cut = matches!(knowledge, NamingKnowledge::Interrupted);
-        if is_behind_cut || !self.book.read(ViewBook::has_own_rows) {
+    async fn read_operator(&self, step: OperatorStep) -> SwitchResult<(u64, StoreTime)> {
+        if step.is_behind_failure || !self.book.read(ViewBook::has_own_rows) {
             self.read_own_rows().await?;
         }
         let view = self.read_table(TableName::Operator).await?;
         // A read does not wait for a change.
-        let named = knowledge.naming_time(view.told_at, view.told_at);
+        let named = step.knowledge.naming_time(view.told_at, view.told_at);
         self.book
             .change(|book| book.read_operator_rows(&view.rows, named));
         Ok((view.revision, view.told_at))
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// When the store last answered.
+    pub(crate) const fn store_answered(&self) -> Option<ClockTime> {
+        self.store_answered
+    }
+
     /// How long the store has not answered, at `now`.
     pub(crate) fn store_silence(&self, now: ClockTime) -> Duration {
         match (self.store_answered, self.store_steady_since) {
