--- a/src/sync/naming_time.rs
+++ b/src/sync/naming_time.rs
@@ -1,11 +1,11 @@
 //! When a version of weights was named, as far as a process can know.
 
-use std::cmp::Reverse;
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use macro_rules_attribute::apply;
 
-use crate::derives::{message, plain};
+use crate::derives::message;
 use crate::fleet::NamingCertainty;
 use crate::time::StoreTime;
 
@@ -14,8 +14,9 @@
 const NAMED_BEFORE_START: Duration = Duration::from_secs(6);
 /// How long a version is taken to have been named that is found behind a cut: the way to the store.
 const NAMED_BEFORE_FOUND: Duration = Duration::from_millis(100);
+
 /// How long a question is on its way to the store. It is small, and goes against the stream of documents.
-const QUESTION_ON_WAY: Duration = Duration::from_millis(100);
+const QUESTION_ON_WAY: Duration = Duration::from_millis(400);
 
 /// When a version of weights was named.
 #[apply(message!)]
@@ -23,51 +24,38 @@
 pub(crate) struct NamingTime {
     /// The moment, or one that is surely earlier.
     pub(crate) at: StoreTime,
-    /// How much later than that it may have been; zero where nobody saw it.
-    pub(crate) slack: Duration,
+    /// One that is surely later, where somebody saw it; else the same.
+    pub(crate) by: StoreTime,
     /// How well it is known.
     pub(crate) certainty: NamingCertainty,
 }
 
 impl NamingTime {
-    /// Whether it is known better than `known` is.
-    ///
-    /// A process that starts finds a version in the store and does not know how long ago it was
-    /// named. Taken for new, requests began on older weights behind the bound; taken for old, all
-    /// were refused though the bound was seconds away. A neighbour that was there knows. Of two that
-    /// were, the one nearer to the store knows it within less.
-    pub(super) fn is_better_than(self, known: Self) -> bool {
-        let worth = |time: Self| (time.certainty, Reverse(time.slack), Reverse(time.at));
-        worth(self) > worth(known)
+    /// A moment that nobody saw.
+    pub(crate) const fn guessed(at: StoreTime, certainty: NamingCertainty) -> Self {
+        Self {
+            at,
+            by: at,
+            certainty,
+        }
     }
-}
-
-/// The moments around an answer of the store that tells of a change, while its table is followed.
-#[apply(plain!)]
-#[derive(Copy)]
-pub(super) struct ChangeSpan {
-    /// The answer before it, which did not tell of the change yet.
-    pub(super) answered_before: StoreTime,
-    /// The question was sent by then.
-    pub(super) asked_by: StoreTime,
-    /// The answer.
-    pub(super) told_at: StoreTime,
-}
 
-impl ChangeSpan {
-    /// When the change was made.
+    /// What this time and `known` tell together.
     ///
-    /// A question that waits at the store is answered at the change. Before it arrives there, changes
-    /// wait for it: where the answer before was seconds on its way, over a link full of documents, a
-    /// version was taken for new that had been named all that time, and requests began on older weights
-    /// behind the bound. So the change is as old as all the time that no question surely waited.
-    pub(super) fn naming_time(self) -> NamingTime {
-        let waited = self.told_at.since(self.asked_by + QUESTION_ON_WAY);
-        let at = (self.answered_before + waited).min(self.told_at);
-        NamingTime {
-            at,
-            slack: self.told_at.since(at),
-            certainty: NamingCertainty::Witnessed,
+    /// A process that starts finds a version in the store and does not know how long ago it was
+    /// named. Taken for new, requests began on older weights behind the bound; taken for old, all
+    /// were refused though the bound was seconds away. A neighbour that was there knows. Two that were
+    /// know it better together than each alone; the one nearer to the store says the most.
+    pub(super) fn and(self, known: Self) -> Self {
+        match self.certainty.cmp(&known.certainty) {
+            Ordering::Greater => self,
+            Ordering::Equal if self.certainty == NamingCertainty::Witnessed => {
+                let by = self.by.min(known.by);
+                let at = self.at.max(known.at).min(by);
+                Self { at, by, ..known }
+            }
+            Ordering::Equal if self.at < known.at => self,
+            Ordering::Equal | Ordering::Less => known,
         }
     }
 }
@@ -77,7 +65,7 @@
 pub(super) enum NamingKnowledge {
     /// The process has just started; they may be old.
     Started,
-    /// The table was followed up to an answer of this moment; they are newer.
+    /// The table was followed up to an answer of this moment, and they are newer.
     Followed(StoreTime),
     /// The store was away, or the way to it was cut. The bound of a version counts only while both are
     /// there, and new weights cannot be told of meanwhile: they are taken for new. Taken for as old as
@@ -86,26 +74,38 @@
 }
 
 impl NamingKnowledge {
-    /// When what the store tells at `told_at`, in an answer to a question that was sent by `asked_by`,
-    /// was named.
-    pub(super) fn naming_time(self, asked_by: StoreTime, told_at: StoreTime) -> NamingTime {
+    /// What is known behind an answer that did not come, beside a store that `has_answered` other questions
+    /// meanwhile or not.
+    ///
+    /// Where it has, it is not away: an answer full of documents did not get through a full link, and
+    /// versions in it are as old as they are. Taken for new, as behind a cut, requests began on older
+    /// weights behind the bound, wherever a whole region stood behind such a link.
+    pub(super) const fn behind_failure(self, has_answered: bool) -> Self {
         match self {
-            Self::Started => found(told_at - NAMED_BEFORE_START, NamingCertainty::Assumed),
-            Self::Followed(answered_before) => ChangeSpan {
-                answered_before,
-                asked_by,
-                told_at,
-            }
-            .naming_time(),
-            Self::Interrupted => found(told_at - NAMED_BEFORE_FOUND, NamingCertainty::Resumed),
+            Self::Started => Self::Started,
+            Self::Followed(_) if has_answered => self,
+            Self::Followed(_) | Self::Interrupted => Self::Interrupted,
         }
     }
-}
 
-fn found(at: StoreTime, certainty: NamingCertainty) -> NamingTime {
-    NamingTime {
-        at,
-        slack: Duration::ZERO,
-        certainty,
+    /// When what the store tells at `told_at`, asked at `asked_by` at the latest, was named.
+    pub(super) fn naming_time(self, asked_by: StoreTime, told_at: StoreTime) -> NamingTime {
+        match self {
+            Self::Started => {
+                NamingTime::guessed(told_at - NAMED_BEFORE_START, NamingCertainty::Assumed)
+            }
+            Self::Followed(answered_before) => {
+                // A question that waits at the store is answered at the change.
+                let waited = told_at.since(asked_by + QUESTION_ON_WAY);
+                NamingTime {
+                    at: (answered_before + waited).min(told_at),
+                    by: told_at,
+                    certainty: NamingCertainty::Witnessed,
+                }
+            }
+            Self::Interrupted => {
+                NamingTime::guessed(told_at - NAMED_BEFORE_FOUND, NamingCertainty::Resumed)
+            }
+        }
     }
 }
--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -12,7 +12,7 @@
 use super::peer_messages::{EntryRecord, PeerView, VIEW_PATH};
 use super::read_order::{ReadOrder, ReadTurn, ReaderAnswer};
 use super::store_clock::AskSpan;
-use super::store_watch::{FailurePause, StoreWatch};
+use super::store_watch::{FailurePause, OperatorStep, StoreWatch};
 use super::view_book::ViewBook;
 use crate::events::log_event;
 use crate::time::clock_now;
@@ -35,7 +35,7 @@
 struct OwnFollowing {
     /// The revision behind which it goes on; none where it has to read the table, or has not begun.
     since: Option<u64>,
-    knowledge: NamingKnowledge,
+    step: OperatorStep,
     pause: FailurePause,
     /// Whether the table has to be read as a whole, whatever is known of it.
     is_whole_due: bool,
@@ -55,7 +55,10 @@
         let mut asking = ListAsking::default();
         let mut following = OwnFollowing {
             since: None,
-            knowledge: NamingKnowledge::Started,
+            step: OperatorStep {
+                knowledge: NamingKnowledge::Started,
+                is_behind_failure: false,
+            },
             pause: FailurePause::default(),
             is_whole_due: false,
             has_looked_back: false,
@@ -101,14 +104,20 @@
         {
             // Neighbours told all until then.
             following.since = Some(word.revision);
-            following.knowledge = NamingKnowledge::Followed(word.told_at);
+            following.step = OperatorStep {
+                knowledge: NamingKnowledge::Followed(word.told_at),
+                is_behind_failure: false,
+            };
         }
-        let knowledge = following.knowledge;
-        let followed = self.operator_step(&mut following.since, knowledge).await;
-        following.knowledge = match (&followed, knowledge) {
-            (Ok(told_at), _) => NamingKnowledge::Followed(*told_at),
-            (Err(_), NamingKnowledge::Started) => NamingKnowledge::Started,
-            (Err(_), _) => NamingKnowledge::Interrupted,
+        let step = following.step;
+        let asked = clock_now();
+        let followed = self.operator_step(&mut following.since, step).await;
+        following.step = match &followed {
+            Ok(told_at) => OperatorStep {
+                knowledge: NamingKnowledge::Followed(*told_at),
+                is_behind_failure: false,
+            },
+            Err(_) => step.behind_failure(self.has_answered_since(asked)),
         };
         following.is_whole_due = followed.is_err() && following.since.is_none();
         match (&followed, following.since) {
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -61,10 +61,35 @@
     pub(crate) seeds: Vec<SocketAddr>,
 }
 
+/// What the next question for the operator's table stands behind.
+#[derive(Clone, Copy)]
+pub(super) struct OperatorStep {
+    pub(super) knowledge: NamingKnowledge,
+    /// The one before it failed.
+    pub(super) is_behind_failure: bool,
+}
+
+impl OperatorStep {
+    /// The next step, if this one fails while the store `has_answered` other questions or not.
+    pub(super) const fn behind_failure(self, has_answered: bool) -> Self {
+        Self {
+            knowledge: self.knowledge.behind_failure(has_answered),
+            // A start reads all that there is anyway.
+            is_behind_failure: !matches!(self.knowledge, NamingKnowledge::Started),
+        }
+    }
+}
+
 impl StoreWatch {
+    /// Whether the store has answered any question since `asked`.
+    pub(super) fn has_answered_since(&self, asked: ClockTime) -> bool {
+        self.book
+            .read(|book| book.store_answered().is_some_and(|at| at >= asked))
+    }
+
     /// Reads the system's own rows.
     pub(super) async fn read_own_rows(&self) -> SwitchResult<()> {
-        let (view, _) = self.read_table(TableName::Own).await?;
+        let view = self.read_table(TableName::Own).await?;
         self.take_own_rows(OwnRows::of(&view), view.told_at);
         Ok(())
     }
@@ -75,20 +100,21 @@
         self.book.change(|book| book.take_own_rows(own, named));
     }
 
-    /// Reads a whole table; tells with it when the store was asked, at the latest.
-    async fn read_table(&self, table: TableName) -> SwitchResult<(TableView, StoreTime)> {
+    /// Reads a whole table.
+    async fn read_table(&self, table: TableName) -> SwitchResult<TableView> {
         let asked = clock_now();
         let view = self.store.read_table(table, STORE_WITHIN).await?;
-        let asked_by = self.note_clock(view.told_at, asked);
-        Ok((view, asked_by))
+        self.note_told(&view, asked);
+        Ok(view)
     }
 
-    /// The store was asked at `asked` and has just answered that its clock shows `told_at`. Returns what
-    /// it showed at the question, at the latest.
-    pub(super) fn note_clock(&self, told_at: StoreTime, asked: ClockTime) -> StoreTime {
+    /// The store was asked at `asked` and has just answered with `view`. Returns what its clock showed at
+    /// the question, at the latest.
+    pub(super) fn note_told(&self, view: &TableView, asked: ClockTime) -> StoreTime {
         let heard = clock_now();
         let span = AskSpan { asked, heard };
-        self.book.note(|book| book.note_clock(told_at, span));
+        self.book
+            .note(|book| book.note_told(view.revision, view.told_at, span));
         self.book.read(|book| book.store_time(asked))
     }
 
@@ -97,15 +123,14 @@
     pub(super) async fn operator_step(
         &self,
         since: &mut Option<u64>,
-        knowledge: NamingKnowledge,
+        step: OperatorStep,
     ) -> SwitchResult<StoreTime> {
         let Some(known) = *since else {
-            let (revision, told_at) = self.read_operator(knowledge).await?;
+            let (revision, told_at) = self.read_operator(step).await?;
             *since = Some(revision);
             return Ok(told_at);
         };
-        let is_behind_cut = matches!(knowledge, NamingKnowledge::Interrupted);
-        if is_behind_cut {
+        if step.is_behind_failure {
             // The operator's row of a version that was named meanwhile may have gone back since.
             self.read_own_rows().await?;
         }
@@ -115,7 +140,7 @@
             .store
             .watch_table(table, known, OPERATOR_WAIT, STORE_WITHIN)
             .await;
-        if is_behind_cut && watched.is_err() {
+        if step.is_behind_failure && watched.is_err() {
             // The store answers, and the watch brings nothing: its answer holds every document since it last
             // succeeded, and a link may not carry that in the time that the store is given; each try asks
             // for more. One would notice an entry host that answers 404 for routes that were added seconds
@@ -124,9 +149,9 @@
         }
         let (revision, told_at) = match watched? {
             WatchAnswer::Changed(view) => {
-                let asked_by = self.note_clock(view.told_at, asked);
+                let asked_by = self.note_told(&view, asked);
                 if !view.rows.is_empty() {
-                    let named = knowledge.naming_time(asked_by, view.told_at);
+                    let named = step.knowledge.naming_time(asked_by, view.told_at);
                     self.book
                         .change(|book| book.take_operator_rows(&view.rows, named));
                 }
@@ -135,7 +160,7 @@
             WatchAnswer::HistoryLost => {
                 log_event!(events::HISTORY_LOST, "table=operator");
                 // Nothing was heard for a while before.
-                self.read_operator(NamingKnowledge::Interrupted).await?
+                self.read_operator(step.behind_failure(false)).await?
             }
         };
         *since = Some(known.max(revision));
@@ -146,13 +171,13 @@
     ///
     /// A process reads the system's own rows first: with a document it is ready, and would otherwise
     /// believe an operator's row that has gone back.
-    async fn read_operator(&self, knowledge: NamingKnowledge) -> SwitchResult<(u64, StoreTime)> {
-        let is_behind_cut = matches!(knowledge, NamingKnowledge::Interrupted);
-        if is_behind_cut || !self.book.read(ViewBook::has_own_rows) {
+    async fn read_operator(&self, step: OperatorStep) -> SwitchResult<(u64, StoreTime)> {
+        if step.is_behind_failure || !self.book.read(ViewBook::has_own_rows) {
             self.read_own_rows().await?;
         }
-        let (view, asked_by) = self.read_table(TableName::Operator).await?;
-        let named = knowledge.naming_time(asked_by, view.told_at);
+        let view = self.read_table(TableName::Operator).await?;
+        // A read does not wait for a change.
+        let named = step.knowledge.naming_time(view.told_at, view.told_at);
         self.book
             .change(|book| book.read_operator_rows(&view.rows, named));
         Ok((view.revision, view.told_at))
@@ -196,14 +221,14 @@
                     .watch_table(TableName::Backends, since, BACKENDS_WAIT, STORE_WITHIN);
             match watched.await? {
                 WatchAnswer::Changed(view) => {
-                    self.note_clock(view.told_at, asked);
+                    self.note_told(&view, asked);
                     self.change_backends(&view);
                     return Ok(());
                 }
                 WatchAnswer::HistoryLost => log_event!(events::HISTORY_LOST, "table=backends"),
             }
         }
-        let (view, _) = self.read_table(TableName::Backends).await?;
+        let view = self.read_table(TableName::Backends).await?;
         // A read that is older than what is known is tried again.
         *is_whole = view.revision >= since;
         self.book.change(|book| {
--- a/src/sync/tests/messages.rs
+++ b/src/sync/tests/messages.rs
@@ -107,11 +107,7 @@
     let ages = [0, 1, u64::MAX / 1000, u64::MAX].map(Duration::from_millis);
     let words = ages.map(|age| WantedWord {
         target: target(3),
-        named: NamingTime {
-            at: store_time(later) - age,
-            slack: Duration::MAX,
-            certainty: NamingCertainty::Assumed,
-        },
+        named: NamingTime::guessed(store_time(later) - age, NamingCertainty::Assumed),
     });
     let alone = new_book();
     alone.change(|book| book.take_words(&words, later));
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -1,4 +1,7 @@
 mod clock;
+mod delayed_process;
+mod delayed_words;
+mod delayed_world;
 mod driver;
 mod driver_world;
 mod incarnations;
@@ -61,11 +64,7 @@
 }
 
 fn told_at(at: ClockTime) -> NamingTime {
-    NamingTime {
-        at: store_time(at),
-        slack: Duration::ZERO,
-        certainty: NamingCertainty::Witnessed,
-    }
+    NamingTime::guessed(store_time(at), NamingCertainty::Witnessed)
 }
 
 /// What is taken for the naming of a version that the store tells of at `now`.
@@ -230,11 +229,10 @@
     set_clock(&witness, started_at);
     for assumed in [1, 6, 30] {
         let book = new_book();
-        let named_at = NamingTime {
-            at: store_time(started_at - Duration::from_secs(assumed)),
-            slack: Duration::ZERO,
-            certainty: NamingCertainty::Assumed,
-        };
+        let named_at = NamingTime::guessed(
+            store_time(started_at - Duration::from_secs(assumed)),
+            NamingCertainty::Assumed,
+        );
         book.change(|book| book.take_operator_rows(&[named(2)], named_at));
         let ask = book.read(ViewBook::ask);
         let view = witness.read(|witness| witness.answer(&ask, Duration::ZERO, started_at));
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -15,12 +15,13 @@
 use super::peer_messages::EntryRecord;
 use super::snapshot::ControlSnapshot;
 use super::store_clock::{AskSpan, ClockSource, ClockWord, StoreClock};
+use super::store_marks::StoreMarks;
 use super::unreadable_rows::{RowReading, UnreadableRows};
 use super::wanted_versions::{WantedVersions, WordSource};
 use crate::catalog::{CatalogVersion, ServiceCatalog};
 use crate::errors::SwitchResult;
 use crate::events::log_event;
-use crate::fleet::FleetView;
+use crate::fleet::{FleetView, NamingCertainty};
 use crate::platform::{
     DocumentRow, StoreRow, TableName, TableView, read_backend_row, read_document,
     read_wanted_version,
@@ -46,6 +47,7 @@
     pub(super) document: Option<DocumentHeld>,
     pub(super) versions: WantedVersions,
     pub(super) clock: StoreClock,
+    marks: StoreMarks,
     /// Whether the system's own rows were read.
     has_own_rows: bool,
     /// The store's revision as of which they were.
@@ -103,6 +105,11 @@
         }
     }
 
+    /// When the store last answered.
+    pub(crate) const fn store_answered(&self) -> Option<ClockTime> {
+        self.store_answered
+    }
+
     /// How long the store has not answered, at `now`.
     pub(crate) fn store_silence(&self, now: ClockTime) -> Duration {
         match (self.store_answered, self.store_steady_since) {
@@ -112,10 +119,11 @@
         }
     }
 
-    /// The store's clock showed `told_at` within `span`.
-    pub(crate) fn note_clock(&mut self, told_at: StoreTime, span: AskSpan) {
+    /// The store said within `span` what its clock showed and that `revision` was its newest.
+    pub(crate) fn note_told(&mut self, revision: u64, told_at: StoreTime, span: AskSpan) {
         let word = ClockWord::of_store(told_at);
         self.clock.note(word, span, ClockSource::Store);
+        self.marks.note(revision, told_at);
     }
 
     /// The latest that the store's clock may show at `now`; its zero before anything was heard of it.
@@ -192,8 +200,14 @@
             let kind = DocumentRow::of(&row.key);
             let read = match kind {
                 DocumentRow::Document => self.take_document(value.clone(), source),
-                DocumentRow::WantedVersion => read_wanted_version(&row.key, value)
-                    .map(|target| self.versions.want(&target, named, source)),
+                DocumentRow::WantedVersion => {
+                    let named = match named.certainty {
+                        NamingCertainty::Witnessed => self.marks.narrow(named, row.revision),
+                        NamingCertainty::Assumed | NamingCertainty::Resumed => named,
+                    };
+                    read_wanted_version(&row.key, value)
+                        .map(|target| self.versions.want(&target, named, source))
+                }
                 DocumentRow::Other => Ok(()),
             };
             let begins = self.unreadable.note(table, &row.key, RowReading::of(&read));
--- a/src/sync/wanted_versions.rs
+++ b/src/sync/wanted_versions.rs
@@ -96,9 +96,10 @@
         match self.find(target) {
             Ok(at) if tells_naming => {
                 let known = &mut self.wanted[at].named;
-                if named.is_better_than(*known) {
-                    *known = named;
-                    note_naming_timed(target, named, source);
+                let joined = named.and(*known);
+                if joined != *known {
+                    *known = joined;
+                    note_naming_timed(target, joined, source);
                 }
             }
             Ok(_) => {}
@@ -178,11 +179,10 @@
     fn bounded_naming(&self, at: usize, target: &ModelVersion, named: NamingTime) -> NamingTime {
         let next = self.wanted.get(at);
         match next.filter(|next| next.target.model == target.model) {
-            Some(next) => NamingTime {
-                at: named.at.min(next.named.at),
-                certainty: NamingCertainty::Assumed,
-                ..named
-            },
+            Some(next) => {
+                let at = named.at.min(next.named.at);
+                NamingTime::guessed(at, NamingCertainty::Assumed)
+            }
             None => named,
         }
     }
@@ -234,7 +234,7 @@
     /// named, be it only the one before.
     pub(super) fn learns_from(&self, words: &[WantedWord]) -> bool {
         let is_news = |word: &WantedWord| match self.find(&word.target) {
-            Ok(at) => self.wanted[at].named.certainty < word.named.certainty,
+            Ok(at) => word.named.and(self.wanted[at].named) != self.wanted[at].named,
             Err(_) => match self.newest_wanted(&word.target.model) {
                 Some(newest) if newest.target.version > word.target.version => {
                     newest.named.certainty < word.named.certainty
@@ -255,8 +255,10 @@
     /// Takes in the versions that another process knows to be wanted, none of them named behind `latest`.
     pub(super) fn take_words(&mut self, words: &[WantedWord], latest: Option<StoreTime>) {
         for word in words {
-            let at = latest.map_or(word.named.at, |latest| word.named.at.min(latest));
-            let named = NamingTime { at, ..word.named };
+            let mut named = word.named;
+            if let Some(latest) = latest {
+                named.at = named.at.min(latest);
+            }
             self.want(&word.target, named, WordSource::Neighbour);
         }
     }
@@ -332,7 +334,7 @@
 /// it is over, so that without a line nobody could tell why one began when it did.
 fn note_naming_timed(target: &ModelVersion, named: NamingTime, source: WordSource) {
     let (model, version) = (&target.model, target.version.0);
-    let (certainty, slack) = (named.certainty, named.slack.as_millis());
+    let (certainty, slack) = (named.certainty, named.by.since(named.at).as_millis());
     let named_ms = millis_of(named);
     log_event!(
         events::NAMING_TIMED,
