--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 mod fake_backend;
 mod intake;
 mod sends;
+mod take_back;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -1,12 +1,9 @@
 //! What follows a send, by what is known after it and what the route allows.
 
+use super::BOUNDS;
 use super::fake_backend::{BackendWay, FakeBackend, FakeEntry, field};
-use super::{BOUNDS, job_of};
-use crate::fleet::{CallEnd, PickNeed, VersionNeed};
-use crate::gateway::send_attempt::{HeadWait, send_attempt};
 use crate::platform::TimeBounds;
 use crate::platform::samples::{ACCOUNT, ATTEMPT, DEADLINE, SEAL, TARGET_ID};
-use crate::time::clock_now;
 
 /// The status of an answer, what it ends with, and how many requests each of two fakes saw.
 async fn outcome(ways: [BackendWay; 2], kind: &str) -> (u16, String, [usize; 2]) {
@@ -285,39 +282,3 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
 }
-
-/// Requests began on older weights behind their bound. What waits at an engine is taken back a quarter of a
-/// second before it; that time was counted from when the connection was open, which may take 0.15 s beside
-/// an engine whose link carries weights. What would have to be back by then is not sent at all, and so it
-/// surely did not run.
-#[tokio::test]
-async fn what_has_to_be_back_when_its_connection_is_open_is_not_sent() {
-    let backend = FakeBackend::start(BackendWay::Whole).await;
-    let entry = FakeEntry::start(&[&backend]).await;
-    entry.gateway.snapshot();
-    let now = clock_now();
-    let need = PickNeed {
-        service: "desk",
-        version: VersionNeed::None,
-        tried: &[],
-        queue_room: 0,
-        is_returned: false,
-        work: None,
-    };
-    let ticket = entry.gateway.desk.pick(&need, now);
-    let wait = HeadWait {
-        until: now,
-        silence: CallEnd::Nothing,
-    };
-    let job = job_of("once", now);
-    let sent = send_attempt(
-        &entry.gateway,
-        &job,
-        ticket.expect("it has places"),
-        (&VersionNeed::None, None),
-        wait,
-    );
-    let failure = sent.await.err().expect("it was too late");
-    assert!(!failure.has_arrived && !failure.may_have_run, "{failure:?}");
-    assert_eq!(backend.arrivals(), 0);
-}
--- /dev/null
+++ b/src/gateway/tests/take_back.rs
@@ -0,0 +1,133 @@
+//! What waits at engines of older weights is taken back before their bound.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+use super::fake_backend::{BackendWay, FakeBackend, FakeEntry};
+use super::{BOUNDS, gateway_on, job_of};
+use crate::fleet::{
+    BackendFacts, BackendPhase, CallEnd, EngineHoldings, FleetView, HeldLayers, ModelVersion,
+    NamingCertainty, PickNeed, VersionNeed, WantedWeights, WeightsVersion,
+};
+use crate::gateway::send_attempt::{HeadWait, send_attempt};
+use crate::sync::{ControlSnapshot, SharedSnapshot};
+use crate::time::clock_now;
+
+/// Requests began on older weights behind their bound. What waits at an engine is taken back a quarter of a
+/// second before it; that time was counted from when the connection was open, which may take 0.15 s beside
+/// an engine whose link carries weights. What would have to be back by then is not sent at all, and so it
+/// surely did not run.
+#[tokio::test]
+async fn what_has_to_be_back_when_its_connection_is_open_is_not_sent() {
+    let backend = FakeBackend::start(BackendWay::Whole).await;
+    let entry = FakeEntry::start(&[&backend]).await;
+    entry.gateway.snapshot();
+    let now = clock_now();
+    let need = PickNeed {
+        service: "desk",
+        version: VersionNeed::None,
+        tried: &[],
+        queue_room: 0,
+        is_returned: false,
+        work: None,
+    };
+    let ticket = entry.gateway.desk.pick(&need, now);
+    let wait = HeadWait {
+        until: now,
+        silence: CallEnd::Nothing,
+    };
+    let job = job_of("once", now);
+    let sent = send_attempt(
+        &entry.gateway,
+        &job,
+        ticket.expect("it has places"),
+        (&VersionNeed::None, None),
+        wait,
+    );
+    let failure = sent.await.err().expect("it was too late");
+    assert!(!failure.has_arrived && !failure.may_have_run, "{failure:?}");
+    assert_eq!(backend.arrivals(), 0);
+}
+
+/// Requests could begin on older weights behind their bound though their entry host knew better by then. A
+/// request that waits at an engine was taken back at a moment worked out when it was sent; a newer version,
+/// or an earlier moment of its naming, that was heard of meanwhile changed nothing for it.
+#[tokio::test]
+async fn what_waits_is_taken_back_by_what_is_known_meanwhile() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = silent.local_addr().expect("it is bound");
+    let version = |number| ModelVersion {
+        model: "m".into(),
+        version: WeightsVersion(number),
+    };
+    let layers = HeldLayers {
+        from: 0,
+        to: 16,
+        version: WeightsVersion(1),
+    };
+    let facts = BackendFacts {
+        born: None,
+        told: None,
+        id: "i-0".into(),
+        service: "desk".into(),
+        address,
+        data_centre: "here".into(),
+        slots: 4,
+        phase: BackendPhase::Serving,
+        holdings: EngineHoldings {
+            models: vec![version(1)],
+            layers: vec![layers],
+        },
+    };
+    let known = ControlSnapshot {
+        fleet: Arc::new(FleetView {
+            backends: vec![Arc::new(facts)],
+        }),
+        ..ControlSnapshot::default()
+    };
+    let snapshot = SharedSnapshot::default();
+    snapshot.store(known.clone());
+    let gateway = Arc::new(gateway_on(snapshot.clone(), BOUNDS));
+    gateway.snapshot();
+    let model = VersionNeed::Model {
+        model: "m".into(),
+        layers: 16,
+        least: None,
+        least_to_wait: None,
+    };
+    let now = clock_now();
+    let need = PickNeed {
+        service: "desk",
+        version: model.clone(),
+        tried: &[],
+        queue_room: 0,
+        is_returned: false,
+        work: None,
+    };
+    let ticket = gateway.desk.pick(&need, now).expect("it has places");
+    let wait = HeadWait {
+        until: now + Duration::from_secs(5),
+        silence: CallEnd::Failed,
+    };
+    let sending = tokio::spawn(async move {
+        let job = job_of("resumed", now);
+        let sent = send_attempt(&gateway, &job, ticket, (&model, None), wait);
+        sent.await.err()
+    });
+    sleep(Duration::from_millis(100)).await;
+    let second = WantedWeights {
+        target: version(2),
+        named_at: now - BOUNDS.weights_within,
+        certainty: NamingCertainty::Witnessed,
+    };
+    snapshot.store(ControlSnapshot {
+        wanted: Arc::new(vec![second]),
+        ..known
+    });
+    let sent = timeout(Duration::from_secs(1), sending).await;
+    let failure = sent.expect("it is taken back").expect("no test panicked");
+    assert!(failure.is_some_and(|failure| failure.may_have_run));
+}
