Take a request back by what is known while it waits

The moment at which it is taken back was worked out when it was sent. Now it is looked at again each 0.15 s until the head of the answer comes.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -183,13 +183,7 @@
             until: now + self.patience(now),
             silence: CallEnd::Failed,
         };
-        match taken_back {
-            Some(until) if until < patience.until => HeadWait {
-                until,
-                silence: CallEnd::Nothing,
-            },
-            _ => patience,
-        }
+        patience.taken_back_by(taken_back)
     }
 
     fn patience(&self, now: ClockTime) -> Duration {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// The newest control state, whatever the desk knows.
+    pub(super) fn newest(&self) -> Arc<ControlSnapshot> {
+        self.snapshot.load()
+    }
+
     /// The newest control state; the desk is brought to it first.
     pub(super) fn snapshot(&self) -> Arc<ControlSnapshot> {
         let newest = self.snapshot.load();
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one backend server, up to the head of the answer, and what is known
 //! after it.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,10 @@
 /// lost first packet is sent again after a second, which is later than another backend server.
 const CONNECT_WITHIN: Duration = Duration::from_millis(150);
 
+/// How often it is looked whether a request that waits is to be taken back earlier than was known. Most
+/// heads come within it.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+
 /// An answer whose head has arrived.
 pub(super) struct OpenAnswer {
     pub(super) ticket: BackendTicket,
@@ -40,6 +45,19 @@
     pub(super) silence: CallEnd,
 }
 
+impl HeadWait {
+    /// The same, but for a request that is taken back at `taken_back` at the latest.
+    pub(super) fn taken_back_by(self, taken_back: Option<ClockTime>) -> Self {
+        match taken_back {
+            Some(until) if until < self.until => Self {
+                until,
+                silence: CallEnd::Nothing,
+            },
+            _ => self,
+        }
+    }
+}
+
 /// What is known after a send that brought no answer.
 #[derive(Debug)]
 pub(super) struct SendFailure {
@@ -94,14 +112,13 @@
             return Err(SendFailure::not_sent(fault.to_string()));
         }
     };
-    let left = wait.until.since(clock_now());
-    if left.is_zero() {
+    if wait.until <= clock_now() {
         // The connection took as long to open. Counted from there, a request was taken back up to that much
         // too late, and began on older weights behind their bound.
         ticket.end(CallEnd::Nothing, clock_now());
         return Err(SendFailure::not_sent("its time was over".to_owned()));
     }
-    let sent = timeout(left, connection.send(request)).await;
+    let sent = await_head(gateway, job, &ticket, wait, connection.send(request)).await;
     let (parts, body) = match sent {
         Ok(Ok(answer)) => answer.into_parts(),
         Ok(Err(SendFault::NotSent(detail))) => {
@@ -113,13 +130,13 @@
             ticket.end(CallEnd::Failed, clock_now());
             return Err(SendFailure::unknown(ErrorKind::AnswerCut, detail));
         }
-        Err(_) => {
+        Err(wait) => {
             if wait.silence == CallEnd::Nothing {
                 log_taken_back(job, &ticket.facts.id);
             }
             gateway.shelf.drop_all(ticket.key);
             ticket.end(wait.silence, clock_now());
-            let detail = format!("no head within {left:?}");
+            let detail = format!("no head {:?} after it came", wait.until.since(job.arrived));
             return Err(SendFailure::unknown(ErrorKind::PeerSilent, detail));
         }
     };
@@ -136,6 +153,31 @@
     )
 }
 
+/// Waits for the head of an answer. An error tells the wait that is over.
+///
+/// A newer version, or a better word of when it was named, may be heard of while a request waits at an
+/// engine of older weights: by what was known when it was sent it would begin behind their bound.
+async fn await_head<T>(
+    gateway: &GatewayState,
+    job: &RequestJob,
+    ticket: &BackendTicket,
+    wait: HeadWait,
+    sending: impl Future<Output = T>,
+) -> Result<T, HeadWait> {
+    let mut sending = pin!(sending);
+    let bound = gateway.take_back_after();
+    loop {
+        let taken_back = job.taken_back_at(&gateway.newest(), ticket.version, bound);
+        let wait = wait.taken_back_by(taken_back);
+        let left = wait.until.since(clock_now());
+        match timeout(left.min(LOOK_PAUSE), &mut sending).await {
+            Ok(sent) => return Ok(sent),
+            Err(_) if left <= LOOK_PAUSE => return Err(wait),
+            Err(_) => {}
+        }
+    }
+}
+
 /// A connection that was kept, or a new one. An unrepeatable request gets a new one: on a kept one
 /// it may cross the backend server's close, and nobody would know whether it ran.
 async fn connect(
