--- a/src/sync/tests/clock.rs
+++ b/src/sync/tests/clock.rs
@@ -83,6 +83,27 @@
     run_cases(CASES, CASE_BYTES, run_case);
 }
 
+/// An entry host took a version for named 60 ms later than it was, an hour behind its start: two clocks drift
+/// apart also in the tenths of a second between two words, and only whole seconds were counted.
+#[test]
+fn clocks_drift_apart_between_words_in_quick_succession() {
+    let real = RealClock {
+        ahead: 40_000_000,
+        drift: DRIFT_MOST,
+    };
+    let mut clock = StoreClock::default();
+    let mut now = ClockTime::from_millis(1_000_000);
+    for _ in 0..9_000 {
+        let answered = now + Duration::from_millis(1);
+        let heard = now + Duration::from_millis(61);
+        let span = AskSpan { asked: now, heard };
+        clock.note(real.word(answered), span, ClockSource::Store);
+        now = now + Duration::from_millis(400);
+        let late = clock.earliest(real.at(now)).since(now);
+        assert!(late.is_zero(), "{late:?} late at {now:?}");
+    }
+}
+
 /// A process that stood still goes by what the store says next; a neighbour that did not notice yet that it
 /// stood still itself, and tells a time of before, is not believed.
 #[test]
--- a/src/sync/tests/late_words.rs
+++ b/src/sync/tests/late_words.rs
@@ -26,25 +26,25 @@
 /// How long a process follows the store before a version is named.
 const FOLLOWED: Duration = Duration::from_millis(600);
 
-fn put_document(store: &FakeStore, version: u64) {
+pub(super) fn put_document(store: &FakeStore, version: u64) {
     let (key, text) = document_sample(version);
     store.put(TableName::Operator, key, &text);
 }
 
 /// Names version 2; returns a moment at which the store has it already.
-fn name_version(store: &FakeStore) -> ClockTime {
+pub(super) fn name_version(store: &FakeStore) -> ClockTime {
     let (key, text) = naming_sample(2);
     store.put(TableName::Operator, key, &text);
     clock_now()
 }
 
-fn second(snapshot: &ControlSnapshot) -> Option<&WantedWeights> {
+pub(super) fn second(snapshot: &ControlSnapshot) -> Option<&WantedWeights> {
     let mut wanted = snapshot.wanted.iter();
     wanted.find(|wanted| wanted.target.version == WeightsVersion(2))
 }
 
 /// What `process` believes of version 2 as soon as it knows it.
-async fn belief(process: &EntryProcess) -> WantedWeights {
+pub(super) async fn belief(process: &EntryProcess) -> WantedWeights {
     let snapshot = process.believes(|snapshot| second(snapshot).is_some());
     let snapshot = snapshot.await;
     second(&snapshot).expect("it was waited for").clone()
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -4,6 +4,7 @@
 mod delayed_world;
 mod driver;
 mod driver_world;
+mod full_links;
 mod incarnations;
 mod late_words;
 mod messages;
