Count the drift of clocks in microseconds

A version counted as named up to 61 ms later than it was within an hour: the drift between two words was counted in whole seconds, of which none pass between words several times in a second. The test of a process that stood still asked for the microsecond; it allows the drift of its few milliseconds now, 20 us, and still none behind.

--- a/src/sync/store_clock.rs
+++ b/src/sync/store_clock.rs
@@ -74,7 +74,8 @@
     /// What is left of it at `now`: clocks drift.
     fn at(self, now: ClockTime) -> Self {
         let passed = u64::try_from(now.since(self.at).as_micros()).unwrap_or(u64::MAX);
-        let drift = signed(passed / 1_000_000 * DRIFT_PER_MILLION);
+        let drift = passed.saturating_mul(DRIFT_PER_MILLION);
+        let drift = signed(drift.div_ceil(1_000_000));
         Self {
             least: self.least.saturating_sub(drift),
             most: self.most.saturating_add(drift),
