Keep the bound of a forgotten version whoever tells the next one's naming

Of nine versions in quick succession the eldest is forgotten and the next binds from its naming. Since later moments within what others saw count, the next one's own naming, told by a host that had not heard of the ninth, undid that: 1 s late in the test that was listed.

--- a/src/sync/wanted_versions.rs
+++ b/src/sync/wanted_versions.rs
@@ -216,6 +216,8 @@
             let oldest = self.wanted.remove(first);
             let next = &mut self.wanted[first];
             next.named.at = next.named.at.min(oldest.named.at);
+            // Whoever tells this version's own naming does not undo it.
+            next.named.by = next.named.at;
         }
     }
 
