Take no word of a naming before the store's clock is known

A process that has heard nothing of the store's clock cannot place a moment on it: it refused all older weights at the first question that named a version, and a moment far ahead bound never. Such words come again with each question.

--- a/src/sync/store_clock.rs
+++ b/src/sync/store_clock.rs
@@ -119,6 +119,11 @@
         });
     }
 
+    /// Whether anything was heard of it.
+    pub(super) const fn is_known(&self) -> bool {
+        self.known.is_some()
+    }
+
     /// What it shows at `now`, for another process.
     pub(super) fn word(&self, now: ClockTime) -> Option<ClockWord> {
         let known = self.known?.at(now);
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -379,13 +379,15 @@
 
     /// Whether `words` tell more of what versions were named, and when, than is known.
     pub(crate) fn learns_from(&self, words: &[WantedWord]) -> bool {
-        self.versions.learns_from(words)
+        self.clock.is_known() && self.versions.learns_from(words)
     }
 
     /// Takes in the versions that another process knows to be wanted.
     pub(crate) fn take_words(&mut self, words: &[WantedWord], now: ClockTime) {
-        let latest = self.clock.word(now).map(|word| word.most);
-        self.versions.take_words(words, latest);
+        // Without the store's clock nobody can tell when these were named; they are told again.
+        if let Some(word) = self.clock.word(now) {
+            self.versions.take_words(words, word.most);
+        }
     }
 
     /// What a neighbour that asks does not know yet, said at `now` after its question was held open for
--- a/src/sync/wanted_versions.rs
+++ b/src/sync/wanted_versions.rs
@@ -255,12 +255,10 @@
     }
 
     /// Takes in the versions that another process knows to be wanted, none of them named behind `latest`.
-    pub(super) fn take_words(&mut self, words: &[WantedWord], latest: Option<StoreTime>) {
+    pub(super) fn take_words(&mut self, words: &[WantedWord], latest: StoreTime) {
         for word in words {
             let mut named = word.named;
-            if let Some(latest) = latest {
-                named.at = named.at.min(latest);
-            }
+            named.at = named.at.min(latest);
             self.want(&word.target, named, WordSource::Neighbour);
         }
     }
