Place what is found by records, whole reads and behind cuts where it was, not where it came

Now the operator's table counts as followed up to its last answer, or from when the store answers again, whichever way its rows come; only a change's own row raises the moment, and no version is newer than an answer that counted its row. Ruled out: raising it by a whole read's row, which is what a repeated naming moves.

--- a/src/sync/naming_time.rs
+++ b/src/sync/naming_time.rs
@@ -74,17 +74,26 @@
 }
 
 impl NamingKnowledge {
-    /// What is known behind an answer that did not come, beside a store that `has_answered` other questions
-    /// meanwhile or not.
+    /// What is known behind an answer that did not come. `contact` tells since when the store has answered,
+    /// if it answered other questions meanwhile.
     ///
-    /// Where it has, it is not away: an answer full of documents did not get through a full link, and
-    /// versions in it are as old as they are. Taken for new, as behind a cut, requests began on older
-    /// weights behind the bound, wherever a whole region stood behind such a link.
-    pub(super) const fn behind_failure(self, has_answered: bool) -> Self {
+    /// Then it is not away: an answer full of documents did not get through a full link, and versions in
+    /// it are as old as they are. Taken for new, as behind a cut, requests began on older weights behind the
+    /// bound, wherever a whole region stood behind such a link.
+    pub(super) const fn behind_failure(self, contact: Option<StoreTime>) -> Self {
+        match (self, contact) {
+            (Self::Started, _) => Self::Started,
+            (Self::Followed(_), Some(_)) => self,
+            (Self::Interrupted, Some(since)) => Self::Followed(since),
+            (Self::Followed(_) | Self::Interrupted, None) => Self::Interrupted,
+        }
+    }
+
+    /// Up to which answer the table was followed, if it is.
+    pub(super) const fn followed(self) -> Option<StoreTime> {
         match self {
-            Self::Started => Self::Started,
-            Self::Followed(_) if has_answered => self,
-            Self::Followed(_) | Self::Interrupted => Self::Interrupted,
+            Self::Followed(told_at) => Some(told_at),
+            Self::Started | Self::Interrupted => None,
         }
     }
 
--- a/src/sync/store_marks.rs
+++ b/src/sync/store_marks.rs
@@ -3,6 +3,8 @@
 //! The store counts all its changes with one number and tells the newest with every answer, whatever table
 //! it is about. A row of a higher revision than an answer tells was written behind that answer.
 
+use std::time::Duration;
+
 use macro_rules_attribute::apply;
 
 use super::naming_time::NamingTime;
@@ -13,6 +15,10 @@
 /// on its way for a few seconds.
 const MARKS_KEPT: usize = 64;
 
+/// How far two answers are apart at most while the store is there: a watch that brings nothing, its pause, and
+/// an answer that takes as long as it may.
+const ANSWERS_APART: Duration = Duration::from_millis(2500);
+
 /// What an answer tells.
 #[apply(plain!)]
 #[derive(Copy)]
@@ -47,7 +53,31 @@
         }
     }
 
-    /// What `named` is, if the row that names the version has `revision`.
+    /// When the contact with the store began that lasts since, as of the newest answer.
+    pub(super) fn contact_since(&self) -> Option<StoreTime> {
+        let pairs = self.marks.windows(2).rev();
+        let mut apart = pairs.filter(|pair| pair[1].told_at.since(pair[0].told_at) > ANSWERS_APART);
+        let first = apart.next().map(|pair| pair[1]);
+        first
+            .or(self.marks.first().copied())
+            .map(|mark| mark.told_at)
+    }
+
+    /// What `named` is, if the row that names the version has at least `revision`: it may have been written
+    /// again since.
+    pub(super) fn cap(&self, named: NamingTime, revision: u64) -> NamingTime {
+        let at = self.marks.partition_point(|mark| mark.revision < revision);
+        let Some(after) = self.marks.get(at) else {
+            return named;
+        };
+        NamingTime {
+            at: named.at.min(after.told_at),
+            by: named.by.min(after.told_at),
+            ..named
+        }
+    }
+
+    /// What `named` is, if the row that names the version was written with `revision`.
     ///
     /// An answer that is seconds on its way, over a link full of documents, tells of a change as if it were
     /// new; so does the one behind it, of what was changed meanwhile. Taken for new, requests began on
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -62,15 +62,19 @@
     knowledge: NamingKnowledge,
     /// The one before it failed.
     is_behind_failure: bool,
+    /// The last answer about the table.
+    told_at: Option<StoreTime>,
 }
 
 impl OperatorStep {
-    /// The next step, if this one fails while the store `has_answered` other questions or not.
-    const fn behind_failure(self, has_answered: bool) -> Self {
+    /// The next step, if this one fails; `contact` tells since when the store has answered other questions,
+    /// if it did meanwhile.
+    const fn behind_failure(self, contact: Option<StoreTime>) -> Self {
         Self {
-            knowledge: self.knowledge.behind_failure(has_answered),
+            knowledge: self.knowledge.behind_failure(contact),
             // A start reads all that there is anyway.
             is_behind_failure: !matches!(self.knowledge, NamingKnowledge::Started),
+            ..self
         }
     }
 }
@@ -84,6 +88,7 @@
         let mut step = OperatorStep {
             knowledge: NamingKnowledge::Started,
             is_behind_failure: false,
+            told_at: None,
         };
         loop {
             let asked = clock_now();
@@ -92,9 +97,12 @@
                 Ok(told_at) => OperatorStep {
                     knowledge: NamingKnowledge::Followed(*told_at),
                     is_behind_failure: false,
+                    told_at: Some(*told_at),
                 },
-                Err(_) => step.behind_failure(self.has_answered_since(asked)),
+                Err(_) => step.behind_failure(self.contact_behind(asked, step)),
             };
+            self.book
+                .note(|book| book.note_followed(step.knowledge.followed()));
             if followed.is_ok() {
                 self.book.note(|book| book.note_operator(clock_now()));
             }
@@ -102,10 +110,14 @@
         }
     }
 
-    /// Whether the store has answered any question since `asked`.
-    fn has_answered_since(&self, asked: ClockTime) -> bool {
-        self.book
-            .read(|book| book.store_answered().is_some_and(|at| at >= asked))
+    /// Since when the store has answered without telling of the operator's table, if it has answered any
+    /// question since `asked`.
+    fn contact_behind(&self, asked: ClockTime, step: OperatorStep) -> Option<StoreTime> {
+        self.book.read(|book| {
+            let answered = book.store_answered();
+            answered.filter(|at| *at >= asked)?;
+            book.contact_since().max(step.told_at)
+        })
     }
 
     /// Reads the system's own rows.
@@ -179,8 +191,8 @@
             }
             WatchAnswer::HistoryLost => {
                 log_event!(events::HISTORY_LOST, "table=operator");
-                // Nothing was heard for a while before.
-                self.read_operator(step.behind_failure(false)).await?
+                let contact = self.contact_behind(asked, step);
+                self.read_operator(step.behind_failure(contact)).await?
             }
         };
         *since = Some(known.max(revision));
@@ -278,7 +290,10 @@
 
     /// What is known of when versions were named that the system's own rows record.
     fn own_knowledge(&self) -> NamingKnowledge {
-        if self.book.read(ViewBook::has_own_rows) {
+        if let Some(told_at) = self.book.read(ViewBook::followed) {
+            // A host near the store records a version before the watch tells it here.
+            NamingKnowledge::Followed(told_at)
+        } else if self.book.read(ViewBook::has_own_rows) {
             // What is new to a process that has lived was named while it was cut off.
             NamingKnowledge::Interrupted
         } else {
--- a/src/sync/tests/full_links.rs
+++ b/src/sync/tests/full_links.rs
@@ -113,7 +113,9 @@
         mark(&book, revision, at(millis));
     }
     let told = store_time(at(4000));
-    let time = followed.behind_failure(true).naming_time(told, told);
+    let time = followed
+        .behind_failure(Some(store_time(at(0))))
+        .naming_time(told, told);
     let rows = [document(2), naming_row(2, 30)];
     book.change(|book| book.read_operator_rows(&rows, time));
     let snapshot = book.snapshot().load();
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -47,6 +47,8 @@
     versions: WantedVersions,
     clock: StoreClock,
     marks: StoreMarks,
+    /// The answer up to which the operator's table was followed, if it is.
+    followed: Option<StoreTime>,
     /// Whether the system's own rows were read.
     has_own_rows: bool,
     /// The store's revision as of which they were.
@@ -124,6 +126,21 @@
         self.marks.note(revision, told_at);
     }
 
+    /// The operator's table is followed up to an answer of `told_at`, or not at all.
+    pub(crate) fn note_followed(&mut self, told_at: Option<StoreTime>) {
+        self.followed = told_at;
+    }
+
+    /// Up to which answer the operator's table was followed, if it is.
+    pub(crate) const fn followed(&self) -> Option<StoreTime> {
+        self.followed
+    }
+
+    /// When the contact with the store began that lasts since.
+    pub(crate) fn contact_since(&self) -> Option<StoreTime> {
+        self.marks.contact_since()
+    }
+
     /// The latest that the store's clock may show at `now`; its zero before anything was heard of it.
     pub(crate) fn store_time(&self, now: ClockTime) -> StoreTime {
         self.clock.word(now).map_or(StoreTime(0), |word| word.most)
@@ -194,10 +211,7 @@
             let read = match kind {
                 DocumentRow::Document => self.take_document(value.clone(), source),
                 DocumentRow::WantedVersion => {
-                    let named = match named.certainty {
-                        NamingCertainty::Witnessed => self.marks.narrow(named, row.revision),
-                        NamingCertainty::Assumed | NamingCertainty::Resumed => named,
-                    };
+                    let named = self.place(named, row.revision, source);
                     read_wanted_version(&row.key, value)
                         .map(|target| self.versions.want(&target, named, source))
                 }
@@ -210,6 +224,21 @@
         }
     }
 
+    /// When a version was named whose row `source` tells with `revision`, if it is `named` as far as the
+    /// table alone tells.
+    fn place(&self, named: NamingTime, revision: u64, source: WordSource) -> NamingTime {
+        match (named.certainty, source) {
+            // A process that starts has no answers of before.
+            (NamingCertainty::Assumed, _) => named,
+            (NamingCertainty::Witnessed, WordSource::Change(_) | WordSource::PastChange(_)) => {
+                self.marks.narrow(named, revision)
+            }
+            (NamingCertainty::Witnessed | NamingCertainty::Resumed, _) => {
+                self.marks.cap(named, revision)
+            }
+        }
+    }
+
     /// Puts a document in force if it is newer than the one that is.
     fn take_document(&mut self, text: Bytes, source: WordSource) -> SwitchResult<()> {
         let catalog = read_document(&text)?;
