--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -67,6 +67,15 @@
 }
 
 impl OperatorStep {
+    /// The next step behind an answer of `told_at`.
+    const fn behind_answer(told_at: StoreTime) -> Self {
+        Self {
+            knowledge: NamingKnowledge::Followed(told_at),
+            is_behind_failure: false,
+            told_at: Some(told_at),
+        }
+    }
+
     /// The next step, if this one fails; `contact` tells since when the store has answered other questions,
     /// if it did meanwhile.
     const fn behind_failure(self, contact: Option<StoreTime>) -> Self {
@@ -94,15 +103,11 @@
             let asked = clock_now();
             let followed = self.operator_step(&mut since, step).await;
             step = match &followed {
-                Ok(told_at) => OperatorStep {
-                    knowledge: NamingKnowledge::Followed(*told_at),
-                    is_behind_failure: false,
-                    told_at: Some(*told_at),
-                },
-                Err(_) => {
-                    let contact = self.contact_since(step);
-                    step.behind_failure(contact.filter(|_| self.has_answered_since(asked)))
+                Ok(told_at) => OperatorStep::behind_answer(*told_at),
+                Err(_) if self.has_answered_since(asked) => {
+                    step.behind_failure(self.contact_since(step))
                 }
+                Err(_) => step.behind_failure(None),
             };
             self.book
                 .note(|book| book.note_followed(step.knowledge.followed()));
