--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -17,6 +17,7 @@
 mod shared_book;
 mod snapshot;
 mod store_clock;
+mod store_contact;
 mod store_marks;
 mod store_watch;
 mod sync_thread;
--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -58,6 +58,7 @@
             step: OperatorStep {
                 knowledge: NamingKnowledge::Started,
                 is_behind_failure: false,
+                told_at: None,
             },
             pause: FailurePause::default(),
             is_whole_due: false,
@@ -104,21 +105,17 @@
         {
             // Neighbours told all until then.
             following.since = Some(word.revision);
-            following.step = OperatorStep {
-                knowledge: NamingKnowledge::Followed(word.told_at),
-                is_behind_failure: false,
-            };
+            following.step = OperatorStep::behind_answer(word.told_at);
         }
         let step = following.step;
         let asked = clock_now();
         let followed = self.operator_step(&mut following.since, step).await;
         following.step = match &followed {
-            Ok(told_at) => OperatorStep {
-                knowledge: NamingKnowledge::Followed(*told_at),
-                is_behind_failure: false,
-            },
-            Err(_) => step.behind_failure(self.has_answered_since(asked)),
+            Ok(told_at) => OperatorStep::behind_answer(*told_at),
+            Err(_) => self.behind_failure(step, asked),
         };
+        let followed_by = following.step.knowledge.followed();
+        self.book.note(|book| book.note_followed(followed_by));
         following.is_whole_due = followed.is_err() && following.since.is_none();
         match (&followed, following.since) {
             (Ok(told_at), Some(revision)) => self.book.note(|book| {
@@ -176,6 +173,7 @@
             if let Some(word) = word {
                 let known_at = book.earliest(word.told_at);
                 book.operator_mut().take_word(word, known_at);
+                book.note_followed(Some(word.told_at));
                 answer = judge_reader(&word, known_at, span.heard);
             }
         });
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -67,24 +67,52 @@
     pub(super) knowledge: NamingKnowledge,
     /// The one before it failed.
     pub(super) is_behind_failure: bool,
+    /// The last answer about the table.
+    pub(super) told_at: Option<StoreTime>,
 }
 
 impl OperatorStep {
-    /// The next step, if this one fails while the store `has_answered` other questions or not.
-    pub(super) const fn behind_failure(self, has_answered: bool) -> Self {
+    /// The next step behind an answer of `told_at`.
+    pub(super) const fn behind_answer(told_at: StoreTime) -> Self {
         Self {
-            knowledge: self.knowledge.behind_failure(has_answered),
+            knowledge: NamingKnowledge::Followed(told_at),
+            is_behind_failure: false,
+            told_at: Some(told_at),
+        }
+    }
+
+    /// The next step, if this one fails; `contact` tells since when the store has answered other questions,
+    /// if it did meanwhile.
+    const fn behind_failure(self, contact: Option<StoreTime>) -> Self {
+        Self {
+            knowledge: self.knowledge.behind_failure(contact),
             // A start reads all that there is anyway.
             is_behind_failure: !matches!(self.knowledge, NamingKnowledge::Started),
+            ..self
         }
     }
 }
 
 impl StoreWatch {
+    /// The step behind `step`, which failed and began at `asked`.
+    pub(super) fn behind_failure(&self, step: OperatorStep, asked: ClockTime) -> OperatorStep {
+        if self.has_answered_since(asked) {
+            step.behind_failure(self.contact_since(step))
+        } else {
+            step.behind_failure(None)
+        }
+    }
+
+    /// Since when the store has answered without telling of the operator's table.
+    fn contact_since(&self, step: OperatorStep) -> Option<StoreTime> {
+        let since = self.book.read(ViewBook::contact_since);
+        since.max(step.told_at)
+    }
+
     /// Whether the store has answered any question since `asked`.
-    pub(super) fn has_answered_since(&self, asked: ClockTime) -> bool {
-        self.book
-            .read(|book| book.store_answered().is_some_and(|at| at >= asked))
+    fn has_answered_since(&self, asked: ClockTime) -> bool {
+        let answered = self.book.read(ViewBook::store_answered);
+        answered.is_some_and(|at| at >= asked)
     }
 
     /// Reads the system's own rows.
@@ -159,8 +187,8 @@
             }
             WatchAnswer::HistoryLost => {
                 log_event!(events::HISTORY_LOST, "table=operator");
-                // Nothing was heard for a while before.
-                self.read_operator(step.behind_failure(false)).await?
+                let contact = self.contact_since(step);
+                self.read_operator(step.behind_failure(contact)).await?
             }
         };
         *since = Some(known.max(revision));
@@ -276,7 +304,10 @@
 
     /// What is known of when versions were named that the system's own rows record.
     fn own_knowledge(&self) -> NamingKnowledge {
-        if self.book.read(ViewBook::has_own_rows) {
+        if let Some(told_at) = self.book.read(ViewBook::followed) {
+            // A host near the store records a version before the watch tells it here.
+            NamingKnowledge::Followed(told_at)
+        } else if self.book.read(ViewBook::has_own_rows) {
             // What is new to a process that has lived was named while it was cut off.
             NamingKnowledge::Interrupted
         } else {
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -14,7 +14,7 @@
 use super::own_rows::{OwnRows, VersionRecord};
 use super::peer_messages::EntryRecord;
 use super::snapshot::ControlSnapshot;
-use super::store_clock::{AskSpan, ClockSource, ClockWord, StoreClock};
+use super::store_clock::StoreClock;
 use super::store_marks::StoreMarks;
 use super::unreadable_rows::{RowReading, UnreadableRows};
 use super::wanted_versions::{WantedVersions, WordSource};
@@ -47,7 +47,9 @@
     pub(super) document: Option<DocumentHeld>,
     pub(super) versions: WantedVersions,
     pub(super) clock: StoreClock,
-    marks: StoreMarks,
+    pub(super) marks: StoreMarks,
+    /// The answer up to which the operator's table was followed, if it is.
+    pub(super) followed: Option<StoreTime>,
     /// Whether the system's own rows were read.
     has_own_rows: bool,
     /// The store's revision as of which they were.
@@ -119,28 +121,11 @@
         }
     }
 
-    /// The store said within `span` what its clock showed and that `revision` was its newest.
-    pub(crate) fn note_told(&mut self, revision: u64, told_at: StoreTime, span: AskSpan) {
-        let word = ClockWord::of_store(told_at);
-        self.clock.note(word, span, ClockSource::Store);
-        self.marks.note(revision, told_at);
-    }
-
-    /// The latest that the store's clock may show at `now`; its zero before anything was heard of it.
-    pub(crate) fn store_time(&self, now: ClockTime) -> StoreTime {
-        self.clock.word(now).map_or(StoreTime(0), |word| word.most)
-    }
-
     /// How well the operator's table is known.
     pub(super) const fn operator(&self) -> &OperatorReading {
         &self.operator
     }
 
-    /// The earliest moment on this process's clock at which the store's clock can have shown `moment`.
-    pub(super) fn earliest(&self, moment: StoreTime) -> ClockTime {
-        self.clock.earliest(moment)
-    }
-
     /// The same, to be changed.
     pub(super) const fn operator_mut(&mut self) -> &mut OperatorReading {
         &mut self.operator
@@ -201,10 +186,7 @@
             let read = match kind {
                 DocumentRow::Document => self.take_document(value.clone(), source),
                 DocumentRow::WantedVersion => {
-                    let named = match named.certainty {
-                        NamingCertainty::Witnessed => self.marks.narrow(named, row.revision),
-                        NamingCertainty::Assumed | NamingCertainty::Resumed => named,
-                    };
+                    let named = self.place(named, row.revision, source);
                     read_wanted_version(&row.key, value)
                         .map(|target| self.versions.want(&target, named, source))
                 }
@@ -217,6 +199,21 @@
         }
     }
 
+    /// When a version was named whose row `source` tells with `revision`, if it is `named` as far as the
+    /// table alone tells.
+    fn place(&self, named: NamingTime, revision: u64, source: WordSource) -> NamingTime {
+        match (named.certainty, source) {
+            // A process that starts has no answers of before.
+            (NamingCertainty::Assumed, _) => named,
+            (NamingCertainty::Witnessed, WordSource::Change(_) | WordSource::PastChange(_)) => {
+                self.marks.narrow(named, revision)
+            }
+            (NamingCertainty::Witnessed | NamingCertainty::Resumed, _) => {
+                self.marks.cap(named, revision)
+            }
+        }
+    }
+
     /// Puts a document in force if it is newer than the one that is.
     pub(super) fn take_document(&mut self, text: Bytes, source: WordSource) -> SwitchResult<()> {
         let catalog = read_document(&text)?;
