Follow a table that was read in pages from its first page

Each page is of its own moment. What changed between two of them was told by no page and lay before the revision from which the table was then followed: a backend server that left meanwhile stayed until its next entry. The stand-in of an answer that does not go on tells the store's clock as well, or it would be refused for that. The log tells the moment that is believed behind all that is known, not the word's own.

--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -128,6 +128,7 @@
         within: Duration,
     ) -> SwitchResult<TableView> {
         let mut rows: Vec<StoreRow> = Vec::new();
+        let mut first = None;
         loop {
             let name = table.as_str();
             let from = rows.last().map(|row| format!("{}\0", row.key));
@@ -135,13 +136,15 @@
             let path = format!("/v1/rows-get?table={name}&part={from}");
             let answer = self.get(&path, within).await?;
             let page = parse_page(&answer)?;
+            // Each page is of its own moment: what changes between two of them is told behind the first.
+            let (revision, told_at) = *first.get_or_insert((page.view.revision, page.view.told_at));
             let read = rows.len();
             rows.extend(page.view.rows);
             if !page.is_truncated {
                 return Ok(TableView {
                     rows,
-                    revision: page.view.revision,
-                    told_at: page.view.told_at,
+                    revision,
+                    told_at,
                 });
             }
             // The same page would be asked for again, and again without a pause.
--- a/src/platform/tests/rows.rs
+++ b/src/platform/tests/rows.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use volo_http::request::Request;
 use volo_http::server::route::Router;
 
 use super::*;
 use crate::daemon::DrainState;
 use crate::platform::store_rows::{RowsPage, read_page};
 use crate::test_support::{any_json, run_cases, spoil_json};
+use crate::time::StoreTime;
 use crate::transport::{ClientLimits, HttpServer, PeerClient, bind_listener, json_reply};
 
 const CASES: u32 = 2000;
@@ -88,7 +90,7 @@
     let answer = || async {
         json_reply(
             StatusCode::OK,
-            &json!({ "rows": [], "truncated": true, "ver": 1 }),
+            &json!({ "rows": [], "truncated": true, "ver": 1, "now_ms": 1 }),
         )
     };
     let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
@@ -99,3 +101,29 @@
     let read = tokio::time::timeout(within, read).await;
     assert!(read.expect("the read ends").is_err());
 }
+
+/// A backend server that left while a long table was read stayed until its next change: the rows of the first
+/// page were of before, the revision from which the table was then followed that of the last page.
+#[tokio::test]
+async fn a_table_in_pages_is_followed_from_its_first_page() {
+    let local = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = bind_listener(local).await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let answer = |request: Request| async move {
+        let goes_on = request.uri().query().unwrap_or_default().contains("from=");
+        let page = if goes_on {
+            json!({ "rows": [good_row("b")], "truncated": false, "ver": 9, "now_ms": 900 })
+        } else {
+            json!({ "rows": [good_row("a")], "truncated": true, "ver": 7, "now_ms": 700 })
+        };
+        json_reply(StatusCode::OK, &page)
+    };
+    let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
+    tokio::spawn(HttpServer::on(listener, Router::new().fallback(answer)).run(drain));
+    let store = StoreClient::new(address, Arc::new(PeerClient::new(ClientLimits::default())));
+    let read = store.read_table(TableName::Backends, Duration::from_secs(2));
+    let view = read.await.expect("the store answers");
+    assert_eq!(view.rows.len(), 2);
+    assert_eq!(view.revision, 7);
+    assert_eq!(view.told_at, StoreTime::from_millis(700));
+}
--- a/src/sync/wanted_versions.rs
+++ b/src/sync/wanted_versions.rs
@@ -56,14 +56,11 @@
     }
 }
 
-/// A version with when it was named.
-type NamedVersion = WantedWord;
-
 /// The versions.
 #[derive(Debug, Default)]
 pub(super) struct WantedVersions {
     /// Sorted by model and version.
-    wanted: Vec<NamedVersion>,
+    wanted: Vec<WantedWord>,
     /// Those of them that the store has told of, sorted.
     told: Vec<ModelVersion>,
     /// The versions that the store's own rows record, sorted by model.
@@ -72,13 +69,13 @@
 
 impl WantedVersions {
     /// All of them, sorted by model and version.
-    pub(super) fn all(&self) -> &[NamedVersion] {
+    pub(super) fn all(&self) -> &[WantedWord] {
         &self.wanted
     }
 
     /// The same on this process's own clock, of which `clock` knows.
     pub(super) fn on_clock(&self, clock: &StoreClock) -> Vec<WantedWeights> {
-        let weights = |wanted: &NamedVersion| WantedWeights {
+        let weights = |wanted: &WantedWord| WantedWeights {
             target: wanted.target.clone(),
             named_at: clock.earliest(wanted.named.at),
             certainty: wanted.named.certainty,
@@ -118,8 +115,8 @@
         }
         if known < Some(target.version) {
             let (model, version) = (&target.model, target.version.0);
-            let certainty = named.certainty;
-            let named_ms = millis_of(named);
+            let believed = self.find(target).map_or(named, |at| self.wanted[at].named);
+            let (certainty, named_ms) = (believed.certainty, millis_of(believed));
             metrics::set_level("version_wanted", model, version);
             log_event!(
                 events::WEIGHTS_WANTED,
@@ -163,7 +160,7 @@
     }
 
     fn insert(&mut self, at: usize, target: &ModelVersion, named: NamingTime) {
-        let wanted = NamedVersion {
+        let wanted = WantedWord {
             target: target.clone(),
             named,
         };
@@ -209,7 +206,7 @@
     /// the bound: the version that had to replace them was forgotten, and those that were left were not
     /// due yet.
     fn forget(&mut self, model: &str) {
-        let is_of = |wanted: &NamedVersion| *wanted.target.model == *model;
+        let is_of = |wanted: &WantedWord| *wanted.target.model == *model;
         let count = self.wanted.iter().filter(|wanted| is_of(wanted)).count();
         let first = self.wanted.iter().position(is_of);
         if let (true, Some(first)) = (count > VERSIONS_KEPT, first) {
@@ -227,7 +224,7 @@
             .map(|wanted| wanted.target.version)
     }
 
-    fn newest_wanted(&self, model: &str) -> Option<&NamedVersion> {
+    fn newest_wanted(&self, model: &str) -> Option<&WantedWord> {
         let mut newest_first = self.wanted.iter().rev();
         newest_first.find(|wanted| *wanted.target.model == *model)
     }
@@ -309,12 +306,12 @@
         let models = self
             .wanted
             .chunk_by(|left, right| left.target.model == right.target.model);
-        let newest = models.filter_map(<[NamedVersion]>::last);
+        let newest = models.filter_map(<[WantedWord]>::last);
         newest.filter_map(|wanted| self.record_of(wanted)).collect()
     }
 
     /// What is to be recorded of `wanted`, if anything is.
-    fn record_of(&self, wanted: &NamedVersion) -> Option<VersionRecord> {
+    fn record_of(&self, wanted: &WantedWord) -> Option<VersionRecord> {
         let target = &wanted.target;
         // The first version is what a process believes that knows of none.
         if target.version <= WeightsVersion(1) {
