Tests, failing: hosts that go dark in a spread hold places, pulls and turns

Callers were refused for six seconds and more after hosts lost power in a spread. The tests show three causes in the plan alone: pulls keep their places until each stalls, one stall counts for its own pull only, and hosts that do not answer keep their turns at the origin.

--- /dev/null
+++ b/src/weights/tests/dark_hosts.rs
@@ -0,0 +1,189 @@
+//! Hosts that go dark in a spread: they stay listed, and whoever asks them hears nothing.
+
+use std::time::Duration;
+
+use crate::documents::SpreadObjective;
+use crate::errors::ErrorKind;
+use crate::time::ClockTime;
+use crate::weights::{
+    ChunkMap, FetchLimits, FetchPlan, FetchStep, FlightSource, HaveWord, LineHost, PeerKey,
+    PlanHost, WeightsDigest,
+};
+
+const START: ClockTime = ClockTime::from_millis(100_000);
+const CHUNKS: u32 = 40;
+const LOOK: Duration = Duration::from_millis(20);
+/// How long a question to a dark host is open.
+const ASK_WITHIN: Duration = Duration::from_millis(500);
+/// How long a question to a live host is open.
+const ANSWER_SPAN: Duration = Duration::from_millis(20);
+
+fn plan_host(host: &str, port: u16) -> PlanHost {
+    PlanHost {
+        line: LineHost {
+            host: host.into(),
+            data_centre: "here".into(),
+            region: "all".into(),
+        },
+        address: ([127, 0, 0, 1], port).into(),
+    }
+}
+
+fn plan_among(others: &[&str], neighbours: usize) -> FetchPlan {
+    let limits = FetchLimits {
+        pulls_max: 6,
+        neighbours,
+        turn_span: Duration::from_millis(300),
+        origin_reads_max: 1,
+        origin_within: Duration::from_millis(2500),
+        ..FetchLimits::default()
+    };
+    let hosts: Vec<PlanHost> = (1..)
+        .zip(others)
+        .map(|(port, host)| plan_host(host, port))
+        .collect();
+    let mut plan = FetchPlan::new(
+        plan_host("me", 100).line,
+        (WeightsDigest::of(b"v2"), SpreadObjective::OriginBytes),
+        ChunkMap::empty(CHUNKS),
+        limits,
+        (Duration::from_millis(27), 1),
+        START,
+    );
+    plan.set_hosts(&hosts);
+    plan
+}
+
+fn holds_all(host: &str) -> HaveWord {
+    HaveWord {
+        host: host.into(),
+        held: ChunkMap::full(CHUNKS),
+        claimed: ChunkMap::empty(CHUNKS),
+        backlog_ms: 0,
+    }
+}
+
+/// One host's plan, and what became of its questions: hosts in `live` answer that they hold all, the
+/// others nothing.
+struct Watch<'a> {
+    plan: FetchPlan,
+    live: &'a [&'a str],
+    now: ClockTime,
+    questions: Vec<(ClockTime, PeerKey)>,
+}
+
+impl Watch<'_> {
+    /// A look at the plan: the chunks that it asks for.
+    fn look(&mut self) -> Vec<(u32, FlightSource)> {
+        let now = self.now;
+        let questions = std::mem::take(&mut self.questions);
+        for (at, key) in questions {
+            if at > now {
+                self.questions.push((at, key));
+                continue;
+            }
+            let host = self.plan.peers().get(key).host.line.host.clone();
+            if self.live.contains(&&*host) {
+                self.plan.on_word(&holds_all(&host), now);
+                self.plan.on_asked(key, None, now);
+            } else {
+                self.plan.on_asked(key, Some(ErrorKind::PeerSilent), now);
+            }
+        }
+        let mut fetches = Vec::new();
+        for step in self.plan.next_steps(now) {
+            match step {
+                FetchStep::Ask(key) => {
+                    let host = &*self.plan.peers().get(key).host.line.host;
+                    let is_live = self.live.contains(&host);
+                    let span = if is_live { ANSWER_SPAN } else { ASK_WITHIN };
+                    self.questions.push((now + span, key));
+                }
+                FetchStep::Fetch {
+                    flight,
+                    index,
+                    source,
+                } => {
+                    if source == FlightSource::Origin {
+                        self.plan.on_delivered(flight, now);
+                    }
+                    fetches.push((index, source));
+                }
+                FetchStep::Cancel(..) => {}
+            }
+        }
+        self.now = now + LOOK;
+        fetches
+    }
+}
+
+/// Symptom: hosts that were up had their new weights eight seconds late, and callers were refused, while
+/// a host beside them had the version whole. Events: half of the hosts lost power in a spread; those that
+/// were left had just begun all pulls that they may have under way at hosts that were gone. Cause: each of
+/// these pulls held its place until it stalled by itself, and nobody was asked meanwhile who is there.
+#[test]
+fn pulls_from_dark_hosts_leave_their_places_to_others() {
+    let mut plan = plan_among(&["dark-1", "dark-2", "dark-3", "live"], 12);
+    for host in ["dark-1", "dark-2", "dark-3"] {
+        plan.on_word(&holds_all(host), START);
+    }
+    let live = plan.peers().find("live").expect("it is listed");
+    plan.on_asked(live, Some(ErrorKind::ChunkMissing), START);
+    let mut watch = Watch {
+        plan,
+        live: &["live"],
+        now: START,
+        questions: Vec::new(),
+    };
+    let first = watch.look();
+    assert_eq!(first.len(), 6, "all places are taken at dark hosts");
+    while watch.now < START + Duration::from_secs(1) {
+        if watch
+            .look()
+            .iter()
+            .any(|(_, source)| *source == FlightSource::Peer(live))
+        {
+            return;
+        }
+    }
+    panic!("nothing was asked of the host that is there for a second");
+}
+
+/// Symptom and events as above; one pull stalled. Cause: what it said of its host counted for that pull
+/// alone, and the place that it left went to the same host again.
+#[test]
+fn a_host_that_gave_a_sign_of_silence_gets_no_more_pulls() {
+    let mut plan = plan_among(&["dark"], 0);
+    plan.on_word(&holds_all("dark"), START);
+    let mut watch = Watch {
+        plan,
+        live: &[],
+        now: START,
+        questions: Vec::new(),
+    };
+    assert!(!watch.look().is_empty());
+    while watch.now < START + Duration::from_secs(8) {
+        let dark = |(_, source): &(u32, FlightSource)| *source != FlightSource::Origin;
+        assert!(!watch.look().iter().any(dark), "it is pulled from again");
+    }
+}
+
+/// Symptom: a host that was up read some chunks only ten seconds after it began, while the origin of
+/// weights was idle. Events: most of the hosts lost power, all of them before it in the lines of these
+/// chunks. Cause: it gave each of them its turn, though it knew that they do not answer.
+#[test]
+fn the_turns_of_dark_hosts_are_passed_over() {
+    let dark: Vec<String> = (0..9).map(|index| format!("dark-{index}")).collect();
+    let dark: Vec<&str> = dark.iter().map(|host| &**host).collect();
+    let mut watch = Watch {
+        plan: plan_among(&dark, 12),
+        live: &[],
+        now: START,
+        questions: Vec::new(),
+    };
+    let mut read = 0;
+    while watch.now < START + Duration::from_secs(3) {
+        read += watch.look().len();
+    }
+    assert_eq!(read, 40, "chunks were left to hosts that do not answer");
+}
--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the weights' state machines and checks.
 
 mod checks;
+mod dark_hosts;
 mod link;
 mod lost_hosts;
 mod origin_away;
