One sign of silence frees all pulls from a host, and its turns at the origin go on

What callers saw: after hosts lost power in a spread of weights, hosts that were up had their new weights up to eight seconds late, and requests were refused meanwhile.

Cause: pulls from hosts that were gone held all places until each stalled by itself; with all places taken nobody was asked who is there; what dark hosts had said kept chunks from being read; and hosts that were known to be silent kept their turns at the origin, which double up to 9.6 s.

The mend: a pull that is late from a host that said nothing meanwhile, or fails, doubts the host. It is asked at once, gets no new pulls, and the places and chunks of its pulls go to others. Unanswered, the pulls are given up; so they are if it says that it does not hold the chunk. A host that is silent stays so while it is asked again (before, each question made the turns wait for it once more), is asked again within 0.8 s in place of 12.8, and is passed over in the lines to the origin and into a data centre. The first of the others reads at once, the next give it the time to say so. Work on a cancelled chunk ends, as in FetchRun; before, its bytes came for nothing.

Ruled out by a trace of the plan: the origin's rests, the manifest's digests.

One test changed: a_host_from_which_a_pull_failed_is_asked looked for the question after a rest; it comes in the look that gives the pull up, and is now looked for there, two seconds sooner.

--- a/src/replication/chunk_fetch.rs
+++ b/src/replication/chunk_fetch.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep_until};
 
 use super::chunk_messages::{ChunkAsk, ChunkReply, GET_PATH, HAVE_PATH};
@@ -117,6 +117,7 @@
     news_sender: mpsc::UnboundedSender<FetchNews>,
     news: mpsc::UnboundedReceiver<FetchNews>,
     under_way: JoinSet<()>,
+    flights: Vec<(FlightId, AbortHandle)>,
     mismatches: u32,
 }
 
@@ -150,6 +151,7 @@
             news_sender,
             news,
             under_way: JoinSet::new(),
+            flights: Vec::new(),
             mismatches: 0,
         }
     }
@@ -209,31 +211,42 @@
                 source: FlightSource::Peer(key),
             } => {
                 let address = self.address(key);
-                self.under_way.spawn(async move {
+                let task = self.under_way.spawn(async move {
                     let pulled = pull(&edges, address, &target, index).await;
                     let _ = news.send(FetchNews::Pulled(flight, pulled));
                 });
+                self.flights.push((flight, task));
             }
             FetchStep::Fetch {
                 flight,
                 index,
                 source: FlightSource::Origin,
             } => {
-                self.under_way.spawn(async move {
+                let task = self.under_way.spawn(async move {
                     let read = read_origin(&edges, &target, index).await;
                     let _ = news.send(FetchNews::Read(flight, read));
                 });
+                self.flights.push((flight, task));
             }
-            FetchStep::Cancel(_, source) => {
+            FetchStep::Cancel(flight, source) => {
                 metrics::count_retry(ErrorKind::PeerSilent);
                 if let FlightSource::Peer(key) = source {
                     // The connection may have gone silent for good while new ones work.
                     self.edges.client.drop_pool(self.address(key));
                 }
+                self.abort(flight);
             }
         }
     }
 
+    /// Ends the work on a chunk that is of no more use.
+    fn abort(&mut self, flight: FlightId) {
+        for (_, task) in self.flights.iter().filter(|(known, _)| *known == flight) {
+            task.abort();
+        }
+        self.flights.retain(|(known, _)| *known != flight);
+    }
+
     fn address(&self, key: PeerKey) -> SocketAddr {
         self.plan.peers().get(key).host.address
     }
@@ -260,9 +273,12 @@
 
     fn take_chunk(&mut self, flight: FlightId, result: SwitchResult<()>) {
         let now = clock_now();
+        self.flights.retain(|(known, _)| *known != flight);
         match result {
             Ok(()) => {
-                self.plan.on_delivered(flight, now);
+                for twin in self.plan.on_delivered(flight, now) {
+                    self.abort(twin);
+                }
             }
             Err(error) => {
                 metrics::count_retry(error.kind);
--- a/src/weights/fetch_choice.rs
+++ b/src/weights/fetch_choice.rs
@@ -5,13 +5,13 @@
 use rand::RngExt;
 
 use super::fetch_plan::{FetchPlan, FetchStep, Flight, FlightSource};
-use super::peer_table::{PeerContact, PeerKey};
+use super::peer_table::{PeerKey, PeerPresence};
 use crate::documents::SpreadObjective;
 use crate::time::ClockTime;
 
-/// How many times the usual span must have passed before a second source is asked.
-const HEDGE_SPANS: u32 = 3;
-const HEDGE_LEAST: Duration = Duration::from_millis(300);
+/// How many times the usual span must have passed before a chunk is late.
+const LATE_SPANS: u32 = 3;
+const LATE_LEAST: Duration = Duration::from_millis(300);
 const HEDGES_MAX: usize = 2;
 const FLIGHTS_PER_CHUNK: usize = 2;
 const ASK_CALM: Duration = Duration::from_millis(1500);
@@ -60,8 +60,7 @@
     /// already, so that nothing that the origin gives is left. Not before every chunk was seen
     /// somewhere: the first copy of each goes before any second.
     fn choose_spare_read(&mut self) -> Option<u32> {
-        let pulls = self.flights.len() - self.count_flights(FlightSource::Origin);
-        let is_starved = pulls < self.limits.pulls_max;
+        let is_starved = self.count_pulls() < self.limits.pulls_max;
         if self.objective != SpreadObjective::Time || !is_starved {
             return None;
         }
@@ -84,13 +83,12 @@
         let mut neighbours = self.peers.listed().filter(|(_, peer)| peer.is_neighbour);
         !self.turns.has_listened(now)
             && neighbours
-                .any(|(_, peer)| peer.heard_at.is_none() && peer.contact != PeerContact::Silent)
+                .any(|(_, peer)| peer.heard_at.is_none() && peer.presence != PeerPresence::Silent)
     }
 
     pub(super) fn plan_pulls(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
         loop {
-            let pulls = self.flights.len() - self.count_flights(FlightSource::Origin);
-            if pulls >= self.limits.pulls_max {
+            if self.count_pulls() >= self.limits.pulls_max {
                 return;
             }
             let choice = self.choose_pull(now).or_else(|| self.choose_hedge(now));
@@ -138,7 +136,7 @@
         if self.flights.iter().filter(is_hedge).count() >= HEDGES_MAX * FLIGHTS_PER_CHUNK {
             return None;
         }
-        let late = (self.usual_span * HEDGE_SPANS).max(HEDGE_LEAST);
+        let late = self.late_span();
         let mut lates: Vec<&Flight> = self
             .flights
             .iter()
@@ -154,6 +152,11 @@
         })
     }
 
+    /// How long a pull may take, or its host say nothing, before that is a sign of silence.
+    pub(super) fn late_span(&self) -> Duration {
+        (self.usual_span * LATE_SPANS).max(LATE_LEAST)
+    }
+
     fn has_holder(&mut self, index: u32, now: ClockTime) -> bool {
         let may_import = self.may_import(index, now);
         self.peers.listed().any(|(key, _)| {
@@ -170,6 +173,7 @@
     fn can_give(&self, key: PeerKey, index: u32, now: ClockTime) -> bool {
         let peer = self.peers.get(key);
         peer.holds(index)
+            && peer.presence == PeerPresence::There
             && peer.pulls < self.limits.pulls_per_peer
             && peer.rest_until <= now
             && peer.busy_until <= now
@@ -190,8 +194,7 @@
     /// Asks neighbours that said nothing lately: often while this host has room for more than it
     /// finds, seldom while it is busy anyway.
     pub(super) fn plan_asks(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
-        let pulls = self.flights.len() - self.count_flights(FlightSource::Origin);
-        let is_starved = pulls < self.limits.pulls_max;
+        let is_starved = self.count_pulls() < self.limits.pulls_max;
         let every = if is_starved {
             self.asks_every
         } else {
@@ -200,7 +203,7 @@
         let keys: Vec<PeerKey> = self
             .peers
             .listed()
-            .filter(|(_, peer)| peer.is_neighbour || peer.is_doubted)
+            .filter(|(_, peer)| peer.is_neighbour || peer.presence == PeerPresence::Doubted)
             .map(|(key, _)| key)
             .collect();
         for key in keys.into_iter().chain(self.turns.take_watched()) {
@@ -212,10 +215,11 @@
             let jitter = (every * pace).mul_f64(self.rng.random_range(0.75..1.25));
             let peer = self.peers.get_mut(key);
             let last = peer.heard_at.max(peer.asked_at);
-            let is_time = peer.is_doubted || last.is_none_or(|last| now.since(last) >= jitter);
-            if is_time && peer.contact != PeerContact::Asked && peer.rest_until <= now {
-                peer.contact = PeerContact::Asked;
-                peer.is_doubted = false;
+            let is_time = last.is_none_or(|last| now.since(last) >= jitter);
+            let is_due = is_time && peer.rest_until <= now;
+            let is_doubted = peer.presence == PeerPresence::Doubted;
+            if (is_doubted || is_due) && !peer.is_asked {
+                peer.is_asked = true;
                 peer.asked_at = Some(now);
                 steps.push(FetchStep::Ask(key));
             }
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -15,7 +15,7 @@
 use super::import_turns::ImportTurns;
 use super::messages::HaveWord;
 use super::origin_turns::OriginTurns;
-use super::peer_table::{PeerContact, PeerKey, PeerTable, PlanHost};
+use super::peer_table::{PeerKey, PeerPresence, PeerTable, PlanHost};
 use super::source_line::LineHost;
 use crate::derives::key;
 use crate::documents::SpreadObjective;
@@ -204,13 +204,16 @@
     /// The answer to [`FetchStep::Ask`] came, or did not.
     pub(crate) fn on_asked(&mut self, key: PeerKey, failure: Option<ErrorKind>, now: ClockTime) {
         let part = self.rng.random();
+        let late = self.late_span();
+        let peer = self.peers.get_mut(key);
+        peer.is_asked = false;
+        // The question was lost, but it was heard in another way.
+        let is_heard = peer.heard_at.is_some_and(|at| now.since(at) <= late);
         match failure {
+            None => self.peers.find_there(key, now),
             // It has not begun with this version yet: it is there, and holds nothing.
-            None | Some(ErrorKind::ChunkMissing) => {
-                let peer = self.peers.get_mut(key);
-                peer.contact = PeerContact::Quiet;
-                peer.heard_at = Some(now);
-            }
+            Some(ErrorKind::ChunkMissing) => self.peers.find_empty(key, now),
+            Some(_) if is_heard => {}
             Some(_) => self.peers.lose(key, now, part),
         }
     }
@@ -257,15 +260,17 @@
             (FlightSource::Peer(key), ErrorKind::UploadBusy) => {
                 let wait = wait.unwrap_or(BUSY_LEAST).max(BUSY_LEAST);
                 self.peers.get_mut(key).busy_until = now + wait.mul_f64(0.5 + part);
+                self.peers.find_there(key, now);
             }
             (FlightSource::Peer(key), ErrorKind::ChunkMissing) => {
                 self.peers.forget_chunk(key, flight.index);
+                self.peers.find_there(key, now);
             }
             (FlightSource::Peer(key), _) => {
                 // Whether it is there at all is asked next.
                 let peer = self.peers.get_mut(key);
                 peer.strike(now, part);
-                peer.is_doubted = true;
+                peer.presence = PeerPresence::Doubted;
             }
         }
     }
@@ -277,6 +282,12 @@
             return steps;
         }
         self.cancel_stalled(now, &mut steps);
+        self.doubt_silent(now, &mut steps);
+        if self.peers.take_silence_change() {
+            let silent = self.peers.silent();
+            self.turns.pass_over(&silent, now);
+            self.imports.pass_over(&silent);
+        }
         self.plan_origin_reads(now, &mut steps);
         self.plan_pulls(now, &mut steps);
         self.plan_asks(now, &mut steps);
@@ -298,6 +309,41 @@
         }
     }
 
+    /// Pulls from hosts that are gone held all places until each stalled; a host that was up got nothing
+    /// beside others that hold all. One sign of silence frees the places of all pulls from a host.
+    fn doubt_silent(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
+        let late = self.late_span();
+        for flight in self.flights.clone() {
+            let FlightSource::Peer(key) = flight.source else {
+                continue;
+            };
+            let peer = self.peers.get_mut(key);
+            let last = peer.heard_at.max(Some(flight.since)).unwrap_or(now);
+            // A host that holds the chunk no more started anew, and knows nothing of the pull.
+            let is_anew = last > flight.since && !peer.holds(flight.index);
+            if is_anew || peer.presence == PeerPresence::Silent {
+                self.land(flight.id);
+                steps.push(FetchStep::Cancel(flight.id, flight.source));
+            } else if now.since(last) > late {
+                peer.presence = PeerPresence::Doubted;
+            }
+        }
+    }
+
+    /// Chunks under way from hosts that are there.
+    pub(super) fn count_pulls(&self) -> usize {
+        let pulls = self.flights.iter().filter(|flight| self.is_sound(flight));
+        pulls.count() - self.count_flights(FlightSource::Origin)
+    }
+
+    /// Whether nothing speaks against the source of `flight`.
+    pub(super) fn is_sound(&self, flight: &Flight) -> bool {
+        match flight.source {
+            FlightSource::Peer(key) => self.peers.get(key).presence == PeerPresence::There,
+            FlightSource::Origin => true,
+        }
+    }
+
     pub(super) fn launch(&mut self, index: u32, source: FlightSource, now: ClockTime) -> FetchStep {
         let id = FlightId(self.next_flight);
         self.next_flight += 1;
@@ -337,8 +383,9 @@
             .filter(move |flight| flight.index == index)
     }
 
+    /// Whether chunk `index` is under way from a source that is there.
     pub(super) fn is_flying(&self, index: u32) -> bool {
-        self.flights_of(index).next().is_some()
+        self.flights_of(index).any(|flight| self.is_sound(flight))
     }
 
     pub(super) fn count_flights(&self, source: FlightSource) -> usize {
--- a/src/weights/import_turns.rs
+++ b/src/weights/import_turns.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use bytestring::ByteString;
+
 use super::digest::WeightsDigest;
 use super::peer_table::PlanHost;
 use super::source_line::{LineHost, SourceLine};
@@ -23,7 +25,8 @@
 pub(crate) struct ImportTurns {
     me: LineHost,
     digest: WeightsDigest,
-    /// This host's turn for each chunk; 0 is the first.
+    line: SourceLine,
+    /// This host's turn for each chunk, among the hosts that answer; 0 is the first.
     turns: Vec<u32>,
     /// When each chunk was first seen in another data centre.
     seen_at: Vec<Option<ClockTime>>,
@@ -33,7 +36,9 @@
     /// The view of `me` before it knows of others: it is the first in every line.
     pub(crate) fn new(me: LineHost, digest: WeightsDigest, chunks: u32) -> Self {
         let chunks = usize::try_from(chunks).unwrap_or(usize::MAX);
+        let near = std::slice::from_ref(&me);
         Self {
+            line: SourceLine::new(SpreadObjective::Time, digest, &me.region, near),
             me,
             digest,
             turns: vec![0; chunks],
@@ -50,10 +55,15 @@
             near.push(self.me.clone());
         }
         let chunks = u32::try_from(self.turns.len()).unwrap_or(u32::MAX);
-        let line = SourceLine::new(SpreadObjective::Time, self.digest, &self.me.region, &near)
+        self.line = SourceLine::new(SpreadObjective::Time, self.digest, &self.me.region, &near)
             .with_even_firsts(chunks);
+    }
+
+    /// Counts this host's turns without the hosts that do not answer.
+    pub(crate) fn pass_over(&mut self, silent: &[ByteString]) {
         for (index, turn) in (0..).zip(self.turns.iter_mut()) {
-            *turn = line.turn_of(&self.me.host, index).unwrap_or(0);
+            let mine = self.line.turn_of(&self.me.host, index).unwrap_or(0);
+            *turn = self.line.live_turn(mine, index, silent);
         }
     }
 
--- a/src/weights/origin_turns.rs
+++ b/src/weights/origin_turns.rs
@@ -7,8 +7,10 @@
 
 use std::time::Duration;
 
+use bytestring::ByteString;
+
 use super::digest::WeightsDigest;
-use super::peer_table::{PeerContact, PeerKey, PeerTable, PlanHost};
+use super::peer_table::{PeerKey, PeerPresence, PeerTable, PlanHost};
 use super::source_line::{LineHost, SourceLine};
 use crate::documents::SpreadObjective;
 use crate::errors::ErrorKind;
@@ -16,6 +18,8 @@
 
 const LISTEN_SPAN: Duration = Duration::from_millis(500);
 const TURN_DOUBLINGS: u32 = 5;
+/// Turns after which a host that comes later looks after a chunk whose first hosts fell silent.
+const PASSED_TURNS: u32 = 2;
 const REST_FIRST: Duration = Duration::from_millis(100);
 /// Doublings of the rest after an origin that has too much to do, up to 3.2 s.
 const LIMIT_DOUBLINGS: u32 = 5;
@@ -41,6 +45,8 @@
     line: SourceLine,
     /// This host's turn for each chunk.
     turns: Vec<u32>,
+    /// The same among the hosts that answer.
+    live_turns: Vec<u32>,
     /// When this host looks after each chunk that is not its own.
     due_at: Vec<ClockTime>,
     watched: Vec<PeerKey>,
@@ -68,6 +74,7 @@
             begun: now,
             line,
             turns: vec![0; chunks],
+            live_turns: vec![0; chunks],
             due_at: vec![now; chunks],
             watched: Vec::new(),
             rest_until: now,
@@ -85,19 +92,38 @@
         let chunks = u32::try_from(self.turns.len()).unwrap_or(u32::MAX);
         self.line = SourceLine::new(self.objective, self.digest, &self.me.region, &line)
             .with_even_firsts(chunks);
-        for (index, (turn, due_at)) in (0..).zip(self.turns.iter_mut().zip(self.due_at.iter_mut()))
-        {
+        let places = self.turns.iter_mut().zip(self.live_turns.iter_mut());
+        for (index, ((turn, live_turn), due_at)) in (0..).zip(places.zip(self.due_at.iter_mut())) {
             let mine = self.line.turn_of(&self.me.host, index).unwrap_or(0);
             if *turn != mine {
                 *turn = mine;
+                *live_turn = mine;
                 *due_at = self.begun + turn_wait(self.turn_span, mine);
             }
         }
     }
 
-    /// Whether this host is the first in the line of chunk `index`.
+    /// Counts this host's turns anew without the hosts that do not answer.
+    ///
+    /// Where most of the hosts lost power, a host that was up waited for the turns of those before it,
+    /// which double, and left the origin idle for ten seconds beside chunks that nobody held. Whoever is
+    /// the first now reads at once; the next give it the time to say so, or all of them would read.
+    pub(crate) fn pass_over(&mut self, silent: &[ByteString], now: ClockTime) {
+        let places = self.live_turns.iter_mut().zip(self.due_at.iter_mut());
+        for (index, (turn, (live_turn, due_at))) in (0..).zip(self.turns.iter().zip(places)) {
+            let mine = self.line.live_turn(*turn, index, silent);
+            if mine < *live_turn {
+                let passed_on = now + turn_wait(self.turn_span, mine.min(PASSED_TURNS));
+                *due_at = passed_on.max(self.begun + turn_wait(self.turn_span, mine));
+            }
+            *live_turn = mine;
+        }
+    }
+
+    /// Whether this host is the first in the line of chunk `index`, of those that answer.
     pub(crate) fn is_first(&self, index: u32) -> bool {
-        self.turn(index) == 0
+        let at = usize::try_from(index).unwrap_or(usize::MAX);
+        self.live_turns.get(at).is_none_or(|turn| *turn == 0)
     }
 
     /// Whether this host should look after chunk `index`.
@@ -125,7 +151,7 @@
                 look_again = Some(now + self.turn_span);
                 break;
             }
-            if !is_fresh && peer.contact != PeerContact::Silent {
+            if !is_fresh && peer.presence != PeerPresence::Silent {
                 self.watched.push(key);
                 look_again = Some(now + ANSWER_SPAN);
             }
--- a/src/weights/peer_table.rs
+++ b/src/weights/peer_table.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytestring::ByteString;
 use macro_rules_attribute::apply;
 
 use super::chunk_map::ChunkMap;
@@ -14,6 +15,9 @@
 /// Failures in a row after which the rest between two tries no longer grows.
 const STRIKES_MAX: u32 = 6;
 const REST_FIRST: Duration = Duration::from_millis(200);
+/// Doublings of the rest of a host that does not answer, up to 0.8 s. A question to it costs nearly
+/// nothing, and each moment that it is back unnoticed others do without what it holds.
+const SILENT_DOUBLINGS: u32 = 2;
 
 /// A host's place in the [`PeerTable`].
 #[apply(key!)]
@@ -28,13 +32,13 @@
     pub(crate) address: SocketAddr,
 }
 
-/// How the last asking of a host went.
+/// Whether a host is there, by its last sign.
 #[apply(key!)]
-pub(crate) enum PeerContact {
+pub(crate) enum PeerPresence {
     /// It answered, or was never asked.
-    Quiet,
-    /// Its answer is outstanding.
-    Asked,
+    There,
+    /// A chunk did not come from it, or is late: it is asked whether it is there.
+    Doubted,
     /// It did not answer.
     Silent,
 }
@@ -56,10 +60,10 @@
     pub(crate) heard_at: Option<ClockTime>,
     /// When it was last asked.
     pub(crate) asked_at: Option<ClockTime>,
-    /// How the last asking went.
-    pub(crate) contact: PeerContact,
-    /// Whether a chunk did not come from it since it was last asked.
-    pub(crate) is_doubted: bool,
+    /// Whether its answer is outstanding.
+    pub(crate) is_asked: bool,
+    /// Whether it is there.
+    pub(crate) presence: PeerPresence,
     /// Chunks under way from it.
     pub(crate) pulls: u32,
     /// Until when nothing is asked of it, after failures.
@@ -78,6 +82,8 @@
     by_name: Vec<PeerKey>,
     /// For each chunk, how many of the listed hosts said that they hold it.
     copies: Vec<u16>,
+    /// Whether a host came, fell silent, or was heard again since this was last taken.
+    is_silence_changed: bool,
 }
 
 impl PeerTable {
@@ -89,6 +95,7 @@
             peers: Vec::new(),
             by_name: Vec::new(),
             copies: vec![0; chunks],
+            is_silence_changed: false,
         }
     }
 
@@ -104,6 +111,7 @@
         }
         self.choose_neighbours(neighbours);
         self.count_copies();
+        self.is_silence_changed = true;
     }
 
     /// The host called `name`.
@@ -161,14 +169,46 @@
         }
         peer.held = Some(word.held.clone());
         peer.claimed = Some(word.claimed.clone());
-        peer.heard_at = Some(now);
-        if peer.contact == PeerContact::Silent {
-            peer.contact = PeerContact::Quiet;
-        }
         peer.busy_until = now + Duration::from_millis(word.backlog_ms);
+        self.find_there(key, now);
         is_first_copy
     }
 
+    /// The host at `key` gave a sign of itself. What it holds can be had at once: it rested only
+    /// because it was silent.
+    pub(crate) fn find_there(&mut self, key: PeerKey, now: ClockTime) {
+        let peer = &mut self.peers[key.at()];
+        peer.heard_at = Some(now);
+        if peer.presence == PeerPresence::Silent {
+            peer.rest_until = now;
+            self.is_silence_changed = true;
+        }
+        peer.presence = PeerPresence::There;
+    }
+
+    /// The host at `key` is there and holds nothing.
+    pub(crate) fn find_empty(&mut self, key: PeerKey, now: ClockTime) {
+        let peer = &mut self.peers[key.at()];
+        peer.held = None;
+        peer.claimed = None;
+        self.count_copies();
+        self.find_there(key, now);
+    }
+
+    /// The names of the listed hosts that did not answer when they were last asked.
+    pub(crate) fn silent(&self) -> Vec<ByteString> {
+        let silent = self.listed();
+        let silent = silent.filter(|(_, peer)| peer.presence == PeerPresence::Silent);
+        silent
+            .map(|(_, peer)| peer.host.line.host.clone())
+            .collect()
+    }
+
+    /// Whether a host came, fell silent, or was heard again since this was last asked.
+    pub(crate) const fn take_silence_change(&mut self) -> bool {
+        std::mem::replace(&mut self.is_silence_changed, false)
+    }
+
     /// A host turned out not to hold a chunk that it said it holds.
     pub(crate) fn forget_chunk(&mut self, key: PeerKey, index: u32) {
         let peer = &mut self.peers[key.at()];
@@ -186,9 +226,11 @@
     /// beside others that have them whole.
     pub(crate) fn lose(&mut self, key: PeerKey, now: ClockTime, part: f64) {
         let peer = &mut self.peers[key.at()];
-        peer.contact = PeerContact::Silent;
+        self.is_silence_changed |= peer.presence != PeerPresence::Silent;
+        peer.presence = PeerPresence::Silent;
         peer.held = None;
         peer.claimed = None;
+        peer.strikes = peer.strikes.min(SILENT_DOUBLINGS);
         peer.strike(now, part);
         self.count_copies();
     }
@@ -270,8 +312,8 @@
             claimed: None,
             heard_at: None,
             asked_at: None,
-            contact: PeerContact::Quiet,
-            is_doubted: false,
+            is_asked: false,
+            presence: PeerPresence::There,
             pulls: 0,
             rest_until: ClockTime(0),
             busy_until: ClockTime(0),
--- a/src/weights/source_line.rs
+++ b/src/weights/source_line.rs
@@ -133,6 +133,16 @@
         earlier
     }
 
+    /// The turn that a host whose turn for chunk `index` is `turn` has without the `silent` ones.
+    pub(crate) fn live_turn(&self, turn: u32, index: u32, silent: &[ByteString]) -> u32 {
+        if silent.is_empty() {
+            return turn;
+        }
+        let before = self.before(turn, index);
+        let live = before.iter().filter(|host| !silent.contains(host));
+        u32::try_from(live.count()).unwrap_or(u32::MAX).min(turn)
+    }
+
     /// The turn of the host that is `rank`th in the data centre ranked `centre`.
     fn turn(&self, centre: u32, rank: u32) -> u32 {
         let others = self.centres.saturating_sub(1);
