A randomised driver of hosts that go dark and come back, over one host's fetch plan

No driver had hosts that stay listed, answer nothing, lose what they held and come back with nothing while pulls from them are under way. 120 counted cases; property: a chunk that the same live host, or the origin, could serve all the while is asked of a source that is there within 4 s.

--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod checks;
 mod dark_hosts;
+mod dark_hosts_driver;
 mod link;
 mod lost_hosts;
 mod origin_away;
