--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one backend server, up to the head of the answer, and what is known
 //! after it.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,12 +19,16 @@
 use crate::errors::ErrorKind;
 use crate::fleet::{BackendTicket, CallEnd, VersionNeed};
 use crate::platform::{AnswerFacts, AnswerWord, SendFacts, answer_facts, send_headers};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 
 /// How long a connection to a backend server may take to open. Data centres are 1 to 3 ms apart; a
 /// lost first packet is sent again after a second, which is later than another backend server.
 const CONNECT_WITHIN: Duration = Duration::from_millis(150);
 
+/// How often it is looked whether a request that waits is to be taken back earlier than was known. Most
+/// heads come within it.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+
 /// An answer whose head has arrived.
 pub(super) struct OpenAnswer {
     pub(super) ticket: BackendTicket,
@@ -35,11 +40,24 @@
 /// How long a send waits for the head of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct HeadWait {
-    pub(super) within: Duration,
+    pub(super) until: ClockTime,
     /// What it says of the backend server when none comes.
     pub(super) silence: CallEnd,
 }
 
+impl HeadWait {
+    /// The same, but for a request that is taken back at `taken_back` at the latest.
+    pub(super) fn taken_back_by(self, taken_back: Option<ClockTime>) -> Self {
+        match taken_back {
+            Some(until) if until < self.until => Self {
+                until,
+                silence: CallEnd::Nothing,
+            },
+            _ => self,
+        }
+    }
+}
+
 /// What is known after a send that brought no answer.
 #[derive(Debug)]
 pub(super) struct SendFailure {
@@ -94,7 +112,13 @@
             return Err(SendFailure::not_sent(fault.to_string()));
         }
     };
-    let sent = timeout(wait.within, connection.send(request)).await;
+    if wait.until <= clock_now() {
+        // The connection took as long to open. Counted from there, a request was taken back up to that much
+        // too late, and began on older weights behind their bound.
+        ticket.end(CallEnd::Nothing, clock_now());
+        return Err(SendFailure::not_sent("its time was over".to_owned()));
+    }
+    let sent = await_head(gateway, job, &ticket, wait, connection.send(request)).await;
     let (parts, body) = match sent {
         Ok(Ok(answer)) => answer.into_parts(),
         Ok(Err(SendFault::NotSent(detail))) => {
@@ -106,13 +130,13 @@
             ticket.end(CallEnd::Failed, clock_now());
             return Err(SendFailure::unknown(ErrorKind::AnswerCut, detail));
         }
-        Err(_) => {
+        Err(wait) => {
             if wait.silence == CallEnd::Nothing {
                 log_taken_back(job, &ticket.facts.id);
             }
             gateway.shelf.drop_all(ticket.key);
             ticket.end(wait.silence, clock_now());
-            let detail = format!("no head within {:?}", wait.within);
+            let detail = format!("no head {:?} after it came", wait.until.since(job.arrived));
             return Err(SendFailure::unknown(ErrorKind::PeerSilent, detail));
         }
     };
@@ -129,6 +153,31 @@
     )
 }
 
+/// Waits for the head of an answer. An error tells the wait that is over.
+///
+/// A newer version, or a better word of when it was named, may be heard of while a request waits at an
+/// engine of older weights: by what was known when it was sent it would begin behind their bound.
+async fn await_head<T>(
+    gateway: &GatewayState,
+    job: &RequestJob,
+    ticket: &BackendTicket,
+    wait: HeadWait,
+    sending: impl Future<Output = T>,
+) -> Result<T, HeadWait> {
+    let mut sending = pin!(sending);
+    let bound = gateway.take_back_after();
+    loop {
+        let taken_back = job.taken_back_at(&gateway.newest(), ticket.version, bound);
+        let wait = wait.taken_back_by(taken_back);
+        let left = wait.until.since(clock_now());
+        match timeout(left.min(LOOK_PAUSE), &mut sending).await {
+            Ok(sent) => return Ok(sent),
+            Err(_) if left <= LOOK_PAUSE => return Err(wait),
+            Err(_) => {}
+        }
+    }
+}
+
 /// A connection that was kept, or a new one. An unrepeatable request gets a new one: on a kept one
 /// it may cross the backend server's close, and nobody would know whether it ran.
 async fn connect(
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -12,11 +12,12 @@
 use super::own_rows::OwnRows;
 use super::peer_messages::EntryRecord;
 use super::shared_book::SharedBook;
+use super::store_clock::AskSpan;
 use super::view_book::ViewBook;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::platform::{StoreClient, TableName, TableView, WatchAnswer};
-use crate::time::clock_now;
+use crate::time::{ClockTime, StoreTime, clock_now};
 use crate::transport::PeerClient;
 
 /// How long the store holds a watch of the operator's table open. A connection may go silent for
@@ -55,99 +56,151 @@
     pub(crate) seeds: Vec<SocketAddr>,
 }
 
+/// What the next question for the operator's table stands behind.
+#[derive(Clone, Copy)]
+struct OperatorStep {
+    knowledge: NamingKnowledge,
+    /// The one before it failed.
+    is_behind_failure: bool,
+}
+
+impl OperatorStep {
+    /// The next step, if this one fails while the store `has_answered` other questions or not.
+    const fn behind_failure(self, has_answered: bool) -> Self {
+        Self {
+            knowledge: self.knowledge.behind_failure(has_answered),
+            // A start reads all that there is anyway.
+            is_behind_failure: !matches!(self.knowledge, NamingKnowledge::Started),
+        }
+    }
+}
+
 impl StoreWatch {
     /// Follows the operator's table.
     pub(crate) async fn follow_operator(self) {
         self.read_past_namings_first().await;
         let mut pause = FailurePause::default();
         let mut since = None;
-        let mut knowledge = NamingKnowledge::Started;
+        let mut step = OperatorStep {
+            knowledge: NamingKnowledge::Started,
+            is_behind_failure: false,
+        };
         loop {
-            let followed = self.operator_step(&mut since, knowledge).await;
-            knowledge = match (&followed, knowledge) {
-                (Ok(()), _) => NamingKnowledge::Followed,
-                (Err(_), NamingKnowledge::Started) => NamingKnowledge::Started,
-                (Err(_), _) => NamingKnowledge::Interrupted,
+            let asked = clock_now();
+            let followed = self.operator_step(&mut since, step).await;
+            step = match &followed {
+                Ok(told_at) => OperatorStep {
+                    knowledge: NamingKnowledge::Followed(*told_at),
+                    is_behind_failure: false,
+                },
+                Err(_) => step.behind_failure(self.has_answered_since(asked)),
             };
             if followed.is_ok() {
                 self.book.note(|book| book.note_operator(clock_now()));
             }
-            self.note_outcome(&followed, &mut pause).await;
+            self.note_outcome(&followed.map(drop), &mut pause).await;
         }
     }
 
+    /// Whether the store has answered any question since `asked`.
+    fn has_answered_since(&self, asked: ClockTime) -> bool {
+        self.book
+            .read(|book| book.store_answered().is_some_and(|at| at >= asked))
+    }
+
     /// Reads the system's own rows.
     pub(super) async fn read_own_rows(&self) -> SwitchResult<()> {
-        let read = self.store.read_table(TableName::Own, STORE_WITHIN);
-        self.take_own_rows(OwnRows::of(&read.await?));
+        let view = self.read_table(TableName::Own).await?;
+        self.take_own_rows(OwnRows::of(&view), view.told_at);
         Ok(())
     }
 
-    pub(super) fn take_own_rows(&self, own: OwnRows) {
-        let named = self.own_knowledge().naming_time(clock_now());
+    /// Takes in rows of the system's own that the store told of at `told_at`.
+    pub(super) fn take_own_rows(&self, own: OwnRows, told_at: StoreTime) {
+        let named = self.own_knowledge().naming_time(told_at, told_at);
         self.book.change(|book| book.take_own_rows(own, named));
     }
 
+    /// Reads a whole table.
+    async fn read_table(&self, table: TableName) -> SwitchResult<TableView> {
+        let asked = clock_now();
+        let view = self.store.read_table(table, STORE_WITHIN).await?;
+        self.note_told(&view, asked);
+        Ok(view)
+    }
+
+    /// The store was asked at `asked` and has just answered with `view`. Returns what its clock showed at
+    /// the question, at the latest.
+    pub(super) fn note_told(&self, view: &TableView, asked: ClockTime) -> StoreTime {
+        let heard = clock_now();
+        let span = AskSpan { asked, heard };
+        self.book
+            .note(|book| book.note_told(view.revision, view.told_at, span));
+        self.book.read(|book| book.store_time(asked))
+    }
+
+    /// Follows the operator's table by one answer; returns when the store gave it.
     async fn operator_step(
         &self,
         since: &mut Option<u64>,
-        knowledge: NamingKnowledge,
-    ) -> SwitchResult<()> {
+        step: OperatorStep,
+    ) -> SwitchResult<StoreTime> {
         let Some(known) = *since else {
-            *since = Some(self.read_operator(knowledge).await?);
-            return Ok(());
+            let (revision, told_at) = self.read_operator(step).await?;
+            *since = Some(revision);
+            return Ok(told_at);
         };
-        let is_behind_cut = matches!(knowledge, NamingKnowledge::Interrupted);
-        if is_behind_cut {
+        if step.is_behind_failure {
             // The operator's row of a version that was named meanwhile may have gone back since.
             self.read_own_rows().await?;
         }
         let table = TableName::Operator;
+        let asked = clock_now();
         let watched = self
             .store
             .watch_table(table, known, OPERATOR_WAIT, STORE_WITHIN)
             .await;
-        if is_behind_cut && watched.is_err() {
+        if step.is_behind_failure && watched.is_err() {
             // The store answers, and the watch brings nothing: its answer holds every document since it last
             // succeeded, and a link may not carry that in the time that the store is given; each try asks
             // for more. One would notice an entry host that answers 404 for routes that were added seconds
             // before while its neighbours serve them. A read holds the newest document alone.
             *since = None;
         }
-        let revision = match watched? {
+        let (revision, told_at) = match watched? {
             WatchAnswer::Changed(view) => {
+                let asked_by = self.note_told(&view, asked);
                 if !view.rows.is_empty() {
-                    let named = knowledge.naming_time(clock_now());
+                    let named = step.knowledge.naming_time(asked_by, view.told_at);
                     self.book
                         .change(|book| book.take_operator_rows(&view.rows, named));
                 }
-                view.revision
+                (view.revision, view.told_at)
             }
             WatchAnswer::HistoryLost => {
                 log_event!(events::HISTORY_LOST, "table=operator");
                 // Nothing was heard for a while before.
-                self.read_operator(NamingKnowledge::Interrupted).await?
+                self.read_operator(step.behind_failure(false)).await?
             }
         };
         *since = Some(known.max(revision));
-        Ok(())
+        Ok(told_at)
     }
 
-    /// Reads the operator's table as a whole; returns its revision.
+    /// Reads the operator's table as a whole; returns its revision, and when the store told it.
     ///
     /// A process reads the system's own rows first: with a document it is ready, and would otherwise
     /// believe an operator's row that has gone back.
-    async fn read_operator(&self, knowledge: NamingKnowledge) -> SwitchResult<u64> {
-        let is_behind_cut = matches!(knowledge, NamingKnowledge::Interrupted);
-        if is_behind_cut || !self.book.read(ViewBook::has_own_rows) {
+    async fn read_operator(&self, step: OperatorStep) -> SwitchResult<(u64, StoreTime)> {
+        if step.is_behind_failure || !self.book.read(ViewBook::has_own_rows) {
             self.read_own_rows().await?;
         }
-        let read = self.store.read_table(TableName::Operator, STORE_WITHIN);
-        let view = read.await?;
-        let named = knowledge.naming_time(clock_now());
+        let view = self.read_table(TableName::Operator).await?;
+        // A read does not wait for a change.
+        let named = step.knowledge.naming_time(view.told_at, view.told_at);
         self.book
             .change(|book| book.read_operator_rows(&view.rows, named));
-        Ok(view.revision)
+        Ok((view.revision, view.told_at))
     }
 
     /// Follows the backend servers' table.
@@ -166,19 +219,20 @@
     async fn backends_step(&self, is_whole: &mut bool) -> SwitchResult<()> {
         let since = self.book.read(ViewBook::backends_revision);
         if *is_whole {
+            let asked = clock_now();
             let watched =
                 self.store
                     .watch_table(TableName::Backends, since, BACKENDS_WAIT, STORE_WITHIN);
             match watched.await? {
                 WatchAnswer::Changed(view) => {
+                    self.note_told(&view, asked);
                     self.change_backends(&view);
                     return Ok(());
                 }
                 WatchAnswer::HistoryLost => log_event!(events::HISTORY_LOST, "table=backends"),
             }
         }
-        let read = self.store.read_table(TableName::Backends, STORE_WITHIN);
-        let view = read.await?;
+        let view = self.read_table(TableName::Backends).await?;
         // A read that is older than what is known is tried again.
         *is_whole = view.revision >= since;
         self.book.change(|book| {
