--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of the weights' state machines and checks.
 
 mod checks;
+mod dark_hosts;
+mod dark_hosts_driver;
 mod link;
 mod lost_hosts;
 mod origin_away;
