Silence counts only where others answer: a slow link of one's own is no sign that hosts are gone

Hosts of engines had a tenth of their links; requests waited 2 to 3 s in them, were given up by their entry hosts meanwhile, and began behind the bound.

Cause of the worse part: on a full link chunks and answers of all hosts come late. The mend before took the hosts for gone, gave their places away and put more chunks on the link. Now a host counts as gone only if a question that was asked no earlier than the one it left open was answered; as long as a host is in doubt the neighbours are asked for that. Test: where_nobody_answers_nothing_more_is_put_on_the_link, which fails without it.

--- a/src/weights/fetch_choice.rs
+++ b/src/weights/fetch_choice.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 
 use super::fetch_plan::{FetchPlan, FetchStep, Flight, FlightSource};
-use super::peer_table::{PeerKey, PeerPresence};
+use super::peer_table::{PeerKey, PeerPresence, PeerRecord};
 use crate::documents::SpreadObjective;
 use crate::time::ClockTime;
 
@@ -86,6 +86,54 @@
                 .any(|(_, peer)| peer.heard_at.is_none() && peer.presence != PeerPresence::Silent)
     }
 
+    /// Pulls from hosts that are gone held all places until each stalled; a host that was up got nothing
+    /// beside others that hold all. One sign of silence frees the places of all pulls from a host.
+    pub(super) fn doubt_silent(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
+        let late = self.late_span();
+        for flight in self.flights.clone() {
+            let FlightSource::Peer(key) = flight.source else {
+                continue;
+            };
+            let is_gone = self.is_gone(key);
+            let peer = self.peers.get_mut(key);
+            let last = peer.heard_at.max(Some(flight.since)).unwrap_or(now);
+            // A host that holds the chunk no more started anew, and knows nothing of the pull.
+            let is_anew = last > flight.since && !peer.holds(flight.index);
+            if is_anew || (is_gone && peer.presence == PeerPresence::Silent) {
+                self.land(flight.id);
+                steps.push(FetchStep::Cancel(flight.id, flight.source));
+            } else if now.since(last) > late && peer.presence == PeerPresence::There {
+                peer.presence = PeerPresence::Doubted;
+            }
+        }
+    }
+
+    /// Chunks under way from hosts that are there.
+    fn count_pulls(&self) -> usize {
+        let pulls = self.flights.iter().filter(|flight| self.is_sound(flight));
+        pulls.count() - self.count_flights(FlightSource::Origin)
+    }
+
+    /// Whether nothing speaks against the source of `flight`.
+    pub(super) fn is_sound(&self, flight: &Flight) -> bool {
+        match flight.source {
+            FlightSource::Peer(key) => !self.is_gone(key),
+            FlightSource::Origin => true,
+        }
+    }
+
+    /// Whether the host at `key` does not answer while others do. Where nobody answers, this host's own link
+    /// is slow: more pulls over it would wait behind each other, and live requests behind them.
+    fn is_gone(&self, key: PeerKey) -> bool {
+        let peer = self.peers.get(key);
+        let is_unanswered = match peer.presence {
+            PeerPresence::There => false,
+            PeerPresence::Doubted => peer.is_asked,
+            PeerPresence::Silent => true,
+        };
+        is_unanswered && self.answered_from >= peer.asked_at
+    }
+
     pub(super) fn plan_pulls(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
         loop {
             if self.count_pulls() >= self.limits.pulls_max {
@@ -195,8 +243,12 @@
     /// finds, seldom while it is busy anyway.
     pub(super) fn plan_asks(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
         let is_starved = self.count_pulls() < self.limits.pulls_max;
+        let doubted = |(_, peer): (_, &PeerRecord)| peer.presence == PeerPresence::Doubted;
+        let is_in_doubt = self.peers.listed().any(doubted);
         let every = if is_starved {
             self.asks_every
+        } else if is_in_doubt {
+            self.late_span().min(ASK_CALM)
         } else {
             ASK_CALM
         };
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -115,6 +115,8 @@
     /// How long a pull usually takes.
     pub(super) usual_span: Duration,
     pub(super) asks_every: Duration,
+    /// When the newest question was asked that was answered.
+    pub(super) answered_from: Option<ClockTime>,
     pub(super) rng: StdRng,
 }
 
@@ -144,6 +146,7 @@
             next_flight: 0,
             usual_span,
             asks_every: starved,
+            answered_from: None,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -207,6 +210,9 @@
         let late = self.late_span();
         let peer = self.peers.get_mut(key);
         peer.is_asked = false;
+        if matches!(failure, None | Some(ErrorKind::ChunkMissing)) {
+            self.answered_from = self.answered_from.max(peer.asked_at);
+        }
         // The question was lost, but it was heard in another way.
         let is_heard = peer.heard_at.is_some_and(|at| now.since(at) <= late);
         match failure {
@@ -270,7 +276,9 @@
                 // Whether it is there at all is asked next.
                 let peer = self.peers.get_mut(key);
                 peer.strike(now, part);
-                peer.presence = PeerPresence::Doubted;
+                if peer.presence == PeerPresence::There {
+                    peer.presence = PeerPresence::Doubted;
+                }
             }
         }
     }
@@ -309,41 +317,6 @@
         }
     }
 
-    /// Pulls from hosts that are gone held all places until each stalled; a host that was up got nothing
-    /// beside others that hold all. One sign of silence frees the places of all pulls from a host.
-    fn doubt_silent(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
-        let late = self.late_span();
-        for flight in self.flights.clone() {
-            let FlightSource::Peer(key) = flight.source else {
-                continue;
-            };
-            let peer = self.peers.get_mut(key);
-            let last = peer.heard_at.max(Some(flight.since)).unwrap_or(now);
-            // A host that holds the chunk no more started anew, and knows nothing of the pull.
-            let is_anew = last > flight.since && !peer.holds(flight.index);
-            if is_anew || peer.presence == PeerPresence::Silent {
-                self.land(flight.id);
-                steps.push(FetchStep::Cancel(flight.id, flight.source));
-            } else if now.since(last) > late {
-                peer.presence = PeerPresence::Doubted;
-            }
-        }
-    }
-
-    /// Chunks under way from hosts that are there.
-    pub(super) fn count_pulls(&self) -> usize {
-        let pulls = self.flights.iter().filter(|flight| self.is_sound(flight));
-        pulls.count() - self.count_flights(FlightSource::Origin)
-    }
-
-    /// Whether nothing speaks against the source of `flight`.
-    pub(super) fn is_sound(&self, flight: &Flight) -> bool {
-        match flight.source {
-            FlightSource::Peer(key) => self.peers.get(key).presence == PeerPresence::There,
-            FlightSource::Origin => true,
-        }
-    }
-
     pub(super) fn launch(&mut self, index: u32, source: FlightSource, now: ClockTime) -> FetchStep {
         let id = FlightId(self.next_flight);
         self.next_flight += 1;
@@ -368,7 +341,7 @@
         }
     }
 
-    fn land(&mut self, id: FlightId) -> Option<Flight> {
+    pub(super) fn land(&mut self, id: FlightId) -> Option<Flight> {
         let at = self.flights.iter().position(|flight| flight.id == id)?;
         let flight = self.flights.swap_remove(at);
         if let FlightSource::Peer(key) = flight.source {
--- a/src/weights/tests/dark_hosts.rs
+++ b/src/weights/tests/dark_hosts.rs
@@ -187,3 +187,28 @@
     }
     assert_eq!(read, 40, "chunks were left to hosts that do not answer");
 }
+
+/// Symptom: requests waited seconds for a thin link and began on weights that were replaced meanwhile.
+/// Events: a host's link fell to a tenth; chunks and answers came late over it. Cause: the host took all
+/// others for gone and put more pulls on the link that was full.
+#[test]
+fn where_nobody_answers_nothing_more_is_put_on_the_link() {
+    let late: Vec<String> = (0..9).map(|index| format!("late-{index}")).collect();
+    let late: Vec<&str> = late.iter().map(|host| &**host).collect();
+    let mut plan = plan_among(&late, 12);
+    for host in &late {
+        plan.on_word(&holds_all(host), START);
+    }
+    let mut watch = Watch {
+        plan,
+        live: &[],
+        now: START,
+        questions: Vec::new(),
+    };
+    assert_eq!(watch.look().len(), 6);
+    while watch.now < START + Duration::from_millis(1400) {
+        let more = watch.look();
+        let pulled = |(_, source): &(u32, FlightSource)| *source != FlightSource::Origin;
+        assert!(!more.iter().any(pulled), "{more:?} on top of six");
+    }
+}
