--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -1,17 +1,23 @@
 //! How an entry host knows the document, the wanted weights, the backend servers and the other entry
 //! hosts: from the platform's store, and from its neighbours while the store does not answer it.
 
+mod backend_follow;
 mod backend_list;
 pub(crate) mod events;
 mod naming_time;
 mod neighbour_asks;
+mod neighbour_words;
+mod operator_follow;
+mod operator_reading;
 mod own_rows;
 mod past_namings;
 mod peer_messages;
 mod peer_routes;
+mod read_order;
 mod shared_book;
 mod snapshot;
 mod store_clock;
+mod store_contact;
 mod store_marks;
 mod store_watch;
 mod sync_thread;
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -23,13 +23,18 @@
 /// How long the store holds a watch of the operator's table open. A connection may go silent for
 /// good while it waits, which only the end of this span shows; a document must be in force two
 /// seconds after it was accepted. Each call has a price, so the span is not shorter.
-pub(super) const OPERATOR_WAIT: Duration = Duration::from_millis(1400);
+const OPERATOR_WAIT: Duration = Duration::from_millis(1400);
 /// How long the store holds a watch of the backend servers' table open.
 const BACKENDS_WAIT: Duration = Duration::from_secs(1);
 /// The pause between two watches of the backend servers' table. Entries change all the time; without
 /// it the watch would return for each of them. A leaving backend server may get nothing two seconds
 /// after the store's word.
 const BACKENDS_PAUSE: Duration = Duration::from_millis(500);
+/// How often it is looked whether neighbours still tell the list.
+const TOLD_PAUSE: Duration = Duration::from_millis(100);
+/// How long a start waits for a neighbour to tell it, and how often that is looked at.
+const START_WITHIN: Duration = Duration::from_millis(400);
+const START_PAUSE: Duration = Duration::from_millis(20);
 /// The pause between two reads of the entry hosts' table.
 const ENTRIES_PAUSE: Duration = Duration::from_secs(10);
 /// How long the store has for an answer beyond what it was asked to wait. It takes 4 ms usually, and
@@ -58,17 +63,17 @@
 
 /// What the next question for the operator's table stands behind.
 #[derive(Clone, Copy)]
-struct OperatorStep {
-    knowledge: NamingKnowledge,
+pub(super) struct OperatorStep {
+    pub(super) knowledge: NamingKnowledge,
     /// The one before it failed.
-    is_behind_failure: bool,
+    pub(super) is_behind_failure: bool,
     /// The last answer about the table.
-    told_at: Option<StoreTime>,
+    pub(super) told_at: Option<StoreTime>,
 }
 
 impl OperatorStep {
     /// The next step behind an answer of `told_at`.
-    const fn behind_answer(told_at: StoreTime) -> Self {
+    pub(super) const fn behind_answer(told_at: StoreTime) -> Self {
         Self {
             knowledge: NamingKnowledge::Followed(told_at),
             is_behind_failure: false,
@@ -89,32 +94,12 @@
 }
 
 impl StoreWatch {
-    /// Follows the operator's table.
-    pub(crate) async fn follow_operator(self) {
-        self.read_past_namings_first().await;
-        let mut pause = FailurePause::default();
-        let mut since = None;
-        let mut step = OperatorStep {
-            knowledge: NamingKnowledge::Started,
-            is_behind_failure: false,
-            told_at: None,
-        };
-        loop {
-            let asked = clock_now();
-            let followed = self.operator_step(&mut since, step).await;
-            step = match &followed {
-                Ok(told_at) => OperatorStep::behind_answer(*told_at),
-                Err(_) if self.has_answered_since(asked) => {
-                    step.behind_failure(self.contact_since(step))
-                }
-                Err(_) => step.behind_failure(None),
-            };
-            self.book
-                .note(|book| book.note_followed(step.knowledge.followed()));
-            if followed.is_ok() {
-                self.book.note(|book| book.note_operator(clock_now()));
-            }
-            self.note_outcome(&followed.map(drop), &mut pause).await;
+    /// The step behind `step`, which failed and began at `asked`.
+    pub(super) fn behind_failure(&self, step: OperatorStep, asked: ClockTime) -> OperatorStep {
+        if self.has_answered_since(asked) {
+            step.behind_failure(self.contact_since(step))
+        } else {
+            step.behind_failure(None)
         }
     }
 
@@ -161,8 +146,9 @@
         self.book.read(|book| book.store_time(asked))
     }
 
-    /// Follows the operator's table by one answer; returns when the store gave it.
-    async fn operator_step(
+    /// Follows the operator's table by one answer of the store, behind revision `since`; returns when the
+    /// store gave it.
+    pub(super) async fn operator_step(
         &self,
         since: &mut Option<u64>,
         step: OperatorStep,
@@ -228,8 +214,15 @@
     /// Follows the backend servers' table.
     pub(crate) async fn follow_backends(self) {
         let mut pause = FailurePause::default();
+        self.await_told_backends().await;
         let mut is_whole = false;
         loop {
+            if self.book.read(|book| book.is_told_backends(clock_now())) {
+                // What is told is whole as of its revision.
+                is_whole = true;
+                sleep(TOLD_PAUSE).await;
+                continue;
+            }
             let followed = self.backends_step(&mut is_whole).await;
             self.note_outcome(&followed, &mut pause).await;
             if followed.is_ok() {
@@ -238,6 +231,15 @@
         }
     }
 
+    /// A start need not read the list if a neighbour tells it.
+    async fn await_told_backends(&self) {
+        let begun = clock_now();
+        let is_settled = |book: &ViewBook| book.operator().is_own() || book.backends_revision() > 0;
+        while !self.book.read(is_settled) && clock_now().since(begun) < START_WITHIN {
+            sleep(START_PAUSE).await;
+        }
+    }
+
     async fn backends_step(&self, is_whole: &mut bool) -> SwitchResult<()> {
         let since = self.book.read(ViewBook::backends_revision);
         if *is_whole {
@@ -260,6 +262,7 @@
         self.book.change(|book| {
             let now = clock_now();
             book.set_backends(&view, now);
+            book.note_backends(view.told_at);
             book.expire(now);
         });
         Ok(())
@@ -269,6 +272,7 @@
         self.book.change(|book| {
             let now = clock_now();
             book.change_backends(view, now);
+            book.note_backends(view.told_at);
             book.expire(now);
         });
     }
@@ -322,7 +326,7 @@
         }
     }
 
-    async fn note_outcome(&self, outcome: &SwitchResult<()>, pause: &mut FailurePause) {
+    pub(super) async fn note_outcome(&self, outcome: &SwitchResult<()>, pause: &mut FailurePause) {
         match outcome {
             Ok(()) => {
                 *pause = FailurePause::default();
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -8,8 +8,12 @@
 mod incarnations;
 mod late_words;
 mod messages;
+mod read_orders;
+mod readers;
 mod restarts;
+mod store_gate;
 mod storms;
+mod told_lists;
 mod unreadable;
 
 use std::time::Duration;
