Soak the daemons of the users' platform as processes, judged by callers and backend servers

savory-lab platform-soak starts both daemons as users run them against stand-ins of the store, the origin, engines and plain services, with a proxy on the links from entry hosts to the store and to backend servers, and draws faults, documents, namings and keys from a seed. The name: soak drives state machines and faults the product's own form, and both stay as they are.

The stand-ins that tests had in src/platform serve the lab as well now; there is one copy of each.

--- a/src/lab/launch/child_process.rs
+++ b/src/lab/launch/child_process.rs
@@ -28,6 +28,7 @@
     /// The program, found beside the running one.
     pub(crate) program: &'static str,
     arguments: Vec<String>,
+    variables: Vec<(&'static str, String)>,
 }
 
 impl LaunchOrder {
@@ -37,6 +38,7 @@
             name: name.into(),
             program,
             arguments: Vec::new(),
+            variables: Vec::new(),
         }
     }
 
@@ -46,6 +48,12 @@
         self
     }
 
+    /// Sets a variable of its environment.
+    pub(crate) fn variable(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.variables.push((name, value.into()));
+        self
+    }
+
     /// Adds the setting `--flag value`.
     pub(crate) fn setting(self, flag: &str, value: impl Display) -> Self {
         self.argument(format!("--{flag}"))
@@ -70,19 +78,7 @@
     /// `SettingInvalid` with the process's own words when it cannot be started or ends before it
     /// listens.
     pub(crate) async fn start(order: &LaunchOrder) -> SwitchResult<Self> {
-        let mut child = Command::new(program_path(order.program)?)
-            .arg0(order.program)
-            .args(&order.arguments)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(|fault| failed(&format!("{}: {fault}", order.program)))?;
-        let log = LogTail::default();
-        if let Some(stderr) = child.stderr.take() {
-            tokio::spawn(log.clone().follow(stderr));
-        }
+        let (mut child, log) = spawn(order)?;
         let stdout = child.stdout.take();
         let stdout = stdout.ok_or_else(|| failed("a process has no output"))?;
         let mut lines = BufReader::new(stdout).lines();
@@ -108,6 +104,25 @@
         })
     }
 
+    /// Starts what `order` says, a program that does not tell where it listens; what it prints is its
+    /// log.
+    ///
+    /// # Errors
+    ///
+    /// `SettingInvalid` when it cannot be started.
+    pub(crate) fn start_unannounced(order: &LaunchOrder) -> SwitchResult<Self> {
+        let (mut child, log) = spawn(order)?;
+        if let Some(stdout) = child.stdout.take() {
+            tokio::spawn(log.clone().follow(stdout));
+        }
+        Ok(Self {
+            name: order.name.clone(),
+            child,
+            listening: Vec::new(),
+            log,
+        })
+    }
+
     /// Its name.
     pub(crate) fn name(&self) -> &str {
         &self.name
@@ -180,6 +195,24 @@
     }
 }
 
+fn spawn(order: &LaunchOrder) -> SwitchResult<(Child, LogTail)> {
+    let mut child = Command::new(program_path(order.program)?)
+        .arg0(order.program)
+        .args(&order.arguments)
+        .envs(order.variables.iter().map(|(name, value)| (name, value)))
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .map_err(|fault| failed(&format!("{}: {fault}", order.program)))?;
+    let log = LogTail::default();
+    if let Some(stderr) = child.stderr.take() {
+        tokio::spawn(log.clone().follow(stderr));
+    }
+    Ok((child, log))
+}
+
 /// The newest lines of a process's log.
 #[derive(Clone, Debug, Default)]
 struct LogTail {
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod launch;
 mod load;
 pub(crate) mod picks;
+mod platform_soak;
 mod quickstart;
 mod slopes;
 pub(crate) mod soak;
@@ -36,6 +37,7 @@
         Some(("documents", matches)) => documents::run_documents(matches),
         Some(("load", matches)) => load::run_load(matches),
         Some(("picks", matches)) => picks::run_picks(matches),
+        Some(("platform-soak", matches)) => platform_soak::run_platform_soak(matches),
         Some(("quickstart", matches)) => quickstart::run_quickstart(matches),
         Some(("slopes", matches)) => slopes::run_slopes(matches),
         Some(("soak", matches)) => soak::run_soak(matches),
@@ -54,6 +56,7 @@
         .arg_required_else_help(true)
         .subcommand(documents::documents_command())
         .subcommand(picks::picks_command())
+        .subcommand(platform_soak::platform_soak_command())
         .subcommand(quickstart::quickstart_command())
         .subcommand(faults::faults_command())
         .subcommand(load::load_command())
--- /dev/null
+++ b/src/lab/platform_soak/command.rs
@@ -0,0 +1,69 @@
+//! `savory-lab platform-soak`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use super::soak_run::SoakRun;
+use crate::lab::run_lab;
+
+const MINUTE: Duration = Duration::from_mins(1);
+
+/// The subcommand.
+pub(crate) fn platform_soak_command() -> Command {
+    Command::new("platform-soak")
+        .about("Disturbs the daemons as they run on the users' platform and checks their promises")
+        .after_help("Example:\n  savory-lab platform-soak --seed 7 --minutes 5 --json")
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("NUMBER")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Draws what is done to the system, and when"),
+        )
+        .arg(
+            Arg::new("minutes")
+                .long("minutes")
+                .value_name("NUMBER")
+                .default_value("1")
+                .value_parser(value_parser!(f64))
+                .help("How long, in whole waves of faults and calm; one at least"),
+        )
+        .arg(
+            Arg::new("processes")
+                .long("processes")
+                .value_name("NUMBER")
+                .default_value("8")
+                .value_parser(value_parser!(u64).range(4..=180))
+                .help("Daemons in all: a third entry hosts, the others beside engines"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print the result as JSON"),
+        )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("FOLDER")
+                .help("Write the log of every process there when a promise was broken"),
+        )
+}
+
+/// Runs it.
+pub(crate) fn run_platform_soak(matches: &ArgMatches) -> ExitCode {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let minutes = matches.get_one::<f64>("minutes").copied().unwrap_or(1.0);
+    let run = SoakRun {
+        seed: number("seed"),
+        span: MINUTE.mul_f64(minutes.max(0.0)),
+        processes: usize::try_from(number("processes")).unwrap_or(usize::MAX),
+        prints_json: matches.get_flag("json"),
+        logs: matches.get_one::<String>("logs").map(PathBuf::from),
+    };
+    run_lab(run.run())
+}
--- /dev/null
+++ b/src/lab/platform_soak/run_report.rs
@@ -0,0 +1,100 @@
+//! What a run tells at its end: the verdict, and how the first broken promise came about.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::run_journal::{DeedRecord, RunRecords};
+use super::run_judge::{CheckCounts, PromiseBreach};
+use crate::time::ClockTime;
+
+/// How long before the first broken promise its timeline begins.
+const TIMELINE_SPAN: Duration = Duration::from_secs(25);
+const BREACHES_SHOWN: usize = 10;
+
+/// Which run it was.
+pub(super) struct RunSpan {
+    pub(super) seed: u64,
+    pub(super) processes: usize,
+    pub(super) waves: usize,
+    pub(super) begun: ClockTime,
+}
+
+/// The outcome of a run.
+pub(super) struct RunReport {
+    pub(super) span: RunSpan,
+    pub(super) counts: CheckCounts,
+    pub(super) breaches: Vec<PromiseBreach>,
+}
+
+impl RunReport {
+    const fn verdict(&self) -> &'static str {
+        if self.breaches.is_empty() {
+            "held"
+        } else {
+            "broken"
+        }
+    }
+
+    /// For people.
+    pub(super) fn text(&self, records: &RunRecords) -> String {
+        let RunSpan {
+            seed,
+            processes,
+            waves,
+            ..
+        } = self.span;
+        let mut text = format!("seed {seed}, {processes} processes, {waves} waves\n");
+        // Writing into a text cannot fail.
+        let _ = writeln!(text, "{:?}", self.counts);
+        let _ = writeln!(text, "verdict: {}", self.verdict());
+        for line in self.timeline(records) {
+            let _ = writeln!(text, "{line}");
+        }
+        text
+    }
+
+    /// For programs.
+    pub(super) fn json_text(&self, records: &RunRecords) -> Value {
+        let breaches = self.breaches.iter().map(|breach| {
+            json!({
+                "at_s": self.seconds(breach.at), "promise": breach.promise, "seen": breach.text,
+            })
+        });
+        json!({
+            "seed": self.span.seed, "processes": self.span.processes, "waves": self.span.waves,
+            "verdict": self.verdict(), "counts": self.counts,
+            "breaches": breaches.collect::<Vec<_>>(), "timeline": self.timeline(records),
+        })
+    }
+
+    /// What was done before the first broken promises, and these, in order of time.
+    fn timeline(&self, records: &RunRecords) -> Vec<String> {
+        let Some(first) = self.breaches.first() else {
+            return Vec::new();
+        };
+        let from = first.at - TIMELINE_SPAN;
+        let shown = &self.breaches[..self.breaches.len().min(BREACHES_SHOWN)];
+        let until = shown.last().map_or(first.at, |last| last.at);
+        let is_near = |deed: &&DeedRecord| {
+            deed.begun <= until && deed.ended.is_none_or(|ended| ended >= from)
+        };
+        let deeds = records.deeds.iter().filter(is_near);
+        let deeds = deeds.map(|deed| (deed.begun, deed.text.clone()));
+        let breaches = shown.iter().map(|breach| {
+            (
+                breach.at,
+                format!("BROKEN {}: {}", breach.promise, breach.text),
+            )
+        });
+        let mut lines: Vec<(ClockTime, String)> = deeds.chain(breaches).collect();
+        lines.sort_by_key(|(at, _)| *at);
+        let line = |(at, text): (ClockTime, String)| format!("{:8.3} s {text}", self.seconds(at));
+        lines.into_iter().map(line).collect()
+    }
+
+    fn seconds(&self, at: ClockTime) -> f64 {
+        at.since(self.span.begun).as_secs_f64()
+    }
+}
--- a/src/platform/fake_engine.rs
+++ b/src/platform/fake_engine.rs
@@ -1,8 +1,13 @@
-//! A stand-in of a model engine for tests in other folders. It can crash, start again under its name
-//! and know nothing of before.
+//! A stand-in of a model engine for the lab and for tests in other folders. It can crash, start again
+//! under its name and know nothing of before.
+#![cfg_attr(
+    not(test),
+    expect(dead_code, reason = "tests drive more of it than the lab does")
+)]
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -11,8 +16,11 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
-use super::fake_origin::{CHUNKS, LAYERS, chunk_bytes, path_and_index, serve_calls};
+#[cfg(test)]
+use super::fake_origin::serve_calls;
+use super::fake_origin::{CHUNKS, LAYERS, chunk_bytes, path_and_index};
 use crate::fleet::WeightsVersion;
+use crate::time::{ClockTime, clock_now};
 use crate::transport::{json_reply, read_body};
 
 const BODY_BYTES_MAX: usize = 1024 * 1024;
@@ -102,6 +110,12 @@
     stale_reports: usize,
     former: Option<Value>,
     staged: Vec<Option<Bytes>>,
+    /// Requests that it works on.
+    active: u32,
+    /// How long a load takes.
+    load_span: Duration,
+    /// The version that is being loaded, and when it will be.
+    loading: Option<(u64, ClockTime)>,
 }
 
 /// An engine; its clones share its state.
@@ -114,17 +128,34 @@
 
 impl FakeEngine {
     /// Starts an engine that holds nothing and has nothing staged.
+    #[cfg(test)]
     pub(crate) async fn start(birth: BirthWord) -> Self {
+        let unbound = Self::new(birth, Duration::ZERO);
+        let answering = unbound.clone();
+        let address = serve_calls(move |request| {
+            let engine = answering.clone();
+            async move { engine.answer(request).await }
+        });
+        Self {
+            address: address.await,
+            state: unbound.state,
+        }
+    }
+
+    /// An engine whose loads take `load_span`. It is not reached over the network: somebody hands
+    /// calls to [`FakeEngine::answer`].
+    pub(crate) fn new(birth: BirthWord, load_span: Duration) -> Self {
         let state = EngineState {
             born: FIRST_BORN,
             birth: Some(birth),
             staged: vec![None; CHUNKS as usize],
+            load_span,
             ..EngineState::default()
         };
-        let state = Arc::new(Mutex::new(state));
-        let answering = state.clone();
-        let address = serve_calls(move |request| answer(answering.clone(), request)).await;
-        Self { address, state }
+        Self {
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            state: Arc::new(Mutex::new(state)),
+        }
     }
 
     /// It crashes; nothing answers until [`FakeEngine::restart`] or [`FakeEngine::thaw`].
@@ -183,28 +214,59 @@
         self.lock().stagings
     }
 
-    fn lock(&self) -> MutexGuard<'_, EngineState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    /// What it says of itself, in an entry of the store as well.
+    pub(super) fn own_report(&self) -> Value {
+        self.lock().own_report()
+    }
+
+    /// Whether it carries out an order.
+    pub(super) fn is_busy(&self) -> bool {
+        self.lock().is_busy
+    }
+
+    /// It works on `active` requests.
+    pub(super) fn note_active(&self, active: u32) {
+        self.lock().active = active;
     }
-}
 
-async fn answer(state: Arc<Mutex<EngineState>>, request: Request) -> Response {
-    let (path, index) = path_and_index(&request);
-    let body = read_body(request.into_body(), BODY_BYTES_MAX).await;
-    let body = body.expect("the call has a body");
-    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-    state.restart_if_due(&path);
-    match (state.rule, path.as_str()) {
-        (CallRule::Silent, _) => json_reply(StatusCode::BAD_GATEWAY, &json!({})),
-        (_, "/v1/report") => json_reply(StatusCode::OK, &state.report()),
-        (_, "/v1/order") => json_reply(state.order(&body), &json!({})),
-        (_, "/v1/stage-put/m") => json_reply(state.stage(index, body), &json!({})),
-        (_, "/v1/stage-get/m") => state.read_staged(index),
-        _ => json_reply(StatusCode::NOT_FOUND, &json!({})),
+    /// Answers a call of its host or of anybody who asks how it is.
+    pub(super) async fn answer(&self, request: Request) -> Response {
+        let (path, index) = path_and_index(&request);
+        let Ok(body) = read_body(request.into_body(), BODY_BYTES_MAX).await else {
+            return json_reply(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let mut state = self.lock();
+        state.restart_if_due(&path);
+        match (state.rule, path.as_str()) {
+            (CallRule::Silent, _) => json_reply(StatusCode::BAD_GATEWAY, &json!({})),
+            (_, "/v1/report") => json_reply(StatusCode::OK, &state.report()),
+            (_, "/v1/order") => json_reply(state.order(&body, clock_now()), &json!({})),
+            (_, "/v1/stage-put/m") => json_reply(state.stage(index, body), &json!({})),
+            (_, "/v1/stage-get/m") => state.read_staged(index),
+            _ => json_reply(StatusCode::NOT_FOUND, &json!({})),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.settle(clock_now());
+        state
     }
 }
 
 impl EngineState {
+    /// Ends the load that is under way once its time has come.
+    fn settle(&mut self, now: ClockTime) {
+        if let Some((version, until)) = self.loading
+            && now >= until
+        {
+            self.loading = None;
+            self.held = Some(version);
+            self.is_busy = false;
+            self.reports = 0;
+        }
+    }
+
     fn restart_if_due(&mut self, path: &str) {
         let Some(plan) = self.restart_at.as_mut() else {
             return;
@@ -228,6 +290,8 @@
         self.held = None;
         self.reports = 0;
         self.is_busy = false;
+        self.loading = None;
+        self.active = 0;
         self.orders_taken = 0;
         match rest {
             StagedRest::Kept => {}
@@ -261,7 +325,7 @@
             .map(|version| json!({ "from": 0, "to": LAYERS, "version": version }));
         let mut report = json!({
             "models": models.collect::<Vec<_>>(), "layers": layers.collect::<Vec<_>>(),
-            "busy": self.is_busy, "sequence": self.orders_taken, "queued": 0, "active": 0,
+            "busy": self.is_busy, "sequence": self.orders_taken, "queued": 0, "active": self.active,
         });
         if self.birth == Some(BirthWord::Told) {
             report["born"] = self.born.into();
@@ -269,7 +333,7 @@
         report
     }
 
-    fn order(&mut self, body: &[u8]) -> StatusCode {
+    fn order(&mut self, body: &[u8], now: ClockTime) -> StatusCode {
         let order: Value = serde_json::from_slice(body).expect("an order is JSON");
         let version = order["version"].as_u64().expect("it names a version");
         if order["precondition"].as_u64() != Some(self.orders_taken) || self.is_busy {
@@ -288,7 +352,13 @@
         self.reports = 0;
         match self.rule {
             CallRule::HoldOrders => self.is_busy = true,
-            CallRule::Answer | CallRule::Silent => self.held = Some(version),
+            CallRule::Answer | CallRule::Silent if self.load_span.is_zero() => {
+                self.held = Some(version);
+            }
+            CallRule::Answer | CallRule::Silent => {
+                self.is_busy = true;
+                self.loading = Some((version, now + self.load_span));
+            }
         }
         StatusCode::ACCEPTED
     }
--- a/src/platform/fake_origin.rs
+++ b/src/platform/fake_origin.rs
@@ -1,4 +1,4 @@
-//! A stand-in of the origin of weights for tests in other folders.
+//! A stand-in of the origin of weights for the lab and for tests in other folders.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
+use tokio::net::TcpListener;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -62,7 +63,11 @@
     pub(crate) fn hand_out_only(&self, chunks: usize) {
         lock(&self.state).chunks_max = chunks;
     }
+}
 
+/// What only tests ask of it.
+#[cfg(test)]
+impl FakeOrigin {
     /// The document that names it as the origin of the service `s`.
     pub(crate) fn document(&self) -> String {
         let address = self.address;
@@ -124,7 +129,7 @@
     value.parse().ok()
 }
 
-/// Answers calls at a free port of this machine for as long as the test runs.
+/// Answers calls at a free port of this machine for as long as the process runs.
 pub(super) async fn serve_calls<F>(
     answer: impl Fn(Request) -> F + Clone + Send + Sync + 'static,
 ) -> SocketAddr
@@ -134,8 +139,18 @@
     let listener = bind_listener(SocketAddr::from(([127, 0, 0, 1], 0))).await;
     let listener = listener.expect("a free port");
     let address = listener.local_addr().expect("it is bound");
+    serve_calls_on(listener, answer);
+    address
+}
+
+/// Answers calls at `listener` for as long as the process runs.
+pub(super) fn serve_calls_on<F>(
+    listener: TcpListener,
+    answer: impl Fn(Request) -> F + Clone + Send + Sync + 'static,
+) where
+    F: Future<Output = Response> + Send + 'static,
+{
     let router = Router::new().fallback(move |request: Request| answer(request));
     let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
     tokio::spawn(HttpServer::on(listener, router).run(drain));
-    address
 }
--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -1,6 +1,7 @@
-//! A stand-in of the platform's store for tests in other folders: rows in tables, one counter of
-//! revisions, transactions under a condition, reads and watches.
+//! A stand-in of the platform's store for the lab and for tests in other folders: rows in tables, one
+//! counter of revisions, transactions under a condition, reads and watches.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use http::StatusCode;
+use macro_rules_attribute::apply;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -17,9 +19,27 @@
 
 use super::store_client::TableName;
 use crate::daemon::DrainState;
+use crate::derives::key;
 use crate::transport::{HttpServer, json_reply, read_body};
 
 const BODY_BYTES_MAX: usize = 1024 * 1024;
+/// Rows that were written over and are still told to watches; a run of hours would else keep all.
+const PAST_MAX: usize = 4096;
+
+/// What is wrong with the store.
+#[apply(key!)]
+#[derive(Default)]
+pub(crate) enum StoreTrouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses all calls.
+    Down,
+    /// Each answer takes so much longer.
+    Slow(Duration),
+    /// It does what it is asked to and never answers.
+    LosesAnswers,
+}
 
 #[derive(Clone)]
 struct FakeRow {
@@ -45,8 +65,7 @@
     past: Vec<FakeRow>,
     /// How long each row of a watch's answer takes on its way.
     row_delay: Duration,
-    /// Whether it refuses all calls.
-    is_down: bool,
+    trouble: StoreTrouble,
 }
 
 impl FakeRows {
@@ -54,6 +73,11 @@
         self.revision += 1;
         let is_former = |row: &mut FakeRow| row.table == table && row.key == key;
         self.past.extend(self.rows.extract_if(.., is_former));
+        if self.past.len() > PAST_MAX {
+            let dropped = self.past.drain(..PAST_MAX / 2);
+            let newest = dropped.map(|row| row.revision).max();
+            self.history_from = self.history_from.max(newest.unwrap_or(0));
+        }
         self.rows.push(FakeRow {
             table: table.to_owned(),
             key: key.to_owned(),
@@ -124,63 +148,45 @@
 
     /// Somebody else writes a row, whatever stands there.
     pub(crate) fn put(&self, table: TableName, key: &str, value: &str) {
-        self.put_raw(table, key, &BASE64.encode(value));
+        self.change(table, key, Some(BASE64.encode(value)));
     }
 
-    /// Somebody else writes a row whose bytes need not decode.
-    pub(crate) fn put_raw(&self, table: TableName, key: &str, value: &str) {
-        let value = Some(value.to_owned());
-        self.lock().put(table.as_str(), key, value);
-        self.changes.send_modify(|changes| *changes += 1);
+    /// Somebody else removes a row.
+    pub(crate) fn remove(&self, table: TableName, key: &str) {
+        self.change(table, key, None);
     }
 
-    /// How many calls asked for a change, refused ones included.
-    pub(crate) fn change_calls(&self) -> usize {
-        self.lock().change_calls
-    }
-
-    /// How many of them were done.
-    pub(crate) fn changes_done(&self) -> usize {
-        self.lock().changes_done
-    }
-
-    /// The text of a row, if there is one.
-    pub(crate) fn text_of(&self, table: TableName, key: &str) -> Option<String> {
-        let rows = self.lock();
-        let mut rows = rows.rows.iter();
-        let row = rows.find(|row| row.table == table.as_str() && row.key == key)?;
-        let bytes = BASE64.decode(row.value.as_ref()?).ok()?;
-        String::from_utf8(bytes).ok()
+    /// What is wrong with it from now on.
+    pub(crate) fn set_trouble(&self, trouble: StoreTrouble) {
+        self.lock().trouble = trouble;
     }
 
-    /// It forgets what changed before; watches of before have to read the tables anew.
-    pub(crate) fn forget_history(&self) {
-        let mut rows = self.lock();
-        rows.revision += 1;
-        rows.history_from = rows.revision;
-        rows.past.clear();
-        drop(rows);
+    fn change(&self, table: TableName, key: &str, value: Option<String>) {
+        self.lock().put(table.as_str(), key, value);
         self.changes.send_modify(|changes| *changes += 1);
     }
 
-    /// From now on it refuses all calls, or no more.
-    pub(crate) fn set_down(&self, is_down: bool) {
-        self.lock().is_down = is_down;
-    }
-
-    /// Answers to watches take `row_delay` for each of their rows, as over a link that is full.
-    pub(crate) fn slow_watches(&self, row_delay: Duration) {
-        self.lock().row_delay = row_delay;
-    }
-
     fn lock(&self) -> MutexGuard<'_, FakeRows> {
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn answer(&self, request: Request) -> Response {
-        if self.lock().is_down {
-            return json_reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        let trouble = self.lock().trouble;
+        match trouble {
+            StoreTrouble::None => self.carry_out(request).await,
+            StoreTrouble::Down => json_reply(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+            StoreTrouble::Slow(delay) => {
+                sleep(delay).await;
+                self.carry_out(request).await
+            }
+            StoreTrouble::LosesAnswers => {
+                self.carry_out(request).await;
+                pending().await
+            }
         }
+    }
+
+    async fn carry_out(&self, request: Request) -> Response {
         let query = request.uri().query().unwrap_or_default().to_owned();
         let field = |name: &str| {
             let mut fields = query.split('&').filter_map(|field| field.split_once('='));
@@ -268,6 +274,58 @@
     }
 }
 
+/// What only tests ask of it.
+#[cfg(test)]
+impl FakeStore {
+    /// Somebody else writes a row whose bytes need not decode.
+    pub(crate) fn put_raw(&self, table: TableName, key: &str, value: &str) {
+        self.change(table, key, Some(value.to_owned()));
+    }
+
+    /// How many calls asked for a change, refused ones included.
+    pub(crate) fn change_calls(&self) -> usize {
+        self.lock().change_calls
+    }
+
+    /// How many of them were done.
+    pub(crate) fn changes_done(&self) -> usize {
+        self.lock().changes_done
+    }
+
+    /// The text of a row, if there is one.
+    pub(crate) fn text_of(&self, table: TableName, key: &str) -> Option<String> {
+        let rows = self.lock();
+        let mut rows = rows.rows.iter();
+        let row = rows.find(|row| row.table == table.as_str() && row.key == key)?;
+        let bytes = BASE64.decode(row.value.as_ref()?).ok()?;
+        String::from_utf8(bytes).ok()
+    }
+
+    /// It forgets what changed before; watches of before have to read the tables anew.
+    pub(crate) fn forget_history(&self) {
+        let mut rows = self.lock();
+        rows.revision += 1;
+        rows.history_from = rows.revision;
+        rows.past.clear();
+        drop(rows);
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    /// From now on it refuses all calls, or no more.
+    pub(crate) fn set_down(&self, is_down: bool) {
+        self.set_trouble(if is_down {
+            StoreTrouble::Down
+        } else {
+            StoreTrouble::None
+        });
+    }
+
+    /// Answers to watches take `row_delay` for each of their rows, as over a link that is full.
+    pub(crate) fn slow_watches(&self, row_delay: Duration) {
+        self.lock().row_delay = row_delay;
+    }
+}
+
 fn row_text(row: &FakeRow) -> Value {
     match &row.value {
         Some(value) => json!({ "key": row.key, "ver": row.revision, "value": value }),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,16 +7,14 @@
 mod command;
 mod document_row;
 mod engine_calls;
-#[cfg(test)]
+mod fake_backend;
 mod fake_engine;
-#[cfg(test)]
 mod fake_origin;
-#[cfg(test)]
 mod fake_store;
 mod json_object;
 mod millis;
 mod request_head;
-#[cfg(test)]
+mod sample_files;
 pub(crate) mod samples;
 mod settings_file;
 mod store_client;
@@ -32,15 +30,16 @@
 pub(crate) use command::{PLATFORM_COMMAND, run_on_platform, with_platform};
 pub(crate) use document_row::{DocumentRow, read_document, read_wanted_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
+pub(crate) use fake_backend::{BackendPlace, FakeBackend, RunSighting, stream_event};
 #[cfg(test)]
-pub(crate) use fake_engine::{BirthWord, EngineCall, FakeEngine, StagedRest};
-#[cfg(test)]
+pub(crate) use fake_engine::EngineCall;
+pub(crate) use fake_engine::{BirthWord, FakeEngine, StagedRest};
 pub(crate) use fake_origin::FakeOrigin;
-#[cfg(test)]
-pub(crate) use fake_store::FakeStore;
+pub(crate) use fake_store::{FakeStore, StoreTrouble};
 pub(crate) use json_object::read_object;
 pub(crate) use request_head::{RequestHead, read_request_head};
-pub(crate) use settings_file::{PlatformSettings, TimeBounds};
+pub(crate) use sample_files::{AccountSample, ProcessPlace, document_text, settings_text};
+pub(crate) use settings_file::{PATH_VARIABLE, PlatformSettings, TimeBounds};
 pub(crate) use store_client::{StoreClient, TableName, WatchAnswer, WriteOutcome};
 pub(crate) use store_rows::{StoreRow, TableView};
 pub(crate) use weights_origin::{ChunkDigests, OriginClient};
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -1,7 +1,9 @@
-//! The platform's words for tests in other folders, so that these need not know them.
+//! The platform's words for the lab and for tests in other folders, so that these need not know them.
 
+#[cfg(test)]
 use std::net::SocketAddr;
 
+#[cfg(test)]
 use crate::fleet::BackendPhase;
 
 /// The name of the client's attempt.
@@ -14,6 +16,14 @@
 pub(crate) const NOT_RUN: &str = "savoryswitch-not-executed";
 /// The backend server that answers.
 pub(crate) const BACKEND_ID: &str = "savoryswitch-instance-id";
+/// The version of weights that the request needs.
+pub(crate) const EXPECTED_VERSION: &str = "savoryswitch-expected-version";
+/// The version of weights that answers.
+pub(crate) const VERSIONS: &str = "savoryswitch-weight-versions";
+/// The model that the request is for.
+pub(crate) const MODEL: &str = "savoryswitch-model";
+/// Tokens of the prompt, and of the answer at most.
+pub(crate) const TOKENS: &str = "savoryswitch-token-usage";
 /// The backend server that is meant.
 pub(crate) const TARGET_ID: &str = "savoryswitch-target-instance";
 /// The client account.
@@ -31,6 +41,7 @@
 }
 
 /// The text of a serving backend server's entry.
+#[cfg(test)]
 pub(crate) fn backend_sample() -> String {
     let fields = "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1";
     format!("{{{fields},\"state\":\"ready\"}}")
@@ -38,6 +49,7 @@
 
 /// The text of a backend server's entry of the incarnation that started at `born`, its `told`th, in
 /// `phase`.
+#[cfg(test)]
 pub(crate) fn entry_sample(born: Option<u64>, told: u64, phase: BackendPhase) -> String {
     let state = state_word(phase);
     let fields = "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":1";
@@ -46,6 +58,7 @@
 }
 
 /// [`entry_sample`] at `address`, with all 16 layers of `version` of the model `m`; with none for 0.
+#[cfg(test)]
 pub(crate) fn holding_sample(
     (address, born): (SocketAddr, u64),
     told: u64,
@@ -66,6 +79,7 @@
     format!("{{{place},{telling},{held}}}")
 }
 
+#[cfg(test)]
 const fn state_word(phase: BackendPhase) -> &'static str {
     match phase {
         BackendPhase::Serving => "ready",
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -11,7 +11,7 @@
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 
 /// The variable that names the settings file.
-const PATH_VARIABLE: &str = "SAVORYSWITCH_CONFIG";
+pub(crate) const PATH_VARIABLE: &str = "SAVORYSWITCH_CONFIG";
 
 /// Spans that the platform holds the system to.
 #[derive(Clone, Copy, Debug)]
