--- a/src/lab/platform_soak/fault_plan.rs
+++ b/src/lab/platform_soak/fault_plan.rs
@@ -13,6 +13,8 @@
 const FAULTS_SPAN: Duration = Duration::from_secs(9);
 /// How long nothing is disturbed behind a wave: until every bound holds again, and some seconds more.
 const CALM_SPAN: Duration = Duration::from_secs(17);
+/// How long a host stands still in the calm: beyond the bound of versions.
+const LAGGARD_SPAN: Duration = Duration::from_secs(15);
 /// The pause behind one fault until the next, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 100..1100;
 /// How long a fault lasts, in milliseconds.
@@ -172,9 +174,23 @@
             SoakDeed::Documents(burst),
         );
         changes.sort_by_key(|planned| planned.at);
+        if self.chance.random_range(0..3_u8) > 0 {
+            changes.insert(0, self.laggard());
+        }
         changes
     }
 
+    /// A host stands still through the calm. Its engine keeps the older weights, and nothing on the way of
+    /// a request to it is disturbed: only the entry hosts can keep requests away.
+    fn laggard(&mut self) -> PlannedDeed {
+        let host = SoakPart::Host(self.chance.random_range(0..self.parts.hosts));
+        PlannedDeed {
+            at: Duration::ZERO,
+            span: LAGGARD_SPAN,
+            deed: SoakDeed::Freeze(host),
+        }
+    }
+
     fn deed(&mut self) -> SoakDeed {
         match self.chance.random_range(0..20_u8) {
             0 | 1 => SoakDeed::Freeze(self.process()),
--- a/src/lab/platform_soak/soak_run.rs
+++ b/src/lab/platform_soak/soak_run.rs
@@ -18,7 +18,7 @@
 use crate::time::{ClockTime, clock_now};
 
 /// Clients for each entry host.
-const CLIENTS_AN_ENTRY: usize = 4;
+const CLIENTS_AN_ENTRY: usize = 8;
 /// How long clients call before the first fault, so that everything has been in use.
 const WARM_UP: Duration = Duration::from_secs(4);
 /// How long a call that was given up might still reach a backend server.
