--- a/src/lab/platform_soak/fault_proxy.rs
+++ b/src/lab/platform_soak/fault_proxy.rs
@@ -7,7 +7,7 @@
 
 use macro_rules_attribute::apply;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -123,12 +123,13 @@
 }
 
 impl ProxyLink {
-    async fn carry(mut self, caller: TcpStream, target: SocketAddr, calls: HostCalls) {
-        // A connection that is dropped is reset: an orderly close would look like an end of the process.
+    async fn carry(mut self, mut caller: TcpStream, target: SocketAddr, calls: HostCalls) {
+        // A connection that is dropped is reset: an orderly close would look like the end of an answer
+        // without a length. Halves that own the connection would close it in order when they are dropped.
         if caller.set_zero_linger().is_err() || self.is_reset() {
             return;
         }
-        let Ok(far) = TcpStream::connect(target).await else {
+        let Ok(mut far) = TcpStream::connect(target).await else {
             return;
         };
         let set = (
@@ -140,8 +141,8 @@
             return;
         }
         let is_spared = calls == HostCalls::Spared && is_host_call(&caller).await;
-        let (near_read, near_write) = caller.into_split();
-        let (far_read, far_write) = far.into_split();
+        let (near_read, near_write) = caller.split();
+        let (far_read, far_write) = far.split();
         let calls = self
             .clone()
             .pump((near_read, far_write), is_spared, |rule| rule.holds_calls);
@@ -169,7 +170,7 @@
     /// Carries bytes one way until they end, and ends the other side's stream then.
     async fn pump(
         mut self,
-        (mut from, mut to): (OwnedReadHalf, OwnedWriteHalf),
+        (mut from, mut to): (ReadHalf<'_>, WriteHalf<'_>),
         is_spared: bool,
         holds: fn(&LinkRule) -> bool,
     ) {
--- a/src/lab/platform_soak/mod.rs
+++ b/src/lab/platform_soak/mod.rs
@@ -12,5 +12,7 @@
 mod soak_client;
 mod soak_run;
 mod soak_system;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use command::{platform_soak_command, run_platform_soak};
--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -16,7 +16,13 @@
     let report: Value = serde_json::from_slice(&output.stdout).expect("the report is JSON");
     assert!(output.status.success(), "{report:#}\n{told}");
     assert_eq!(report["verdict"], "held");
-    for check in ["whole", "runs", "version_bound", "revoked", "after_recovery"] {
+    for check in [
+        "whole",
+        "runs",
+        "version_bound",
+        "revoked",
+        "after_recovery",
+    ] {
         let count = report["counts"][check].as_u64();
         assert!(count > Some(0), "{check} looked at nothing: {report:#}");
     }
