--- a/src/lab/platform_soak/fault_plan.rs
+++ b/src/lab/platform_soak/fault_plan.rs
@@ -13,7 +13,7 @@
 const FAULTS_SPAN: Duration = Duration::from_secs(9);
 /// How long nothing is disturbed behind a wave: until every bound holds again, and some seconds more.
 const CALM_SPAN: Duration = Duration::from_secs(17);
-/// How long a host stands still in the calm: beyond the bound of versions.
+/// How long hosts stand still in the calm: beyond the bound of versions.
 const LAGGARD_SPAN: Duration = Duration::from_secs(15);
 /// The pause behind one fault until the next, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 100..1100;
@@ -173,22 +173,24 @@
             self.chance.random_range(0..9_000),
             SoakDeed::Documents(burst),
         );
-        changes.sort_by_key(|planned| planned.at);
         if self.chance.random_range(0..3_u8) > 0 {
-            changes.insert(0, self.laggard());
+            changes.extend(self.laggards());
         }
+        changes.sort_by_key(|planned| planned.at);
         changes
     }
 
-    /// A host stands still through the calm. Its engine keeps the older weights, and nothing on the way of
-    /// a request to it is disturbed: only the entry hosts can keep requests away.
-    fn laggard(&mut self) -> PlannedDeed {
-        let host = SoakPart::Host(self.chance.random_range(0..self.parts.hosts));
-        PlannedDeed {
+    /// Half of the hosts stand still through the calm. Their engines keep the older weights, and nothing
+    /// on the way of a request to them is disturbed: only the entry hosts can keep requests away. A
+    /// single one gets so few requests that a rule which is missing does not show.
+    fn laggards(&mut self) -> impl Iterator<Item = PlannedDeed> + use<> {
+        let hosts = self.parts.hosts;
+        let first = self.chance.random_range(0..hosts);
+        (0..hosts / 2).map(move |number| PlannedDeed {
             at: Duration::ZERO,
             span: LAGGARD_SPAN,
-            deed: SoakDeed::Freeze(host),
-        }
+            deed: SoakDeed::Freeze(SoakPart::Host((first + number) % hosts)),
+        })
     }
 
     fn deed(&mut self) -> SoakDeed {
--- a/src/lab/platform_soak/run_judge.rs
+++ b/src/lab/platform_soak/run_judge.rs
@@ -59,7 +59,7 @@
     pub(super) served_again: usize,
 }
 
-/// Looks at everything so far. `calm_since` are the spans without faults, each from its begin on.
+/// Looks at everything so far. `calms` are the spans without faults, each with its begin and its end.
 pub(super) fn judge(
     records: &RunRecords,
     calms: &[(ClockTime, ClockTime)],
--- a/src/lab/platform_soak/run_report.rs
+++ b/src/lab/platform_soak/run_report.rs
@@ -56,7 +56,7 @@
     }
 
     /// For programs.
-    pub(super) fn json_text(&self, records: &RunRecords) -> Value {
+    pub(super) fn json_value(&self, records: &RunRecords) -> Value {
         let breaches = self.breaches.iter().map(|breach| {
             json!({
                 "at_s": self.seconds(breach.at), "promise": breach.promise, "seen": breach.text,
--- a/src/lab/platform_soak/soak_run.rs
+++ b/src/lab/platform_soak/soak_run.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indicatif::ProgressBar;
+use indicatif::{ProgressBar, ProgressStyle};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -46,16 +46,15 @@
         let mut callers = self.start_clients(&system, &journal);
         sleep(WARM_UP).await;
         let waves = self.waves(&system);
-        let progress = ProgressBar::new(waves.len() as u64);
+        let progress = progress_bar();
         let mut calms = Vec::new();
         for (number, wave) in waves.iter().enumerate() {
-            progress.set_message(format!("wave {}", number + 1));
-            progress.println(progress_line(self.seed, number, waves.len(), &journal));
+            progress.set_message(progress_line(self.seed, number, waves.len(), &journal));
+            progress.tick();
             calms.push(run_wave(&system, wave).await);
             if !judge(&journal.lock(), &calms).1.is_empty() {
                 break;
             }
-            progress.inc(1);
         }
         callers.shutdown().await;
         sleep(LATE_RUNS).await;
@@ -101,7 +100,7 @@
 
     fn tell(&self, report: &RunReport, journal: &RunJournal) {
         if self.prints_json {
-            println!("{}", report.json_text(&journal.lock()));
+            println!("{}", report.json_value(&journal.lock()));
         } else {
             print!("{}", report.text(&journal.lock()));
         }
@@ -135,6 +134,15 @@
     }
 }
 
+/// One line on a terminal, nothing elsewhere.
+fn progress_bar() -> ProgressBar {
+    let progress = ProgressBar::new_spinner();
+    if let Ok(style) = ProgressStyle::with_template("{msg}") {
+        progress.set_style(style);
+    }
+    progress
+}
+
 fn progress_line(seed: u64, wave: usize, waves: usize, journal: &RunJournal) -> String {
     let records = journal.lock();
     format!(
