--- a/src/lab/platform_soak/run_report.rs
+++ b/src/lab/platform_soak/run_report.rs
@@ -11,7 +11,8 @@
 
 /// How long before the first broken promise its timeline begins.
 const TIMELINE_SPAN: Duration = Duration::from_secs(25);
-const BREACHES_SHOWN: usize = 10;
+/// Broken promises that are shown of each kind, the first ones.
+const BREACHES_SHOWN: usize = 4;
 
 /// Which run it was.
 pub(super) struct RunSpan {
@@ -75,7 +76,7 @@
             return Vec::new();
         };
         let from = first.at - TIMELINE_SPAN;
-        let shown = &self.breaches[..self.breaches.len().min(BREACHES_SHOWN)];
+        let shown = self.breaches_shown();
         let until = shown.last().map_or(first.at, |last| last.at);
         let is_near = |deed: &&DeedRecord| {
             deed.begun <= until && deed.ended.is_none_or(|ended| ended >= from)
@@ -94,6 +95,16 @@
         lines.into_iter().map(line).collect()
     }
 
+    fn breaches_shown(&self) -> Vec<&PromiseBreach> {
+        let is_early = |(place, breach): &(usize, &PromiseBreach)| {
+            let earlier = self.breaches[..*place].iter();
+            let same = earlier.filter(|other| other.promise == breach.promise);
+            same.count() < BREACHES_SHOWN
+        };
+        let early = self.breaches.iter().enumerate().filter(is_early);
+        early.map(|(_, breach)| breach).collect()
+    }
+
     fn seconds(&self, at: ClockTime) -> f64 {
         at.since(self.span.begun).as_secs_f64()
     }
