--- a/src/lab/platform_soak/soak_system.rs
+++ b/src/lab/platform_soak/soak_system.rs
@@ -25,8 +25,10 @@
 };
 use crate::time::clock_now;
 
-/// Backend servers without an engine.
-const PLAIN_BACKENDS: usize = 3;
+/// The least number of backend servers without an engine.
+const PLAIN_LEAST: usize = 3;
+/// Engines for each backend server without one in larger systems, whose clients are more.
+const ENGINES_A_PLAIN: usize = 4;
 /// How long an engine takes to load weights.
 const LOAD_SPAN: Duration = Duration::from_millis(800);
 /// How long behind a crash the platform takes a backend server's entry away: three heartbeats.
@@ -82,7 +84,7 @@
         let counts = PartCounts {
             entries,
             hosts,
-            backends: hosts + PLAIN_BACKENDS,
+            backends: hosts + PLAIN_LEAST.max(hosts / ENGINES_A_PLAIN),
         };
         let mut system = Self {
             counts,
--- a/src/platform/fake_backend.rs
+++ b/src/platform/fake_backend.rs
@@ -35,8 +35,9 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
 /// Events of a stream.
 pub(super) const STREAM_EVENTS: u64 = 12;
-/// Few, so that requests have to wait or be refused when some backend servers are gone.
-const SLOTS: u32 = 4;
+/// Few, so that requests have to wait or be refused when most backend servers are gone. With half of
+/// the engines and the lab's usual clients some are always free.
+const SLOTS: u32 = 8;
 /// How often its entry is compared with what it holds.
 const ENTRY_PAUSE: Duration = Duration::from_millis(100);
 /// How often it enters itself even if nothing has changed.
