--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -13,6 +13,7 @@
 use crate::catalog::CatalogVersion;
 use crate::derives::message;
 use crate::fleet::{BackendFacts, ModelVersion};
+use crate::time::StoreTime;
 
 /// The path of the call.
 pub(crate) const VIEW_PATH: &str = "/peer/view";
@@ -50,6 +51,41 @@
     pub(crate) entries: usize,
     /// For how many milliseconds the answer may wait for something urgent.
     pub(crate) wait_ms: u64,
+    /// Whether it follows the operator's table by the answers.
+    #[serde(default)]
+    pub(crate) follows: bool,
+    /// The digest of its list of backend servers, where another one is to be told at once.
+    #[serde(default)]
+    pub(crate) backends_digest: Option<u64>,
+}
+
+/// What changed in the list of backend servers.
+#[apply(message!)]
+pub(crate) struct BackendChanges {
+    /// The store's revision as of which the list is known.
+    pub(crate) revision: u64,
+    /// Whether `entries` are all of them.
+    pub(crate) is_whole: bool,
+    /// Those that changed behind the revision that whoever asks knows.
+    pub(crate) entries: Vec<BackendFacts>,
+    /// Those that went a short while ago.
+    pub(crate) gone: Vec<ByteString>,
+    /// The digest of the whole list.
+    pub(crate) digest: u64,
+    /// When the store last told of the list.
+    pub(crate) told_at: StoreTime,
+}
+
+/// How well the answering process knows the operator's table.
+#[apply(message!)]
+#[derive(Copy)]
+pub(crate) struct OperatorWord {
+    /// When the store last told of it.
+    pub(crate) told_at: StoreTime,
+    /// The store's revision as of which it is known.
+    pub(crate) revision: u64,
+    /// Whether the store does not answer that process.
+    pub(crate) is_cut_off: bool,
 }
 
 /// A version of weights with when it was named.
@@ -81,4 +117,10 @@
     pub(crate) backends: Option<(u64, Vec<BackendFacts>)>,
     /// All entry hosts, if there are more.
     pub(crate) entries: Vec<EntryRecord>,
+    /// How well the operator's table is known; the rest of the answer is as of that revision.
+    #[serde(default)]
+    pub(crate) operator: Option<OperatorWord>,
+    /// What changed in the list of backend servers, for who follows it by the answers.
+    #[serde(default)]
+    pub(crate) backend_changes: Option<BackendChanges>,
 }
