--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -67,8 +67,8 @@
     /// How long each row of a watch's answer takes on its way.
     row_delay: Duration,
     trouble: StoreTrouble,
-    /// The tables of the rows that were told, one for each row and answer.
-    told: Vec<String>,
+    /// How many rows of each table answers have told, sorted by table.
+    told: Vec<(String, usize)>,
 }
 
 impl FakeRows {
@@ -89,6 +89,13 @@
         });
     }
 
+    fn note_told(&mut self, table: &str, count: usize) {
+        match self.told.binary_search_by(|(name, _)| (**name).cmp(table)) {
+            Ok(at) => self.told[at].1 += count,
+            Err(at) => self.told.insert(at, (table.to_owned(), count)),
+        }
+    }
+
     fn revision_of(&self, table: &str, key: &str) -> u64 {
         let mut rows = self.rows.iter();
         let found = rows.find(|row| row.table == table && row.key == key && row.value.is_some());
@@ -217,7 +224,7 @@
     fn read(&self, table: &str) -> Value {
         let mut rows = self.lock();
         let found: Vec<Value> = rows.live(table).into_iter().map(row_text).collect();
-        rows.told.extend(found.iter().map(|_| table.to_owned()));
+        rows.note_told(table, found.len());
         json!({ "rows": found, "truncated": false, "ver": rows.revision, "now_ms": now_ms() })
     }
 
@@ -240,7 +247,7 @@
             let found = rows.behind(table, since);
             let found: Vec<Value> = found.into_iter().map(row_text).collect();
             let count = u32::try_from(found.len()).unwrap_or(u32::MAX);
-            rows.told.extend(found.iter().map(|_| table.to_owned()));
+            rows.note_told(table, found.len());
             let body = json!({ "rows": found, "ver": rows.revision, "now_ms": now_ms() });
             (body, rows.row_delay * count)
         };
@@ -303,8 +310,9 @@
     /// How many rows of `table` answers have told so far.
     pub(crate) fn rows_told(&self, table: TableName) -> usize {
         let rows = self.lock();
-        let told = rows.told.iter().filter(|told| **told == table.as_str());
-        told.count()
+        let mut told = rows.told.iter();
+        let found = told.find(|(name, _)| *name == table.as_str());
+        found.map_or(0, |(_, count)| *count)
     }
 
     /// The text of a row, if there is one.
