--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -25,9 +25,6 @@
 /// lost first packet is sent again after a second, which is later than another backend server.
 const CONNECT_WITHIN: Duration = Duration::from_millis(150);
 
-/// How long before it would be taken back a request goes to older weights over a new connection only. Over
-/// full links of hosts of engines requests were up to 3.2 s on their way.
-const NEW_WAY_SPAN: Duration = Duration::from_millis(3500);
 /// How often it is looked whether a request that waits is to be taken back earlier than was known. Most
 /// heads come within it.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
@@ -191,11 +188,6 @@
     let now = clock_now();
     let mut is_fresh = job.repeat() == RepeatRule::AtMostOnce;
     ticket.with_record(|record| is_fresh |= record.wants_fresh(now));
-    // A request that is taken back begins all the same if it and the reset behind it are still on their way.
-    // A connection that opens in time shows that the way to the engine is not full; a kept one does not.
-    let taken_back =
-        job.taken_back_at(&gateway.newest(), ticket.version, gateway.take_back_after());
-    is_fresh |= taken_back.is_some_and(|at| at.since(now) < NEW_WAY_SPAN);
     if !is_fresh && let Some(connection) = gateway.shelf.take(ticket.key, now) {
         return Ok(connection);
     }
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -2,7 +2,6 @@
 //! their answers byte by byte, so that they can break every rule of the protocol.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -56,8 +55,6 @@
     pub(super) address: SocketAddr,
     /// The heads and bodies that it read.
     pub(super) requests: Arc<Mutex<Vec<String>>>,
-    /// Counts the connections that were opened.
-    pub(super) connections: Arc<AtomicUsize>,
 }
 
 impl FakeBackend {
@@ -65,24 +62,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("it is bound");
         let requests = Arc::new(Mutex::new(Vec::new()));
-        let connections = Arc::new(AtomicUsize::new(0));
-        let (seen, opened) = (requests.clone(), connections.clone());
+        let seen = requests.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                opened.fetch_add(1, Ordering::Relaxed);
                 tokio::spawn(serve(stream, way, seen.clone()));
             }
         });
-        Self {
-            address,
-            requests,
-            connections,
-        }
-    }
-
-    /// How many connections were opened to it.
-    pub(super) fn connections(&self) -> usize {
-        self.connections.load(Ordering::Relaxed)
+        Self { address, requests }
     }
 
     pub(super) fn arrivals(&self) -> usize {
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -29,7 +29,6 @@
     let backend = FakeBackend {
         address: address.expect("it is an IP address"),
         requests: std::sync::Arc::default(),
-        connections: std::sync::Arc::default(),
     };
     (socket, backend)
 }
@@ -229,7 +228,6 @@
     let silent = FakeBackend {
         address: listener.local_addr().expect("it is bound"),
         requests: std::sync::Arc::default(),
-        connections: std::sync::Arc::default(),
     };
     let entry = FakeEntry::start(&[&silent]).await;
     let mut client = tokio::net::TcpStream::connect(entry.address)
--- a/src/gateway/tests/take_back.rs
+++ b/src/gateway/tests/take_back.rs
@@ -1,10 +1,8 @@
 //! What waits at engines of older weights is taken back before their bound.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::HeaderValue;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
@@ -15,79 +13,8 @@
     NamingCertainty, PickNeed, VersionNeed, WantedWeights, WeightsVersion,
 };
 use crate::gateway::send_attempt::{HeadWait, send_attempt};
-use crate::platform::samples::ATTEMPT;
 use crate::sync::{ControlSnapshot, SharedSnapshot};
-use crate::time::{ClockTime, clock_now};
-
-fn version(number: u64) -> ModelVersion {
-    ModelVersion {
-        model: "m".into(),
-        version: WeightsVersion(number),
-    }
-}
-
-/// Any version will do.
-fn any_version() -> VersionNeed {
-    VersionNeed::Model {
-        model: "m".into(),
-        layers: 16,
-        least: None,
-        least_to_wait: None,
-    }
-}
-
-fn need(version: VersionNeed) -> PickNeed<'static> {
-    PickNeed {
-        service: "desk",
-        version,
-        tried: &[],
-        queue_room: 0,
-        is_returned: false,
-        work: None,
-    }
-}
-
-/// What is known beside one engine at `address`, which holds version 1.
-fn first_version_at(address: SocketAddr) -> ControlSnapshot {
-    let layers = HeldLayers {
-        from: 0,
-        to: 16,
-        version: WeightsVersion(1),
-    };
-    let facts = BackendFacts {
-        born: None,
-        told: None,
-        id: "i-0".into(),
-        service: "desk".into(),
-        address,
-        data_centre: "here".into(),
-        slots: 4,
-        phase: BackendPhase::Serving,
-        holdings: EngineHoldings {
-            models: vec![version(1)],
-            layers: vec![layers],
-        },
-    };
-    ControlSnapshot {
-        fleet: Arc::new(FleetView {
-            backends: vec![Arc::new(facts)],
-        }),
-        ..ControlSnapshot::default()
-    }
-}
-
-/// The same with version 2, named at `named_at`.
-fn second_named(known: ControlSnapshot, named_at: ClockTime) -> ControlSnapshot {
-    let second = WantedWeights {
-        target: version(2),
-        named_at,
-        certainty: NamingCertainty::Witnessed,
-    };
-    ControlSnapshot {
-        wanted: Arc::new(vec![second]),
-        ..known
-    }
-}
+use crate::time::clock_now;
 
 /// Requests began on older weights behind their bound. What waits at an engine is taken back a quarter of a
 /// second before it; that time was counted from when the connection was open, which may take 0.15 s beside
@@ -99,7 +26,15 @@
     let entry = FakeEntry::start(&[&backend]).await;
     entry.gateway.snapshot();
     let now = clock_now();
-    let ticket = entry.gateway.desk.pick(&need(VersionNeed::None), now);
+    let need = PickNeed {
+        service: "desk",
+        version: VersionNeed::None,
+        tried: &[],
+        queue_room: 0,
+        is_returned: false,
+        work: None,
+    };
+    let ticket = entry.gateway.desk.pick(&need, now);
     let wait = HeadWait {
         until: now,
         silence: CallEnd::Nothing,
@@ -124,64 +59,75 @@
 async fn what_waits_is_taken_back_by_what_is_known_meanwhile() {
     let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = silent.local_addr().expect("it is bound");
-    let known = first_version_at(address);
+    let version = |number| ModelVersion {
+        model: "m".into(),
+        version: WeightsVersion(number),
+    };
+    let layers = HeldLayers {
+        from: 0,
+        to: 16,
+        version: WeightsVersion(1),
+    };
+    let facts = BackendFacts {
+        born: None,
+        told: None,
+        id: "i-0".into(),
+        service: "desk".into(),
+        address,
+        data_centre: "here".into(),
+        slots: 4,
+        phase: BackendPhase::Serving,
+        holdings: EngineHoldings {
+            models: vec![version(1)],
+            layers: vec![layers],
+        },
+    };
+    let known = ControlSnapshot {
+        fleet: Arc::new(FleetView {
+            backends: vec![Arc::new(facts)],
+        }),
+        ..ControlSnapshot::default()
+    };
     let snapshot = SharedSnapshot::default();
     snapshot.store(known.clone());
     let gateway = Arc::new(gateway_on(snapshot.clone(), BOUNDS));
     gateway.snapshot();
+    let model = VersionNeed::Model {
+        model: "m".into(),
+        layers: 16,
+        least: None,
+        least_to_wait: None,
+    };
     let now = clock_now();
-    let picked = gateway.desk.pick(&need(any_version()), now);
-    let ticket = picked.expect("it has places");
+    let need = PickNeed {
+        service: "desk",
+        version: model.clone(),
+        tried: &[],
+        queue_room: 0,
+        is_returned: false,
+        work: None,
+    };
+    let ticket = gateway.desk.pick(&need, now).expect("it has places");
     let wait = HeadWait {
         until: now + Duration::from_secs(5),
         silence: CallEnd::Failed,
     };
     let sending = tokio::spawn(async move {
         let job = job_of("resumed", now);
-        let need = any_version();
-        let sent = send_attempt(&gateway, &job, ticket, (&need, None), wait);
+        let sent = send_attempt(&gateway, &job, ticket, (&model, None), wait);
         sent.await.err()
     });
     sleep(Duration::from_millis(100)).await;
-    snapshot.store(second_named(known, now - BOUNDS.weights_within));
+    let second = WantedWeights {
+        target: version(2),
+        named_at: now - BOUNDS.weights_within,
+        certainty: NamingCertainty::Witnessed,
+    };
+    snapshot.store(ControlSnapshot {
+        wanted: Arc::new(vec![second]),
+        ..known
+    });
     let sent = timeout(Duration::from_secs(1), sending).await;
     let failure = sent.expect("it is taken back").expect("no test panicked");
     assert!(failure.is_some_and(|failure| failure.may_have_run));
 }
-
-/// Requests that had been taken back half a second before began on older weights behind their bound. The link of
-/// the engine's host was full of chunks, so that they were 1.3 to 3.2 s on their way over kept connections,
-/// and the reset behind them as long. A connection that opens at once shows that its way is not full.
-#[tokio::test]
-async fn shortly_before_a_bound_older_weights_are_asked_over_new_connections() {
-    let backend = FakeBackend::start(BackendWay::Whole).await;
-    let known = first_version_at(backend.address);
-    let snapshot = SharedSnapshot::default();
-    snapshot.store(known.clone());
-    let gateway = Arc::new(gateway_on(snapshot.clone(), BOUNDS));
-    gateway.snapshot();
-    let ask = || async {
-        let now = clock_now();
-        let picked = gateway.desk.pick(&need(any_version()), now);
-        let wait = HeadWait {
-            until: now + Duration::from_secs(1),
-            silence: CallEnd::Failed,
-        };
-        let mut job = job_of("resumed", now);
-        let name = HeaderValue::from_static("a1");
-        job.headers.insert(ATTEMPT, name);
-        let ticket = picked.expect("it has places");
-        let sent = send_attempt(&gateway, &job, ticket, (&any_version(), None), wait).await;
-        let answer = sent.expect("it answers");
-        let key = answer.ticket.key;
-        answer.ticket.end(CallEnd::Answered, now);
-        // What stands behind the head is read by nobody here.
-        gateway.shelf.put(key, answer.connection, None, now);
-    };
-    ask().await;
-    assert_eq!(backend.connections(), 1);
-    let within = Duration::from_secs(6);
-    snapshot.store(second_named(known, clock_now() - within));
-    ask().await;
-    assert_eq!(backend.connections(), 2);
-}
