--- a/src/sync/naming_time.rs
+++ b/src/sync/naming_time.rs
@@ -12,9 +12,8 @@
 /// How long ago a version is taken to have been named that a process finds at its start, as long as
 /// no neighbour knows better. Requests then begin on older weights for a second more.
 const NAMED_BEFORE_START: Duration = Duration::from_secs(6);
-/// How long a version is taken to have been named that is found behind a cut: the way to the store.
+/// How long a version that is found behind a cut is taken to have been named.
 const NAMED_BEFORE_FOUND: Duration = Duration::from_millis(100);
-
 /// How long a question is on its way to the store. It is small, and goes against the stream of documents.
 const QUESTION_ON_WAY: Duration = Duration::from_millis(400);
 
@@ -22,7 +21,7 @@
 #[apply(message!)]
 #[derive(Copy)]
 pub(crate) struct NamingTime {
-    /// The moment, or one that is surely earlier.
+    /// The moment, or an earlier one; a guess where nobody saw it.
     pub(crate) at: StoreTime,
     /// One that is surely later, where somebody saw it; else the same.
     pub(crate) by: StoreTime,
