--- a/src/sync/tests/full_links.rs
+++ b/src/sync/tests/full_links.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 
-use super::late_words::{belief, name_version, put_document, second};
+use super::late_words::{belief, follower, name_version, put_document, second};
 use super::restarts::EntryProcess;
 use super::{START, at_once, document, named, new_book, set_clock, store_time};
 use crate::fleet::{ModelVersion, NamingCertainty, WeightsVersion};
@@ -18,17 +18,6 @@
 /// How long a watch's answer with rows takes that does not come in time.
 const TOO_SLOW: Duration = Duration::from_secs(3);
 
-/// An entry host that has followed the store for a while.
-async fn follower(store: &FakeStore) -> EntryProcess {
-    put_document(store, 1);
-    let process = EntryProcess::start("e1", store);
-    process
-        .believes(|snapshot| snapshot.catalog.is_some())
-        .await;
-    sleep(Duration::from_millis(600)).await;
-    process
-}
-
 /// Some seconds behind its first word of it, `process` takes the version for named at `named_by` or before.
 async fn check_late(process: &EntryProcess, named_by: ClockTime) {
     belief(process).await;
--- a/src/sync/tests/late_words.rs
+++ b/src/sync/tests/late_words.rs
@@ -50,6 +50,17 @@
     second(&snapshot).expect("it was waited for").clone()
 }
 
+/// An entry host that has followed the store for a while.
+pub(super) async fn follower(store: &FakeStore) -> EntryProcess {
+    put_document(store, 1);
+    let process = EntryProcess::start("e1", store);
+    process
+        .believes(|snapshot| snapshot.catalog.is_some())
+        .await;
+    sleep(FOLLOWED).await;
+    process
+}
+
 /// Passes connections on to `target`; what comes back takes `on_way`.
 async fn start_slow_way(target: SocketAddr, on_way: Duration) -> SocketAddr {
     let listener = TcpListener::bind((target.ip(), 0)).await;
@@ -90,12 +101,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_version_was_not_named_when_a_slow_answer_of_the_store_arrives() {
     let store = FakeStore::start().await;
-    put_document(&store, 1);
-    let process = EntryProcess::start("e1", &store);
-    process
-        .believes(|snapshot| snapshot.catalog.is_some())
-        .await;
-    sleep(FOLLOWED).await;
+    let process = follower(&store).await;
     store.slow_watches(ON_WAY);
     let named_by = name_version(&store);
     let wanted = belief(&process).await;
@@ -110,12 +116,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_version_that_was_named_between_two_questions_is_as_old_as_the_first_answer() {
     let store = FakeStore::start().await;
-    put_document(&store, 1);
-    let process = EntryProcess::start("e1", &store);
-    process
-        .believes(|snapshot| snapshot.catalog.is_some())
-        .await;
-    sleep(FOLLOWED).await;
+    let process = follower(&store).await;
     store.slow_watches(ON_WAY);
     put_document(&store, 2);
     // The watch has its answer, which is on its way.
@@ -166,12 +167,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_store_that_answers_other_questions_is_not_cut_off() {
     let store = FakeStore::start().await;
-    put_document(&store, 1);
-    let process = EntryProcess::start("e1", &store);
-    process
-        .believes(|snapshot| snapshot.catalog.is_some())
-        .await;
-    sleep(FOLLOWED).await;
+    let process = follower(&store).await;
     // Longer than a watch and its answer may take together.
     store.slow_watches(Duration::from_secs(3));
     let named_by = name_version(&store);
