Take SIGTERM and SIGINT from the first line of main

Cause: handlers stood only once the first server listened. A listener that is set up later has not heard of an earlier signal, and the library's server calls its shutdown hook only for signals that it hears itself. Now main registers a flag first (signal-hook, safe), and the graceful stop looks at the flag once its own listeners stand; where the signal came earlier, the server's run ends with the graceful stop. Ruled out: blocking the signals in main, which every later thread would inherit. What is left: SIGTERM before main runs at all still ends the process by signal.

--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -1,15 +1,14 @@
 //! The graceful stop: told once, waits until nothing is under way.
 
-use std::convert::Infallible;
 use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 use super::events;
+use super::stop_signals::{StopNotice, stop_told};
 use crate::events::log_event;
 
 /// Whether the process is stopping and how many requests are under way. Clones share one state.
@@ -59,25 +58,17 @@
         }
     }
 
-    /// Begins the stop when the process is told to end by SIGTERM or SIGINT; never returns.
-    pub(crate) async fn follow_signals(&self) -> Infallible {
-        let stops = (
-            signal(SignalKind::terminate()),
-            signal(SignalKind::interrupt()),
-        );
-        match stops {
-            (Ok(mut terminate), Ok(mut interrupt)) => {
-                tokio::select! {
-                    _ = terminate.recv() => {}
-                    _ = interrupt.recv() => {}
-                }
-                self.begin();
-            }
-            (Err(fault), _) | (_, Err(fault)) => {
-                log_event!(events::SIGNALS_UNHEARD, "SIGTERM and SIGINT: {fault}");
-            }
+    /// Begins the stop when the process is told to end by SIGTERM or SIGINT.
+    ///
+    /// Returns when the stop is over if the signal came before a server could listen for it, and
+    /// else never: a server that listens ends by itself.
+    pub(crate) async fn follow_signals(&self) {
+        match stop_told().await {
+            Ok(StopNotice::Earlier) => return self.drained().await,
+            Ok(StopNotice::Now) => self.begin(),
+            Err(fault) => log_event!(events::SIGNALS_UNHEARD, "SIGTERM and SIGINT: {fault}"),
         }
-        pending().await
+        pending::<()>().await;
     }
 
     /// Whether the stop has begun.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,9 +6,11 @@
 mod log_output;
 mod probes;
 mod process;
+mod stop_signals;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use drain::{DrainState, LiveGuard};
 pub(crate) use probes::{metrics_routes, probe_routes};
 pub(crate) use process::{run_on_one_thread, run_process};
+pub(crate) use stop_signals::hold_stop_signals;
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -13,7 +13,7 @@
 use super::settings::{EntrySettings, SPECS};
 use super::traffic::EntryTraffic;
 use crate::control::{ControlEdges, ControlHandle, start_control};
-use crate::daemon::{DrainState, probe_routes, run_process};
+use crate::daemon::{DrainState, hold_stop_signals, probe_routes, run_process};
 use crate::delivery::{HostCaller, events};
 use crate::errors::SwitchResult;
 use crate::events::log_event;
@@ -38,6 +38,7 @@
 /// The program's main function.
 #[must_use]
 pub fn entry_main() -> ExitCode {
+    hold_stop_signals();
     let command = Command::new(NAME)
         .version(env!("CARGO_PKG_VERSION"))
         .about("Takes callers' requests, picks a backend server and relays the answer")
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -7,7 +7,7 @@
 
 use volo_http::server::route::Router;
 
-use crate::daemon::run_process;
+use crate::daemon::{hold_stop_signals, run_process};
 use crate::platform::{PLATFORM_COMMAND, run_on_platform, with_platform};
 use crate::replication::run_backend_host;
 use settings::HostSettings;
@@ -15,6 +15,7 @@
 /// The program's main function.
 #[must_use]
 pub fn host_main() -> ExitCode {
+    hold_stop_signals();
     run_wrapped_host(std::env::args(), |routes| routes)
 }
 
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -75,12 +75,14 @@
             .register_shutdown_hook(move || Box::pin(stop))
             .run(PacedIncoming::new(self.listener, drain.clone()));
         tokio::select! {
+            // First, so that the library listens for signals before it is looked whether one came.
+            biased;
             outcome = serving => {
                 if let Err(fault) = outcome {
                     log_event!(events::SERVER_FAILED, "{fault}");
                 }
             }
-            never = drain.follow_signals() => match never {},
+            () = drain.follow_signals() => {}
         }
     }
 }
