Test that fails: a host's reports grow with the number of entry hosts

Seen: on the large deployment 138 hosts report to 98 entry hosts five times a second, 67,620 datagrams a second. The test counts what 100 entry hosts of five data centres get of one host in two seconds while two of them ask for its reports.

--- a/src/replication/tests/backend_host.rs
+++ b/src/replication/tests/backend_host.rs
@@ -14,6 +14,7 @@
 };
 use crate::replication::chunk_messages::{ChunkAsk, HAVE_PATH};
 use crate::replication::run_backend_host;
+use crate::sync::EntryRecord;
 use crate::transport::{ClientLimits, PeerClient};
 use crate::weights::HaveWord;
 
@@ -41,10 +42,19 @@
 impl BackendHost {
     /// Starts a host beside an engine that holds nothing; version 1 is wanted.
     pub(super) async fn start(birth: BirthWord) -> Self {
+        Self::start_among(birth, &[]).await
+    }
+
+    /// The same, where the store names `entries` as entry hosts.
+    pub(super) async fn start_among(birth: BirthWord, entries: &[EntryRecord]) -> Self {
         let engine = FakeEngine::start(birth).await;
         let origin = FakeOrigin::start().await;
         let store = FakeStore::start().await;
         store.put(TableName::Operator, "config", &origin.document());
+        for entry in entries {
+            let text = serde_json::to_string(entry).expect("it encodes");
+            store.put(TableName::Own, &entry.host, &text);
+        }
         let peers = own_address();
         let runtime = Builder::new_multi_thread()
             .worker_threads(1)
@@ -61,6 +71,11 @@
         }
     }
 
+    /// Where it answers other processes.
+    pub(super) const fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Version `version` is wanted from now on.
     pub(super) fn name_version(&self, version: u64) {
         let (key, text) = naming_sample(version);
--- a/src/replication/tests/mod.rs
+++ b/src/replication/tests/mod.rs
@@ -2,4 +2,5 @@
 mod host_waits;
 mod incarnations;
 mod messages;
+mod reports;
 mod restarts;
