Report loads to relays of the data centre, which pass digests on

Now the entry hosts that read the store ask the hosts of their data centre for reports (a lease of 1.6 s, renewed each 0.5 s) and tell the other entry hosts of the data centre every 0.2 s, and one entry host of each other data centre every 0.4 s, which tells its own. A change of weights is told within 10 ms. A host that nobody asks reports to all it knows, elsewhere one in five. Why it holds: what a host sends no longer depends on the number of entry hosts; both relays of a data centre may end, the leases lapse. Tests: what a host sends (failed before), loads known within two pauses without a relay, one packet a digest, nothing lost in it, changes at once, fallback. Weighed: subsets of entry hosts by rendezvous hashing (places are no longer shared where load is uneven); digests over the questions that are held open (a change would wait for them).

--- a/src/fleet/backend_facts.rs
+++ b/src/fleet/backend_facts.rs
@@ -164,6 +164,15 @@
     pub(crate) holdings: EngineHoldings,
 }
 
+impl LoadReport {
+    /// Whether other weights answer than by `known`, or none: more than another load.
+    pub(crate) fn changes_weights(&self, known: &Self) -> bool {
+        self.is_loading != known.is_loading
+            || self.born != known.born
+            || self.holdings != known.holdings
+    }
+}
+
 /// All backend servers, as of one moment.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FleetView {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -6,29 +6,27 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use volo_http::request::Request;
 use volo_http::server::route::{Router, get};
 
 use super::events;
 use super::gateway_state::{GatewayState, STOP_TAKES};
+use super::report_relay::ReportRelay;
 use super::request_intake::answer_request;
 use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
-use crate::fleet::LoadReport;
 use crate::overload::EntryPlace;
 use crate::platform::{PlatformSettings, READY_PATH, TimeBounds};
 use crate::sync::{EntryRecord, SharedBook, SyncSettings, ViewBook, start_sync};
 use crate::time::clock_now;
-use crate::transport::{HttpServer, bind_listener, decode_message, start_metrics};
+use crate::transport::{HttpServer, bind_listener, start_metrics};
 
 /// The part of the grace that is kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// Time for the last answers to leave the process.
 const FLUSH_SPAN: Duration = Duration::from_millis(150);
-const REPORT_BYTES_MAX: usize = 8 * 1024;
 
 /// Runs until a graceful stop is done.
 ///
@@ -64,7 +62,8 @@
         drain.clone(),
         settings.bounds,
     ));
-    tokio::spawn(take_reports(gateway.clone(), me.reports));
+    let relay = ReportRelay::bind(gateway.clone(), book.clone(), me).await?;
+    tokio::spawn(relay.run());
     tokio::spawn(note_stop(gateway.clone()));
     log_event!(
         events::SERVING,
@@ -131,30 +130,3 @@
     };
     Router::new().route(READY_PATH, get(readiness))
 }
-
-/// Takes what the processes beside the backend servers say of them, some times a second each.
-async fn take_reports(gateway: Arc<GatewayState>, address: SocketAddr) {
-    let socket = match UdpSocket::bind(address).await {
-        Ok(socket) => socket,
-        Err(fault) => {
-            log_event!(
-                events::REPORT_UNREADABLE,
-                "cannot listen on {address}: {fault}"
-            );
-            return;
-        }
-    };
-    let mut buffer = vec![0; REPORT_BYTES_MAX];
-    loop {
-        match socket.recv_from(&mut buffer).await {
-            Ok((length, peer)) => match decode_message::<LoadReport>(&buffer[..length]) {
-                Ok(report) => gateway.note_report(report, clock_now()),
-                Err(error) => log_event!(events::REPORT_UNREADABLE, "from {peer}: {error}"),
-            },
-            Err(fault) => {
-                log_event!(events::REPORT_UNREADABLE, "{fault}");
-                sleep(FLUSH_SPAN).await;
-            }
-        }
-    }
-}
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -15,6 +15,10 @@
 pub(crate) const READY_CHANGED: LogEvent = LogEvent::info(1207, "readiness changed");
 pub(crate) const SERVING: LogEvent = LogEvent::info(1208, "listening");
 pub(crate) const REPORT_UNREADABLE: LogEvent = LogEvent::warn(1209, "a load report does not read");
+pub(crate) const RELAY_CHANGED: LogEvent = LogEvent::info(
+    1210,
+    "the entry host begins or ceases to relay load reports",
+);
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -28,4 +32,5 @@
     READY_CHANGED,
     SERVING,
     REPORT_UNREADABLE,
+    RELAY_CHANGED,
 ];
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -120,11 +120,17 @@
         self.bounds.weights_within.saturating_sub(TAKE_BACK_MARGIN)
     }
 
-    /// The process beside a backend server told its state.
-    pub(super) fn note_report(&self, report: LoadReport, now: ClockTime) {
+    /// The processes beside backend servers told their state.
+    pub(super) fn note_reports(
+        &self,
+        reports: impl IntoIterator<Item = LoadReport>,
+        now: ClockTime,
+    ) {
         let retired = {
             let mut desk = self.desk.lock();
-            desk.note_report(report, now);
+            for report in reports {
+                desk.note_report(report, now);
+            }
             desk.take_retired()
         };
         self.drop_connections(&retired);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod forwarder;
 mod gateway_state;
 mod reply;
+mod report_relay;
 mod request_intake;
 mod request_job;
 mod request_log;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 mod guard;
 mod host;
 mod lab;
+mod load_reports;
 mod membership;
 mod metrics;
 mod operator;
--- /dev/null
+++ b/src/load_reports/digest_queue.rs
@@ -0,0 +1,135 @@
+//! What a relay has to pass on, and when.
+//!
+//! Load pattern: hundreds of hosts report five times a second to a hundred entry hosts. Sent directly
+//! that is a datagram for each pair of them; collected by relays it is one for each entry host and
+//! pause.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use macro_rules_attribute::apply;
+
+use super::messages::{DigestReach, LoadDigest};
+use crate::derives::plain;
+use crate::fleet::LoadReport;
+use crate::time::ClockTime;
+
+/// How often the entry hosts of the own data centre get a digest, as often as hosts report.
+const NEAR_PAUSE: Duration = Duration::from_millis(200);
+/// How often another data centre gets one: it has its own backend servers first.
+const FAR_PAUSE: Duration = Duration::from_millis(400);
+/// How soon a change of weights is passed on: requests that are sent to an engine meanwhile are
+/// turned away. Changes of several engines within this span go in one digest.
+const CHANGE_PAUSE: Duration = Duration::from_millis(10);
+/// How long a backend server that no longer reports is remembered.
+const REMEMBERED: Duration = Duration::from_secs(10);
+
+/// The newest report of a backend server.
+#[apply(plain!)]
+struct HeldReport {
+    report: LoadReport,
+    at: ClockTime,
+}
+
+/// The reports that wait for the next digest to one kind of receivers.
+#[derive(Clone, Debug)]
+struct DigestLane {
+    reach: DigestReach,
+    pause: Duration,
+    /// Sorted.
+    pending: Vec<SocketAddr>,
+    due: Option<ClockTime>,
+}
+
+impl DigestLane {
+    const fn new(reach: DigestReach, pause: Duration) -> Self {
+        Self {
+            reach,
+            pause,
+            pending: Vec::new(),
+            due: None,
+        }
+    }
+
+    fn push(&mut self, address: SocketAddr, is_change: bool, now: ClockTime) {
+        if let Err(at) = self.pending.binary_search(&address) {
+            self.pending.insert(at, address);
+        }
+        let pause = if is_change { CHANGE_PAUSE } else { self.pause };
+        let due = now + pause;
+        self.due = Some(self.due.map_or(due, |known| known.min(due)));
+    }
+
+    fn take_due(&mut self, now: ClockTime) -> Option<Vec<SocketAddr>> {
+        self.due.take_if(|due| *due <= now)?;
+        Some(std::mem::take(&mut self.pending))
+    }
+}
+
+/// The reports of a relay.
+#[derive(Clone, Debug)]
+pub(crate) struct DigestQueue {
+    /// Sorted by address.
+    held: Vec<HeldReport>,
+    lanes: [DigestLane; 2],
+}
+
+impl Default for DigestQueue {
+    fn default() -> Self {
+        Self {
+            held: Vec::new(),
+            lanes: [
+                DigestLane::new(DigestReach::Receiver, NEAR_PAUSE),
+                DigestLane::new(DigestReach::DataCentre, FAR_PAUSE),
+            ],
+        }
+    }
+}
+
+impl DigestQueue {
+    /// A host reported at `now`.
+    pub(crate) fn push(&mut self, report: LoadReport, now: ClockTime) {
+        let address = report.address;
+        let found = self
+            .held
+            .binary_search_by_key(&address, |held| held.report.address);
+        let held = HeldReport { report, at: now };
+        let is_change = match found {
+            Ok(at) => {
+                let is_change = held.report.changes_weights(&self.held[at].report);
+                self.held[at] = held;
+                is_change
+            }
+            Err(at) => {
+                self.held.insert(at, held);
+                true
+            }
+        };
+        for lane in &mut self.lanes {
+            lane.push(address, is_change, now);
+        }
+    }
+
+    /// When the next digest is due; none while nothing waits.
+    pub(crate) fn due_at(&self) -> Option<ClockTime> {
+        self.lanes.iter().filter_map(|lane| lane.due).min()
+    }
+
+    /// The digests that are due at `now`.
+    pub(crate) fn take_due(&mut self, now: ClockTime) -> Vec<LoadDigest> {
+        self.held.retain(|held| now.since(held.at) < REMEMBERED);
+        let mut digests = Vec::new();
+        for lane in &mut self.lanes {
+            let Some(pending) = lane.take_due(now) else {
+                continue;
+            };
+            let reports = self.held.iter().map(|held| &held.report);
+            let reports: Vec<LoadReport> = reports
+                .filter(|report| pending.binary_search(&report.address).is_ok())
+                .cloned()
+                .collect();
+            digests.extend(LoadDigest::pack(&reports, lane.reach));
+        }
+        digests
+    }
+}
--- a/src/replication/events.rs
+++ b/src/replication/events.rs
@@ -34,6 +34,8 @@
     1318,
     "the engine has started again; what was known of it is looked at anew",
 );
+pub(crate) const LEASE_UNREADABLE: LogEvent =
+    LogEvent::warn(1319, "a lease on load reports does not read");
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -56,4 +58,5 @@
     LINK_SLOW,
     WAIT_CHANGED,
     ENGINE_RESTARTED,
+    LEASE_UNREADABLE,
 ];
--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -39,9 +39,10 @@
 /// `SettingInvalid` when a setting is missing or an address cannot be had.
 pub(crate) async fn run_backend_host(settings: PlatformSettings) -> SwitchResult<()> {
     let parts = HostParts::new(&settings)?;
-    let socket = UdpSocket::bind(SocketAddr::new(settings.ip, 0)).await;
+    let leases = SocketAddr::new(settings.ip, settings.peer_port);
+    let socket = UdpSocket::bind(leases).await;
     let socket = socket.map_err(|fault| {
-        let detail = format!("cannot send datagrams: {fault}");
+        let detail = format!("cannot listen on {leases}: {fault}; free the port");
         SwitchError::new(ErrorKind::SettingInvalid, detail)
     })?;
     tokio::spawn(report_load(parts.reports(), socket));
@@ -98,6 +99,7 @@
     fn reports(&self) -> ReportEdges {
         ReportEdges {
             address: self.place.address,
+            data_centre: self.place.me.data_centre.clone(),
             book: self.book.clone(),
             watch: self.watch.clone(),
         }
--- a/src/replication/load_reports.rs
+++ b/src/replication/load_reports.rs
@@ -1,32 +1,39 @@
-//! Asks the engine for its state some times a second and tells it to the entry hosts.
+//! Asks the engine for its state some times a second and reports it to entry hosts.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytestring::ByteString;
 use tokio::net::UdpSocket;
 
 use super::engine_watch::{EngineState, EngineWatch};
 use super::events;
 use crate::events::log_event;
 use crate::fleet::LoadReport;
+use crate::load_reports::{ReportDatagram, ReportLease, ReportLeases};
 use crate::sync::SharedBook;
-use crate::transport::encode_message;
+use crate::time::clock_now;
+use crate::transport::{decode_message, encode_datagram};
 
 /// How often entry hosts hear of a load. A model server begins about ten requests a second, so that
 /// an entry host's view is off by two requests at most; a report is some 200 bytes.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 const ENGINE_WITHIN: Duration = Duration::from_millis(600);
+const LEASE_BYTES_MAX: usize = 256;
 
 /// What the reports work with.
 pub(super) struct ReportEdges {
     pub(super) address: SocketAddr,
+    pub(super) data_centre: ByteString,
     pub(super) book: SharedBook,
     pub(super) watch: Arc<EngineWatch>,
 }
 
-/// Reports for as long as the process lives.
+/// Reports for as long as the process lives; `socket` takes leases.
 pub(super) async fn report_load(edges: ReportEdges, socket: UdpSocket) {
+    let mut leases = ReportLeases::new(edges.data_centre.clone());
+    let mut last: Option<LoadReport> = None;
     loop {
         let was_there = edges.watch.state().is_some();
         match edges.watch.ask(ENGINE_WITHIN).await {
@@ -34,7 +41,16 @@
                 if !was_there {
                     log_event!(events::ENGINE_BACK, "holdings={:?}", state.report.holdings);
                 }
-                send_report(&edges, &socket, &state).await;
+                let report = edges.report(&state);
+                let is_change = last
+                    .as_ref()
+                    .is_none_or(|last| report.changes_weights(last));
+                last = Some(report.clone());
+                take_leases(&socket, &mut leases);
+                let receivers = edges
+                    .book
+                    .read(|book| leases.receivers(book.entries(), is_change, clock_now()));
+                send_report(report, &socket, &receivers).await;
             }
             Ok(None) => {}
             Err(error) => {
@@ -49,26 +65,38 @@
     }
 }
 
-async fn send_report(edges: &ReportEdges, socket: &UdpSocket, state: &EngineState) {
-    let report = &state.report;
-    let message = LoadReport {
-        address: edges.address,
-        born: report.born,
-        active: report.active,
-        queued: report.queued,
-        is_loading: edges.watch.is_loading(state),
-        pace: report.pace,
-        holdings: report.holdings.clone(),
-    };
-    let Ok(datagram) = encode_message(&message) else {
+impl ReportEdges {
+    fn report(&self, state: &EngineState) -> LoadReport {
+        let report = &state.report;
+        LoadReport {
+            address: self.address,
+            born: report.born,
+            active: report.active,
+            queued: report.queued,
+            is_loading: self.watch.is_loading(state),
+            pace: report.pace,
+            holdings: report.holdings.clone(),
+        }
+    }
+}
+
+/// Takes the leases that have come since the last report.
+fn take_leases(socket: &UdpSocket, leases: &mut ReportLeases) {
+    let mut buffer = [0; LEASE_BYTES_MAX];
+    while let Ok((length, peer)) = socket.try_recv_from(&mut buffer) {
+        match decode_message::<ReportLease>(&buffer[..length]) {
+            Ok(lease) => leases.renew(lease.relay, clock_now()),
+            Err(error) => log_event!(events::LEASE_UNREADABLE, "from {peer}: {error}"),
+        }
+    }
+}
+
+async fn send_report(report: LoadReport, socket: &UdpSocket, receivers: &[SocketAddr]) {
+    let Ok(datagram) = encode_datagram(&ReportDatagram::Report(report)) else {
         return;
     };
-    let entries: Vec<SocketAddr> = edges.book.read(|book| {
-        let entries = book.entries().iter();
-        entries.map(|entry| entry.reports).collect()
-    });
-    for entry in entries {
+    for receiver in receivers {
         // A report that is lost is followed by the next.
-        let _ = socket.send_to(&datagram, entry).await;
+        let _ = socket.send_to(&datagram, receiver).await;
     }
 }
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -126,6 +126,11 @@
         &self.operator
     }
 
+    /// Whether this process reads the store itself, where others are told by their neighbours.
+    pub(crate) const fn reads_store(&self) -> bool {
+        self.operator.is_own()
+    }
+
     /// The same, to be changed.
     pub(super) const fn operator_mut(&mut self) -> &mut OperatorReading {
         &mut self.operator
--- a/src/transport/frames.rs
+++ b/src/transport/frames.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// The bytes of `message` without the names of its fields, for messages that fill a datagram.
+pub(crate) fn encode_datagram<M: Serialize>(message: &M) -> SwitchResult<Bytes> {
+    match rmp_serde::to_vec(message) {
+        Ok(bytes) => Ok(bytes.into()),
+        Err(fault) => Err(SwitchError::new(ErrorKind::Internal, fault.to_string())),
+    }
+}
+
 /// The message in `bytes`.
 pub(crate) fn decode_message<M: DeserializeOwned>(bytes: &[u8]) -> SwitchResult<M> {
     let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -11,6 +11,8 @@
 mod tests;
 
 pub(crate) use client::{AnswerPace, ClientLimits, PeerClient, read_error};
-pub(crate) use frames::{FrameReader, FrameWriter, decode_message, encode_message, frame_channel};
+pub(crate) use frames::{
+    FrameReader, FrameWriter, decode_message, encode_datagram, encode_message, frame_channel,
+};
 pub(crate) use reply::{RUN_HEADER, error_reply, error_reply_with, json_reply, message_reply};
 pub(crate) use server::{HttpServer, bind_listener, read_body, read_message, start_metrics};
--- a/tests/early_signals.rs
+++ b/tests/early_signals.rs
@@ -10,7 +10,7 @@
 use nix::unistd::Pid;
 
 /// Longer than a start and a stop take on a busy machine.
-const STOPPED_WITHIN: Duration = Duration::from_secs(60);
+const STOPPED_WITHIN: Duration = Duration::from_mins(1);
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
 const HOST_SETTINGS: &str = r#"
