Test that fails: a version takes too long to reach hundreds of hosts

The test spreads a version over the plans of 140 hosts in five data centres and 18 in three, with the links of that deployment; the origin shares its link among those that read.

--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -8,3 +8,4 @@
 mod origin_away;
 mod rollout;
 mod spread;
+mod wide_fleet;
