--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -28,6 +28,8 @@
 pub(super) enum BackendWay {
     /// Answers in full.
     Whole,
+    /// Reads the request and says nothing.
+    Silent,
     /// Answers in full, and sends a second answer behind it.
     WholeAndStray,
     /// Answers with the name of another attempt.
@@ -40,6 +42,16 @@
     Replaced,
     /// Reads the request and closes the connection.
     CloseUnanswered,
+    /// Resets each connection before it reads a byte of a request.
+    ResetUnread,
+    /// Reads the request and resets the connection.
+    ResetUnanswered,
+    /// Resets within the body of its answer.
+    ResetBody,
+    /// Answers in full and resets the connection behind the last byte.
+    ResetBehind,
+    /// Sends events up to `to` and part of one more, then resets.
+    EventsReset { to: u64 },
     /// Closes within the body of its answer.
     CutBody,
     /// Fails, with an answer of its own.
@@ -50,6 +62,23 @@
     EventsCut { to: u64 },
 }
 
+impl BackendWay {
+    /// Whether its connections end with a reset.
+    const fn resets(self) -> bool {
+        matches!(
+            self,
+            Self::ResetUnread
+                | Self::ResetUnanswered
+                | Self::ResetBody
+                | Self::ResetBehind
+                | Self::EventsReset { .. }
+        )
+    }
+}
+
+/// Time for an answer's bytes to be read before the connection is reset.
+const READ_SPAN: Duration = Duration::from_millis(50);
+
 /// One fake.
 pub(super) struct FakeBackend {
     pub(super) address: SocketAddr,
@@ -77,6 +106,14 @@
 }
 
 async fn serve(mut stream: TcpStream, way: BackendWay, seen: Arc<Mutex<Vec<String>>>) {
+    if way.resets() {
+        let socket = socket2::SockRef::from(&stream);
+        let lingers = socket.set_linger(Some(Duration::ZERO));
+        lingers.expect("the option is known");
+    }
+    if way == BackendWay::ResetUnread {
+        return;
+    }
     while let Some(request) = read_request(&mut stream).await {
         seen.lock()
             .expect("no test thread panicked")
@@ -86,7 +123,14 @@
             .and_then(|text| text.parse().ok())
             .unwrap_or(0);
         let (answer, closes) = answer_text(way, &attempt, last);
-        if stream.write_all(answer.as_bytes()).await.is_err() || closes {
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        if closes {
+            if way.resets() {
+                // A reset drops what the other end has not read yet.
+                tokio::time::sleep(READ_SPAN).await;
+            }
             return;
         }
     }
@@ -127,8 +171,12 @@
             let extra = format!("{BACKEND_ID}: i-new\r\n");
             (head("421 Misdirected Request", attempt, &extra, ""), false)
         }
-        BackendWay::CloseUnanswered => (String::new(), true),
-        BackendWay::CutBody => {
+        BackendWay::Silent => (String::new(), false),
+        BackendWay::CloseUnanswered | BackendWay::ResetUnread | BackendWay::ResetUnanswered => {
+            (String::new(), true)
+        }
+        BackendWay::ResetBehind => (head("200 OK", attempt, "", "whole"), true),
+        BackendWay::CutBody | BackendWay::ResetBody => {
             let whole = head("200 OK", attempt, "", "whole answer");
             (whole[..whole.len() - 3].to_owned(), true)
         }
@@ -137,7 +185,9 @@
             false,
         ),
         BackendWay::Events { to } => (format!("{}0\r\n\r\n", events(to, "")), false),
-        BackendWay::EventsCut { to } => (events(to, "id: 99\ndata: par"), true),
+        BackendWay::EventsCut { to } | BackendWay::EventsReset { to } => {
+            (events(to, "id: 99\ndata: par"), true)
+        }
     }
 }
 
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 mod connection;
 mod fake_backend;
 mod intake;
+mod resets;
 mod sends;
 mod take_back;
 
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -6,7 +6,7 @@
 use crate::platform::samples::{ACCOUNT, ATTEMPT, DEADLINE, SEAL, TARGET_ID};
 
 /// The status of an answer, what it ends with, and how many requests each of two fakes saw.
-async fn outcome(ways: [BackendWay; 2], kind: &str) -> (u16, String, [usize; 2]) {
+pub(super) async fn outcome(ways: [BackendWay; 2], kind: &str) -> (u16, String, [usize; 2]) {
     let first = FakeBackend::start(ways[0]).await;
     let second = FakeBackend::start(ways[1]).await;
     let entry = FakeEntry::start(&[&first, &second]).await;
