Weights reach hundreds of hosts: digests by lines, bounded readers, importers ask readers

Seen: on the large deployment no engine took either of two versions whole that were named four seconds apart; digests took up to 1.1 s, hosts far from the reading data centre had less than half of the first version when the second was named and gave it up, the origin sent 4.3 copies and reset connections beyond its 48. Causes, by the logs of 22 hosts and a model of 140 plans: - two hosts answered 233 others for digests, and behind 0.5 s each of them read the origin; - every host of the reading data centre read the origin at once, so that each chunk came late, and kept its connection; - a chunk lies at one host first, and a host that asks twelve of 235 by lot seldom meets that one; who was late in a data centre's line then brought it in a second time, for it had not asked those before it; - a version was ended only by hosts that held half of it themselves. Now two hosts of all and two of each data centre bring the digests in, the others ask any that stands before them and read the origin by their place; twelve hosts share the first places; who brings a chunk into its data centre asks who reads it, and who does so in another's place asks that one first; connections to the origin are closed behind use; a version is ended where half of it is known to have left the origin. Tried and left out: more neighbours in the own data centre (no gain, more questions), two reads a host (slower).

--- a/src/replication/chunk_fetch.rs
+++ b/src/replication/chunk_fetch.rs
@@ -161,6 +161,11 @@
         self.plan.set_hosts(hosts);
     }
 
+    /// The part of the version's chunks that are here or at a host that is known to hold them.
+    pub(super) fn known_part(&self) -> f64 {
+        f64::from(self.plan.known_count()) / f64::from(self.plan.held().count().max(1))
+    }
+
     /// Works until the version is whole, or up to `span`.
     pub(super) async fn run(&mut self, span: Duration) -> FetchEnd {
         let until = clock_now() + span;
--- /dev/null
+++ b/src/replication/digest_line.rs
@@ -0,0 +1,89 @@
+//! Whom a host asks for the digests of a version, and how long before it reads the origin.
+//!
+//! Load pattern: hundreds of hosts hear of a version at the same moment and need its digests before
+//! they can fetch a chunk. Two hosts of all read the origin, two of each data centre ask these, and
+//! the others ask any host of their data centre, so that no host answers more than a few dozen.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::fleet::ModelVersion;
+use crate::routing::name_hash;
+use crate::weights::{LineHost, PlanHost};
+
+/// Hosts that read the origin, and that bring the digests into a data centre; one of them may be down.
+const LEADERS: usize = 2;
+/// How long those that stand before a host have, for each place before it.
+const PLACE_SPAN: Duration = Duration::from_millis(500);
+/// The longest that a host waits for others.
+const PATIENCE_MAX: Duration = Duration::from_secs(4);
+
+/// Where a host stands among those that need the digests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct DigestLine {
+    /// Those that this host asks; none if it reads the origin.
+    asked: Vec<SocketAddr>,
+    /// How many hosts of its data centre stand before it.
+    place: u32,
+}
+
+impl DigestLine {
+    /// The place of `me` among `hosts` for `target`.
+    pub(super) fn new(hosts: &[PlanHost], me: &LineHost, target: &ModelVersion) -> Self {
+        let weight = |host: &str| {
+            let name = format!("{host}/{}/{}", target.model, target.version.0);
+            name_hash(&name)
+        };
+        let mine = weight(&me.host);
+        let others = hosts.iter().filter(|host| host.line.host != me.host);
+        let mut before: Vec<(u64, &PlanHost)> = others
+            .map(|host| (weight(&host.line.host), host))
+            .filter(|(other, _)| *other > mine)
+            .collect();
+        before.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let is_near = |(_, host): &&(u64, &PlanHost)| host.line.data_centre == me.data_centre;
+        let near: Vec<SocketAddr> = before
+            .iter()
+            .filter(is_near)
+            .map(|(_, host)| host.address)
+            .collect();
+        let asked = if before.len() < LEADERS {
+            Vec::new()
+        } else if near.len() < LEADERS {
+            before[..LEADERS]
+                .iter()
+                .map(|(_, host)| host.address)
+                .collect()
+        } else {
+            near.clone()
+        };
+        Self {
+            asked,
+            place: u32::try_from(near.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// How long others are asked before the origin is read.
+    pub(super) fn patience(&self) -> Duration {
+        (PLACE_SPAN.saturating_mul(self.place.saturating_add(1))).min(PATIENCE_MAX)
+    }
+
+    /// The host to ask next; `part` is random, from 0 to 1. Every other time it is one of the first,
+    /// which have the digests first.
+    pub(super) fn choose(&self, part: f64) -> Option<SocketAddr> {
+        let (part, count) = if part < 0.5 {
+            (part * 2.0, self.asked.len().min(LEADERS))
+        } else {
+            (part * 2.0 - 1.0, self.asked.len())
+        };
+        let last = count.checked_sub(1)?;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss,
+            reason = "a part of the number of hosts"
+        )]
+        let at = (part * count as f64) as usize;
+        self.asked.get(at.min(last)).copied()
+    }
+}
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -7,6 +7,7 @@
 mod chunk_routes;
 mod chunk_staging;
 mod chunk_store;
+mod digest_line;
 mod engine_incarnation;
 mod engine_watch;
 pub(crate) mod events;
--- /dev/null
+++ b/src/replication/tests/digest_lines.rs
@@ -0,0 +1,64 @@
+//! Who reads the digests of a version, and who asks whom.
+
+use std::time::Duration;
+
+use crate::fleet::{ModelVersion, WeightsVersion};
+use crate::replication::digest_line::DigestLine;
+use crate::weights::{LineHost, PlanHost};
+
+const CENTRES: u8 = 5;
+const HOSTS: u8 = 47;
+
+fn hosts() -> Vec<PlanHost> {
+    let places = (0..CENTRES).flat_map(|centre| (0..HOSTS).map(move |number| (centre, number)));
+    let host = |(centre, number): (u8, u8)| PlanHost {
+        line: LineHost {
+            host: format!("10.{centre}.0.{number}").into(),
+            data_centre: format!("hall-{centre}").into(),
+            region: "all".into(),
+        },
+        address: ([10, centre, 0, number], 7300).into(),
+    };
+    places.map(host).collect()
+}
+
+fn target() -> ModelVersion {
+    ModelVersion {
+        model: "m".into(),
+        version: WeightsVersion(2),
+    }
+}
+
+/// Guards against hundreds of hosts that read the digests from the origin at once, over the link and the
+/// connections that the chunks need.
+#[test]
+fn two_hosts_of_hundreds_read_the_origin_at_once() {
+    let hosts = hosts();
+    let lines: Vec<DigestLine> = hosts
+        .iter()
+        .map(|host| DigestLine::new(&hosts, &host.line, &target()))
+        .collect();
+    let read_at_once = lines.iter().filter(|line| line.choose(0.0).is_none());
+    assert_eq!(read_at_once.count(), 2);
+    let soon = lines
+        .iter()
+        .filter(|line| line.choose(0.0).is_some() && line.patience() <= Duration::from_secs(1));
+    let most = 2 * usize::from(CENTRES);
+    assert!(soon.count() <= most, "others wait for those before them");
+}
+
+/// Guards against one host that answers all others, over a link that takes two seconds for it.
+#[test]
+fn a_host_is_asked_for_digests_by_a_few_dozen() {
+    let hosts = hosts();
+    let mut asked = vec![0_u32; hosts.len()];
+    for host in &hosts {
+        let line = DigestLine::new(&hosts, &host.line, &target());
+        if let Some(address) = line.choose(0.25) {
+            let at = hosts.iter().position(|host| host.address == address);
+            asked[at.expect("it is one of them")] += 1;
+        }
+    }
+    let most = asked.iter().max().expect("hosts");
+    assert!(*most <= u32::from(HOSTS) + u32::from(CENTRES) * 2, "{most}");
+}
--- a/src/replication/tests/mod.rs
+++ b/src/replication/tests/mod.rs
@@ -1,4 +1,5 @@
 mod backend_host;
+mod digest_lines;
 mod host_waits;
 mod incarnations;
 mod messages;
--- a/src/replication/version_loop.rs
+++ b/src/replication/version_loop.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use bytestring::ByteString;
+use rand::RngExt;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use super::chunk_fetch::{ChunkFetch, FetchEdges, FetchEnd};
 use super::chunk_messages::{ChunkAsk, DIGESTS_PATH};
 use super::chunk_store::ChunkStore;
+use super::digest_line::DigestLine;
 use super::engine_watch::EngineWatch;
 use super::events;
 use super::host_wait::{HostWait, WaitBoard};
@@ -18,7 +20,6 @@
 use crate::events::log_event;
 use crate::fleet::{ModelVersion, WeightsVersion};
 use crate::platform::{ChunkDigests, OriginClient};
-use crate::routing::name_hash;
 use crate::sync::{ControlSnapshot, SharedBook};
 use crate::time::clock_now;
 use crate::transport::PeerClient;
@@ -28,14 +29,10 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 const DIGESTS_WITHIN: Duration = Duration::from_millis(1500);
 const PEER_DIGESTS_WITHIN: Duration = Duration::from_millis(400);
-/// Hosts that read the digests from the origin, so that one of them may be down.
-const DIGEST_LEADERS: usize = 2;
-/// How long these are asked before the origin is, and the pause between two questions. The origin
-/// hands the digests out in 10 ms.
-const LEADERS_WITHIN: Duration = Duration::from_millis(500);
-const LEADER_PAUSE: Duration = Duration::from_millis(30);
-/// A fetch that has this part of its chunks is ended although a newer version is wanted: the older
-/// one binds from its own naming, and without it no engine could serve between the two.
+/// The mean pause between two questions for digests.
+const DIGEST_PAUSE: Duration = Duration::from_millis(60);
+/// A fetch of which this part of the chunks has left the origin is ended although a newer version is
+/// wanted: the older one binds from its own naming, and without it no engine could serve between the two.
 const FINISH_PART: f64 = 0.5;
 
 /// Where this host stands, and beside what.
@@ -157,23 +154,26 @@
         Some(OriginClient::new(origin, self.client.clone()))
     }
 
-    /// The digests of `target`. Two hosts, by rendezvous hashing, read them from the origin; the
-    /// others ask these two. Read by each of 24 hosts, the digests took the origin's link for as long
-    /// as six chunks.
+    /// The digests of `target`, from the origin or from hosts that stand before this one.
+    ///
+    /// Read by each of hundreds of hosts, the digests would take the origin's link for as long as the
+    /// chunks do, and all its connections.
     async fn read_digests(
         &self,
         snapshot: &ControlSnapshot,
         target: &ModelVersion,
     ) -> SwitchResult<ChunkDigests> {
-        let leaders = self.digest_leaders(snapshot, target);
-        if !leaders.is_empty() {
-            let until = clock_now() + LEADERS_WITHIN;
-            while clock_now() < until {
-                if let Some(digests) = self.ask_digests(&leaders, target).await {
-                    return Ok(digests);
-                }
-                sleep(LEADER_PAUSE).await;
+        let line = DigestLine::new(&plan_hosts(snapshot, &self.place), &self.place.me, target);
+        let until = clock_now() + line.patience();
+        while clock_now() < until {
+            let Some(host) = line.choose(rand::random()) else {
+                break;
+            };
+            if let Some(digests) = self.ask_digests(host, target).await {
+                return Ok(digests);
             }
+            let part = rand::rng().random_range(0.5..1.5);
+            sleep(DIGEST_PAUSE.mul_f64(part)).await;
         }
         let Some(origin) = self.origin(snapshot) else {
             let detail = "the document names no origin of weights";
@@ -183,47 +183,28 @@
         if let Err(error) = &read {
             log_event!(events::DIGESTS_FAILED, "{error}");
         }
+        self.leave_origin(snapshot);
         read
     }
 
-    async fn ask_digests(
-        &self,
-        hosts: &[SocketAddr],
-        target: &ModelVersion,
-    ) -> Option<ChunkDigests> {
+    async fn ask_digests(&self, host: SocketAddr, target: &ModelVersion) -> Option<ChunkDigests> {
         let ask = ChunkAsk {
             target: target.clone(),
             index: None,
         };
-        for host in hosts {
-            let called = self
-                .client
-                .call(*host, DIGESTS_PATH, &ask, PEER_DIGESTS_WITHIN);
-            if let Ok(digests) = called.await {
-                return Some(digests);
-            }
-        }
-        None
+        let called = self
+            .client
+            .call(host, DIGESTS_PATH, &ask, PEER_DIGESTS_WITHIN);
+        called.await.ok()
     }
 
-    /// The hosts that read the digests; empty if this is one of them.
-    fn digest_leaders(&self, snapshot: &ControlSnapshot, target: &ModelVersion) -> Vec<SocketAddr> {
-        let weight = |host: &str| {
-            let name = format!("{host}/{}/{}", target.model, target.version.0);
-            name_hash(&name)
-        };
-        let me = weight(&self.place.me.host);
-        let mut ahead: Vec<(u64, SocketAddr)> = plan_hosts(snapshot, &self.place)
-            .iter()
-            .map(|host| (weight(&host.line.host), host.address))
-            .filter(|(other, _)| *other > me)
-            .collect();
-        if ahead.len() < DIGEST_LEADERS {
-            return Vec::new();
+    /// Closes the connections to the origin. It takes a limited number of them, and hosts that read
+    /// the next version need them.
+    fn leave_origin(&self, snapshot: &ControlSnapshot) {
+        let catalog = snapshot.catalog.as_ref();
+        if let Some(origin) = catalog.and_then(|catalog| catalog.weights_origin()) {
+            self.client.drop_pool(origin.address);
         }
-        ahead.sort_unstable();
-        let leaders = ahead.iter().rev().take(DIGEST_LEADERS);
-        leaders.map(|(_, address)| *address).collect()
     }
 
     /// Fetches until the version is whole, or another is wanted.
@@ -253,9 +234,16 @@
             slow_host: Arc::default(),
         };
         let mut fetch = ChunkFetch::new(edges, target.clone(), held);
+        let ended = self.fetch_with(&mut fetch, target).await;
+        self.leave_origin(&snapshot);
+        ended
+    }
+
+    async fn fetch_with(&self, fetch: &mut ChunkFetch, target: &ModelVersion) -> SwitchResult<()> {
         loop {
             let snapshot = self.book.snapshot().load();
-            if wanted(&snapshot, target.model.clone()) != *target && !self.is_worth_ending(target) {
+            let is_wanted = wanted(&snapshot, target.model.clone()) == *target;
+            if !is_wanted && fetch.known_part() < FINISH_PART {
                 log_event!(events::VERSION_GIVEN_UP, "version={}", target.version.0);
                 self.store.forget(target);
                 return Ok(());
@@ -274,11 +262,6 @@
         }
     }
 
-    fn is_worth_ending(&self, target: &ModelVersion) -> bool {
-        let held = self.store.held(target);
-        held.is_some_and(|held| f64::from(held.len()) >= f64::from(held.count()) * FINISH_PART)
-    }
-
     async fn renew_digests(
         &self,
         snapshot: &ControlSnapshot,
--- a/src/weights/fetch_choice.rs
+++ b/src/weights/fetch_choice.rs
@@ -18,6 +18,8 @@
 /// How many times less often hosts of other data centres are asked: only what nobody here holds is
 /// pulled from there.
 const ASK_FAR_PACE: u32 = 3;
+/// How often it is looked who reads what this host brings in.
+const SOURCES_PAUSE: Duration = Duration::from_millis(200);
 
 impl FetchPlan {
     pub(super) fn plan_origin_reads(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
@@ -239,9 +241,44 @@
         Some(choices[at])
     }
 
+    /// Chooses anew whom this host asks for what it brings into its data centre.
+    ///
+    /// A chunk lies at one host first. Of hundreds, a host that asks some of them by lot seldom meets
+    /// that one; all know who it is.
+    fn choose_import_sources(&mut self, now: ClockTime) {
+        if now < self.sources_due {
+            return;
+        }
+        self.sources_due = now + SOURCES_PAUSE;
+        let silent = self.peers.silent();
+        let span = now.since(self.begun);
+        let mut sources: Vec<PeerKey> = Vec::new();
+        for index in 0..self.held.count() {
+            if self.held.contains(index) || self.is_held_near(index) {
+                continue;
+            }
+            let reader = if self.imports.looks_for(index, span) {
+                self.turns.reader(index, &silent)
+            } else {
+                None
+            };
+            let importer = self.imports.asked_before(index, &silent, now);
+            let hosts = reader.into_iter().chain(importer);
+            sources.extend(hosts.filter_map(|host| self.peers.find(host)));
+        }
+        sources.sort_unstable();
+        sources.dedup();
+        self.import_sources = sources;
+    }
+
+    fn is_import_source(&self, key: PeerKey) -> bool {
+        self.import_sources.binary_search(&key).is_ok()
+    }
+
     /// Asks neighbours that said nothing lately: often while this host has room for more than it
     /// finds, seldom while it is busy anyway.
     pub(super) fn plan_asks(&mut self, now: ClockTime, steps: &mut Vec<FetchStep>) {
+        self.choose_import_sources(now);
         let is_starved = self.count_pulls() < self.limits.pulls_max;
         let doubted = |(_, peer): (_, &PeerRecord)| peer.presence == PeerPresence::Doubted;
         let is_in_doubt = self.peers.listed().any(doubted);
@@ -255,15 +292,15 @@
         let keys: Vec<PeerKey> = self
             .peers
             .listed()
-            .filter(|(_, peer)| peer.is_neighbour || peer.presence == PeerPresence::Doubted)
+            .filter(|(key, peer)| {
+                let is_asked = peer.is_neighbour || self.is_import_source(*key);
+                is_asked || peer.presence == PeerPresence::Doubted
+            })
             .map(|(key, _)| key)
             .collect();
         for key in keys.into_iter().chain(self.turns.take_watched()) {
-            let pace = if self.peers.is_near(key) {
-                1
-            } else {
-                ASK_FAR_PACE
-            };
+            let is_source = self.peers.is_near(key) || self.is_import_source(key);
+            let pace = if is_source { 1 } else { ASK_FAR_PACE };
             let jitter = (every * pace).mul_f64(self.rng.random_range(0.75..1.25));
             let peer = self.peers.get_mut(key);
             let last = peer.heard_at.max(peer.asked_at);
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -114,6 +114,11 @@
     next_flight: u64,
     /// How long a pull usually takes.
     pub(super) usual_span: Duration,
+    pub(super) begun: ClockTime,
+    /// Hosts that have, or are about to have, what this host brings into its data centre; sorted.
+    pub(super) import_sources: Vec<PeerKey>,
+    /// When it is looked next who reads what this host brings in.
+    pub(super) sources_due: ClockTime,
     pub(super) asks_every: Duration,
     /// When the newest question was asked that was answered.
     pub(super) answered_from: Option<ClockTime>,
@@ -145,6 +150,9 @@
             flights: Vec::new(),
             next_flight: 0,
             usual_span,
+            begun: now,
+            import_sources: Vec::new(),
+            sources_due: now,
             asks_every: starved,
             answered_from: None,
             rng: StdRng::seed_from_u64(seed),
@@ -160,6 +168,7 @@
         self.peers.set_hosts(hosts, self.limits.neighbours);
         self.turns.set_hosts(hosts);
         self.imports.set_hosts(hosts);
+        self.sources_due = ClockTime(0);
     }
 
     /// From now on at most `pulls_max` chunks are under way from other hosts.
@@ -177,6 +186,13 @@
         &self.held
     }
 
+    /// How many chunks are here or at a host that said so.
+    pub(crate) fn known_count(&self) -> u32 {
+        let is_known = |index: &u32| self.held.contains(*index) || self.peers.copies(*index) > 0;
+        let known = (0..self.held.count()).filter(is_known);
+        u32::try_from(known.count()).unwrap_or(u32::MAX)
+    }
+
     /// The chunks that this host is about to read from the origin.
     pub(crate) fn claimed(&self) -> ChunkMap {
         let mut claimed = ChunkMap::empty(self.held.count());
--- a/src/weights/import_turns.rs
+++ b/src/weights/import_turns.rs
@@ -19,6 +19,12 @@
 /// How long each in the line has before the next brings the chunk in: a chunk takes 27 ms on the
 /// narrowest link in use, and hosts hear of each other's chunks within some 100 ms.
 const IMPORT_SPAN: Duration = Duration::from_millis(500);
+/// How long before its turn a host asks those before it: time for a few questions and answers.
+const ASK_AHEAD: Duration = Duration::from_millis(400);
+/// Hosts of a line that look for a chunk in other data centres, beside the first.
+const LOOK_TURNS: u32 = 2;
+/// How long each of them leaves it to those before it.
+const LOOK_SPAN: Duration = Duration::from_millis(2500);
 
 /// One host's view of its data centre's lines for one version.
 #[derive(Debug)]
@@ -67,6 +73,33 @@
         }
     }
 
+    /// Whether this host looks for chunk `index` in other data centres, `span` after it began.
+    ///
+    /// The first in the line looks at once. The next do later: until then the chunk is on its way to
+    /// the first, or has not left the origin.
+    pub(crate) fn looks_for(&self, index: u32, span: Duration) -> bool {
+        let turn = usize::try_from(index)
+            .ok()
+            .and_then(|at| self.turns.get(at));
+        turn.is_some_and(|turn| *turn <= LOOK_TURNS && span >= LOOK_SPAN * *turn)
+    }
+
+    /// The host that is to bring chunk `index` in, if this host is about to do so in its place.
+    ///
+    /// It has often done so, and this host has not heard of it.
+    pub(crate) fn asked_before(
+        &self,
+        index: u32,
+        silent: &[ByteString],
+        now: ClockTime,
+    ) -> Option<&ByteString> {
+        let at = usize::try_from(index).ok()?;
+        let (turn, seen_at) = (*self.turns.get(at)?, (*self.seen_at.get(at)?)?);
+        let is_soon = turn > 0 && now + ASK_AHEAD >= seen_at + IMPORT_SPAN * turn;
+        let first = self.line.first(index, silent).filter(|_| is_soon)?;
+        (*first != self.me.host).then_some(first)
+    }
+
     /// Whether this host may pull chunk `index` from another data centre, where it was seen.
     pub(crate) fn may_import(&mut self, index: u32, now: ClockTime) -> bool {
         let Ok(at) = usize::try_from(index) else {
--- a/src/weights/origin_turns.rs
+++ b/src/weights/origin_turns.rs
@@ -126,6 +126,11 @@
         self.live_turns.get(at).is_none_or(|turn| *turn == 0)
     }
 
+    /// The host that reads chunk `index`, of those that are not `silent`.
+    pub(crate) fn reader(&self, index: u32, silent: &[ByteString]) -> Option<&ByteString> {
+        self.line.first(index, silent)
+    }
+
     /// Whether this host should look after chunk `index`.
     pub(crate) fn is_due(&self, index: u32, now: ClockTime) -> bool {
         usize::try_from(index)
--- a/src/weights/source_line.rs
+++ b/src/weights/source_line.rs
@@ -14,6 +14,9 @@
 
 /// Hosts of the reading data centre that come before other data centres get their turn.
 const FIRST_CENTRE_TURNS: u32 = 2;
+/// Hosts that share the first places. An origin takes a limited number of connections, and the more
+/// chunks share its link, the later each of them can be passed on.
+const FIRSTS_MAX: usize = 12;
 
 /// A host that wants the version, as the line sees it.
 #[apply(plain!)]
@@ -87,12 +90,10 @@
     /// and a version took 3.8 s to leave the origin in place of 2.9 s (time from its naming to the
     /// last chunk read, 24 hosts, 96 chunks).
     pub(crate) fn with_even_firsts(mut self, chunks: u32) -> Self {
-        let readers: Vec<u64> = self
-            .entries
-            .iter()
-            .filter(|entry| entry.centre == 0)
-            .map(|entry| entry.hash)
-            .collect();
+        let reading = self.entries.iter().filter(|entry| entry.centre == 0);
+        let mut readers: Vec<u64> = reading.map(|entry| entry.hash).collect();
+        readers.sort_unstable_by_key(|hash| Reverse(mix(*hash ^ self.salt)));
+        readers.truncate(FIRSTS_MAX);
         let quota = chunks.div_ceil(u32::try_from(readers.len()).unwrap_or(u32::MAX).max(1));
         let mut room: Vec<(u64, u32)> = readers.into_iter().map(|hash| (hash, quota)).collect();
         for index in 0..chunks {
@@ -120,6 +121,16 @@
         Some(self.turn(entry.centre, rank))
     }
 
+    /// The first host in the line of chunk `index` without the `silent` ones.
+    pub(crate) fn first(&self, index: u32, silent: &[ByteString]) -> Option<&ByteString> {
+        let live = self
+            .entries
+            .iter()
+            .filter(|entry| !silent.contains(&entry.host));
+        let first = live.min_by_key(|entry| (entry.centre, Reverse(self.weight(entry, index))));
+        first.map(|entry| &entry.host)
+    }
+
     /// The hosts whose turn for chunk `index` comes before turn `turn`.
     pub(crate) fn before(&self, turn: u32, index: u32) -> Vec<ByteString> {
         let mut order: Vec<&LineEntry> = self.entries.iter().collect();
--- a/src/weights/tests/wide_fleet.rs
+++ b/src/weights/tests/wide_fleet.rs
@@ -11,7 +11,7 @@
 };
 
 const START: ClockTime = ClockTime::from_millis(100_000);
-const TICK: Duration = Duration::from_millis(40);
+const TICK: Duration = Duration::from_millis(20);
 const CHUNKS: u32 = 96;
 /// A chunk on the origin's link of 4.38 Mbit/s, and on a host's of 7.3 Mbit/s.
 const ORIGIN_SPAN: Duration = Duration::from_millis(45);
