--- a/src/fleet/tests/herds.rs
+++ b/src/fleet/tests/herds.rs
@@ -151,3 +151,58 @@
         drop(tickets);
     }
 }
+
+/// Guards against a herd of one data centre's entry hosts on an engine elsewhere that has just emptied. The
+/// load pattern: all engines here are full, and for 0.4 s all twenty entry hosts see the same far one as
+/// the least loaded.
+#[test]
+fn entry_hosts_whose_engines_are_full_do_not_meet_at_one_far_engine() {
+    const ENTRIES: u8 = 20;
+    const EMPTIED: u32 = 2;
+    let near = ["m1", "m2", "m3", "m4"];
+    let far: Vec<String> = (b'A'..=b'X')
+        .map(|letter| format!("f{}", char::from(letter)))
+        .collect();
+    let places: Vec<EntryPlace> = (0..ENTRIES)
+        .map(|number| entry_place(&format!("e{number:02}"), "here"))
+        .collect();
+    let mut tickets = Vec::new();
+    for place in &places {
+        let mut desk = BackendDesk::new(place.clone());
+        let near_facts = near.iter().map(|id| engine(id));
+        let far_facts = far.iter().map(|id| BackendFacts {
+            data_centre: "there".into(),
+            ..engine(id)
+        });
+        let mut backends: Vec<BackendFacts> = near_facts.chain(far_facts).collect();
+        backends.sort_by(|left, right| left.id.cmp(&right.id));
+        desk.set_fleet(&FleetView {
+            backends: backends.into_iter().map(Arc::new).collect(),
+        });
+        desk.share_among(&places);
+        for id in near {
+            desk.note_report(report(id, SLOTS, 1.0), NOW);
+        }
+        for id in &far {
+            let active = if id == "fA" { EMPTIED } else { SLOTS / 2 };
+            desk.note_report(report(id, active, 1.0), NOW);
+        }
+        let desk = SharedDesk::new(desk);
+        for _ in 0..2 {
+            tickets.push(desk.pick(&work_need(950), NOW).expect("places are free"));
+        }
+    }
+    for id in &far {
+        let there = tickets.iter().filter(|ticket| *ticket.facts.id == **id);
+        let free = if id == "fA" {
+            SLOTS - EMPTIED
+        } else {
+            SLOTS / 2
+        };
+        let there = there.count();
+        assert!(
+            there <= usize::try_from(free / 2).expect("small"),
+            "{there} at {id}"
+        );
+    }
+}
