Share engines elsewhere out among the entry hosts of a data centre

Now each far engine is one entry host's of every other data centre first; for the others it counts as twice as far.

--- a/src/fleet/desk_share.rs
+++ b/src/fleet/desk_share.rs
@@ -28,7 +28,7 @@
             });
             let rank = met[group_at].1;
             met[group_at].1 += 1;
-            record.is_own = share.has(&record.facts.data_centre, rank);
+            record.is_own = share.has(rank);
         }
     }
 }
--- a/src/overload/entry_share.rs
+++ b/src/overload/entry_share.rs
@@ -43,17 +43,15 @@
         Self { me, entries }
     }
 
-    /// Whether this entry host has the engine that is the `rank`th of its service in `data_centre`.
-    /// Entry hosts of the same data centre take them in turn; where there is none, all entry hosts do.
-    pub(crate) fn has(&self, data_centre: &str, rank: usize) -> bool {
+    /// Whether this entry host has the engine that is the `rank`th of its service in a data centre: of
+    /// its own, or of another, which the entry hosts of this one share among themselves as well. They
+    /// take the engines in turn.
+    pub(crate) fn has(&self, rank: usize) -> bool {
+        let data_centre = &self.me.data_centre;
         let entries = &self.entries;
-        let from = entries.partition_point(|entry| *entry.data_centre < *data_centre);
-        let to = entries.partition_point(|entry| *entry.data_centre <= *data_centre);
-        let sharers = if from < to {
-            &entries[from..to]
-        } else {
-            entries
-        };
+        let from = entries.partition_point(|entry| entry.data_centre < *data_centre);
+        let to = entries.partition_point(|entry| entry.data_centre <= *data_centre);
+        let sharers = &entries[from..to];
         sharers[rank % sharers.len()] == self.me
     }
 }
--- a/src/overload/first_event.rs
+++ b/src/overload/first_event.rs
@@ -21,6 +21,10 @@
 /// answer's way between regions is 2 ms and its bytes cost a fiftieth of what it is worth; one that comes
 /// late loses three quarters.
 const FAR_PART: f64 = 1.0;
+/// An engine elsewhere that another entry host of this data centre goes to first counts for this much
+/// more: where the engines here are full, all entry hosts look elsewhere, and reports from there are
+/// older.
+const FAR_SHARED_PART: f64 = 1.0;
 /// No delay counts for more than this, in seconds: longer than any client waits for a first event, and
 /// figures that somebody wrote wrongly stay in the range of a span of time.
 const DELAY_MAX_S: f64 = 60.0;
@@ -78,7 +82,7 @@
     pub(crate) pace: f64,
     /// Whether it is in this data centre.
     pub(crate) is_near: bool,
-    /// Whether other entry hosts leave it to this one first.
+    /// Whether the other entry hosts of this data centre leave it to this one first.
     pub(crate) is_own: bool,
 }
 
@@ -88,9 +92,12 @@
         let turnover = speed.turnover_s(self.slots);
         let waiting = (self.load + 1).saturating_sub(self.slots);
         let mut turns = REQUEST_PART * f64::from(self.load) + f64::from(waiting);
-        if !self.is_own {
-            turns += UNSEEN_PART;
-        }
+        turns += match (self.is_near, self.is_own) {
+            (true, true) => 0.0,
+            // An engine elsewhere is first of all an entry host's of its own data centre.
+            (true, false) | (false, true) => UNSEEN_PART,
+            (false, false) => UNSEEN_PART + FAR_SHARED_PART,
+        };
         let mut delay = speed.reading_s(self.unread_tokens.into()) + turnover * turns;
         // A slow engine takes longer for what it has, and for the request itself.
         delay += (delay + turnover) * (self.pace - usual_pace()).max(0.0);
