Leave an engine to its own entry host the more, the more entry hosts there are

Cause: what other entry hosts may have sent unseen counted for half a beginning, measured with two entry hosts a data centre; with twenty, all of them go to the engine that was free in the reports until the next ones. Now it counts half a beginning for each other entry host of the data centre, eight at most, and of the engines that are not its own an entry host considers a part at a time, so that some four consider each.

--- a/src/fleet/backend_desk.rs
+++ b/src/fleet/backend_desk.rs
@@ -11,7 +11,7 @@
 };
 use super::backend_record::{BackendRecord, CallEnd};
 use super::events;
-use super::pick::{PickNeed, PickRefusal, pick};
+use super::pick::{PickNeed, PickPlace, PickRefusal, pick};
 use crate::derives::key;
 use crate::events::log_event;
 use crate::overload::EntryPlace;
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 pub(crate) struct BackendDesk {
     pub(super) me: EntryPlace,
+    /// How many other entry hosts the data centre has.
+    pub(super) rivals: u32,
     /// A record goes when the backend server does and nothing is under way there.
     records: Vec<Option<BackendRecord>>,
     /// Sorted by id.
@@ -67,6 +69,7 @@
     pub(crate) const fn new(me: EntryPlace) -> Self {
         Self {
             me,
+            rivals: 0,
             records: Vec::new(),
             by_id: Vec::new(),
             retired: Vec::new(),
@@ -213,7 +216,11 @@
             let record = self.records.get(key.at())?.as_ref()?;
             Some((*key, record))
         });
-        let key = pick(listed, need, &self.me.data_centre, (now, jitter))?;
+        let place = PickPlace {
+            data_centre: &self.me.data_centre,
+            rivals: self.rivals,
+        };
+        let key = pick(listed, need, &place, (now, jitter))?;
         let unread = need.work.map_or(0, |work| work.prompt_tokens);
         let record = self.get_mut(key).ok_or(PickRefusal::Nobody)?;
         record.breaker.note_passed(now);
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -6,6 +6,7 @@
 use macro_rules_attribute::apply;
 
 use super::backend_facts::{BackendFacts, EngineHoldings, LoadReport, LoadWord};
+use super::pick::PickPlace;
 use crate::derives::{key, plain};
 use crate::overload::{EnginePlace, usual_pace};
 use crate::routing::CircuitBreaker;
@@ -140,14 +141,15 @@
     }
 
     /// The engine as a request finds it at `now`.
-    pub(super) fn place(&self, data_centre: &str, now: ClockTime) -> EnginePlace {
+    pub(super) fn place(&self, place: &PickPlace<'_>, now: ClockTime) -> EnginePlace {
         EnginePlace {
             slots: self.facts.slots,
             load: self.load(now),
             unread_tokens: self.unread_tokens,
             pace: self.pace,
-            is_near: *self.facts.data_centre == *data_centre,
+            is_near: *self.facts.data_centre == *place.data_centre,
             is_own: self.is_own,
+            rivals: place.rivals,
         }
     }
 
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -19,6 +19,10 @@
 /// One place in so many at an engine of older weights is taken shortly before their bound.
 const OLDER_PART: u32 = 2;
 
+/// Entry hosts of a data centre that consider a backend server at a time, beside the one that goes
+/// there first.
+const CONSIDERED_BY: u32 = 4;
+
 /// How good a backend server of a plain service is for a request, the best first.
 ///
 /// Bytes between data centres are dear and their links narrow: a place in this data centre is better
@@ -151,15 +155,37 @@
 /// How good a place is, the best first.
 type PlaceChoice = (PlaceGrade, Duration, u32, u32, BackendKey);
 
+/// Where a request is sent from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PickPlace<'a> {
+    pub(super) data_centre: &'a str,
+    /// How many other entry hosts the data centre has.
+    pub(super) rivals: u32,
+}
+
+impl PickPlace<'_> {
+    /// Whether the backend server is considered first for the request with `jitter`: this entry host's
+    /// own ones, and a part of the others that differs from request to request.
+    ///
+    /// Many entry hosts go by the same reports until the next ones. If all of them considered every
+    /// engine for every request, the one that was free in the reports would get what all of them have.
+    fn considers(&self, key: BackendKey, record: &BackendRecord, jitter: u32) -> bool {
+        let part = u32::MAX / self.rivals.saturating_add(1);
+        record.is_own || key.turn(jitter) <= part.saturating_mul(CONSIDERED_BY)
+    }
+}
+
 /// Chooses among `records` the best place, and among equally good ones the one with fewest requests.
+/// Where those that are considered first have none, all are.
 pub(super) fn pick<'a>(
     records: impl Iterator<Item = (BackendKey, &'a BackendRecord)>,
     need: &PickNeed<'_>,
-    data_centre: &str,
+    place: &PickPlace<'_>,
     (now, jitter): (ClockTime, u32),
 ) -> Result<BackendKey, PickRefusal> {
     let mut has_any = false;
-    let mut best: Option<PlaceChoice> = None;
+    // Of those that are considered first, and of all.
+    let mut best: [Option<PlaceChoice>; 2] = [None, None];
     for (key, record) in records {
         if !serves(record, need) || need.tried.contains(&key) {
             continue;
@@ -169,15 +195,19 @@
         if !record.is_open(now) || load >= need.places_at(record) {
             continue;
         }
-        let place = record.place(data_centre, now);
-        let (grade, delay) = rate(&place, need);
+        let engine = record.place(place, now);
+        let (grade, delay) = rate(&engine, need);
         // Equal ones take turns, or all entry hosts would go to the same one.
         let choice = (grade, delay, load, key.turn(jitter), key);
-        if best.is_none_or(|best| choice < best) {
-            best = Some(choice);
+        let is_first = place.considers(key, record, jitter);
+        for (best, counts) in best.iter_mut().zip([is_first, true]) {
+            if counts && best.is_none_or(|best| choice < best) {
+                *best = Some(choice);
+            }
         }
     }
-    match best {
+    let [first, any] = best;
+    match first.or(any) {
         Some((.., key)) => Ok(key),
         None if has_any => Err(PickRefusal::AllFull),
         None => Err(PickRefusal::Nobody),
--- a/src/overload/entry_share.rs
+++ b/src/overload/entry_share.rs
@@ -43,15 +43,26 @@
         Self { me, entries }
     }
 
-    /// Whether this entry host has the engine that is the `rank`th of its service in a data centre: of
-    /// its own, or of another, which the entry hosts of this one share among themselves as well. They
-    /// take the engines in turn.
-    pub(crate) fn has(&self, rank: usize) -> bool {
+    /// How many other entry hosts the data centre has.
+    pub(crate) fn rivals(&self) -> u32 {
+        let others = self.sharers().len().saturating_sub(1);
+        u32::try_from(others).unwrap_or(u32::MAX)
+    }
+
+    /// The entry hosts of this data centre, this one among them.
+    fn sharers(&self) -> &[&'a EntryPlace] {
         let data_centre = &self.me.data_centre;
         let entries = &self.entries;
         let from = entries.partition_point(|entry| entry.data_centre < *data_centre);
         let to = entries.partition_point(|entry| entry.data_centre <= *data_centre);
-        let sharers = &entries[from..to];
+        &entries[from..to]
+    }
+
+    /// Whether this entry host has the engine that is the `rank`th of its service in a data centre: of
+    /// its own, or of another, which the entry hosts of this one share among themselves as well. They
+    /// take the engines in turn.
+    pub(crate) fn has(&self, rank: usize) -> bool {
+        let sharers = self.sharers();
         sharers[rank % sharers.len()] == self.me
     }
 }
--- a/src/overload/first_event.rs
+++ b/src/overload/first_event.rs
@@ -14,9 +14,12 @@
 /// A request under way delays a new one's first event by this part of the time between two beginnings:
 /// the passes of a fuller batch are longer, mostly since more prompts are read between them.
 const REQUEST_PART: f64 = 0.05;
-/// What another entry host may have sent since the last report counts for this part of the time between
-/// two beginnings: reports come five times a second, in which an engine begins two requests.
+/// What each other entry host may have sent since the last report counts for this part of the time
+/// between two beginnings: reports come five times a second, in which an engine begins two requests.
 const UNSEEN_PART: f64 = 0.5;
+/// Other entry hosts that count at most. An engine whose own entry host keeps it full is not left alone
+/// by all others.
+const RIVALS_MAX: u32 = 8;
 /// An engine elsewhere is taken when it is faster by this part of the time between two beginnings. An
 /// answer's way between regions is 2 ms and its bytes cost a fiftieth of what it is worth; one that comes
 /// late loses three quarters.
@@ -84,9 +87,19 @@
     pub(crate) is_near: bool,
     /// Whether the other entry hosts of this data centre leave it to this one first.
     pub(crate) is_own: bool,
+    /// How many other entry hosts this data centre has.
+    pub(crate) rivals: u32,
 }
 
 impl EnginePlace {
+    /// What others may have sent there unseen, in times between two beginnings.
+    ///
+    /// The more entry hosts go by the same reports, the more of them meet at an engine that was free in
+    /// these, while at its own ones each knows nearly all.
+    fn unseen_turns(&self) -> f64 {
+        UNSEEN_PART * f64::from(self.rivals.clamp(1, RIVALS_MAX))
+    }
+
     /// How much later than at an idle engine of this data centre a request's first event comes.
     pub(crate) fn delay(&self, speed: &EngineSpeed) -> Duration {
         let turnover = speed.turnover_s(self.slots);
@@ -95,8 +108,8 @@
         turns += match (self.is_near, self.is_own) {
             (true, true) => 0.0,
             // An engine elsewhere is first of all an entry host's of its own data centre.
-            (true, false) | (false, true) => UNSEEN_PART,
-            (false, false) => UNSEEN_PART + FAR_SHARED_PART,
+            (true, false) | (false, true) => self.unseen_turns(),
+            (false, false) => self.unseen_turns() + FAR_SHARED_PART,
         };
         let mut delay = speed.reading_s(self.unread_tokens.into()) + turnover * turns;
         // A slow engine takes longer for what it has, and for the request itself.
