Calls to the store do not grow with the number of entry hosts

Now entry hosts that neighbours tell read the rows less often the more there are (ten reads a pause together), and look whether a version is recorded in turns of six. Tests with the change: reads of all together are flat from 98 to 400, a version is written by at most nine in four seconds.

--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -37,6 +37,9 @@
 const START_PAUSE: Duration = Duration::from_millis(20);
 /// The pause between two reads of the entry hosts' table.
 const ENTRIES_PAUSE: Duration = Duration::from_secs(10);
+/// Entry hosts that read it within a pause; with more of them, those that neighbours tell read it less
+/// often.
+const ENTRIES_READERS: usize = 10;
 /// How long the store has for an answer beyond what it was asked to wait. It takes 4 ms usually, and
 /// some hundred when it is slow.
 pub(super) const STORE_WITHIN: Duration = Duration::from_millis(900);
@@ -285,7 +288,10 @@
             let followed = self.entries_step(&mut is_entered).await;
             self.note_outcome(&followed, &mut pause).await;
             if followed.is_ok() {
-                sleep(ENTRIES_PAUSE).await;
+                let pause = self
+                    .book
+                    .read(|book| entries_pause(book.reads_store(), book.entries().len()));
+                sleep(pause).await;
             }
         }
     }
@@ -341,6 +347,19 @@
     }
 }
 
+/// How long until the entry hosts are read again by a process that reads the store itself or not, if it
+/// knows `count` of them.
+///
+/// Calls to the store must not grow with the number of entry hosts; those that come are told by
+/// neighbours meanwhile.
+pub(super) fn entries_pause(reads_store: bool, count: usize) -> Duration {
+    if reads_store {
+        return ENTRIES_PAUSE;
+    }
+    let parts = u32::try_from(count.div_ceil(ENTRIES_READERS)).unwrap_or(u32::MAX);
+    ENTRIES_PAUSE.saturating_mul(parts.max(1))
+}
+
 /// The pause after a failure, with full jitter over its upper half: processes that failed together
 /// do not come back together.
 #[derive(Clone, Copy, Debug)]
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -11,6 +11,7 @@
 mod read_orders;
 mod readers;
 mod restarts;
+mod store_calls;
 mod store_gate;
 mod storms;
 mod told_lists;
--- /dev/null
+++ b/src/sync/tests/store_calls.rs
@@ -0,0 +1,35 @@
+//! Calls to the store as a deployment grows.
+
+use std::time::Duration;
+
+use crate::sync::store_watch::entries_pause;
+use crate::sync::version_recorder::record_later;
+
+/// Reads of the entry hosts' table in a second, by all entry hosts of five data centres together.
+fn reads_per_s(count: usize) -> f64 {
+    let readers = 10;
+    let pauses = (0..count).map(|place| entries_pause(place < readers, count));
+    pauses.map(|pause| 1.0 / pause.as_secs_f64()).sum()
+}
+
+/// Guards against calls to the store that grow with the number of entry hosts.
+#[test]
+fn entry_hosts_together_read_each_other_as_often_however_many_they_are() {
+    assert!(reads_per_s(400) <= reads_per_s(98) * 1.1);
+    assert_eq!(entries_pause(false, 6), Duration::from_secs(10));
+}
+
+/// Guards against a conditional write of each entry host for each version that is named.
+#[test]
+fn a_version_is_recorded_by_a_few_entry_hosts_at_a_time() {
+    let within = |span: f64| {
+        let places = 0..400;
+        let later =
+            places.filter(|place| record_later(*place).is_none_or(|later| later.start < span));
+        later.count()
+    };
+    assert_eq!(within(0.0), 3);
+    assert!(within(4.0) <= 9 && within(8.0) <= 15, "{}", within(8.0));
+    // The first ones may be cut off from the store: others come within the bound of a version.
+    assert!(within(4.0) > 6);
+}
--- a/src/sync/version_recorder.rs
+++ b/src/sync/version_recorder.rs
@@ -22,6 +22,17 @@
 const FIRST_RECORDERS: usize = 3;
 /// When the others look whether it is recorded, in seconds: behind the first ones' time for an answer.
 const RECORD_LATER: Range<f64> = 1.0..4.0;
+/// How many of the others do so within that time. The next ones come behind them: a look is a write,
+/// and the store must not get one of each entry host for each version.
+const LATER_RECORDERS: usize = 6;
+
+/// When the entry host at `place` among the recorders looks whether a version is recorded, in seconds;
+/// none if it writes at once.
+pub(super) fn record_later(place: usize) -> Option<Range<f64>> {
+    let turn = place.checked_sub(FIRST_RECORDERS)? / LATER_RECORDERS;
+    let waited = RECORD_LATER.end * f64::from(u32::try_from(turn).unwrap_or(u32::MAX));
+    Some(RECORD_LATER.start + waited..RECORD_LATER.end + waited)
+}
 
 impl StoreWatch {
     /// Records in the store which versions were named last, so that they outlive all processes.
@@ -34,8 +45,11 @@
         let mut pause = FailurePause::default();
         loop {
             let mut records = self.book.read(ViewBook::unrecorded);
-            if !records.iter().all(|record| self.writes_first(record)) {
-                let later = rand::rng().random_range(RECORD_LATER);
+            let places = records
+                .iter()
+                .map(|record| self.place_among_recorders(record));
+            if let Some(later) = places.max().and_then(record_later) {
+                let later = rand::rng().random_range(later);
                 sleep(Duration::from_secs_f64(later)).await;
                 records = self.book.read(ViewBook::unrecorded);
             }
@@ -56,18 +70,17 @@
         }
     }
 
-    /// Whether this entry host is among those that write a record at once, in an order that differs
-    /// from version to version and needs no word between them.
-    fn writes_first(&self, record: &VersionRecord) -> bool {
+    /// How many entry hosts write a record before this one, in an order that differs from version to
+    /// version and needs no word between them.
+    fn place_among_recorders(&self, record: &VersionRecord) -> usize {
         let version = record.target.version.0;
         let turn = |host: &str| name_hash(&format!("{host}/{}/{version}", record.target.model));
         let me = turn(&self.me.host);
-        let ahead = self.book.read(|book| {
+        self.book.read(|book| {
             let entries = book.entries().iter();
             let others = entries.filter(|entry| entry.host != self.me.host);
             others.filter(|entry| turn(&entry.host) > me).count()
-        });
-        ahead < FIRST_RECORDERS
+        })
     }
 
     /// Writes a record over the one that is known. Where another stands, that one is taken in; if it
