--- a/src/gateway/tests/take_back.rs
+++ b/src/gateway/tests/take_back.rs
@@ -1,10 +1,13 @@
 //! What waits at engines of older weights is taken back before their bound.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::fake_backend::{BackendWay, FakeBackend, FakeEntry};
 use super::{BOUNDS, gateway_on, job_of};
@@ -131,3 +134,74 @@
     let failure = sent.expect("it is taken back").expect("no test panicked");
     assert!(failure.is_some_and(|failure| failure.may_have_run));
 }
+
+/// Passes bytes on to `backend` a while after they came, as a full link does, and answers at once.
+async fn full_link(backend: SocketAddr, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(backend).await.expect("it listens");
+            let (mut near_in, mut near_out) = near.into_split();
+            let (mut far_in, mut far_out) = far.into_split();
+            let (sender, mut queue) = mpsc::unbounded_channel();
+            tokio::spawn(async move {
+                let mut buffer = [0; 4096];
+                while let Ok(length @ 1..) = near_in.read(&mut buffer).await {
+                    let due = Instant::now() + delay;
+                    let _ = sender.send((due, buffer[..length].to_vec()));
+                }
+            });
+            tokio::spawn(async move {
+                while let Some((due, bytes)) = queue.recv().await {
+                    sleep_until(due).await;
+                    let _ = far_out.write_all(&bytes).await;
+                }
+            });
+            tokio::spawn(async move { tokio::io::copy(&mut far_in, &mut near_out).await });
+        }
+    });
+    address
+}
+
+/// Guards against requests that begin on older weights behind their bound because they were still on their
+/// way, over a full link, when they were taken back.
+#[tokio::test]
+async fn what_is_taken_back_on_its_way_does_not_arrive_behind_the_bound() {
+    let backend = FakeBackend::start(BackendWay::Whole).await;
+    let delay = Duration::from_secs(1);
+    let link = FakeBackend {
+        address: full_link(backend.address, delay).await,
+        requests: backend.requests.clone(),
+    };
+    let entry = FakeEntry::start(&[&link]).await;
+    entry.gateway.snapshot();
+    let now = clock_now();
+    let need = PickNeed {
+        service: "desk",
+        version: VersionNeed::None,
+        tried: &[],
+        queue_room: 0,
+        is_returned: false,
+        work: None,
+    };
+    let ticket = entry.gateway.desk.pick(&need, now);
+    let wait = HeadWait {
+        until: now + Duration::from_millis(150),
+        silence: CallEnd::Nothing,
+    };
+    let job = job_of("resumed", now);
+    let sent = send_attempt(
+        &entry.gateway,
+        &job,
+        ticket.expect("it has places"),
+        (&VersionNeed::None, None),
+        wait,
+    );
+    assert!(sent.await.is_err(), "it is taken back");
+    // The bound is a quarter of a second behind that.
+    sleep(Duration::from_millis(250)).await;
+    assert_eq!(backend.arrivals(), 0, "the link holds it");
+    sleep(delay).await;
+    assert_eq!(backend.arrivals(), 0, "it arrived behind the bound");
+}
