--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -118,9 +118,8 @@
         let slots = record.facts.slots;
         match &self.version {
             // What other entry hosts have just sent is not known yet, and prompts that are read one after
-            // the other delay a beginning by up to 1.5 s. A request that has not begun in time is taken
-            // back, but not by an entry host that stands still: its requests began up to 0.5 s behind
-            // the bound. With half of the places taken, none did in eight such days.
+            // the other delay a beginning. A request that has not begun in time is taken back, but not by
+            // an entry host that stands still: its requests would begin behind the bound.
             VersionNeed::Model { least_to_wait, .. }
                 if self.version.held_by(record) < *least_to_wait =>
             {
--- a/src/overload/come_back.rs
+++ b/src/overload/come_back.rs
@@ -24,9 +24,7 @@
 /// `timeout` at most, was refused before.
 ///
 /// A client says how long it will wait from now on, so one that comes back says less than at first. But
-/// clients differ by a tenth and more in how long they wait: with a limit of 20 ms, 98 of 100 first
-/// requests counted as returned where they do. One would notice engines of sixteen places that never get
-/// more than fourteen requests while new ones are refused.
+/// clients differ by a tenth and more in how long they wait, so that a small difference says nothing.
 pub(crate) fn is_returned(asked: Duration, timeout: Duration) -> bool {
     asked + COME_BACK_LEAST.min(timeout / SHORTEST_PART) <= timeout
 }
--- a/src/overload/entry_share.rs
+++ b/src/overload/entry_share.rs
@@ -1,11 +1,9 @@
 //! Which engines an entry host sends to first.
 //!
 //! Load pattern: several entry hosts each see the same engine as the least loaded one and send to it in
-//! the same moment; reports tell them of one another some 200 ms later. Of the streams that met three or
-//! more prompts of other entry hosts so, 20 to 80 of 100 came late; of those that met as many of their
-//! own, 2 to 6. So engines are shared out: at its own ones an entry host knows nearly all that happens
-//! without being told, and it goes to others' when these are much better. With six entry hosts the estimate of
-//! the first event's delay, which spreads each one's own, leaves little to it: 0.1 of 100 streams in time.
+//! the same moment; reports tell them of one another some 200 ms later. So engines are shared out: at
+//! its own ones an entry host knows nearly all that happens without being told, and it goes to others'
+//! when these are much better.
 
 use bytestring::ByteString;
 use macro_rules_attribute::apply;
--- a/src/overload/first_event.rs
+++ b/src/overload/first_event.rs
@@ -1,9 +1,7 @@
 //! How long a stream's first event takes at a model engine, as far as it depends on where it is sent.
 //!
 //! Load pattern: engines are nearly full, and two or three prompts that reach one engine together are
-//! read one behind the other, which delays each of them and all that the engine writes. Over five seeded
-//! calm days (200 requests a second, 27 engines) 19 of 100 streams came late so, while other engines read
-//! nothing, and 7 of 100 with this estimate. Of its parts the prompts under way count most.
+//! read one behind the other, which delays each of them and all that the engine writes.
 
 use std::time::Duration;
 
