--- a/src/gateway/tests/resets.rs
+++ b/src/gateway/tests/resets.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use super::fake_backend::{BackendWay, FakeBackend, FakeEntry, field};
-use super::sends::outcome;
+use super::sends::{assert_whole_stream, outcome};
 use crate::platform::samples::{ATTEMPT, DEADLINE, SEAL};
 
 /// Time for a reset to reach the other end.
@@ -73,12 +73,7 @@
     ];
     let (status, answer, arrivals) = outcome(ways, "resumed").await;
     assert_eq!((status, arrivals), (200, [1, 1]));
-    for id in 1..=5 {
-        let count = answer.matches(&format!("data: part {id}\n\n")).count();
-        assert_eq!(count, 1, "event {id} in {answer}");
-    }
-    assert!(!answer.contains("99"), "{answer}");
-    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_whole_stream(&answer);
 }
 
 /// Guards against a stream that looks complete where it was reset and may not go on.
--- a/src/gateway/tests/sends.rs
+++ b/src/gateway/tests/sends.rs
@@ -33,6 +33,16 @@
     (socket, backend)
 }
 
+/// Five events, each once, and nothing of the one that was cut.
+pub(super) fn assert_whole_stream(answer: &str) {
+    for id in 1..=5 {
+        let count = answer.matches(&format!("data: part {id}\n\n")).count();
+        assert_eq!(count, 1, "event {id} in {answer}");
+    }
+    assert!(!answer.contains("99"), "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
 const KINDS: [&str; 2] = ["safe", "once"];
 
 #[tokio::test]
@@ -152,12 +162,7 @@
     ];
     let (status, answer, arrivals) = outcome(ways, "resumed").await;
     assert_eq!((status, arrivals), (200, [1, 1]));
-    for id in 1..=5 {
-        let count = answer.matches(&format!("data: part {id}\n\n")).count();
-        assert_eq!(count, 1, "event {id} in {answer}");
-    }
-    assert!(!answer.contains("99"), "{answer}");
-    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_whole_stream(&answer);
 }
 
 /// Symptom: a service got more second sends than the entry hosts may make together. Engines cut off what
--- a/src/gateway/tests/take_back.rs
+++ b/src/gateway/tests/take_back.rs
@@ -15,19 +15,12 @@
     BackendFacts, BackendPhase, CallEnd, EngineHoldings, FleetView, HeldLayers, ModelVersion,
     NamingCertainty, PickNeed, VersionNeed, WantedWeights, WeightsVersion,
 };
-use crate::gateway::send_attempt::{HeadWait, send_attempt};
+use crate::gateway::send_attempt::{HeadWait, SendFailure, send_attempt};
 use crate::sync::{ControlSnapshot, SharedSnapshot};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 
-/// Requests began on older weights behind their bound. What waits at an engine is taken back a quarter of a
-/// second before it; that time was counted from when the connection was open, which may take 0.15 s beside
-/// an engine whose link carries weights. What would have to be back by then is not sent at all, and so it
-/// surely did not run.
-#[tokio::test]
-async fn what_has_to_be_back_when_its_connection_is_open_is_not_sent() {
-    let backend = FakeBackend::start(BackendWay::Whole).await;
-    let entry = FakeEntry::start(&[&backend]).await;
-    entry.gateway.snapshot();
+/// Sends a request on the route of `kind` that is taken back at `until`.
+async fn send_until(entry: &FakeEntry, kind: &str, until: ClockTime) -> Option<SendFailure> {
     let now = clock_now();
     let need = PickNeed {
         service: "desk",
@@ -39,10 +32,10 @@
     };
     let ticket = entry.gateway.desk.pick(&need, now);
     let wait = HeadWait {
-        until: now,
+        until,
         silence: CallEnd::Nothing,
     };
-    let job = job_of("once", now);
+    let job = job_of(kind, now);
     let sent = send_attempt(
         &entry.gateway,
         &job,
@@ -50,7 +43,21 @@
         (&VersionNeed::None, None),
         wait,
     );
-    let failure = sent.await.err().expect("it was too late");
+    sent.await.err()
+}
+
+/// Requests began on older weights behind their bound. What waits at an engine is taken back a quarter of a
+/// second before it; that time was counted from when the connection was open, which may take 0.15 s beside
+/// an engine whose link carries weights. What would have to be back by then is not sent at all, and so it
+/// surely did not run.
+#[tokio::test]
+async fn what_has_to_be_back_when_its_connection_is_open_is_not_sent() {
+    let backend = FakeBackend::start(BackendWay::Whole).await;
+    let entry = FakeEntry::start(&[&backend]).await;
+    entry.gateway.snapshot();
+    let now = clock_now();
+    let failure = send_until(&entry, "once", now).await;
+    let failure = failure.expect("it was too late");
     assert!(!failure.has_arrived && !failure.may_have_run, "{failure:?}");
     assert_eq!(backend.arrivals(), 0);
 }
@@ -176,29 +183,9 @@
     };
     let entry = FakeEntry::start(&[&link]).await;
     entry.gateway.snapshot();
-    let now = clock_now();
-    let need = PickNeed {
-        service: "desk",
-        version: VersionNeed::None,
-        tried: &[],
-        queue_room: 0,
-        is_returned: false,
-        work: None,
-    };
-    let ticket = entry.gateway.desk.pick(&need, now);
-    let wait = HeadWait {
-        until: now + Duration::from_millis(150),
-        silence: CallEnd::Nothing,
-    };
-    let job = job_of("resumed", now);
-    let sent = send_attempt(
-        &entry.gateway,
-        &job,
-        ticket.expect("it has places"),
-        (&VersionNeed::None, None),
-        wait,
-    );
-    assert!(sent.await.is_err(), "it is taken back");
+    let until = clock_now() + Duration::from_millis(150);
+    let failure = send_until(&entry, "resumed", until).await;
+    assert!(failure.is_some(), "it is taken back");
     // The bound is a quarter of a second behind that.
     sleep(Duration::from_millis(250)).await;
     assert_eq!(backend.arrivals(), 0, "the link holds it");
