--- a/src/fleet/backend_desk.rs
+++ b/src/fleet/backend_desk.rs
@@ -50,7 +50,7 @@
 pub(crate) struct BackendDesk {
     pub(super) me: EntryPlace,
     /// How many other entry hosts the data centre has.
-    pub(super) rivals: u32,
+    pub(super) peers: u32,
     /// A record goes when the backend server does and nothing is under way there.
     records: Vec<Option<BackendRecord>>,
     /// Sorted by id.
@@ -69,7 +69,7 @@
     pub(crate) const fn new(me: EntryPlace) -> Self {
         Self {
             me,
-            rivals: 0,
+            peers: 0,
             records: Vec::new(),
             by_id: Vec::new(),
             retired: Vec::new(),
@@ -218,7 +218,7 @@
         });
         let place = PickPlace {
             data_centre: &self.me.data_centre,
-            rivals: self.rivals,
+            peers: self.peers,
         };
         let key = pick(listed, need, &place, (now, jitter))?;
         let unread = need.work.map_or(0, |work| work.prompt_tokens);
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -149,7 +149,7 @@
             pace: self.pace,
             is_near: *self.facts.data_centre == *place.data_centre,
             is_own: self.is_own,
-            rivals: place.rivals,
+            peers: place.peers,
         }
     }
 
--- a/src/fleet/desk_share.rs
+++ b/src/fleet/desk_share.rs
@@ -10,7 +10,7 @@
     pub(crate) fn share_among(&mut self, entries: &[EntryPlace]) {
         let me = self.me.clone();
         let share = EntryShare::new(&me, entries);
-        self.rivals = share.rivals();
+        self.peers = share.peers();
         // How many were met so far, by service and data centre.
         let mut met: Vec<((ByteString, ByteString), usize)> = Vec::new();
         for at in 0..self.by_id.len() {
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -159,7 +159,7 @@
 pub(super) struct PickPlace<'a> {
     pub(super) data_centre: &'a str,
     /// How many other entry hosts the data centre has.
-    pub(super) rivals: u32,
+    pub(super) peers: u32,
 }
 
 impl PickPlace<'_> {
@@ -169,7 +169,7 @@
     /// Many entry hosts go by the same reports until the next ones. If all of them considered every
     /// engine for every request, the one that was free in the reports would get what all of them have.
     fn considers(&self, key: BackendKey, record: &BackendRecord, jitter: u32) -> bool {
-        let part = u32::MAX / self.rivals.saturating_add(1);
+        let part = u32::MAX / self.peers.saturating_add(1);
         record.is_own || key.turn(jitter) <= part.saturating_mul(CONSIDERED_BY)
     }
 }
--- a/src/overload/entry_share.rs
+++ b/src/overload/entry_share.rs
@@ -42,7 +42,7 @@
     }
 
     /// How many other entry hosts the data centre has.
-    pub(crate) fn rivals(&self) -> u32 {
+    pub(crate) fn peers(&self) -> u32 {
         let others = self.sharers().len().saturating_sub(1);
         u32::try_from(others).unwrap_or(u32::MAX)
     }
--- a/src/overload/first_event.rs
+++ b/src/overload/first_event.rs
@@ -17,7 +17,7 @@
 const UNSEEN_PART: f64 = 0.5;
 /// Other entry hosts that count at most. An engine whose own entry host keeps it full is not left alone
 /// by all others.
-const RIVALS_MAX: u32 = 8;
+const PEERS_MAX: u32 = 8;
 /// An engine elsewhere is taken when it is faster by this part of the time between two beginnings. An
 /// answer's way between regions is 2 ms and its bytes cost a fiftieth of what it is worth; one that comes
 /// late loses three quarters.
@@ -86,7 +86,7 @@
     /// Whether the other entry hosts of this data centre leave it to this one first.
     pub(crate) is_own: bool,
     /// How many other entry hosts this data centre has.
-    pub(crate) rivals: u32,
+    pub(crate) peers: u32,
 }
 
 impl EnginePlace {
@@ -95,7 +95,7 @@
     /// The more entry hosts go by the same reports, the more of them meet at an engine that was free in
     /// these, while at its own ones each knows nearly all.
     fn unseen_turns(&self) -> f64 {
-        UNSEEN_PART * f64::from(self.rivals.clamp(1, RIVALS_MAX))
+        UNSEEN_PART * f64::from(self.peers.clamp(1, PEERS_MAX))
     }
 
     /// How much later than at an idle engine of this data centre a request's first event comes.
