End an overtaken version only where nine tenths of it are known

Two versions named two to three seconds apart, the origin away behind the second. Cause: with half of the first version known anywhere, some hosts ended it and others gave it up; what was left of both shared the origin's link when it was back, and neither was whole before the first bound.

--- a/src/replication/version_loop.rs
+++ b/src/replication/version_loop.rs
@@ -32,8 +32,9 @@
 /// The mean pause between two questions for digests.
 const DIGEST_PAUSE: Duration = Duration::from_millis(60);
 /// A fetch of which this part of the chunks has left the origin is ended although a newer version is
-/// wanted: the older one binds from its own naming, and without it no engine could serve between the two.
-const FINISH_PART: f64 = 0.5;
+/// wanted: the older one binds from its own naming, and without it no engine could serve between the
+/// two. Where more is left, both share the origin's link and neither may come before its bound.
+const FINISH_PART: f64 = 0.9;
 
 /// Where this host stands, and beside what.
 #[derive(Clone, Debug)]
