--- a/src/weights/tests/wide_fleet.rs
+++ b/src/weights/tests/wide_fleet.rs
@@ -11,8 +11,12 @@
 };
 
 const START: ClockTime = ClockTime::from_millis(100_000);
-const TICK: Duration = Duration::from_millis(20);
+/// How often each plan is looked at and hears of what came.
+const TICK: Duration = Duration::from_millis(40);
+/// The same for hosts that act on what comes at once.
+const SHORT_TICK: Duration = Duration::from_millis(20);
 const CHUNKS: u32 = 96;
+const SEED: u64 = 7;
 /// A chunk on the origin's link of 4.38 Mbit/s, and on a host's of 7.3 Mbit/s.
 const ORIGIN_SPAN: Duration = Duration::from_millis(45);
 const HOST_SPAN: Duration = Duration::from_millis(27);
@@ -45,6 +49,7 @@
 }
 
 struct Fleet {
+    tick: Duration,
     now: ClockTime,
     hosts: Vec<FleetHost>,
     /// Reads under way at the origin, which share its link: host, flight, and what is left to send.
@@ -68,7 +73,7 @@
 }
 
 impl Fleet {
-    fn new(centres: usize, hosts: usize, seed: u64) -> Self {
+    fn new(centres: usize, hosts: usize, tick: Duration) -> Self {
         let all: Vec<PlanHost> = (0..centres)
             .flat_map(|centre| (0..hosts).map(move |number| plan_host(centre, number)))
             .collect();
@@ -86,7 +91,7 @@
                 (WeightsDigest::of(b"m/2"), SpreadObjective::OriginBytes),
                 ChunkMap::empty(CHUNKS),
                 limits,
-                (HOST_SPAN, seed + u64::from(at)),
+                (HOST_SPAN, SEED + u64::from(at)),
                 begun,
             );
             plan.set_hosts(&all);
@@ -101,6 +106,7 @@
             }
         });
         Self {
+            tick,
             now: START,
             hosts: started.collect::<Vec<FleetHost>>(),
             origin_reads: Vec::new(),
@@ -113,7 +119,7 @@
     fn run(&mut self, span: Duration) {
         while self.now.since(START) < span && self.hosts.iter().any(|host| host.whole_at.is_none())
         {
-            self.now = self.now + TICK;
+            self.now = self.now + self.tick;
             self.send_from_origin();
             for at in 0..self.hosts.len() {
                 self.deliver(at);
@@ -166,7 +172,7 @@
 
     /// What the origin sends in a tick, in even parts to all that read.
     fn send_from_origin(&mut self) {
-        let mut left = TICK;
+        let mut left = self.tick;
         while !left.is_zero() && !self.origin_reads.is_empty() {
             let reads = u32::try_from(self.origin_reads.len()).expect("small");
             let least = self.origin_reads.iter().map(|(.., rest)| *rest).min();
@@ -278,8 +284,8 @@
     }
 }
 
-fn check_spread(centres: usize, hosts: usize) {
-    let mut fleet = Fleet::new(centres, hosts, 7);
+fn check_spread(centres: usize, hosts: usize, tick: Duration) {
+    let mut fleet = Fleet::new(centres, hosts, tick);
     let within = HEARD_WITHIN + (ORIGIN_SPAN * CHUNKS).mul_f64(OVER_ORIGIN);
     fleet.run(within * 2);
     let whole = fleet.hosts.iter().filter(|host| host.whole_at.is_some());
@@ -307,11 +313,17 @@
 /// one host had read were not found by those that had to bring them into their data centres.
 #[test]
 fn a_version_reaches_hundreds_of_hosts_in_five_data_centres_in_time() {
-    check_spread(5, 28);
+    check_spread(5, 28, TICK);
 }
 
 /// Guards against a spread that serves a wide fleet and harms a small one.
 #[test]
 fn a_version_reaches_a_small_fleet_in_time() {
-    check_spread(3, 6);
+    check_spread(3, 6, TICK);
+}
+
+/// Guards against the same where hosts act on what comes at once.
+#[test]
+fn a_version_reaches_hundreds_of_quick_hosts_in_time() {
+    check_spread(5, 28, SHORT_TICK);
 }
