Log which backend server stopped a stream, and under which digest a request is known again

A request that crashed one engine after the other could not be told from engines that crash by themselves: no line named the backend server of a stream that was cut, and two attempts of one request had nothing in common. [1211] names the backend server; [1211] and [1202] with answer_cut carry the digest of host, path, client account and body. No decision changes.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -19,6 +19,8 @@
     1210,
     "the entry host begins or ceases to relay load reports",
 );
+pub(crate) const STREAM_CUT: LogEvent =
+    LogEvent::info(1211, "a backend server stopped in the middle of a stream");
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -33,4 +35,5 @@
     SERVING,
     REPORT_UNREADABLE,
     RELAY_CHANGED,
+    STREAM_CUT,
 ];
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -12,6 +12,7 @@
 use crate::fleet::{EngineWork, VersionNeed, WeightsVersion};
 use crate::overload::is_returned;
 use crate::platform::{PRIORITY_MAX, RequestHead};
+use crate::quarantine::{RequestDigest, RequestParts};
 use crate::routing::name_hash;
 use crate::sync::ControlSnapshot;
 use crate::time::ClockTime;
@@ -35,6 +36,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct RoutedRequest {
     pub(super) rule: Arc<RouteRule>,
+    /// The host that it names, in lower case.
+    pub(super) host: ByteString,
     pub(super) service: ByteString,
     pub(super) account: Option<ByteString>,
     pub(super) rank: u8,
@@ -60,6 +63,16 @@
         self.routed.rule.repeat
     }
 
+    /// What it has in common with other attempts of the same request.
+    pub(super) fn digest(&self) -> RequestDigest {
+        RequestDigest::of(RequestParts {
+            host: &self.routed.host,
+            path: self.uri.path(),
+            account: self.routed.account.as_deref(),
+            body: &self.body,
+        })
+    }
+
     /// How much of its time is left.
     pub(super) fn time_left(&self, now: ClockTime) -> Duration {
         self.deadline.since(now)
@@ -179,6 +192,7 @@
     })?;
     Ok(RoutedRequest {
         rule: rule.clone(),
+        host: host.into(),
         service,
         account: known.map(|account| account.name.clone()),
         rank: known.and_then(|account| account.rank).unwrap_or(rule.rank),
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -74,12 +74,19 @@
 /// A send brought no answer that counts.
 pub(super) fn log_send_failed(job: &RequestJob, backend: &str, why: ErrorKind, detail: &str) {
     metrics::count_retry(why);
-    log_event!(
-        events::SEND_FAILED,
-        "id={} backend={backend} reason={} detail=\"{detail}\"",
-        attempt_of(job),
-        answer_for(why).code
-    );
+    let (attempt, code) = (attempt_of(job), answer_for(why).code);
+    if why == ErrorKind::AnswerCut {
+        log_event!(
+            events::SEND_FAILED,
+            "id={attempt} request={} backend={backend} reason={code} detail=\"{detail}\"",
+            job.digest()
+        );
+    } else {
+        log_event!(
+            events::SEND_FAILED,
+            "id={attempt} backend={backend} reason={code} detail=\"{detail}\""
+        );
+    }
 }
 
 /// A request that waited at a backend server of older weights is taken back before their bound.
@@ -102,6 +109,17 @@
     );
 }
 
+/// A backend server stopped in the middle of a stream.
+pub(super) fn log_stream_cut(job: &RequestJob, backend: &str, event: Option<u64>, why: &str) {
+    metrics::count_event("stream_cut", 1);
+    log_event!(
+        events::STREAM_CUT,
+        "id={} request={} backend={backend} last_event={event:?} reason=\"{why}\"",
+        attempt_of(job),
+        job.digest()
+    );
+}
+
 /// A stream ended before its end.
 pub(super) fn log_broken(job: &RequestJob, event: Option<u64>, why: &str) {
     metrics::count_event("stream_broken", 1);
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -12,7 +12,7 @@
 use super::event_reader::EventReader;
 use super::forward::next_answer;
 use super::forwarder::Forwarder;
-use super::request_log::{log_broken, log_resumed, log_stream_end};
+use super::request_log::{log_broken, log_resumed, log_stream_cut, log_stream_end};
 use super::send_attempt::OpenAnswer;
 use crate::daemon::LiveGuard;
 use crate::fleet::CallEnd;
@@ -87,6 +87,8 @@
                 }
                 RelayStep::Cut(why) => {
                     if let Some(answer) = self.answer.take() {
+                        let backend = &answer.ticket.facts.id;
+                        log_stream_cut(&self.forwarder.job, backend, self.last_event, &why);
                         answer.ticket.end(CallEnd::Failed, clock_now());
                     }
                     if let Err(end) = self.resume(&why).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 mod operator;
 mod overload;
 mod platform;
+mod quarantine;
 mod replication;
 mod routing;
 mod settings;
