Test that fails: a request that crashes its backend servers is sent on and on

Four entry hosts, ten backend servers that crash 40 ms behind the beginning of one request and come back after 0.7 s, and that request every 60 ms at another entry host.

--- /dev/null
+++ b/src/gateway/tests/crashing_requests.rs
@@ -0,0 +1,251 @@
+//! A request that crashes each backend server that begins to run it, sent again and again to several entry
+//! hosts, beside requests that do no harm.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::BOUNDS;
+use super::fake_backend::{field, read_request};
+use crate::gateway::run_gateway;
+use crate::platform::samples::{ATTEMPT, DEADLINE, SEAL, plain_sample};
+use crate::platform::{
+    AccountSample, FakeStore, PlatformSettings, READY_PATH, TableName, document_text,
+};
+use crate::time::{ClockTime, clock_now};
+
+const ENTRIES: usize = 4;
+const BACKENDS: usize = 10;
+/// How long a harmless request takes, and how long the other one runs before it crashes its backend server.
+const WORK_SPAN: Duration = Duration::from_millis(150);
+const CRASH_SPAN: Duration = Duration::from_millis(40);
+/// How long a backend server stays away behind a crash.
+const DOWN_SPAN: Duration = Duration::from_millis(700);
+const DEADLY_PAUSE: Duration = Duration::from_millis(60);
+const HARMLESS_PAUSE: Duration = Duration::from_millis(25);
+/// By then, behind the third crash, every entry host knows the request.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+/// Sends that are allowed from then on.
+const SENDS_MAX: usize = 3;
+/// For how long the test looks on from then on.
+const WATCH_SPAN: Duration = Duration::from_secs(2);
+const READY_WITHIN: Duration = Duration::from_secs(20);
+const ANSWER_WITHIN: Duration = Duration::from_secs(5);
+const DEADLY_BODY: &str = "deadly";
+
+/// What the backend servers saw.
+#[derive(Default)]
+struct RunRecord {
+    /// When the deadly request arrived at any of them.
+    arrivals: Vec<ClockTime>,
+    /// When one of them crashed under it.
+    crashes: Vec<ClockTime>,
+}
+
+type SharedRecord = Arc<Mutex<RunRecord>>;
+
+/// A backend server that crashes.
+struct CrashingBackend {
+    number: usize,
+    store: FakeStore,
+    record: SharedRecord,
+}
+
+impl CrashingBackend {
+    /// It runs for as long as the test does.
+    async fn run(self) {
+        let mut address = SocketAddr::from(([127, 0, 0, 1], 0));
+        for born in 1.. {
+            let listener = TcpListener::bind(address)
+                .await
+                .expect("its address is free");
+            address = listener.local_addr().expect("it is bound");
+            let id = format!("i-{:02}", self.number);
+            let text = plain_sample((address, born));
+            self.store.put(TableName::Backends, &id, &text);
+            self.live(listener).await;
+            sleep(DOWN_SPAN).await;
+        }
+    }
+
+    /// Serves up to the next crash, which closes its port and all its connections at once.
+    async fn live(&self, listener: TcpListener) {
+        let crash = Arc::new(Notify::new());
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let (stream, _) = accepted.expect("it listens");
+                    connections.spawn(serve(stream, self.record.clone(), crash.clone()));
+                }
+                () = crash.notified() => return,
+            }
+        }
+    }
+}
+
+async fn serve(mut stream: TcpStream, record: SharedRecord, crash: Arc<Notify>) {
+    while let Some(request) = read_request(&mut stream).await {
+        let attempt = field(&request, ATTEMPT).unwrap_or_default();
+        if request.ends_with(DEADLY_BODY) {
+            lock(&record).arrivals.push(clock_now());
+            sleep(CRASH_SPAN).await;
+            lock(&record).crashes.push(clock_now());
+            crash.notify_one();
+            return std::future::pending().await;
+        }
+        sleep(WORK_SPAN).await;
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n{SEAL}: seal\r\ncontent-length: 2\r\n\r\nok"
+        );
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn lock(record: &SharedRecord) -> std::sync::MutexGuard<'_, RunRecord> {
+    record.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+    let address = listener.expect("a free port").local_addr();
+    address.expect("it is bound")
+}
+
+async fn free_datagram_port() -> u16 {
+    let socket = UdpSocket::bind(("127.0.0.1", 0)).await;
+    let address = socket.expect("a free port").local_addr();
+    address.expect("it is bound").port()
+}
+
+/// Starts an entry host and returns where it takes requests, as soon as it is ready.
+async fn start_entry(number: usize, store: &FakeStore) -> SocketAddr {
+    let callers = free_address().await;
+    let ready = free_address().await;
+    let settings = PlatformSettings {
+        host: format!("e{number}").into(),
+        ip: callers.ip(),
+        data_centre: "hall-a".into(),
+        caller_address: Some(callers),
+        ready_address: Some(ready),
+        control_address: Some(free_address().await),
+        metrics_address: None,
+        peer_port: free_datagram_port().await,
+        seeds: Vec::new(),
+        backend_address: None,
+        backend_service: None,
+        store_address: store.address,
+        link_bytes_per_s: 1e8,
+        bounds: BOUNDS,
+    };
+    tokio::spawn(run_gateway(settings));
+    let is_ready = async {
+        let question = format!("GET {READY_PATH} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n");
+        while status_of(ready, &question).await != Some(200) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(READY_WITHIN, is_ready)
+        .await
+        .expect("it gets ready");
+    callers
+}
+
+/// The status of the answer to a request on a connection of its own; none without an answer.
+async fn status_of(address: SocketAddr, request: &str) -> Option<u16> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.ok()?;
+        answer.split(' ').nth(1)?.parse().ok()
+    };
+    timeout(ANSWER_WITHIN, exchange).await.ok()?
+}
+
+fn request_of(attempt: &str, body: &str) -> String {
+    format!(
+        "POST /read/x HTTP/1.1\r\nhost: soak.example\r\n{ATTEMPT}: {attempt}\r\n{DEADLINE}: 3000\r\n\
+         authorization: Bearer key\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends one request after another, each to another entry host, until the task is dropped.
+async fn send_deadly(doors: Vec<SocketAddr>) {
+    for number in 0_usize.. {
+        let door = doors[number % doors.len()];
+        let request = request_of(&format!("d{number}"), DEADLY_BODY);
+        tokio::spawn(async move { status_of(door, &request).await });
+        sleep(DEADLY_PAUSE).await;
+    }
+}
+
+/// Sends different requests for `span`; returns the status of each.
+async fn send_harmless(doors: &[SocketAddr], span: Duration) -> Vec<Option<u16>> {
+    let until = clock_now() + span;
+    let mut calls = Vec::new();
+    for number in 0_usize.. {
+        if clock_now() >= until {
+            break;
+        }
+        let door = doors[number % doors.len()];
+        let body = format!("harmless {number} of {}", until.0);
+        let request = request_of(&format!("h{number}"), &body);
+        calls.push(tokio::spawn(async move { status_of(door, &request).await }));
+        sleep(HARMLESS_PAUSE).await;
+    }
+    let answers = futures::future::join_all(calls).await;
+    let answers = answers.into_iter();
+    answers.map(|answer| answer.expect("no panic")).collect()
+}
+
+async fn start_system(record: &SharedRecord) -> Vec<SocketAddr> {
+    let store = FakeStore::start().await;
+    let account = AccountSample {
+        name: "lodge",
+        keys: vec!["key".to_owned()],
+    };
+    let document = document_text(1, store.address, &[account]);
+    store.put(TableName::Operator, "config", &document);
+    for number in 0..BACKENDS {
+        let backend = CrashingBackend {
+            number,
+            store: store.clone(),
+            record: record.clone(),
+        };
+        tokio::spawn(backend.run());
+    }
+    let starts = (0..ENTRIES).map(|number| start_entry(number, &store));
+    futures::future::join_all(starts).await
+}
+
+/// Guards against a request that goes on to crash backend servers, whichever entry host it comes to, and
+/// against harmless ones that are refused because they ran beside it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_crashes_backend_servers_is_soon_sent_to_none() {
+    let record = SharedRecord::default();
+    let doors = start_system(&record).await;
+    let deadly = tokio::spawn(send_deadly(doors.clone()));
+    // Those of the time of the crashes may have lost every backend server that they were sent to.
+    send_harmless(&doors, KNOWN_WITHIN + DOWN_SPAN).await;
+    let answers = send_harmless(&doors, WATCH_SPAN).await;
+    deadly.abort();
+    let record = lock(&record);
+    let third = *record.crashes.get(2).expect("three crashes");
+    let known_at = third + KNOWN_WITHIN;
+    let late = record.arrivals.iter().filter(|at| **at > known_at);
+    let late = late.count();
+    let crashes = record.crashes.len();
+    assert!(late <= SENDS_MAX, "{late} sends, {crashes} crashes");
+    let lost = answers.iter().filter(|status| **status != Some(200));
+    assert_eq!(lost.count(), 0, "of {} harmless ones", answers.len());
+}
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -192,7 +192,7 @@
 }
 
 /// A whole request of `stream`, its body included; none when the other end closed.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(super) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut text = String::new();
     let mut buffer = [0; 4096];
     loop {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,4 +1,5 @@
 mod connection;
+mod crashing_requests;
 mod fake_backend;
 mod intake;
 mod resets;
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -79,6 +79,14 @@
     format!("{{{place},{telling},{held}}}")
 }
 
+/// The text of the entry of a serving backend server without an engine, of the incarnation that started at
+/// `born`.
+#[cfg(test)]
+pub(crate) fn plain_sample((address, born): (SocketAddr, u64)) -> String {
+    let place = format!("\"service\":\"plain\",\"address\":\"{address}\",\"zone\":\"hall-a\"");
+    format!("{{{place},\"slots\":16,\"state\":\"ready\",\"sequence\":1,\"born\":{born}}}")
+}
+
 #[cfg(test)]
 const fn state_word(phase: BackendPhase) -> &'static str {
     match phase {
