Do not suspect requests that were answered whole lately

Where all backend servers of a service fail at one moment, three of them can be under way there, and nothing could clear the request any more, since a quarantined one is sent nowhere: an account's calls refused for ten minutes. An entry host now remembers for 30 s what was answered whole; it neither suspects these at a crash nor refuses them, and clears what others hold against them. One that begins to do harm is noticed as much later.

a_request_that_was_answered_lately_is_not_suspected failed with either half taken out.

--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -1,7 +1,7 @@
 //! Finds out whether a backend server that closed connections in the middle of requests has crashed.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytestring::ByteString;
@@ -12,9 +12,9 @@
 use crate::events::log_event;
 use crate::fleet::{BackendFacts, BackendKey};
 use crate::metrics;
-use crate::quarantine::{BackendStart, RequestDigest};
+use crate::quarantine::{AnsweredLog, BackendStart, RequestDigest};
 use crate::sync::SharedBook;
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 
 /// For how long requests are gathered that were cut with the first one.
 const GATHER_SPAN: Duration = Duration::from_millis(20);
@@ -36,6 +36,7 @@
     book: SharedBook,
     /// The requests that were cut at backend servers that are probed now.
     cut: Arc<Mutex<Vec<CutRequest>>>,
+    answered: Arc<Mutex<AnsweredLog>>,
 }
 
 impl CrashWatch {
@@ -44,6 +45,7 @@
         Self {
             book,
             cut: Arc::default(),
+            answered: Arc::default(),
         }
     }
 
@@ -71,7 +73,9 @@
     ) {
         sleep(GATHER_SPAN).await;
         let is_refused = refuses(address).await;
-        let requests = self.take_cut(key);
+        let mut requests = self.take_cut(key);
+        let now = clock_now();
+        requests.retain(|request| !self.was_answered(*request, now));
         if is_refused {
             metrics::count_event("backend_crashed", 1);
             let shown: Vec<String> = requests.iter().map(ToString::to_string).collect();
@@ -81,7 +85,7 @@
                 shown.join(",")
             );
             self.book
-                .change(|book| book.note_crash(start, &requests, clock_now()));
+                .change(|book| book.note_crash(start, &requests, now));
         }
     }
 
@@ -95,9 +99,41 @@
         requests
     }
 
-    /// `request` was answered whole.
-    pub(super) fn clear(&self, request: RequestDigest) {
-        self.book.change(|book| book.clear_request(request));
+    /// `request` was answered whole at `now`.
+    pub(super) fn note_answered(&self, request: RequestDigest, now: ClockTime) {
+        self.lock_answered().push(request, now);
+        self.clear(request);
+    }
+
+    /// How long `request` is to be sent to no backend server from `now` on.
+    pub(super) fn quarantine(&self, request: RequestDigest, now: ClockTime) -> Option<Duration> {
+        let crashes = self.book.snapshot().load().crashes.clone();
+        let left = crashes.quarantine(request, now)?;
+        if self.was_answered(request, now) {
+            // Entry hosts that have not seen it answered hold it responsible.
+            self.clear(request);
+            return None;
+        }
+        Some(left)
+    }
+
+    /// Whether anything is held against any request.
+    pub(super) fn has_suspects(&self) -> bool {
+        !self.book.snapshot().load().crashes.is_empty()
+    }
+
+    fn clear(&self, request: RequestDigest) {
+        if self.book.snapshot().load().crashes.suspects(request) {
+            self.book.change(|book| book.clear_request(request));
+        }
+    }
+
+    fn was_answered(&self, request: RequestDigest, now: ClockTime) -> bool {
+        self.lock_answered().has(request, now)
+    }
+
+    fn lock_answered(&self) -> MutexGuard<'_, AnsweredLog> {
+        self.answered.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -194,7 +194,7 @@
                 clock_now(),
             );
             if answer.facts.is_framed {
-                forwarder.gateway.note_answered(job);
+                forwarder.gateway.note_answered(job, clock_now());
             }
             let reply = whole_reply(&answer, bytes);
             put_away(forwarder, answer);
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -160,21 +160,17 @@
         }
     }
 
-    /// A backend server answered `job` whole.
-    pub(super) fn note_answered(&self, job: &RequestJob) {
-        let crashes = self.newest().crashes.clone();
-        if !crashes.is_empty() && crashes.suspects(job.digest()) {
-            self.crashes.clear(job.digest());
-        }
+    /// A backend server answered `job` whole at `now`.
+    pub(super) fn note_answered(&self, job: &RequestJob, now: ClockTime) {
+        self.crashes.note_answered(job.digest(), now);
     }
 
     /// How long `job` is to be sent to no backend server, because they crash under it.
     pub(super) fn quarantine(&self, job: &RequestJob, now: ClockTime) -> Option<Duration> {
-        let crashes = self.newest().crashes.clone();
-        if crashes.is_empty() {
+        if !self.crashes.has_suspects() {
             return None;
         }
-        crashes.quarantine(job.digest(), now)
+        self.crashes.quarantine(job.digest(), now)
     }
 
     /// A request for `service` came in, which earns part of a second send.
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -220,7 +220,7 @@
         };
         let job = &self.forwarder.job;
         if answer.facts.is_framed {
-            self.forwarder.gateway.note_answered(job);
+            self.forwarder.gateway.note_answered(job, clock_now());
         }
         let backend = &answer.ticket.facts.id;
         let answered = (answer.facts.status, answer.facts.version);
--- a/src/gateway/tests/crash_watch.rs
+++ b/src/gateway/tests/crash_watch.rs
@@ -10,7 +10,7 @@
 use crate::fleet::{BackendKey, SharedDesk, VersionNeed};
 use crate::gateway::crash_watch::{CrashWatch, CutRequest};
 use crate::overload::EntryPlace;
-use crate::quarantine::{RequestDigest, RequestParts};
+use crate::quarantine::{AnsweredLog, BackendStart, RequestDigest, RequestParts};
 use crate::sync::SharedBook;
 use crate::time::{ClockTime, clock_now};
 
@@ -79,6 +79,54 @@
     suspects.count()
 }
 
+async fn closed_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+    let address = listener.expect("a free port").local_addr();
+    address.expect("it is bound")
+}
+
+/// Guards against a call that recurs all day and is refused because all backend servers of its service failed at
+/// once.
+#[tokio::test]
+async fn a_request_that_was_answered_lately_is_not_suspected() {
+    let book = SharedBook::default();
+    let watch = CrashWatch::new(book.clone());
+    let request = request(b"");
+    let now = clock_now();
+    watch.note_answered(request, now);
+    let backend = facts(closed_address().await);
+    let cut = CutRequest {
+        key: key_of(&backend),
+        request,
+    };
+    watch.note_cut(cut, &backend);
+    sleep(PROBE_SPAN).await;
+    assert!(!book.snapshot().load().crashes.suspects(request));
+    // Another entry host, to which no such call had come before.
+    for backend in 1..=3 {
+        book.change(|book| book.note_crash(BackendStart(backend), &[request], now));
+    }
+    assert_eq!(watch.quarantine(request, now), None);
+    assert!(!book.snapshot().load().crashes.suspects(request));
+}
+
+/// Guards against a request that is held harmless for good because it once was.
+#[test]
+fn an_answer_speaks_for_a_request_for_a_while_only() {
+    let mut log = AnsweredLog::default();
+    let now = clock_now();
+    log.push(request(b"one"), now);
+    for number in 0..3000_u32 {
+        log.push(request(&number.to_be_bytes()), now + Duration::from_secs(1));
+    }
+    assert!(log.has(request(b"one"), now + Duration::from_secs(29)));
+    assert!(!log.has(request(b"one"), now + Duration::from_secs(30)));
+    for number in 0..3000_u32 {
+        log.push(request(&number.to_be_bytes()), now + Duration::from_secs(2));
+    }
+    assert!(!log.has(request(b"one"), now + Duration::from_secs(2)));
+}
+
 /// Guards against requests that are held responsible for connections that were reset on their way.
 #[tokio::test]
 async fn a_reset_connection_is_no_crash() {
@@ -91,9 +139,5 @@
 /// Guards against a crash that only one of several requests is held responsible for.
 #[tokio::test]
 async fn all_requests_that_were_cut_by_a_crash_are_suspected() {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
-    let address = listener.expect("a free port").local_addr();
-    // Nobody listens there from here on.
-    let address = address.expect("it is bound");
-    assert_eq!(suspects_at(address).await, 2);
+    assert_eq!(suspects_at(closed_address().await).await, 2);
 }
