--- a/src/sync/tests/crashes.rs
+++ b/src/sync/tests/crashes.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::restarts::EntryProcess;
+use super::store_gate::{GateHarm, StoreGate};
 use crate::platform::samples::{backend_sample, document_sample};
 use crate::platform::{FakeStore, TableName};
 use crate::quarantine::{BackendStart, RequestDigest, RequestParts};
@@ -17,6 +18,8 @@
 
 /// Within this every entry host knows what one of them saw.
 const KNOWN_WITHIN: Duration = Duration::from_secs(2);
+/// Within this behind a cut an entry host knows and tells everything.
+const CONTACT_SPAN: Duration = Duration::from_secs(3);
 /// Requests of an entry host that asks a neighbour, which is held open until there is news.
 const SETTLE_SPAN: Duration = Duration::from_secs(3);
 
@@ -61,15 +64,20 @@
 }
 
 async fn start_entry(name: &str, store: &FakeStore) -> TestEntry {
+    start_entry_at(name, "a", store.address).await
+}
+
+/// Starts an entry host of `data_centre` that reaches the store at `store`.
+async fn start_entry_at(name: &str, data_centre: &'static str, store: SocketAddr) -> TestEntry {
     let control = free_address().await;
     let process = EntryProcess::start_with(SyncSettings {
         me: EntryRecord {
             host: name.into(),
-            data_centre: "a".into(),
+            data_centre: data_centre.into(),
             control,
             reports: control,
         },
-        store_address: store.address,
+        store_address: store,
         seeds: Vec::new(),
     });
     process
@@ -149,6 +157,28 @@
     }
 }
 
+/// Guards against an entry host whose way to the store went silent and that learns nothing, or tells nothing, in
+/// the seconds behind it.
+#[tokio::test]
+async fn an_entry_host_that_was_cut_off_catches_up() {
+    let store = store_in_use().await;
+    let gate = StoreGate::start(store.address).await;
+    let near = start_entry("e1", &store).await;
+    let far = start_entry_at("e2", "b", gate.address).await;
+    sleep(SETTLE_SPAN).await;
+    gate.set(GateHarm::Silent);
+    sleep(SETTLE_SPAN).await;
+    for backend in 1..=3 {
+        see_crash(&near, backend, b"near");
+        see_crash(&far, backend, b"far");
+    }
+    // Its neighbours tell it, whatever becomes of its own way.
+    learns(&far, b"near").await;
+    gate.set(GateHarm::None);
+    let learning = near.believes(|snapshot| has_quarantined(snapshot, b"far"));
+    timeout(CONTACT_SPAN, learning).await.expect("it learns");
+}
+
 /// Guards against a watch that stops for good where the store forgets its history, and against rows of other
 /// writers that hide those of entry hosts.
 #[tokio::test]
