Test that fails: a backend server gets more requests than the rate that it names

Four entry hosts before two backend servers, one of which names two requests a second for nine seconds, and 50 requests a second. The set-up of entry hosts is shared with the test of crashing requests.

--- a/src/gateway/tests/crashing_requests.rs
+++ b/src/gateway/tests/crashing_requests.rs
@@ -5,19 +5,16 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use super::BOUNDS;
+use super::entry_system::{request_of, start_entries, start_store, status_of};
 use super::fake_backend::{field, read_request};
-use crate::gateway::run_gateway;
-use crate::platform::samples::{ATTEMPT, DEADLINE, SEAL, plain_sample};
-use crate::platform::{
-    AccountSample, FakeStore, PlatformSettings, READY_PATH, TableName, document_text,
-};
+use crate::platform::samples::{ATTEMPT, SEAL, plain_sample};
+use crate::platform::{FakeStore, TableName};
 use crate::time::{ClockTime, clock_now};
 
 const ENTRIES: usize = 4;
@@ -35,8 +32,6 @@
 const SENDS_MAX: usize = 3;
 /// For how long the test looks on from then on.
 const WATCH_SPAN: Duration = Duration::from_secs(2);
-const READY_WITHIN: Duration = Duration::from_secs(20);
-const ANSWER_WITHIN: Duration = Duration::from_secs(5);
 const DEADLY_BODY: &str = "deadly";
 
 /// What the backend servers saw.
@@ -114,71 +109,6 @@
     record.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
-    let address = listener.expect("a free port").local_addr();
-    address.expect("it is bound")
-}
-
-async fn free_datagram_port() -> u16 {
-    let socket = UdpSocket::bind(("127.0.0.1", 0)).await;
-    let address = socket.expect("a free port").local_addr();
-    address.expect("it is bound").port()
-}
-
-/// Starts an entry host and returns where it takes requests, as soon as it is ready.
-async fn start_entry(number: usize, store: &FakeStore) -> SocketAddr {
-    let callers = free_address().await;
-    let ready = free_address().await;
-    let settings = PlatformSettings {
-        host: format!("e{number}").into(),
-        ip: callers.ip(),
-        data_centre: "hall-a".into(),
-        caller_address: Some(callers),
-        ready_address: Some(ready),
-        control_address: Some(free_address().await),
-        metrics_address: None,
-        peer_port: free_datagram_port().await,
-        seeds: Vec::new(),
-        backend_address: None,
-        backend_service: None,
-        store_address: store.address,
-        link_bytes_per_s: 1e8,
-        bounds: BOUNDS,
-    };
-    tokio::spawn(run_gateway(settings));
-    let is_ready = async {
-        let question = format!("GET {READY_PATH} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n");
-        while status_of(ready, &question).await != Some(200) {
-            sleep(Duration::from_millis(20)).await;
-        }
-    };
-    timeout(READY_WITHIN, is_ready)
-        .await
-        .expect("it gets ready");
-    callers
-}
-
-/// The status of the answer to a request on a connection of its own; none without an answer.
-async fn status_of(address: SocketAddr, request: &str) -> Option<u16> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await.ok()?;
-        stream.write_all(request.as_bytes()).await.ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.ok()?;
-        answer.split(' ').nth(1)?.parse().ok()
-    };
-    timeout(ANSWER_WITHIN, exchange).await.ok()?
-}
-
-fn request_of(attempt: &str, body: &str) -> String {
-    format!(
-        "POST /read/x HTTP/1.1\r\nhost: soak.example\r\n{ATTEMPT}: {attempt}\r\n{DEADLINE}: 3000\r\n\
-         authorization: Bearer key\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 /// Sends one request after another, each to another entry host, until the task is dropped.
 async fn send_deadly(doors: Vec<SocketAddr>) {
     for number in 0_usize.. {
@@ -209,13 +139,7 @@
 }
 
 async fn start_system(record: &SharedRecord) -> Vec<SocketAddr> {
-    let store = FakeStore::start().await;
-    let account = AccountSample {
-        name: "lodge",
-        keys: vec!["key".to_owned()],
-    };
-    let document = document_text(1, store.address, &[account]);
-    store.put(TableName::Operator, "config", &document);
+    let store = start_store().await;
     for number in 0..BACKENDS {
         let backend = CrashingBackend {
             number,
@@ -224,8 +148,7 @@
         };
         tokio::spawn(backend.run());
     }
-    let starts = (0..ENTRIES).map(|number| start_entry(number, &store));
-    futures::future::join_all(starts).await
+    start_entries(ENTRIES, &store).await
 }
 
 /// Guards against a request that goes on to crash backend servers, whichever entry host it comes to, and
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,8 +1,10 @@
 mod connection;
 mod crash_watch;
 mod crashing_requests;
+mod entry_system;
 mod fake_backend;
 mod intake;
+mod rate_limits;
 mod resets;
 mod sends;
 mod take_back;
--- /dev/null
+++ b/src/gateway/tests/rate_limits.rs
@@ -0,0 +1,137 @@
+//! A backend server that names in its answers how many requests a second it takes from all entry hosts.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use super::entry_system::{request_of, start_entries, start_store, status_of};
+use super::fake_backend::{field, read_request};
+use crate::platform::samples::{ATTEMPT, RATE_LIMIT, SEAL, plain_sample};
+use crate::platform::{FakeStore, TableName};
+use crate::time::{ClockTime, clock_now};
+
+const ENTRIES: usize = 4;
+/// Requests a second.
+const LIMIT: u32 = 2;
+const WORK_SPAN: Duration = Duration::from_millis(20);
+const REQUEST_PAUSE: Duration = Duration::from_millis(20);
+/// How long the limit is named.
+const LIMITED_SPAN: Duration = Duration::from_secs(9);
+/// By then, behind its first word, every entry host goes by it.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+const WINDOW: Duration = Duration::from_secs(4);
+/// For how long the test looks on when the limit is no longer named, and within what part of it the backend
+/// server is in full use again.
+const FREE_SPAN: Duration = Duration::from_secs(5);
+const FREE_WITHIN: Duration = Duration::from_secs(3);
+
+/// A backend server that is in need until a given time.
+#[derive(Clone)]
+struct LimitedBackend {
+    limited_until: ClockTime,
+    arrivals: Arc<Mutex<Vec<ClockTime>>>,
+}
+
+impl LimitedBackend {
+    async fn start(id: &str, store: &FakeStore, limited_until: ClockTime) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+        let listener = listener.expect("a free port");
+        let address: SocketAddr = listener.local_addr().expect("it is bound");
+        store.put(TableName::Backends, id, &plain_sample((address, 1)));
+        let backend = Self {
+            limited_until,
+            arrivals: Arc::default(),
+        };
+        let serving = backend.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(stream));
+            }
+        });
+        backend
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        while let Some(request) = read_request(&mut stream).await {
+            self.lock().push(clock_now());
+            let attempt = field(&request, ATTEMPT).unwrap_or_default();
+            sleep(WORK_SPAN).await;
+            let limit = if clock_now() < self.limited_until {
+                format!("{RATE_LIMIT}: {LIMIT}.0\r\n")
+            } else {
+                String::new()
+            };
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n{SEAL}: seal\r\n{limit}content-length: 2\r\n\r\nok"
+            );
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<ClockTime>> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many requests it got from `from` to `to`.
+    fn count(&self, from: ClockTime, to: ClockTime) -> usize {
+        let arrivals = self.lock();
+        arrivals.iter().filter(|at| (from..to).contains(at)).count()
+    }
+
+    /// The most that it got in any window that begins at `from` or later and ends by `to`.
+    fn most(&self, from: ClockTime, to: ClockTime) -> usize {
+        let starts = self.lock().clone();
+        let starts = starts.into_iter().filter(|at| *at >= from);
+        let counts = starts.map(|at| self.count(at, (at + WINDOW).min(to)));
+        counts.max().unwrap_or(0)
+    }
+}
+
+/// Sends requests to all entry hosts in turn for `span`; returns how many were not answered.
+async fn send_for(doors: &[SocketAddr], span: Duration) -> usize {
+    let until = clock_now() + span;
+    let mut calls = Vec::new();
+    for number in 0_usize.. {
+        if clock_now() >= until {
+            break;
+        }
+        let door = doors[number % doors.len()];
+        let request = request_of(&format!("a{number}"), &format!("{number}"));
+        calls.push(tokio::spawn(async move { status_of(door, &request).await }));
+        sleep(REQUEST_PAUSE).await;
+    }
+    let answers = futures::future::join_all(calls).await;
+    let lost = answers
+        .iter()
+        .filter(|answer| !matches!(answer, Ok(Some(200))));
+    lost.count()
+}
+
+/// Guards against entry hosts that each take the whole of a rate that a backend server named for all of them, and
+/// against ones that keep to it when it is no longer named.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_backend_server_gets_the_rate_that_it_names() {
+    let store = start_store().await;
+    let doors = start_entries(ENTRIES, &store).await;
+    let limited_until = clock_now() + LIMITED_SPAN;
+    let limited = LimitedBackend::start("i-1", &store, limited_until).await;
+    let other = LimitedBackend::start("i-2", &store, ClockTime(0)).await;
+    sleep(Duration::from_secs(1)).await;
+    let lost = send_for(&doors, LIMITED_SPAN).await;
+    send_for(&doors, FREE_SPAN).await;
+    assert_eq!(lost, 0, "the other one has room for all");
+    let known_at = limited.lock()[0] + KNOWN_WITHIN;
+    let most = limited.most(known_at, limited_until);
+    let allowed = 4 * 3 * LIMIT as usize / 2 + 5;
+    assert!(most <= allowed, "{most} in {WINDOW:?}, {allowed} allowed");
+    assert!(most > LIMIT as usize, "{most}: what it takes is not used");
+    let free_at = limited_until + FREE_WITHIN;
+    let counts = [&limited, &other].map(|backend| backend.count(free_at, free_at + FREE_SPAN));
+    assert!(counts[0] * 4 > counts[1], "it stays unused: {counts:?}");
+}
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -26,6 +26,9 @@
 pub(crate) const TOKENS: &str = "savoryswitch-token-usage";
 /// The backend server that is meant.
 pub(crate) const TARGET_ID: &str = "savoryswitch-target-instance";
+/// How many requests a second a backend server takes from all entry hosts together.
+#[cfg(test)]
+pub(crate) const RATE_LIMIT: &str = "server-limit";
 /// The client account.
 pub(crate) const ACCOUNT: &str = "savoryswitch-tenant";
 
