Keep to the rate that a backend server names, over all entry hosts together

Callers saw: an engine in need that named 1.8 and 1 requests a second got 25 and 20 in four seconds and got no better.

Cause: the header field was not read by anything. The class: a limit that holds for all entry hosts together, of which each hears by itself and at its own time, also of its end.

Now the field is read, and time is divided into turns on the store's clock, of which each belongs to one entry host of the backend server's data centre by rendezvous hashing; a request goes there only in a turn that is its entry host's and unused, within a second. Any window has so many turns, however many entry hosts there are, whatever they saved up, and however their clocks differ. Limits, and their ends, are told to the other entry hosts, so that those that send nothing there know. A limit ends by an answer to a request that was sent behind its last word, with the incarnation, or after 30 s without a word.

Ruled out: an even part for each entry host (all may have one saved up; the bound grows with entry hosts), a word for each send (wrong at once in a cut).

--- a/src/fleet/backend_desk.rs
+++ b/src/fleet/backend_desk.rs
@@ -12,10 +12,13 @@
 use super::backend_record::{BackendRecord, CallEnd};
 use super::events;
 use super::pick::{PickNeed, PickPlace, PickRefusal, pick};
+use super::request_limit::{LimitTurn, LimitWord};
+use super::turn_sharers::TurnSharers;
 use crate::derives::key;
 use crate::events::log_event;
 use crate::overload::EntryPlace;
-use crate::time::{ClockTime, WallTime};
+use crate::sync::StoreClock;
+use crate::time::{ClockTime, StoreTime, WallTime};
 
 /// Incarnations that are remembered at a time; beyond that, those of listed backend servers only. Twice
 /// the largest deployment that is planned.
@@ -43,6 +46,8 @@
     pub(super) version: Option<WeightsVersion>,
     /// Tokens of the request's prompt.
     pub(super) unread: u32,
+    /// When it was chosen.
+    pub(super) asked: StoreTime,
 }
 
 /// The desk: one record for each backend server that was ever known to this process.
@@ -51,6 +56,9 @@
     pub(super) me: EntryPlace,
     /// How many other entry hosts the data centre has.
     pub(super) peers: u32,
+    /// Which entry hosts share the backend servers that name a rate.
+    pub(super) turns: TurnSharers,
+    clock: StoreClock,
     /// A record goes when the backend server does and nothing is under way there.
     records: Vec<Option<BackendRecord>>,
     /// Sorted by id.
@@ -66,8 +74,10 @@
 
 impl BackendDesk {
     /// An empty desk of the entry host `me`.
-    pub(crate) const fn new(me: EntryPlace) -> Self {
+    pub(crate) fn new(me: EntryPlace) -> Self {
         Self {
+            turns: TurnSharers::new(&me, &[]),
+            clock: StoreClock::default(),
             me,
             peers: 0,
             records: Vec::new(),
@@ -77,6 +87,11 @@
         }
     }
 
+    /// Takes over what is known of the store's clock.
+    pub(crate) const fn set_clock(&mut self, clock: StoreClock) {
+        self.clock = clock;
+    }
+
     /// Takes over a new view of the backend servers.
     pub(crate) fn set_fleet(&mut self, fleet: &FleetView) {
         let mut gone: Vec<(ByteString, BackendKey)> = Vec::new();
@@ -219,15 +234,23 @@
         let place = PickPlace {
             data_centre: &self.me.data_centre,
             peers: self.peers,
+            turns: &self.turns,
+            clock: self.clock,
         };
         let key = pick(listed, need, &place, (now, jitter))?;
+        let turn = self.get(key).map(|record| record.turn(&place, now));
+        let asked = self.clock.time(now);
         let unread = need.work.map_or(0, |work| work.prompt_tokens);
         let record = self.get_mut(key).ok_or(PickRefusal::Nobody)?;
         record.breaker.note_passed(now);
         record.note_sent(unread);
+        if let Some(LimitTurn::Open(begun)) = turn {
+            record.limit.note_used(begun);
+        }
         Ok(PickedBackend {
             key,
             unread,
+            asked,
             facts: record.facts.clone(),
             version: need.version.held_by(record),
         })
@@ -275,6 +298,35 @@
         }
     }
 
+    /// Another entry host told of a limit.
+    pub(crate) fn take_limit(&mut self, word: &LimitWord) {
+        let Some(key) = self.serving_at(word.address) else {
+            return;
+        };
+        if let Some(record) = self.get_mut(key)
+            && WordOrder::of(word.born, record.facts.born) == WordOrder::Same
+            && record.limit.take_word(word)
+        {
+            log_limit(record, word.rate);
+        }
+    }
+
+    /// What other entry hosts are to be told of limits at `now`.
+    pub(crate) fn take_untold_limits(&mut self, now: ClockTime) -> Vec<LimitWord> {
+        let now = self.clock.time(now);
+        let records = self.records.iter_mut().flatten();
+        let words = records.filter_map(|record| {
+            let (rate, at) = record.limit.take_untold(now)?;
+            Some(LimitWord {
+                address: record.facts.address,
+                born: record.facts.born,
+                rate,
+                at,
+            })
+        });
+        words.collect()
+    }
+
     /// The newest backend server at `address`: an earlier one may still be listed.
     fn serving_at(&self, address: SocketAddr) -> Option<BackendKey> {
         let keys = self.by_id.iter().map(|(_, key)| *key);
@@ -296,6 +348,11 @@
     }
 }
 
+fn log_limit(record: &BackendRecord, rate: Option<f64>) {
+    let id = &record.facts.id;
+    log_event!(events::BACKEND_LIMITED, "backend={id} rate={rate:?}");
+}
+
 /// The desk as requests share it.
 #[derive(Clone, Debug)]
 pub(crate) struct SharedDesk {
@@ -332,6 +389,7 @@
             facts: picked.facts,
             version: picked.version,
             unread: picked.unread,
+            asked: picked.asked,
             is_ended: false,
         })
     }
@@ -349,6 +407,8 @@
     pub(crate) version: Option<WeightsVersion>,
     /// Tokens of its prompt that count as unread there.
     unread: u32,
+    /// When it was chosen.
+    asked: StoreTime,
     is_ended: bool,
 }
 
@@ -361,6 +421,17 @@
         }
     }
 
+    /// Its answer, which came at `now`, names `rate`, or no limit.
+    pub(crate) fn note_limit(&self, rate: Option<f64>, now: ClockTime) {
+        let mut desk = self.desk.lock();
+        let now = desk.clock.time(now);
+        if let Some(record) = desk.get_mut(self.key)
+            && record.limit.note_answer(rate, self.asked, now)
+        {
+            log_limit(record, rate);
+        }
+    }
+
     /// The call ended.
     pub(crate) fn end(mut self, end: CallEnd, now: ClockTime) {
         self.note_begun();
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -7,6 +7,7 @@
 
 use super::backend_facts::{BackendFacts, EngineHoldings, LoadReport, LoadWord};
 use super::pick::PickPlace;
+use super::request_limit::{LimitTurn, RequestLimit};
 use crate::derives::{key, plain};
 use crate::overload::{EnginePlace, usual_pace};
 use crate::routing::CircuitBreaker;
@@ -76,6 +77,8 @@
     pub(super) breaker: CircuitBreaker,
     rest_until: ClockTime,
     fresh_until: ClockTime,
+    /// How many requests a second it takes from all entry hosts together.
+    pub(super) limit: RequestLimit,
 }
 
 impl BackendRecord {
@@ -92,6 +95,7 @@
             breaker: CircuitBreaker::default(),
             rest_until: ClockTime(0),
             fresh_until: ClockTime(0),
+            limit: RequestLimit::default(),
         }
     }
 
@@ -172,6 +176,16 @@
         !self.is_loading(now) && self.rest_until <= now && self.breaker.lets_pass(now)
     }
 
+    /// Whether its limit leaves a request at `now` to this entry host.
+    pub(super) fn turn(&self, place: &PickPlace<'_>, now: ClockTime) -> LimitTurn {
+        let now = place.clock.time(now);
+        if self.limit.rate(now).is_none() {
+            return LimitTurn::Unlimited;
+        }
+        let share = place.turns.share(&self.facts);
+        self.limit.open_turn(&share, now)
+    }
+
     /// Whether a connection that was used before is to be avoided.
     pub(crate) fn wants_fresh(&self, now: ClockTime) -> bool {
         now < self.fresh_until
--- a/src/fleet/desk_share.rs
+++ b/src/fleet/desk_share.rs
@@ -3,6 +3,7 @@
 use bytestring::ByteString;
 
 use super::backend_desk::BackendDesk;
+use super::turn_sharers::TurnSharers;
 use crate::overload::{EntryPlace, EntryShare};
 
 impl BackendDesk {
@@ -11,6 +12,7 @@
         let me = self.me.clone();
         let share = EntryShare::new(&me, entries);
         self.peers = share.peers();
+        self.turns = TurnSharers::new(&me, entries);
         // How many were met so far, by service and data centre.
         let mut met: Vec<((ByteString, ByteString), usize)> = Vec::new();
         for at in 0..self.by_id.len() {
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -14,6 +14,11 @@
     "a backend server started again; nothing of before counts",
 );
 
+pub(crate) const BACKEND_LIMITED: LogEvent = LogEvent::info(
+    1005,
+    "a backend server names how many requests a second it takes, or no longer does",
+);
+
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
     BACKEND_ADDED,
@@ -21,4 +26,5 @@
     BACKEND_REMOVED,
     BACKEND_RESTED,
     BACKEND_RESTARTED,
+    BACKEND_LIMITED,
 ];
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,9 +7,11 @@
 mod desk_share;
 pub(crate) mod events;
 mod pick;
+mod request_limit;
 mod retry_purse;
 #[cfg(test)]
 mod tests;
+mod turn_sharers;
 
 pub(crate) use backend_desk::{BackendDesk, BackendKey, BackendTicket, SharedDesk};
 pub(crate) use backend_facts::{
@@ -18,4 +20,5 @@
 };
 pub(crate) use backend_record::CallEnd;
 pub(crate) use pick::{EngineWork, PickNeed, PickRefusal, VersionNeed};
+pub(crate) use request_limit::{LimitWord, is_rate};
 pub(crate) use retry_purse::{PurseLimits, RetryPurse};
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -8,9 +8,12 @@
 use super::backend_desk::BackendKey;
 use super::backend_facts::{BackendPhase, WeightsVersion};
 use super::backend_record::BackendRecord;
+use super::request_limit::LimitTurn;
+use super::turn_sharers::TurnSharers;
 use crate::derives::{key, plain};
 use crate::errors::ErrorKind;
 use crate::overload::{EnginePlace, EngineSpeed};
+use crate::sync::StoreClock;
 use crate::time::ClockTime;
 
 /// One place in so many stays free for new requests before returned ones.
@@ -160,6 +163,9 @@
     pub(super) data_centre: &'a str,
     /// How many other entry hosts the data centre has.
     pub(super) peers: u32,
+    /// Who shares backend servers that name a rate, and the clock that tells whose turn it is.
+    pub(super) turns: &'a TurnSharers,
+    pub(super) clock: StoreClock,
 }
 
 impl PickPlace<'_> {
@@ -191,7 +197,8 @@
         }
         has_any = true;
         let load = record.load(now);
-        if !record.is_open(now) || load >= need.places_at(record) {
+        let is_free = record.is_open(now) && load < need.places_at(record);
+        if !is_free || record.turn(place, now) == LimitTurn::Others {
             continue;
         }
         let engine = record.place(place, now);
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,5 +1,6 @@
 mod herds;
 mod incarnations;
+mod request_limits;
 mod uneven_entries;
 
 use std::sync::Arc;
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -11,8 +11,8 @@
 use super::request_job::RequestJob;
 use crate::daemon::DrainState;
 use crate::fleet::{
-    BackendDesk, BackendKey, BackendPhase, BackendTicket, LoadReport, PurseLimits, RetryPurse,
-    SharedDesk,
+    BackendDesk, BackendKey, BackendPhase, BackendTicket, LimitWord, LoadReport, PurseLimits,
+    RetryPurse, SharedDesk,
 };
 use crate::overload::EntryPlace;
 use crate::platform::TimeBounds;
@@ -83,6 +83,7 @@
         if !is_seen {
             let retired = {
                 let mut desk = self.desk.lock();
+                desk.set_clock(newest.clock);
                 desk.set_fleet(&newest.fleet);
                 desk.share_among(&entry_places(&newest));
                 desk.take_retired()
@@ -144,6 +145,19 @@
         self.freed.notify_waiters();
     }
 
+    /// Another entry host told of limits.
+    pub(super) fn take_limits(&self, words: &[LimitWord]) {
+        let mut desk = self.desk.lock();
+        for word in words {
+            desk.take_limit(word);
+        }
+    }
+
+    /// What other entry hosts are to be told of limits at `now`.
+    pub(super) fn take_untold_limits(&self, now: ClockTime) -> Vec<LimitWord> {
+        self.desk.lock().take_untold_limits(now)
+    }
+
     /// The backend server of `ticket` closed the connection in the middle of `job`.
     pub(super) fn note_cut(&self, job: &RequestJob, ticket: &BackendTicket) {
         let backend = {
--- a/src/gateway/report_relay.rs
+++ b/src/gateway/report_relay.rs
@@ -13,14 +13,17 @@
 use super::gateway_state::GatewayState;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
+use crate::fleet::LimitWord;
 use crate::load_reports::{
-    DigestQueue, DigestReach, LEASE_RENEWAL, LoadDigest, ReportDatagram, ReportLease,
+    DigestQueue, DigestReach, LEASE_RENEWAL, LimitDigest, LoadDigest, ReportDatagram, ReportLease,
 };
 use crate::sync::{ControlSnapshot, EntryRecord, SharedBook, ViewBook};
 use crate::time::{ClockTime, clock_now};
 use crate::transport::{decode_message, encode_datagram};
 
 const DATAGRAM_BYTES_MAX: usize = 8 * 1024;
+/// Limits in a datagram at most; with some 40 bytes each it fits into one packet of 1,500 bytes.
+const LIMITS_MAX: usize = 32;
 
 /// What the relay works with.
 pub(super) struct ReportRelay {
@@ -77,6 +80,7 @@
             if now >= renewal {
                 renewal = now + LEASE_RENEWAL;
                 self.renew_leases().await;
+                self.tell_limits(now).await;
             }
             self.send_due(now).await;
         }
@@ -94,13 +98,43 @@
             Ok(ReportDatagram::Digest(digest)) => {
                 self.gateway.note_reports(digest.unpack(), now);
                 if digest.reach == DigestReach::DataCentre {
-                    self.send_near(digest.for_receivers()).await;
+                    let digest = digest.for_receivers();
+                    self.send_near(&ReportDatagram::Digest(digest)).await;
+                }
+            }
+            Ok(ReportDatagram::Limits(digest)) => {
+                self.gateway.take_limits(&digest.words);
+                if digest.reach == DigestReach::DataCentre {
+                    self.send_limits_near(digest.words).await;
                 }
             }
             Err(error) => log_event!(events::REPORT_UNREADABLE, "from {peer}: {error}"),
         }
     }
 
+    /// Tells the other entry hosts which limits were heard of since the last time.
+    ///
+    /// One that sends elsewhere hears of no limit, nor of its end.
+    async fn tell_limits(&self, now: ClockTime) {
+        for words in self.gateway.take_untold_limits(now).chunks(LIMITS_MAX) {
+            self.send_limits_near(words.to_vec()).await;
+            let digest = LimitDigest {
+                reach: DigestReach::DataCentre,
+                words: words.to_vec(),
+            };
+            let snapshot = self.gateway.newest();
+            let receivers = one_of_each(&snapshot.entries, &self.me.data_centre);
+            self.send_to_all(&ReportDatagram::Limits(digest), &receivers)
+                .await;
+        }
+    }
+
+    async fn send_limits_near(&self, words: Vec<LimitWord>) {
+        let reach = DigestReach::Receiver;
+        let digest = LimitDigest { reach, words };
+        self.send_near(&ReportDatagram::Limits(digest)).await;
+    }
+
     /// Entry hosts that read the store are relays as well: the same order among them, and the same
     /// neighbours take their place.
     async fn renew_leases(&mut self) {
@@ -123,21 +157,20 @@
     async fn send_due(&mut self, now: ClockTime) {
         for digest in self.queue.take_due(now) {
             match digest.reach {
-                DigestReach::Receiver => self.send_near(digest).await,
+                DigestReach::Receiver => self.send_near(&ReportDatagram::Digest(digest)).await,
                 DigestReach::DataCentre => self.send_far(digest).await,
             }
         }
     }
 
     /// To the other entry hosts of this data centre.
-    async fn send_near(&self, digest: LoadDigest) {
+    async fn send_near(&self, datagram: &ReportDatagram) {
         let snapshot = self.gateway.newest();
         let others = snapshot.entries.iter().filter(|entry| {
             entry.data_centre == self.me.data_centre && entry.reports != self.me.reports
         });
         let others: Vec<SocketAddr> = others.map(|entry| entry.reports).collect();
-        self.send_to_all(&ReportDatagram::Digest(digest), &others)
-            .await;
+        self.send_to_all(datagram, &others).await;
     }
 
     /// To one entry host of each other data centre. Another one each time, as any of them may be gone.
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -243,6 +243,12 @@
             .ticket
             .with_record(|record| record.note_load(load, now));
     }
+    if !matches!(
+        answer.facts.word,
+        AnswerWord::Foreign | AnswerWord::Replaced
+    ) {
+        answer.ticket.note_limit(answer.facts.rate_limit, now);
+    }
     let (kind, end) = match answer.facts.word {
         AnswerWord::Run => return Ok(answer),
         AnswerWord::NotRun => (ErrorKind::BackendBusy, CallEnd::Refused),
--- a/src/gateway/tests/entry_system.rs
+++ b/src/gateway/tests/entry_system.rs
@@ -14,6 +14,8 @@
     AccountSample, FakeStore, PlatformSettings, READY_PATH, TableName, document_text,
 };
 
+/// Entry hosts that the platform names to each at its start.
+const SEEDS_MAX: usize = 3;
 const READY_WITHIN: Duration = Duration::from_secs(20);
 const ANSWER_WITHIN: Duration = Duration::from_secs(5);
 
@@ -30,7 +32,7 @@
 }
 
 /// Starts an entry host and returns where it takes requests, as soon as it is ready.
-async fn start_entry(number: usize, store: &FakeStore) -> SocketAddr {
+async fn start_entry(number: usize, controls: &[SocketAddr], store: &FakeStore) -> SocketAddr {
     let callers = free_address().await;
     let ready = free_address().await;
     let settings = PlatformSettings {
@@ -39,10 +41,10 @@
         data_centre: "hall-a".into(),
         caller_address: Some(callers),
         ready_address: Some(ready),
-        control_address: Some(free_address().await),
+        control_address: Some(controls[number]),
         metrics_address: None,
         peer_port: free_datagram_port().await,
-        seeds: Vec::new(),
+        seeds: controls.iter().copied().take(SEEDS_MAX).collect(),
         backend_address: None,
         backend_service: None,
         store_address: store.address,
@@ -97,6 +99,8 @@
 
 /// Starts `count` entry hosts; returns where they take requests, once all are ready.
 pub(super) async fn start_entries(count: usize, store: &FakeStore) -> Vec<SocketAddr> {
-    let starts = (0..count).map(|number| start_entry(number, store));
+    let addresses = (0..count).map(|_| free_address());
+    let controls = futures::future::join_all(addresses).await;
+    let starts = (0..count).map(|number| start_entry(number, &controls, store));
     futures::future::join_all(starts).await
 }
--- a/src/load_reports/messages.rs
+++ b/src/load_reports/messages.rs
@@ -7,7 +7,7 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::{key, message};
-use crate::fleet::{EngineHoldings, LoadReport};
+use crate::fleet::{EngineHoldings, LimitWord, LoadReport};
 use crate::time::WallTime;
 
 /// Reports in a digest at most; with 40 bytes each it fits into one packet of 1,500 bytes.
@@ -20,6 +20,8 @@
     Report(LoadReport),
     /// From another entry host.
     Digest(LoadDigest),
+    /// From an entry host that heard of limits.
+    Limits(LimitDigest),
 }
 
 /// A relay asks the host of a backend server for its reports, for a limited time.
@@ -39,6 +41,15 @@
     DataCentre,
 }
 
+/// What backend servers said of the requests that they take.
+#[apply(message!)]
+pub(crate) struct LimitDigest {
+    /// How far it goes.
+    pub(crate) reach: DigestReach,
+    /// What was heard of each.
+    pub(crate) words: Vec<LimitWord>,
+}
+
 /// The loads of several backend servers.
 #[apply(message!)]
 pub(crate) struct LoadDigest {
--- a/src/load_reports/mod.rs
+++ b/src/load_reports/mod.rs
@@ -9,5 +9,5 @@
 mod tests;
 
 pub(crate) use digest_queue::DigestQueue;
-pub(crate) use messages::{DigestReach, LoadDigest, ReportDatagram, ReportLease};
+pub(crate) use messages::{DigestReach, LimitDigest, LoadDigest, ReportDatagram, ReportLease};
 pub(crate) use report_leases::{LEASE_RENEWAL, ReportLeases};
--- a/src/load_reports/tests/mod.rs
+++ b/src/load_reports/tests/mod.rs
@@ -67,7 +67,7 @@
             let datagram = encode_datagram(&ReportDatagram::Digest(digest)).expect("it encodes");
             match decode_message(&datagram).expect("it decodes") {
                 ReportDatagram::Digest(digest) => unpacked.extend(digest.unpack()),
-                ReportDatagram::Report(report) => panic!("{report:?}"),
+                other => panic!("{other:?}"),
             }
         }
         assert_eq!(unpacked, reports);
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -4,9 +4,11 @@
 mod come_back;
 mod entry_share;
 mod first_event;
+mod rate_turns;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use come_back::{come_back_after, is_returned};
 pub(crate) use entry_share::{EntryPlace, EntryShare};
 pub(crate) use first_event::{EnginePlace, EngineSpeed, usual_pace};
+pub(crate) use rate_turns::TurnShare;
--- a/src/overload/tests.rs
+++ b/src/overload/tests/mod.rs
@@ -1,3 +1,5 @@
+mod rate_turns;
+
 use std::time::Duration;
 
 use super::*;
--- /dev/null
+++ b/src/overload/tests/rate_turns.rs
@@ -0,0 +1,108 @@
+use std::time::Duration;
+
+use crate::overload::TurnShare;
+use crate::routing::name_hash;
+use crate::test_support::run_cases;
+use crate::time::StoreTime;
+
+/// A window, and what a backend server that names a rate gets in it at most: one and a half times the rate, and
+/// five requests.
+const WINDOW: Duration = Duration::from_secs(4);
+const RATE_PART: f64 = 1.5;
+const REQUESTS_BEYOND: f64 = 5.0;
+
+const STEP: Duration = Duration::from_millis(10);
+const STEPS: u32 = 3000;
+const START: StoreTime = StoreTime::from_millis(1_234_567);
+
+fn hosts(count: u64) -> Vec<u64> {
+    let names = (0..count).map(|number| name_hash(&format!("e{number}")));
+    names.collect()
+}
+
+/// When requests are sent at `rate` by `sharers`, whose clocks are `ahead`; `wants` says whether one of them has
+/// a request to send in a step.
+fn sends(
+    rate: f64,
+    sharers: &[u64],
+    ahead: &[Duration],
+    wants: impl Fn(usize, u32) -> bool,
+) -> Vec<StoreTime> {
+    let mut used = vec![START; sharers.len()];
+    let mut sent = Vec::new();
+    for step in 0..STEPS {
+        let now = START + STEP * step;
+        for (at, me) in sharers.iter().enumerate() {
+            let share = TurnShare {
+                backend: 7,
+                sharers,
+                me: *me,
+            };
+            if wants(at, step)
+                && let Some(begun) = share.open_turn(rate, used[at], now + ahead[at])
+            {
+                used[at] = begun;
+                sent.push(now);
+            }
+        }
+    }
+    sent
+}
+
+fn most_in_window(sent: &[StoreTime]) -> usize {
+    let counts = sent.iter().enumerate().map(|(at, from)| {
+        let rest = sent[at..].iter();
+        rest.take_while(|to| to.since(*from) < WINDOW).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+fn float_of(count: usize) -> f64 {
+    f64::from(u32::try_from(count).expect("few"))
+}
+
+/// Guards against entry hosts that saved up their parts of a rate and meet at the backend server, however many
+/// there are, however their clocks differ, and whenever each has something to send.
+#[test]
+fn no_window_has_more_than_is_allowed() {
+    run_cases(60, 4096, |source| {
+        let rate = f64::from(source.int_in_range(1_u32..=80)?) / 10.0;
+        let sharers = hosts(source.int_in_range(1..=24)?);
+        let mut ahead = Vec::new();
+        for _ in &sharers {
+            ahead.push(Duration::from_millis(source.int_in_range(0..=400)?));
+        }
+        let busy = source.int_in_range(1_u64..=100)?;
+        let quiet = source.int_in_range(0_u32..=STEPS)?;
+        let wants = |at: usize, step: u32| {
+            let lot = name_hash(&format!("{at} {step}")) % 100;
+            step >= quiet && lot < busy
+        };
+        let most = float_of(most_in_window(&sends(rate, &sharers, &ahead, wants)));
+        let allowed = rate * WINDOW.as_secs_f64() * RATE_PART + REQUESTS_BEYOND;
+        assert!(
+            most <= allowed,
+            "{most} at {rate} a second, {allowed} allowed"
+        );
+        Ok(())
+    });
+}
+
+/// Guards against a rate that is kept to and not used, where every entry host has more to send.
+#[test]
+fn the_rate_is_used() {
+    for (rate, count) in [(0.5, 2), (1.0, 6), (2.2, 8), (10.0, 2), (30.0, 20)] {
+        let sharers = hosts(count);
+        let ahead = vec![Duration::ZERO; sharers.len()];
+        let sent = float_of(sends(rate, &sharers, &ahead, |_, _| true).len());
+        let offered = rate * (STEP * STEPS).as_secs_f64();
+        assert!(sent >= offered * 0.9, "{sent} of {offered} at {rate}");
+    }
+}
+
+/// Guards against a backend server that takes nothing and gets something.
+#[test]
+fn a_rate_of_zero_has_no_turns() {
+    let sent = sends(0.0, &hosts(2), &[Duration::ZERO; 2], |_, _| true);
+    assert!(sent.is_empty());
+}
--- a/src/platform/backend_call.rs
+++ b/src/platform/backend_call.rs
@@ -12,7 +12,7 @@
 
 use super::request_head::{ATTEMPT_ID, DEADLINE, LAST_EVENT, number_value, text_of};
 use crate::derives::{key, plain};
-use crate::fleet::{LoadWord, WeightsVersion};
+use crate::fleet::{LoadWord, WeightsVersion, is_rate};
 
 const TARGET_ID: HeaderName = HeaderName::from_static("savoryswitch-target-instance");
 /// The backend server that answers, whichever was meant.
@@ -23,6 +23,8 @@
 const PATH: HeaderName = HeaderName::from_static("path");
 const NOT_RUN: HeaderName = HeaderName::from_static("savoryswitch-not-executed");
 const LOAD: HeaderName = HeaderName::from_static("savoryswitch-server-load");
+/// Requests a second that the backend server takes from all entry hosts together, not from this one.
+const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const VERSIONS: HeaderName = HeaderName::from_static("savoryswitch-weight-versions");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
@@ -115,6 +117,8 @@
     pub(crate) word: AnswerWord,
     /// The backend server's load.
     pub(crate) load: Option<LoadWord>,
+    /// How many requests a second it takes from all entry hosts together; none while it names no limit.
+    pub(crate) rate_limit: Option<f64>,
     /// The version of weights that answers.
     pub(crate) version: Option<WeightsVersion>,
     /// How long the connection may be kept without a request.
@@ -139,6 +143,7 @@
         status,
         word: answer_word(status, headers, (attempt, backend)),
         load: text_of(headers, &LOAD).and_then(read_load),
+        rate_limit: text_of(headers, &RATE_LIMIT).and_then(read_rate),
         version: text_of(headers, &VERSIONS)
             .and_then(|text| text.trim().parse().ok())
             .map(WeightsVersion),
@@ -197,6 +202,11 @@
     })
 }
 
+fn read_rate(text: &str) -> Option<f64> {
+    let rate = text.trim().parse().ok();
+    rate.filter(|rate| is_rate(*rate))
+}
+
 fn read_keep_alive(text: &str) -> Option<Duration> {
     let timeout = text.split(',').find_map(|part| {
         let (name, value) = part.split_once('=')?;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -16,4 +16,4 @@
 };
 pub(crate) use backend_server::headroom_of;
 pub(crate) use breaker::CircuitBreaker;
-pub(crate) use rendezvous::name_hash;
+pub(crate) use rendezvous::{name_hash, rendezvous_weight};
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -36,6 +36,6 @@
 pub(crate) use peer_messages::{EntryRecord, PeerView, VIEW_PATH};
 pub(crate) use shared_book::SharedBook;
 pub(crate) use snapshot::{ControlSnapshot, SharedSnapshot};
-pub(crate) use store_clock::AskSpan;
+pub(crate) use store_clock::{AskSpan, StoreClock};
 pub(crate) use sync_thread::{SyncSettings, start_sync};
 pub(crate) use view_book::ViewBook;
--- a/src/sync/snapshot.rs
+++ b/src/sync/snapshot.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwap;
 
 use super::peer_messages::EntryRecord;
+use super::store_clock::StoreClock;
 use crate::catalog::ServiceCatalog;
 use crate::fleet::{FleetView, WantedWeights, WeightsVersion};
 use crate::quarantine::CrashLedger;
@@ -24,6 +25,8 @@
     pub(crate) entries: Arc<Vec<EntryRecord>>,
     /// Which requests were under way at backend servers that crashed.
     pub(crate) crashes: Arc<CrashLedger>,
+    /// The store's clock.
+    pub(crate) clock: StoreClock,
 }
 
 impl ControlSnapshot {
--- a/src/sync/store_clock.rs
+++ b/src/sync/store_clock.rs
@@ -95,8 +95,8 @@
 }
 
 /// The store's clock as this process knows it.
-#[derive(Debug, Default)]
-pub(super) struct StoreClock {
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StoreClock {
     known: Option<ClockOffset>,
 }
 
@@ -134,6 +134,11 @@
         })
     }
 
+    /// What it shows at `now` at the latest; this process's own clock as long as nothing was heard of it.
+    pub(crate) fn time(&self, now: ClockTime) -> StoreTime {
+        self.word(now).map_or(StoreTime(now.0), |word| word.most)
+    }
+
     /// The earliest moment on this process's clock that `moment` can be.
     pub(super) fn earliest(&self, moment: StoreTime) -> ClockTime {
         let ahead = self.known.map_or(i64::MAX, |known| known.most);
--- a/src/sync/view_book.rs
+++ b/src/sync/view_book.rs
@@ -377,6 +377,7 @@
             wanted: Arc::new(self.versions.on_clock(&self.clock)),
             entries: Arc::new(self.entries.clone()),
             crashes: self.crashes.clone(),
+            clock: self.clock,
         }
     }
 }
