--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -234,6 +234,20 @@
     Ok(request)
 }
 
+/// What the answer says of the requests that its backend server takes.
+fn note_limit(answer: &OpenAnswer, now: ClockTime) {
+    let rate = answer.facts.rate_limit;
+    let says_so = match answer.facts.word {
+        AnswerWord::Run => true,
+        // A refusal need not name the limit.
+        AnswerWord::NotRun | AnswerWord::Misdirected => rate.is_some(),
+        AnswerWord::Replaced | AnswerWord::Foreign => false,
+    };
+    if says_so {
+        answer.ticket.note_limit(rate, now);
+    }
+}
+
 /// Whether an answer counts as the request's own.
 fn judge(gateway: &Arc<GatewayState>, mut answer: OpenAnswer) -> Result<OpenAnswer, SendFailure> {
     let now = clock_now();
@@ -243,12 +257,7 @@
             .ticket
             .with_record(|record| record.note_load(load, now));
     }
-    if !matches!(
-        answer.facts.word,
-        AnswerWord::Foreign | AnswerWord::Replaced
-    ) {
-        answer.ticket.note_limit(answer.facts.rate_limit, now);
-    }
+    note_limit(&answer, now);
     let (kind, end) = match answer.facts.word {
         AnswerWord::Run => return Ok(answer),
         AnswerWord::NotRun => (ErrorKind::BackendBusy, CallEnd::Refused),
--- a/src/gateway/tests/rate_limits.rs
+++ b/src/gateway/tests/rate_limits.rs
@@ -10,7 +10,7 @@
 
 use super::entry_system::{request_of, start_entries, start_store, status_of};
 use super::fake_backend::{field, read_request};
-use crate::platform::samples::{ATTEMPT, RATE_LIMIT, SEAL, plain_sample};
+use crate::platform::samples::{ATTEMPT, NOT_RUN, RATE_LIMIT, SEAL, plain_sample};
 use crate::platform::{FakeStore, TableName};
 use crate::time::{ClockTime, clock_now};
 
@@ -33,17 +33,25 @@
 #[derive(Clone)]
 struct LimitedBackend {
     limited_until: ClockTime,
+    /// Whether it turns away every second request while it is in need, without a word of the limit.
+    turns_away: bool,
     arrivals: Arc<Mutex<Vec<ClockTime>>>,
 }
 
 impl LimitedBackend {
-    async fn start(id: &str, store: &FakeStore, limited_until: ClockTime) -> Self {
+    async fn start(
+        id: &str,
+        store: &FakeStore,
+        limited_until: ClockTime,
+        turns_away: bool,
+    ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await;
         let listener = listener.expect("a free port");
         let address: SocketAddr = listener.local_addr().expect("it is bound");
         store.put(TableName::Backends, id, &plain_sample((address, 1)));
         let backend = Self {
             limited_until,
+            turns_away,
             arrivals: Arc::default(),
         };
         let serving = backend.clone();
@@ -57,16 +65,22 @@
 
     async fn serve(self, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream).await {
-            self.lock().push(clock_now());
+            let number = {
+                let mut arrivals = self.lock();
+                arrivals.push(clock_now());
+                arrivals.len()
+            };
             let attempt = field(&request, ATTEMPT).unwrap_or_default();
             sleep(WORK_SPAN).await;
-            let limit = if clock_now() < self.limited_until {
-                format!("{RATE_LIMIT}: {LIMIT}.0\r\n")
-            } else {
-                String::new()
+            let is_limited = clock_now() < self.limited_until;
+            let (status, extra) = match (is_limited, number % 2) {
+                (false, _) => ("200 OK", String::new()),
+                (true, 0) if self.turns_away => ("503 Busy", format!("{NOT_RUN}: 1\r\n")),
+                (true, _) => ("200 OK", format!("{RATE_LIMIT}: {LIMIT}.0\r\n")),
             };
             let answer = format!(
-                "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n{SEAL}: seal\r\n{limit}content-length: 2\r\n\r\nok"
+                "HTTP/1.1 {status}\r\n{ATTEMPT}: {attempt}\r\n{SEAL}: seal\r\n{extra}\
+                 content-length: 2\r\n\r\nok"
             );
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
@@ -117,11 +131,21 @@
 /// against ones that keep to it when it is no longer named.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_backend_server_gets_the_rate_that_it_names() {
+    play(false).await;
+}
+
+/// Guards against a limit that ends by a refusal, which need not name it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_backend_server_that_turns_requests_away_gets_the_rate_that_it_names() {
+    play(true).await;
+}
+
+async fn play(turns_away: bool) {
     let store = start_store().await;
     let doors = start_entries(ENTRIES, &store).await;
     let limited_until = clock_now() + LIMITED_SPAN;
-    let limited = LimitedBackend::start("i-1", &store, limited_until).await;
-    let other = LimitedBackend::start("i-2", &store, ClockTime(0)).await;
+    let limited = LimitedBackend::start("i-1", &store, limited_until, turns_away).await;
+    let other = LimitedBackend::start("i-2", &store, ClockTime(0), false).await;
     sleep(Duration::from_secs(1)).await;
     let lost = send_for(&doors, LIMITED_SPAN).await;
     send_for(&doors, FREE_SPAN).await;
