--- a/src/fleet/backend_desk.rs
+++ b/src/fleet/backend_desk.rs
@@ -58,6 +58,7 @@
     pub(super) peers: u32,
     /// Which entry hosts share the backend servers that name a rate.
     pub(super) turns: TurnSharers,
+    /// The clock by which they take turns.
     clock: StoreClock,
     /// A record goes when the backend server does and nothing is under way there.
     records: Vec<Option<BackendRecord>>,
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -178,12 +178,8 @@
 
     /// Whether its limit leaves a request at `now` to this entry host.
     pub(super) fn turn(&self, place: &PickPlace<'_>, now: ClockTime) -> LimitTurn {
-        let now = place.clock.time(now);
-        if self.limit.rate(now).is_none() {
-            return LimitTurn::Unlimited;
-        }
-        let share = place.turns.share(&self.facts);
-        self.limit.open_turn(&share, now)
+        let share = || place.turns.share(&self.facts);
+        self.limit.turn(share, place.clock.time(now))
     }
 
     /// Whether a connection that was used before is to be avoided.
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -163,8 +163,9 @@
     pub(super) data_centre: &'a str,
     /// How many other entry hosts the data centre has.
     pub(super) peers: u32,
-    /// Who shares backend servers that name a rate, and the clock that tells whose turn it is.
+    /// Who shares the backend servers that name a rate.
     pub(super) turns: &'a TurnSharers,
+    /// The clock by which these take turns.
     pub(super) clock: StoreClock,
 }
 
--- a/src/fleet/request_limit.rs
+++ b/src/fleet/request_limit.rs
@@ -80,18 +80,22 @@
     }
 
     /// The rate that is to be kept to at `now`.
-    pub(super) fn rate(&self, now: StoreTime) -> Option<f64> {
+    fn rate(&self, now: StoreTime) -> Option<f64> {
         self.rate.filter(|_| now.since(self.at) < LIMIT_SPAN)
     }
 
-    /// When the turn began that a request at `now` would use; none if it has to go elsewhere.
-    pub(super) fn open_turn(&self, share: &TurnShare<'_>, now: StoreTime) -> LimitTurn {
-        match self.rate(now) {
-            None => LimitTurn::Unlimited,
-            Some(rate) => match share.open_turn(rate, self.used, now) {
-                Some(begun) => LimitTurn::Open(begun),
-                None => LimitTurn::Others,
-            },
+    /// Whether a request may go to it at `now`; `share` tells who shares its turns.
+    pub(super) fn turn<'a>(
+        &self,
+        share: impl FnOnce() -> TurnShare<'a>,
+        now: StoreTime,
+    ) -> LimitTurn {
+        let Some(rate) = self.rate(now) else {
+            return LimitTurn::Unlimited;
+        };
+        match share().open_turn(rate, self.used, now) {
+            Some(begun) => LimitTurn::Open(begun),
+            None => LimitTurn::Others,
         }
     }
 
@@ -118,7 +122,7 @@
 pub(super) enum LimitTurn {
     /// It names none.
     Unlimited,
-    /// In the turn that began then.
+    /// In the turn that began then, which this entry host has not used.
     Open(StoreTime),
     /// The turns of now are those of others, or used.
     Others,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,7 +12,7 @@
 
 use super::crash_watch::CrashWatch;
 use super::events;
-use super::gateway_state::{GatewayState, STOP_TAKES};
+use super::gateway_state::{GatewayParts, GatewayState, STOP_TAKES};
 use super::report_relay::ReportRelay;
 use super::request_intake::answer_request;
 use crate::daemon::DrainState;
@@ -54,15 +54,16 @@
     let ready = bind_listener(ready).await?;
     start_metrics(settings.metrics_address, drain.clone()).await?;
     let book = start_sync(sync, drain.clone());
-    let gateway = Arc::new(GatewayState::new(
-        book.snapshot(),
-        CrashWatch::new(book.clone()),
-        EntryPlace {
+    let gateway = Arc::new(GatewayState::new(GatewayParts {
+        snapshot: book.snapshot(),
+        crashes: CrashWatch::new(book.clone()),
+        me: EntryPlace {
             data_centre: settings.data_centre.clone(),
             host: settings.host.clone(),
         },
-        (drain.clone(), settings.bounds),
-    ));
+        drain: drain.clone(),
+        bounds: settings.bounds,
+    }));
     let relay = ReportRelay::bind(gateway.clone(), book.clone(), me).await?;
     tokio::spawn(relay.run());
     tokio::spawn(note_stop(gateway.clone()));
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -21,7 +21,6 @@
 );
 pub(crate) const STREAM_CUT: LogEvent =
     LogEvent::info(1211, "a backend server stopped in the middle of a stream");
-
 pub(crate) const BACKEND_CRASHED: LogEvent =
     LogEvent::warn(1212, "a backend server crashed with requests under way");
 
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -49,13 +49,26 @@
     bounds: TimeBounds,
 }
 
+/// What the shared state is made of.
+pub(super) struct GatewayParts {
+    /// Where the newest control state stands.
+    pub(super) snapshot: SharedSnapshot,
+    pub(super) crashes: CrashWatch,
+    /// This entry host.
+    pub(super) me: EntryPlace,
+    pub(super) drain: DrainState,
+    pub(super) bounds: TimeBounds,
+}
+
 impl GatewayState {
-    pub(super) fn new(
-        snapshot: SharedSnapshot,
-        crashes: CrashWatch,
-        me: EntryPlace,
-        (drain, bounds): (DrainState, TimeBounds),
-    ) -> Self {
+    pub(super) fn new(parts: GatewayParts) -> Self {
+        let GatewayParts {
+            snapshot,
+            crashes,
+            me,
+            drain,
+            bounds,
+        } = parts;
         Self {
             snapshot,
             crashes,
--- a/src/gateway/tests/crash_watch.rs
+++ b/src/gateway/tests/crash_watch.rs
@@ -10,8 +10,9 @@
 use crate::fleet::{BackendKey, SharedDesk, VersionNeed};
 use crate::gateway::crash_watch::{CrashWatch, CutRequest};
 use crate::overload::EntryPlace;
-use crate::quarantine::{AnsweredLog, BackendStart, RequestDigest, RequestParts};
+use crate::quarantine::{AnsweredLog, BackendStart};
 use crate::sync::SharedBook;
+use crate::test_support::digest_of;
 use crate::time::{ClockTime, clock_now};
 
 /// Longer than a probe takes.
@@ -51,22 +52,13 @@
     picked.expect("it is free").key
 }
 
-fn request(body: &[u8]) -> RequestDigest {
-    RequestDigest::of(RequestParts {
-        host: "h",
-        path: "/p",
-        account: None,
-        body,
-    })
-}
-
 /// How many of two requests are held responsible that were cut at a backend server at `address`.
 async fn suspects_at(address: SocketAddr) -> usize {
     let book = SharedBook::default();
     let watch = CrashWatch::new(book.clone());
     let backend = facts(address);
     let key = key_of(&backend);
-    let requests = [request(b"one"), request(b"two")];
+    let requests = [digest_of(b"one"), digest_of(b"two")];
     for request in requests {
         watch.note_cut(CutRequest { key, request }, &backend);
     }
@@ -91,7 +83,7 @@
 async fn a_request_that_was_answered_lately_is_not_suspected() {
     let book = SharedBook::default();
     let watch = CrashWatch::new(book.clone());
-    let request = request(b"");
+    let request = digest_of(b"");
     let now = clock_now();
     watch.note_answered(request, now);
     let backend = facts(closed_address().await);
@@ -115,16 +107,22 @@
 fn an_answer_speaks_for_a_request_for_a_while_only() {
     let mut log = AnsweredLog::default();
     let now = clock_now();
-    log.push(request(b"one"), now);
+    log.push(digest_of(b"one"), now);
     for number in 0..3000_u32 {
-        log.push(request(&number.to_be_bytes()), now + Duration::from_secs(1));
+        log.push(
+            digest_of(&number.to_be_bytes()),
+            now + Duration::from_secs(1),
+        );
     }
-    assert!(log.has(request(b"one"), now + Duration::from_secs(29)));
-    assert!(!log.has(request(b"one"), now + Duration::from_secs(30)));
+    assert!(log.has(digest_of(b"one"), now + Duration::from_secs(29)));
+    assert!(!log.has(digest_of(b"one"), now + Duration::from_secs(30)));
     for number in 0..3000_u32 {
-        log.push(request(&number.to_be_bytes()), now + Duration::from_secs(2));
+        log.push(
+            digest_of(&number.to_be_bytes()),
+            now + Duration::from_secs(2),
+        );
     }
-    assert!(!log.has(request(b"one"), now + Duration::from_secs(2)));
+    assert!(!log.has(digest_of(b"one"), now + Duration::from_secs(2)));
 }
 
 /// Guards against requests that are held responsible for connections that were reset on their way.
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -22,7 +22,7 @@
 use crate::gateway::crash_watch::CrashWatch;
 use crate::gateway::event_reader::EventReader;
 use crate::gateway::forwarder::Forwarder;
-use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::gateway_state::{GatewayParts, GatewayState};
 use crate::gateway::reply::{refusal_reply, status_of};
 use crate::gateway::request_job::{RequestJob, route_request};
 use crate::overload::EntryPlace;
@@ -96,8 +96,13 @@
         data_centre: "here".into(),
         host: "e1".into(),
     };
-    let crashes = CrashWatch::new(SharedBook::default());
-    GatewayState::new(snapshot, crashes, me, (drain, bounds))
+    GatewayState::new(GatewayParts {
+        snapshot,
+        crashes: CrashWatch::new(SharedBook::default()),
+        me,
+        drain,
+        bounds,
+    })
 }
 
 /// Symptom: streams were cut in the middle seven seconds after a planned stop had begun. A client had
--- a/src/sync/tests/crashes.rs
+++ b/src/sync/tests/crashes.rs
@@ -11,9 +11,10 @@
 use super::store_gate::{GateHarm, StoreGate};
 use crate::platform::samples::{backend_sample, document_sample};
 use crate::platform::{FakeStore, TableName};
-use crate::quarantine::{BackendStart, RequestDigest, RequestParts};
+use crate::quarantine::BackendStart;
 use crate::sync::crash_rows::{crash_key, crash_text};
 use crate::sync::{ControlSnapshot, EntryRecord, SyncSettings};
+use crate::test_support::digest_of;
 use crate::time::clock_now;
 
 /// Within this every entry host knows what one of them saw.
@@ -23,15 +24,6 @@
 /// Requests of an entry host that asks a neighbour, which is held open until there is news.
 const SETTLE_SPAN: Duration = Duration::from_secs(3);
 
-fn request(body: &[u8]) -> RequestDigest {
-    RequestDigest::of(RequestParts {
-        host: "h",
-        path: "/p",
-        account: None,
-        body,
-    })
-}
-
 async fn store_in_use() -> FakeStore {
     let store = FakeStore::start().await;
     let (key, text) = document_sample(1);
@@ -90,11 +82,11 @@
     let (backend, now) = (BackendStart(backend), clock_now());
     process
         .book
-        .change(|book| book.note_crash(backend, &[request(body)], now));
+        .change(|book| book.note_crash(backend, &[digest_of(body)], now));
 }
 
 fn has_quarantined(snapshot: &ControlSnapshot, body: &[u8]) -> bool {
-    let left = snapshot.crashes.quarantine(request(body), clock_now());
+    let left = snapshot.crashes.quarantine(digest_of(body), clock_now());
     left.is_some()
 }
 
@@ -208,7 +200,7 @@
     learns(&second, b"body").await;
     first
         .book
-        .change(|book| book.clear_request(request(b"body")));
+        .change(|book| book.clear_request(digest_of(b"body")));
     let cleared = second.believes(|snapshot| !has_quarantined(snapshot, b"body"));
     timeout(KNOWN_WITHIN, cleared).await.expect("it learns");
 }
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -1,9 +1,11 @@
-//! Randomised tests with the same verdict every time.
+//! What tests of several folders share: randomised tests with the same verdict every time, and samples.
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
 use serde_json::{Map, Value, json};
 
+use crate::quarantine::{RequestDigest, RequestParts};
+
 /// Runs `property` on `cases` inputs of `size` random bytes each. The inputs are the same in every
 /// run; arbtest prints the seed of the one that fails. Its own search is bounded by time, which
 /// would let the same tree pass on a slow machine and fail on a fast one.
@@ -126,3 +128,13 @@
     }
     Ok(())
 }
+
+/// The digest of a request that differs from others in its body only.
+pub(crate) fn digest_of(body: &[u8]) -> RequestDigest {
+    RequestDigest::of(RequestParts {
+        host: "h",
+        path: "/p",
+        account: None,
+        body,
+    })
+}
