--- a/src/fleet/backend_desk.rs
+++ b/src/fleet/backend_desk.rs
@@ -1,7 +1,7 @@
 //! All backend servers as this entry host knows them, and its requests under way at each.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use bytestring::ByteString;
 use macro_rules_attribute::apply;
@@ -12,7 +12,7 @@
 use super::backend_record::{BackendRecord, CallEnd};
 use super::events;
 use super::pick::{PickNeed, PickPlace, PickRefusal, pick};
-use super::request_limit::{LimitTurn, LimitWord};
+use super::request_limit::LimitTurn;
 use super::turn_sharers::TurnSharers;
 use crate::derives::key;
 use crate::events::log_event;
@@ -59,9 +59,9 @@
     /// Which entry hosts share the backend servers that name a rate.
     pub(super) turns: TurnSharers,
     /// The clock by which they take turns.
-    clock: StoreClock,
+    pub(super) clock: StoreClock,
     /// A record goes when the backend server does and nothing is under way there.
-    records: Vec<Option<BackendRecord>>,
+    pub(super) records: Vec<Option<BackendRecord>>,
     /// Sorted by id.
     pub(super) by_id: Vec<(ByteString, BackendKey)>,
     /// Places that were retired and not asked for yet.
@@ -299,37 +299,8 @@
         }
     }
 
-    /// Another entry host told of a limit.
-    pub(crate) fn take_limit(&mut self, word: &LimitWord) {
-        let Some(key) = self.serving_at(word.address) else {
-            return;
-        };
-        if let Some(record) = self.get_mut(key)
-            && WordOrder::of(word.born, record.facts.born) == WordOrder::Same
-            && record.limit.take_word(word)
-        {
-            log_limit(record, word.rate);
-        }
-    }
-
-    /// What other entry hosts are to be told of limits at `now`.
-    pub(crate) fn take_untold_limits(&mut self, now: ClockTime) -> Vec<LimitWord> {
-        let now = self.clock.time(now);
-        let records = self.records.iter_mut().flatten();
-        let words = records.filter_map(|record| {
-            let (rate, at) = record.limit.take_untold(now)?;
-            Some(LimitWord {
-                address: record.facts.address,
-                born: record.facts.born,
-                rate,
-                at,
-            })
-        });
-        words.collect()
-    }
-
     /// The newest backend server at `address`: an earlier one may still be listed.
-    fn serving_at(&self, address: SocketAddr) -> Option<BackendKey> {
+    pub(super) fn serving_at(&self, address: SocketAddr) -> Option<BackendKey> {
         let keys = self.by_id.iter().map(|(_, key)| *key);
         keys.filter(|key| {
             self.get(*key)
@@ -348,114 +319,3 @@
         self.records.get_mut(key.at())?.as_mut()
     }
 }
-
-fn log_limit(record: &BackendRecord, rate: Option<f64>) {
-    let id = &record.facts.id;
-    log_event!(events::BACKEND_LIMITED, "backend={id} rate={rate:?}");
-}
-
-/// The desk as requests share it.
-#[derive(Clone, Debug)]
-pub(crate) struct SharedDesk {
-    desk: Arc<Mutex<BackendDesk>>,
-}
-
-impl SharedDesk {
-    /// Shares `desk`.
-    pub(crate) fn new(desk: BackendDesk) -> Self {
-        Self {
-            desk: Arc::new(Mutex::new(desk)),
-        }
-    }
-
-    /// The desk, for a moment; never held while waiting.
-    pub(crate) fn lock(&self) -> MutexGuard<'_, BackendDesk> {
-        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Chooses a backend server; the request counts as under way there until the ticket ends.
-    ///
-    /// # Errors
-    ///
-    /// Why there is none.
-    pub(crate) fn pick(
-        &self,
-        need: &PickNeed<'_>,
-        now: ClockTime,
-    ) -> Result<BackendTicket, PickRefusal> {
-        let picked = self.lock().pick(need, now, rand::random())?;
-        Ok(BackendTicket {
-            desk: self.clone(),
-            key: picked.key,
-            facts: picked.facts,
-            version: picked.version,
-            unread: picked.unread,
-            asked: picked.asked,
-            is_ended: false,
-        })
-    }
-}
-
-/// A request under way at a backend server.
-#[derive(Debug)]
-pub(crate) struct BackendTicket {
-    desk: SharedDesk,
-    /// Where.
-    pub(crate) key: BackendKey,
-    /// What the store says of it.
-    pub(crate) facts: Arc<BackendFacts>,
-    /// The version of weights that it had when it was chosen; none for plain services.
-    pub(crate) version: Option<WeightsVersion>,
-    /// Tokens of its prompt that count as unread there.
-    unread: u32,
-    /// When it was chosen.
-    asked: StoreTime,
-    is_ended: bool,
-}
-
-impl BackendTicket {
-    /// The backend server began to answer: the prompt is read.
-    pub(crate) fn note_begun(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        if unread > 0 {
-            self.with_record(|record| record.note_read(unread));
-        }
-    }
-
-    /// Its answer, which came at `now`, names `rate`, or no limit.
-    pub(crate) fn note_limit(&self, rate: Option<f64>, now: ClockTime) {
-        let mut desk = self.desk.lock();
-        let now = desk.clock.time(now);
-        if let Some(record) = desk.get_mut(self.key)
-            && record.limit.note_answer(rate, self.asked, now)
-        {
-            log_limit(record, rate);
-        }
-    }
-
-    /// The call ended.
-    pub(crate) fn end(mut self, end: CallEnd, now: ClockTime) {
-        self.note_begun();
-        self.is_ended = true;
-        self.desk.lock().end(self.key, end, now, rand::random());
-    }
-
-    /// Changes the backend server's record, if it is still there.
-    pub(crate) fn with_record(&self, change: impl FnOnce(&mut BackendRecord)) {
-        if let Some(record) = self.desk.lock().get_mut(self.key) {
-            change(record);
-        }
-    }
-}
-
-impl Drop for BackendTicket {
-    /// The client left: the request's future was dropped wherever it stood.
-    fn drop(&mut self) {
-        if !self.is_ended {
-            self.note_begun();
-            let now = crate::time::clock_now();
-            let desk = self.desk.clone();
-            desk.lock().end(self.key, CallEnd::Nothing, now, 0);
-        }
-    }
-}
--- /dev/null
+++ b/src/fleet/desk_limits.rs
@@ -0,0 +1,61 @@
+//! What backend servers say of the requests that they take, by answers and from other entry hosts.
+
+use super::backend_desk::{BackendDesk, BackendKey};
+use super::backend_facts::WordOrder;
+use super::backend_record::BackendRecord;
+use super::events;
+use super::request_limit::LimitWord;
+use crate::events::log_event;
+use crate::time::{ClockTime, StoreTime};
+
+impl BackendDesk {
+    /// An answer of the backend server at `key`, which came at `now` to a request that was sent at `asked`,
+    /// names `rate`, or no limit.
+    pub(super) fn note_limit(
+        &mut self,
+        key: BackendKey,
+        rate: Option<f64>,
+        (asked, now): (StoreTime, ClockTime),
+    ) {
+        let now = self.clock.time(now);
+        if let Some(record) = self.get_mut(key)
+            && record.limit.note_answer(rate, asked, now)
+        {
+            log_limit(record, rate);
+        }
+    }
+
+    /// Another entry host told of a limit.
+    pub(crate) fn take_limit(&mut self, word: &LimitWord) {
+        let Some(key) = self.serving_at(word.address) else {
+            return;
+        };
+        if let Some(record) = self.get_mut(key)
+            && WordOrder::of(word.born, record.facts.born) == WordOrder::Same
+            && record.limit.take_word(word)
+        {
+            log_limit(record, word.rate);
+        }
+    }
+
+    /// What other entry hosts are to be told of limits at `now`.
+    pub(crate) fn take_untold_limits(&mut self, now: ClockTime) -> Vec<LimitWord> {
+        let now = self.clock.time(now);
+        let records = self.records.iter_mut().flatten();
+        let words = records.filter_map(|record| {
+            let (rate, at) = record.limit.take_untold(now)?;
+            Some(LimitWord {
+                address: record.facts.address,
+                born: record.facts.born,
+                rate,
+                at,
+            })
+        });
+        words.collect()
+    }
+}
+
+fn log_limit(record: &BackendRecord, rate: Option<f64>) {
+    let id = &record.facts.id;
+    log_event!(events::BACKEND_LIMITED, "backend={id} rate={rate:?}");
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 mod backend_desk;
 mod backend_facts;
 mod backend_record;
+mod backend_ticket;
+mod desk_limits;
 mod desk_share;
 pub(crate) mod events;
 mod pick;
@@ -13,12 +15,13 @@
 mod tests;
 mod turn_sharers;
 
-pub(crate) use backend_desk::{BackendDesk, BackendKey, BackendTicket, SharedDesk};
+pub(crate) use backend_desk::{BackendDesk, BackendKey};
 pub(crate) use backend_facts::{
     BackendFacts, BackendPhase, EngineHoldings, FleetView, HeldLayers, LoadReport, LoadWord,
     ModelVersion, NamingCertainty, WantedWeights, WeightsVersion,
 };
 pub(crate) use backend_record::CallEnd;
+pub(crate) use backend_ticket::{BackendTicket, SharedDesk};
 pub(crate) use pick::{EngineWork, PickNeed, PickRefusal, VersionNeed};
 pub(crate) use request_limit::{LimitWord, is_rate};
 pub(crate) use retry_purse::{PurseLimits, RetryPurse};
--- a/src/fleet/tests/request_limits.rs
+++ b/src/fleet/tests/request_limits.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::*;
-use crate::fleet::backend_desk::BackendTicket;
 use crate::time::{StoreTime, WallTime};
 
 /// Requests a second.
--- a/src/gateway/tests/crash_watch.rs
+++ b/src/gateway/tests/crash_watch.rs
@@ -12,7 +12,7 @@
 use crate::overload::EntryPlace;
 use crate::quarantine::{AnsweredLog, BackendStart};
 use crate::sync::SharedBook;
-use crate::test_support::digest_of;
+use crate::test_support::{digest_of, free_address};
 use crate::time::{ClockTime, clock_now};
 
 /// Longer than a probe takes.
@@ -71,12 +71,6 @@
     suspects.count()
 }
 
-async fn closed_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
-    let address = listener.expect("a free port").local_addr();
-    address.expect("it is bound")
-}
-
 /// Guards against a call that recurs all day and is refused because all backend servers of its service failed at
 /// once.
 #[tokio::test]
@@ -86,7 +80,7 @@
     let request = digest_of(b"");
     let now = clock_now();
     watch.note_answered(request, now);
-    let backend = facts(closed_address().await);
+    let backend = facts(free_address().await);
     let cut = CutRequest {
         key: key_of(&backend),
         request,
@@ -137,5 +131,5 @@
 /// Guards against a crash that only one of several requests is held responsible for.
 #[tokio::test]
 async fn all_requests_that_were_cut_by_a_crash_are_suspected() {
-    assert_eq!(suspects_at(closed_address().await).await, 2);
+    assert_eq!(suspects_at(free_address().await).await, 2);
 }
--- a/src/gateway/tests/entry_system.rs
+++ b/src/gateway/tests/entry_system.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
 
 use super::BOUNDS;
@@ -13,18 +13,13 @@
 use crate::platform::{
     AccountSample, FakeStore, PlatformSettings, READY_PATH, TableName, document_text,
 };
+use crate::test_support::free_address;
 
 /// Entry hosts that the platform names to each at its start.
 const SEEDS_MAX: usize = 3;
 const READY_WITHIN: Duration = Duration::from_secs(20);
 const ANSWER_WITHIN: Duration = Duration::from_secs(5);
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
-    let address = listener.expect("a free port").local_addr();
-    address.expect("it is bound")
-}
-
 async fn free_datagram_port() -> u16 {
     let socket = UdpSocket::bind(("127.0.0.1", 0)).await;
     let address = socket.expect("a free port").local_addr();
--- a/src/sync/tests/crashes.rs
+++ b/src/sync/tests/crashes.rs
@@ -4,7 +4,6 @@
 use std::ops::Deref;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
 use super::restarts::EntryProcess;
@@ -14,7 +13,7 @@
 use crate::quarantine::BackendStart;
 use crate::sync::crash_rows::{crash_key, crash_text};
 use crate::sync::{ControlSnapshot, EntryRecord, SyncSettings};
-use crate::test_support::digest_of;
+use crate::test_support::{digest_of, free_address};
 use crate::time::clock_now;
 
 /// Within this every entry host knows what one of them saw.
@@ -32,12 +31,6 @@
     store
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
-    let address = listener.expect("a free port").local_addr();
-    address.expect("it is bound")
-}
-
 /// An entry host's process that ends with the test.
 struct TestEntry(Option<EntryProcess>);
 
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -1,10 +1,8 @@
 //! One data centre's entry hosts follow the operator's table as one, and what becomes of it when those that
 //! read it fail. A document has to be in force three seconds after it was accepted.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::restarts::EntryProcess;
@@ -14,6 +12,7 @@
 use crate::platform::{FakeStore, TableName};
 use crate::sync::read_order::place_of;
 use crate::sync::{ControlSnapshot, EntryRecord, SyncSettings};
+use crate::test_support::free_address;
 
 const ENTRIES: usize = 6;
 /// Within this a document is in force everywhere, whatever became of the readers.
@@ -29,12 +28,6 @@
     version: u64,
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
-    let address = listener.expect("a free port").local_addr();
-    address.expect("it is bound")
-}
-
 impl TestHall {
     async fn start() -> Self {
         let store = FakeStore::start().await;
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -1,8 +1,11 @@
 //! What tests of several folders share: randomised tests with the same verdict every time, and samples.
 
+use std::net::SocketAddr;
+
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
 use serde_json::{Map, Value, json};
+use tokio::net::TcpListener;
 
 use crate::quarantine::{RequestDigest, RequestParts};
 
@@ -138,3 +141,10 @@
         body,
     })
 }
+
+/// A loopback address at which nobody listens.
+pub(crate) async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+    let address = listener.expect("a free port").local_addr();
+    address.expect("it is bound")
+}
