--- a/src/gateway/tests/crashing_requests.rs
+++ b/src/gateway/tests/crashing_requests.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use super::entry_system::{request_of, start_entries, start_store, status_of};
+use super::entry_system::{request_of, start_entries, start_late_entry, start_store, status_of};
 use super::fake_backend::{field, read_request};
 use crate::platform::samples::{ATTEMPT, SEAL, plain_sample};
 use crate::platform::{FakeStore, TableName};
@@ -30,6 +30,8 @@
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 /// Sends that are allowed from then on.
 const SENDS_MAX: usize = 3;
+/// How long the store is away.
+const OUTAGE_SPAN: Duration = Duration::from_millis(1500);
 /// For how long the test looks on from then on.
 const WATCH_SPAN: Duration = Duration::from_secs(2);
 const DEADLY_BODY: &str = "deadly";
@@ -43,6 +45,14 @@
     crashes: Vec<ClockTime>,
 }
 
+impl RunRecord {
+    /// How often the deadly request arrived behind `moment`.
+    fn arrivals_behind(&self, moment: ClockTime) -> usize {
+        let late = self.arrivals.iter().filter(|at| **at > moment);
+        late.count()
+    }
+}
+
 type SharedRecord = Arc<Mutex<RunRecord>>;
 
 /// A backend server that crashes.
@@ -138,7 +148,7 @@
     answers.map(|answer| answer.expect("no panic")).collect()
 }
 
-async fn start_system(record: &SharedRecord) -> Vec<SocketAddr> {
+async fn start_system(record: &SharedRecord) -> (FakeStore, Vec<SocketAddr>) {
     let store = start_store().await;
     for number in 0..BACKENDS {
         let backend = CrashingBackend {
@@ -148,7 +158,8 @@
         };
         tokio::spawn(backend.run());
     }
-    start_entries(ENTRIES, &store).await
+    let doors = start_entries(ENTRIES, &store).await;
+    (store, doors)
 }
 
 /// Guards against a request that goes on to crash backend servers, whichever entry host it comes to, and
@@ -156,7 +167,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_request_that_crashes_backend_servers_is_soon_sent_to_none() {
     let record = SharedRecord::default();
-    let doors = start_system(&record).await;
+    let (_, doors) = start_system(&record).await;
     let deadly = tokio::spawn(send_deadly(doors.clone()));
     // Those of the time of the crashes may have lost every backend server that they were sent to.
     send_harmless(&doors, KNOWN_WITHIN + DOWN_SPAN).await;
@@ -165,10 +176,36 @@
     let record = lock(&record);
     let third = *record.crashes.get(2).expect("three crashes");
     let known_at = third + KNOWN_WITHIN;
-    let late = record.arrivals.iter().filter(|at| **at > known_at);
-    let late = late.count();
+    let late = record.arrivals_behind(known_at);
     let crashes = record.crashes.len();
     assert!(late <= SENDS_MAX, "{late} sends, {crashes} crashes");
     let lost = answers.iter().filter(|status| **status != Some(200));
     assert_eq!(lost.count(), 0, "of {} harmless ones", answers.len());
 }
+
+/// Guards against a request that goes on to crash backend servers behind an outage of the store, in which each
+/// entry host learns by itself, and at an entry host that starts later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_crashes_backend_servers_is_known_behind_an_outage() {
+    let record = SharedRecord::default();
+    let (store, doors) = start_system(&record).await;
+    store.set_down(true);
+    let deadly = tokio::spawn(send_deadly(doors));
+    sleep(OUTAGE_SPAN).await;
+    store.set_down(false);
+    let known_at = clock_now() + KNOWN_WITHIN;
+    sleep(KNOWN_WITHIN + WATCH_SPAN).await;
+    deadly.abort();
+    let crashes = lock(&record).crashes.len();
+    assert!(crashes >= 3, "{crashes} crashes");
+    let late = lock(&record).arrivals_behind(known_at);
+    assert!(late <= SENDS_MAX, "{late} sends");
+
+    let door = start_late_entry(&store).await;
+    let started_at = clock_now();
+    for number in 0..5 {
+        let request = request_of(&format!("l{number}"), DEADLY_BODY);
+        assert_eq!(status_of(door, &request).await, Some(503));
+    }
+    assert_eq!(lock(&record).arrivals_behind(started_at), 0);
+}
--- a/src/gateway/tests/entry_system.rs
+++ b/src/gateway/tests/entry_system.rs
@@ -31,7 +31,7 @@
     let callers = free_address().await;
     let ready = free_address().await;
     let settings = PlatformSettings {
-        host: format!("e{number}").into(),
+        host: format!("e{}", controls[number].port()).into(),
         ip: callers.ip(),
         data_centre: "hall-a".into(),
         caller_address: Some(callers),
@@ -92,6 +92,12 @@
     store
 }
 
+/// Starts one more entry host, to which the platform names no other.
+pub(super) async fn start_late_entry(store: &FakeStore) -> SocketAddr {
+    let controls = [free_address().await];
+    start_entry(0, &controls, store).await
+}
+
 /// Starts `count` entry hosts; returns where they take requests, once all are ready.
 pub(super) async fn start_entries(count: usize, store: &FakeStore) -> Vec<SocketAddr> {
     let addresses = (0..count).map(|_| free_address());
