--- a/src/fleet/backend_desk.rs
+++ b/src/fleet/backend_desk.rs
@@ -232,15 +232,15 @@
             let record = self.records.get(key.at())?.as_ref()?;
             Some((*key, record))
         });
+        let asked = self.clock.time(now);
         let place = PickPlace {
             data_centre: &self.me.data_centre,
             peers: self.peers,
             turns: &self.turns,
-            clock: self.clock,
+            asked,
         };
         let key = pick(listed, need, &place, (now, jitter))?;
-        let turn = self.get(key).map(|record| record.turn(&place, now));
-        let asked = self.clock.time(now);
+        let turn = self.get(key).map(|record| record.turn(&place));
         let unread = need.work.map_or(0, |work| work.prompt_tokens);
         let record = self.get_mut(key).ok_or(PickRefusal::Nobody)?;
         record.breaker.note_passed(now);
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -176,10 +176,10 @@
         !self.is_loading(now) && self.rest_until <= now && self.breaker.lets_pass(now)
     }
 
-    /// Whether its limit leaves a request at `now` to this entry host.
-    pub(super) fn turn(&self, place: &PickPlace<'_>, now: ClockTime) -> LimitTurn {
+    /// Whether its limit leaves a request to this entry host.
+    pub(super) fn turn(&self, place: &PickPlace<'_>) -> LimitTurn {
         let share = || place.turns.share(&self.facts);
-        self.limit.turn(share, place.clock.time(now))
+        self.limit.turn(share, place.asked)
     }
 
     /// Whether a connection that was used before is to be avoided.
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -13,8 +13,7 @@
 use crate::derives::{key, plain};
 use crate::errors::ErrorKind;
 use crate::overload::{EnginePlace, EngineSpeed};
-use crate::sync::StoreClock;
-use crate::time::ClockTime;
+use crate::time::{ClockTime, StoreTime};
 
 /// One place in so many stays free for new requests before returned ones.
 const SPARE_PART: u32 = 6;
@@ -165,8 +164,8 @@
     pub(super) peers: u32,
     /// Who shares the backend servers that name a rate.
     pub(super) turns: &'a TurnSharers,
-    /// The clock by which these take turns.
-    pub(super) clock: StoreClock,
+    /// When the request is sent, on the clock by which these take turns.
+    pub(super) asked: StoreTime,
 }
 
 impl PickPlace<'_> {
@@ -199,7 +198,7 @@
         has_any = true;
         let load = record.load(now);
         let is_free = record.is_open(now) && load < need.places_at(record);
-        if !is_free || record.turn(place, now) == LimitTurn::Others {
+        if !is_free || record.turn(place) == LimitTurn::Others {
             continue;
         }
         let engine = record.place(place, now);
