Tests of several entry hosts give each a loopback address of its own

Suspected: each took ports that had been found free and released, on an address that all tests of the process share, and the error of a port that was taken meanwhile was dropped. The error is no longer dropped, and nobody else is at the address. Nothing that is asked changes.

--- a/src/gateway/tests/entry_system.rs
+++ b/src/gateway/tests/entry_system.rs
@@ -1,10 +1,11 @@
 //! Several entry hosts as they run on the users' platform, over loopback sockets, with a store of their own.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpStream, UdpSocket};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use super::BOUNDS;
@@ -13,40 +14,54 @@
 use crate::platform::{
     AccountSample, FakeStore, PlatformSettings, READY_PATH, TableName, document_text,
 };
-use crate::test_support::free_address;
 
+/// The second part of the hosts' addresses; its lower bits differ from run to run.
+const HOSTS_BEGIN: u8 = 0x80;
+const RUN_MASK: u8 = 0x3f;
+const CALLERS_PORT: u16 = 8005;
+const READY_PORT: u16 = 8002;
+const CONTROL_PORT: u16 = 8000;
+const PEER_PORT: u16 = 7700;
 /// Entry hosts that the platform names to each at its start.
 const SEEDS_MAX: usize = 3;
 const READY_WITHIN: Duration = Duration::from_secs(20);
 const ANSWER_WITHIN: Duration = Duration::from_secs(5);
 
-async fn free_datagram_port() -> u16 {
-    let socket = UdpSocket::bind(("127.0.0.1", 0)).await;
-    let address = socket.expect("a free port").local_addr();
-    address.expect("it is bound").port()
+/// A loopback host of its own: a port that was found free on a shared one may be taken before it is used.
+fn free_host() -> IpAddr {
+    static STARTED: AtomicU16 = AtomicU16::new(0);
+    let [high, low] = STARTED.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let [.., run] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(
+        127,
+        HOSTS_BEGIN | (run & RUN_MASK),
+        high,
+        low.wrapping_add(1),
+    )
+    .into()
 }
 
-/// Starts an entry host and returns where it takes requests, as soon as it is ready.
-async fn start_entry(number: usize, controls: &[SocketAddr], store: &FakeStore) -> SocketAddr {
-    let callers = free_address().await;
-    let ready = free_address().await;
+/// Starts the entry host at `ip` and returns where it takes requests, as soon as it is ready.
+async fn start_entry(ip: IpAddr, seeds: &[SocketAddr], store: &FakeStore) -> SocketAddr {
+    let [callers, ready, control] =
+        [CALLERS_PORT, READY_PORT, CONTROL_PORT].map(|port| SocketAddr::new(ip, port));
     let settings = PlatformSettings {
-        host: format!("e{}", controls[number].port()).into(),
-        ip: callers.ip(),
+        host: format!("e-{ip}").into(),
+        ip,
         data_centre: "hall-a".into(),
         caller_address: Some(callers),
         ready_address: Some(ready),
-        control_address: Some(controls[number]),
+        control_address: Some(control),
         metrics_address: None,
-        peer_port: free_datagram_port().await,
-        seeds: controls.iter().copied().take(SEEDS_MAX).collect(),
+        peer_port: PEER_PORT,
+        seeds: seeds.to_vec(),
         backend_address: None,
         backend_service: None,
         store_address: store.address,
         link_bytes_per_s: 1e8,
         bounds: BOUNDS,
     };
-    tokio::spawn(run_gateway(settings));
+    tokio::spawn(async move { run_gateway(settings).await.expect("its addresses are free") });
     let is_ready = async {
         let question = format!("GET {READY_PATH} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n");
         while status_of(ready, &question).await != Some(200) {
@@ -94,14 +109,14 @@
 
 /// Starts one more entry host, to which the platform names no other.
 pub(super) async fn start_late_entry(store: &FakeStore) -> SocketAddr {
-    let controls = [free_address().await];
-    start_entry(0, &controls, store).await
+    start_entry(free_host(), &[], store).await
 }
 
 /// Starts `count` entry hosts; returns where they take requests, once all are ready.
 pub(super) async fn start_entries(count: usize, store: &FakeStore) -> Vec<SocketAddr> {
-    let addresses = (0..count).map(|_| free_address());
-    let controls = futures::future::join_all(addresses).await;
-    let starts = (0..count).map(|number| start_entry(number, &controls, store));
+    let hosts: Vec<IpAddr> = (0..count).map(|_| free_host()).collect();
+    let seeds = hosts.iter().take(SEEDS_MAX);
+    let seeds: Vec<SocketAddr> = seeds.map(|ip| SocketAddr::new(*ip, CONTROL_PORT)).collect();
+    let starts = hosts.iter().map(|ip| start_entry(*ip, &seeds, store));
     futures::future::join_all(starts).await
 }
