--- a/src/gateway/tests/entry_system.rs
+++ b/src/gateway/tests/entry_system.rs
@@ -114,8 +114,17 @@
 
 /// Starts `count` entry hosts; returns where they take requests, once all are ready.
 pub(super) async fn start_entries(count: usize, store: &FakeStore) -> Vec<SocketAddr> {
+    start_entries_with(count, SEEDS_MAX, store).await
+}
+
+/// The same, where the platform names `seeds` of them to each.
+pub(super) async fn start_entries_with(
+    count: usize,
+    seeds: usize,
+    store: &FakeStore,
+) -> Vec<SocketAddr> {
     let hosts: Vec<IpAddr> = (0..count).map(|_| free_host()).collect();
-    let seeds = hosts.iter().take(SEEDS_MAX);
+    let seeds = hosts.iter().take(seeds);
     let seeds: Vec<SocketAddr> = seeds.map(|ip| SocketAddr::new(*ip, CONTROL_PORT)).collect();
     let starts = hosts.iter().map(|ip| start_entry(*ip, &seeds, store));
     futures::future::join_all(starts).await
--- a/src/gateway/tests/rate_limits.rs
+++ b/src/gateway/tests/rate_limits.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use super::entry_system::{request_of, start_entries, start_store, status_of};
+use super::entry_system::{request_of, start_entries, start_entries_with, start_store, status_of};
 use super::fake_backend::{field, read_request};
 use crate::platform::samples::{ATTEMPT, NOT_RUN, RATE_LIMIT, SEAL, plain_sample};
 use crate::platform::{FakeStore, TableName};
@@ -143,12 +143,24 @@
 async fn play(turns_away: bool) {
     let store = start_store().await;
     let doors = start_entries(ENTRIES, &store).await;
+    play_with(&store, &doors, turns_away).await;
+}
+
+/// Guards against entry hosts that take larger parts of a rate each, as they do not know of each other yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn entry_hosts_without_seeds_keep_to_a_named_rate() {
+    let store = start_store().await;
+    let doors = start_entries_with(ENTRIES, 0, &store).await;
+    play_with(&store, &doors, false).await;
+}
+
+async fn play_with(store: &FakeStore, doors: &[SocketAddr], turns_away: bool) {
     let limited_until = clock_now() + LIMITED_SPAN;
-    let limited = LimitedBackend::start("i-1", &store, limited_until, turns_away).await;
-    let other = LimitedBackend::start("i-2", &store, ClockTime(0), false).await;
+    let limited = LimitedBackend::start("i-1", store, limited_until, turns_away).await;
+    let other = LimitedBackend::start("i-2", store, ClockTime(0), false).await;
     sleep(Duration::from_secs(1)).await;
-    let lost = send_for(&doors, LIMITED_SPAN).await;
-    send_for(&doors, FREE_SPAN).await;
+    let lost = send_for(doors, LIMITED_SPAN).await;
+    send_for(doors, FREE_SPAN).await;
     assert_eq!(lost, 0, "the other one has room for all");
     let known_at = limited.lock()[0] + KNOWN_WITHIN;
     let most = limited.most(known_at, limited_until);
