Wait for a late head while another backend server is asked, and where none may be

Cause: a late head ended its send before anything better was at hand. The request was closed at the first backend server, then a retry was paid for, then a place looked for; each of the three could fail.

Now: a late answer reports its backend server as silent, pays for another send if the route and the budget allow it, and both stay open; the first answer counts. A search that finds nobody gives its retry back. Why it holds: a send ends only by its own answer or failure, when its client stops waiting, or when older weights may answer no more. A client whose backend server is dead is told later than before, when it stops waiting; it has most of its time left then (streams), and nothing ready is thrown away.

[1213] tells of each second send for a late head.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -23,6 +23,10 @@
     LogEvent::info(1211, "a backend server stopped in the middle of a stream");
 pub(crate) const BACKEND_CRASHED: LogEvent =
     LogEvent::warn(1212, "a backend server crashed with requests under way");
+pub(crate) const HEAD_LATE: LogEvent = LogEvent::info(
+    1213,
+    "an answer is late; another backend server is asked as well",
+);
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -39,4 +43,5 @@
     RELAY_CHANGED,
     STREAM_CUT,
     BACKEND_CRASHED,
+    HEAD_LATE,
 ];
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,9 +13,10 @@
 
 use super::forwarder::Forwarder;
 use super::gateway_state::GatewayState;
+use super::open_sends::{EndedSend, OpenSends};
 use super::reply::unknown_end;
 use super::request_job::RequestJob;
-use super::request_log::{log_end, log_send_failed};
+use super::request_log::{log_end, log_head_late, log_send_failed};
 use super::send_attempt::{OpenAnswer, SendFailure, send_attempt};
 use super::stream_relay::{StreamRelay, put_away};
 use super::whole_body::WholeBody;
@@ -40,6 +41,9 @@
 
 /// Sends the request until a backend server answers it, as far as that is allowed.
 ///
+/// An answer whose head is late is waited for also while another backend server is asked: nobody knows
+/// whether that one takes the request, or is sooner.
+///
 /// # Errors
 ///
 /// The refusal or failure that the client is told.
@@ -47,34 +51,125 @@
     forwarder: &mut Forwarder,
     last_event: Option<u64>,
 ) -> SwitchResult<OpenAnswer> {
-    loop {
+    let mut sends = OpenSends::default();
+    let answer = loop {
         if let Some(refusal) = forwarder.refuse_quarantined(clock_now()) {
             return Err(refusal);
         }
-        let ChosenBackend {
-            ticket,
-            need,
-            taken_back,
-        } = match choose_backend(forwarder).await {
-            Ok(chosen) => chosen,
-            Err(refusal) => return Err(forwarder.give_up(Some(refusal))),
+        let ended = match seek_backend(forwarder, &mut sends).await {
+            SeekEnd::Found(chosen) => {
+                let backend = chosen.ticket.facts.id.clone();
+                sends.push(backend, start_send(forwarder, chosen, last_event));
+                None
+            }
+            SeekEnd::Refused(refusal) if sends.is_empty() => {
+                return Err(forwarder.give_up(Some(refusal)));
+            }
+            SeekEnd::Refused(_) => {
+                forwarder.refund_retry(clock_now());
+                None
+            }
+            SeekEnd::Ended(ended) => Some(ended),
         };
-        let gateway = forwarder.gateway.clone();
-        let job = forwarder.job.clone();
-        forwarder.note_send(ticket.key);
-        let backend = ticket.facts.id.clone();
-        let wait = forwarder.head_wait(taken_back, clock_now());
-        let sent = send_attempt(&gateway, &job, ticket, (&need, last_event), wait);
-        match sent.await {
-            Ok(answer) => return Ok(answer),
-            Err(failure) => {
-                log_send_failed(&job, &backend, failure.kind, &failure.detail);
-                gateway.freed.notify_waiters();
-                if !forwarder.may_follow(failure, clock_now()) {
-                    return Err(forwarder.give_up(None));
-                }
+        match ended {
+            Some(EndedSend {
+                result: Ok(answer), ..
+            }) => {
+                forwarder.refund_retry(clock_now());
+                break answer;
             }
+            // The retry that the search has paid for is still to be used.
+            Some(ended) => note_failed(forwarder, ended),
+            None => match await_answer(forwarder, &mut sends).await? {
+                Some(answer) => break answer,
+                None => {}
+            },
         }
+    };
+    if !sends.is_empty() {
+        drop(sends);
+        forwarder.gateway.freed.notify_waiters();
+    }
+    Ok(answer)
+}
+
+/// How a search for a backend server ended.
+enum SeekEnd {
+    Found(ChosenBackend),
+    Refused(PickRefusal),
+    /// A send that was under way ended first.
+    Ended(EndedSend),
+}
+
+async fn seek_backend(forwarder: &Forwarder, sends: &mut OpenSends) -> SeekEnd {
+    tokio::select! {
+        biased;
+        ended = sends.next(), if !sends.is_empty() => SeekEnd::Ended(ended),
+        chosen = choose_backend(forwarder) => match chosen {
+            Ok(chosen) => SeekEnd::Found(chosen),
+            Err(refusal) => SeekEnd::Refused(refusal),
+        },
+    }
+}
+
+/// Sends the request to the backend server that was chosen.
+fn start_send(
+    forwarder: &mut Forwarder,
+    chosen: ChosenBackend,
+    last_event: Option<u64>,
+) -> impl Future<Output = Result<OpenAnswer, SendFailure>> + Send + Sync + 'static {
+    let ChosenBackend {
+        ticket,
+        need,
+        taken_back,
+    } = chosen;
+    let gateway = forwarder.gateway.clone();
+    let job = forwarder.job.clone();
+    forwarder.note_send(ticket.key);
+    let wait = forwarder.head_wait(taken_back, clock_now());
+    async move { send_attempt(&gateway, &job, ticket, (&need, last_event), wait).await }
+}
+
+/// Waits for an answer until another backend server may be asked; none then.
+async fn await_answer(
+    forwarder: &mut Forwarder,
+    sends: &mut OpenSends,
+) -> SwitchResult<Option<OpenAnswer>> {
+    let patience = forwarder.job.head_patience();
+    loop {
+        let ended = match patience {
+            Some(patience) => timeout_awake(patience, sends.next()).await.ok(),
+            None => Some(sends.next().await),
+        };
+        let Some(EndedSend { backend, result }) = ended else {
+            if forwarder.pay_repeat(clock_now()).is_ok() {
+                log_head_late(&forwarder.job, forwarder.tried().len());
+                return Ok(None);
+            }
+            continue;
+        };
+        let failure = match result {
+            Ok(answer) => return Ok(Some(answer)),
+            Err(failure) => failure,
+        };
+        log_send_failed(&forwarder.job, &backend, failure.kind, &failure.detail);
+        forwarder.gateway.freed.notify_waiters();
+        if forwarder.may_follow(failure, clock_now()) {
+            return Ok(None);
+        }
+        if sends.is_empty() {
+            return Err(forwarder.give_up(None));
+        }
+    }
+}
+
+/// A send failed while another backend server is looked for.
+fn note_failed(forwarder: &mut Forwarder, ended: EndedSend) {
+    let EndedSend { backend, result } = ended;
+    if let Err(failure) = result {
+        log_send_failed(&forwarder.job, &backend, failure.kind, &failure.detail);
+        forwarder.gateway.freed.notify_waiters();
+        forwarder.note_failure(failure);
     }
 }
 
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -16,11 +16,6 @@
 
 /// Sends that never left this host are tried elsewhere this many times; they cost no budget.
 const UNSENT_MAX: u32 = 3;
-/// A repeatable request of a plain service that has no answer after this many times its latency
-/// target is tried elsewhere: late answers come from few backend servers.
-const PATIENCE_TARGETS: u32 = 2;
-/// How long the first event of a stream may take before another backend server is tried.
-const FIRST_EVENT_WITHIN: Duration = Duration::from_millis(1200);
 /// How long before a client would close its connection it is told that nothing comes: the way to it
 /// takes 1 to 3 ms, and this process may be busy.
 const TELL_MARGIN: Duration = Duration::from_millis(100);
@@ -165,9 +160,18 @@
     /// Whether `failure`, the end of a send without an answer, may be followed by another send. Spends
     /// the budget if it needs it.
     pub(super) fn may_follow(&mut self, failure: SendFailure, now: ClockTime) -> bool {
-        let is_allowed = self.allows_after(&failure, now);
+        let (has_arrived, may_have_run) = (failure.has_arrived, failure.may_have_run);
+        self.note_failure(failure);
+        self.allows_after(has_arrived, may_have_run, now)
+    }
+
+    /// A send ended without an answer.
+    pub(super) fn note_failure(&mut self, failure: SendFailure) {
+        if !failure.has_arrived {
+            self.unsent += 1;
+        }
+        self.may_have_run |= failure.may_have_run;
         self.last_failure = Some(failure);
-        is_allowed
     }
 
     /// The same after an answer that broke off before any of it was passed on.
@@ -186,14 +190,12 @@
         self.may_repeat_paid(now)
     }
 
-    fn allows_after(&mut self, failure: &SendFailure, now: ClockTime) -> bool {
-        if !failure.has_arrived {
-            self.unsent += 1;
+    fn allows_after(&self, has_arrived: bool, may_have_run: bool, now: ClockTime) -> bool {
+        if !has_arrived {
             let is_open = !self.may_have_run || self.may_repeat(now);
             return self.unsent < UNSENT_MAX && is_open && !self.wait_left(now).is_zero();
         }
-        self.may_have_run |= failure.may_have_run;
-        let is_allowed = if failure.may_have_run {
+        let is_allowed = if may_have_run {
             self.may_repeat(now)
         } else {
             self.has_attempts(now)
@@ -237,26 +239,11 @@
 
     /// Until when the head of the next answer may take, if the request is taken back at `taken_back`.
     pub(super) fn head_wait(&self, taken_back: Option<ClockTime>, now: ClockTime) -> HeadWait {
-        let patience = HeadWait {
-            until: now + self.patience(now),
+        let wait = HeadWait {
+            until: now + self.wait_left(now),
             silence: CallEnd::Failed,
         };
-        patience.taken_back_by(taken_back)
-    }
-
-    fn patience(&self, now: ClockTime) -> Duration {
-        let left = self.wait_left(now);
-        let can_repeat = self.job.repeat().is_repeatable()
-            && self.arrivals() < self.job.routed.rule.attempts_max;
-        if !can_repeat {
-            return left;
-        }
-        let patience = if self.job.repeat().is_stream() {
-            FIRST_EVENT_WITHIN
-        } else {
-            self.job.routed.rule.target * PATIENCE_TARGETS
-        };
-        patience.min(left)
+        wait.taken_back_by(taken_back)
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod forwarder;
 mod gateway_state;
+mod open_sends;
 mod repeat_bar;
 mod reply;
 mod report_relay;
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -24,6 +24,12 @@
 const CLIENT_PATIENCE_TARGETS: u32 = 4;
 const CLIENT_PATIENCE_PAUSES: u32 = 8;
 
+/// A repeatable request of a plain service that has no answer after this many times its latency
+/// target is sent to another backend server as well: late answers come from few backend servers.
+const HEAD_PATIENCE_TARGETS: u32 = 2;
+/// How long the first event of a stream may take before another backend server is asked as well.
+const FIRST_EVENT_WITHIN: Duration = Duration::from_millis(1200);
+
 /// The rank of a stream that goes on at another engine: its client sees the pause, and a place that it
 /// held elsewhere has just become free.
 const PRIORITY_RESUMED: u8 = 0;
@@ -88,6 +94,18 @@
         self.deadline.min(since + patience)
     }
 
+    /// How long the head of an answer may take before another backend server is asked as well; none if
+    /// the request may run once only.
+    pub(super) fn head_patience(&self) -> Option<Duration> {
+        if !self.repeat().is_repeatable() {
+            None
+        } else if self.repeat().is_stream() {
+            Some(FIRST_EVENT_WITHIN)
+        } else {
+            Some(self.routed.rule.target * HEAD_PATIENCE_TARGETS)
+        }
+    }
+
     /// Whether the client was refused before and came back.
     pub(super) fn is_returned(&self) -> bool {
         let timeout = self.routed.rule.timeout;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -11,7 +11,7 @@
 use crate::events::log_event;
 use crate::fleet::WeightsVersion;
 use crate::metrics;
-use crate::time::ClockTime;
+use crate::time::{ClockTime, clock_now};
 
 /// The request got a backend server's answer.
 pub(super) fn log_end(job: &RequestJob, backend: &str, status: StatusCode, now: ClockTime) {
@@ -89,6 +89,19 @@
     }
 }
 
+/// The heads of a request's answers are late, and another backend server is asked as well.
+pub(super) fn log_head_late(job: &RequestJob, sends: usize) {
+    metrics::count_retry(ErrorKind::PeerSilent);
+    let waited = clock_now().since(job.arrived);
+    log_event!(
+        events::HEAD_LATE,
+        "id={} route={} sends={sends} ms={}",
+        attempt_of(job),
+        job.routed.rule.name,
+        waited.as_millis()
+    );
+}
+
 /// A request that waited at a backend server of older weights is taken back before their bound.
 pub(super) fn log_taken_back(job: &RequestJob, backend: &str) {
     metrics::count_event("taken_back", 1);
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -131,12 +131,17 @@
             ticket.end(CallEnd::Failed, clock_now());
             return Err(SendFailure::unknown(ErrorKind::AnswerCut, detail));
         }
-        Err(wait) => {
+        Err(HeadEnd { wait, is_told }) => {
             if wait.silence == CallEnd::Nothing {
                 log_taken_back(job, &ticket.facts.id);
             }
             gateway.shelf.drop_all(ticket.key);
-            ticket.end(wait.silence, clock_now());
+            let end = if is_told {
+                CallEnd::Nothing
+            } else {
+                wait.silence
+            };
+            ticket.end(end, clock_now());
             let detail = format!("no head {:?} after it came", wait.until.since(job.arrived));
             return Err(SendFailure::unknown(ErrorKind::PeerSilent, detail));
         }
@@ -154,7 +159,15 @@
     )
 }
 
-/// Waits for the head of an answer. An error tells the wait that is over.
+/// How a wait for a head ended that brought none.
+struct HeadEnd {
+    /// The wait that is over.
+    wait: HeadWait,
+    /// Whether the backend server was reported as silent.
+    is_told: bool,
+}
+
+/// Waits for the head of an answer.
 ///
 /// A newer version, or a better word of when it was named, may be heard of while a request waits at an
 /// engine of older weights: by what was known when it was sent it would begin behind their bound.
@@ -164,16 +177,27 @@
     ticket: &BackendTicket,
     wait: HeadWait,
     sending: impl Future<Output = T>,
-) -> Result<T, HeadWait> {
+) -> Result<T, HeadEnd> {
     let mut sending = pin!(sending);
     let bound = gateway.take_back_after();
+    let begun = clock_now();
+    let mut silent_at = job.head_patience().map(|patience| begun + patience);
+    let mut is_told = false;
     loop {
         let taken_back = job.taken_back_at(&gateway.newest(), ticket.version, bound);
         let wait = wait.taken_back_by(taken_back);
-        let left = wait.until.since(clock_now());
-        match timeout_awake(left.min(LOOK_PAUSE), &mut sending).await {
+        let now = clock_now();
+        if silent_at.take_if(|at| *at <= now).is_some() {
+            // Others are preferred for a while.
+            ticket.note_silent(now);
+            gateway.shelf.drop_all(ticket.key);
+            is_told = true;
+        }
+        let left = wait.until.since(now);
+        let look = silent_at.map_or(LOOK_PAUSE, |at| at.since(now).min(LOOK_PAUSE));
+        match timeout_awake(left.min(look), &mut sending).await {
             Ok(sent) => return Ok(sent),
-            Err(_) if left <= LOOK_PAUSE => return Err(wait),
+            Err(_) if left <= look => return Err(HeadEnd { wait, is_told }),
             Err(_) => {}
         }
     }
