Take engines off older weights at their bound

Cause: only the entry host kept the bound, and it cannot call a request back that is in a full link, nor one that waits at an engine while the entry host itself stands still. The engine serves older weights for as long as it holds them.

Now the host beside the engine ends it: shortly before the bound an engine whose newer weights are not whole is ordered to load one whole layer of them, which makes it let go of the older ones; what it works on ends first, and what still waits there is cut off if it can go on elsewhere, since nobody takes it back any more. Each host fetches one layer whole first. A time that is only assumed takes no engine off its weights.

Ruled out: new connections before the bound.

--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -135,11 +135,13 @@
     })
 }
 
-/// An order to load a whole version from what is staged.
+/// An order to load a version from what is staged.
 #[apply(plain!)]
 pub(crate) struct LoadOrder {
     /// What to load.
     pub(crate) target: ModelVersion,
+    /// The only layer to load; all if none is named.
+    pub(crate) layer: Option<u32>,
     /// The count of orders that the engine must have taken before.
     pub(crate) orders_taken: u64,
     /// Whether requests that it works on are cut off; else they end first.
@@ -165,6 +167,11 @@
     /// Whether running requests may end first.
     strategy: &'static str,
     precondition: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    from: Option<u32>,
+    /// The layer behind the last one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    to: Option<u32>,
 }
 
 #[derive(Deserialize)]
@@ -268,6 +275,8 @@
             version: order.target.version.0,
             strategy: if order.cuts_requests { "abort" } else { "wait" },
             precondition: order.orders_taken,
+            from: order.layer,
+            to: order.layer.map(|layer| layer + 1),
         };
         let body = serde_json::to_vec(&text)
             .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
--- a/src/platform/fake_engine.rs
+++ b/src/platform/fake_engine.rs
@@ -95,6 +95,8 @@
     born: u64,
     birth: Option<BirthWord>,
     held: Option<u64>,
+    /// A layer that it holds alone, and its version.
+    layer: Option<(u32, u64)>,
     is_busy: bool,
     orders_taken: u64,
     /// Orders of all incarnations.
@@ -112,6 +114,10 @@
     staged: Vec<Option<Bytes>>,
     /// Requests that it works on.
     active: u32,
+    /// Requests that wait there.
+    queued: u32,
+    /// Orders that cut off what it worked on.
+    cuts: usize,
     /// How long a load takes.
     load_span: Duration,
     /// The version that is being loaded, and when it will be.
@@ -229,6 +235,26 @@
         self.lock().active = active;
     }
 
+    /// `queued` requests wait there.
+    #[cfg(test)]
+    pub(crate) fn note_queued(&self, queued: u32) {
+        self.lock().queued = queued;
+    }
+
+    /// Of which version it holds a layer and not the others.
+    #[cfg(test)]
+    pub(crate) fn held_in_part(&self) -> Option<WeightsVersion> {
+        self.lock()
+            .layer
+            .map(|(_, version)| WeightsVersion(version))
+    }
+
+    /// How many orders cut off what it worked on.
+    #[cfg(test)]
+    pub(crate) fn cuts(&self) -> usize {
+        self.lock().cuts
+    }
+
     /// Answers a call of its host or of anybody who asks how it is.
     pub(super) async fn answer(&self, request: Request) -> Response {
         let (path, index) = path_and_index(&request);
@@ -262,6 +288,7 @@
         {
             self.loading = None;
             self.held = Some(version);
+            self.layer = None;
             self.is_busy = false;
             self.reports = 0;
         }
@@ -288,6 +315,7 @@
         self.rule = CallRule::Answer;
         self.born += BORN_STEP;
         self.held = None;
+        self.layer = None;
         self.reports = 0;
         self.is_busy = false;
         self.loading = None;
@@ -316,16 +344,20 @@
     }
 
     fn own_report(&self) -> Value {
-        let held: Vec<u64> = self.held.into_iter().collect();
+        let whole = self.held.map(|version| (0..LAYERS, version));
+        let part = self
+            .layer
+            .map(|(layer, version)| (layer..layer + 1, version));
+        let held: Vec<_> = whole.into_iter().chain(part).collect();
         let models = held
             .iter()
-            .map(|version| json!({ "name": "m", "version": version, "adapters": [] }));
-        let layers = held
-            .iter()
-            .map(|version| json!({ "from": 0, "to": LAYERS, "version": version }));
+            .map(|(_, version)| json!({ "name": "m", "version": version, "adapters": [] }));
+        let layers = held.iter().map(
+            |(range, version)| json!({ "from": range.start, "to": range.end, "version": version }),
+        );
         let mut report = json!({
             "models": models.collect::<Vec<_>>(), "layers": layers.collect::<Vec<_>>(),
-            "busy": self.is_busy, "sequence": self.orders_taken, "queued": 0, "active": self.active,
+            "busy": self.is_busy, "sequence": self.orders_taken, "queued": self.queued, "active": self.active,
         });
         if self.birth == Some(BirthWord::Told) {
             report["born"] = self.born.into();
@@ -342,18 +374,31 @@
         if self.held == Some(version) {
             return StatusCode::OK;
         }
-        let chunks = (0..).zip(&self.staged);
+        let layer = order["from"]
+            .as_u64()
+            .map(|from| u32::try_from(from).expect("it is small"));
+        let chunks = match layer {
+            Some(layer) => layer * CHUNKS / LAYERS..((layer + 1) * CHUNKS).div_ceil(LAYERS),
+            None => 0..CHUNKS,
+        };
         let is_whole = chunks
             .into_iter()
-            .all(|(index, chunk)| *chunk == Some(chunk_bytes(version, index)));
+            .all(|index| self.staged[index as usize] == Some(chunk_bytes(version, index)));
         self.bad_loads += usize::from(!is_whole);
         self.orders_taken += 1;
         self.orders_begun += 1;
         self.reports = 0;
+        self.cuts += usize::from(order["strategy"] == "abort");
+        if let Some(layer) = layer {
+            self.held = None;
+            self.layer = Some((layer, version));
+            return StatusCode::ACCEPTED;
+        }
         match self.rule {
             CallRule::HoldOrders => self.is_busy = true,
             CallRule::Answer | CallRule::Silent if self.load_span.is_zero() => {
                 self.held = Some(version);
+                self.layer = None;
             }
             CallRule::Answer | CallRule::Silent => {
                 self.is_busy = true;
--- a/src/replication/chunk_fetch.rs
+++ b/src/replication/chunk_fetch.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep_until};
@@ -13,6 +14,7 @@
 use super::chunk_messages::{ChunkAsk, ChunkReply, GET_PATH, HAVE_PATH};
 use super::chunk_store::ChunkStore;
 use super::events;
+use super::version_retire::layer_chunks;
 use crate::documents::SpreadObjective;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
@@ -122,8 +124,13 @@
 }
 
 impl ChunkFetch {
-    /// A fetch of `target`, of which `held` is staged.
-    pub(super) fn new(edges: FetchEdges, target: ModelVersion, held: ChunkMap) -> Self {
+    /// A fetch of `target`, which has `layers` layers and of which `held` is staged. Each host has another
+    /// layer whole first.
+    pub(super) fn new(
+        edges: FetchEdges,
+        target: ModelVersion,
+        (held, layers): (ChunkMap, u32),
+    ) -> Self {
         let limits = FetchLimits {
             pulls_max: PULLS_MAX,
             turn_span: TURN_SPAN,
@@ -132,7 +139,9 @@
             ..FetchLimits::default()
         };
         let name = format!("{}/{}", target.model, target.version.0);
-        let plan = FetchPlan::new(
+        let layer = rand::rng().random_range(0..layers.max(1));
+        let first = layer_chunks(layer, held.count(), layers);
+        let mut plan = FetchPlan::new(
             edges.me.clone(),
             (
                 WeightsDigest::of(name.as_bytes()),
@@ -143,6 +152,7 @@
             (edges.chunk_span, rand::random()),
             clock_now(),
         );
+        plan.prefer(first);
         let (news_sender, news) = mpsc::unbounded_channel();
         Self {
             edges,
--- a/src/replication/chunk_staging.rs
+++ b/src/replication/chunk_staging.rs
@@ -1,5 +1,6 @@
 //! Chunks on their way to the engine's staging place and back.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -86,12 +87,26 @@
     ///
     /// When the engine does not answer, or a chunk is not held.
     pub(super) async fn stage(&self, target: &ModelVersion) -> SwitchResult<()> {
+        let digests = self.digests(target).ok_or_else(|| missing(0))?;
+        self.stage_range(target, 0..digests.count()).await
+    }
+
+    /// The same for the chunks of `range` alone.
+    ///
+    /// # Errors
+    ///
+    /// As [`ChunkStore::stage`].
+    pub(super) async fn stage_range(
+        &self,
+        target: &ModelVersion,
+        range: Range<u32>,
+    ) -> SwitchResult<()> {
         let digests = self.digests(target).ok_or_else(|| missing(0))?;
         let staged = self.staged(target).ok_or_else(|| missing(0))?;
-        for index in (0..digests.count()).filter(|index| !staged.contains(*index)) {
+        for index in range.clone().filter(|index| !staged.contains(*index)) {
             self.stage_chunk(target, index).await?;
         }
-        for index in 0..digests.count() {
+        for index in range {
             if self.read_back(target, index, &digests).await?.is_none() {
                 log_bad(target, index);
                 self.stage_chunk(target, index).await?;
--- a/src/replication/events.rs
+++ b/src/replication/events.rs
@@ -36,6 +36,10 @@
 );
 pub(crate) const LEASE_UNREADABLE: LogEvent =
     LogEvent::warn(1319, "a lease on load reports does not read");
+pub(crate) const OLDER_RETIRED: LogEvent = LogEvent::info(
+    1320,
+    "the engine was ordered off weights that may answer no more",
+);
 
 /// All of this slice's events.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -59,4 +63,5 @@
     WAIT_CHANGED,
     ENGINE_RESTARTED,
     LEASE_UNREADABLE,
+    OLDER_RETIRED,
 ];
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -19,6 +19,7 @@
 mod tests;
 mod version_load;
 mod version_loop;
+mod version_retire;
 mod view_poll;
 
 pub(crate) use host_daemon::run_backend_host;
--- a/src/replication/tests/backend_host.rs
+++ b/src/replication/tests/backend_host.rs
@@ -7,6 +7,7 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::{sleep, timeout};
 
+use crate::daemon::DrainState;
 use crate::fleet::{ModelVersion, WeightsVersion};
 use crate::platform::samples::naming_sample;
 use crate::platform::{
@@ -14,7 +15,8 @@
 };
 use crate::replication::chunk_messages::{ChunkAsk, HAVE_PATH};
 use crate::replication::run_backend_host;
-use crate::sync::EntryRecord;
+use crate::sync::{EntryRecord, SyncSettings, start_sync};
+use crate::test_support::free_address;
 use crate::transport::{ClientLimits, PeerClient};
 use crate::weights::HaveWord;
 
@@ -71,6 +73,24 @@
         }
     }
 
+    /// An entry host follows the store from now on, and tells the host of it.
+    pub(super) async fn start_entry(&self) {
+        let control = free_address().await;
+        let settings = SyncSettings {
+            me: EntryRecord {
+                host: "e".into(),
+                data_centre: "a".into(),
+                control,
+                reports: control,
+            },
+            store_address: self.store.address,
+            seeds: Vec::new(),
+        };
+        let book = start_sync(settings, DrainState::new(Duration::ZERO, Duration::ZERO));
+        let is_there = || !book.read(|book| book.entries().is_empty());
+        self.await_that("the entry host is entered", is_there).await;
+    }
+
     /// Where it answers other processes.
     pub(super) const fn peers(&self) -> SocketAddr {
         self.peers
--- a/src/replication/tests/mod.rs
+++ b/src/replication/tests/mod.rs
@@ -5,3 +5,4 @@
 mod messages;
 mod reports;
 mod restarts;
+mod retire;
--- a/src/replication/version_load.rs
+++ b/src/replication/version_load.rs
@@ -148,6 +148,11 @@
         let snapshot = self.book.snapshot().load();
         let Some(found) = self.find_whole(&snapshot) else {
             self.waits.set_load(None);
+            if let Some(overdue) = self.find_overdue(&snapshot, clock_now())
+                && let Err(error) = self.retire(&overdue).await
+            {
+                log_event!(events::LOAD_REFUSED, "{error}");
+            }
             return;
         };
         let now = clock_now();
@@ -242,6 +247,7 @@
     async fn order(&self, target: &ModelVersion, report: &EngineReport, may_cut: bool) -> bool {
         let order = LoadOrder {
             target: target.clone(),
+            layer: None,
             orders_taken: report.orders_taken,
             cuts_requests: may_cut,
         };
@@ -264,21 +270,23 @@
     }
 
     /// Whether all requests of this host's service may go on elsewhere.
-    fn may_cut(&self) -> bool {
+    pub(super) fn may_cut(&self) -> bool {
         let snapshot = self.book.snapshot().load();
         let catalog = snapshot.catalog.as_ref();
         catalog.is_some_and(|catalog| catalog.may_cut(&self.place.service))
     }
 
-    /// The engine's state just before an order: when it works on few requests, if these are cut off.
-    /// None if the engine told of a former state.
+    /// The engine's state just before an order: when it works on few requests, if these are cut off, or when
+    /// what waits there would begin on weights that may answer no more. None if the engine told of a former
+    /// state.
     async fn state_for_order(&self, may_cut: bool) -> SwitchResult<Option<EngineState>> {
         let until = clock_now() + CALM_WITHIN;
         loop {
             let state = self.watch.ask(ORDER_WITHIN).await?;
             let is_calm = state.as_ref().is_none_or(|state| {
                 let report = &state.report;
-                report.active + report.queued <= CUT_MAX || report.is_busy
+                let is_calm = report.active + report.queued <= CUT_MAX || report.is_busy;
+                is_calm || (report.queued > 0 && self.is_overdue(report, clock_now()))
             });
             if !may_cut || is_calm || clock_now() >= until {
                 return Ok(state);
--- a/src/replication/version_loop.rs
+++ b/src/replication/version_loop.rs
@@ -234,7 +234,11 @@
             pacer: self.pacer.clone(),
             slow_host: Arc::default(),
         };
-        let mut fetch = ChunkFetch::new(edges, target.clone(), held);
+        let layers = self
+            .place
+            .model_of(&snapshot)
+            .map_or(1, |(_, layers)| layers);
+        let mut fetch = ChunkFetch::new(edges, target.clone(), (held, layers));
         let ended = self.fetch_with(&mut fetch, target).await;
         self.leave_origin(&snapshot);
         ended
@@ -284,7 +288,7 @@
 }
 
 /// The version that the engine should serve; the first, where none was named yet.
-fn wanted(snapshot: &ControlSnapshot, model: ByteString) -> ModelVersion {
+pub(super) fn wanted(snapshot: &ControlSnapshot, model: ByteString) -> ModelVersion {
     match snapshot.newest_version(&model) {
         Some(wanted) => wanted.target.clone(),
         None => ModelVersion {
--- a/src/weights/fetch_choice.rs
+++ b/src/weights/fetch_choice.rs
@@ -150,25 +150,25 @@
     }
 
     /// The rarest chunk that somebody who has room holds, from whoever has most room. What this host
-    /// has to bring into its data centre goes first: others wait for it.
+    /// has to bring into its data centre goes first: others wait for it. Then come the preferred ones.
     fn choose_pull(&mut self, now: ClockTime) -> Option<(u32, PeerKey)> {
         let count = self.held.count();
         let first = self.rng.random_range(0..count);
-        let mut best: Option<(bool, u16, u32)> = None;
+        let mut best: Option<((bool, bool, u16), u32)> = None;
         for index in (first..count).chain(0..first) {
             let copies = self.peers.copies(index);
             let is_wanted = copies > 0 && !self.held.contains(index);
             if !is_wanted || self.is_flying(index) {
                 continue;
             }
-            let is_near = self.is_held_near(index);
-            let rank = (is_near, copies, index);
-            let is_better = best.is_none_or(|best| (is_near, copies) < (best.0, best.1));
+            let is_other = !self.preferred.contains(&index);
+            let rank = (self.is_held_near(index), is_other, copies);
+            let is_better = best.is_none_or(|best| rank < best.0);
             if is_better && self.has_holder(index, now) {
-                best = Some(rank);
+                best = Some((rank, index));
             }
         }
-        let (_, _, index) = best?;
+        let (_, index) = best?;
         let key = self.choose_holder(index, now)?;
         Some((index, key))
     }
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -4,6 +4,7 @@
 //! the origin by the host whose turn it is in the chunk's [`SourceLine`]. The plan knows no sockets
 //! and no clocks: the edge carries out its steps and tells it what came of them.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use macro_rules_attribute::apply;
@@ -105,6 +106,8 @@
     pub(super) limits: FetchLimits,
     pub(super) objective: SpreadObjective,
     pub(super) held: ChunkMap,
+    /// The chunks that are pulled before rarer ones.
+    pub(super) preferred: Range<u32>,
     /// The view that was set last.
     hosts: Vec<PlanHost>,
     pub(super) peers: PeerTable,
@@ -147,6 +150,7 @@
             imports: ImportTurns::new(me.clone(), digest, chunks),
             turns: OriginTurns::new(me, (digest, objective), chunks, limits.turn_span, now),
             held,
+            preferred: 0..0,
             flights: Vec::new(),
             next_flight: 0,
             usual_span,
@@ -171,6 +175,11 @@
         self.sources_due = ClockTime(0);
     }
 
+    /// The chunks of `range` are pulled before rarer ones: a host can make use of them by themselves.
+    pub(crate) fn prefer(&mut self, range: Range<u32>) {
+        self.preferred = range;
+    }
+
     /// From now on at most `pulls_max` chunks are under way from other hosts.
     pub(crate) const fn set_pulls_max(&mut self, pulls_max: usize) {
         self.limits.pulls_max = pulls_max;
--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -7,5 +7,6 @@
 mod lost_hosts;
 mod origin_away;
 mod rollout;
+mod slow_links;
 mod spread;
 mod wide_fleet;
--- /dev/null
+++ b/src/weights/tests/slow_links.rs
@@ -0,0 +1,75 @@
+//! Hosts whose own link carries little.
+
+use std::time::Duration;
+
+use crate::documents::SpreadObjective;
+use crate::time::ClockTime;
+use crate::weights::{
+    ChunkMap, FetchLimits, FetchPlan, FetchStep, FlightSource, HaveWord, LineHost, PlanHost,
+    WeightsDigest,
+};
+
+const START: ClockTime = ClockTime::from_millis(100_000);
+const CHUNKS: u32 = 48;
+
+fn line(host: &str) -> LineHost {
+    LineHost {
+        host: host.into(),
+        data_centre: "here".into(),
+        region: "all".into(),
+    }
+}
+
+/// A plan beside `hosts` that hold all chunks.
+fn plan_beside(hosts: &[&str]) -> FetchPlan {
+    let mut plan = FetchPlan::new(
+        line("me"),
+        (WeightsDigest::of(b"v2"), SpreadObjective::OriginBytes),
+        ChunkMap::empty(CHUNKS),
+        FetchLimits::default(),
+        (Duration::from_millis(42), 1),
+        START,
+    );
+    let listed: Vec<PlanHost> = (1..)
+        .zip(hosts)
+        .map(|(port, host)| PlanHost {
+            line: line(host),
+            address: ([127, 0, 0, 1], port).into(),
+        })
+        .collect();
+    plan.set_hosts(&listed);
+    for host in hosts {
+        let word = HaveWord {
+            host: (*host).into(),
+            held: ChunkMap::full(CHUNKS),
+            claimed: ChunkMap::empty(CHUNKS),
+            backlog_ms: 0,
+        };
+        plan.on_word(&word, START);
+    }
+    plan
+}
+
+fn pulled(plan: &mut FetchPlan) -> Vec<u32> {
+    let steps = plan.next_steps(START);
+    let pulls = steps.iter().filter_map(|step| match step {
+        FetchStep::Fetch {
+            index,
+            source: FlightSource::Peer(_),
+            ..
+        } => Some(*index),
+        _ => None,
+    });
+    pulls.collect()
+}
+
+/// Guards against a host that has chunks of each layer, and none whole, while its link carries little.
+#[test]
+fn preferred_chunks_are_pulled_first() {
+    let mut plan = plan_beside(&["a", "b"]);
+    plan.set_pulls_max(3);
+    plan.prefer(30..33);
+    let mut first = pulled(&mut plan);
+    first.sort_unstable();
+    assert_eq!(first, [30, 31, 32]);
+}
