Let chunks that do not come tell of a narrow link

What callers saw: requests to an engine behind a link that had become narrow took 1.3 to 3.2 s to get there.

Cause: six chunks of 49 KB were under way to its host, 2.6 s of a link of 0.9 Mbit/s, and requests wait behind them.

Now chunks from two hosts that are under way for longer than 0.7 s say it, and fewer are asked for at once. One host alone may be slow itself, and one that does not answer does not count.

--- a/src/replication/chunk_fetch.rs
+++ b/src/replication/chunk_fetch.rs
@@ -21,7 +21,7 @@
 use crate::fleet::ModelVersion;
 use crate::metrics;
 use crate::platform::OriginClient;
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 use crate::transport::PeerClient;
 use crate::weights::{
     ChunkMap, FetchLimits, FetchPlan, FetchStep, FlightId, FlightSource, HaveWord, LineHost,
@@ -33,6 +33,8 @@
 /// A chunk that takes longer came over a link that carries less than it should: while a version
 /// spreads, half of the chunks come within 150 ms and all but a few within 550.
 const PULL_SLOW: Duration = Duration::from_millis(700);
+/// Hosts whose chunks are late at a time when the link of this host is slow, and not theirs.
+const SLOW_SOURCES: usize = 2;
 /// A chunk that takes no longer shows that the link carries what it should.
 const PULL_FAST: Duration = Duration::from_millis(250);
 const ASK_WITHIN: Duration = Duration::from_millis(500);
@@ -121,6 +123,8 @@
     under_way: JoinSet<()>,
     flights: Vec<(FlightId, AbortHandle)>,
     mismatches: u32,
+    /// Until when chunks under way tell nothing new of the link.
+    slow_until: ClockTime,
 }
 
 impl ChunkFetch {
@@ -163,6 +167,7 @@
             under_way: JoinSet::new(),
             flights: Vec::new(),
             mismatches: 0,
+            slow_until: ClockTime(0),
         }
     }
 
@@ -186,6 +191,7 @@
             if self.mismatches >= MISMATCHES_MAX {
                 return FetchEnd::DigestsDoubted;
             }
+            self.watch_pulls(clock_now());
             let pulls_max = self.edges.pacer.chunks_under_way(PULLS_MAX);
             self.plan.set_pulls_max(pulls_max);
             for step in self.plan.next_steps(clock_now()) {
@@ -209,6 +215,16 @@
         FetchEnd::LookAgain
     }
 
+    /// Chunks that do not come tell of a slow link sooner than those that come late.
+    fn watch_pulls(&mut self, now: ClockTime) {
+        if now < self.slow_until || self.plan.late_sources(PULL_SLOW, now) < SLOW_SOURCES {
+            return;
+        }
+        self.slow_until = now + PULL_SLOW;
+        log_event!(events::LINK_SLOW, "under_way_ms={}", PULL_SLOW.as_millis());
+        self.edges.pacer.slow_down();
+    }
+
     fn carry_out(&mut self, step: FetchStep) {
         let edges = self.edges.clone();
         let target = self.target.clone();
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -386,6 +386,18 @@
         self.flights_of(index).any(|flight| self.is_sound(flight))
     }
 
+    /// How many hosts that are there have let a chunk wait for longer than `span` at `now`.
+    pub(crate) fn late_sources(&self, span: Duration, now: ClockTime) -> usize {
+        let late = self.flights.iter().filter(|flight| {
+            let is_peer = flight.source != FlightSource::Origin;
+            is_peer && now.since(flight.since) > span && self.is_sound(flight)
+        });
+        let mut sources: Vec<FlightSource> = late.map(|flight| flight.source).collect();
+        sources.sort_unstable();
+        sources.dedup();
+        sources.len()
+    }
+
     pub(super) fn count_flights(&self, source: FlightSource) -> usize {
         self.flights
             .iter()
--- a/src/weights/tests/slow_links.rs
+++ b/src/weights/tests/slow_links.rs
@@ -11,6 +11,7 @@
 
 const START: ClockTime = ClockTime::from_millis(100_000);
 const CHUNKS: u32 = 48;
+const LATE: Duration = Duration::from_millis(700);
 
 fn line(host: &str) -> LineHost {
     LineHost {
@@ -73,3 +74,17 @@
     first.sort_unstable();
     assert_eq!(first, [30, 31, 32]);
 }
+
+/// Guards against chunks that fill a narrow link for seconds before the first of them has come.
+#[test]
+fn chunks_under_way_from_two_hosts_tell_of_a_slow_link() {
+    let mut plan = plan_beside(&["a", "b"]);
+    assert!(pulled(&mut plan).len() > 2);
+    assert_eq!(plan.late_sources(LATE, START + LATE), 0);
+    let later = START + LATE + Duration::from_millis(1);
+    assert_eq!(plan.late_sources(LATE, later), 2);
+    // One host alone may be slow itself.
+    let mut plan = plan_beside(&["a"]);
+    assert!(!pulled(&mut plan).is_empty());
+    assert_eq!(plan.late_sources(LATE, later), 1);
+}
