Send nothing to older weights over a way that may take longer than their bound

Cause: an entry host sent to older weights up to 0.8 s before their bound, though its own requests at that engine had waited for 0.7 s and more without an answer, and also when a moment was left until they would be taken back.

Now each backend server keeps how long requests lately waited there for their answer to begin, also those that still wait; shortly before the bound none goes to older weights where that was more than 0.6 s. And nothing is sent that would be taken back within the time in which a connection may open.

What the test cannot show: a way that becomes full in the last moment, of which nobody has seen anything.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -28,6 +28,8 @@
 /// How long the word that an engine is about to load weights holds. It is told five times a second; a
 /// process that died right after it had told would keep requests from its engine for good.
 const LOADING_SPAN: Duration = Duration::from_millis(1500);
+/// For how long it counts that a request waited there for its answer to begin.
+const HEAD_WAIT_SPAN: Duration = Duration::from_secs(2);
 /// How long fresh connections are preferred after a connection delivered bytes that belong to no
 /// request. More of them may be on their way on other connections of the same backend server.
 const FRESH_SPAN: Duration = Duration::from_secs(10);
@@ -75,6 +77,8 @@
     pub(super) is_own: bool,
     heard: Option<LoadHeard>,
     pub(super) breaker: CircuitBreaker,
+    /// The longest that a request waited lately for its answer to begin, and when.
+    head_wait: (Duration, ClockTime),
     rest_until: ClockTime,
     fresh_until: ClockTime,
     /// How many requests a second it takes from all entry hosts together.
@@ -93,6 +97,7 @@
             is_own: true,
             heard: None,
             breaker: CircuitBreaker::default(),
+            head_wait: (Duration::ZERO, ClockTime(0)),
             rest_until: ClockTime(0),
             fresh_until: ClockTime(0),
             limit: RequestLimit::default(),
@@ -166,6 +171,23 @@
         }
     }
 
+    /// A request has waited for `wait` at `now` for its answer to begin.
+    pub(crate) fn note_head_wait(&mut self, wait: Duration, now: ClockTime) {
+        if wait >= self.head_wait(now) {
+            self.head_wait = (wait, now);
+        }
+    }
+
+    /// The longest that a request waited lately for its answer to begin.
+    pub(super) fn head_wait(&self, now: ClockTime) -> Duration {
+        let (wait, at) = self.head_wait;
+        if now.since(at) < HEAD_WAIT_SPAN {
+            wait
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Whether it is about to load weights, as far as was told lately.
     fn is_loading(&self, now: ClockTime) -> bool {
         now < self.loading_until
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -21,6 +21,10 @@
 /// One place in so many at an engine of older weights is taken shortly before their bound.
 const OLDER_PART: u32 = 2;
 
+/// Where requests waited for longer, none goes to older weights shortly before their bound: the way there may
+/// be full, and what is on it can't be taken back.
+const OLDER_WAIT_MAX: Duration = Duration::from_millis(600);
+
 /// Entry hosts of a data centre that consider a backend server at a time, beside the one that goes
 /// there first.
 const CONSIDERED_BY: u32 = 4;
@@ -115,8 +119,8 @@
 }
 
 impl PickNeed<'_> {
-    /// How many requests `record` may have.
-    fn places_at(&self, record: &BackendRecord) -> u32 {
+    /// How many requests `record` may have at `now`.
+    fn places_at(&self, record: &BackendRecord, now: ClockTime) -> u32 {
         let slots = record.facts.slots;
         match &self.version {
             // What other entry hosts have just sent is not known yet, and prompts that are read one after
@@ -125,7 +129,11 @@
             VersionNeed::Model { least_to_wait, .. }
                 if self.version.held_by(record) < *least_to_wait =>
             {
-                slots / OLDER_PART
+                if record.head_wait(now) > OLDER_WAIT_MAX {
+                    0
+                } else {
+                    slots / OLDER_PART
+                }
             }
             // A place that it takes from a new request turns that one into a late one as well.
             VersionNeed::Model { .. } if self.is_returned => slots - slots / SPARE_PART,
@@ -197,7 +205,7 @@
         }
         has_any = true;
         let load = record.load(now);
-        let is_free = record.is_open(now) && load < need.places_at(record);
+        let is_free = record.is_open(now) && load < need.places_at(record, now);
         if !is_free || record.turn(place) == LimitTurn::Others {
             continue;
         }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -162,6 +162,26 @@
     drop(tickets);
 }
 
+/// Guards against requests that are on their way to older weights, over a full link, when their bound comes.
+#[test]
+fn nothing_goes_to_older_weights_where_answers_begin_late() {
+    let desk = desk_of(vec![facts("a", "here", 1)]);
+    let mut begins = need(None);
+    if let VersionNeed::Model { least_to_wait, .. } = &mut begins.version {
+        *least_to_wait = Some(WeightsVersion(2));
+    }
+    let ticket = desk.pick(&begins, NOW).expect("a place is free");
+    let waited = |wait| ticket.with_record(|record| record.note_head_wait(wait, NOW));
+    waited(Duration::from_millis(300));
+    assert!(desk.pick(&begins, NOW).is_ok());
+    waited(Duration::from_millis(900));
+    waited(Duration::from_millis(100));
+    assert_eq!(desk.pick(&begins, NOW).err(), Some(PickRefusal::AllFull));
+    assert!(desk.pick(&need(None), NOW).is_ok(), "the bound is far");
+    let later = NOW + Duration::from_secs(3);
+    assert!(desk.pick(&begins, later).is_ok(), "it was long ago");
+}
+
 /// Symptom: a request reached a backend server seconds after the store had said that it leaves. Its
 /// record stayed at the desk because a request was under way there.
 #[test]
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -56,6 +56,17 @@
             _ => self,
         }
     }
+
+    /// Whether nothing is sent any more at `now`. A request that would be taken back from older weights sooner
+    /// than the way to them may take would only be overtaken by their bound.
+    fn is_over(self, now: ClockTime) -> bool {
+        let way = if self.silence == CallEnd::Nothing {
+            CONNECT_WITHIN
+        } else {
+            Duration::ZERO
+        };
+        self.until <= now + way
+    }
 }
 
 /// What is known after a send that brought no answer.
@@ -112,7 +123,7 @@
             return Err(SendFailure::not_sent(fault.to_string()));
         }
     };
-    if wait.until <= clock_now() {
+    if wait.is_over(clock_now()) {
         // The connection took as long to open. Counted from there, a request was taken back up to that much
         // too late, and began on older weights behind their bound.
         ticket.end(CallEnd::Nothing, clock_now());
@@ -187,6 +198,7 @@
         let taken_back = job.taken_back_at(&gateway.newest(), ticket.version, bound);
         let wait = wait.taken_back_by(taken_back);
         let now = clock_now();
+        ticket.with_record(|record| record.note_head_wait(now.since(begun), now));
         if silent_at.take_if(|at| *at <= now).is_some() {
             // Others are preferred for a while.
             ticket.note_silent(now);
