Let purses count the requests of the whole window before, the older the less

What callers saw: of many streams that an engine cut in one moment an entry host went on with 19, and broke the others off, while the budget of all had retries.

Cause: requests count half a window back, or in their own window; those of the whole window before, which the budget allows as well, were left out since clients that move would count at two entry hosts.

Now those of the window before count in full for the newest eight of twenty slices, and less and less behind. a_purse_pays_for_many_streams_that_are_cut_together, unchanged: 19 of 25 before, 25 now; purses_keep_to_the_budget_when_requests_move_to_another_entry_host and the random test of any window, unchanged, pass. Two entry hosts whose clients move can at worst still exceed the ratio's part by three fifths, as before: no count made from one entry host's requests alone pays 25 there and never exceeds it.

--- a/src/fleet/retry_purse.rs
+++ b/src/fleet/retry_purse.rs
@@ -17,6 +17,8 @@
 const SAFETY: f64 = 0.8;
 /// Slices of a window.
 const WINDOW_SLICES: u64 = 20;
+/// Slices of the window before in which requests count in full.
+const FRESH_SLICES: u64 = 8;
 
 /// What the entry hosts together may spend.
 #[apply(plain!)]
@@ -101,9 +103,9 @@
         }
     }
 
-    /// Whether a window that begins in slice `begin` leaves one more second send. Its requests are its own or
-    /// those of the window half a window before it, whichever are more. The budget would allow those of the
-    /// whole window before as well, but clients that have moved on would then count at two entry hosts.
+    /// Whether a window that begins in slice `begin` leaves one more second send. Its requests are its own,
+    /// those of the window half a window before it or those before it, whichever are most. The latter count
+    /// for less the older they are: clients that have moved on since would count at two entry hosts.
     fn allows_one_since(&self, begin: u64, limits: PurseLimits) -> bool {
         let half = WINDOW_SLICES / 2;
         // Slices that the earlier one may hold in part do not count.
@@ -111,7 +113,7 @@
         let own = (begin + 1, begin + WINDOW_SLICES + 1);
         let [earlier, own] =
             [earlier, own].map(|(from, to)| self.sum(from, to, |slice| slice.requests));
-        let requests = earlier.max(own);
+        let requests = earlier.max(own).max(self.aged_before(begin));
         // The other entry hosts may have become known since the purse was made.
         let held_back = if begin <= self.first {
             limits.own_extra() / 2.0
@@ -122,6 +124,19 @@
         spent + 1.0 <= (limits.ratio * requests + limits.own_extra() - held_back) * SAFETY
     }
 
+    /// The requests of the window before slice `begin`, those that are older than `FRESH_SLICES` in part.
+    #[expect(clippy::cast_precision_loss, reason = "a window has few slices")]
+    fn aged_before(&self, begin: u64) -> f64 {
+        let aging = (WINDOW_SLICES - FRESH_SLICES) as f64;
+        let weigh = |slice: &PurseSlice| {
+            let age = begin.saturating_sub(slice.number);
+            let left = WINDOW_SLICES.saturating_sub(age) as f64;
+            slice.requests * (left / aging).min(1.0)
+        };
+        // Slices that the window may hold in part do not count.
+        self.sum(begin.saturating_sub(WINDOW_SLICES - 1), begin, weigh)
+    }
+
     /// The sum of `part` over the slices from `from` up to before `to`.
     fn sum(&self, from: u64, to: u64, part: impl Fn(&PurseSlice) -> f64) -> f64 {
         let first = self.slices.partition_point(|slice| slice.number < from);
