--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -80,10 +80,11 @@
             }
             // The retry that the search has paid for is still to be used.
             Some(ended) => note_failed(forwarder, ended),
-            None => match await_answer(forwarder, &mut sends).await? {
-                Some(answer) => break answer,
-                None => {}
-            },
+            None => {
+                if let Some(answer) = await_answer(forwarder, &mut sends).await? {
+                    break answer;
+                }
+            }
         }
     };
     if !sends.is_empty() {
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -127,6 +127,24 @@
     hall.end();
 }
 
+/// Guards against more than one further reader beside one that stands still and answers again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_reader_that_stands_still_costs_one_more_reader() {
+    let mut hall = TestHall::start().await;
+    let before = hall.store.rows_told(TableName::Operator);
+    let reader = hall.processes[1].as_ref().expect("it lives");
+    // Longer than a question to it may take.
+    reader.freeze(Duration::from_millis(1200));
+    sleep(Duration::from_millis(950)).await;
+    for _ in 0..5 {
+        hall.put_document();
+        hall.all_have_it(BOUND).await;
+    }
+    let told = hall.store.rows_told(TableName::Operator) - before;
+    assert!(told <= 15, "five documents were told {told} times");
+    hall.end();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_document_reaches_all_whose_readers_were_killed() {
     let mut hall = TestHall::start().await;
