--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -143,8 +143,9 @@
             None => Some(sends.next().await),
         };
         let Some(EndedSend { backend, result }) = ended else {
-            if forwarder.pay_repeat(clock_now()).is_ok() {
-                log_head_late(&forwarder.job, forwarder.tried().len());
+            let now = clock_now();
+            if forwarder.pay_repeat(now).is_ok() {
+                log_head_late(&forwarder.job, forwarder.tried().len(), now);
                 return Ok(None);
             }
             continue;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -11,7 +11,7 @@
 use crate::events::log_event;
 use crate::fleet::WeightsVersion;
 use crate::metrics;
-use crate::time::{ClockTime, clock_now};
+use crate::time::ClockTime;
 
 /// The request got a backend server's answer.
 pub(super) fn log_end(job: &RequestJob, backend: &str, status: StatusCode, now: ClockTime) {
@@ -90,9 +90,9 @@
 }
 
 /// The heads of a request's answers are late, and another backend server is asked as well.
-pub(super) fn log_head_late(job: &RequestJob, sends: usize) {
+pub(super) fn log_head_late(job: &RequestJob, sends: usize, now: ClockTime) {
     metrics::count_retry(ErrorKind::PeerSilent);
-    let waited = clock_now().since(job.arrived);
+    let waited = now.since(job.arrived);
     log_event!(
         events::HEAD_LATE,
         "id={} route={} sends={sends} ms={}",
