Do not refuse a request as not run while a backend server works on it

What callers saw, since late heads are waited for: 503 request_quarantined, "not run", for a request that a backend server was working on. Its answer was late, other backend servers crashed under it meanwhile, and the second send was refused; the first one was dropped with it though it had run.

Cause: the outcome of a refusal went by the sends that had ended, not by those under way.

a_request_that_is_quarantined_while_it_is_sent_is_not_refused_as_not_run failed before (503 with Retry-After 599 s); now the request is sent to nobody else, and what is under way is waited for: 200.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -53,10 +53,13 @@
 ) -> SwitchResult<OpenAnswer> {
     let mut sends = OpenSends::default();
     let answer = loop {
-        if let Some(refusal) = forwarder.refuse_quarantined(clock_now()) {
-            return Err(refusal);
-        }
-        let ended = match seek_backend(forwarder, &mut sends).await {
+        let step = match forwarder.refuse_quarantined(clock_now()) {
+            Some(refusal) if sends.is_empty() => return Err(refusal),
+            // What is under way may have run, and may still be answered.
+            Some(_) => SeekEnd::Barred,
+            None => seek_backend(forwarder, &mut sends).await,
+        };
+        let ended = match step {
             SeekEnd::Found(chosen) => {
                 let backend = chosen.ticket.facts.id.clone();
                 sends.push(backend, start_send(forwarder, chosen, last_event));
@@ -65,7 +68,7 @@
             SeekEnd::Refused(refusal) if sends.is_empty() => {
                 return Err(forwarder.give_up(Some(refusal)));
             }
-            SeekEnd::Refused(_) => {
+            SeekEnd::Refused(_) | SeekEnd::Barred => {
                 forwarder.refund_retry(clock_now());
                 None
             }
@@ -98,6 +101,8 @@
 enum SeekEnd {
     Found(ChosenBackend),
     Refused(PickRefusal),
+    /// The request is sent to no further backend server.
+    Barred,
     /// A send that was under way ended first.
     Ended(EndedSend),
 }
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{BOUNDS, gateway_on};
+use super::{BOUNDS, gateway_beside};
 use crate::catalog::{
     AccountRecord, BackendService, CallerLimits, CatalogVersion, RepeatRule, RouteRule, RouteTable,
     ServiceCatalog, ServiceShare,
@@ -20,7 +20,7 @@
 use crate::gateway::gateway_state::GatewayState;
 use crate::platform::TimeBounds;
 use crate::platform::samples::{ATTEMPT, BACKEND_ID, DEADLINE, NOT_RUN, SEAL};
-use crate::sync::{ControlSnapshot, SharedSnapshot};
+use crate::sync::{ControlSnapshot, SharedBook, SharedSnapshot};
 use crate::transport::{HttpServer, bind_listener};
 
 /// What a fake does with a request.
@@ -283,6 +283,8 @@
 pub(super) struct FakeEntry {
     pub(super) address: SocketAddr,
     pub(super) gateway: Arc<GatewayState>,
+    /// Where it hears of requests that crash backend servers.
+    pub(super) book: SharedBook,
 }
 
 impl FakeEntry {
@@ -319,7 +321,8 @@
             }),
             ..ControlSnapshot::default()
         });
-        let gateway = Arc::new(gateway_on(snapshot, bounds));
+        let book = SharedBook::default();
+        let gateway = Arc::new(gateway_beside(snapshot, bounds, book.clone()));
         let listener = bind_listener(([127, 0, 0, 1], 0).into())
             .await
             .expect("a free port");
@@ -327,7 +330,11 @@
         let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
         let server = HttpServer::on(listener, caller_routes(gateway.clone()));
         tokio::spawn(server.run(drain));
-        Self { address, gateway }
+        Self {
+            address,
+            gateway,
+            book,
+        }
     }
 
     /// Sends `text` on a connection of its own and returns all that comes back until the entry host
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -101,6 +101,11 @@
 };
 
 fn gateway_on(snapshot: SharedSnapshot, bounds: TimeBounds) -> GatewayState {
+    gateway_beside(snapshot, bounds, SharedBook::default())
+}
+
+/// The same, which is told by `book` of requests that crash backend servers.
+fn gateway_beside(snapshot: SharedSnapshot, bounds: TimeBounds, book: SharedBook) -> GatewayState {
     let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
     let me = EntryPlace {
         data_centre: "here".into(),
@@ -108,7 +113,7 @@
     };
     GatewayState::new(GatewayParts {
         snapshot,
-        crashes: CrashWatch::new(SharedBook::default()),
+        crashes: CrashWatch::new(book),
         me,
         drain,
         bounds,
--- a/src/gateway/tests/pauses.rs
+++ b/src/gateway/tests/pauses.rs
@@ -6,6 +6,7 @@
 use super::fake_backend::{BackendWay, FakeBackend, FakeEntry};
 use super::sends::{assert_whole_stream, outcome};
 use crate::fleet::{BackendKey, BackendTicket, PickNeed, VersionNeed};
+use crate::quarantine::{BackendStart, RequestDigest, RequestParts};
 use crate::time::clock_now;
 
 /// Two events, a pause as of a busy engine, and the rest.
@@ -163,3 +164,38 @@
         }
     }
 }
+
+/// Guards against a request that is refused as not run while a backend server works on it.
+#[tokio::test]
+async fn a_request_that_is_quarantined_while_it_is_sent_is_not_refused_as_not_run() {
+    let late = BackendWay::EventsLate {
+        pause: Duration::from_millis(1300),
+        to: 5,
+    };
+    let first = FakeBackend::start(late).await;
+    let second = FakeBackend::start(WHOLE).await;
+    let entry = FakeEntry::start(&[&first, &second]).await;
+    let request = RequestDigest::of(RequestParts {
+        host: "desk.example",
+        path: "/safe/x",
+        account: Some("lodge"),
+        body: b"body",
+    });
+    let crashes = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for id in ["i-7", "i-8", "i-9"] {
+            let start = BackendStart::of(&id.into(), None);
+            entry
+                .book
+                .change(|book| book.note_crash(start, &[request], clock_now()));
+        }
+    };
+    let (answer, ()) = tokio::join!(entry.ask("safe"), crashes);
+    assert_eq!((first.arrivals(), second.arrivals()), (1, 0));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let later = entry.ask("safe").await;
+    assert!(
+        later.starts_with("HTTP/1.1 200"),
+        "it was answered: {later}"
+    );
+}
