--- a/src/replication/version_load.rs
+++ b/src/replication/version_load.rs
@@ -22,7 +22,7 @@
 use crate::time::{ClockTime, clock_now};
 
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
-const ORDER_WITHIN: Duration = Duration::from_millis(800);
+pub(super) const ORDER_WITHIN: Duration = Duration::from_millis(800);
 /// How long an engine may take from an order to the version, the requests that it works on included.
 const LOAD_WITHIN: Duration = Duration::from_secs(9);
 /// The time between the word to entry hosts that the engine is about to change and the order: a
--- a/src/replication/version_retire.rs
+++ b/src/replication/version_retire.rs
@@ -10,7 +10,7 @@
 
 use super::engine_incarnation::EngineIncarnation;
 use super::events;
-use super::version_load::VersionLoad;
+use super::version_load::{ORDER_WITHIN, VersionLoad};
 use super::version_loop::wanted;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
@@ -23,7 +23,6 @@
 /// How long before their bound the engine is taken off older weights: the order and the staging of a layer
 /// take some 20 ms each, and entry hosts have taken back what waits.
 const RETIRE_BEFORE: Duration = Duration::from_millis(200);
-const ORDER_WITHIN: Duration = Duration::from_millis(800);
 
 /// An engine that serves weights which may answer no more.
 pub(super) struct OverdueWeights {
