Hold no watch of the operator's table longer than the process has to read

What callers saw: for up to 1.4 s after an entry host took the place of a reader, each document crossed the link to its data centre once more, beside the weights that need the same link; when both readers failed, every follower received the next document from the store.

Cause: the order of readers was looked at between two watches only, and each watch was held for its full 1.4 s. A process that replaced an excluded reader (2 s) began its second watch at 1.4 s and held it to 2.8 s. A process that reads once because two readers did not answer held a watch too.

Change: the order of readers tells until when the process reads; a watch is held no longer. A process that reads once holds nothing. This ends the third read at the end of the exclusion instead of up to one watch later.

The pure order has a test and a random test of the computed time.

--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -15,7 +15,7 @@
 use super::store_watch::{FollowContext, RetryBackoff, StoreWatch};
 use super::target_update_time::FollowState;
 use crate::events::log_event;
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 use crate::transport::ResponseTimeouts;
 
 /// How long a reader holds a query open. If a reader does not answer, the next one is queried.
@@ -75,7 +75,12 @@
                 log_event!(events::READER_CHANGED, "reads={was_reader}");
             }
             match next {
-                ReadStep::Read => self.reader_step(&mut progress).await,
+                ReadStep::Read => {
+                    let until = self
+                        .state
+                        .read(|state| order.reads_until(state.entries(), now));
+                    self.reader_step(&mut progress, until).await;
+                }
                 ReadStep::Query(entry) => {
                     progress.since = None;
                     progress.is_full_read_due = false;
@@ -91,8 +96,8 @@
         }
     }
 
-    /// One call to the store.
-    async fn reader_step(&self, progress: &mut ReaderProgress) {
+    /// One call to the store, by a process that reads until `until`.
+    async fn reader_step(&self, progress: &mut ReaderProgress, until: Option<ClockTime>) {
         if !progress.has_read_history {
             progress.has_read_history = true;
             if self.state.read(DeploymentState::document_version).is_none() {
@@ -111,7 +116,9 @@
         }
         let context = progress.context;
         let sent_at = clock_now();
-        let followed = self.operator_step(&mut progress.since, context).await;
+        let followed = self
+            .operator_step(&mut progress.since, context, until)
+            .await;
         progress.context = match &followed {
             Ok(answered_at) => FollowContext::after_answer(*answered_at),
             Err(_) => self.after_failure(context, sent_at),
--- a/src/sync/read_order.rs
+++ b/src/sync/read_order.rs
@@ -102,6 +102,18 @@
         ReadStep::Query(readers[self.next_reader % READERS].clone())
     }
 
+    /// The first time, not before `now`, at which enough readers of a higher rank are not excluded,
+    /// given all known entry hosts; `None` if there are too few of them.
+    pub(super) fn reads_until(&self, entries: &[EntryRecord], now: ClockTime) -> Option<ClockTime> {
+        let ends = self.excluded.iter().map(|excluded| excluded.until);
+        let mut times: Vec<ClockTime> = ends.filter(|until| *until > now).collect();
+        times.push(now);
+        times.sort_unstable();
+        times
+            .into_iter()
+            .find(|time| self.readers_ahead(entries, *time).len() >= READERS)
+    }
+
     /// Records the result of a query to the reader called `host` at `now`.
     pub(super) fn note(&mut self, host: &str, answer: ReaderAnswer, now: ClockTime) {
         let known = self
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -160,11 +160,12 @@
     }
 
     /// Merges one answer of the store about changes of the operator's table after revision `since`;
-    /// returns the time of the answer on the store's clock.
+    /// returns the time of the answer on the store's clock. A watch is not held beyond `until`.
     pub(super) async fn operator_step(
         &self,
         since: &mut Option<u64>,
         context: FollowContext,
+        until: Option<ClockTime>,
     ) -> SwitchResult<StoreTime> {
         let Some(known) = *since else {
             let (revision, answered_at) = self.read_operator(context).await?;
@@ -178,9 +179,10 @@
         }
         let table = TableName::Operator;
         let sent_at = clock_now();
+        let wait = watch_span(OPERATOR_WAIT, until, sent_at);
         let watched = self
             .store
-            .watch_table(table, known, OPERATOR_WAIT, STORE_TIMEOUT)
+            .watch_table(table, known, wait, STORE_TIMEOUT)
             .await;
         if context.is_after_failure && watched.is_err() {
             // The store answers other calls, but the watch fails: its answer contains every
@@ -373,6 +375,13 @@
     }
 }
 
+/// How long a watch that begins at `now` is held open: `longest`, or less by a process that reads
+/// the store only until `until`. Otherwise one process more would receive each change until the end
+/// of the watch, over a link that may be narrow.
+pub(super) fn watch_span(longest: Duration, until: Option<ClockTime>, now: ClockTime) -> Duration {
+    until.map_or(longest, |until| longest.min(until.since(now)))
+}
+
 /// Pause until this process reads the entry hosts again, depending on whether it reads the store
 /// for its data centre, and on the number of known entry hosts, `count`.
 ///
--- a/src/sync/tests/read_orders.rs
+++ b/src/sync/tests/read_orders.rs
@@ -131,6 +131,26 @@
     );
 }
 
+/// Guards against a call to the store that is held longer than its process has to read.
+#[test]
+fn a_process_reads_until_the_exclusions_end() {
+    let entries = ordered(5);
+    let first = ReadOrder::of(&entries[0]);
+    assert_eq!(first.reads_until(&entries, START), None, "it always reads");
+    let mut third = ReadOrder::of(&entries[2]);
+    assert_eq!(third.reads_until(&entries, START), Some(START));
+    third.note(&entries[1].host, ReaderAnswer::Unresponsive, START);
+    let later = START + Duration::from_secs(1);
+    third.note(&entries[0].host, ReaderAnswer::Unresponsive, later);
+    let until = later + Duration::from_secs(2);
+    assert_eq!(third.reads_until(&entries, later), Some(until));
+    assert_eq!(
+        third.reads_until(&entries[1..], later),
+        None,
+        "too few are known"
+    );
+}
+
 /// The store refused the reader and served all others, which kept querying it.
 #[test]
 fn a_reader_cut_off_from_the_store_is_replaced() {
@@ -197,6 +217,34 @@
     assert!(!follower.is_overdue(START + Duration::from_millis(2400)));
 }
 
+/// A process that does not read only once, reads until the time that it computes and not later.
+#[test]
+fn a_process_queries_readers_from_the_computed_time_on() {
+    run_cases(CASES, CASE_BYTES, |u| {
+        let entries = ordered(usize::from(u.int_in_range(1..=8_u8)?));
+        let mut order = ReadOrder::of(u.choose(&entries)?);
+        let mut now = START;
+        for _ in 0..u.int_in_range(0..=12_u8)? {
+            let host = u.choose(&entries)?.host.clone();
+            let answers = [ReaderAnswer::Outdated, ReaderAnswer::Unresponsive];
+            order.note(&host, *u.choose(&answers)?, now);
+            now = now + Duration::from_millis(u.int_in_range(0..=3_000)?);
+        }
+        // With a response, it does not read once because two readers did not respond.
+        order.note("elsewhere", ReaderAnswer::Current, now);
+        let reads_at = |time: ClockTime| order.clone().next(&entries, time) == ReadStep::Read;
+        match order.reads_until(&entries, now) {
+            Some(until) => {
+                assert!(!reads_at(until));
+                assert_eq!(reads_at(now), until > now);
+                assert!(until == now || reads_at(until - Duration::from_millis(1)));
+            }
+            None => assert!(reads_at(now) && reads_at(now + Duration::from_mins(1))),
+        }
+        Ok(())
+    });
+}
+
 /// Whatever failures each process has seen, no two processes wait for each other: each queries only
 /// higher ranks, so the queries lead to a process that reads.
 #[test]
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -1,6 +1,7 @@
 //! Entry hosts of one data centre share the reading of the operator's table, and handle failures of
 //! the readers. A document has to be in force three seconds after it was accepted.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep, timeout_at};
@@ -24,12 +25,22 @@
 struct TestDataCentre {
     store: FakeStore,
     proxies: Vec<StoreProxy>,
+    settings: Vec<SyncSettings>,
     processes: Vec<Option<EntryProcess>>,
     version: u64,
 }
 
 impl TestDataCentre {
     async fn start() -> Self {
+        let mut data_centre = Self::without_processes().await;
+        data_centre.start_processes(0..ENTRIES);
+        data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
+        sleep(SETTLE_SPAN).await;
+        data_centre
+    }
+
+    /// The store and the proxies, with all entry hosts registered but none running.
+    async fn without_processes() -> Self {
         let store = FakeStore::start().await;
         let mut records = Vec::new();
         for number in 0..ENTRIES {
@@ -48,6 +59,7 @@
         let mut data_centre = Self {
             store,
             proxies: Vec::new(),
+            settings: Vec::new(),
             processes: Vec::new(),
             version: 0,
         };
@@ -60,15 +72,25 @@
                 seeds: Vec::new(),
             };
             data_centre.proxies.push(proxy);
-            data_centre
-                .processes
-                .push(Some(EntryProcess::start_with(settings)));
+            data_centre.settings.push(settings);
+            data_centre.processes.push(None);
         }
-        data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
-        sleep(SETTLE_SPAN).await;
         data_centre
     }
 
+    fn start_processes(&mut self, indices: Range<usize>) {
+        for index in indices {
+            let settings = self.settings[index].clone();
+            self.processes[index] = Some(EntryProcess::start_with(settings));
+        }
+    }
+
+    fn process(&self, index: usize) -> &EntryProcess {
+        self.processes[index]
+            .as_ref()
+            .expect("the process is running")
+    }
+
     fn put_document(&mut self) {
         self.version += 1;
         let (key, text) = document_sample(self.version);
@@ -107,7 +129,7 @@
         }
     }
 
-    fn fault(&self, indices: std::ops::Range<usize>, fault: ProxyFault) {
+    fn fault(&self, indices: Range<usize>, fault: ProxyFault) {
         for proxy in &self.proxies[indices] {
             proxy.set(fault);
         }
@@ -143,9 +165,7 @@
 async fn a_reader_that_stands_still_costs_one_more_reader() {
     let mut data_centre = TestDataCentre::start().await;
     let before = data_centre.store.rows_sent(TableName::Operator);
-    let reader = data_centre.processes[1]
-        .as_ref()
-        .expect("the process is running");
+    let reader = data_centre.process(1);
     // Longer than the time limit of a query to it.
     reader.stall(Duration::from_millis(1200));
     sleep(Duration::from_millis(950)).await;
@@ -158,6 +178,47 @@
     data_centre.end();
 }
 
+/// Guards against a watch that is held longer than its process has to read. For up to 1.4 s after
+/// the exclusion of a reader, each document crossed the link between two regions once more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_stops_reading_when_an_exclusion_ends() {
+    let mut data_centre = TestDataCentre::without_processes().await;
+    data_centre.start_processes(2..ENTRIES);
+    data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
+    data_centre.start_processes(0..2);
+    // The exclusion ends after 2 s. The second watch would end after 2.8 s.
+    sleep(Duration::from_millis(2300)).await;
+    let before = data_centre.store.rows_sent(TableName::Operator);
+    data_centre.put_document();
+    data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
+    let reads = data_centre.store.rows_sent(TableName::Operator) - before;
+    assert!(reads <= 2, "a document was read {reads} times");
+    data_centre.end();
+}
+
+/// Guards against a watch that is held although its process reads only once. When two readers
+/// failed, all their followers received the next document from the store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn followers_that_read_once_do_not_hold_a_watch() {
+    let mut data_centre = TestDataCentre::start().await;
+    // New readers then find no past versions, which would count as well.
+    data_centre.store.forget_history();
+    data_centre.put_document();
+    data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
+    for index in 0..2 {
+        data_centre.process(index).stall(Duration::from_secs(3));
+    }
+    // By then no follower has got a response from either of them, and the next two read.
+    sleep(Duration::from_millis(2100)).await;
+    let before = data_centre.store.rows_sent(TableName::Operator);
+    data_centre.put_document();
+    data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
+    let reads = data_centre.store.rows_sent(TableName::Operator) - before;
+    // The stalled ones read it when they continue.
+    assert!(reads <= 4, "a document was read {reads} times");
+    data_centre.end();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_document_arrives_when_readers_are_killed() {
     let mut data_centre = TestDataCentre::start().await;
