Let a new reader ask the store at once, not at the end of a watch

What callers saw: when the readers of a data centre failed, an entry host could exclude the next one, which worked, as outdated and read the table itself, so that documents crossed a narrow link three times while weights needed it.

Cause: a process that begins to read went on from the revision that its reader had reported, with a watch held for 1.4 s. Without a change the store answers only at the end, and until then the process reported the knowledge of the reader that had failed. After 2.5 s that counts as outdated.

Change: the first call after a time as a follower is not held. The store answers at once, and the followers of the new reader see current knowledge. It costs one call more for each change of readers.

Result: a_new_reader_knows_the_table_at_once failed before and passes now.

--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -12,7 +12,7 @@
 use super::peer_messages::{EntryRecord, PeerView, VIEW_PATH};
 use super::read_order::{ReadOrder, ReadStep, ReaderAnswer};
 use super::store_clock::QuerySpan;
-use super::store_watch::{FollowContext, RetryBackoff, StoreWatch};
+use super::store_watch::{FollowContext, OPERATOR_WAIT, RetryBackoff, StoreWatch, watch_span};
 use super::target_update_time::FollowState;
 use crate::events::log_event;
 use crate::time::{ClockTime, clock_now};
@@ -106,6 +106,7 @@
                 tokio::spawn(self.clone().read_past_targets_later());
             }
         }
+        let mut longest_wait = OPERATOR_WAIT;
         if progress.since.is_none()
             && !progress.is_full_read_due
             && let Some(announcement) = self.state.read(|state| state.operator().announcement())
@@ -113,12 +114,14 @@
             // Neighbours reported everything up to this revision.
             progress.since = Some(announcement.revision);
             progress.context = FollowContext::after_answer(announcement.answered_at);
+            // Until the store answers, this process knows no more than the reader that it followed,
+            // and its own followers would exclude it as outdated.
+            longest_wait = Duration::ZERO;
         }
         let context = progress.context;
         let sent_at = clock_now();
-        let followed = self
-            .operator_step(&mut progress.since, context, until)
-            .await;
+        let wait = watch_span(longest_wait, until, sent_at);
+        let followed = self.operator_step(&mut progress.since, context, wait).await;
         progress.context = match &followed {
             Ok(answered_at) => FollowContext::after_answer(*answered_at),
             Err(_) => self.after_failure(context, sent_at),
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -23,7 +23,7 @@
 /// How long the store holds a watch of the operator's table open. A connection that fails silently
 /// meanwhile is noticed only at the end of this time, and a document must be in force two seconds
 /// after it was accepted. Calls are charged, so the time is not shorter.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1400);
+pub(super) const OPERATOR_WAIT: Duration = Duration::from_millis(1400);
 /// How long the store holds a watch of the backend servers' table open.
 const BACKENDS_WAIT: Duration = Duration::from_secs(1);
 /// Pause between two watches of the backend servers' table. Entries change all the time, and
@@ -160,12 +160,12 @@
     }
 
     /// Merges one answer of the store about changes of the operator's table after revision `since`;
-    /// returns the time of the answer on the store's clock. A watch is not held beyond `until`.
+    /// returns the time of the answer on the store's clock. The store holds a watch open for `wait`.
     pub(super) async fn operator_step(
         &self,
         since: &mut Option<u64>,
         context: FollowContext,
-        until: Option<ClockTime>,
+        wait: Duration,
     ) -> SwitchResult<StoreTime> {
         let Some(known) = *since else {
             let (revision, answered_at) = self.read_operator(context).await?;
@@ -179,7 +179,6 @@
         }
         let table = TableName::Operator;
         let sent_at = clock_now();
-        let wait = watch_span(OPERATOR_WAIT, until, sent_at);
         let watched = self
             .store
             .watch_table(table, known, wait, STORE_TIMEOUT)
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -12,7 +12,7 @@
 use crate::platform::samples::{backend_sample, document_sample};
 use crate::platform::{FakeStore, TableName};
 use crate::sync::read_order::rank_of;
-use crate::sync::{DeploymentSnapshot, EntryRecord, SyncSettings};
+use crate::sync::{DeploymentSnapshot, DeploymentState, EntryRecord, SyncSettings};
 use crate::test_support::unused_address;
 
 const ENTRIES: usize = 6;
@@ -219,6 +219,24 @@
     data_centre.end();
 }
 
+/// Guards against a new reader whose knowledge stays that of the failed one until the end of its
+/// first watch. Its followers excluded it as outdated, and some of them read as well.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_reader_knows_the_table_at_once() {
+    let data_centre = TestDataCentre::start().await;
+    for index in 0..2 {
+        data_centre.process(index).stall(Duration::from_secs(3));
+    }
+    // A query is held open for 0.6 s and has a time limit of 0.9 s.
+    sleep(Duration::from_millis(1300)).await;
+    let reads = data_centre
+        .process(2)
+        .state
+        .read(DeploymentState::reads_store);
+    assert!(reads, "the store has not answered the next process yet");
+    data_centre.end();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_document_arrives_when_readers_are_killed() {
     let mut data_centre = TestDataCentre::start().await;
