Leave the store's history to the readers when a follower reads once

What callers saw: one second after both readers of a data centre failed, each follower that got no answer from either received all recent documents (300 KB and more) over the link between regions that weights and the newest document need.

Cause: the history is read on a process's first call for the operator's table, also when it reads only once because two readers in a row did not answer.

Evidence: with two stalled readers and no change, a trace of the store's answers shows reads of the history by the two processes that become readers and by the one that read once.

Change: a process that has a document and reads only once does not read the history. It knows no less than any follower does, and reads the history when it becomes a reader.

--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -79,7 +79,7 @@
                     let until = self
                         .state
                         .read(|state| order.reads_until(state.entries(), now));
-                    self.reader_step(&mut progress, until).await;
+                    self.reader_step(&mut progress, until, now).await;
                 }
                 ReadStep::Query(entry) => {
                     progress.since = None;
@@ -96,16 +96,15 @@
         }
     }
 
-    /// One call to the store, by a process that reads until `until`.
-    async fn reader_step(&self, progress: &mut ReaderProgress, until: Option<ClockTime>) {
-        if !progress.has_read_history {
-            progress.has_read_history = true;
-            if self.state.read(DeploymentState::document_version).is_none() {
-                self.read_past_targets_first().await;
-            } else {
-                tokio::spawn(self.clone().read_past_targets_later());
-            }
-        }
+    /// One call to the store at `now`, by a process that reads until `until`.
+    async fn reader_step(
+        &self,
+        progress: &mut ReaderProgress,
+        until: Option<ClockTime>,
+        now: ClockTime,
+    ) {
+        let reads_once = until.is_some_and(|until| until <= now);
+        self.read_history_if_due(progress, reads_once).await;
         let mut longest_wait = OPERATOR_WAIT;
         if progress.since.is_none()
             && !progress.is_full_read_due
@@ -145,6 +144,22 @@
             .await;
     }
 
+    /// Reads the history when this process reads for the first time.
+    async fn read_history_if_due(&self, progress: &mut ReaderProgress, reads_once: bool) {
+        if progress.has_read_history {
+            return;
+        }
+        if self.state.read(DeploymentState::document_version).is_none() {
+            self.read_past_targets_first().await;
+        } else if reads_once {
+            // The readers know the history and report the versions in it.
+            return;
+        } else {
+            tokio::spawn(self.clone().read_past_targets_later());
+        }
+        progress.has_read_history = true;
+    }
+
     /// Queries a reader.
     async fn query_reader(
         &self,
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -237,6 +237,23 @@
     data_centre.end();
 }
 
+/// Guards against followers that read the store's history because they read once. When two readers
+/// failed, each follower received all recent documents in addition to the newest.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn followers_that_read_once_do_not_read_the_history() {
+    let data_centre = TestDataCentre::start().await;
+    let before = data_centre.store.rows_sent(TableName::Operator);
+    for index in 0..2 {
+        data_centre.process(index).stall(Duration::from_secs(4));
+    }
+    // The followers read after 1.8 s at the latest. One second later the two that have become
+    // readers read the history, in two steps.
+    sleep(Duration::from_millis(3400)).await;
+    let reads = data_centre.store.rows_sent(TableName::Operator) - before;
+    assert!(reads <= 4, "past documents were read {reads} times");
+    data_centre.end();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_document_arrives_when_readers_are_killed() {
     let mut data_centre = TestDataCentre::start().await;
