End the watch of crashed requests when the process stops reading

What callers saw: for up to 2.5 s after an entry host replaced a reader or read once, the rows of requests that crash backend servers crossed the link to its data centre once more for it.

Cause: the fault of the operator's table in another call that is held open. The role was asked between two watches of 2.5 s, and a single read made a process a reader of these rows until a neighbour answered it.

Evidence: six entry hosts, four of which started before their two readers; 2.3 s later one row was read 4 times.

Change: the status of the operator's table holds until when the process reads. The watch of the crashes ends by then, and a process that reads only once begins none. Followers get the rows from their readers, who report them at once.

--- a/src/sync/crash_follow.rs
+++ b/src/sync/crash_follow.rs
@@ -11,7 +11,7 @@
 use super::crash_rows::{crash_key, crash_value, read_crash};
 use super::deployment_state::DeploymentState;
 use super::events;
-use super::store_watch::{RetryBackoff, STORE_TIMEOUT, StoreWatch};
+use super::store_watch::{RetryBackoff, STORE_TIMEOUT, StoreWatch, watch_span};
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::platform::{CHANGED_ROWS_MAX, StoreRow, TableName, TableView, WatchResponse};
@@ -37,7 +37,8 @@
         let mut backoff = RetryBackoff::default();
         let mut remove_at = clock_now() + REMOVE_PAUSE;
         loop {
-            if !self.state.read(DeploymentState::reads_store) {
+            let now = clock_now();
+            if !self.state.read(|state| state.operator().is_reader_at(now)) {
                 sleep(READER_CHECK_PAUSE).await;
                 continue;
             }
@@ -65,9 +66,9 @@
         }
         let table = TableName::Crashes;
         let sent_at = clock_now();
-        let watched = self
-            .store
-            .watch_table(table, since, CRASHES_WATCH, STORE_TIMEOUT);
+        let until = self.state.read(|state| state.operator().reads_until());
+        let wait = watch_span(CRASHES_WATCH, until, sent_at);
+        let watched = self.store.watch_table(table, since, wait, STORE_TIMEOUT);
         match watched.await? {
             WatchResponse::Changed(view) => {
                 self.note_store_answer(&view, sent_at);
--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -104,6 +104,8 @@
         now: ClockTime,
     ) {
         let reads_once = until.is_some_and(|until| until <= now);
+        self.state
+            .note(|state| state.operator_mut().note_reads_until(until));
         self.read_history_if_due(progress, reads_once).await;
         let mut longest_wait = OPERATOR_WAIT;
         if progress.since.is_none()
--- a/src/sync/operator_status.rs
+++ b/src/sync/operator_status.rs
@@ -34,6 +34,8 @@
     knowledge: Option<TableKnowledge>,
     /// Whether this process reads the table itself, successfully or not.
     is_reader: bool,
+    /// Until when it reads the table, if that is known.
+    reads_until: Option<ClockTime>,
     /// Whether its last attempt failed.
     is_cut_off: bool,
 }
@@ -52,6 +54,11 @@
         self.is_cut_off = true;
     }
 
+    /// Records until when this process reads the table; `None` if that is not known.
+    pub(super) fn note_reads_until(&mut self, until: Option<ClockTime>) {
+        self.reads_until = until;
+    }
+
     /// Takes over the status of a neighbour that has reported all that it knows of the table.
     pub(super) fn take_announcement(
         &mut self,
@@ -60,6 +67,7 @@
     ) {
         self.take(announcement.revision, announcement.answered_at, known_at);
         self.is_reader = false;
+        self.reads_until = None;
     }
 
     fn take(&mut self, revision: u64, answered_at: StoreTime, known_at: ClockTime) {
@@ -95,6 +103,16 @@
         self.is_reader
     }
 
+    /// Until when this process reads the table, if that is known.
+    pub(super) const fn reads_until(&self) -> Option<ClockTime> {
+        self.reads_until
+    }
+
+    /// Whether this process reads the table itself and still does at `now`.
+    pub(super) fn is_reader_at(&self, now: ClockTime) -> bool {
+        self.is_reader && self.reads_until.is_none_or(|until| until > now)
+    }
+
     /// Whether the knowledge is older at `now` than it becomes in normal operation.
     pub(super) fn is_overdue(&self, now: ClockTime) -> bool {
         let age_max = if self.is_reader {
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -196,6 +196,22 @@
     data_centre.end();
 }
 
+/// Guards against the same for the requests that crash backend servers, whose watch is held for 2.5 s.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_stops_reading_crashes_when_an_exclusion_ends() {
+    let mut data_centre = TestDataCentre::without_processes().await;
+    data_centre.start_processes(2..ENTRIES);
+    data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
+    data_centre.start_processes(0..2);
+    sleep(Duration::from_millis(2300)).await;
+    let before = data_centre.store.rows_sent(TableName::Crashes);
+    data_centre.store.put(TableName::Crashes, "r/1", "{}");
+    sleep(Duration::from_millis(500)).await;
+    let reads = data_centre.store.rows_sent(TableName::Crashes) - before;
+    assert_eq!(reads, 2, "the row was read {reads} times");
+    data_centre.end();
+}
+
 /// Guards against a watch that is held although its process reads only once. When two readers
 /// failed, all their followers received the next document from the store.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
