Keep the order in which the reader tests start their processes

Change: each process is started right after its proxy again, as before the new tests. Comments of one test name its own failure. Checks, bounds and waits are as they were.

--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -32,15 +32,14 @@
 
 impl TestDataCentre {
     async fn start() -> Self {
-        let mut data_centre = Self::without_processes().await;
-        data_centre.start_processes(0..ENTRIES);
+        let data_centre = Self::start_from(0).await;
         data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
         sleep(SETTLE_SPAN).await;
         data_centre
     }
 
-    /// The store and the proxies, with all entry hosts registered but none running.
-    async fn without_processes() -> Self {
+    /// Starts only the processes from `first` on. The others are registered, but not running.
+    async fn start_from(first: usize) -> Self {
         let store = FakeStore::start().await;
         let mut records = Vec::new();
         for number in 0..ENTRIES {
@@ -64,7 +63,7 @@
             version: 0,
         };
         data_centre.put_document();
-        for own_entry in records {
+        for (index, own_entry) in records.into_iter().enumerate() {
             let proxy = StoreProxy::start(data_centre.store.address).await;
             let settings = SyncSettings {
                 own_entry,
@@ -72,14 +71,17 @@
                 seeds: Vec::new(),
             };
             data_centre.proxies.push(proxy);
-            data_centre.settings.push(settings);
-            data_centre.processes.push(None);
+            data_centre.settings.push(settings.clone());
+            data_centre
+                .processes
+                .push((index >= first).then(|| EntryProcess::start_with(settings)));
         }
         data_centre
     }
 
-    fn start_processes(&mut self, indices: Range<usize>) {
-        for index in indices {
+    /// Starts the first two processes, which read, after the others.
+    fn start_readers(&mut self) {
+        for index in 0..2 {
             let settings = self.settings[index].clone();
             self.processes[index] = Some(EntryProcess::start_with(settings));
         }
@@ -182,10 +184,9 @@
 /// the exclusion of a reader, each document crossed the link between two regions once more.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_process_stops_reading_when_an_exclusion_ends() {
-    let mut data_centre = TestDataCentre::without_processes().await;
-    data_centre.start_processes(2..ENTRIES);
+    let mut data_centre = TestDataCentre::start_from(2).await;
     data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
-    data_centre.start_processes(0..2);
+    data_centre.start_readers();
     // The exclusion ends after 2 s. The second watch would end after 2.8 s.
     sleep(Duration::from_millis(2300)).await;
     let before = data_centre.store.rows_sent(TableName::Operator);
@@ -196,13 +197,13 @@
     data_centre.end();
 }
 
-/// Guards against the same for the requests that crash backend servers, whose watch is held for 2.5 s.
+/// Guards against a watch of the requests that crash backend servers that is held longer than its
+/// process has to read. Each row crossed the link once more for up to 2.5 s.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_process_stops_reading_crashes_when_an_exclusion_ends() {
-    let mut data_centre = TestDataCentre::without_processes().await;
-    data_centre.start_processes(2..ENTRIES);
+    let mut data_centre = TestDataCentre::start_from(2).await;
     data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
-    data_centre.start_processes(0..2);
+    data_centre.start_readers();
     sleep(Duration::from_millis(2300)).await;
     let before = data_centre.store.rows_sent(TableName::Crashes);
     data_centre.store.put(TableName::Crashes, "r/1", "{}");
