Leave versions after the known revision to the watch when the history is read

A version set in an outage of the store was dated six seconds before the store's return, and all engines left the previous weights that much early.

Cause: a process that reads for the first time reads the history in the background and retries each second. After an outage that read may come before the watch continues; its rows counted as older than the process, and the date of the watch was dropped, since the row had been reported.

Rows after the revision as of which the table is known are skipped.

Measured: the new unit test fails without the filter.

--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -164,8 +164,13 @@
 
     /// Merges target updates from before this process began to follow the operator's table; later
     /// ones may have followed them. `set_at` dates them.
+    ///
+    /// Rows after the revision as of which the table is known are left to the watch, which knows
+    /// better when they were written.
     pub(crate) fn take_past_targets(&mut self, rows: &[StoreRow], set_at: TargetUpdateTime) {
-        for row in rows {
+        let announcement = self.operator.announcement();
+        let known = announcement.map_or(u64::MAX, |announcement| announcement.revision);
+        for row in rows.iter().filter(|row| row.revision <= known) {
             if let (Some(value), OperatorRow::TargetVersion) =
                 (&row.value, OperatorRow::of(&row.key))
                 && let Ok(target) = read_target_version(&row.key, value)
--- a/src/sync/tests/late_messages.rs
+++ b/src/sync/tests/late_messages.rs
@@ -9,14 +9,14 @@
 use tokio::time::sleep;
 
 use super::restarts::EntryProcess;
-use super::{START, new_state};
+use super::{START, found_at, new_state, store_time, target_row};
 use crate::daemon::DrainState;
 use crate::fleet::{ModelVersion, TargetTimeCertainty, TargetWeights, WeightsVersion};
 use crate::platform::samples::{document_sample, target_sample};
 use crate::platform::{FakeStore, TableName};
 use crate::sync::peer_messages::TargetAnnouncement;
 use crate::sync::peer_routes::peer_routes;
-use crate::sync::target_update_time::TargetUpdateTime;
+use crate::sync::target_update_time::{FollowState, TargetUpdateTime};
 use crate::sync::{DeploymentSnapshot, DeploymentState};
 use crate::time::{ClockTime, StoreTime, clock_now};
 use crate::transport::{HttpServer, bind_listener};
@@ -215,3 +215,16 @@
     other.change(|state| state.merge_targets(&[announcement(witnessed(50_000, 90_000))], now));
     assert_eq!(other.read(DeploymentState::query).targets, first);
 }
+
+/// Guards against a history that is read late, after an outage, and dates a new version as one from
+/// before the start. All engines took it as overdue at once.
+#[test]
+fn the_history_does_not_date_versions_that_the_watch_will_report() {
+    let state = new_state();
+    state.change(|state| state.operator_mut().note_read(2, store_time(START), START));
+    let assumed = found_at(FollowState::Started, START);
+    state.change(|state| state.take_past_targets(&[target_row(2), target_row(3)], assumed));
+    let known = state.read(DeploymentState::query).targets;
+    let versions: Vec<u64> = known.iter().map(|known| known.target.version.0).collect();
+    assert_eq!(versions, [2]);
+}
