Keep an interruption across a query that brings no newer knowledge

The neighbour is cut off as well, but its report replaced the state of following, so that the table counted as followed up to an answer of eight seconds before. If the store returned right behind such a query, the first version in its answer was witnessed as set up to eight seconds earlier, and a witnessed time overrides all others.

The state keeps when the last failed call was sent; a report ends the interruption only if it rests on a later answer of the store.

--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -53,6 +53,9 @@
     pub(super) revision_times: RevisionTimes,
     /// The time of the answer up to which the operator's table was followed, if it is followed.
     pub(super) followed: Option<StoreTime>,
+    /// The latest time, on the store's clock, at which the last call for that table was sent, if it
+    /// failed and the table has not been followed since.
+    pub(super) interrupted_at: Option<StoreTime>,
     /// Whether the system's own rows were read.
     has_own_rows: bool,
     /// The store's revision as of which they were read.
--- a/src/sync/operator_follow.rs
+++ b/src/sync/operator_follow.rs
@@ -114,7 +114,10 @@
         {
             // Neighbours reported everything up to this revision.
             progress.since = Some(announcement.revision);
-            progress.context = FollowContext::after_answer(announcement.answered_at);
+            progress.context = match self.state.read(DeploymentState::followed) {
+                Some(_) => FollowContext::after_answer(announcement.answered_at),
+                None => FollowContext::after_interruption(announcement.answered_at),
+            };
             // Until the store answers, this process knows no more than the reader that it followed,
             // and its own followers would exclude it as outdated.
             longest_wait = Duration::ZERO;
@@ -127,8 +130,11 @@
             Ok(answered_at) => FollowContext::after_answer(*answered_at),
             Err(_) => self.after_failure(context, sent_at),
         };
-        let followed_by = progress.context.follow_state.followed();
-        self.state.note(|state| state.note_followed(followed_by));
+        self.state
+            .note(|state| match progress.context.follow_state.followed() {
+                Some(answered_at) => state.note_followed(answered_at),
+                None => state.note_interrupted(sent_at),
+            });
         progress.is_full_read_due = followed.is_err() && progress.since.is_none();
         match (&followed, progress.since) {
             (Ok(answered_at), Some(revision)) => self.state.note(|state| {
@@ -219,7 +225,7 @@
                 state
                     .operator_mut()
                     .take_announcement(announcement, known_at);
-                state.note_followed(Some(announcement.answered_at));
+                state.note_reported(announcement.answered_at);
                 answer = classify_answer(&announcement, known_at, span.received_at);
             }
         });
--- a/src/sync/store_contact.rs
+++ b/src/sync/store_contact.rs
@@ -18,10 +18,27 @@
         self.revision_times.note(revision, answered_at);
     }
 
-    /// Records the answer up to which the operator's table was followed; `None` if it is not
-    /// followed.
-    pub(crate) fn note_followed(&mut self, answered_at: Option<StoreTime>) {
-        self.followed = answered_at;
+    /// Records that the operator's table was followed up to an answer at `answered_at`.
+    pub(crate) fn note_followed(&mut self, answered_at: StoreTime) {
+        self.followed = Some(answered_at);
+        self.interrupted_at = None;
+    }
+
+    /// Records that the table is not followed because a call for it failed, sent at `sent_at` on
+    /// this process's clock.
+    pub(crate) fn note_interrupted(&mut self, sent_at: ClockTime) {
+        self.followed = None;
+        self.interrupted_at = Some(self.store_time(sent_at));
+    }
+
+    /// Records that a neighbour reported the table as of an answer at `answered_at`.
+    ///
+    /// An answer from before an interruption does not end it: the neighbour may have been cut off
+    /// as well, and neither knows what happened since.
+    pub(crate) fn note_reported(&mut self, answered_at: StoreTime) {
+        if self.interrupted_at.is_none_or(|at| answered_at > at) {
+            self.note_followed(answered_at);
+        }
     }
 
     /// The time of the answer up to which the operator's table was followed, if it is followed.
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -84,6 +84,15 @@
         }
     }
 
+    /// The state after calls failed; the table is known as of an answer at `answered_at`.
+    pub(super) const fn after_interruption(answered_at: StoreTime) -> Self {
+        Self {
+            follow_state: FollowState::Interrupted,
+            is_after_failure: true,
+            answered_at: Some(answered_at),
+        }
+    }
+
     /// The state after a failure. `contact` is the time since when the store has answered other
     /// calls, if it did meanwhile.
     const fn after_failure(self, contact: Option<StoreTime>) -> Self {
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::late_messages::{second, set_target_version};
 use super::restarts::EntryProcess;
 use super::store_proxy::{ProxyFault, StoreProxy};
 use crate::catalog::CatalogVersion;
@@ -406,3 +407,45 @@
     data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
     data_centre.end();
 }
+
+/// Guards against a query to a reader without newer knowledge that ends an interruption. The first
+/// version set after an outage was dated before it, and all engines took it as overdue at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_query_without_news_does_not_end_an_interruption() {
+    let data_centre = TestDataCentre::start().await;
+    data_centre.fault(0..ENTRIES, ProxyFault::Refused);
+    // The exclusion of a reader that the store does not answer ends after 2 s.
+    sleep(Duration::from_millis(1500)).await;
+    // A process has just queried a reader if it does not count as a reader itself.
+    let find_queried = || {
+        (2..ENTRIES).find(|index| {
+            let state = &data_centre.process(*index).state;
+            !state.read(DeploymentState::reads_store)
+        })
+    };
+    let found = timeout_at(Instant::now() + DOCUMENT_TIME_LIMIT, async {
+        loop {
+            if let Some(index) = find_queried() {
+                return index;
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    });
+    let queried = found.await.expect("the exclusion ends");
+    let set_by = set_target_version(&data_centre.store);
+    data_centre.fault(queried..queried + 1, ProxyFault::None);
+    let knows = |snapshot: &DeploymentSnapshot| second(snapshot).is_some();
+    data_centre.wait_for_all(knows, DOCUMENT_TIME_LIMIT).await;
+    sleep(DOCUMENT_TIME_LIMIT).await;
+    for index in 0..ENTRIES {
+        let snapshot = data_centre.process(index).state.snapshot().load();
+        let weights = second(&snapshot).expect("it was waited for");
+        let early = set_by.since(weights.target_set_at);
+        assert!(
+            early < Duration::from_millis(500),
+            "process {index} dated it {early:?} too early, {:?}",
+            weights.certainty
+        );
+    }
+    data_centre.end();
+}
