Let few hosts read an origin of weights that has returned

Cause, from the hosts' logs: while the origin was away, 61 to 74 of some 68 hosts of engines tried to read from it, since a host that cannot reach it announces no chunks and all others take over. When it returned, all read at once over a link that carries a chunk in 45 ms; reads passed their time limit of 2.5 s and the origin sent two copies. The first engine had the version 6.4 s after the return, where what was left takes 1.8 s.

A host that cannot reach the origin takes over less often, and a sign that the origin responds starts the delays of takeovers anew.

--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -277,7 +277,7 @@
                 let span = now.since(transfer.started_at);
                 self.typical_duration = (self.typical_duration * 7 + span) / 8;
             }
-            ChunkSource::Origin => self.origin_schedule.on_delivered(),
+            ChunkSource::Origin => self.origin_schedule.on_delivered(now),
         }
         let duplicates = self
             .transfers
--- a/src/weights/fetch_selection.rs
+++ b/src/weights/fetch_selection.rs
@@ -46,9 +46,10 @@
         if own.is_some() {
             return own;
         }
+        let may_take_over = self.origin_schedule.may_take_over(now);
         let due: Vec<u32> = (0..self.held.count())
             .filter(is_unheld)
-            .filter(|index| self.origin_schedule.is_due(*index, now))
+            .filter(|index| may_take_over && self.origin_schedule.is_due(*index, now))
             .collect();
         for index in due {
             if self
--- a/src/weights/origin_schedule.rs
+++ b/src/weights/origin_schedule.rs
@@ -28,6 +28,8 @@
 /// once, so that attempts are cheap, and engines may have no weights to serve until its return is
 /// noticed. With back-offs of 3.2 s it was read 1.5 s late.
 const UNAVAILABLE_BACKOFF_DOUBLINGS: u32 = 3;
+/// Longest pause between two takeovers by a host that cannot reach the origin.
+const TAKEOVER_RETRY_MAX: Duration = Duration::from_millis(3200);
 /// Consecutive failures after which the origin counts as unreachable from this host.
 const UNREACHABLE_FAILURES: u32 = 2;
 /// How long an announcement of another host counts as recent.
@@ -52,6 +54,8 @@
     takeover_at: Vec<ClockTime>,
     pending_queries: Vec<PeerKey>,
     retry_at: ClockTime,
+    /// When this host may next take over a read while it cannot reach the origin.
+    takeover_retry_at: ClockTime,
     consecutive_limits: u32,
     consecutive_failures: u32,
 }
@@ -84,6 +88,7 @@
             takeover_at: vec![now; chunks],
             pending_queries: Vec::new(),
             retry_at: now,
+            takeover_retry_at: now,
             consecutive_limits: 0,
             consecutive_failures: 0,
         }
@@ -226,8 +231,21 @@
         self.consecutive_failures >= UNREACHABLE_FAILURES
     }
 
+    /// Whether this host may take over reads from the hosts ranked before it.
+    ///
+    /// While the origin is unavailable, no host reads the chunks for which it is ranked first, and
+    /// all of them become due at every host. A host that cannot reach the origin itself tries less
+    /// often for those, or all hosts would read at once when the origin returns: their reads share
+    /// its link and time out, and each chunk is sent several times.
+    pub(crate) fn may_take_over(&self, now: ClockTime) -> bool {
+        !self.is_origin_unreachable() || self.takeover_retry_at <= now
+    }
+
     /// The origin delivered a chunk.
-    pub(crate) fn on_delivered(&mut self) {
+    pub(crate) fn on_delivered(&mut self, now: ClockTime) {
+        if self.is_origin_unreachable() {
+            self.restart_takeovers(now);
+        }
         self.consecutive_limits = 0;
         self.consecutive_failures = 0;
     }
@@ -236,11 +254,22 @@
     /// responds. `jitter` is a random fraction.
     pub(crate) fn on_origin_available(&mut self, jitter: f64, now: ClockTime) {
         if self.is_origin_unreachable() {
+            self.restart_takeovers(now);
+            self.consecutive_failures = 0;
             let soon = now + BACKOFF_INITIAL.mul_f64(jitter.clamp(0.0, 1.0));
             self.retry_at = self.retry_at.min(soon);
         }
     }
 
+    /// Gives the hosts ranked first for each chunk the time to read it that they have at the start.
+    fn restart_takeovers(&mut self, now: ClockTime) {
+        let entries = self.live_priorities.iter().zip(&mut self.takeover_at);
+        for (priority, takeover_at) in entries {
+            let restarted_at = now + takeover_wait(self.takeover_delay, *priority);
+            *takeover_at = restarted_at.max(*takeover_at);
+        }
+    }
+
     /// A read from the origin failed. Backs off for a random part of a delay that doubles (full
     /// jitter), because otherwise all hosts that were refused at the same time would retry at the
     /// same time.
@@ -262,7 +291,9 @@
         let span = BACKOFF_INITIAL * (1 << (*count).min(doublings));
         *count += 1;
         let requested_wait = wait.unwrap_or(Duration::ZERO);
-        self.retry_at = now + requested_wait + span.mul_f64(jitter.clamp(0.0, 1.0));
+        let jitter = jitter.clamp(0.0, 1.0);
+        self.retry_at = now + requested_wait + span.mul_f64(jitter);
+        self.takeover_retry_at = now + requested_wait + TAKEOVER_RETRY_MAX.mul_f64(jitter);
     }
 
     fn priority(&self, index: u32) -> u32 {
--- a/src/weights/tests/wide_fleet.rs
+++ b/src/weights/tests/wide_fleet.rs
@@ -1,6 +1,7 @@
 //! Simulation of a version that spreads over the hosts of several data centres, each with its own
 //! plan.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use crate::documents::SpreadObjective;
@@ -56,6 +57,8 @@
     /// Reads in progress at the origin, which share its link: host, transfer, and link time left.
     origin_reads: Vec<(usize, TransferId, Duration)>,
     origin_copies: u32,
+    /// When the origin refuses connections, since the start.
+    outage: Range<Duration>,
     /// Transfers of chunks between data centres.
     crossings: u32,
     queries: u32,
@@ -113,6 +116,7 @@
             hosts: started.collect::<Vec<FleetHost>>(),
             origin_reads: Vec::new(),
             origin_copies: 0,
+            outage: Duration::ZERO..Duration::ZERO,
             crossings: 0,
             queries: 0,
         }
@@ -123,6 +127,9 @@
             && self.hosts.iter().any(|host| host.complete_at.is_none())
         {
             self.now = self.now + self.tick;
+            if self.is_origin_down() {
+                self.reset_origin_reads();
+            }
             self.send_from_origin();
             for index in 0..self.hosts.len() {
                 self.deliver(index);
@@ -175,6 +182,17 @@
         }
     }
 
+    fn is_origin_down(&self) -> bool {
+        self.outage.contains(&self.now.since(START))
+    }
+
+    fn reset_origin_reads(&mut self) {
+        for (host, transfer, _) in std::mem::take(&mut self.origin_reads) {
+            let event = Event::Reset(transfer);
+            self.hosts[host].arrivals.push((self.now, event));
+        }
+    }
+
     /// Sends data of the origin for one tick, in equal parts to all reads.
     fn send_from_origin(&mut self) {
         let mut budget = self.tick;
@@ -239,7 +257,7 @@
                 source: ChunkSource::Origin,
                 ..
             } => {
-                if self.origin_reads.len() >= ORIGIN_CONNECTIONS {
+                if self.is_origin_down() || self.origin_reads.len() >= ORIGIN_CONNECTIONS {
                     self.hosts[index]
                         .arrivals
                         .push((answered, Event::Reset(transfer)));
@@ -342,3 +360,32 @@
 fn a_version_reaches_hundreds_of_quick_hosts_in_time() {
     check_spread(5, 28, SHORT_TICK);
 }
+
+/// Guards against an origin that is read by all hosts at once when it returns. While it was away,
+/// every host had taken over every chunk from those ranked before it. Their reads shared its link,
+/// so that most took longer than their time limit, and each chunk was sent twice.
+#[test]
+fn an_origin_that_returns_sends_each_chunk_once() {
+    const OUTAGE: Range<Duration> = Duration::from_millis(2500)..Duration::from_millis(8500);
+    /// Time until a host notices that the origin is back.
+    const NOTICE_SPAN: Duration = Duration::from_millis(800);
+    for tick in [TICK, SHORT_TICK] {
+        let mut fleet = Fleet::new(3, 22, tick);
+        fleet.outage = OUTAGE;
+        fleet.run(OUTAGE.end * 3);
+        let sent_before = OUTAGE.start.saturating_sub(START_SPREAD);
+        let left = (ORIGIN_SPAN * CHUNKS).saturating_sub(sent_before);
+        let expected = OUTAGE.end + NOTICE_SPAN + left.mul_f64(ORIGIN_TIME_FACTOR) + START_SPREAD;
+        let figures = format!(
+            "the last host complete after {:?} of {expected:?}; {} origin reads",
+            fleet.slowest(),
+            fleet.origin_copies
+        );
+        println!("{figures}");
+        assert!(
+            fleet.slowest().is_some_and(|slowest| slowest <= expected),
+            "{figures}"
+        );
+        assert!(fleet.origin_copies <= CHUNKS + CHUNKS / 8, "{figures}");
+    }
+}
