Do not take engines that stopped reporting for idle

Cause, found by reading: a report counts for two seconds; behind that no requests of others were assumed, so that an engine whose host stands still looked idle to all entry hosts.

Half of the slots are left to the assigned entry host and the others share the rest, until a report arrives.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -10,7 +10,7 @@
 use super::pick::PickContext;
 use super::request_limit::{RequestLimit, SendPermission};
 use crate::derives::{key, plain};
-use crate::overload::{EngineCandidate, usual_pace};
+use crate::overload::{EngineCandidate, unreported_load, usual_pace};
 use crate::routing::CircuitBreaker;
 use crate::time::{ClockTime, WallTime};
 
@@ -176,7 +176,7 @@
         context: &PickContext<'_>,
         now: ClockTime,
     ) -> EngineCandidate {
-        EngineCandidate {
+        let engine = EngineCandidate {
             slots: self.facts.slots,
             load: self.load(now),
             unread_tokens: self.unread_tokens,
@@ -185,6 +185,17 @@
             is_own: self.is_own,
             peers: context.peers,
             others: context.others,
+        };
+        let has_stopped_reporting = self
+            .reported
+            .is_some_and(|reported| now.since(reported.at) >= REPORTED_LOAD_SPAN);
+        if !has_stopped_reporting {
+            return engine;
+        }
+        let others = unreported_load(engine.slots, engine.is_filled_by_us(), engine.peers);
+        EngineCandidate {
+            load: engine.load + others,
+            ..engine
         }
     }
 
--- a/src/fleet/tests/thundering_herds.rs
+++ b/src/fleet/tests/thundering_herds.rs
@@ -1,5 +1,8 @@
 //! Several entry hosts that send to the same engines.
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
 use super::*;
 use crate::overload::{EngineSpeed, EntryHostId};
 
@@ -210,3 +213,37 @@
         );
     }
 }
+
+/// Guards against a thundering herd on an engine whose host has stopped reporting: its last report
+/// expired, and it looked idle to all entry hosts. Load pattern: twenty entry hosts whose other
+/// engines are nearly full, for as long as a host stands still.
+#[test]
+fn entry_hosts_do_not_all_send_to_an_engine_that_stopped_reporting() {
+    const ENTRIES: u8 = 20;
+    let entry_host_ids: Vec<EntryHostId> = (0..ENTRIES)
+        .map(|number| entry_host_id(&format!("e{number:02}"), "here"))
+        .collect();
+    let engines = ["m1", "m2", "m3", "m4"];
+    let later = NOW + Duration::from_secs(3);
+    let mut sent = 0;
+    let mut rng = StdRng::seed_from_u64(1);
+    for entry_host_id in &entry_host_ids {
+        let mut registry = BackendRegistry::new(entry_host_id.clone());
+        registry.set_fleet(&FleetView {
+            backends: engines.iter().map(|id| Arc::new(engine(id))).collect(),
+        });
+        registry.assign_shares(&entry_host_ids);
+        registry.note_report(report("m1", SLOTS, 1.0), NOW);
+        for id in &engines[1..] {
+            registry.note_report(report(id, SLOTS - 1, 1.0), later);
+        }
+        for _ in 0..4 {
+            let picked = registry.pick(&work_need(950), later, rng.random());
+            sent += usize::from(picked.is_ok_and(|picked| *picked.facts.id == *"m1"));
+        }
+    }
+    assert!(
+        sent <= usize::try_from(SLOTS).expect("small"),
+        "{sent} at one engine"
+    );
+}
--- a/src/overload/engine_candidate.rs
+++ b/src/overload/engine_candidate.rs
@@ -101,6 +101,22 @@
     pub(crate) others: u32,
 }
 
+/// Returns how many requests of other entry hosts to assume at an engine with `slots` slots that
+/// has stopped reporting. `is_filled_by_us` is as in [`EngineCandidate::is_filled_by_us`], `peers`
+/// the number of other entry hosts in this data centre.
+///
+/// Load pattern: the process beside an engine stops, and the engine goes on. If no requests of
+/// others were assumed, it would look idle to all entry hosts at once. Half of the slots are left to
+/// the entry host that it is assigned to, and the others share the rest.
+pub(crate) fn unreported_load(slots: u32, is_filled_by_us: bool, peers: u32) -> u32 {
+    let shared = slots / 2;
+    if is_filled_by_us {
+        shared
+    } else {
+        slots - (shared / peers.max(1)).max(1).min(slots)
+    }
+}
+
 impl EngineCandidate {
     /// Returns the delay, in start intervals, by requests that other entry hosts may have sent
     /// since the last load report.
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -10,6 +10,6 @@
 mod tests;
 
 pub(crate) use engine_assignment::{EngineAssignment, EntryHostId};
-pub(crate) use engine_candidate::{EngineCandidate, EngineSpeed, usual_pace};
+pub(crate) use engine_candidate::{EngineCandidate, EngineSpeed, unreported_load, usual_pace};
 pub(crate) use retry_delay::{is_retry, retry_delay};
 pub(crate) use send_schedule::SendSchedule;
