--- a/src/fleet/tests/uneven_entries.rs
+++ b/src/fleet/tests/uneven_entries.rs
@@ -210,10 +210,7 @@
     fn send(&mut self, entry: usize, now: ClockTime) {
         let prompt = self.rng.random_range(0.2..1.8) * self.scenario.speed.typical_prompt_tokens;
         let mut requirements = requirements(None);
-        requirements.queue_room = std::env::var("ROOM")
-            .ok()
-            .and_then(|c| c.parse().ok())
-            .unwrap_or(2);
+        requirements.queue_room = 2;
         requirements.work = Some(EngineWork {
             speed: self.scenario.speed,
             prompt_tokens: PROMPT_TOKENS,
