Report backend servers in their grace period to followers

A report names the entries in their grace period with what is left of it, and the follower ends them by itself.

Measured: the new test fails without the change.

--- a/src/sync/backend_follow.rs
+++ b/src/sync/backend_follow.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
+use super::backend_list::LAPSE_GRACE;
 use super::deployment_state::DeploymentState;
-use super::peer_messages::{BackendChanges, PeerQuery};
+use super::peer_messages::{BackendChanges, LapsedBackend, PeerQuery};
 use crate::time::{ClockTime, StoreTime};
 
 /// Age that the list reaches while a reader reports it: a watch of the store held open for 1 s, the
@@ -81,11 +82,16 @@
     ) -> Option<BackendChanges> {
         let answered_at = self.backends_answered_at?;
         let since = query.backends_revision;
+        let lapsed = self.backends.lapsed(now).map(|(id, left)| LapsedBackend {
+            id: id.clone(),
+            grace_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        });
         Some(BackendChanges {
             revision: self.backends_revision(),
             is_complete: since == 0,
             entries: self.backends.changed_since(since).cloned().collect(),
             removed: self.backends.recently_removed(now).cloned().collect(),
+            lapsed: lapsed.collect(),
             digest: self.backends.digest(),
             answered_at,
         })
@@ -128,6 +134,11 @@
         for facts in changes.entries {
             self.backends.put(facts, changes.revision);
         }
+        // A watch from this revision on does not report these removals again.
+        for lapsed in changes.lapsed {
+            let left = Duration::from_millis(lapsed.grace_ms).min(LAPSE_GRACE);
+            self.backends.lapse(&lapsed.id, now + left);
+        }
         self.set_backends_revision(changes.revision);
         self.note_backends_answer(changes.answered_at);
         if self.backends.digest() == changes.digest {
--- a/src/sync/backend_list.rs
+++ b/src/sync/backend_list.rs
@@ -153,6 +153,22 @@
         }
     }
 
+    /// Records that the store has no entry of `id` any more and that its grace period ends at
+    /// `expires_at`.
+    pub(super) fn lapse(&mut self, id: &str, expires_at: ClockTime) {
+        if let Ok(at) = self.find(id) {
+            self.entries[at].expires_at.get_or_insert(expires_at);
+        }
+    }
+
+    /// The backend servers in their grace period, with what is left of it at `now`.
+    pub(super) fn lapsed(&self, now: ClockTime) -> impl Iterator<Item = (&ByteString, Duration)> {
+        self.entries.iter().filter_map(move |entry| {
+            let expires_at = entry.expires_at?;
+            Some((&entry.facts.id, expires_at.since(now)))
+        })
+    }
+
     /// Drops the backend server of entry `id` at once, because another writer has overwritten the
     /// entry. The entry did not lapse during an outage, so there is no grace period: what now
     /// answers at its address is unknown. The next valid entry adds it again.
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -78,6 +78,9 @@
     /// The ids of those removed recently.
     #[serde(rename = "gone")]
     pub(crate) removed: Vec<ByteString>,
+    /// Those whose entry was removed from the store and may still return.
+    #[serde(default)]
+    pub(crate) lapsed: Vec<LapsedBackend>,
     /// Digest of the full list.
     pub(crate) digest: u64,
     /// When the store last reported the list, on its clock.
@@ -85,6 +88,15 @@
     pub(crate) answered_at: StoreTime,
 }
 
+/// A backend server whose entry was removed, during the grace period in which it may return.
+#[apply(message!)]
+pub(crate) struct LapsedBackend {
+    /// Its id.
+    pub(crate) id: ByteString,
+    /// What is left of the grace period, in milliseconds.
+    pub(crate) grace_ms: u64,
+}
+
 /// How well the responding process knows the operator's table.
 #[apply(message!)]
 #[derive(Copy)]
--- a/src/sync/tests/reported_lists.rs
+++ b/src/sync/tests/reported_lists.rs
@@ -9,6 +9,7 @@
 use crate::platform::StoreRow;
 use crate::platform::samples::entry_sample;
 use crate::sync::backend_follow::{ListMatch, ListQueryState};
+use crate::sync::backend_list::LAPSE_GRACE;
 use crate::sync::{DeploymentState, SharedDeploymentState};
 use crate::test_support::run_cases;
 use crate::time::ClockTime;
@@ -211,3 +212,25 @@
 fn a_reported_list_always_matches_the_reader() {
     run_cases(CASES, CASE_BYTES, run_case);
 }
+
+/// Guards against a follower that becomes a reader and never learns of a removal. It took over the
+/// revision of its reader, which still kept the backend server for its grace period, and the watch
+/// of the store from that revision on does not report the removal again. Requests went to a backend
+/// server that had left up to eight seconds before.
+#[test]
+fn a_follower_learns_of_a_removal_during_the_grace_period() {
+    let rows = ["a", "b"].map(|id| entry(id, 5, 1, BackendPhase::Serving));
+    let reader = reader_with(rows.to_vec(), 9);
+    let follower = new_state();
+    let mut query_state = ListQueryState::default();
+    query(&follower, &reader, &mut query_state, START);
+    // Too soon after the store returned for a removal to take effect at once.
+    let removed_at = START + Duration::from_millis(500);
+    let removal = super::row("b", 10, None);
+    reader.change(|state| state.change_backends(&view(vec![removal], 11), removed_at));
+    assert_eq!(ids(&reader), ["a", "b"]);
+    query(&follower, &reader, &mut query_state, removed_at);
+    let expired_at = removed_at + LAPSE_GRACE;
+    follower.change(|state| state.expire(expired_at));
+    assert_eq!(ids(&follower), ["a"]);
+}
