Keep wrong slot numbers from overflowing the load of an engine

Saturating sums where a store entry or a report states the figures; the new test gives them extreme values.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -194,7 +194,7 @@
         }
         let others = unreported_load(engine.slots, engine.is_filled_by_us(), engine.peers);
         EngineCandidate {
-            load: engine.load + others,
+            load: engine.load.saturating_add(others),
             ..engine
         }
     }
--- a/src/fleet/tests/thundering_herds.rs
+++ b/src/fleet/tests/thundering_herds.rs
@@ -247,3 +247,28 @@
         "{sent} at one engine"
     );
 }
+
+/// A store entry or a load report may state any numbers; none of them may crash a process.
+#[test]
+fn out_of_range_slots_and_loads_cause_no_panic() {
+    let entry_host_ids = entries();
+    for slots in [0, 1, u32::MAX] {
+        for active in [0, 1, u32::MAX] {
+            for host in ["e1", "e2", "e3"] {
+                let mut registry = BackendRegistry::new(entry_host_id(host, "here"));
+                let facts = BackendFacts {
+                    slots,
+                    ..engine("m1")
+                };
+                registry.set_fleet(&FleetView {
+                    backends: vec![Arc::new(facts)],
+                });
+                registry.assign_shares(&entry_host_ids);
+                registry.note_report(report("m1", active, 1.0), NOW);
+                for later in [Duration::ZERO, Duration::from_secs(3)] {
+                    let _ = registry.pick(&work_need(950), NOW + later, 1);
+                }
+            }
+        }
+    }
+}
--- a/src/overload/engine_candidate.rs
+++ b/src/overload/engine_candidate.rs
@@ -29,8 +29,8 @@
 /// entry host of this one. Where the local engines are full, all entry hosts look elsewhere, and
 /// load reports from other data centres are older.
 const REMOTE_UNASSIGNED_DELAY: f64 = 1.0;
-/// Part of its free slots that an engine in this data centre is offered to the entry hosts that it
-/// is not assigned to, per request of each. They see the same reports for about half a second, in
+/// Part of the free slots of an engine in this data centre that the entry hosts to which it is not
+/// assigned share for each request of theirs. They see the same reports for about half a second, in
 /// which each of them has several requests without a slot at its own engines.
 const NEAR_ROOM_PART: f64 = 0.5;
 /// The same for an engine in another data centre, whose reports are older. One entry host of each
@@ -154,7 +154,7 @@
     /// Returns how much later the first event comes than from an idle engine of this data centre.
     pub(crate) fn delay(&self, speed: &EngineSpeed) -> Duration {
         let start_interval = speed.start_interval_s(self.slots);
-        let waiting = (self.load + 1).saturating_sub(self.slots);
+        let waiting = self.load.saturating_add(1).saturating_sub(self.slots);
         let mut intervals = RUNNING_REQUEST_DELAY * f64::from(self.load) + f64::from(waiting);
         intervals += match (self.is_near, self.is_own) {
             (true, true) => 0.0,
