Log what a backend server announces about itself in its responses

Both are decoded with the response head, logged as [1006] and [1007] and counted; no decision uses them yet. A response of another backend server at the address counts for neither, and an invalid value for none.

--- a/src/fleet/backend_ticket.rs
+++ b/src/fleet/backend_ticket.rs
@@ -2,6 +2,7 @@
 //! server.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use super::backend_facts::{BackendFacts, WeightsVersion};
 use super::backend_record::{BackendRecord, CallOutcome};
@@ -84,6 +85,16 @@
         self.registry.lock().note_limit(self.key, rate, times);
     }
 
+    /// Records that the backend server announced that it is leaving.
+    pub(crate) fn note_leaving(&self) {
+        self.registry.lock().note_leaving(self.key);
+    }
+
+    /// Records that the backend server asked this entry host to send it no requests for `pause`.
+    pub(crate) fn note_requested_pause(&self, pause: Duration) {
+        self.registry.lock().note_requested_pause(self.key, pause);
+    }
+
     /// Records that the backend server has sent nothing for too long, although the call continues.
     pub(crate) fn note_unresponsive(&self, now: ClockTime) {
         let mut registry = self.registry.lock();
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -23,6 +23,16 @@
     "the request rate that a backend server advertises has changed",
 );
 
+pub(crate) const BACKEND_ANNOUNCED_LEAVING: LogEvent = LogEvent::info(
+    1006,
+    "backend server announced in a response that it is leaving",
+);
+
+pub(crate) const BACKEND_REQUESTED_PAUSE: LogEvent = LogEvent::info(
+    1007,
+    "backend server asked this entry host to send it no requests for a while",
+);
+
 /// All log events of this module.
 pub(crate) const ALL: &[LogEvent] = &[
     BACKEND_ADDED,
@@ -31,4 +41,6 @@
     BACKEND_PAUSED,
     BACKEND_RESTARTED,
     BACKEND_LIMITED,
+    BACKEND_ANNOUNCED_LEAVING,
+    BACKEND_REQUESTED_PAUSE,
 ];
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod pick;
 mod rate_sharers;
 mod registry_limits;
+mod registry_notices;
 mod registry_shares;
 mod request_limit;
 mod retry_budget_share;
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -300,6 +300,16 @@
     }
 }
 
+/// Records what the response announces about its backend server.
+fn note_announcements(response: &OpenResponse) {
+    if response.head.is_leaving {
+        response.ticket.note_leaving();
+    }
+    if let Some(pause) = response.head.requested_pause {
+        response.ticket.note_requested_pause(pause);
+    }
+}
+
 /// Checks whether the response is a valid one to the request.
 fn check_response(
     gateway: &Arc<GatewayState>,
@@ -313,6 +323,7 @@
             .with_record(|record| record.note_load(load, now));
     }
     note_limit(&response, now);
+    note_announcements(&response);
     let (kind, end) = match response.head.outcome {
         ResponseOutcome::Run => return Ok(response),
         ResponseOutcome::NotRun => (ErrorKind::BackendBusy, CallOutcome::Refused),
--- a/src/platform/backend_headers.rs
+++ b/src/platform/backend_headers.rs
@@ -4,8 +4,8 @@
 
 use bytestring::ByteString;
 use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHORIZATION, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHORIZATION, RETRY_AFTER, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use macro_rules_attribute::apply;
@@ -26,6 +26,9 @@
 /// The advertised limit in requests per second, for all entry hosts together.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const VERSIONS: HeaderName = HeaderName::from_static("savoryswitch-weight-versions");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// The value of `LEAVING` in the responses of a backend server that is leaving.
+const IS_LEAVING: &str = "1";
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -121,6 +124,11 @@
     /// The advertised limit in requests per second for all entry hosts together; none if the
     /// backend server advertises none.
     pub(crate) rate_limit: Option<f64>,
+    /// Whether the backend server announces that it is leaving. Never set if another one responded.
+    pub(crate) is_leaving: bool,
+    /// How long the backend server, which refused the request, asks this entry host to send it
+    /// none; none if absent or invalid, or if another one responded.
+    pub(crate) requested_pause: Option<Duration>,
     /// The version of weights that served the request.
     pub(crate) version: Option<WeightsVersion>,
     /// How long the backend server keeps the connection open without a request.
@@ -142,11 +150,18 @@
 ) -> ResponseHead {
     let closes = text_of(headers, &CONNECTION)
         .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    let outcome = response_outcome(status, headers, (attempt, backend));
+    let is_own = is_response_of(backend, outcome, headers);
     ResponseHead {
         status,
-        outcome: response_outcome(status, headers, (attempt, backend)),
+        outcome,
         load: text_of(headers, &LOAD).and_then(read_load),
         rate_limit: text_of(headers, &RATE_LIMIT).and_then(read_rate),
+        is_leaving: is_own
+            && text_of(headers, &LEAVING).is_some_and(|text| text.trim() == IS_LEAVING),
+        requested_pause: (is_own && status == StatusCode::SERVICE_UNAVAILABLE)
+            .then(|| text_of(headers, &RETRY_AFTER).and_then(read_pause))
+            .flatten(),
         version: text_of(headers, &VERSIONS)
             .and_then(|text| text.trim().parse().ok())
             .map(WeightsVersion),
@@ -176,6 +191,13 @@
     }
 }
 
+/// Whether the response is one of `backend` itself to the request that was sent to it. An address
+/// may be in use by another backend server by now.
+fn is_response_of(backend: &ByteString, outcome: ResponseOutcome, headers: &HeaderMap) -> bool {
+    let is_other_id = || text_of(headers, &BACKEND_ID).is_some_and(|id| *id != **backend);
+    outcome != ResponseOutcome::AttemptMismatch && !is_other_id()
+}
+
 /// The fields that are forwarded: without those of one connection and those that this program sets.
 fn forwarded_fields(headers: &HeaderMap) -> HeaderMap {
     let listed = text_of(headers, &CONNECTION).unwrap_or_default();
@@ -213,6 +235,12 @@
     rate.filter(|rate| is_valid_rate(*rate))
 }
 
+/// Reads a number of seconds, which may have a fraction.
+fn read_pause(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// The value of the parameter `timeout`.
 fn read_keep_alive(text: &str) -> Option<Duration> {
     let timeout = text.split(',').find_map(|part| {
--- a/src/platform/tests/header_fields.rs
+++ b/src/platform/tests/header_fields.rs
@@ -9,7 +9,7 @@
 const CASE_BYTES: u32 = 512;
 
 /// The header fields that are read from requests and responses.
-const NAMES: [&str; 11] = [
+const NAMES: [&str; 13] = [
     "authorization",
     "savoryswitch-attempt-id",
     "savoryswitch-deadline-ms",
@@ -21,8 +21,10 @@
     "savoryswitch-instance-id",
     "keep-alive",
     "connection",
+    "server-leaving",
+    "retry-after",
 ];
-const VALUES: [&str; 8] = [
+const VALUES: [&str; 9] = [
     "",
     ",",
     "-1",
@@ -31,6 +33,7 @@
     "timeout=18446744073709551615",
     "Bearer ",
     "1e9,0.5",
+    "1e300",
 ];
 
 #[test]
@@ -56,6 +59,8 @@
         let backend = ByteString::from("i-1");
         let outcome =
             read_response_head(StatusCode::OK, &fields, (Some(&attempt), &backend)).outcome;
+        let busy = StatusCode::SERVICE_UNAVAILABLE;
+        read_response_head(busy, &fields, (Some(&attempt), &backend));
         assert!(outcome != ResponseOutcome::Run || fields.contains_key("savoryswitch-attempt-id"));
         let added = SendFields {
             time_left: Duration::MAX,
@@ -70,3 +75,64 @@
         Ok(())
     });
 }
+
+/// The head of a response of status `status` with `fields`, to a request that was sent to `i-1`.
+fn response_head(status: u16, fields: &[(&'static str, &'static str)]) -> ResponseHead {
+    let mut headers = HeaderMap::new();
+    headers.insert("savoryswitch-attempt-id", HeaderValue::from_static("a1"));
+    for (name, value) in fields {
+        headers.insert(*name, HeaderValue::from_static(value));
+    }
+    let status = StatusCode::from_u16(status).expect("a valid status");
+    read_response_head(status, &headers, (Some(&"a1".into()), &"i-1".into()))
+}
+
+#[test]
+fn a_response_may_announce_that_its_backend_server_is_leaving() {
+    for status in [200, 421, 500, 503] {
+        assert!(response_head(status, &[("server-leaving", "1")]).is_leaving);
+    }
+    for value in ["", "0", "yes", "-1"] {
+        assert!(!response_head(200, &[("server-leaving", value)]).is_leaving);
+    }
+    assert!(!response_head(200, &[]).is_leaving);
+}
+
+/// Guards against taking a backend server out of use for what another one announced that now has
+/// its address.
+#[test]
+fn the_announcements_of_another_backend_server_are_ignored() {
+    for (id, is_own) in [("i-1", true), ("i-2", false)] {
+        let fields = [
+            ("savoryswitch-instance-id", id),
+            ("server-leaving", "1"),
+            ("retry-after", "3"),
+        ];
+        let head = response_head(503, &fields);
+        assert_eq!(head.is_leaving, is_own);
+        assert_eq!(head.requested_pause.is_some(), is_own);
+    }
+    let fields = [("server-leaving", "1"), ("savoryswitch-attempt-id", "a2")];
+    assert!(!response_head(200, &fields).is_leaving);
+}
+
+#[test]
+fn a_refusal_may_request_a_pause_in_seconds() {
+    let pause_of = |status, value| response_head(status, &[("retry-after", value)]).requested_pause;
+    assert_eq!(pause_of(503, "3"), Some(Duration::from_secs(3)));
+    assert_eq!(pause_of(503, " 0.25 "), Some(Duration::from_millis(250)));
+    assert_eq!(pause_of(503, "0"), Some(Duration::ZERO));
+    assert_eq!(pause_of(200, "3"), None);
+    let invalid = [
+        "",
+        "-1",
+        "soon",
+        "nan",
+        "inf",
+        "1e300",
+        "Thu, 03 Dec 2026 21:00:00 GMT",
+    ];
+    for value in invalid {
+        assert_eq!(pause_of(503, value), None, "{value}");
+    }
+}
