Show requests to a backend server that announced its leaving

The test fails on this code: five of five requests, of each kind of route, go to a backend server whose first response announced that it is leaving, while its entry still says that it serves.

--- /dev/null
+++ b/src/gateway/tests/announcements.rs
@@ -0,0 +1,27 @@
+//! Backend servers that announce in their responses that they are leaving, or that they want no
+//! requests for a while.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend};
+
+/// Longer than a full backend server is avoided.
+const CALL_PAUSE: Duration = Duration::from_millis(150);
+
+/// Guards against sending requests to a leaving backend server while the store, which is down,
+/// still lists it as ready. Its responses were the only announcement.
+#[tokio::test]
+async fn a_backend_server_that_announces_its_leaving_gets_no_further_requests() {
+    for kind in ["safe", "once", "resumed", "single"] {
+        let leaving = FakeBackend::start(BackendBehaviour::Leaving).await;
+        let other = FakeBackend::start(BackendBehaviour::Complete).await;
+        let entry = EntryFixture::start(&[&leaving, &other]).await;
+        for _ in 0..5 {
+            let response = entry.call(kind).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{kind}: {response}");
+        }
+        assert_eq!((leaving.arrivals(), other.arrivals()), (1, 4), "{kind}");
+    }
+}
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -19,7 +19,7 @@
 use crate::gateway::daemon::caller_routes;
 use crate::gateway::gateway_state::GatewayState;
 use crate::platform::PlatformBounds;
-use crate::platform::samples::{ATTEMPT, BACKEND_ID, DEADLINE, NOT_RUN, SEAL};
+use crate::platform::samples::{ATTEMPT, BACKEND_ID, DEADLINE, LEAVING, NOT_RUN, SEAL};
 use crate::sync::{DeploymentSnapshot, SharedDeploymentState, SharedSnapshot};
 use crate::transport::{HttpServer, bind_listener};
 
@@ -34,6 +34,8 @@
     CompleteAndStray,
     /// Responds with the id of another attempt.
     AttemptMismatch,
+    /// Sends a complete response that announces that it is leaving.
+    Leaving,
     /// Responds that it did not run the request.
     NotRun,
     /// Responds that it holds another version than the expected one.
@@ -210,6 +212,10 @@
             (format!("{own}{stray}"), false)
         }
         BackendBehaviour::AttemptMismatch => (head("200 OK", "another", "", "foreign"), false),
+        BackendBehaviour::Leaving => {
+            let extra = format!("{LEAVING}: 1\r\n");
+            (head("200 OK", attempt, &extra, "whole"), false)
+        }
         BackendBehaviour::NotRun => {
             let extra = format!("{NOT_RUN}: 1\r\n");
             (head("503 Service Unavailable", attempt, &extra, ""), false)
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,3 +1,4 @@
+mod announcements;
 mod backend_connection;
 mod cancelled_requests;
 mod crash_detector;
