Show requests to a backend server that asked for a pause

The test fails on this code: a backend server that refuses with 503 and asks for a pause of 2 s gets six of six requests within 1 s.

--- a/src/gateway/tests/announcements.rs
+++ b/src/gateway/tests/announcements.rs
@@ -25,3 +25,18 @@
         assert_eq!((leaving.arrivals(), other.arrivals()), (1, 4), "{kind}");
     }
 }
+
+/// Guards against sending requests to an overloaded backend server that asked for a pause. It was
+/// avoided for a tenth of a second after each refusal, whatever pause it asked for.
+#[tokio::test]
+async fn a_backend_server_that_requests_a_pause_gets_no_requests_during_it() {
+    let paused = FakeBackend::start(BackendBehaviour::NotRunWithPause { seconds: 2 }).await;
+    let other = FakeBackend::start(BackendBehaviour::Complete).await;
+    let entry = EntryFixture::start(&[&paused, &other]).await;
+    for _ in 0..6 {
+        let response = entry.call("safe").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        sleep(CALL_PAUSE).await;
+    }
+    assert_eq!((paused.arrivals(), other.arrivals()), (1, 6));
+}
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -38,6 +38,8 @@
     Leaving,
     /// Responds that it did not run the request.
     NotRun,
+    /// Responds that it did not run the request, and asks for a pause of `seconds`.
+    NotRunWithPause { seconds: u32 },
     /// Responds that it holds another version than the expected one.
     Misdirected,
     /// Responds that it is not the backend server that the request was meant for.
@@ -220,6 +222,10 @@
             let extra = format!("{NOT_RUN}: 1\r\n");
             (head("503 Service Unavailable", attempt, &extra, ""), false)
         }
+        BackendBehaviour::NotRunWithPause { seconds } => {
+            let extra = format!("{NOT_RUN}: 1\r\nretry-after: {seconds}\r\n");
+            (head("503 Service Unavailable", attempt, &extra, ""), false)
+        }
         BackendBehaviour::Misdirected => (head("421 Misdirected Request", attempt, "", ""), false),
         BackendBehaviour::Replaced => {
             let extra = format!("{BACKEND_ID}: i-new\r\n");
