Send no requests to a backend server that announced its leaving

Cause: an entry host learned of a leaving backend server only from the store's entry, and the store was down.

Change: the announcement marks the record of that incarnation, whatever the path of the request whose response brought it, since all responses pass the same check. An entry that still says ready does not undo it; a new incarnation, or the removal of the entry, does. A backend server that announced its leaving and closes connections is not probed as crashed, as one that the store reports as leaving.

The test fails before for each of the four kinds of routes (five of five requests go there) and passes.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -5,7 +5,7 @@
 
 use macro_rules_attribute::apply;
 
-use super::backend_facts::{BackendFacts, EngineHoldings, LoadReport, ResponseLoad};
+use super::backend_facts::{BackendFacts, BackendPhase, EngineHoldings, LoadReport, ResponseLoad};
 use super::in_flight_history::InFlightHistory;
 use super::pick::PickContext;
 use super::request_limit::{RequestLimit, SendPermission};
@@ -86,6 +86,8 @@
     /// The longest recent wait for a response head, and when it was measured.
     head_wait: (Duration, ClockTime),
     paused_until: ClockTime,
+    /// Whether it announced in a response that it is leaving.
+    has_announced_leaving: bool,
     fresh_connections_until: ClockTime,
     /// The request rate that it allows to all entry hosts together.
     pub(super) limit: RequestLimit,
@@ -106,6 +108,7 @@
             breaker: CircuitBreaker::default(),
             head_wait: (Duration::ZERO, ClockTime(0)),
             paused_until: ClockTime(0),
+            has_announced_leaving: false,
             fresh_connections_until: ClockTime(0),
             limit: RequestLimit::default(),
         }
@@ -230,6 +233,20 @@
         now < self.loading_until
     }
 
+    /// Whether it takes new requests, by its entry and by its own responses.
+    ///
+    /// An entry that still says so does not undo the announcement of a response: the store may not
+    /// have received the same announcement, or not report it. It ends with the incarnation or with
+    /// the removal of the entry, both of which drop this record.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.facts.phase == BackendPhase::Serving && !self.has_announced_leaving
+    }
+
+    /// Records that it announced in a response that it is leaving. Returns whether that is new.
+    pub(super) fn note_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_announced_leaving, true)
+    }
+
     /// Whether requests may be sent there at `now`.
     pub(super) fn accepts_requests(&self, now: ClockTime) -> bool {
         !self.is_loading(now) && self.paused_until <= now && self.breaker.allows_request(now)
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -25,7 +25,7 @@
 
 pub(crate) const BACKEND_ANNOUNCED_LEAVING: LogEvent = LogEvent::info(
     1006,
-    "backend server announced in a response that it is leaving",
+    "backend server announced in a response that it is leaving; no new requests are sent to it",
 );
 
 pub(crate) const BACKEND_REQUESTED_PAUSE: LogEvent = LogEvent::info(
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -5,7 +5,7 @@
 use bytestring::ByteString;
 use macro_rules_attribute::apply;
 
-use super::backend_facts::{BackendPhase, WeightsVersion};
+use super::backend_facts::WeightsVersion;
 use super::backend_record::BackendRecord;
 use super::backend_registry::BackendKey;
 use super::rate_sharers::RateSharers;
@@ -243,7 +243,6 @@
 }
 
 fn can_serve(record: &BackendRecord, requirements: &PickRequirements<'_>) -> bool {
-    let is_candidate = *record.facts.service == *requirements.service
-        && record.facts.phase == BackendPhase::Serving;
+    let is_candidate = *record.facts.service == *requirements.service && record.is_serving();
     is_candidate && requirements.version.is_satisfied_by(record)
 }
--- a/src/fleet/registry_notices.rs
+++ b/src/fleet/registry_notices.rs
@@ -14,6 +14,9 @@
         let Some(record) = self.get_mut(key) else {
             return;
         };
+        if !record.note_leaving() {
+            return;
+        }
         metrics::count_event("backend_announced_leaving", 1);
         log_event!(
             events::BACKEND_ANNOUNCED_LEAVING,
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,3 +1,4 @@
+mod announcements;
 mod incarnations;
 mod request_limits;
 mod thundering_herds;
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -11,8 +11,8 @@
 use super::request_job::RequestJob;
 use crate::daemon::DrainState;
 use crate::fleet::{
-    BackendKey, BackendPhase, BackendRegistry, BackendTicket, LimitAnnouncement, LoadReport,
-    RetryBudgetShare, RetryShareLimits, SharedRegistry,
+    BackendKey, BackendRegistry, BackendTicket, LimitAnnouncement, LoadReport, RetryBudgetShare,
+    RetryShareLimits, SharedRegistry,
 };
 use crate::overload::EntryHostId;
 use crate::platform::PlatformBounds;
@@ -187,7 +187,7 @@
             let record = registry.get(ticket.key);
             // A leaving backend server ends by itself and closes the connections of unfinished
             // requests.
-            let serving = record.filter(|record| record.facts.phase == BackendPhase::Serving);
+            let serving = record.filter(|record| record.is_serving());
             serving.map(|record| record.facts.clone())
         };
         if let Some(backend) = backend {
--- a/src/gateway/tests/announcements.rs
+++ b/src/gateway/tests/announcements.rs
@@ -14,9 +14,20 @@
 /// still lists it as ready. Its responses were the only announcement.
 #[tokio::test]
 async fn a_backend_server_that_announces_its_leaving_gets_no_further_requests() {
-    for kind in ["safe", "once", "resumed", "single"] {
-        let leaving = FakeBackend::start(BackendBehaviour::Leaving).await;
-        let other = FakeBackend::start(BackendBehaviour::Complete).await;
+    let response = (BackendBehaviour::Leaving, BackendBehaviour::Complete);
+    let stream = (
+        BackendBehaviour::EventsLeaving { to: 5 },
+        BackendBehaviour::Events { to: 5 },
+    );
+    let kinds = [
+        ("safe", response),
+        ("once", response),
+        ("resumed", stream),
+        ("single", stream),
+    ];
+    for (kind, (leaving, other)) in kinds {
+        let leaving = FakeBackend::start(leaving).await;
+        let other = FakeBackend::start(other).await;
         let entry = EntryFixture::start(&[&leaving, &other]).await;
         for _ in 0..5 {
             let response = entry.call(kind).await;
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -36,6 +36,8 @@
     AttemptMismatch,
     /// Sends a complete response that announces that it is leaving.
     Leaving,
+    /// Sends events up to `to` in a response that announces that it is leaving.
+    EventsLeaving { to: u64 },
     /// Responds that it did not run the request.
     NotRun,
     /// Responds that it did not run the request, and asks for a pause of `seconds`.
@@ -199,13 +201,14 @@
             body.len()
         )
     };
-    let events = |to: u64, rest: &str| {
+    let events_with = |extra: &str, to: u64, rest: &str| {
         format!(
-            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n\
+            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n{extra}\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n{}",
             event_chunk(last, to, rest)
         )
     };
+    let events = |to: u64, rest: &str| events_with("", to, rest);
     match behaviour {
         BackendBehaviour::Complete => (head("200 OK", attempt, "", "whole"), false),
         BackendBehaviour::CompleteAndStray => {
@@ -218,6 +221,13 @@
             let extra = format!("{LEAVING}: 1\r\n");
             (head("200 OK", attempt, &extra, "whole"), false)
         }
+        BackendBehaviour::EventsLeaving { to } => {
+            let extra = format!("{LEAVING}: 1\r\n");
+            (
+                format!("{}{LAST_CHUNK}", events_with(&extra, to, "")),
+                false,
+            )
+        }
         BackendBehaviour::NotRun => {
             let extra = format!("{NOT_RUN}: 1\r\n");
             (head("503 Service Unavailable", attempt, &extra, ""), false)
