Keep the pause that a backend server asks for

Cause: `Retry-After` of a backend server's refusal was not read; every refusal paused it for 100 ms.

Change: the pause counts from the receipt of the refusal, is kept until its end whatever later responses say, concerns the incarnation that asked, and is limited to a minute, after which one request shows whether it still applies. Requests that were already on their way are not affected; they arrive within the connect timeout.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -29,6 +29,9 @@
 /// Pause after another backend server answered at its address. This one has stopped, and its entry
 /// expires from the store within a few heartbeats; until then each send would be rejected.
 const REPLACED_PAUSE: Duration = Duration::from_secs(6);
+/// Longest pause that a backend server can request. An overload is over within seconds; after a
+/// faulty value, one request in this time shows whether it still asks for a pause.
+const REQUESTED_PAUSE_MAX: Duration = Duration::from_mins(1);
 /// How long an announced load of weights blocks new requests. The announcement is repeated five
 /// times a second; without an expiry, a process that died after sending it would block its engine
 /// forever.
@@ -86,6 +89,8 @@
     /// The longest recent wait for a response head, and when it was measured.
     head_wait: (Duration, ClockTime),
     paused_until: ClockTime,
+    /// Until when it asked this entry host to send it no requests.
+    requested_pause_until: ClockTime,
     /// Whether it announced in a response that it is leaving.
     has_announced_leaving: bool,
     fresh_connections_until: ClockTime,
@@ -108,6 +113,7 @@
             breaker: CircuitBreaker::default(),
             head_wait: (Duration::ZERO, ClockTime(0)),
             paused_until: ClockTime(0),
+            requested_pause_until: ClockTime(0),
             has_announced_leaving: false,
             fresh_connections_until: ClockTime(0),
             limit: RequestLimit::default(),
@@ -247,9 +253,24 @@
         !std::mem::replace(&mut self.has_announced_leaving, true)
     }
 
+    /// Records that it asked at `now` for no requests for `pause`. Returns when the pause ends.
+    pub(super) fn note_requested_pause(&mut self, pause: Duration, now: ClockTime) -> ClockTime {
+        let until = now + pause.min(REQUESTED_PAUSE_MAX);
+        self.requested_pause_until = self.requested_pause_until.max(until);
+        self.requested_pause_until
+    }
+
+    /// When the pause that it asked for ends, if it lasts at `now`.
+    pub(super) fn requested_pause_end(&self, now: ClockTime) -> Option<ClockTime> {
+        Some(self.requested_pause_until).filter(|until| now < *until)
+    }
+
     /// Whether requests may be sent there at `now`.
     pub(super) fn accepts_requests(&self, now: ClockTime) -> bool {
-        !self.is_loading(now) && self.paused_until <= now && self.breaker.allows_request(now)
+        !self.is_loading(now)
+            && self.paused_until <= now
+            && self.requested_pause_end(now).is_none()
+            && self.breaker.allows_request(now)
     }
 
     /// Whether its advertised rate allows this entry host to send a request.
--- a/src/fleet/backend_ticket.rs
+++ b/src/fleet/backend_ticket.rs
@@ -90,9 +90,11 @@
         self.registry.lock().note_leaving(self.key);
     }
 
-    /// Records that the backend server asked this entry host to send it no requests for `pause`.
-    pub(crate) fn note_requested_pause(&self, pause: Duration) {
-        self.registry.lock().note_requested_pause(self.key, pause);
+    /// Records that the backend server asked at `now` for no requests from this entry host for
+    /// `pause`.
+    pub(crate) fn note_requested_pause(&self, pause: Duration, now: ClockTime) {
+        let mut registry = self.registry.lock();
+        registry.note_requested_pause(self.key, pause, now);
     }
 
     /// Records that the backend server has sent nothing for too long, although the call continues.
--- a/src/fleet/registry_notices.rs
+++ b/src/fleet/registry_notices.rs
@@ -7,6 +7,7 @@
 use super::events;
 use crate::events::log_event;
 use crate::metrics;
+use crate::time::ClockTime;
 
 impl BackendRegistry {
     /// Takes in the announcement of the backend server at `key` that it is leaving.
@@ -25,17 +26,25 @@
         );
     }
 
-    /// Takes in the request of the backend server at `key` to get no requests for `pause`.
-    pub(super) fn note_requested_pause(&mut self, key: BackendKey, pause: Duration) {
+    /// Takes in the request of the backend server at `key`, received at `now`, to get no requests
+    /// for `pause`.
+    pub(super) fn note_requested_pause(
+        &mut self,
+        key: BackendKey,
+        pause: Duration,
+        now: ClockTime,
+    ) {
         let Some(record) = self.get_mut(key) else {
             return;
         };
+        let until = record.note_requested_pause(pause, now);
         metrics::count_event("backend_requested_pause", 1);
         log_event!(
             events::BACKEND_REQUESTED_PAUSE,
-            "backend={} ms={}",
+            "backend={} requested_ms={} left_ms={}",
             record.facts.id,
-            pause.as_millis()
+            pause.as_millis(),
+            until.since(now).as_millis()
         );
     }
 }
--- a/src/fleet/tests/announcements.rs
+++ b/src/fleet/tests/announcements.rs
@@ -1,6 +1,7 @@
-//! Backend servers that announce in their responses that they are leaving.
+//! Backend servers that announce in their responses that they are leaving, or ask for a pause.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::{NOW, facts, registry_of, requirements};
 use crate::fleet::*;
@@ -65,3 +66,53 @@
     set(&registry, vec![facts("a", "here", 1)]);
     assert_eq!(pick(&registry).err(), None);
 }
+
+/// Guards against ending a requested pause early: by the success of a request that was already
+/// running, by a later refusal that asks for less, or by one that asks for nothing.
+#[test]
+fn a_requested_pause_lasts_to_its_end() {
+    let registry = registry_of(vec![facts("a", "here", 1)]);
+    let running = pick(&registry).expect("a free slot");
+    let pick_after = |pause: Duration| {
+        registry
+            .pick(&requirements(None), NOW + pause)
+            .map(drop)
+            .is_ok()
+    };
+    let refused = pick(&registry).expect("a free slot");
+    refused.note_requested_pause(Duration::from_secs(3), NOW);
+    refused.end(CallOutcome::Refused, NOW);
+    let later = NOW + Duration::from_millis(500);
+    running.note_requested_pause(Duration::from_millis(100), later);
+    running.end(CallOutcome::Answered, later);
+    assert!(!pick_after(Duration::from_millis(2999)));
+    assert!(pick_after(Duration::from_secs(3)));
+}
+
+/// Guards against never sending a request again to a backend server that asks for an absurdly long
+/// pause.
+#[test]
+fn a_requested_pause_is_limited() {
+    let registry = registry_of(vec![facts("a", "here", 1)]);
+    let refused = pick(&registry).expect("a free slot");
+    refused.note_requested_pause(Duration::from_hours(365 * 24), NOW);
+    refused.end(CallOutcome::Refused, NOW);
+    let minute = Duration::from_mins(1);
+    assert!(
+        registry
+            .pick(&requirements(None), NOW + minute / 2)
+            .is_err()
+    );
+    assert!(registry.pick(&requirements(None), NOW + minute).is_ok());
+}
+
+/// Guards against pausing a restarted backend server for what its former incarnation asked for.
+#[test]
+fn a_restart_ends_a_requested_pause() {
+    let registry = registry_of(vec![started_at(1)]);
+    let former = pick(&registry).expect("a free slot");
+    former.note_requested_pause(Duration::from_secs(3), NOW);
+    assert!(pick(&registry).is_err());
+    set(&registry, vec![started_at(2)]);
+    assert!(pick(&registry).is_ok());
+}
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -301,12 +301,12 @@
 }
 
 /// Records what the response announces about its backend server.
-fn note_announcements(response: &OpenResponse) {
+fn note_announcements(response: &OpenResponse, now: ClockTime) {
     if response.head.is_leaving {
         response.ticket.note_leaving();
     }
     if let Some(pause) = response.head.requested_pause {
-        response.ticket.note_requested_pause(pause);
+        response.ticket.note_requested_pause(pause, now);
     }
 }
 
@@ -323,7 +323,7 @@
             .with_record(|record| record.note_load(load, now));
     }
     note_limit(&response, now);
-    note_announcements(&response);
+    note_announcements(&response, now);
     let (kind, end) = match response.head.outcome {
         ResponseOutcome::Run => return Ok(response),
         ResponseOutcome::NotRun => (ErrorKind::BackendBusy, CallOutcome::Refused),
