Refuse at once what only paused backend servers could take

When every backend server of a service had asked for a pause, a request waited its whole queue time for a slot that could not come, and its client was told to return after a delay that had nothing to do with the pauses. It is now refused as not run without waiting, with the moment at which the first pause ends, spread over a second, as `backends_paused`.

--- a/src/errors/kind.rs
+++ b/src/errors/kind.rs
@@ -41,6 +41,8 @@
     DeadlinePassed,
     /// No backend server can accept the request at present.
     NoBackend,
+    /// Every backend server that could accept the request asked for a pause.
+    BackendsPaused,
     /// Backend servers crashed while running this request; it is quarantined and not sent for a
     /// while.
     RequestQuarantined,
@@ -122,7 +124,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 53] = [
+    pub const ALL: [Self; 54] = [
         Self::BadRequest,
         Self::BadHeader,
         Self::HeadersTooLarge,
@@ -138,6 +140,7 @@
         Self::DeadlineUnreachable,
         Self::DeadlinePassed,
         Self::NoBackend,
+        Self::BackendsPaused,
         Self::RequestQuarantined,
         Self::BackendLeaving,
         Self::BackendBusy,
--- a/src/errors/table.rs
+++ b/src/errors/table.rs
@@ -167,6 +167,13 @@
             after(1000),
             "No backend server can take the request now.",
         ),
+        Kind::BackendsPaused => row(
+            503,
+            "backends_paused",
+            NotRun,
+            after(1000),
+            "Every backend server that could take the request asked for a pause.",
+        ),
         Kind::RequestQuarantined => row(
             503,
             "request_quarantined",
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -161,6 +161,11 @@
     NoBackend,
     /// All of them are at their limit.
     AllFull,
+    /// All of them asked for a pause; the first pause ends at `until`.
+    AllPaused {
+        /// When the first of them may get a request again.
+        until: ClockTime,
+    },
 }
 
 impl PickRefusal {
@@ -169,6 +174,7 @@
         match self {
             Self::NoBackend => ErrorKind::NoBackend,
             Self::AllFull => ErrorKind::QueueFull,
+            Self::AllPaused { .. } => ErrorKind::BackendsPaused,
         }
     }
 }
@@ -198,12 +204,19 @@
     (now, jitter): (ClockTime, u32),
 ) -> Result<BackendKey, PickRefusal> {
     let mut has_any = false;
+    let mut has_unpaused = false;
+    let mut pause_end: Option<ClockTime> = None;
     let mut best: Option<SlotRank> = None;
     for (key, record) in records {
         if !can_serve(record, requirements) || requirements.tried.contains(&key) {
             continue;
         }
         has_any = true;
+        if let Some(until) = record.requested_pause_end(now) {
+            pause_end = Some(pause_end.map_or(until, |end| end.min(until)));
+            continue;
+        }
+        has_unpaused = true;
         let engine = record.engine_state(context, now);
         let is_free = record.accepts_requests(now)
             && engine.load < requirements.limit_at(record, &engine, now);
@@ -223,10 +236,11 @@
             best = Some(choice);
         }
     }
-    match best {
-        Some((.., key)) => Ok(key),
-        None if has_any => Err(PickRefusal::AllFull),
-        None => Err(PickRefusal::NoBackend),
+    match (best, pause_end) {
+        (Some((.., key)), _) => Ok(key),
+        (None, Some(until)) if !has_unpaused => Err(PickRefusal::AllPaused { until }),
+        (None, _) if has_any => Err(PickRefusal::AllFull),
+        (None, _) => Err(PickRefusal::NoBackend),
     }
 }
 
--- a/src/fleet/tests/announcements.rs
+++ b/src/fleet/tests/announcements.rs
@@ -116,3 +116,25 @@
     set(&registry, vec![started_at(2)]);
     assert!(pick(&registry).is_ok());
 }
+
+/// Guards against refusing a request for a pause while a backend server without one is only full.
+#[test]
+fn a_service_counts_as_paused_only_if_all_its_backend_servers_asked_for_a_pause() {
+    let registry = registry_of(vec![facts("a", "here", 1), facts("b", "here", 1)]);
+    let pause = |ticket: BackendTicket, seconds| {
+        ticket.note_requested_pause(Duration::from_secs(seconds), NOW);
+        ticket.end(CallOutcome::Refused, NOW);
+    };
+    pause(pick(&registry).expect("two free backend servers"), 5);
+    let mut held = Vec::new();
+    while let Ok(ticket) = pick(&registry) {
+        held.push(ticket);
+    }
+    assert_eq!(pick(&registry).err(), Some(PickRefusal::AllFull));
+    pause(held.pop().expect("at least one slot"), 3);
+    let until = NOW + Duration::from_secs(3);
+    assert_eq!(
+        pick(&registry).err(),
+        Some(PickRefusal::AllPaused { until })
+    );
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -223,11 +223,17 @@
             Err(refusal) => refusal,
         };
         let left = queue_until.since(now);
-        if left.is_zero() {
+        let wait = match refusal {
+            // No slot that becomes free before the end of the pause can be used.
+            PickRefusal::AllPaused { until } if until > queue_until => Duration::ZERO,
+            PickRefusal::AllPaused { until } => until.since(now).min(left),
+            PickRefusal::NoBackend | PickRefusal::AllFull => left,
+        };
+        if wait.is_zero() {
             return Err(refusal);
         }
         // After a timeout the loop tries once more.
-        let _ = timeout(left, freed).await;
+        let _ = timeout(wait, freed).await;
     }
 }
 
--- a/src/gateway/forward_state.rs
+++ b/src/gateway/forward_state.rs
@@ -11,7 +11,7 @@
 use super::send_attempt::{HeadWait, SendFailure};
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
 use crate::fleet::{BackendKey, CallOutcome, PickRefusal};
-use crate::overload::retry_delay;
+use crate::overload::{retry_delay, retry_delay_after};
 use crate::time::{ClockTime, clock_now};
 
 /// How often a send that never left this host may be repeated elsewhere. Such sends do not use the
@@ -241,9 +241,15 @@
             (None, Some(failure)) => failure.kind,
             (None, None) => ErrorKind::NoBackend,
         };
+        let delay = match refusal {
+            Some(PickRefusal::AllPaused { until }) => {
+                retry_delay_after(until.since(now), rand::random())
+            }
+            _ => retry_delay(rand::random()),
+        };
         SwitchError::new(kind, detail)
             .with_outcome(RunOutcome::NotRun)
-            .with_retry_after(retry_delay(rand::random()))
+            .with_retry_after(delay)
     }
 
     /// Returns how long to wait for the next response head, if the request is cancelled at
--- a/src/gateway/tests/announcements.rs
+++ b/src/gateway/tests/announcements.rs
@@ -5,10 +5,13 @@
 
 use tokio::time::sleep;
 
-use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend};
+use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend, field};
+use crate::time::clock_now;
 
 /// Longer than a full backend server is avoided.
 const CALL_PAUSE: Duration = Duration::from_millis(150);
+/// How long a request waits for a slot.
+const QUEUE_TIME: Duration = Duration::from_millis(42);
 
 /// Guards against sending requests to a leaving backend server while the store, which is down,
 /// still lists it as ready. Its responses were the only announcement.
@@ -51,3 +54,26 @@
     }
     assert_eq!((paused.arrivals(), other.arrivals()), (1, 6));
 }
+
+/// Guards against keeping a request waiting that can't be served: every backend server asked for a
+/// pause that ends after the time for which a request waits.
+#[tokio::test]
+async fn a_request_is_refused_at_once_while_all_backend_servers_are_paused() {
+    let paused = FakeBackend::start(BackendBehaviour::NotRunWithPause { seconds: 3 }).await;
+    let entry = EntryFixture::start(&[&paused]).await;
+    entry.call("safe").await;
+    let mut shortest = Duration::MAX;
+    let mut response = String::new();
+    // On a busy machine a single call may take longer.
+    for _ in 0..5 {
+        let sent_at = clock_now();
+        response = entry.call("safe").await;
+        shortest = shortest.min(clock_now().since(sent_at));
+    }
+    assert!(shortest < QUEUE_TIME / 2, "{shortest:?}");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    let retry_after = field(&response, "retry-after").and_then(|text| text.parse::<f64>().ok());
+    let retry_after = retry_after.expect("a refusal states when to retry");
+    assert!((2.5..=4.0).contains(&retry_after), "{retry_after}");
+    assert_eq!(paused.arrivals(), 1);
+}
--- a/src/overload/retry_delay.rs
+++ b/src/overload/retry_delay.rs
@@ -20,6 +20,12 @@
     RETRY_DELAY_MIN + RETRY_JITTER.mul_f64(part)
 }
 
+/// Returns how long a client should wait that is refused because every backend server asked for a
+/// pause, the first of which ends in `left`. `part` is random, from 0 to 1.
+pub(crate) fn retry_delay_after(left: Duration, part: f64) -> Duration {
+    left.max(RETRY_DELAY_MIN) + RETRY_JITTER.mul_f64(part)
+}
+
 /// Returns whether a client that will wait `client_wait` for its answer was refused before.
 /// `timeout` is the longest time that clients of its route wait.
 ///
