Show a leaving that is not heard of behind a store that came back older

The fake store can take a copy, return from it with the next era, and refuses to continue a watch from a revision that it does not have. The test fails on this code: 2 s after the store has it, the entry hosts have not heard that a backend server leaves.

--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -3,6 +3,7 @@
 
 use std::future::pending;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use crate::time::clock_now;
 use crate::transport::{HttpServer, json_response, read_body};
 
+const STORE_ERA: &str = "store-era";
 const BODY_BYTES_MAX: usize = 1024 * 1024;
 /// The most overwritten rows that are kept for watches; without a limit, a long run would keep them
 /// all.
@@ -52,7 +54,7 @@
     value: Option<String>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct FakeRows {
     revision: u64,
     /// The number of transactions, including refused ones.
@@ -114,8 +116,13 @@
         found
     }
 
+    /// Whether the store has the changes after `since`.
+    fn has_history(&self, since: u64) -> bool {
+        (self.history_from..=self.revision).contains(&since)
+    }
+
     fn has_changes(&self, table: &str, since: u64) -> bool {
-        since < self.history_from || !self.changes_after(table, since).is_empty()
+        !self.has_history(since) || !self.changes_after(table, since).is_empty()
     }
 
     /// The existing rows, sorted by key.
@@ -135,6 +142,11 @@
     /// The address on which it serves.
     pub(crate) address: SocketAddr,
     rows: Arc<Mutex<FakeRows>>,
+    /// A copy of the rows from which it can return.
+    #[cfg(test)]
+    copy: Arc<Mutex<FakeRows>>,
+    /// The number of times that it has returned from a copy, plus one.
+    era: Arc<AtomicU64>,
     /// Wakes watches on each change.
     changes: Arc<watch::Sender<u64>>,
 }
@@ -148,6 +160,9 @@
         let store = Self {
             address: listener.local_addr().expect("the listener is bound"),
             rows: Arc::default(),
+            #[cfg(test)]
+            copy: Arc::default(),
+            era: Arc::new(AtomicU64::new(1)),
             changes: Arc::default(),
         };
         let served = store.clone();
@@ -186,7 +201,7 @@
 
     async fn respond(&self, request: Request) -> Response {
         let fault = self.lock().fault;
-        match fault {
+        let mut response = match fault {
             StoreFault::None => self.carry_out(request).await,
             StoreFault::Down => json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
             StoreFault::Slow(delay) => {
@@ -197,7 +212,10 @@
                 self.carry_out(request).await;
                 pending().await
             }
-        }
+        };
+        let era = self.era.load(Ordering::Relaxed);
+        response.headers_mut().insert(STORE_ERA, era.into());
+        response
     }
 
     async fn carry_out(&self, request: Request) -> Response {
@@ -245,7 +263,7 @@
         let _ = timeout(wait, await_change).await;
         let (body, delay) = {
             let mut rows = self.lock();
-            if since < rows.history_from {
+            if !rows.has_history(since) {
                 return (StatusCode::GONE, json!({}));
             }
             let found = rows.changes_after(table, since);
@@ -304,6 +322,30 @@
 /// Methods for tests only.
 #[cfg(test)]
 impl FakeStore {
+    /// Takes a copy of the rows.
+    pub(crate) fn take_copy(&self) {
+        *self.lock_copy() = self.lock().clone();
+    }
+
+    /// Replaces the rows by the last copy, as a store that lost its newest writes does, and begins
+    /// the next era. Revisions are assigned again.
+    pub(crate) fn return_from_copy(&self) {
+        {
+            let mut rows = self.lock();
+            let copy = self.lock_copy().clone();
+            rows.revision = copy.revision;
+            rows.history_from = copy.history_from;
+            rows.rows = copy.rows;
+            rows.past = copy.past;
+        }
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    fn lock_copy(&self) -> MutexGuard<'_, FakeRows> {
+        self.copy.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Writes a row whose value is `value` as is, which may be invalid base64.
     pub(crate) fn put_raw(&self, table: TableName, key: &str, value: &str) {
         self.change(table, key, Some(value.to_owned()));
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -15,6 +15,7 @@
 mod reported_lists;
 mod restarts;
 mod store_calls;
+mod store_eras;
 mod store_proxy;
 mod unreadable;
 
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -23,8 +23,8 @@
 const SETTLE_SPAN: Duration = Duration::from_millis(2600);
 
 /// The entry hosts of a data centre, highest rank first, each with its own proxy to the store.
-struct TestDataCentre {
-    store: FakeStore,
+pub(super) struct TestDataCentre {
+    pub(super) store: FakeStore,
     proxies: Vec<StoreProxy>,
     settings: Vec<SyncSettings>,
     processes: Vec<Option<EntryProcess>>,
@@ -32,7 +32,7 @@
 }
 
 impl TestDataCentre {
-    async fn start() -> Self {
+    pub(super) async fn start() -> Self {
         let data_centre = Self::start_from(0).await;
         data_centre.wait_for_document(DOCUMENT_TIME_LIMIT).await;
         sleep(SETTLE_SPAN).await;
@@ -111,12 +111,12 @@
     }
 
     /// Waits until all running processes know `count` backend servers, within `time_limit`.
-    async fn wait_for_backends(&self, count: usize, time_limit: Duration) {
+    pub(super) async fn wait_for_backends(&self, count: usize, time_limit: Duration) {
         let is_complete = |snapshot: &DeploymentSnapshot| snapshot.fleet.backends.len() == count;
         self.wait_for_all(is_complete, time_limit).await;
     }
 
-    async fn wait_for_all(
+    pub(super) async fn wait_for_all(
         &self,
         is_ready: impl Fn(&DeploymentSnapshot) -> bool,
         time_limit: Duration,
@@ -138,7 +138,7 @@
         }
     }
 
-    fn end(self) {
+    pub(super) fn end(self) {
         for process in self.processes.into_iter().flatten() {
             process.stop_abruptly();
         }
