Order the store's revisions by era, then by number

Cause: the store came back from an older copy with lower numbers. The entry hosts rejected its full reads as stale until the numbers had caught up, and a watch from the number that they knew was refused with 410 each time.

Change: a revision has the era of the answer in its upper bits, so that all comparisons of revisions order by era first; src/platform/ decodes `Store-Era` and translates the numbers back. A watch from another era counts as expired even if the store has its number again. Entries that a new era lacks have the grace period of an outage. An answer without a valid era belongs to the newest known one. After a full read that is older than what was known, the next call waits for 250 ms, also if no era is reported.

--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -344,7 +344,7 @@
     address: SocketAddr,
     (method, path, body): (Method, &str, Bytes),
     pace: ResponseTimeouts,
-) -> SwitchResult<(StatusCode, Bytes)> {
+) -> SwitchResult<http::Response<Bytes>> {
     let request = call_request(method, path, body)?;
     let exchanged = client.exchange_with_timeouts(address, request, pace).await;
     exchanged.map_err(|error| {
--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -3,7 +3,7 @@
 
 use std::future::pending;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -57,6 +57,8 @@
 #[derive(Clone, Default)]
 struct FakeRows {
     revision: u64,
+    /// The number of reads and watches.
+    read_calls: usize,
     /// The number of transactions, including refused ones.
     change_calls: usize,
     /// The number of transactions that were carried out.
@@ -147,6 +149,8 @@
     copy: Arc<Mutex<FakeRows>>,
     /// The number of times that it has returned from a copy, plus one.
     era: Arc<AtomicU64>,
+    /// Whether its responses do not report the era.
+    hides_era: Arc<AtomicBool>,
     /// Wakes watches on each change.
     changes: Arc<watch::Sender<u64>>,
 }
@@ -163,6 +167,7 @@
             #[cfg(test)]
             copy: Arc::default(),
             era: Arc::new(AtomicU64::new(1)),
+            hides_era: Arc::default(),
             changes: Arc::default(),
         };
         let served = store.clone();
@@ -214,7 +219,9 @@
             }
         };
         let era = self.era.load(Ordering::Relaxed);
-        response.headers_mut().insert(STORE_ERA, era.into());
+        if !self.hides_era.load(Ordering::Relaxed) {
+            response.headers_mut().insert(STORE_ERA, era.into());
+        }
         response
     }
 
@@ -226,7 +233,9 @@
             found.map_or("", |(_, value)| value).to_owned()
         };
         let table = field("table");
-        let (status, body) = match request.uri().path() {
+        let path = request.uri().path();
+        self.lock().read_calls += usize::from(path != "/v1/rows-tx");
+        let (status, body) = match path {
             "/v1/rows-get" => (StatusCode::OK, self.read(&table)),
             "/v1/rows-feed" => {
                 let number = |name: &str| field(name).parse::<u64>().unwrap_or(0);
@@ -378,6 +387,16 @@
         String::from_utf8(bytes).ok()
     }
 
+    /// The number of reads and watches.
+    pub(crate) fn read_calls(&self) -> usize {
+        self.lock().read_calls
+    }
+
+    /// Sets whether its responses report the era.
+    pub(crate) fn set_reports_era(&self, reports_era: bool) {
+        self.hides_era.store(!reports_era, Ordering::Relaxed);
+    }
+
     /// Discards the history of changes, so that existing watches must read their tables again.
     pub(crate) fn forget_history(&self) {
         let mut rows = self.lock();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod samples;
 mod settings_file;
 mod store_client;
+mod store_revision;
 mod store_rows;
 #[cfg(test)]
 mod tests;
@@ -47,6 +48,7 @@
 pub(crate) use store_client::{
     CHANGED_ROWS_MAX, StoreClient, TableName, WatchResponse, WriteOutcome,
 };
+pub(crate) use store_revision::{era_of, is_first, revision_before, revision_text};
 pub(crate) use store_rows::{StoreRow, TableView};
 pub(crate) use weights_origin::{ChunkDigests, OriginClient};
 
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::engine_calls::exchange_with_timeouts;
+use super::store_revision::{KnownEra, era_of, number_in, revision_in};
 use super::store_rows::{RowsPage, StoreRow, TableView, read_page};
 use crate::derives::{key, plain};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
@@ -126,12 +127,24 @@
 pub(crate) struct StoreClient {
     address: SocketAddr,
     client: Arc<PeerClient>,
+    era: KnownEra,
+}
+
+/// A complete response of the store.
+struct StoreResponse {
+    status: StatusCode,
+    era: u64,
+    body: Bytes,
 }
 
 impl StoreClient {
     /// Creates a client of the store at `address`.
-    pub(crate) const fn new(address: SocketAddr, client: Arc<PeerClient>) -> Self {
-        Self { address, client }
+    pub(crate) fn new(address: SocketAddr, client: Arc<PeerClient>) -> Self {
+        Self {
+            address,
+            client,
+            era: KnownEra::default(),
+        }
     }
 
     /// Reads all rows of a table, in as many pages as the store needs.
@@ -179,6 +192,9 @@
 
     /// Waits up to `wait` for changes of a table after revision `since`.
     ///
+    /// The history has also expired if the store is in another era than that of `since`: its
+    /// numbers do not continue the known ones, even if it has that number again.
+    ///
     /// # Errors
     ///
     /// `TableUnavailable` if the store refuses or does not respond within `wait` plus `timeout`.
@@ -191,14 +207,16 @@
     ) -> SwitchResult<WatchResponse> {
         let name = table.as_str();
         let wait_ms = wait.as_millis();
-        let path = format!("/v1/rows-feed?table={name}&since_rev={since}&wait_ms={wait_ms}");
-        let (status, body) = self
+        let number = number_in(since);
+        let path = format!("/v1/rows-feed?table={name}&since_rev={number}&wait_ms={wait_ms}");
+        let response = self
             .call(Method::GET, &path, Bytes::new(), wait + timeout)
             .await?;
-        match status {
+        match response.status {
             StatusCode::GONE => Ok(WatchResponse::HistoryExpired),
+            StatusCode::OK if response.era != era_of(since) => Ok(WatchResponse::HistoryExpired),
             StatusCode::OK => {
-                let page = parse_page(&body)?;
+                let page = parse_page(&response)?;
                 Ok(WatchResponse::Changed(page.view))
             }
             status => Err(refused(status)),
@@ -261,9 +279,10 @@
     }
 
     async fn change_rows(&self, change: &ChangeText<'_>, timeout: Duration) -> SwitchResult<u64> {
-        match self.transact(change, timeout).await? {
-            (StatusCode::OK, body) => Ok(read_done(&body)?.ver),
-            (status, _) => Err(refused(status)),
+        let response = self.transact(change, timeout).await?;
+        match response.status {
+            StatusCode::OK => Ok(revision_in(response.era, read_done(&response.body)?.ver)),
+            status => Err(refused(status)),
         }
     }
 
@@ -284,15 +303,17 @@
             table: table.as_str(),
             part: "",
             key,
-            ver: expected,
+            ver: number_in(expected),
         };
         let change = change_text(vec![condition], table, &[(key, value)]);
-        let (status, body) = self.transact(&change, timeout).await?;
-        match status {
+        let response = self.transact(&change, timeout).await?;
+        match response.status {
             StatusCode::OK => {
-                let done = read_done(&body)?;
+                let done = read_done(&response.body)?;
                 Ok(WriteResponse {
-                    outcome: WriteOutcome::Done { revision: done.ver },
+                    outcome: WriteOutcome::Done {
+                        revision: revision_in(response.era, done.ver),
+                    },
                     store_time: StoreTime::from_millis(done.now_ms),
                 })
             }
@@ -301,7 +322,7 @@
                     mut rows,
                     store_time,
                     ..
-                } = parse_page(&body)?.view;
+                } = parse_page(&response)?.view;
                 rows.retain(|row| row.key == key && row.value.is_some());
                 Ok(WriteResponse {
                     outcome: WriteOutcome::Refused { row: rows.pop() },
@@ -316,17 +337,18 @@
         &self,
         change: &ChangeText<'_>,
         timeout: Duration,
-    ) -> SwitchResult<(StatusCode, Bytes)> {
+    ) -> SwitchResult<StoreResponse> {
         let body = serde_json::to_vec(change)
             .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))?;
         let called = self.call(Method::POST, "/v1/rows-tx", body.into(), timeout);
         called.await
     }
 
-    async fn get(&self, path: &str, timeout: Duration) -> SwitchResult<Bytes> {
-        match self.call(Method::GET, path, Bytes::new(), timeout).await? {
-            (StatusCode::OK, body) => Ok(body),
-            (status, _) => Err(refused(status)),
+    async fn get(&self, path: &str, timeout: Duration) -> SwitchResult<StoreResponse> {
+        let response = self.call(Method::GET, path, Bytes::new(), timeout).await?;
+        match response.status {
+            StatusCode::OK => Ok(response),
+            status => Err(refused(status)),
         }
     }
 
@@ -336,7 +358,7 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> SwitchResult<(StatusCode, Bytes)> {
+    ) -> SwitchResult<StoreResponse> {
         let pace = ResponseTimeouts {
             head: timeout,
             idle: timeout,
@@ -346,7 +368,14 @@
         // other. The next call opens a new one.
         let called =
             exchange_with_timeouts(&self.client, self.address, (method, path, body), pace).await;
-        called.map_err(|error| unavailable(error.to_string()))
+        let (parts, body) = called
+            .map_err(|error| unavailable(error.to_string()))?
+            .into_parts();
+        Ok(StoreResponse {
+            status: parts.status,
+            era: self.era.of_answer(&parts.headers),
+            body,
+        })
     }
 }
 
@@ -372,8 +401,8 @@
     serde_json::from_slice(body).map_err(|fault| unreadable(&fault))
 }
 
-fn parse_page(body: &[u8]) -> SwitchResult<RowsPage> {
-    read_page(body).map_err(|fault| unreadable(&fault))
+fn parse_page(response: &StoreResponse) -> SwitchResult<RowsPage> {
+    read_page(&response.body, response.era).map_err(|fault| unreadable(&fault))
 }
 
 fn unreadable(fault: &serde_json::Error) -> SwitchError {
--- a/src/platform/store_rows.rs
+++ b/src/platform/store_rows.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::store_revision::revision_in;
 use crate::derives::plain;
 use crate::time::StoreTime;
 
@@ -23,7 +24,7 @@
 pub(crate) struct StoreRow {
     /// The key, unique in the table.
     pub(crate) key: String,
-    /// The store's revision of the last write or removal.
+    /// The store's revision of the last write or removal, in the era of the response.
     pub(crate) revision: u64,
     /// The value; empty if its bytes do not decode, none if the row was removed.
     pub(crate) value: Option<Bytes>,
@@ -61,17 +62,21 @@
     now_ms: u64,
 }
 
-/// Decodes a response.
+/// Decodes a response of the store in `era`.
 ///
 /// # Errors
 ///
 /// If the response is not JSON, or lacks the revision or the time.
-pub(super) fn read_page(body: &[u8]) -> serde_json::Result<RowsPage> {
+pub(super) fn read_page(body: &[u8], era: u64) -> serde_json::Result<RowsPage> {
     let text: PageText = serde_json::from_slice(body)?;
     Ok(RowsPage {
         view: TableView {
-            rows: text.rows.iter().filter_map(read_row).collect(),
-            revision: text.ver,
+            rows: text
+                .rows
+                .iter()
+                .filter_map(|row| read_row(row, era))
+                .collect(),
+            revision: revision_in(era, text.ver),
             store_time: StoreTime::from_millis(text.now_ms),
         },
         is_truncated: text.truncated,
@@ -83,12 +88,12 @@
 /// A watch reports all parts of a table, and the same key in another part is a different row. If
 /// such a row counted, a write to it would replace the entry of a backend server, and its removal
 /// would remove the backend server.
-fn read_row(row: &Value) -> Option<StoreRow> {
+fn read_row(row: &Value, era: u64) -> Option<StoreRow> {
     let key = row.get("key")?.as_str()?;
     let part = row.get("part").map_or(Some(""), Value::as_str);
     (part == Some("")).then(|| StoreRow {
         key: key.to_owned(),
-        revision: row.get("ver").and_then(Value::as_u64).unwrap_or(0),
+        revision: revision_in(era, row.get("ver").and_then(Value::as_u64).unwrap_or(0)),
         value: read_value(row),
     })
 }
--- a/src/platform/tests/store_rows.rs
+++ b/src/platform/tests/store_rows.rs
@@ -10,6 +10,7 @@
 
 use super::*;
 use crate::daemon::DrainState;
+use crate::platform::store_revision::{KnownEra, revision_in};
 use crate::platform::store_rows::{RowsPage, read_page};
 use crate::test_support::{arbitrary_json, mutate_json, run_cases};
 use crate::time::StoreTime;
@@ -20,7 +21,7 @@
 
 fn decode_page(rows: &[Value]) -> RowsPage {
     let response = json!({ "rows": rows, "truncated": false, "ver": 9, "now_ms": 1 });
-    read_page(response.to_string().as_bytes()).expect("the response is valid")
+    read_page(response.to_string().as_bytes(), 0).expect("the response is valid")
 }
 
 fn valid_row(key: &str) -> Value {
@@ -75,7 +76,7 @@
         let read = decode_page(&rows).view.rows;
         let good = decode_page(&[valid_row("a"), valid_row("c")]).view.rows;
         assert_eq!((read.first(), read.last()), (good.first(), good.last()));
-        let _ = read_page(u.bytes(u.len())?);
+        let _ = read_page(u.bytes(u.len())?, 0);
         Ok(())
     });
 }
@@ -128,3 +129,54 @@
     assert_eq!(view.revision, 7);
     assert_eq!(view.store_time, StoreTime::from_millis(700));
 }
+
+/// Guards against order by numbers alone: after the store returned from a copy, it assigns lower
+/// ones than before.
+#[test]
+fn a_revision_of_a_newer_era_is_newer_whatever_its_number() {
+    let number_max = (1 << 48) - 1;
+    let revisions = [
+        revision_in(0, 0),
+        revision_in(0, number_max),
+        revision_in(1, 0),
+        revision_in(1, 7),
+        revision_in(2, 3),
+        revision_in(65_535, 0),
+    ];
+    assert!(revisions.is_sorted_by(|left, right| left < right));
+    assert_eq!(revision_in(1, u64::MAX), revision_in(1, number_max));
+    assert_eq!(revision_before(revision_in(2, 3), 10), revision_in(2, 0));
+    assert!(is_first(revision_in(2, 0)) && !is_first(revision_in(2, 1)));
+    assert_eq!(era_of(revision_in(2, 3)), 2);
+    assert_eq!(revision_text(revision_in(2, 3)), "2.3");
+    assert_eq!(revision_text(revision_in(0, 3)), "3");
+}
+
+/// Guards against taking the store's state for old or new because of a faulty era in one answer.
+#[test]
+fn an_answer_without_a_valid_era_belongs_to_the_newest_known_one() {
+    let known = KnownEra::default();
+    let era_in = |value: Option<&'static str>| {
+        let mut headers = http::HeaderMap::new();
+        if let Some(value) = value {
+            headers.insert("store-era", http::HeaderValue::from_static(value));
+        }
+        known.of_answer(&headers)
+    };
+    assert_eq!(era_in(None), 0);
+    assert_eq!(era_in(Some("4")), 4);
+    for value in [
+        None,
+        Some(""),
+        Some("-1"),
+        Some("five"),
+        Some("5.5"),
+        Some("60000"),
+        Some("18446744073709551615"),
+    ] {
+        assert_eq!(era_in(value), 4, "{value:?}");
+    }
+    assert_eq!(era_in(Some("3")), 3, "an older state of the store");
+    assert_eq!(era_in(None), 4);
+    assert_eq!(era_in(Some("6")), 6);
+}
--- a/src/sync/backend_follow.rs
+++ b/src/sync/backend_follow.rs
@@ -122,6 +122,7 @@
         if changes.revision < self.backends_revision() {
             return ListMatch::Older;
         }
+        self.note_era(changes.revision, now);
         if changes.is_complete {
             let is_listed = |id: &str| changes.entries.iter().any(|facts| *facts.id == *id);
             for id in self.backends.unlisted(is_listed) {
--- a/src/sync/crash_follow.rs
+++ b/src/sync/crash_follow.rs
@@ -62,7 +62,7 @@
     async fn crashes_step(&self) -> SwitchResult<()> {
         let since = self.state.read(|state| state.crashes.revision());
         if since == 0 {
-            return self.read_crashes().await;
+            return self.read_crashes().await.map(drop);
         }
         let table = TableName::Crashes;
         let sent_at = clock_now();
@@ -80,7 +80,9 @@
             }
             WatchResponse::HistoryExpired => {
                 log_event!(events::HISTORY_LOST, "table=crashes");
-                self.read_crashes().await
+                let revision = self.read_crashes().await?;
+                self.pause_if_older(revision, since).await;
+                Ok(())
             }
         }
     }
@@ -94,12 +96,12 @@
         }
     }
 
-    /// Reads the full table.
-    pub(super) async fn read_crashes(&self) -> SwitchResult<()> {
+    /// Reads the full table; returns its revision.
+    pub(super) async fn read_crashes(&self) -> SwitchResult<u64> {
         let view = self.read_table(TableName::Crashes).await?;
         self.state
             .change(|state| state.set_crashes(&view, clock_now()));
-        Ok(())
+        Ok(view.revision)
     }
 
     async fn remove_expired(&self, now: ClockTime) -> SwitchResult<()> {
--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -24,8 +24,8 @@
 use crate::events::log_event;
 use crate::fleet::{FleetView, TargetTimeCertainty};
 use crate::platform::{
-    OperatorRow, StoreRow, TableName, TableView, read_backend_row, read_document,
-    read_target_version,
+    OperatorRow, StoreRow, TableName, TableView, era_of, read_backend_row, read_document,
+    read_target_version, revision_text,
 };
 use crate::quarantine::CrashLedger;
 use crate::time::{ClockTime, StoreTime};
@@ -68,6 +68,8 @@
     pub(super) backends_revision: u64,
     /// Sorted.
     entries: Vec<EntryRecord>,
+    /// The newest era of the store in a list of backend servers or an answer.
+    store_era: u64,
     /// When the store last answered this process.
     store_answered: Option<ClockTime>,
     /// Since when the store has answered this process without a failure.
@@ -154,6 +156,21 @@
         since.map_or(now + LAPSE_GRACE, |since| since + SETTLED_SPAN)
     }
 
+    /// Records that `revision` of the store is known. With the first one of a new era, the store has
+    /// returned from an older copy, and entries that it lost are written again as after an outage.
+    pub(super) fn note_era(&mut self, revision: u64, now: ClockTime) {
+        let (era, known) = (era_of(revision), self.store_era);
+        if era <= known {
+            return;
+        }
+        self.store_era = era;
+        let is_start = self.backends_revision == 0 && self.document.is_none();
+        if !is_start {
+            log_event!(events::STORE_RETURNED, "era={era} known={known}");
+            self.store_steady_since = self.store_steady_since.map(|_| now);
+        }
+    }
+
     /// Merges changed rows of the operator's table. `set_at` dates the target versions in them.
     pub(crate) fn change_operator_rows(&mut self, rows: &[StoreRow], set_at: TargetUpdateTime) {
         self.merge_operator_rows(rows, set_at, UpdateSource::Change);
@@ -275,8 +292,8 @@
             log_event!(
                 events::STALE_READ,
                 "revision={} known={}",
-                view.revision,
-                self.backends_revision
+                revision_text(view.revision),
+                revision_text(self.backends_revision)
             );
             return;
         }
--- a/src/sync/events.rs
+++ b/src/sync/events.rs
@@ -73,6 +73,11 @@
     "requests that crash backend servers could not be read from or written to the store",
 );
 
+pub(crate) const STORE_RETURNED: LogEvent = LogEvent::warn(
+    1124,
+    "the store returned from an older copy; what was written since is lost",
+);
+
 /// All events of this module.
 pub(crate) const ALL: &[LogEvent] = &[
     DOCUMENT_IN_FORCE,
@@ -98,4 +103,5 @@
     READER_CHANGED,
     REQUEST_QUARANTINED,
     CRASH_SYNC_FAILED,
+    STORE_RETURNED,
 ];
--- a/src/sync/neighbour_exchange.rs
+++ b/src/sync/neighbour_exchange.rs
@@ -9,6 +9,7 @@
 use super::target_versions::UpdateSource;
 use crate::events::log_event;
 use crate::fleet::BackendFacts;
+use crate::platform::revision_text;
 use crate::time::ClockTime;
 
 impl DeploymentState {
@@ -123,7 +124,12 @@
     }
 
     fn replace_backends(&mut self, revision: u64, backends: Vec<BackendFacts>, now: ClockTime) {
-        log_event!(events::NEIGHBOUR_NEWER, "backends revision={revision}");
+        log_event!(
+            events::NEIGHBOUR_NEWER,
+            "backends revision={}",
+            revision_text(revision)
+        );
+        self.note_era(revision, now);
         self.remove_unlisted(|id| backends.iter().any(|facts| *facts.id == *id), now);
         for facts in backends {
             self.backends.put(facts, revision);
--- a/src/sync/past_targets.rs
+++ b/src/sync/past_targets.rs
@@ -11,7 +11,7 @@
 use super::target_update_time::FollowState;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
-use crate::platform::{TableName, WatchResponse};
+use crate::platform::{TableName, WatchResponse, is_first, revision_before};
 use crate::time::clock_now;
 
 /// How many revisions are read back at a start, in successive reads up to the first that the store
@@ -52,13 +52,13 @@
         let newest = self.state.read(DeploymentState::own_revision);
         let mut bytes = 0;
         for revisions in HISTORY_REVISIONS {
-            let since = newest.saturating_sub(revisions);
+            let since = revision_before(newest, revisions);
             let started_at = clock_now();
             match self.read_history(since).await? {
                 Some(read) => bytes += read,
                 None => return Ok(()),
             }
-            if since == 0 || is_final_read(bytes, clock_now().since(started_at)) {
+            if is_first(since) || is_final_read(bytes, clock_now().since(started_at)) {
                 return Ok(());
             }
         }
--- a/src/sync/store_contact.rs
+++ b/src/sync/store_contact.rs
@@ -16,6 +16,7 @@
         let bounds = ClockBounds::from_store(answered_at);
         self.clock.note(bounds, span, ClockSource::Store);
         self.revision_times.note(revision, answered_at);
+        self.note_era(revision, span.received_at);
     }
 
     /// Records that the operator's table was followed up to an answer at `answered_at`.
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -46,6 +46,8 @@
 /// The first pause after a failure. It doubles with each failure, up to `FAILURE_PAUSE_MAX`.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Pause after the store had no history since a revision and reported an older one.
+const OLDER_READ_PAUSE: Duration = Duration::from_millis(250);
 /// Interval at which expired grace periods of removed entries are handled.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -213,13 +215,23 @@
             WatchResponse::HistoryExpired => {
                 log_event!(events::HISTORY_LOST, "table=operator");
                 let contact = self.contact_since(context);
-                self.read_operator(context.after_failure(contact)).await?
+                let read = self.read_operator(context.after_failure(contact)).await?;
+                self.pause_if_older(read.0, known).await;
+                read
             }
         };
         *since = Some(known.max(revision));
         Ok(answered_at)
     }
 
+    /// Pauses if the store reported only `revision` after it had no history since `known`. The next
+    /// watch would fail in the same way, and the next one.
+    pub(super) async fn pause_if_older(&self, revision: u64, known: u64) {
+        if revision < known {
+            sleep(OLDER_READ_PAUSE).await;
+        }
+    }
+
     /// Reads the full operator's table; returns its revision and the time of the answer on the
     /// store's clock.
     ///
--- a/src/sync/target_versions.rs
+++ b/src/sync/target_versions.rs
@@ -16,6 +16,7 @@
 use crate::events::log_event;
 use crate::fleet::{ModelVersion, TargetTimeCertainty, TargetWeights, WeightsVersion};
 use crate::metrics;
+use crate::platform::revision_text;
 use crate::time::StoreTime;
 
 /// Target versions of a model that are remembered with their update times. Each has its own
@@ -48,9 +49,9 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Change(revision) | Self::PastChange(revision) | Self::Table(revision) => {
-                write!(formatter, "store/{revision}")
+                write!(formatter, "store/{}", revision_text(*revision))
             }
-            Self::Record(revision) => write!(formatter, "record/{revision}"),
+            Self::Record(revision) => write!(formatter, "record/{}", revision_text(*revision)),
             Self::Neighbour => formatter.write_str("neighbour"),
         }
     }
--- a/src/sync/tests/store_eras.rs
+++ b/src/sync/tests/store_eras.rs
@@ -8,13 +8,16 @@
 use super::readers::TestDataCentre;
 use crate::fleet::BackendPhase;
 use crate::platform::TableName;
-use crate::platform::samples::entry_sample;
+use crate::platform::samples::{entry_sample, target_sample};
 use crate::sync::DeploymentSnapshot;
 
 /// Within this time all entry hosts know what the store has confirmed.
 const CHANGE_TIME_LIMIT: Duration = Duration::from_secs(2);
 /// Writes that are lost with the return from the copy.
 const LOST_WRITES: u64 = 300;
+/// The most calls for tables of six entry hosts in the time limit for changes: six times what they
+/// make in ordinary operation.
+const CALLS_MAX: usize = 120;
 const START_TIME: Option<u64> = Some(1);
 const BACKENDS: usize = 3;
 
@@ -65,3 +68,112 @@
         .await;
     data_centre.end();
 }
+
+/// Guards against taking changes of a new era for those after a revision of the former one, whose
+/// number the store has assigned again meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_is_heard_of_although_the_revisions_have_caught_up() {
+    let data_centre = start_with_lost_writes().await;
+    put_entry(&data_centre, 0, 1000, BackendPhase::Leaving);
+    for number in 0..2 * LOST_WRITES {
+        let (key, text) = target_sample(1);
+        data_centre.store.put(TableName::Operator, key, &text);
+        if number % 50 == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+    data_centre
+        .wait_for_all(is_leaving, CHANGE_TIME_LIMIT)
+        .await;
+    data_centre.end();
+}
+
+/// Guards against missing changes when the store returns from a copy twice within a second.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_is_heard_of_after_two_returns_in_a_row() {
+    let data_centre = start_with_lost_writes().await;
+    put_entries(&data_centre, 500);
+    sleep(Duration::from_millis(300)).await;
+    data_centre.store.return_from_copy();
+    put_entry(&data_centre, 0, 1000, BackendPhase::Leaving);
+    data_centre
+        .wait_for_all(is_leaving, CHANGE_TIME_LIMIT)
+        .await;
+    data_centre.end();
+}
+
+/// Guards against sending requests to a backend server again that the copy still lists as ready,
+/// although the store had confirmed that it leaves or is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_older_copy_does_not_undo_what_entry_hosts_know() {
+    let data_centre = TestDataCentre::start().await;
+    put_entries(&data_centre, 1);
+    data_centre
+        .wait_for_backends(BACKENDS, CHANGE_TIME_LIMIT)
+        .await;
+    data_centre.store.take_copy();
+    put_entry(&data_centre, 0, 2, BackendPhase::Leaving);
+    data_centre.store.remove(TableName::Backends, "i-1");
+    let is_known = |snapshot: &DeploymentSnapshot| {
+        let count = snapshot.fleet.backends.len();
+        is_leaving(snapshot) && count == BACKENDS - 1
+    };
+    data_centre.wait_for_all(is_known, CHANGE_TIME_LIMIT).await;
+    data_centre.store.return_from_copy();
+    for _ in 0..20 {
+        sleep(CHANGE_TIME_LIMIT / 20).await;
+        data_centre.wait_for_all(is_known, Duration::ZERO).await;
+    }
+    data_centre.end();
+}
+
+/// Guards against removing backend servers whose first entry was lost with the copy, before they
+/// have written it again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_backend_server_that_the_copy_lacks_stays_in_use_until_it_writes_again() {
+    let data_centre = TestDataCentre::start().await;
+    data_centre.store.take_copy();
+    put_entries(&data_centre, 1);
+    let is_complete = |snapshot: &DeploymentSnapshot| snapshot.fleet.backends.len() == BACKENDS;
+    data_centre
+        .wait_for_all(is_complete, CHANGE_TIME_LIMIT)
+        .await;
+    data_centre.store.return_from_copy();
+    let heartbeat = Duration::from_secs(1);
+    for sequence in 2..5 {
+        for _ in 0..20 {
+            sleep(heartbeat / 20).await;
+            data_centre.wait_for_all(is_complete, Duration::ZERO).await;
+        }
+        put_entries(&data_centre, sequence);
+    }
+    data_centre.end();
+}
+
+/// Guards against reading tables without a pause while the store has older revisions than before.
+/// All entry hosts together made twenty times as many calls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_with_older_revisions_is_not_read_without_a_pause() {
+    for reports_era in [true, false] {
+        let data_centre = TestDataCentre::start().await;
+        data_centre.store.set_reports_era(reports_era);
+        put_entries(&data_centre, 1);
+        data_centre
+            .wait_for_backends(BACKENDS, CHANGE_TIME_LIMIT)
+            .await;
+        data_centre.store.take_copy();
+        for sequence in 2..2 + LOST_WRITES / 3 {
+            put_entries(&data_centre, sequence);
+        }
+        sleep(CHANGE_TIME_LIMIT).await;
+        data_centre.store.return_from_copy();
+        let before = data_centre.store.read_calls();
+        sleep(CHANGE_TIME_LIMIT).await;
+        let calls = data_centre.store.read_calls() - before;
+        assert!(
+            calls <= CALLS_MAX,
+            "{calls} calls, era reported: {reports_era}"
+        );
+        data_centre.end();
+    }
+}
--- a/src/sync/version_recorder.rs
+++ b/src/sync/version_recorder.rs
@@ -12,7 +12,7 @@
 use super::store_watch::{RetryBackoff, STORE_TIMEOUT, StoreWatch};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
-use crate::platform::{TableName, WriteOutcome};
+use crate::platform::{TableName, WriteOutcome, revision_text};
 use crate::routing::name_hash;
 
 /// Pause between two checks for versions to record. A version that is set just before all hosts
@@ -100,7 +100,8 @@
                 let (model, version) = (&record.target.model, record.target.version.0);
                 log_event!(
                     events::VERSION_RECORDED,
-                    "model={model} version={version} revision={revision}"
+                    "model={model} version={version} revision={}",
+                    revision_text(revision)
                 );
                 self.take_own_rows(OwnRows::with_record(record), answer.store_time);
             }
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -140,16 +140,12 @@
         peer: SocketAddr,
         request: Request,
         timeouts: ResponseTimeouts,
-    ) -> SwitchResult<(StatusCode, Bytes)> {
-        let response = self.send(peer, request, timeouts.head).await?;
-        let status = response.status();
-        let reading = read_body_with_idle_timeout(
-            response.into_body(),
-            self.limits.response_bytes_max,
-            timeouts.idle,
-        );
+    ) -> SwitchResult<http::Response<Bytes>> {
+        let (parts, body) = self.send(peer, request, timeouts.head).await?.into_parts();
+        let reading =
+            read_body_with_idle_timeout(body, self.limits.response_bytes_max, timeouts.idle);
         if let Ok(body) = stall_tolerant_timeout(timeouts.total, reading).await {
-            return Ok((status, body?));
+            return Ok(http::Response::from_parts(parts, body?));
         }
         let detail = format!("response of {peer} incomplete after {:?}", timeouts.total);
         Err(SwitchError::new(ErrorKind::PeerSilent, detail))
@@ -169,9 +165,10 @@
         A: DeserializeOwned,
     {
         let request = message_request(path, message)?;
-        match self.exchange_with_timeouts(peer, request, timeouts).await? {
-            (StatusCode::OK, body) => decode_message(&body),
-            (status, body) => Err(decode_error_body(status, &body)),
+        let response = self.exchange_with_timeouts(peer, request, timeouts).await?;
+        match response.status() {
+            StatusCode::OK => decode_message(response.body()),
+            status => Err(decode_error_body(status, response.body())),
         }
     }
 
