Write own rows again that the store lost

After the store returned from a copy that lacks the row of an entry host, the row was never written again, so that later processes did not hear of that host. An entry host writes its row whenever a read of the table lacks it; these reads are spread by the number of entry hosts. Recorded versions that a full read lacks count as unrecorded.

The test failed before: the row was missing after 22 s.

--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -354,6 +354,9 @@
         self.has_own_rows = true;
         self.own_revision = self.own_revision.max(own.revision);
         self.unreadable.note_own(&own);
+        if own.is_complete {
+            self.versions.keep_listed_records(&own);
+        }
         let faulty = own.faulty_records();
         self.add_entries(own.entries);
         for model in faulty {
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -133,11 +133,13 @@
         answered.is_some_and(|at| at >= sent_at)
     }
 
-    /// Reads the system's own rows.
-    pub(super) async fn read_own_rows(&self) -> SwitchResult<()> {
+    /// Reads the system's own rows. Returns whether this entry host is among them.
+    pub(super) async fn read_own_rows(&self) -> SwitchResult<bool> {
         let view = self.read_table(TableName::System).await?;
-        self.take_own_rows(OwnRows::of(&view), view.store_time);
-        Ok(())
+        let own = OwnRows::of(&view);
+        let is_entered = own.entries.contains(&self.own_entry);
+        self.take_own_rows(own, view.store_time);
+        Ok(is_entered)
     }
 
     /// Merges own rows of the system that the store reported at `answered_at`.
@@ -347,9 +349,10 @@
                 STORE_TIMEOUT,
             );
             written.await?;
-            *is_entered = true;
         }
-        self.read_own_rows().await
+        // The store loses the row if it returns from a copy that was taken before.
+        *is_entered = self.read_own_rows().await?;
+        Ok(())
     }
 
     /// The state for dating the versions that the system's own rows record.
--- a/src/sync/target_versions.rs
+++ b/src/sync/target_versions.rs
@@ -9,7 +9,7 @@
 use bytestring::ByteString;
 
 use super::events;
-use super::own_rows::VersionRecord;
+use super::own_rows::{OwnRows, VersionRecord};
 use super::peer_messages::TargetAnnouncement;
 use super::store_clock::StoreClock;
 use super::target_update_time::TargetUpdateTime;
@@ -296,6 +296,15 @@
         }
     }
 
+    /// Drops the records that the store no longer has; `own` are all rows of the table. The versions
+    /// are recorded again.
+    pub(super) fn keep_listed_records(&mut self, own: &OwnRows) {
+        self.records.retain(|known| {
+            let is_listed = |record: &VersionRecord| record.target.model == known.target.model;
+            known.revision > own.revision || own.records.iter().any(is_listed)
+        });
+    }
+
     fn find_record(&self, model: &str) -> Result<usize, usize> {
         self.records
             .binary_search_by(|record| (*record.target.model).cmp(model))
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -94,6 +94,11 @@
             .expect("the process is running")
     }
 
+    /// The name of a host, by its index.
+    pub(super) fn host(&self, index: usize) -> String {
+        self.settings[index].own_entry.host.to_string()
+    }
+
     fn put_document(&mut self) {
         self.version += 1;
         let (key, text) = document_sample(self.version);
--- a/src/sync/tests/store_eras.rs
+++ b/src/sync/tests/store_eras.rs
@@ -3,9 +3,10 @@
 
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::readers::TestDataCentre;
+use super::restarts::await_record;
 use crate::fleet::BackendPhase;
 use crate::platform::TableName;
 use crate::platform::samples::{entry_sample, target_sample};
@@ -18,6 +19,8 @@
 /// The most calls for tables of six entry hosts in the time limit for changes: six times what they
 /// make in ordinary operation.
 const CALLS_MAX: usize = 120;
+/// Within this time an entry host that reads its own row has written it again.
+const ENTRY_TIME_LIMIT: Duration = Duration::from_secs(22);
 const START_TIME: Option<u64> = Some(1);
 const BACKENDS: usize = 3;
 
@@ -177,3 +180,32 @@
         data_centre.end();
     }
 }
+
+/// Guards against losing the system's own rows for good: an entry host that the copy lacks, and the
+/// recorded version of weights.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_rows_that_were_lost_are_written_again() {
+    let data_centre = TestDataCentre::start().await;
+    let store = &data_centre.store;
+    let host = data_centre.host(0);
+    let text = store.text_of(TableName::System, &host);
+    let text = text.expect("the entry host has registered itself");
+    store.remove(TableName::System, &host);
+    store.take_copy();
+    store.put(TableName::System, &host, &text);
+    let (key, target) = target_sample(2);
+    store.put(TableName::Operator, key, &target);
+    await_record(store, 2).await;
+    store.return_from_copy();
+    assert_eq!(store.text_of(TableName::System, &host), None);
+    assert_eq!(store.text_of(TableName::System, "weights/m"), None);
+    await_record(store, 2).await;
+    let is_written = async {
+        while store.text_of(TableName::System, &host).is_none() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let is_written = timeout(ENTRY_TIME_LIMIT, is_written).await;
+    assert!(is_written.is_ok(), "not within {ENTRY_TIME_LIMIT:?}");
+    data_centre.end();
+}
