Keep requests quarantined that the store forgot

A full read dropped the crashes that the store no longer listed. After it returned from an older copy, these were also the ones that it had lost, and a request that crashes backend servers was sent to them again. Crashes of an older era that are not listed are kept and stored again, by the processes that read the table.

--- a/src/quarantine/crash_ledger.rs
+++ b/src/quarantine/crash_ledger.rs
@@ -13,6 +13,7 @@
 
 use super::request_digest::RequestDigest;
 use crate::derives::{key, message, plain};
+use crate::platform::era_of;
 use crate::routing::name_hash;
 use crate::time::{ClockTime, StoreTime, WallTime};
 
@@ -163,16 +164,24 @@
     }
 
     /// Removes the rows that the store no longer has; `listed` are all rows of the store as of
-    /// `revision`. Rows that are newer or not stored yet remain.
+    /// `revision`. Rows that are newer or not stored yet remain. So do those of an older era, which
+    /// the store has lost rather than removed; they are stored again.
     pub(crate) fn keep_listed(&mut self, listed: &[StoredCrash], revision: u64) {
-        self.rows.retain(|row| {
-            let is_listed = || {
-                listed
-                    .iter()
-                    .any(|stored| stored.record.key() == row.record.key())
-            };
-            row.revision.is_none_or(|known| known > revision) || is_listed()
-        });
+        let is_listed = |row: &LedgerRow| {
+            let mut listed = listed.iter();
+            listed.any(|stored| stored.record.key() == row.record.key())
+        };
+        let is_lost = |row: &LedgerRow| {
+            let known = row.revision;
+            known.is_some_and(|known| era_of(known) < era_of(revision)) && !is_listed(row)
+        };
+        for row in &mut self.rows {
+            if is_lost(row) {
+                row.revision = None;
+            }
+        }
+        self.rows
+            .retain(|row| row.revision.is_none_or(|known| known > revision) || is_listed(row));
         self.note_revision(revision);
     }
 
--- a/src/quarantine/tests/mod.rs
+++ b/src/quarantine/tests/mod.rs
@@ -208,3 +208,29 @@
     assert!(ledger.suspects(digest(5999)));
     assert!(ledger.unstored().len() <= 4096);
 }
+
+/// Guards against forgetting a quarantined request because the store, which returned from an older
+/// copy, lost its rows. Rows that the store removed in its own era stay removed.
+#[test]
+fn rows_that_the_store_lost_are_stored_again() {
+    let era = |number: u64| number << 48;
+    let mut ledger = CrashLedger::default();
+    let stored = |backend, revision| StoredCrash {
+        record: record(1, backend),
+        revision,
+    };
+    let until = START + CRASH_RETENTION;
+    for backend in 1..=3 {
+        ledger.merge_stored(stored(backend, era(1) + 10 + backend), until);
+    }
+    ledger.note_revision(era(1) + 20);
+    assert!(ledger.quarantine(digest(1), START).is_some());
+    ledger.keep_listed(&[stored(1, era(2) + 11)], era(2) + 12);
+    ledger.merge_stored(stored(1, era(2) + 11), until);
+    assert!(ledger.quarantine(digest(1), START).is_some());
+    assert_eq!(ledger.unstored(), [record(1, 2), record(1, 3)]);
+    ledger.mark_stored(&[record(1, 2), record(1, 3)], era(2) + 13);
+    ledger.keep_listed(&[], era(2) + 30);
+    assert_eq!(ledger.quarantine(digest(1), START), None);
+    assert!(ledger.is_empty());
+}
