Let the stand-ins leave, ask for pauses and return from an older copy

The soak's backend servers announce their leaving in their entries and in each response, and refuse with a pause; its store loses writes and returns with the next era, behind which what others wrote is written again.

--- a/src/lab/platform_soak/fault_plan.rs
+++ b/src/lab/platform_soak/fault_plan.rs
@@ -21,6 +21,8 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..1100;
 /// How long a fault lasts, in milliseconds.
 const FAULT_MS: std::ops::Range<u64> = 300..4500;
+/// How long a backend server that has left stays down.
+pub(super) const RESTART_SPAN: Duration = Duration::from_millis(800);
 /// How long no other fault hits a process after SIGTERM: it may use its full grace period.
 const STOP_RESERVED_SPAN: Duration = Duration::from_secs(9);
 /// When planned work begins in the quiet period: once disturbed parts are reachable again.
@@ -35,6 +37,8 @@
 const STALL_MS: std::ops::Range<u64> = 500..2500;
 /// Makes the draws for planned work independent of the other draws of a seed.
 const WORK_SALT: u64 = 0x5eed_0f30_4e77_0000;
+/// The same for returns of the store and announcements of backend servers.
+const NOTICE_SALT: u64 = 0x0a1e_55ed_0000_2d5b;
 /// Time between the stops of two entry hosts in a rolling restart.
 const ROLLING_RESTART_INTERVAL: Duration = Duration::from_millis(1200);
 
@@ -76,6 +80,12 @@
     StoreSlow(Duration),
     /// The store carries out requests and does not respond.
     StoreSilent,
+    /// The store loses what is written for a while and returns from an older copy.
+    StoreReturn,
+    /// A backend server announces that it is leaving, ends, and starts again.
+    Leave(usize),
+    /// A backend server refuses all requests and asks for a pause.
+    Refuse(usize),
     /// The origin serves no chunks.
     OriginDown,
     /// This number of documents in quick succession.
@@ -129,6 +139,7 @@
     let mut planner = WavePlanner {
         rng: StdRng::seed_from_u64(seed),
         work_rng: StdRng::seed_from_u64(seed ^ WORK_SALT),
+        notice_rng: StdRng::seed_from_u64(seed ^ NOTICE_SALT),
         parts,
         load,
         busy: Vec::new(),
@@ -139,6 +150,7 @@
 struct WavePlanner {
     rng: StdRng,
     work_rng: StdRng,
+    notice_rng: StdRng,
     parts: PartCounts,
     load: EngineLoad,
     /// Parts that an action of this wave affects, and until when.
@@ -161,6 +173,7 @@
             }
             at += self.draw_duration(&FAULT_INTERVAL_MS);
         }
+        self.plan_notices(&mut faults);
         faults.sort_by_key(|planned| planned.at);
         FaultWave {
             faults,
@@ -169,6 +182,27 @@
         }
     }
 
+    /// Plans a return of the store from an older copy, and backend servers that announce that they
+    /// are leaving or ask for a pause.
+    fn plan_notices(&mut self, faults: &mut Vec<PlannedAction>) {
+        let end = u64::try_from(FAULTS_SPAN.as_millis()).unwrap_or(u64::MAX);
+        let backends = self.parts.backends;
+        for number in 0..3_u8 {
+            let rng = &mut self.notice_rng;
+            let at = Duration::from_millis(rng.random_range(0..end));
+            let span = Duration::from_millis(rng.random_range(FAULT_MS));
+            let backend = rng.random_range(0..backends);
+            let action = match number {
+                0 => SoakAction::StoreReturn,
+                1 => SoakAction::Leave(backend),
+                _ => SoakAction::Refuse(backend),
+            };
+            if let Some(action) = self.reserve(action, at, span) {
+                faults.push(PlannedAction { at, span, action });
+            }
+        }
+    }
+
     /// Plans a rolling restart of the entry hosts.
     fn plan_rolling_restart(&mut self, faults: &mut Vec<PlannedAction>) {
         let mut at = Duration::ZERO;
@@ -312,7 +346,10 @@
         let (part, until) = match action {
             SoakAction::Freeze(part) | SoakAction::Kill(part) => (part, at + span),
             SoakAction::Stop(part) => (part, at + STOP_RESERVED_SPAN),
-            SoakAction::Crash(number) => (SoakPart::Backend(number), at + span),
+            SoakAction::Crash(number) | SoakAction::Refuse(number) => {
+                (SoakPart::Backend(number), at + span)
+            }
+            SoakAction::Leave(number) => (SoakPart::Backend(number), at + span + RESTART_SPAN),
             _ => return Some(action),
         };
         let is_busy = |(busy, end): &(SoakPart, Duration)| *busy == part && *end >= at;
--- a/src/lab/platform_soak/soak_system.rs
+++ b/src/lab/platform_soak/soak_system.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::{sleep, timeout};
 
-use super::fault_plan::{LinkFault, PartCounts, PlannedAction, SoakAction};
+use super::fault_plan::{LinkFault, PartCounts, PlannedAction, RESTART_SPAN, SoakAction};
 use super::fault_proxy::{FaultProxy, HostCallPolicy, LinkRule};
 use super::run_journal::{ActionRecord, PlannedWork, RunJournal, SoakPart, WorkRecord};
 use super::soak_client::EntryEndpoint;
@@ -41,6 +41,10 @@
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 const FIRST_BACKEND_IP: u8 = 70;
 const FIRST_ENTRY_IP: u8 = 10;
+/// How long the store is away before it returns from an older copy.
+const STORE_RETURN_SPAN: Duration = Duration::from_millis(400);
+/// How long after its return the operator and the backend servers write again what it lost.
+const REWRITE_SPAN: Duration = Duration::from_millis(500);
 /// First port of the proxies to the store: one for each entry host, then one for all hosts of
 /// engines.
 const STORE_PORT: u16 = 9000;
@@ -261,6 +265,12 @@
                 self.disturb_store(StoreFault::Slow(delay), span).await;
             }
             SoakAction::StoreSilent => self.disturb_store(StoreFault::DropsResponses, span).await,
+            SoakAction::StoreReturn => self.return_store(span).await,
+            SoakAction::Leave(backend) => self.leave(backend, span).await,
+            SoakAction::Refuse(backend) => {
+                self.backends[backend].refuse_for(span);
+                sleep(span).await;
+            }
             SoakAction::OriginDown => {
                 self.origin.limit_chunks(self.origin.chunks_served());
                 sleep(span).await;
@@ -314,6 +324,26 @@
         link.change(|rule| rule.is_down = false);
     }
 
+    /// Lets a backend server announce that it is leaving for `span`, end, and start again.
+    async fn leave(&self, number: usize, span: Duration) {
+        self.backends[number].leave();
+        sleep(span).await;
+        self.crash(number, RESTART_SPAN).await;
+    }
+
+    /// Lets the store lose what is written within `span`. Its writers write it again soon after it
+    /// has returned.
+    async fn return_store(&self, span: Duration) {
+        self.store.take_copy();
+        sleep(span).await;
+        self.store.set_fault(StoreFault::Down);
+        sleep(STORE_RETURN_SPAN).await;
+        let lost = self.store.return_from_copy();
+        self.store.set_fault(StoreFault::None);
+        sleep(REWRITE_SPAN).await;
+        self.store.write_again(lost);
+    }
+
     async fn stall(&self, span: Duration) {
         let stall = |is_stalled| self.backends.iter().for_each(|it| it.stall(is_stalled));
         stall(true);
@@ -352,10 +382,13 @@
         | SoakAction::Kill(part)
         | SoakAction::Stop(part)
         | SoakAction::Link(part, _) => vec![part],
-        SoakAction::Crash(number) => vec![SoakPart::Backend(number)],
-        SoakAction::StoreDown | SoakAction::StoreSlow(_) | SoakAction::StoreSilent => {
-            vec![SoakPart::Store]
+        SoakAction::Crash(number) | SoakAction::Leave(number) | SoakAction::Refuse(number) => {
+            vec![SoakPart::Backend(number)]
         }
+        SoakAction::StoreDown
+        | SoakAction::StoreSlow(_)
+        | SoakAction::StoreSilent
+        | SoakAction::StoreReturn => vec![SoakPart::Store],
         // No deadline depends on the origin, changes disturb nothing, and paused engines are not a
         // fault.
         SoakAction::OriginDown
--- a/src/platform/fake_backend.rs
+++ b/src/platform/fake_backend.rs
@@ -3,8 +3,8 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,7 +25,8 @@
 use super::fake_store::FakeStore;
 use super::sample_files::{ENGINE_SERVICE, PLAIN_SERVICE};
 use super::samples::{
-    ACCOUNT, ATTEMPT, BACKEND_ID, EXPECTED_VERSION, LAST_EVENT, NOT_RUN, SEAL, TARGET_ID, VERSIONS,
+    ACCOUNT, ATTEMPT, BACKEND_ID, EXPECTED_VERSION, LAST_EVENT, LEAVING, NOT_RUN, SEAL, TARGET_ID,
+    VERSIONS,
 };
 use super::store_client::TableName;
 use crate::errors::SwitchResult;
@@ -143,6 +144,18 @@
     run_events: UnboundedSender<RunEvent>,
     /// Whether its streams are stalled.
     is_stalled: watch::Sender<bool>,
+    /// Whether it announces that it is leaving.
+    is_leaving: AtomicBool,
+    /// Until when it refuses requests and asks for a pause, on the clock of this process.
+    paused_until: Mutex<ClockTime>,
+}
+
+impl BackendState {
+    fn lock_pause(&self) -> MutexGuard<'_, ClockTime> {
+        self.paused_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// A fake backend server; clones share its state.
@@ -176,6 +189,8 @@
                 starts: AtomicU64::new(1),
                 run_events,
                 is_stalled: watch::Sender::new(false),
+                is_leaving: AtomicBool::new(false),
+                paused_until: Mutex::new(ClockTime(0)),
             }),
         };
         let served = backend.clone();
@@ -195,6 +210,16 @@
         }
     }
 
+    /// Announces in its entry and in each response that it is leaving, until the next restart.
+    pub(crate) fn leave(&self) {
+        self.state.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Refuses all requests for `pause` and asks for no more until its end.
+    pub(crate) fn refuse_for(&self, pause: Duration) {
+        *self.state.lock_pause() = clock_now() + pause;
+    }
+
     /// Stalls its streams or lets them continue where they were.
     pub(crate) fn stall(&self, is_stalled: bool) {
         self.state.is_stalled.send_replace(is_stalled);
@@ -210,6 +235,7 @@
         if let Some(engine) = &self.state.engine {
             engine.restart(staged);
         }
+        self.state.is_leaving.store(false, Ordering::Relaxed);
         let start = self.state.starts.fetch_add(1, Ordering::Relaxed) + 1;
         self.state.start.store(start, Ordering::Relaxed);
     }
@@ -249,9 +275,11 @@
         } else {
             PLAIN_SERVICE
         };
+        let is_leaving = state.is_leaving.load(Ordering::Relaxed);
+        let phase = if is_leaving { "draining" } else { "ready" };
         let mut entry = json!({
             "service": service, "address": state.config.advertised_address.to_string(),
-            "zone": "hall-a", "slots": SLOTS, "state": "ready", "version": "1",
+            "zone": "hall-a", "slots": SLOTS, "state": phase, "version": "1",
             "cold_remaining_ms": 0, "born": start,
         });
         if let Some(engine) = &state.engine {
@@ -311,15 +339,23 @@
         let has_slot = state.running.load(Ordering::Relaxed) < SLOTS;
         let engine = state.engine.as_ref();
         let can_run = engine.is_none_or(|engine| engine.held().is_some() && !engine.is_busy());
+        let pause = state.lock_pause().since(clock_now());
         let status = if !is_addressed || !has_version {
             StatusCode::MISDIRECTED_REQUEST
-        } else if !has_slot || !can_run || state.start.load(Ordering::Relaxed) == 0 {
+        } else if !pause.is_zero()
+            || !has_slot
+            || !can_run
+            || state.start.load(Ordering::Relaxed) == 0
+        {
             StatusCode::SERVICE_UNAVAILABLE
         } else {
             return None;
         };
         let mut reply = self.reply(headers, status, Body::empty());
         set(&mut reply, NOT_RUN, "1");
+        if !pause.is_zero() && status == StatusCode::SERVICE_UNAVAILABLE {
+            set(&mut reply, "retry-after", &pause.as_secs_f64().to_string());
+        }
         Some(reply)
     }
 
@@ -344,6 +380,9 @@
             set(&mut reply, ATTEMPT, &attempt);
         }
         set(&mut reply, BACKEND_ID, &self.state.id);
+        if self.state.is_leaving.load(Ordering::Relaxed) {
+            set(&mut reply, LEAVING, "1");
+        }
         reply
     }
 }
--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -54,6 +54,22 @@
     value: Option<String>,
 }
 
+impl FakeRow {
+    /// Whether the row is written by the operator or a backend server.
+    fn is_of_others(&self) -> bool {
+        [TableName::Operator, TableName::Backends]
+            .iter()
+            .any(|table| table.as_str() == self.table)
+    }
+}
+
+/// Rows of other programs that the store lost when it returned from a copy.
+pub(crate) struct LostRows {
+    /// The revision of the copy.
+    since: u64,
+    rows: Vec<FakeRow>,
+}
+
 #[derive(Clone, Default)]
 struct FakeRows {
     revision: u64,
@@ -145,7 +161,6 @@
     pub(crate) address: SocketAddr,
     rows: Arc<Mutex<FakeRows>>,
     /// A copy of the rows from which it can return.
-    #[cfg(test)]
     copy: Arc<Mutex<FakeRows>>,
     /// The number of times that it has returned from a copy, plus one.
     era: Arc<AtomicU64>,
@@ -164,7 +179,6 @@
         let store = Self {
             address: listener.local_addr().expect("the listener is bound"),
             rows: Arc::default(),
-            #[cfg(test)]
             copy: Arc::default(),
             era: Arc::new(AtomicU64::new(1)),
             hides_era: Arc::default(),
@@ -190,6 +204,57 @@
         self.change(table, key, None);
     }
 
+    /// Takes a copy of the rows.
+    pub(crate) fn take_copy(&self) {
+        *self.lock_copy() = self.lock().clone();
+    }
+
+    /// Replaces the rows by the last copy, as a store that lost its newest writes does, and begins
+    /// the next era. Revisions are assigned again. Returns the rows that other programs wrote since.
+    pub(crate) fn return_from_copy(&self) -> LostRows {
+        let lost = {
+            let mut rows = self.lock();
+            let copy = self.lock_copy().clone();
+            let is_lost = |row: &FakeRow| row.revision > copy.revision && row.is_of_others();
+            let lost = rows
+                .rows
+                .iter()
+                .filter(|row| is_lost(row))
+                .cloned()
+                .collect();
+            rows.revision = copy.revision;
+            rows.history_from = copy.history_from;
+            rows.rows = copy.rows;
+            rows.past = copy.past;
+            LostRows {
+                since: copy.revision,
+                rows: lost,
+            }
+        };
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.changes.send_modify(|changes| *changes += 1);
+        lost
+    }
+
+    /// Writes rows again that were lost, as their writers do, unless they were written meanwhile.
+    pub(crate) fn write_again(&self, lost: LostRows) {
+        let mut rows = self.lock();
+        for row in lost.rows {
+            let is_newer = |known: &FakeRow| {
+                known.table == row.table && known.key == row.key && known.revision > lost.since
+            };
+            if !rows.rows.iter().any(is_newer) {
+                rows.put(&row.table, &row.key, row.value);
+            }
+        }
+        drop(rows);
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    fn lock_copy(&self) -> MutexGuard<'_, FakeRows> {
+        self.copy.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Injects `fault`, which replaces the current one.
     pub(crate) fn set_fault(&self, fault: StoreFault) {
         self.lock().fault = fault;
@@ -331,30 +396,6 @@
 /// Methods for tests only.
 #[cfg(test)]
 impl FakeStore {
-    /// Takes a copy of the rows.
-    pub(crate) fn take_copy(&self) {
-        *self.lock_copy() = self.lock().clone();
-    }
-
-    /// Replaces the rows by the last copy, as a store that lost its newest writes does, and begins
-    /// the next era. Revisions are assigned again.
-    pub(crate) fn return_from_copy(&self) {
-        {
-            let mut rows = self.lock();
-            let copy = self.lock_copy().clone();
-            rows.revision = copy.revision;
-            rows.history_from = copy.history_from;
-            rows.rows = copy.rows;
-            rows.past = copy.past;
-        }
-        self.era.fetch_add(1, Ordering::Relaxed);
-        self.changes.send_modify(|changes| *changes += 1);
-    }
-
-    fn lock_copy(&self) -> MutexGuard<'_, FakeRows> {
-        self.copy.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Writes a row whose value is `value` as is, which may be invalid base64.
     pub(crate) fn put_raw(&self, table: TableName, key: &str, value: &str) {
         self.change(table, key, Some(value.to_owned()));
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -33,7 +33,6 @@
 #[cfg(test)]
 pub(crate) const RATE_LIMIT: &str = "server-limit";
 /// Present in the responses of a backend server that is leaving.
-#[cfg(test)]
 pub(crate) const LEAVING: &str = "server-leaving";
 /// The client account.
 pub(crate) const ACCOUNT: &str = "savoryswitch-tenant";
--- a/src/sync/tests/store_eras.rs
+++ b/src/sync/tests/store_eras.rs
@@ -56,7 +56,7 @@
     }
     // Readers hear of the last revision within a watch and the pause after it.
     sleep(CHANGE_TIME_LIMIT).await;
-    data_centre.store.return_from_copy();
+    drop(data_centre.store.return_from_copy());
     data_centre
 }
 
@@ -97,7 +97,7 @@
     let data_centre = start_with_lost_writes().await;
     put_entries(&data_centre, 500);
     sleep(Duration::from_millis(300)).await;
-    data_centre.store.return_from_copy();
+    drop(data_centre.store.return_from_copy());
     put_entry(&data_centre, 0, 1000, BackendPhase::Leaving);
     data_centre
         .wait_for_all(is_leaving, CHANGE_TIME_LIMIT)
@@ -122,7 +122,7 @@
         is_leaving(snapshot) && count == BACKENDS - 1
     };
     data_centre.wait_for_all(is_known, CHANGE_TIME_LIMIT).await;
-    data_centre.store.return_from_copy();
+    drop(data_centre.store.return_from_copy());
     for _ in 0..20 {
         sleep(CHANGE_TIME_LIMIT / 20).await;
         data_centre.wait_for_all(is_known, Duration::ZERO).await;
@@ -141,7 +141,7 @@
     data_centre
         .wait_for_all(is_complete, CHANGE_TIME_LIMIT)
         .await;
-    data_centre.store.return_from_copy();
+    drop(data_centre.store.return_from_copy());
     let heartbeat = Duration::from_secs(1);
     for sequence in 2..5 {
         for _ in 0..20 {
@@ -169,7 +169,7 @@
             put_entries(&data_centre, sequence);
         }
         sleep(CHANGE_TIME_LIMIT).await;
-        data_centre.store.return_from_copy();
+        drop(data_centre.store.return_from_copy());
         let before = data_centre.store.read_calls();
         sleep(CHANGE_TIME_LIMIT).await;
         let calls = data_centre.store.read_calls() - before;
@@ -196,7 +196,7 @@
     let (key, target) = target_sample(2);
     store.put(TableName::Operator, key, &target);
     await_record(store, 2).await;
-    store.return_from_copy();
+    drop(store.return_from_copy());
     assert_eq!(store.text_of(TableName::System, &host), None);
     assert_eq!(store.text_of(TableName::System, "weights/m"), None);
     await_record(store, 2).await;
