Draw returns of the store in the random test of entry hosts

The simulated store takes copies, loses what was written since and returns in the next era, between writes, removals, cuts, restarts, late writes and reports. After each step every entry host that reaches the store has to have heard of each backend server that the store reports as leaving. The existing test and its draws are unchanged.

An answer without an era belongs to the era that a neighbour reported, if that is newer.

--- a/src/lab/platform_soak/fault_plan.rs
+++ b/src/lab/platform_soak/fault_plan.rs
@@ -38,7 +38,7 @@
 /// Makes the draws for planned work independent of the other draws of a seed.
 const WORK_SALT: u64 = 0x5eed_0f30_4e77_0000;
 /// The same for returns of the store and announcements of backend servers.
-const NOTICE_SALT: u64 = 0x0a1e_55ed_0000_2d5b;
+const PLATFORM_SALT: u64 = 0x0a1e_55ed_0000_2d5b;
 /// Time between the stops of two entry hosts in a rolling restart.
 const ROLLING_RESTART_INTERVAL: Duration = Duration::from_millis(1200);
 
@@ -139,7 +139,7 @@
     let mut planner = WavePlanner {
         rng: StdRng::seed_from_u64(seed),
         work_rng: StdRng::seed_from_u64(seed ^ WORK_SALT),
-        notice_rng: StdRng::seed_from_u64(seed ^ NOTICE_SALT),
+        platform_rng: StdRng::seed_from_u64(seed ^ PLATFORM_SALT),
         parts,
         load,
         busy: Vec::new(),
@@ -150,7 +150,7 @@
 struct WavePlanner {
     rng: StdRng,
     work_rng: StdRng,
-    notice_rng: StdRng,
+    platform_rng: StdRng,
     parts: PartCounts,
     load: EngineLoad,
     /// Parts that an action of this wave affects, and until when.
@@ -173,7 +173,7 @@
             }
             at += self.draw_duration(&FAULT_INTERVAL_MS);
         }
-        self.plan_notices(&mut faults);
+        self.plan_platform_changes(&mut faults);
         faults.sort_by_key(|planned| planned.at);
         FaultWave {
             faults,
@@ -184,11 +184,11 @@
 
     /// Plans a return of the store from an older copy, and backend servers that announce that they
     /// are leaving or ask for a pause.
-    fn plan_notices(&mut self, faults: &mut Vec<PlannedAction>) {
+    fn plan_platform_changes(&mut self, faults: &mut Vec<PlannedAction>) {
         let end = u64::try_from(FAULTS_SPAN.as_millis()).unwrap_or(u64::MAX);
         let backends = self.parts.backends;
         for number in 0..3_u8 {
-            let rng = &mut self.notice_rng;
+            let rng = &mut self.platform_rng;
             let at = Duration::from_millis(rng.random_range(0..end));
             let span = Duration::from_millis(rng.random_range(FAULT_MS));
             let backend = rng.random_range(0..backends);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -49,6 +49,8 @@
     CHANGED_ROWS_MAX, StoreClient, TableName, WatchResponse, WriteOutcome,
 };
 pub(crate) use store_revision::{era_of, is_first, revision_before, revision_text};
+#[cfg(test)]
+pub(crate) use store_revision::{number_in, revision_in};
 pub(crate) use store_rows::{StoreRow, TableView};
 pub(crate) use weights_origin::{ChunkDigests, OriginClient};
 
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -205,6 +205,7 @@
         wait: Duration,
         timeout: Duration,
     ) -> SwitchResult<WatchResponse> {
+        self.era.note(era_of(since));
         let name = table.as_str();
         let wait_ms = wait.as_millis();
         let number = number_in(since);
--- a/src/platform/store_revision.rs
+++ b/src/platform/store_revision.rs
@@ -23,7 +23,7 @@
 const ERA_STEP_MAX: u64 = 1000;
 
 /// The revision of the store's number `number` in `era`.
-pub(super) const fn revision_in(era: u64, number: u64) -> u64 {
+pub(crate) const fn revision_in(era: u64, number: u64) -> u64 {
     let number = if number > NUMBER_MAX {
         NUMBER_MAX
     } else {
@@ -39,7 +39,7 @@
 }
 
 /// The store's number of `revision`, which it assigned in the revision's era.
-pub(super) const fn number_in(revision: u64) -> u64 {
+pub(crate) const fn number_in(revision: u64) -> u64 {
     revision & NUMBER_MAX
 }
 
@@ -66,6 +66,11 @@
 pub(super) struct KnownEra(Arc<AtomicU64>);
 
 impl KnownEra {
+    /// Records that this process knows a revision in `era`, which a neighbour may have reported.
+    pub(super) fn note(&self, era: u64) {
+        self.0.fetch_max(era, Ordering::Relaxed);
+    }
+
     /// The era of an answer with `headers`. An answer without a valid era belongs to the newest
     /// known one, and one with an older era comes from an older state of the store.
     pub(super) fn of_answer(&self, headers: &HeaderMap) -> u64 {
@@ -73,7 +78,7 @@
         let is_valid = |era: &u64| *era <= ERA_MAX && (known == 0 || *era <= known + ERA_STEP_MAX);
         match number_of(headers, &ERA).filter(is_valid) {
             Some(era) => {
-                self.0.fetch_max(era, Ordering::Relaxed);
+                self.note(era);
                 era
             }
             None => known,
--- a/src/platform/tests/store_rows.rs
+++ b/src/platform/tests/store_rows.rs
@@ -179,4 +179,6 @@
     assert_eq!(era_in(Some("3")), 3, "an older state of the store");
     assert_eq!(era_in(None), 4);
     assert_eq!(era_in(Some("6")), 6);
+    known.note(8);
+    assert_eq!(era_in(None), 8, "reported by a neighbour");
 }
--- a/src/sync/crash_follow.rs
+++ b/src/sync/crash_follow.rs
@@ -11,7 +11,7 @@
 use super::crash_rows::{crash_key, crash_value, read_crash};
 use super::deployment_state::DeploymentState;
 use super::events;
-use super::store_watch::{RetryBackoff, STORE_TIMEOUT, StoreWatch, watch_span};
+use super::store_watch::{RetryBackoff, STORE_TIMEOUT, StoreWatch, pause_if_older, watch_span};
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::platform::{CHANGED_ROWS_MAX, StoreRow, TableName, TableView, WatchResponse};
@@ -81,7 +81,7 @@
             WatchResponse::HistoryExpired => {
                 log_event!(events::HISTORY_LOST, "table=crashes");
                 let revision = self.read_crashes().await?;
-                self.pause_if_older(revision, since).await;
+                pause_if_older(revision, since).await;
                 Ok(())
             }
         }
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -218,7 +218,7 @@
                 log_event!(events::HISTORY_LOST, "table=operator");
                 let contact = self.contact_since(context);
                 let read = self.read_operator(context.after_failure(contact)).await?;
-                self.pause_if_older(read.0, known).await;
+                pause_if_older(read.0, known).await;
                 read
             }
         };
@@ -226,14 +226,6 @@
         Ok(answered_at)
     }
 
-    /// Pauses if the store reported only `revision` after it had no history since `known`. The next
-    /// watch would fail in the same way, and the next one.
-    pub(super) async fn pause_if_older(&self, revision: u64, known: u64) {
-        if revision < known {
-            sleep(OLDER_READ_PAUSE).await;
-        }
-    }
-
     /// Reads the full operator's table; returns its revision and the time of the answer on the
     /// store's clock.
     ///
@@ -398,6 +390,14 @@
     }
 }
 
+/// Pauses if the store reported only `revision` after it had no history since `known`. The next watch
+/// would fail in the same way.
+pub(super) async fn pause_if_older(revision: u64, known: u64) {
+    if revision < known {
+        sleep(OLDER_READ_PAUSE).await;
+    }
+}
+
 /// How long a watch that begins at `now` is held open: `longest`, or less by a process that reads
 /// the store only until `until`. Otherwise one process more would receive each change until the end
 /// of the watch, over a link that may be narrow.
--- a/src/sync/tests/driver.rs
+++ b/src/sync/tests/driver.rs
@@ -9,10 +9,11 @@
 use super::driver_simulation::{LAYERS, LateWrite, SERVERS, Simulation};
 use super::{at_once, found_at, new_state, store_time};
 use crate::fleet::{
-    BackendPhase, BackendRegistry, LoadReport, PickRequirements, SharedRegistry,
+    BackendFacts, BackendPhase, BackendRegistry, LoadReport, PickRequirements, SharedRegistry,
     VersionRequirement, WeightsVersion,
 };
 use crate::overload::EntryHostId;
+use crate::platform::{era_of, read_backend_row};
 use crate::sync::own_rows::VersionRecord;
 use crate::sync::target_update_time::FollowState;
 use crate::sync::{DeploymentSnapshot, DeploymentState, OwnRows, SharedDeploymentState};
@@ -79,10 +80,12 @@
         if !matches!(self.follow_state, FollowState::Followed(_)) {
             self.read_own_rows(simulation);
         }
+        self.operator_seen = simulation.store.continued(self.operator_seen);
         let view = simulation.store.operator(self.operator_seen);
         let set_at = found_at(self.follow_state, now);
         let is_complete = self.operator_seen.is_none();
         self.state.change(|state| {
+            state.note_era(view.revision, now);
             if is_complete {
                 state.set_operator_rows(&view.rows, set_at);
             } else {
@@ -102,10 +105,16 @@
     }
 
     fn read_own_rows(&self, simulation: &Simulation) {
-        let own = match &simulation.store.record {
+        let mut own = match &simulation.store.record {
             Some(record) => OwnRows::with_record(record.clone()),
             None => OwnRows::default(),
         };
+        // In the first era the store never loses a record.
+        let revision = simulation.store.revision();
+        if era_of(revision) > 0 {
+            own.is_complete = true;
+            own.revision = revision;
+        }
         let has_read = self.state.read(DeploymentState::has_own_rows);
         let follow_state = if has_read {
             FollowState::Interrupted
@@ -122,11 +131,13 @@
             self.note_store_failure();
             return;
         }
+        self.backends_seen = simulation.store.continued(self.backends_seen);
         let view = simulation.store.backends(self.backends_seen);
         let is_complete = self.backends_seen.is_none();
         let now = simulation.now;
         self.state.change(|state| {
             state.note_store(now);
+            state.note_era(view.revision, now);
             if is_complete {
                 state.set_backends(&view, now);
             } else {
@@ -301,6 +312,19 @@
         }
     }
 
+    /// The store takes a copy or returns from it. Its entry hosts hear of that and record the version
+    /// again.
+    fn copy_or_return(&mut self) {
+        self.simulation.copy_or_return();
+        self.follow_all();
+        for at in 0..ENTRIES {
+            if self.entries[at].reaches_store {
+                self.entries[at].read_own_rows(&self.simulation);
+            }
+            self.record(at, false);
+        }
+    }
+
     /// Entry hosts that follow the store receive changes at once.
     fn follow_all(&mut self) {
         for entry in &mut self.entries {
@@ -387,6 +411,34 @@
         }
     }
 
+    /// Checks that the entry hosts that reach the store hear of each backend server that the store
+    /// reports as leaving.
+    fn check_leaving(&mut self) {
+        let view = self.simulation.store.backends(None);
+        let listed = view.rows.iter().filter_map(|row| {
+            let value = row.value.as_ref()?;
+            read_backend_row(&row.key, value).ok()
+        });
+        let leaving: Vec<BackendFacts> = listed
+            .filter(|facts| facts.phase == BackendPhase::Leaving)
+            .collect();
+        for host in self.entries.iter_mut().filter(|host| host.reaches_store) {
+            host.follow_backends(&self.simulation);
+            for facts in &host.snapshot().fleet.backends {
+                let is_same = |leaving: &&BackendFacts| {
+                    leaving.id == facts.id && leaving.start_time == facts.start_time
+                };
+                if leaving.iter().any(|leaving| is_same(&leaving)) {
+                    assert_eq!(
+                        facts.phase,
+                        BackendPhase::Leaving,
+                        "{facts:?} leaves unheard"
+                    );
+                }
+            }
+        }
+    }
+
     fn check(&mut self) {
         for at in 0..ENTRIES {
             self.check_version(at);
@@ -503,7 +555,14 @@
     }
 }
 
-fn run_case(u: &mut Unstructured<'_>) -> Result<()> {
+/// Whether the store returns from older copies during a run.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum StoreReturns {
+    Never,
+    Sometimes,
+}
+
+fn run_case(u: &mut Unstructured<'_>, returns: StoreReturns) -> Result<()> {
     let mut run = Run::new();
     for host in &mut run.entries {
         host.follow_operator(&run.simulation);
@@ -513,8 +572,14 @@
         if u.is_empty() {
             break;
         }
+        if returns == StoreReturns::Sometimes && u.ratio(1, 12_u8)? {
+            run.copy_or_return();
+        }
         run.step(u)?;
         run.check();
+        if returns == StoreReturns::Sometimes {
+            run.check_leaving();
+        }
     }
     run.settle();
     Ok(())
@@ -522,5 +587,12 @@
 
 #[test]
 fn known_backends_and_versions_never_regress() {
-    run_cases(CASES, CASE_BYTES, run_case);
+    run_cases(CASES, CASE_BYTES, |u| run_case(u, StoreReturns::Never));
+}
+
+/// Guards against putting entries and versions of an older era of the store in force, or not hearing
+/// of those of the newer one.
+#[test]
+fn known_backends_and_versions_never_regress_across_eras() {
+    run_cases(CASES, CASE_BYTES, |u| run_case(u, StoreReturns::Sometimes));
 }
--- a/src/sync/tests/driver_simulation.rs
+++ b/src/sync/tests/driver_simulation.rs
@@ -8,7 +8,7 @@
     BackendPhase, EngineHoldings, HeldLayers, LoadReport, ModelVersion, WeightsVersion,
 };
 use crate::platform::samples::{document_sample, loaded_entry_sample, target_sample};
-use crate::platform::{StoreRow, TableView};
+use crate::platform::{StoreRow, TableView, era_of, number_in, revision_in};
 use crate::sync::own_rows::VersionRecord;
 use crate::time::{ClockTime, StoreTime, WallTime};
 
@@ -18,6 +18,8 @@
 pub(super) const LAYERS: u32 = 16;
 /// When the store at the latest executes a write that got no answer, after the call.
 const LATE_MAX: Duration = Duration::from_secs(8);
+/// The greatest age of a copy from which the store returns.
+const COPY_AGE_MAX: Duration = Duration::from_secs(6);
 
 /// A backend server in its real state.
 pub(super) struct SimulatedServer {
@@ -111,9 +113,19 @@
     Record(VersionRecord),
 }
 
+/// What the store returns with after it lost its newest writes.
+struct StoreCopy {
+    taken_at: ClockTime,
+    revision: u64,
+    backends: Vec<StoreRow>,
+    target: Option<StoreRow>,
+    record: Option<VersionRecord>,
+}
+
 /// The store.
 #[derive(Default)]
 pub(super) struct SimulatedStore {
+    copy: Option<StoreCopy>,
     revision: u64,
     backends: Vec<StoreRow>,
     target: Option<StoreRow>,
@@ -132,6 +144,47 @@
         self.revision
     }
 
+    /// The newest revision.
+    pub(super) const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The revision from which to continue after `since`; none if the store is in another era.
+    pub(super) fn continued(&self, since: Option<u64>) -> Option<u64> {
+        since.filter(|since| era_of(*since) == era_of(self.revision))
+    }
+
+    fn take_copy(&mut self, now: ClockTime) {
+        self.copy = Some(StoreCopy {
+            taken_at: now,
+            revision: self.revision,
+            backends: self.backends.clone(),
+            target: self.target.clone(),
+            record: self.record.clone(),
+        });
+    }
+
+    /// Returns from the copy, if there is a recent one, in the next era. Returns whether it did.
+    fn return_from_copy(&mut self, now: ClockTime) -> bool {
+        let copy = self.copy.take();
+        let Some(copy) = copy.filter(|copy| now.since(copy.taken_at) < COPY_AGE_MAX) else {
+            return false;
+        };
+        let era = era_of(self.revision) + 1;
+        let in_era = |revision: u64| revision_in(era, number_in(revision));
+        self.revision = in_era(copy.revision);
+        self.backends = copy.backends;
+        self.target = copy.target;
+        self.record = copy.record;
+        for row in self.backends.iter_mut().chain(&mut self.target) {
+            row.revision = in_era(row.revision);
+        }
+        if let Some(record) = &mut self.record {
+            record.revision = in_era(record.revision);
+        }
+        true
+    }
+
     pub(super) fn put_entry(&mut self, id: &str, text: Option<&str>) {
         let revision = self.next();
         self.backends.retain(|known| known.key != id);
@@ -257,6 +310,24 @@
         self.store.set_target(self.newest());
     }
 
+    /// The store takes a copy, or returns from the one that it took. The operator sets the target
+    /// again, and the platform removes the entries of backend servers that have left and ended.
+    pub(super) fn copy_or_return(&mut self) {
+        let now = self.now;
+        if !self.store.return_from_copy(now) {
+            self.store.take_copy(now);
+            return;
+        }
+        if self.newest() > 1 {
+            self.store.set_target(self.newest());
+        }
+        for server in &self.servers {
+            if server.is_leaving && !server.is_alive {
+                self.store.put_entry(&server.id, None);
+            }
+        }
+    }
+
     /// The store executes a write that got no answer.
     pub(super) fn finish_late(&mut self, at: usize) {
         match self.store.late.remove(at).1 {
