--- a/src/gateway/tests/announcements.rs
+++ b/src/gateway/tests/announcements.rs
@@ -77,3 +77,85 @@
     assert!((2.5..=4.0).contains(&retry_after), "{retry_after}");
     assert_eq!(paused.arrivals(), 1);
 }
+
+/// Guards against a path on which an announcement is not heard of. Each one here ends with the
+/// response of the second backend server, which the first one makes necessary.
+#[tokio::test]
+async fn an_announced_leaving_is_heard_of_on_each_path_of_a_request() {
+    let leaving = BackendBehaviour::Leaving;
+    let leaving_stream = BackendBehaviour::EventsLeaving { to: 5 };
+    let paths = [
+        (
+            "retry after a refusal",
+            "once",
+            BackendBehaviour::NotRun,
+            leaving,
+        ),
+        (
+            "retry after a reset",
+            "safe",
+            BackendBehaviour::ResetUnread,
+            leaving,
+        ),
+        (
+            "retry after a truncated body",
+            "safe",
+            BackendBehaviour::TruncatedBody,
+            leaving,
+        ),
+        (
+            "retry after an error",
+            "safe",
+            BackendBehaviour::Fail,
+            leaving,
+        ),
+        (
+            "send beside a late response",
+            "safe",
+            BackendBehaviour::Unresponsive,
+            leaving,
+        ),
+        (
+            "stream resumed after its end",
+            "resumed",
+            BackendBehaviour::EventsTruncated { to: 2 },
+            leaving_stream,
+        ),
+        (
+            "stream resumed in a pause",
+            "resumed",
+            BackendBehaviour::EventsThenUnresponsive { to: 2 },
+            leaving_stream,
+        ),
+    ];
+    for (path, kind, first, second) in paths {
+        let first = FakeBackend::start(first).await;
+        let second = FakeBackend::start(second).await;
+        let entry = EntryFixture::start(&[&first, &second]).await;
+        entry.call(kind).await;
+        assert_eq!(second.arrivals(), 1, "{path}");
+        for _ in 0..2 {
+            entry.call(kind).await;
+        }
+        assert_eq!(second.arrivals(), 1, "{path}");
+    }
+}
+
+/// Guards against more than the allowed requests in a pause when many are sent at once: those that
+/// were picked before the first refusal arrived are all that a backend server gets.
+#[tokio::test]
+async fn concurrent_requests_keep_a_requested_pause() {
+    let paused = FakeBackend::start(BackendBehaviour::NotRunWithPause { seconds: 2 }).await;
+    let other = FakeBackend::start(BackendBehaviour::Complete).await;
+    let entry = EntryFixture::start(&[&paused, &other]).await;
+    let calls = (0..12).map(|_| entry.call("safe"));
+    futures::future::join_all(calls).await;
+    sleep(Duration::from_millis(500)).await;
+    let before = paused.arrivals();
+    for _ in 0..3 {
+        let calls = (0..4).map(|_| entry.call("safe"));
+        futures::future::join_all(calls).await;
+        sleep(CALL_PAUSE).await;
+    }
+    assert_eq!(paused.arrivals(), before);
+}
