Log the parts of a prompt whose request was cut off

An operator could not see what requests have in common under which backend servers crash: [1211] and [1202] had the digest of the whole request only. Both now have the parts of its prompt that other requests may share, and [1211] tells whether that backend server had begun to answer. No decision changes.

Tests: parts of well-formed and malformed header fields, and random ones.

--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -81,6 +81,21 @@
         })
     }
 
+    /// Returns the parts of the prompt that other requests may share, as text for logs.
+    pub(super) fn parts_text(&self) -> String {
+        let parts: Vec<String> = self
+            .head
+            .shared_parts
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        if parts.is_empty() {
+            "-".to_owned()
+        } else {
+            parts.join(",")
+        }
+    }
+
     /// Returns the time until the deadline.
     pub(super) fn time_left(&self, now: ClockTime) -> Duration {
         self.deadline.since(now)
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -78,8 +78,9 @@
     if kind == ErrorKind::AnswerCut {
         log_event!(
             events::SEND_FAILED,
-            "id={attempt} request={} backend={backend} reason={code} detail=\"{detail}\"",
-            job.digest()
+            "id={attempt} request={} parts={} backend={backend} reason={code} detail=\"{detail}\"",
+            job.digest(),
+            job.parts_text()
         );
     } else {
         log_event!(
@@ -128,14 +129,21 @@
     );
 }
 
-/// Logs a backend server that stopped in the middle of a stream.
-pub(super) fn log_stream_cut(job: &RequestJob, backend: &str, event: Option<u64>, reason: &str) {
+/// Logs a backend server that stopped in the middle of a stream. `last_event` is the last event that
+/// the client received, `has_answered` whether this backend server sent any event.
+pub(super) fn log_stream_cut(
+    job: &RequestJob,
+    backend: &str,
+    (last_event, has_answered): (Option<u64>, bool),
+    reason: &str,
+) {
     metrics::count_event("stream_cut", 1);
     log_event!(
         events::STREAM_CUT,
-        "id={} request={} backend={backend} last_event={event:?} reason=\"{reason}\"",
+        "id={} request={} parts={} backend={backend} last_event={last_event:?} answered={has_answered} reason=\"{reason}\"",
         attempt_of(job),
-        job.digest()
+        job.digest(),
+        job.parts_text()
     );
 }
 
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -12,7 +12,7 @@
 use super::forward_state::ForwardState;
 use super::gateway_state::GatewayState;
 use super::request_job::RequestJob;
-use super::request_log::{log_stream_broken, log_stream_cut, log_stream_end, log_stream_resumed};
+use super::request_log::{log_stream_broken, log_stream_end, log_stream_resumed};
 use super::send_attempt::OpenResponse;
 use super::stream_source::{SourceStep, StreamSource, next_step};
 use crate::daemon::RequestGuard;
@@ -261,8 +261,7 @@
         for other in std::mem::replace(&mut self.sources, vec![source]) {
             if !other.is_standby() {
                 let reason = format!("silent for {STREAM_PAUSE_MAX:?}");
-                let backend = &other.response.ticket.facts.id;
-                log_stream_cut(&self.job, backend, self.last_event, &reason);
+                other.log_cut(&self.job, self.last_event, &reason);
             }
             other.end(CallOutcome::Inconclusive);
         }
@@ -272,8 +271,7 @@
     fn end_at_deadline(&mut self) -> RelayStep {
         let reason = "out of time";
         for source in self.sources.drain(..) {
-            let backend = &source.response.ticket.facts.id;
-            log_stream_cut(&self.job, backend, self.last_event, reason);
+            source.log_cut(&self.job, self.last_event, reason);
             source.end(CallOutcome::Failed);
         }
         RelayStep::Interrupted(reason.to_owned())
--- a/src/gateway/stream_source.rs
+++ b/src/gateway/stream_source.rs
@@ -31,6 +31,8 @@
     pub(super) search_started: Option<ClockTime>,
     /// Whether it has been recorded as unresponsive.
     is_unresponsive: bool,
+    /// Whether it has sent an event.
+    has_answered: bool,
 }
 
 impl StreamSource {
@@ -41,6 +43,7 @@
             reader: EventReader::default(),
             search_started,
             is_unresponsive: false,
+            has_answered: false,
         }
     }
 
@@ -76,6 +79,7 @@
     fn events_after(&mut self, mut last: Option<u64>) -> (Bytes, Option<u64>) {
         let mut events = BytesMut::new();
         while let Some(event) = self.reader.next() {
+            self.has_answered = true;
             if event.id.is_some() && event.id <= last {
                 continue;
             }
@@ -102,11 +106,17 @@
         reason: &str,
     ) {
         let ticket = &self.response.ticket;
-        log_stream_cut(job, &ticket.facts.id, last, reason);
+        self.log_cut(job, last, reason);
         gateway.note_interrupted(job, ticket);
         self.end(CallOutcome::Failed);
     }
 
+    /// Logs that the backend server does not continue the stream; `last` is the last event.
+    pub(super) fn log_cut(&self, job: &RequestJob, last: Option<u64>, reason: &str) {
+        let backend = &self.response.ticket.facts.id;
+        log_stream_cut(job, backend, (last, self.has_answered), reason);
+    }
+
     /// Records that the backend server continued the stream.
     pub(super) const fn note_active(&mut self) {
         self.is_unresponsive = false;
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -148,6 +148,7 @@
         prompt_tokens: 1000,
         output_tokens_max: 100,
         estimated_output_tokens: None,
+        shared_parts: Vec::new(),
         last_event: None,
     };
     let path = format!("/{kind}/x");
--- a/src/platform/request_head.rs
+++ b/src/platform/request_head.rs
@@ -8,14 +8,24 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::plain;
+use crate::metrics;
+use crate::quarantine::PromptPart;
+use crate::routing::name_hash;
 
 pub(super) const ATTEMPT_ID: HeaderName = HeaderName::from_static("savoryswitch-attempt-id");
 pub(super) const DEADLINE: HeaderName = HeaderName::from_static("savoryswitch-deadline-ms");
 pub(super) const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const MODEL: HeaderName = HeaderName::from_static("savoryswitch-model");
 const TOKENS: HeaderName = HeaderName::from_static("savoryswitch-token-usage");
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("savoryswitch-prompt-prefix");
 const LENGTH_HINT: HeaderName = HeaderName::from_static("savoryswitch-length-hint");
 const KEY_SCHEME: &str = "Bearer ";
+/// Largest number of parts of a prompt that are read. Prompts have fewer than ten.
+const PARTS_MAX: usize = 64;
+/// Number of hexadecimal digits of the ids that fit into a number; longer ones are hashed.
+const PART_DIGITS: usize = 16;
+/// Longest id of a part, in characters.
+const PART_CHARS_MAX: usize = 64;
 
 /// The header fields of a request that this program acts upon.
 #[apply(plain!)]
@@ -35,6 +45,8 @@
     pub(crate) output_tokens_max: u32,
     /// The client's estimate of the output tokens; half of the responses are longer.
     pub(crate) estimated_output_tokens: Option<u32>,
+    /// The parts of the prompt that other requests may share, in order and without duplicates.
+    pub(crate) shared_parts: Vec<PromptPart>,
     /// The last stream event that the client has received, when it resumes a stream.
     pub(crate) last_event: Option<u64>,
 }
@@ -52,10 +64,42 @@
         output_tokens_max: output.trim().parse().unwrap_or(0),
         estimated_output_tokens: text_of(headers, &LENGTH_HINT)
             .and_then(|text| text.trim().parse().ok()),
+        shared_parts: shared_parts_of(text_of(headers, &PROMPT_PARTS).unwrap_or_default()),
         last_event: number_of(headers, &LAST_EVENT),
     }
 }
 
+/// The parts in a list of `ID:TOKENS` entries, without the last one, which belongs to the request
+/// itself or to its session. Invalid entries are left out.
+fn shared_parts_of(text: &str) -> Vec<PromptPart> {
+    let mut entries = text.split(',').map(str::trim);
+    if entries.next_back().is_none() {
+        return Vec::new();
+    }
+    let mut parts = Vec::new();
+    for entry in entries.filter(|entry| !entry.is_empty()).take(PARTS_MAX) {
+        match part_of(entry) {
+            Some(part) if parts.contains(&part) => {}
+            Some(part) => parts.push(part),
+            None => metrics::count_event("prompt_part_invalid", 1),
+        }
+    }
+    parts
+}
+
+fn part_of(entry: &str) -> Option<PromptPart> {
+    let (id, _) = entry.split_once(':')?;
+    let is_hex = id.bytes().all(|digit| digit.is_ascii_hexdigit());
+    if id.is_empty() || !is_hex || id.len() > PART_CHARS_MAX {
+        return None;
+    }
+    let id = id.trim_start_matches('0').to_ascii_lowercase();
+    if id.len() > PART_DIGITS {
+        return Some(PromptPart(name_hash(&id)));
+    }
+    Some(PromptPart(u64::from_str_radix(&id, 16).unwrap_or(0)))
+}
+
 /// The key in the value of an `Authorization` field.
 fn api_key_of(text: &str) -> Option<ByteString> {
     text.strip_prefix(KEY_SCHEME)
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -25,6 +25,9 @@
 pub(crate) const MODEL: &str = "savoryswitch-model";
 /// The tokens of the prompt, and the most output tokens.
 pub(crate) const TOKENS: &str = "savoryswitch-token-usage";
+/// The parts of the prompt, as `ID:TOKENS` entries.
+#[cfg(test)]
+pub(crate) const PROMPT_PARTS: &str = "savoryswitch-prompt-prefix";
 /// The last stream event that the client received.
 pub(crate) const LAST_EVENT: &str = "last-event-id";
 /// The id of the addressed backend server.
--- a/src/platform/tests/header_fields.rs
+++ b/src/platform/tests/header_fields.rs
@@ -9,12 +9,13 @@
 const CASE_BYTES: u32 = 512;
 
 /// The header fields that are read from requests and responses.
-const NAMES: [&str; 13] = [
+const NAMES: [&str; 14] = [
     "authorization",
     "savoryswitch-attempt-id",
     "savoryswitch-deadline-ms",
     "savoryswitch-token-usage",
     "savoryswitch-length-hint",
+    "savoryswitch-prompt-prefix",
     "last-event-id",
     "savoryswitch-server-load",
     "savoryswitch-not-executed",
@@ -24,7 +25,7 @@
     "server-leaving",
     "retry-after",
 ];
-const VALUES: [&str; 9] = [
+const VALUES: [&str; 10] = [
     "",
     ",",
     "-1",
@@ -34,6 +35,7 @@
     "Bearer ",
     "1e9,0.5",
     "1e300",
+    "5c1e07a2:800,:,5C1E07A2:1,x:1,91bd3f06",
 ];
 
 #[test]
@@ -76,6 +78,39 @@
     });
 }
 
+fn shared_parts(text: &str) -> Vec<u64> {
+    let mut fields = HeaderMap::new();
+    let value = HeaderValue::from_str(text).expect("it is a valid field value");
+    fields.insert("savoryswitch-prompt-prefix", value);
+    let parts = read_request_head(&fields).shared_parts;
+    parts.into_iter().map(|part| part.0).collect()
+}
+
+/// Guards against suspecting the part of a prompt that is the request's own, and against taking one
+/// part for several.
+#[test]
+fn all_parts_of_a_prompt_but_the_last_are_shared() {
+    assert_eq!(
+        shared_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+        [0x5c1e_07a2, 0x91bd_3f06]
+    );
+    assert!(shared_parts("5c1e07a2:800").is_empty());
+    assert!(shared_parts("").is_empty());
+    assert_eq!(shared_parts("00ab:1, AB:2,ab:3,c:4"), [0xab]);
+    let long = format!("{}:1,b:1", "f".repeat(64));
+    assert_eq!(shared_parts(&long).len(), 1);
+}
+
+/// Guards against unbounded work and memory for a header field of a malformed prompt.
+#[test]
+fn invalid_parts_of_a_prompt_are_left_out() {
+    assert_eq!(shared_parts("x:1,:2,ab,-1:3,c:4,d:5"), [0xc]);
+    let absurd = format!("{}:1,b:1", "f".repeat(65));
+    assert!(shared_parts(&absurd).is_empty());
+    let thousands: Vec<String> = (0..2000).map(|part| format!("{part:x}:1")).collect();
+    assert_eq!(shared_parts(&thousands.join(",")).len(), 64);
+}
+
 /// The head of a response of status `status` with `fields`, to a request that was sent to `i-1`.
 fn response_head(status: u16, fields: &[(&'static str, &'static str)]) -> ResponseHead {
     let mut headers = HeaderMap::new();
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -3,6 +3,7 @@
 //! distributes the records.
 
 mod crash_ledger;
+mod prompt_part;
 mod recent_answers;
 mod request_digest;
 #[cfg(test)]
@@ -12,5 +13,6 @@
     BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord, CrashVerdict,
     QUARANTINE_THRESHOLD, StoredCrash,
 };
+pub(crate) use prompt_part::PromptPart;
 pub(crate) use recent_answers::RecentAnswers;
 pub(crate) use request_digest::{RequestDigest, RequestParts};
