Show unlike requests that crash backend servers by a part of their prompts

Four entry hosts and ten backend servers, requests of which no two are alike but for one part of their prompts. The backend servers that crash move to a file of their own, unchanged otherwise.

--- a/src/gateway/tests/crashing_requests.rs
+++ b/src/gateway/tests/crashing_requests.rs
@@ -2,28 +2,14 @@
 //! hosts, together with harmless requests.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
-use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use super::entry_hosts::{request_of, start_entries, start_late_entry, start_store, status_of};
-use super::fake_backend::{field, read_request};
-use crate::platform::samples::{ATTEMPT, SEAL, plain_entry_sample};
-use crate::platform::{FakeStore, TableName};
-use crate::time::{ClockTime, clock_now};
+use super::crashing_backends::{CRASHING_BODY, DOWN_SPAN, SharedObservations, lock, start_system};
+use super::entry_hosts::{request_of, start_late_entry, status_of};
+use crate::time::clock_now;
 
-const ENTRIES: usize = 4;
-const BACKENDS: usize = 10;
-/// How long a harmless request takes, and how long the crashing one runs before the crash.
-const WORK_SPAN: Duration = Duration::from_millis(150);
-const CRASH_DELAY: Duration = Duration::from_millis(40);
-/// How long a backend server is down after a crash.
-const DOWN_SPAN: Duration = Duration::from_millis(700);
 const CRASHING_PAUSE: Duration = Duration::from_millis(60);
 const HARMLESS_PAUSE: Duration = Duration::from_millis(25);
 /// Time after the third crash by which every entry host knows the crashing request.
@@ -34,90 +20,6 @@
 const OUTAGE_SPAN: Duration = Duration::from_millis(1500);
 /// How long the test continues after that.
 const WATCH_SPAN: Duration = Duration::from_secs(2);
-const CRASHING_BODY: &str = "deadly";
-
-/// What the backend servers observed.
-#[derive(Default)]
-struct CrashObservations {
-    /// When the crashing request arrived at any backend server.
-    arrivals: Vec<ClockTime>,
-    /// When a backend server crashed.
-    crashes: Vec<ClockTime>,
-}
-
-impl CrashObservations {
-    /// Returns how often the crashing request arrived after `moment`.
-    fn arrivals_after(&self, moment: ClockTime) -> usize {
-        let late = self.arrivals.iter().filter(|at| **at > moment);
-        late.count()
-    }
-}
-
-type SharedObservations = Arc<Mutex<CrashObservations>>;
-
-/// A backend server that crashes when it runs the crashing request.
-struct CrashingBackend {
-    number: usize,
-    store: FakeStore,
-    observations: SharedObservations,
-}
-
-impl CrashingBackend {
-    /// Runs until the test ends, with a new incarnation after each crash.
-    async fn run(self) {
-        let mut address = SocketAddr::from(([127, 0, 0, 1], 0));
-        for start_time in 1.. {
-            let listener = TcpListener::bind(address)
-                .await
-                .expect("the address is free");
-            address = listener.local_addr().expect("the socket is bound");
-            let id = format!("i-{:02}", self.number);
-            let text = plain_entry_sample((address, start_time));
-            self.store.put(TableName::Backends, &id, &text);
-            self.serve_until_crash(listener).await;
-            sleep(DOWN_SPAN).await;
-        }
-    }
-
-    /// Serves until the next crash, which closes the port and all connections at once.
-    async fn serve_until_crash(&self, listener: TcpListener) {
-        let crash = Arc::new(Notify::new());
-        let mut connections = JoinSet::new();
-        loop {
-            tokio::select! {
-                accepted = listener.accept() => {
-                    let (stream, _) = accepted.expect("the socket is listening");
-                    connections.spawn(serve(stream, self.observations.clone(), crash.clone()));
-                }
-                () = crash.notified() => return,
-            }
-        }
-    }
-}
-
-async fn serve(mut stream: TcpStream, observations: SharedObservations, crash: Arc<Notify>) {
-    while let Some(request) = read_request(&mut stream).await {
-        let attempt = field(&request, ATTEMPT).unwrap_or_default();
-        if request.ends_with(CRASHING_BODY) {
-            lock(&observations).arrivals.push(clock_now());
-            sleep(CRASH_DELAY).await;
-            lock(&observations).crashes.push(clock_now());
-            crash.notify_one();
-            return std::future::pending().await;
-        }
-        sleep(WORK_SPAN).await;
-        let response = format!(
-            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n{SEAL}: seal\r\ncontent-length: 2\r\n\r\nok"
-        );
-        if stream.write_all(response.as_bytes()).await.is_err() {
-            return;
-        }
-    }
-}
-
-fn lock(observations: &SharedObservations) -> std::sync::MutexGuard<'_, CrashObservations> {
-    observations.lock().unwrap_or_else(PoisonError::into_inner)
-}
 
 /// Sends the crashing request to one entry host after another until the task is dropped.
 async fn send_crashing(addresses: Vec<SocketAddr>) {
@@ -152,20 +54,6 @@
         .collect()
 }
 
-async fn start_system(observations: &SharedObservations) -> (FakeStore, Vec<SocketAddr>) {
-    let store = start_store().await;
-    for number in 0..BACKENDS {
-        let backend = CrashingBackend {
-            number,
-            store: store.clone(),
-            observations: observations.clone(),
-        };
-        tokio::spawn(backend.run());
-    }
-    let addresses = start_entries(ENTRIES, &store).await;
-    (store, addresses)
-}
-
 /// Guards against a request that keeps crashing backend servers by way of other entry hosts, and
 /// against refusing harmless requests that ran next to it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,8 @@
 mod backend_connection;
 mod cancelled_requests;
 mod crash_detector;
+mod crashing_backends;
+mod crashing_parts;
 mod crashing_requests;
 mod entry_hosts;
 mod fake_backend;
