--- a/src/gateway/crash_detector.rs
+++ b/src/gateway/crash_detector.rs
@@ -1,4 +1,5 @@
-//! Detects whether a backend server that closed connections during requests has crashed.
+//! Detects whether a backend server that closed connections during requests has crashed, and what
+//! these requests have in common with others.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +13,10 @@
 use crate::events::log_event;
 use crate::fleet::{BackendFacts, BackendKey};
 use crate::metrics;
-use crate::quarantine::{BackendIncarnation, RecentAnswers, RequestDigest};
+use crate::quarantine::{
+    AnswerCount, AnswerTally, BackendIncarnation, CrashSuspect, RecentAnswers, SuspectDepth,
+    SuspectDigest,
+};
 use crate::sync::SharedDeploymentState;
 use crate::time::{ClockTime, clock_now};
 
@@ -22,12 +26,13 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A request in progress at a backend server that closed its connection.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct InterruptedRequest {
     /// The backend server.
     pub(super) key: BackendKey,
-    /// Digest of the request.
-    pub(super) request: RequestDigest,
+    /// What may have crashed the backend server: the whole request, and the parts of its prompt
+    /// unless the backend server had begun to answer.
+    pub(super) suspects: Vec<CrashSuspect>,
 }
 
 /// Detects crashes and records the requests that were in progress. Clones share their state.
@@ -37,6 +42,10 @@
     /// Interrupted requests at backend servers that are being probed.
     interrupted: Arc<Mutex<Vec<InterruptedRequest>>>,
     answered: Arc<Mutex<RecentAnswers>>,
+    /// Answers to requests with each part of a prompt.
+    tally: Arc<Mutex<AnswerTally>>,
+    /// Identifies this process in counts of answers.
+    process: u64,
 }
 
 impl CrashDetector {
@@ -46,30 +55,28 @@
             deployment_state,
             interrupted: Arc::default(),
             answered: Arc::default(),
+            tally: Arc::default(),
+            process: rand::random(),
         }
     }
 
     /// Records that `backend` closed the connection of a request, and starts a probe if none is
     /// running for that backend server.
     pub(super) fn note_interrupted(&self, interrupted: InterruptedRequest, backend: &BackendFacts) {
+        let key = interrupted.key;
         let is_probed = {
             let mut interrupted_requests = self
                 .interrupted
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
-            let is_probed = interrupted_requests
-                .iter()
-                .any(|other| other.key == interrupted.key);
+            let is_probed = interrupted_requests.iter().any(|other| other.key == key);
             interrupted_requests.push(interrupted);
             is_probed
         };
         if !is_probed {
             let incarnation = BackendIncarnation::of(&backend.id, backend.start_time);
             let (id, address) = (backend.id.clone(), backend.address);
-            tokio::spawn(
-                self.clone()
-                    .probe(interrupted.key, incarnation, (id, address)),
-            );
+            tokio::spawn(self.clone().probe(key, incarnation, (id, address)));
         }
     }
 
@@ -83,38 +90,79 @@
     ) {
         sleep(GATHER_SPAN).await;
         let is_refused = refuses_connections(address).await;
-        let mut requests = self.take_interrupted(key);
+        let mut suspects = self.take_interrupted(key);
         let now = clock_now();
-        requests.retain(|request| !self.was_answered(*request, now));
+        suspects.retain(|suspect| !self.was_answered(suspect.digest, now));
         if is_refused {
             metrics::count_event("backend_crashed", 1);
-            let request_list: Vec<String> = requests.iter().map(ToString::to_string).collect();
+            let (requests, parts): (Vec<_>, Vec<_>) = suspects
+                .iter()
+                .partition(|suspect| suspect.depth == SuspectDepth::WHOLE);
             log_event!(
                 events::BACKEND_CRASHED,
-                "backend={id} requests={}",
-                request_list.join(",")
+                "backend={id} requests={} parts={}",
+                list_text(&requests),
+                list_text(&parts)
             );
             self.deployment_state
-                .change(|state| state.note_crash(incarnation, &requests, now));
+                .change(|state| state.note_crash(incarnation, &suspects, now));
+            self.report_answers(now);
         }
     }
 
-    /// Takes the distinct requests that were interrupted at `key`, whose probe has ended.
-    fn take_interrupted(&self, key: BackendKey) -> Vec<RequestDigest> {
+    /// Takes the distinct suspects that were interrupted at `key`, whose probe has ended.
+    fn take_interrupted(&self, key: BackendKey) -> Vec<CrashSuspect> {
         let mut interrupted_requests = self
             .interrupted
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let removed = interrupted_requests.extract_if(.., |interrupted| interrupted.key == key);
-        let mut requests: Vec<RequestDigest> =
-            removed.map(|interrupted| interrupted.request).collect();
-        requests.sort_unstable();
-        requests.dedup();
-        requests
+        let mut suspects: Vec<CrashSuspect> = removed
+            .flat_map(|interrupted| interrupted.suspects)
+            .collect();
+        suspects.sort_unstable();
+        suspects.dedup_by_key(|suspect| suspect.digest);
+        suspects
+    }
+
+    /// Records that a backend server answered a request with `parts` in its prompt, or began to, and
+    /// went on.
+    pub(super) fn note_begun(&self, parts: impl Iterator<Item = CrashSuspect>, now: ClockTime) {
+        let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
+        for part in parts {
+            tally.push(part.digest, now);
+        }
+    }
+
+    /// Adds the own answers to requests with parts that one more crash may quarantine to the
+    /// evidence.
+    fn report_answers(&self, now: ClockTime) {
+        let crashes = self.deployment_state.snapshot().load().crashes.clone();
+        let parts: Vec<SuspectDigest> = crashes
+            .at_risk()
+            .iter()
+            .map(|suspect| suspect.digest)
+            .collect();
+        let changed = {
+            let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
+            tally.take_changed(&parts, now)
+        };
+        let counts: Vec<AnswerCount> = changed
+            .into_iter()
+            .map(|(part, answers)| AnswerCount {
+                part,
+                process: self.process,
+                answers,
+            })
+            .collect();
+        if !counts.is_empty() {
+            self.deployment_state
+                .change(|state| state.note_answers(&counts));
+        }
     }
 
     /// Records that `request` was answered in full at `now`.
-    pub(super) fn note_answered(&self, request: RequestDigest, now: ClockTime) {
+    pub(super) fn note_answered(&self, request: SuspectDigest, now: ClockTime) {
         self.lock_answered().push(request, now);
         let crashes = self.deployment_state.snapshot().load().crashes.clone();
         if crashes.is_at_risk(request, now) {
@@ -122,30 +170,31 @@
         }
     }
 
-    /// Returns how long after `now` `request` must not be sent to any backend server, or `None` if
-    /// it is not quarantined.
-    pub(super) fn quarantine(&self, request: RequestDigest, now: ClockTime) -> Option<Duration> {
+    /// Returns how long after `now` requests with `suspect` must not be sent to any backend server,
+    /// or `None` if they are not quarantined.
+    pub(super) fn quarantine(&self, suspect: SuspectDigest, now: ClockTime) -> Option<Duration> {
         let crashes = self.deployment_state.snapshot().load().crashes.clone();
-        let left = crashes.quarantine(request, now)?;
-        if self.was_answered(request, now) {
+        let left = crashes.quarantine(suspect, now)?;
+        if self.was_answered(suspect, now) {
             // Entry hosts that have not seen the complete response still suspect it.
-            self.clear(request);
+            self.clear(suspect);
             return None;
         }
         Some(left)
     }
 
-    /// Returns whether there are any crash records.
-    pub(super) fn has_suspects(&self) -> bool {
-        !self.deployment_state.snapshot().load().crashes.is_empty()
+    /// Returns whether anything is quarantined.
+    pub(super) fn has_quarantined(&self) -> bool {
+        let crashes = self.deployment_state.snapshot().load().crashes.clone();
+        crashes.quarantined().next().is_some()
     }
 
-    fn clear(&self, request: RequestDigest) {
+    fn clear(&self, request: SuspectDigest) {
         self.deployment_state
             .change(|state| state.clear_request(request));
     }
 
-    fn was_answered(&self, request: RequestDigest, now: ClockTime) -> bool {
+    fn was_answered(&self, request: SuspectDigest, now: ClockTime) -> bool {
         self.lock_answered().contains(request, now)
     }
 
@@ -154,6 +203,14 @@
     }
 }
 
+fn list_text(suspects: &[&CrashSuspect]) -> String {
+    let digests: Vec<String> = suspects
+        .iter()
+        .map(|suspect| suspect.digest.to_string())
+        .collect();
+    digests.join(",")
+}
+
 async fn refuses_connections(address: SocketAddr) -> bool {
     let opened = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
     matches!(opened, Ok(Err(fault)) if fault.kind() == std::io::ErrorKind::ConnectionRefused)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 
 use super::buffered_body::BufferedBody;
 use super::forward_state::ForwardState;
-use super::gateway_state::GatewayState;
+use super::gateway_state::{GatewayState, RunProgress};
 use super::pending_sends::{CompletedSend, PendingSends};
 use super::reply::outcome_unknown;
 use super::request_job::RequestJob;
@@ -309,6 +309,7 @@
             );
             if response.head.is_framed {
                 state.gateway.note_answered(job, clock_now());
+                state.gateway.note_begun(job, clock_now());
             }
             let body = BufferedBody::new(bytes, state.gateway.drain.track_request());
             let reply = buffered_reply(&response, body);
@@ -316,7 +317,9 @@
             return Ok(reply);
         }
         Ok(Err(fault)) => {
-            state.gateway.note_interrupted(&state.job, &response.ticket);
+            let progress = RunProgress::NotBegun;
+            let gateway = &state.gateway;
+            gateway.note_interrupted(&state.job, &response.ticket, progress);
             fault.to_string()
         }
         Err(_) => format!("response incomplete after {left:?}"),
--- a/src/gateway/forward_state.rs
+++ b/src/gateway/forward_state.rs
@@ -214,8 +214,8 @@
 
     /// Returns the error for a quarantined request, or `None` if the request is not quarantined.
     pub(super) fn quarantine_error(&self, now: ClockTime) -> Option<SwitchError> {
-        let left = self.gateway.quarantine(&self.job, now)?;
-        let detail = format!("request={}", self.job.digest());
+        let (suspect, left) = self.gateway.quarantine(&self.job, now)?;
+        let detail = format!("request={} depth={}", suspect.digest, suspect.depth);
         Some(if self.may_have_run {
             outcome_unknown(detail)
         } else {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -4,18 +4,21 @@
 use std::time::Duration;
 
 use bytestring::ByteString;
+use macro_rules_attribute::apply;
 use tokio::sync::Notify;
 
 use super::connection_pool::ConnectionPool;
 use super::crash_detector::{CrashDetector, InterruptedRequest};
 use super::request_job::RequestJob;
 use crate::daemon::DrainState;
+use crate::derives::key;
 use crate::fleet::{
     BackendKey, BackendRegistry, BackendTicket, LimitAnnouncement, LoadReport, RetryBudgetShare,
     RetryShareLimits, SharedRegistry,
 };
 use crate::overload::EntryHostId;
 use crate::platform::PlatformBounds;
+use crate::quarantine::CrashSuspect;
 use crate::sync::{DeploymentSnapshot, EntryRecord, SharedSnapshot};
 use crate::time::ClockTime;
 
@@ -32,6 +35,15 @@
 /// second and stops sending after two failed checks.
 pub(super) const STOP_ACCEPT_SPAN: Duration = Duration::from_millis(2800);
 
+/// How far a backend server has come with a request.
+#[apply(key!)]
+pub(super) enum RunProgress {
+    /// It has sent nothing of the answer, or only its beginning.
+    NotBegun,
+    /// It has gone on beyond the beginning of the answer, so that beginning it did no harm.
+    Begun,
+}
+
 /// State of an entry host that its requests share.
 pub(super) struct GatewayState {
     snapshot: SharedSnapshot,
@@ -180,8 +192,14 @@
         self.registry.lock().take_pending_limits(now)
     }
 
-    /// Records that the backend server of `ticket` closed the connection while it ran `job`.
-    pub(super) fn note_interrupted(&self, job: &RequestJob, ticket: &BackendTicket) {
+    /// Records that the backend server of `ticket` closed the connection while it ran `job`, after
+    /// `progress`.
+    pub(super) fn note_interrupted(
+        &self,
+        job: &RequestJob,
+        ticket: &BackendTicket,
+        progress: RunProgress,
+    ) {
         let backend = {
             let registry = self.registry.lock();
             let record = registry.get(ticket.key);
@@ -191,10 +209,15 @@
             serving.map(|record| record.facts.clone())
         };
         if let Some(backend) = backend {
-            let key = ticket.key;
-            let request = job.digest();
-            self.crash_detector
-                .note_interrupted(InterruptedRequest { key, request }, &backend);
+            let mut suspects = vec![CrashSuspect::of_request(job.digest())];
+            if progress == RunProgress::NotBegun {
+                suspects.extend(job.suspect_parts());
+            }
+            let interrupted = InterruptedRequest {
+                key: ticket.key,
+                suspects,
+            };
+            self.crash_detector.note_interrupted(interrupted, &backend);
         }
     }
 
@@ -203,12 +226,27 @@
         self.crash_detector.note_answered(job.digest(), now);
     }
 
-    /// Returns how long `job` must not be sent to any backend server because it is quarantined.
-    pub(super) fn quarantine(&self, job: &RequestJob, now: ClockTime) -> Option<Duration> {
-        if !self.crash_detector.has_suspects() {
+    /// Records that a backend server ran `job` beyond the beginning of its answer.
+    pub(super) fn note_begun(&self, job: &RequestJob, now: ClockTime) {
+        self.crash_detector.note_begun(job.suspect_parts(), now);
+    }
+
+    /// Returns what of `job` is quarantined, and how long it must not be sent to any backend server
+    /// because of that.
+    pub(super) fn quarantine(
+        &self,
+        job: &RequestJob,
+        now: ClockTime,
+    ) -> Option<(CrashSuspect, Duration)> {
+        if !self.crash_detector.has_quarantined() {
             return None;
         }
-        self.crash_detector.quarantine(job.digest(), now)
+        let whole = CrashSuspect::of_request(job.digest());
+        let mut suspects = std::iter::once(whole).chain(job.suspect_parts());
+        suspects.find_map(|suspect| {
+            let left = self.crash_detector.quarantine(suspect.digest, now)?;
+            Some((suspect, left))
+        })
     }
 
     /// Records a new request for `service`, which adds to its retry budget.
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -12,7 +12,7 @@
 use crate::fleet::{EngineWork, VersionRequirement, WeightsVersion};
 use crate::overload::is_retry;
 use crate::platform::{PRIORITY_MAX, RequestHead};
-use crate::quarantine::{RequestDigest, RequestParts};
+use crate::quarantine::{CrashSuspect, RequestParts, SuspectDigest};
 use crate::routing::name_hash;
 use crate::sync::DeploymentSnapshot;
 use crate::time::ClockTime;
@@ -72,8 +72,8 @@
     }
 
     /// Returns the digest that all attempts of the same request share.
-    pub(super) fn digest(&self) -> RequestDigest {
-        RequestDigest::of(RequestParts {
+    pub(super) fn digest(&self) -> SuspectDigest {
+        SuspectDigest::of_request(RequestParts {
             host: &self.routed.host,
             path: self.uri.path(),
             account: self.routed.account.as_deref(),
@@ -81,6 +81,11 @@
         })
     }
 
+    /// Returns the parts of the prompt that other requests may share, as possible causes of crashes.
+    pub(super) fn suspect_parts(&self) -> impl Iterator<Item = CrashSuspect> + '_ {
+        CrashSuspect::of_parts(self.head.model.as_deref(), &self.head.shared_parts)
+    }
+
     /// Returns the parts of the prompt that other requests may share, as text for logs.
     pub(super) fn parts_text(&self) -> String {
         let parts: Vec<String> = self
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -130,17 +130,17 @@
 }
 
 /// Logs a backend server that stopped in the middle of a stream. `last_event` is the last event that
-/// the client received, `has_answered` whether this backend server sent any event.
+/// the client received, `events` the number of those that this backend server sent.
 pub(super) fn log_stream_cut(
     job: &RequestJob,
     backend: &str,
-    (last_event, has_answered): (Option<u64>, bool),
+    (last_event, events): (Option<u64>, u32),
     reason: &str,
 ) {
     metrics::count_event("stream_cut", 1);
     log_event!(
         events::STREAM_CUT,
-        "id={} request={} parts={} backend={backend} last_event={last_event:?} answered={has_answered} reason=\"{reason}\"",
+        "id={} request={} parts={} backend={backend} last_event={last_event:?} events={events} reason=\"{reason}\"",
         attempt_of(job),
         job.digest(),
         job.parts_text()
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use super::backend_connection::{BackendConnection, SendFault};
-use super::gateway_state::GatewayState;
+use super::gateway_state::{GatewayState, RunProgress};
 use super::request_job::RequestJob;
 use super::request_log::log_cancelled;
 use crate::catalog::RetryPolicy;
@@ -145,7 +145,7 @@
             return Err(SendFailure::not_sent(detail));
         }
         Ok(Err(SendFault::Unknown(detail))) => {
-            gateway.note_interrupted(job, &ticket);
+            gateway.note_interrupted(job, &ticket, RunProgress::NotBegun);
             ticket.end(CallOutcome::Failed, clock_now());
             return Err(SendFailure::unknown(ErrorKind::AnswerCut, detail));
         }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -10,7 +10,7 @@
 
 use super::forward::next_response;
 use super::forward_state::ForwardState;
-use super::gateway_state::GatewayState;
+use super::gateway_state::{GatewayState, RunProgress};
 use super::request_job::RequestJob;
 use super::request_log::{log_stream_broken, log_stream_end, log_stream_resumed};
 use super::send_attempt::OpenResponse;
@@ -44,6 +44,8 @@
     sources: Vec<StreamSource>,
     last_event: Option<u64>,
     is_finished: bool,
+    /// Whether a backend server has gone on beyond the beginning of its answer.
+    has_begun: bool,
     timing: StreamTiming,
     _live: RequestGuard,
 }
@@ -79,6 +81,7 @@
             state,
             sources: vec![StreamSource::new(response, None)],
             is_finished: false,
+            has_begun: false,
             timing: StreamTiming::default(),
             _live: live,
         }
@@ -245,6 +248,10 @@
         self.keep_only(at);
         if let Some(source) = self.sources.first_mut() {
             source.note_active();
+            if !self.has_begun && source.progress() == RunProgress::Begun {
+                self.has_begun = true;
+                self.gateway.note_begun(&self.job, now);
+            }
             if let Some(since) = source.search_started.take() {
                 let backend = &source.response.ticket.facts.id;
                 log_stream_resumed(&self.job, backend, self.last_event, now.since(since));
@@ -285,6 +292,9 @@
         };
         if response.head.is_framed {
             self.gateway.note_answered(&self.job, clock_now());
+            if !self.has_begun {
+                self.gateway.note_begun(&self.job, clock_now());
+            }
         }
         let backend = &response.ticket.facts.id;
         let answered = (response.head.status, response.head.version);
--- a/src/gateway/stream_source.rs
+++ b/src/gateway/stream_source.rs
@@ -5,13 +5,17 @@
 use http_body_util::BodyExt;
 
 use super::event_reader::EventReader;
-use super::gateway_state::GatewayState;
+use super::gateway_state::{GatewayState, RunProgress};
 use super::request_job::RequestJob;
 use super::request_log::log_stream_cut;
 use super::send_attempt::OpenResponse;
 use crate::fleet::CallOutcome;
 use crate::time::{ClockTime, clock_now};
 
+/// Number of events from which on a backend server has gone on beyond the beginning of its answer. An
+/// engine that crashes as it begins may still send the first one.
+const BEGUN_EVENTS: u32 = 2;
+
 /// What a source delivers next.
 pub(super) enum SourceStep {
     /// Complete events, and the id of the last one that has an id.
@@ -31,8 +35,8 @@
     pub(super) search_started: Option<ClockTime>,
     /// Whether it has been recorded as unresponsive.
     is_unresponsive: bool,
-    /// Whether it has sent an event.
-    has_answered: bool,
+    /// Number of events that it has sent.
+    events: u32,
 }
 
 impl StreamSource {
@@ -43,7 +47,7 @@
             reader: EventReader::default(),
             search_started,
             is_unresponsive: false,
-            has_answered: false,
+            events: 0,
         }
     }
 
@@ -79,7 +83,7 @@
     fn events_after(&mut self, mut last: Option<u64>) -> (Bytes, Option<u64>) {
         let mut events = BytesMut::new();
         while let Some(event) = self.reader.next() {
-            self.has_answered = true;
+            self.events = self.events.saturating_add(1);
             if event.id.is_some() && event.id <= last {
                 continue;
             }
@@ -107,14 +111,23 @@
     ) {
         let ticket = &self.response.ticket;
         self.log_cut(job, last, reason);
-        gateway.note_interrupted(job, ticket);
+        gateway.note_interrupted(job, ticket, self.progress());
         self.end(CallOutcome::Failed);
     }
 
+    /// Returns how far the backend server has come.
+    pub(super) const fn progress(&self) -> RunProgress {
+        if self.events < BEGUN_EVENTS {
+            RunProgress::NotBegun
+        } else {
+            RunProgress::Begun
+        }
+    }
+
     /// Logs that the backend server does not continue the stream; `last` is the last event.
     pub(super) fn log_cut(&self, job: &RequestJob, last: Option<u64>, reason: &str) {
         let backend = &self.response.ticket.facts.id;
-        log_stream_cut(job, backend, (last, self.has_answered), reason);
+        log_stream_cut(job, backend, (last, self.events), reason);
     }
 
     /// Records that the backend server continued the stream.
--- a/src/gateway/tests/crash_detector.rs
+++ b/src/gateway/tests/crash_detector.rs
@@ -12,7 +12,7 @@
 use crate::fleet::{BackendKey, SharedRegistry, VersionRequirement};
 use crate::gateway::crash_detector::{CrashDetector, InterruptedRequest};
 use crate::overload::EntryHostId;
-use crate::quarantine::{BackendIncarnation, RecentAnswers};
+use crate::quarantine::{BackendIncarnation, CrashSuspect, RecentAnswers, SuspectDigest};
 use crate::sync::SharedDeploymentState;
 use crate::test_support::{digest_of, unused_address};
 use crate::time::{ClockTime, clock_now};
@@ -54,6 +54,13 @@
     picked.expect("a slot is free").key
 }
 
+fn interrupted_at(key: BackendKey, request: SuspectDigest) -> InterruptedRequest {
+    InterruptedRequest {
+        key,
+        suspects: vec![CrashSuspect::of_request(request)],
+    }
+}
+
 /// Returns how many of two requests are suspected that are interrupted at a backend server at
 /// `address`.
 async fn suspects_at(address: SocketAddr) -> usize {
@@ -63,7 +70,7 @@
     let key = key_of(&backend);
     let requests = [digest_of(b"one"), digest_of(b"two")];
     for request in requests {
-        watch.note_interrupted(InterruptedRequest { key, request }, &backend);
+        watch.note_interrupted(interrupted_at(key, request), &backend);
     }
     sleep(PROBE_SPAN).await;
     let crashes = deployment_state.snapshot().load().crashes.clone();
@@ -84,17 +91,15 @@
     let now = clock_now();
     watch.note_answered(request, now);
     let backend = facts(unused_address().await);
-    let interrupted = InterruptedRequest {
-        key: key_of(&backend),
-        request,
-    };
-    watch.note_interrupted(interrupted, &backend);
+    watch.note_interrupted(interrupted_at(key_of(&backend), request), &backend);
     sleep(PROBE_SPAN).await;
     assert!(!deployment_state.snapshot().load().crashes.suspects(request));
     // The crashes were observed by another entry host, which has received no such call before.
     for backend in 1..=3 {
-        deployment_state
-            .change(|state| state.note_crash(BackendIncarnation(backend), &[request], now));
+        deployment_state.change(|state| {
+            let suspect = CrashSuspect::of_request(request);
+            state.note_crash(BackendIncarnation(backend), &[suspect], now);
+        });
     }
     assert_eq!(watch.quarantine(request, now), None);
     assert!(!deployment_state.snapshot().load().crashes.suspects(request));
--- a/src/gateway/tests/stream_pauses.rs
+++ b/src/gateway/tests/stream_pauses.rs
@@ -7,7 +7,7 @@
 use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend};
 use super::sends::{assert_complete_stream, outcome};
 use crate::fleet::{BackendKey, BackendTicket, PickRequirements, VersionRequirement};
-use crate::quarantine::{BackendIncarnation, RequestDigest, RequestParts};
+use crate::quarantine::{BackendIncarnation, CrashSuspect, RequestParts, SuspectDigest};
 use crate::time::clock_now;
 
 /// Two events, a pause as of a busy engine, and the other events.
@@ -178,19 +178,20 @@
     let first = FakeBackend::start(late).await;
     let second = FakeBackend::start(COMPLETE).await;
     let entry = EntryFixture::start(&[&first, &second]).await;
-    let request = RequestDigest::of(RequestParts {
+    let request = SuspectDigest::of_request(RequestParts {
         host: "desk.example",
         path: "/safe/x",
         account: Some("lodge"),
         body: b"body",
     });
+    let suspect = CrashSuspect::of_request(request);
     let crashes = async {
         tokio::time::sleep(Duration::from_millis(300)).await;
         for id in ["i-7", "i-8", "i-9"] {
             let start = BackendIncarnation::of(&id.into(), None);
             entry
                 .deployment_state
-                .change(|state| state.note_crash(start, &[request], clock_now()));
+                .change(|state| state.note_crash(start, &[suspect], clock_now()));
         }
     };
     let (response, ()) = tokio::join!(entry.call("safe"), crashes);
--- a/src/quarantine/crash_ledger.rs
+++ b/src/quarantine/crash_ledger.rs
@@ -1,86 +1,27 @@
-//! Ledger of the requests that were in progress when a backend server crashed, as observed by all
-//! entry hosts.
+//! Ledger of what was in progress when backend servers crashed, as observed by all entry hosts.
 //!
-//! When a request crashes its backend server, all other requests that run there are suspected as
-//! well. Later events distinguish them: a harmless request is soon answered in full and does not
-//! occur at the next crashes.
+//! When a request crashes its backend server, the other requests that run there are suspected as
+//! well. Later events distinguish them: see [`judge`].
 
 use std::ops::Range;
 use std::time::Duration;
 
-use bytestring::ByteString;
 use macro_rules_attribute::apply;
 
-use super::request_digest::RequestDigest;
-use crate::derives::{key, message, plain};
+use super::answer_tally::AnswerCount;
+use super::crash_record::{CrashRecord, CrashSuspect, CrashVerdict, StoredCrash};
+use super::judgement::{Judgement, QUARANTINE_THRESHOLD, SuspectCrash, SuspectEvidence, judge};
+use super::suspect_digest::SuspectDigest;
+use crate::derives::plain;
 use crate::platform::era_of;
-use crate::routing::name_hash;
-use crate::time::{ClockTime, StoreTime, WallTime};
+use crate::time::ClockTime;
 
-/// Number of different backend servers that have to crash while running a request before the
-/// request is quarantined.
-pub(crate) const QUARANTINE_THRESHOLD: usize = 3;
-/// How long a crash counts. A quarantined request is allowed again after that, because it may no
+/// How long a crash counts. A quarantined suspect is allowed again after that, because it may no
 /// longer be harmful.
 pub(crate) const CRASH_RETENTION: Duration = Duration::from_mins(10);
-/// Largest number of rows in the ledger; the oldest ones are evicted first.
+/// Largest number of rows in the ledger.
 const ROWS_MAX: usize = 4096;
 
-/// Hash that identifies one run of a backend server, from one start to the next.
-#[apply(message!)]
-#[derive(Copy, Eq, PartialOrd, Ord)]
-pub(crate) struct BackendIncarnation(pub(crate) u64);
-
-impl BackendIncarnation {
-    /// Returns the incarnation of the backend server `id` that started at `start_time`, if that is
-    /// known.
-    pub(crate) fn of(id: &ByteString, start_time: Option<WallTime>) -> Self {
-        let start_time = start_time.map_or(0, |start_time| start_time.0);
-        Self(name_hash(&format!("{id}/{start_time}")))
-    }
-}
-
-/// Whether a request may have caused a crash.
-#[apply(key!)]
-#[derive(serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum CrashVerdict {
-    /// The request may have caused the crash.
-    Suspected,
-    /// The same request was answered in full after the crash.
-    Cleared,
-}
-
-/// A request that was in progress when a backend server crashed.
-#[apply(message!)]
-#[derive(Copy)]
-pub(crate) struct CrashRecord {
-    /// Digest of the request.
-    pub(crate) request: RequestDigest,
-    /// The incarnation that crashed.
-    pub(crate) backend: BackendIncarnation,
-    /// Whether the request is still suspected.
-    pub(crate) verdict: CrashVerdict,
-    /// When the crash was observed.
-    pub(crate) seen: StoreTime,
-}
-
-impl CrashRecord {
-    const fn key(&self) -> (RequestDigest, BackendIncarnation) {
-        (self.request, self.backend)
-    }
-}
-
-/// A crash record with the revision of its row in the store.
-#[apply(message!)]
-#[derive(Copy)]
-pub(crate) struct StoredCrash {
-    /// Content of the row.
-    pub(crate) record: CrashRecord,
-    /// Store revision of the row.
-    pub(crate) revision: u64,
-}
-
 #[apply(plain!)]
 #[derive(Copy)]
 struct LedgerRow {
@@ -94,14 +35,18 @@
 /// The crash records that this entry host knows.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashLedger {
-    /// Sorted by request and backend server.
+    /// Sorted by suspect and backend server.
     rows: Vec<LedgerRow>,
+    /// Answers to requests with a suspected part; sorted by part and process.
+    answers: Vec<AnswerCount>,
+    judgement: Judgement,
     /// Store revision up to which all rows of the store are known.
     revision: u64,
 }
 
 impl CrashLedger {
     /// Returns whether the ledger has no records.
+    #[cfg(test)]
     pub(crate) const fn is_empty(&self) -> bool {
         self.rows.is_empty()
     }
@@ -125,13 +70,13 @@
                 until: now + CRASH_RETENTION,
             };
             self.rows.insert(at, row);
-            self.evict_oldest();
+            self.evict();
         }
     }
 
-    /// Clears `request` of the crashes so far, because it was answered in full.
-    pub(crate) fn clear(&mut self, request: RequestDigest) {
-        let range = self.range(request);
+    /// Clears `suspect` of the crashes so far, because it was answered in full.
+    pub(crate) fn clear(&mut self, suspect: SuspectDigest) {
+        let range = self.range(suspect);
         for row in &mut self.rows[range] {
             if row.record.verdict != CrashVerdict::Cleared {
                 row.record.verdict = CrashVerdict::Cleared;
@@ -150,6 +95,7 @@
         match self.find(&stored.record) {
             Ok(at) => {
                 let known = &mut self.rows[at];
+                known.record.seen = known.record.seen.min(stored.record.seen);
                 // A request cleared here stays cleared until the store has that row, too.
                 if stored.record.verdict >= known.record.verdict {
                     known.revision = known.revision.max(row.revision);
@@ -158,7 +104,7 @@
             }
             Err(at) => {
                 self.rows.insert(at, row);
-                self.evict_oldest();
+                self.evict();
             }
         }
     }
@@ -218,50 +164,136 @@
     /// Removes the records that have expired at `now`.
     pub(crate) fn drop_expired(&mut self, now: ClockTime) {
         self.rows.retain(|row| row.until > now);
+        let rows = &self.rows;
+        let is_suspected = |part| {
+            let found = rows.binary_search_by_key(&part, |row| row.record.suspect);
+            found.is_ok()
+        };
+        self.answers.retain(|count| is_suspected(count.part));
+    }
+
+    /// Records how many answers one process saw. Counts only grow, so that a late or repeated count
+    /// changes nothing.
+    pub(crate) fn note_answers(&mut self, count: AnswerCount) {
+        let key = (count.part, count.process);
+        let found = self
+            .answers
+            .binary_search_by_key(&key, |known| (known.part, known.process));
+        match found {
+            Ok(at) => self.answers[at].answers = self.answers[at].answers.max(count.answers),
+            Err(at) if !self.range(count.part).is_empty() => self.answers.insert(at, count),
+            Err(_) => {}
+        }
+    }
+
+    /// Judges all suspects anew.
+    pub(crate) fn judge(&mut self) {
+        let groups = self
+            .rows
+            .chunk_by(|left, right| left.record.suspect == right.record.suspect);
+        let evidence = groups.filter_map(|rows| self.evidence_of(rows));
+        self.judgement = judge(evidence.collect());
+    }
+
+    /// Returns the evidence in `rows`, all rows of one suspect, unless its crashes are too few.
+    fn evidence_of(&self, rows: &[LedgerRow]) -> Option<SuspectEvidence> {
+        let suspected = rows
+            .iter()
+            .filter(|row| row.record.verdict == CrashVerdict::Suspected);
+        let mut ends: Vec<ClockTime> = suspected.clone().map(|row| row.until).collect();
+        if ends.len() + 1 < QUARANTINE_THRESHOLD {
+            return None;
+        }
+        ends.sort_unstable_by(|left, right| right.cmp(left));
+        let first = rows.first()?.record;
+        // Prompts may have the part at different positions.
+        let depth = rows.iter().map(|row| row.record.depth).max()?;
+        let mut crashes: Vec<SuspectCrash> = suspected
+            .map(|row| SuspectCrash {
+                backend: row.record.backend,
+                seen: row.record.seen,
+            })
+            .collect();
+        crashes.sort_unstable_by_key(|crash| (crash.seen, crash.backend));
+        Some(SuspectEvidence {
+            suspect: CrashSuspect {
+                digest: first.suspect,
+                depth,
+            },
+            crashes,
+            answers: self.answers_of(first.suspect),
+            until: *ends.get(QUARANTINE_THRESHOLD - 1).or(ends.last())?,
+        })
+    }
+
+    fn answers_of(&self, part: SuspectDigest) -> u32 {
+        let from = self.answers.partition_point(|count| count.part < part);
+        let counts = self.answers[from..].iter();
+        let counts = counts.take_while(|count| count.part == part);
+        counts.fold(0, |sum, count| sum.saturating_add(count.answers))
+    }
+
+    /// Returns the suspects that one more crash may quarantine.
+    pub(crate) fn at_risk(&self) -> &[CrashSuspect] {
+        &self.judgement.at_risk
+    }
+
+    /// Returns the quarantined suspects.
+    pub(crate) fn quarantined(&self) -> impl Iterator<Item = CrashSuspect> + '_ {
+        self.judgement
+            .quarantined
+            .iter()
+            .map(|(suspect, _)| *suspect)
+    }
+
+    /// Returns the number of crashes that count against `suspect` and of answers that it has.
+    pub(crate) fn counts_of(&self, suspect: SuspectDigest) -> (usize, u32) {
+        let rows = self.rows[self.range(suspect)].iter();
+        let crashes = rows.filter(|row| row.record.verdict == CrashVerdict::Suspected);
+        (crashes.count(), self.answers_of(suspect))
     }
 
     /// Returns whether `request` is quarantined or would be after one more crash.
     ///
     /// Few of the harmless requests that run next to a harmful one are at risk. Only for these does
     /// a complete answer have to be announced.
-    pub(crate) fn is_at_risk(&self, request: RequestDigest, now: ClockTime) -> bool {
+    pub(crate) fn is_at_risk(&self, request: SuspectDigest, now: ClockTime) -> bool {
         self.active_suspicions(request, now).count() + 1 >= QUARANTINE_THRESHOLD
     }
 
-    /// Returns how long `request` stays quarantined after `now`, or `None` if it is not.
-    pub(crate) fn quarantine(&self, request: RequestDigest, now: ClockTime) -> Option<Duration> {
-        let mut ends: Vec<ClockTime> = self
-            .active_suspicions(request, now)
-            .map(|row| row.until)
-            .collect();
-        ends.sort_unstable_by(|left, right| right.cmp(left));
-        let end = ends.get(QUARANTINE_THRESHOLD - 1)?;
-        Some(end.since(now))
+    /// Returns how long `suspect` stays quarantined after `now`, or `None` if it is not.
+    pub(crate) fn quarantine(&self, suspect: SuspectDigest, now: ClockTime) -> Option<Duration> {
+        let quarantined = &self.judgement.quarantined;
+        let at = quarantined
+            .binary_search_by_key(&suspect, |(quarantined, _)| quarantined.digest)
+            .ok()?;
+        let (_, until) = quarantined[at];
+        (until > now).then(|| until.since(now))
     }
 
-    /// Returns whether `request` is suspected of any crash.
+    /// Returns whether `suspect` is suspected of any crash.
     #[cfg(test)]
-    pub(crate) fn suspects(&self, request: RequestDigest) -> bool {
-        let mut rows = self.rows[self.range(request)].iter();
+    pub(crate) fn suspects(&self, suspect: SuspectDigest) -> bool {
+        let mut rows = self.rows[self.range(suspect)].iter();
         rows.any(|row| row.record.verdict == CrashVerdict::Suspected)
     }
 
     fn active_suspicions(
         &self,
-        request: RequestDigest,
+        request: SuspectDigest,
         now: ClockTime,
     ) -> impl Iterator<Item = &LedgerRow> + '_ {
         let rows = self.rows[self.range(request)].iter();
         rows.filter(move |row| row.record.verdict == CrashVerdict::Suspected && row.until > now)
     }
 
-    fn range(&self, request: RequestDigest) -> Range<usize> {
+    fn range(&self, suspect: SuspectDigest) -> Range<usize> {
         let from = self
             .rows
-            .partition_point(|row| row.record.request < request);
+            .partition_point(|row| row.record.suspect < suspect);
         let to = self
             .rows
-            .partition_point(|row| row.record.request <= request);
+            .partition_point(|row| row.record.suspect <= suspect);
         from..to
     }
 
@@ -270,11 +302,21 @@
             .binary_search_by_key(&record.key(), |row| row.record.key())
     }
 
-    fn evict_oldest(&mut self) {
-        if self.rows.len() > ROWS_MAX
-            && let Some(oldest) = self.rows.iter().map(|row| row.until).min()
-        {
-            self.rows.retain(|row| row.until != oldest);
+    /// Makes room for a new row. The rows of suspects with a single crash are evicted first, so that
+    /// many invented parts do not hide one that keeps crashing backend servers.
+    fn evict(&mut self) {
+        if self.rows.len() <= ROWS_MAX {
+            return;
         }
+        let has_other = |at: usize| {
+            let suspect = self.rows[at].record.suspect;
+            let mut neighbours = [at.wrapping_sub(1), at + 1].into_iter();
+            neighbours.any(|other| {
+                let other = self.rows.get(other);
+                other.is_some_and(|other| other.record.suspect == suspect)
+            })
+        };
+        let evicted = (0..self.rows.len()).min_by_key(|at| (has_other(*at), self.rows[*at].until));
+        evicted.map(|at| self.rows.remove(at));
     }
 }
--- a/src/quarantine/recent_answers.rs
+++ b/src/quarantine/recent_answers.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::request_digest::RequestDigest;
+use super::suspect_digest::SuspectDigest;
 use crate::time::ClockTime;
 
 /// How long a complete answer shows that a request is harmless. If the request becomes harmful, it
@@ -19,12 +19,12 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RecentAnswers {
     /// In order of time.
-    answers: VecDeque<(ClockTime, RequestDigest)>,
+    answers: VecDeque<(ClockTime, SuspectDigest)>,
 }
 
 impl RecentAnswers {
     /// Records that `request` was answered in full at `now`.
-    pub(crate) fn push(&mut self, request: RequestDigest, now: ClockTime) {
+    pub(crate) fn push(&mut self, request: SuspectDigest, now: ClockTime) {
         if self.answers.len() == ANSWERS_MAX {
             self.answers.pop_front();
         }
@@ -32,7 +32,7 @@
     }
 
     /// Returns whether `request` was answered in full within `ANSWER_RETENTION` before `now`.
-    pub(crate) fn contains(&self, request: RequestDigest, now: ClockTime) -> bool {
+    pub(crate) fn contains(&self, request: SuspectDigest, now: ClockTime) -> bool {
         let newest_first = self.answers.iter().rev();
         let mut recent = newest_first.take_while(|(at, _)| now.since(*at) < ANSWER_RETENTION);
         recent.any(|(_, answered)| *answered == request)
--- a/src/quarantine/request_digest.rs
+++ b/src/quarantine/suspect_digest.rs
@@ -1,4 +1,4 @@
-//! Digest that identifies the same request across attempts and entry hosts.
+//! Digests that identify what requests have in common across attempts and entry hosts.
 
 use std::fmt;
 use std::str::FromStr;
@@ -6,15 +6,18 @@
 use macro_rules_attribute::apply;
 use serde::{Deserialize, Serialize};
 
+use super::prompt_part::PromptPart;
 use crate::derives::key;
+use crate::routing::name_hash;
 
 /// Length of the digest.
 const DIGEST_BYTES: usize = 16;
 
-/// Identifies all requests with the same host, path, client account and body.
+/// Identifies what may crash a backend server: all requests with the same host, path, client account
+/// and body, or all with the same part of their prompts.
 #[apply(key!)]
 #[derive(Serialize, Deserialize)]
-pub(crate) struct RequestDigest([u8; DIGEST_BYTES]);
+pub(crate) struct SuspectDigest([u8; DIGEST_BYTES]);
 
 /// The parts of a request that the digest covers.
 #[derive(Clone, Copy, Debug)]
@@ -29,9 +32,9 @@
     pub(crate) body: &'a [u8],
 }
 
-impl RequestDigest {
-    /// Computes the digest of a request.
-    pub(crate) fn of(parts: RequestParts<'_>) -> Self {
+impl SuspectDigest {
+    /// Computes the digest of whole requests.
+    pub(crate) fn of_request(parts: RequestParts<'_>) -> Self {
         let mut hasher = blake3::Hasher::new();
         let account = parts.account.unwrap_or_default();
         for text in [parts.host, parts.path, account] {
@@ -44,9 +47,19 @@
         bytes.copy_from_slice(&hasher.finalize().as_bytes()[..DIGEST_BYTES]);
         Self(bytes)
     }
+
+    /// Returns the digest of `part` in prompts for `model`. It ends with the id of the part, so that
+    /// operators find it in logs and rows of the store.
+    pub(crate) fn of_part(model: Option<&str>, part: PromptPart) -> Self {
+        let scope = name_hash(&format!("part/{}", model.unwrap_or_default()));
+        let mut bytes = [0; DIGEST_BYTES];
+        bytes[..DIGEST_BYTES / 2].copy_from_slice(&scope.to_be_bytes());
+        bytes[DIGEST_BYTES / 2..].copy_from_slice(&part.0.to_be_bytes());
+        Self(bytes)
+    }
 }
 
-impl FromStr for RequestDigest {
+impl FromStr for SuspectDigest {
     type Err = blake3::HexError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -58,7 +71,7 @@
     }
 }
 
-impl fmt::Display for RequestDigest {
+impl fmt::Display for SuspectDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0
             .iter()
--- a/src/quarantine/tests/mod.rs
+++ b/src/quarantine/tests/mod.rs
@@ -1,8 +1,12 @@
+//! The ledger of crashes.
+
+mod parts;
+
 use std::time::Duration;
 
 use super::{
-    BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord, CrashVerdict, RequestDigest,
-    RequestParts, StoredCrash,
+    BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord, CrashVerdict, RequestParts,
+    StoredCrash, SuspectDepth, SuspectDigest,
 };
 use crate::test_support::run_cases;
 use crate::time::{ClockTime, StoreTime};
@@ -17,8 +21,8 @@
 /// Guards against treating two different requests as the same one.
 #[test]
 fn different_requests_have_different_digests() {
-    let same = RequestDigest::of(PARTS);
-    assert_eq!(same, RequestDigest::of(PARTS));
+    let same = SuspectDigest::of_request(PARTS);
+    assert_eq!(same, SuspectDigest::of_request(PARTS));
     let others = [
         RequestParts {
             host: "desk.example/",
@@ -40,14 +44,14 @@
         },
     ];
     for other in others {
-        assert_ne!(same, RequestDigest::of(other), "{other:?}");
+        assert_ne!(same, SuspectDigest::of_request(other), "{other:?}");
     }
 }
 
 const START: ClockTime = ClockTime::from_millis(100_000);
 
-fn digest(number: u32) -> RequestDigest {
-    RequestDigest::of(RequestParts {
+fn digest(number: u32) -> SuspectDigest {
+    SuspectDigest::of_request(RequestParts {
         body: &number.to_be_bytes(),
         ..PARTS
     })
@@ -55,15 +59,22 @@
 
 fn record(request: u32, backend: u64) -> CrashRecord {
     CrashRecord {
-        request: digest(request),
+        suspect: digest(request),
         backend: BackendIncarnation(backend),
         verdict: CrashVerdict::Suspected,
         seen: StoreTime(START.0),
+        depth: SuspectDepth::WHOLE,
     }
 }
 
+fn quarantine_of(ledger: &CrashLedger, request: u32, now: ClockTime) -> Option<Duration> {
+    let mut ledger = ledger.clone();
+    ledger.judge();
+    ledger.quarantine(digest(request), now)
+}
+
 fn is_quarantined(ledger: &CrashLedger, request: u32, now: ClockTime) -> bool {
-    ledger.quarantine(digest(request), now).is_some()
+    quarantine_of(ledger, request, now).is_some()
 }
 
 /// Guards against quarantining a request because many entry hosts reported the same crash.
@@ -89,7 +100,7 @@
         ledger.note_crash(record(1, backend), at);
     }
     let now = START + Duration::from_secs(5);
-    let left = ledger.quarantine(digest(1), now).expect("three crashes");
+    let left = quarantine_of(&ledger, 1, now).expect("three crashes");
     assert_eq!(left + Duration::from_secs(4), CRASH_RETENTION);
     assert!(!is_quarantined(&ledger, 1, now + left));
 }
@@ -143,7 +154,7 @@
         for request in 0..3 {
             let [first, second] = ledgers
                 .each_ref()
-                .map(|ledger| ledger.quarantine(digest(request), START));
+                .map(|ledger| quarantine_of(ledger, request, START));
             assert_eq!(first, second);
         }
         Ok(())
@@ -224,13 +235,13 @@
         ledger.merge_stored(stored(backend, era(1) + 10 + backend), until);
     }
     ledger.note_revision(era(1) + 20);
-    assert!(ledger.quarantine(digest(1), START).is_some());
+    assert!(is_quarantined(&ledger, 1, START));
     ledger.keep_listed(&[stored(1, era(2) + 11)], era(2) + 12);
     ledger.merge_stored(stored(1, era(2) + 11), until);
-    assert!(ledger.quarantine(digest(1), START).is_some());
+    assert!(is_quarantined(&ledger, 1, START));
     assert_eq!(ledger.unstored(), [record(1, 2), record(1, 3)]);
     ledger.mark_stored(&[record(1, 2), record(1, 3)], era(2) + 13);
     ledger.keep_listed(&[], era(2) + 30);
-    assert_eq!(ledger.quarantine(digest(1), START), None);
+    assert!(!is_quarantined(&ledger, 1, START));
     assert!(ledger.is_empty());
 }
--- a/src/sync/crash_rows.rs
+++ b/src/sync/crash_rows.rs
@@ -1,5 +1,5 @@
-//! Rows of the store that record which requests were running on a backend server when it crashed.
-//! There is one row per request and crash, so that entry hosts can write them unconditionally.
+//! Rows of the store that record what was running on a backend server when it crashed. There is one
+//! row per suspect and crash, so that entry hosts can write them unconditionally.
 
 use macro_rules_attribute::apply;
 use serde::{Deserialize, Serialize};
@@ -7,7 +7,7 @@
 use crate::derives::plain;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::platform::{StoreRow, read_object};
-use crate::quarantine::{BackendIncarnation, CrashRecord, CrashVerdict, StoredCrash};
+use crate::quarantine::{BackendIncarnation, CrashRecord, CrashVerdict, StoredCrash, SuspectDepth};
 use crate::time::StoreTime;
 
 /// Suffix of the keys of rows that clear a request.
@@ -20,6 +20,9 @@
     verdict: CrashVerdict,
     /// Milliseconds on the store's clock.
     seen_ms: u64,
+    /// How narrow the suspect is.
+    #[serde(default)]
+    depth: SuspectDepth,
 }
 
 /// The key of the row of `record`. A clearing has a key of its own, so that a suspicion which the
@@ -29,7 +32,7 @@
         CrashVerdict::Suspected => "",
         CrashVerdict::Cleared => CLEARED_SUFFIX,
     };
-    format!("{}/{:016x}{suffix}", record.request, record.backend.0)
+    format!("{}/{:016x}{suffix}", record.suspect, record.backend.0)
 }
 
 /// Encodes the value of the row of `record`.
@@ -41,6 +44,7 @@
     let text = CrashRowValue {
         verdict: record.verdict,
         seen_ms: record.seen.0 / 1000,
+        depth: record.depth,
     };
     serde_json::to_vec(&text)
         .map_err(|fault| SwitchError::new(ErrorKind::Internal, fault.to_string()))
@@ -56,18 +60,19 @@
         let detail = format!("invalid crash row {}: {fault}", row.key);
         SwitchError::new(ErrorKind::MessageInvalid, detail)
     };
-    let Some((request, backend)) = row.key.split_once('/') else {
-        return Err(invalid("the key is not of the form request/backend".into()));
+    let Some((suspect, backend)) = row.key.split_once('/') else {
+        return Err(invalid("the key is not of the form suspect/backend".into()));
     };
     let text: CrashRowValue = read_object(value).map_err(|fault| invalid(fault.to_string()))?;
-    let request = request.parse();
+    let suspect = suspect.parse();
     let backend = backend.strip_suffix(CLEARED_SUFFIX).unwrap_or(backend);
     let backend = u64::from_str_radix(backend, 16);
     let record = CrashRecord {
-        request: request.map_err(|fault| invalid(format!("{fault}")))?,
+        suspect: suspect.map_err(|fault| invalid(format!("{fault}")))?,
         backend: BackendIncarnation(backend.map_err(|fault| invalid(fault.to_string()))?),
         verdict: text.verdict,
         seen: StoreTime::from_millis(text.seen_ms),
+        depth: text.depth,
     };
     if crash_key(&record) != row.key {
         return Err(invalid("the key does not match the content".into()));
--- a/src/sync/crash_state.rs
+++ b/src/sync/crash_state.rs
@@ -1,4 +1,4 @@
-//! The part of the deployment state that holds which requests crashed backend servers.
+//! The part of the deployment state that holds what crashed backend servers.
 
 use std::sync::Arc;
 
@@ -11,8 +11,8 @@
 use crate::metrics;
 use crate::platform::{TableName, TableView};
 use crate::quarantine::{
-    BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord, CrashVerdict,
-    QUARANTINE_THRESHOLD, RequestDigest, StoredCrash,
+    AnswerCount, BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord, CrashSuspect,
+    CrashVerdict, StoredCrash, SuspectDigest,
 };
 use crate::time::ClockTime;
 
@@ -22,38 +22,50 @@
         self.crashes.revision() > 0
     }
 
-    /// Records that this process saw `backend` crash while `requests` were running on it.
+    /// Records that this process saw `backend` crash while requests with `suspects` were running on
+    /// it.
     pub(crate) fn note_crash(
         &mut self,
         backend: BackendIncarnation,
-        requests: &[RequestDigest],
+        suspects: &[CrashSuspect],
         now: ClockTime,
     ) {
         let seen = self.store_time(now);
-        for request in requests {
-            let record = CrashRecord {
-                request: *request,
-                backend,
-                verdict: CrashVerdict::Suspected,
-                seen,
-            };
-            self.change_request(*request, now, |ledger| ledger.note_crash(record, now));
-        }
+        self.change_ledger(|ledger| {
+            for suspect in suspects {
+                let record = CrashRecord {
+                    suspect: suspect.digest,
+                    backend,
+                    verdict: CrashVerdict::Suspected,
+                    seen,
+                    depth: suspect.depth,
+                };
+                ledger.note_crash(record, now);
+            }
+        });
     }
 
-    /// Records that `request` was answered completely, which clears it.
-    pub(crate) fn clear_request(&mut self, request: RequestDigest) {
-        Arc::make_mut(&mut self.crashes).clear(request);
+    /// Records that a request with the digest `suspect` was answered completely, which clears it.
+    pub(crate) fn clear_request(&mut self, suspect: SuspectDigest) {
+        self.change_ledger(|ledger| ledger.clear(suspect));
+    }
+
+    /// Records how many answers to requests with suspected parts processes saw.
+    pub(crate) fn note_answers(&mut self, counts: &[AnswerCount]) {
+        self.change_ledger(|ledger| {
+            for count in counts {
+                ledger.note_answers(*count);
+            }
+        });
     }
 
     /// Merges changed rows of the store's table.
     pub(super) fn change_crashes(&mut self, view: &TableView, now: ClockTime) {
-        for crash in self.read_crash_rows(view) {
-            self.merge_crash(crash, now);
-        }
-        let ledger = Arc::make_mut(&mut self.crashes);
-        ledger.note_revision(view.revision);
-        ledger.drop_expired(now);
+        let crashes = self.read_crash_rows(view);
+        self.merge_stored_crashes(&crashes, |ledger| {
+            ledger.note_revision(view.revision);
+            ledger.drop_expired(now);
+        });
     }
 
     /// Merges the full table of the store.
@@ -62,9 +74,7 @@
         let is_listed = |key: &str| view.rows.iter().any(|row| row.key == key);
         self.unreadable.keep_listed(TableName::Crashes, is_listed);
         Arc::make_mut(&mut self.crashes).keep_listed(&crashes, view.revision);
-        for crash in crashes {
-            self.merge_crash(crash, now);
-        }
+        self.merge_stored_crashes(&crashes, |ledger| ledger.drop_expired(now));
     }
 
     fn read_crash_rows(&mut self, view: &TableView) -> Vec<StoredCrash> {
@@ -83,31 +93,52 @@
         crashes
     }
 
-    fn merge_crash(&mut self, crash: StoredCrash, now: ClockTime) {
-        let until = self.earliest(crash.record.seen) + CRASH_RETENTION;
-        let request = crash.record.request;
-        self.change_request(request, now, |ledger| {
-            ledger.merge_stored(crash, until);
-        });
-    }
-
-    /// Applies a change that may quarantine `request`, and logs it if it does.
-    fn change_request(
+    /// Merges rows of the store, then applies `change`.
+    fn merge_stored_crashes(
         &mut self,
-        request: RequestDigest,
-        now: ClockTime,
+        crashes: &[StoredCrash],
         change: impl FnOnce(&mut CrashLedger),
     ) {
+        let expiries: Vec<ClockTime> = crashes
+            .iter()
+            .map(|crash| self.earliest(crash.record.seen) + CRASH_RETENTION)
+            .collect();
+        self.change_ledger(|ledger| {
+            for (crash, until) in crashes.iter().zip(expiries) {
+                ledger.merge_stored(*crash, until);
+            }
+            change(ledger);
+        });
+    }
+
+    /// Applies a change to the ledger, judges it anew, and logs what is quarantined or released.
+    fn change_ledger(&mut self, change: impl FnOnce(&mut CrashLedger)) {
         let ledger = Arc::make_mut(&mut self.crashes);
-        let was_quarantined = ledger.quarantine(request, now).is_some();
+        let before: Vec<CrashSuspect> = ledger.quarantined().collect();
         change(ledger);
-        if !was_quarantined && ledger.quarantine(request, now).is_some() {
+        ledger.judge();
+        for suspect in ledger.quarantined() {
+            if before.iter().any(|other| other.digest == suspect.digest) {
+                continue;
+            }
+            let (crashes, answers) = ledger.counts_of(suspect.digest);
             metrics::count_event("request_quarantined", 1);
             log_event!(
                 events::REQUEST_QUARANTINED,
-                "request={request} crashes={QUARANTINE_THRESHOLD}"
+                "request={} depth={} crashes={crashes} answers={answers}",
+                suspect.digest,
+                suspect.depth
             );
         }
+        for suspect in before {
+            if ledger
+                .quarantined()
+                .all(|other| other.digest != suspect.digest)
+            {
+                metrics::count_event("request_released", 1);
+                log_event!(events::REQUEST_RELEASED, "request={}", suspect.digest);
+            }
+        }
     }
 
     /// The records that are to be written to the store; none while the store does not answer.
@@ -137,13 +168,15 @@
 
     /// Merges crashes from a neighbour; with them, all crashes up to `revision` are known.
     pub(super) fn merge_crashes(&mut self, crashes: &[StoredCrash], revision: u64, now: ClockTime) {
-        for crash in crashes {
-            self.merge_crash(*crash, now);
-        }
-        if revision > self.crashes.revision() {
-            let ledger = Arc::make_mut(&mut self.crashes);
-            ledger.note_revision(revision);
-            ledger.drop_expired(now);
+        let is_newer = revision > self.crashes.revision();
+        if crashes.is_empty() && !is_newer {
+            return;
         }
+        self.merge_stored_crashes(crashes, |ledger| {
+            if is_newer {
+                ledger.note_revision(revision);
+                ledger.drop_expired(now);
+            }
+        });
     }
 }
--- a/src/sync/events.rs
+++ b/src/sync/events.rs
@@ -66,7 +66,7 @@
 
 pub(crate) const REQUEST_QUARANTINED: LogEvent = LogEvent::warn(
     1122,
-    "a request is quarantined: backend servers crashed while running it",
+    "requests are quarantined: backend servers crashed while running them",
 );
 pub(crate) const CRASH_SYNC_FAILED: LogEvent = LogEvent::warn(
     1123,
@@ -77,6 +77,8 @@
     1124,
     "the store returned from an older copy; what was written since is lost",
 );
+pub(crate) const REQUEST_RELEASED: LogEvent =
+    LogEvent::info(1125, "requests are no longer quarantined");
 
 /// All events of this module.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -104,4 +106,5 @@
     REQUEST_QUARANTINED,
     CRASH_SYNC_FAILED,
     STORE_RETURNED,
+    REQUEST_RELEASED,
 ];
--- a/src/sync/tests/crashes.rs
+++ b/src/sync/tests/crashes.rs
@@ -10,7 +10,7 @@
 use super::store_proxy::{ProxyFault, StoreProxy};
 use crate::platform::samples::{backend_sample, document_sample};
 use crate::platform::{FakeStore, TableName};
-use crate::quarantine::BackendIncarnation;
+use crate::quarantine::{BackendIncarnation, CrashSuspect};
 use crate::sync::crash_rows::{crash_key, crash_value};
 use crate::sync::{DeploymentSnapshot, EntryRecord, SyncSettings};
 use crate::test_support::{digest_of, unused_address};
@@ -77,9 +77,10 @@
 
 fn note_crash_at(process: &EntryProcess, backend: u64, body: &[u8]) {
     let (backend, now) = (BackendIncarnation(backend), clock_now());
-    process
-        .state
-        .change(|state| state.note_crash(backend, &[digest_of(body)], now));
+    process.state.change(|state| {
+        let suspect = CrashSuspect::of_request(digest_of(body));
+        state.note_crash(backend, &[suspect], now);
+    });
 }
 
 fn has_quarantined(snapshot: &DeploymentSnapshot, body: &[u8]) -> bool {
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -8,7 +8,7 @@
 use serde_json::{Map, Value, json};
 use tokio::net::TcpListener;
 
-use crate::quarantine::{RequestDigest, RequestParts};
+use crate::quarantine::{RequestParts, SuspectDigest};
 
 /// Runs `property` on `cases` inputs of `size` random bytes each. The inputs are the same in every
 /// run; arbtest prints the seed of a failing one. Its own search for inputs is limited by time, so
@@ -137,8 +137,8 @@
 }
 
 /// Digest of a request in which only the body varies.
-pub(crate) fn digest_of(body: &[u8]) -> RequestDigest {
-    RequestDigest::of(RequestParts {
+pub(crate) fn digest_of(body: &[u8]) -> SuspectDigest {
+    SuspectDigest::of_request(RequestParts {
         host: "h",
         path: "/p",
         account: None,
