Tell other entry hosts of crashes directly

Callers saw requests with a harmful part crash on while the store did not answer: what an entry host saw reached the others through the store's table alone.

An entry host now tells the others of each crash by datagram, as it tells load reports and rate limits, and of the clearings and the number of answers to requests with suspected parts. A notice that is late, repeated or out of order changes nothing that a clearing has undone; a reader of the store writes what the process that saw it has not written in 5 s.

--- a/src/gateway/crash_detector.rs
+++ b/src/gateway/crash_detector.rs
@@ -7,17 +7,19 @@
 
 use bytestring::ByteString;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use super::events;
 use crate::events::log_event;
 use crate::fleet::{BackendFacts, BackendKey};
+use crate::load_reports::CrashNotice;
 use crate::metrics;
 use crate::quarantine::{
-    AnswerCount, AnswerTally, BackendIncarnation, CrashSuspect, RecentAnswers, SuspectDepth,
-    SuspectDigest,
+    AnswerCount, AnswerTally, BackendIncarnation, CrashRecord, CrashSuspect, RecentAnswers,
+    SuspectDepth, SuspectDigest,
 };
-use crate::sync::SharedDeploymentState;
+use crate::sync::{DeploymentState, SharedDeploymentState};
 use crate::time::{ClockTime, clock_now};
 
 /// How long requests are collected that were interrupted together with the first one.
@@ -35,6 +37,13 @@
     pub(super) suspects: Vec<CrashSuspect>,
 }
 
+/// What the other entry hosts have to be told.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CrashNews {
+    pub(super) records: Vec<CrashRecord>,
+    pub(super) answers: Vec<AnswerCount>,
+}
+
 /// Detects crashes and records the requests that were in progress. Clones share their state.
 #[derive(Clone, Debug)]
 pub(super) struct CrashDetector {
@@ -46,6 +55,9 @@
     tally: Arc<Mutex<AnswerTally>>,
     /// Identifies this process in counts of answers.
     process: u64,
+    news: Arc<Mutex<CrashNews>>,
+    /// Notified when there are news.
+    has_news: Arc<Notify>,
 }
 
 impl CrashDetector {
@@ -57,6 +69,8 @@
             answered: Arc::default(),
             tally: Arc::default(),
             process: rand::random(),
+            news: Arc::default(),
+            has_news: Arc::default(),
         }
     }
 
@@ -104,8 +118,10 @@
                 list_text(&requests),
                 list_text(&parts)
             );
+            let mut records = Vec::new();
             self.deployment_state
-                .change(|state| state.note_crash(incarnation, &suspects, now));
+                .change(|state| records = state.note_crash(incarnation, &suspects, now));
+            self.tell(|news| news.records.append(&mut records));
             self.report_answers(now);
         }
     }
@@ -136,7 +152,7 @@
 
     /// Adds the own answers to requests with parts that one more crash may quarantine to the
     /// evidence.
-    fn report_answers(&self, now: ClockTime) {
+    pub(super) fn report_answers(&self, now: ClockTime) {
         let crashes = self.deployment_state.snapshot().load().crashes.clone();
         let parts: Vec<SuspectDigest> = crashes
             .at_risk()
@@ -147,7 +163,7 @@
             let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
             tally.take_changed(&parts, now)
         };
-        let counts: Vec<AnswerCount> = changed
+        let mut counts: Vec<AnswerCount> = changed
             .into_iter()
             .map(|(part, answers)| AnswerCount {
                 part,
@@ -158,9 +174,46 @@
         if !counts.is_empty() {
             self.deployment_state
                 .change(|state| state.note_answers(&counts));
+            self.tell(|news| news.answers.append(&mut counts));
         }
     }
 
+    /// Merges what another entry host saw.
+    pub(super) fn merge_notice(&self, notice: &CrashNotice, now: ClockTime) {
+        self.deployment_state.change(|state| {
+            state.merge_announced_crashes(&notice.records, now);
+            state.note_answers(&notice.answers);
+        });
+        self.report_answers(now);
+    }
+
+    /// Waits until there are news.
+    pub(super) async fn wait_news(&self) {
+        self.has_news.notified().await;
+    }
+
+    /// Takes the news.
+    pub(super) fn take_news(&self) -> CrashNews {
+        std::mem::take(&mut *self.news.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Tells up to `records_max` of the crashes again that the store does not hold.
+    pub(super) fn repeat_news(&self, records_max: usize) {
+        let mut records = self
+            .deployment_state
+            .read(DeploymentState::unstored_crashes);
+        records.sort_unstable_by_key(|record| std::cmp::Reverse(record.seen));
+        records.truncate(records_max);
+        if !records.is_empty() {
+            self.tell(|news| news.records.append(&mut records));
+        }
+    }
+
+    fn tell(&self, change: impl FnOnce(&mut CrashNews)) {
+        change(&mut self.news.lock().unwrap_or_else(PoisonError::into_inner));
+        self.has_news.notify_one();
+    }
+
     /// Records that `request` was answered in full at `now`.
     pub(super) fn note_answered(&self, request: SuspectDigest, now: ClockTime) {
         self.lock_answered().push(request, now);
@@ -190,8 +243,10 @@
     }
 
     fn clear(&self, request: SuspectDigest) {
+        let mut records = Vec::new();
         self.deployment_state
-            .change(|state| state.clear_request(request));
+            .change(|state| records = state.clear_request(request));
+        self.tell(|news| news.records.append(&mut records));
     }
 
     fn was_answered(&self, request: SuspectDigest, now: ClockTime) -> bool {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -51,7 +51,7 @@
     applied: Mutex<Option<Arc<DeploymentSnapshot>>>,
     pub(super) registry: SharedRegistry,
     pub(super) pool: ConnectionPool,
-    crash_detector: CrashDetector,
+    pub(super) crash_detector: CrashDetector,
     pub(super) drain: DrainState,
     /// When the graceful stop began.
     stop_started: OnceLock<ClockTime>,
--- a/src/gateway/report_relay.rs
+++ b/src/gateway/report_relay.rs
@@ -15,8 +15,10 @@
 use crate::events::log_event;
 use crate::fleet::LimitAnnouncement;
 use crate::load_reports::{
-    DigestQueue, DigestReach, LEASE_RENEWAL, LimitDigest, LoadDigest, ReportDatagram, ReportLease,
+    CrashNotice, DigestQueue, DigestReach, LEASE_RENEWAL, LimitDigest, LoadDigest, ReportDatagram,
+    ReportLease,
 };
+use crate::quarantine::{AnswerCount, CrashRecord};
 use crate::sync::{DeploymentSnapshot, DeploymentState, EntryRecord, SharedDeploymentState};
 use crate::time::{ClockTime, clock_now};
 use crate::transport::{decode_message, encode_datagram};
@@ -26,7 +28,12 @@
 /// bytes.
 const LIMITS_MAX: usize = 32;
 
-/// Receives and forwards load reports and rate limits over UDP.
+/// Largest number of crash records in a datagram. At about 60 bytes each they fit into one packet.
+const CRASHES_MAX: usize = 20;
+/// Largest number of crash records that are repeated each time while the store does not answer.
+const REPEATED_CRASHES_MAX: usize = 3 * CRASHES_MAX;
+
+/// Receives and forwards load reports, rate limits and notices of crashes over UDP.
 pub(super) struct ReportRelay {
     gateway: Arc<GatewayState>,
     deployment_state: SharedDeploymentState,
@@ -78,6 +85,7 @@
                     Ok((length, peer)) => self.handle_datagram(&buffer[..length], peer).await,
                     Err(fault) => log_event!(events::REPORT_UNREADABLE, "{fault}"),
                 },
+                () = self.gateway.crash_detector.wait_news() => {}
                 () = sleep(wake.since(clock_now())) => {}
             }
             let now = clock_now();
@@ -85,7 +93,12 @@
                 renewal = now + LEASE_RENEWAL;
                 self.renew_leases().await;
                 self.announce_limits(now).await;
+                self.gateway
+                    .crash_detector
+                    .repeat_news(REPEATED_CRASHES_MAX);
+                self.gateway.crash_detector.report_answers(now);
             }
+            self.announce_crashes().await;
             self.send_due(now).await;
         }
     }
@@ -112,10 +125,44 @@
                     self.send_limits_locally(digest.limits).await;
                 }
             }
+            Ok(ReportDatagram::Crashes(notice)) => {
+                self.gateway.crash_detector.merge_notice(&notice, now);
+                if notice.reach == DigestReach::DataCentre {
+                    let reach = DigestReach::Receiver;
+                    let notice = CrashNotice { reach, ..notice };
+                    self.send_locally(&ReportDatagram::Crashes(notice)).await;
+                }
+            }
             Err(error) => log_event!(events::REPORT_UNREADABLE, "from {peer}: {error}"),
         }
     }
 
+    /// Tells the other entry hosts what this one saw of crashes. Each sees only its own requests, and
+    /// the store may not answer.
+    async fn announce_crashes(&self) {
+        let news = self.gateway.crash_detector.take_news();
+        let notice = |records: &[CrashRecord], answers: &[AnswerCount]| CrashNotice {
+            reach: DigestReach::Receiver,
+            records: records.to_vec(),
+            answers: answers.to_vec(),
+        };
+        let crashes = news.records.chunks(CRASHES_MAX);
+        let answers = news.answers.chunks(CRASHES_MAX);
+        let notices = crashes
+            .map(|records| notice(records, &[]))
+            .chain(answers.map(|answers| notice(&[], answers)));
+        for notice in notices {
+            self.send_locally(&ReportDatagram::Crashes(notice.clone()))
+                .await;
+            let reach = DigestReach::DataCentre;
+            let notice = CrashNotice { reach, ..notice };
+            let snapshot = self.gateway.newest_snapshot();
+            let receivers = one_per_data_centre(&snapshot.entries, &self.own_entry.data_centre);
+            self.send_to_all(&ReportDatagram::Crashes(notice), &receivers)
+                .await;
+        }
+    }
+
     /// Announces the limits received since the last call to the other entry hosts.
     ///
     /// An entry host that does not send to a backend server receives neither its limit nor the end
--- a/src/gateway/tests/crashing_parts.rs
+++ b/src/gateway/tests/crashing_parts.rs
@@ -26,6 +26,11 @@
 /// How long the test continues after that.
 const WATCH_SPAN: Duration = Duration::from_secs(2);
 
+/// Time for the entry hosts to hear of each other.
+const SETTLE_SPAN: Duration = Duration::from_secs(2);
+/// Time after the third crash by which entry hosts that hear each other know the crashing part.
+const NOTICE_LIMIT: Duration = Duration::from_secs(1);
+
 /// A request with its own body, and with `parts` and a part of its own in its prompt.
 fn request_with(parts: &str, name: &str) -> String {
     let request = request_of(name, &format!("body of {name}"));
@@ -89,3 +94,21 @@
     assert!(late <= SENDS_MAX, "{late} sends, {crashes} crashes");
     assert_eq!(answered, sent, "harmless requests");
 }
+
+/// Guards against requests that keep crashing backend servers by way of other entry hosts while the
+/// store does not answer, so that each entry host sees only its own part of the crashes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_crashing_part_is_known_while_the_store_is_down() {
+    let observations = SharedObservations::default();
+    let (store, addresses) = start_system(&observations).await;
+    send_harmless(&addresses, SETTLE_SPAN).await;
+    store.set_down(true);
+    let crashing = tokio::spawn(send_crashing(addresses.clone()));
+    send_harmless(&addresses, WATCH_SPAN).await;
+    crashing.abort();
+    let observations = lock(&observations);
+    let third = *observations.crashes.get(2).expect("three crashes");
+    let late = observations.arrivals_after(third + NOTICE_LIMIT);
+    let crashes = observations.crashes.len();
+    assert_eq!(late, 0, "of {crashes} crashes");
+}
--- a/src/gateway/tests/stream_pauses.rs
+++ b/src/gateway/tests/stream_pauses.rs
@@ -191,7 +191,7 @@
             let start = BackendIncarnation::of(&id.into(), None);
             entry
                 .deployment_state
-                .change(|state| state.note_crash(start, &[suspect], clock_now()));
+                .change(|state| drop(state.note_crash(start, &[suspect], clock_now())));
         }
     };
     let (response, ()) = tokio::join!(entry.call("safe"), crashes);
--- a/src/load_reports/messages.rs
+++ b/src/load_reports/messages.rs
@@ -8,6 +8,7 @@
 
 use crate::derives::{key, message};
 use crate::fleet::{EngineHoldings, LimitAnnouncement, LoadReport};
+use crate::quarantine::{AnswerCount, CrashRecord};
 use crate::time::WallTime;
 
 /// Limit of reports in a digest; at 40 bytes each they fit into one packet of 1,500 bytes.
@@ -22,6 +23,8 @@
     Digest(LoadDigest),
     /// From an entry host that received limits.
     Limits(LimitDigest),
+    /// From an entry host that saw a crash, or answers to requests that are suspected of one.
+    Crashes(CrashNotice),
 }
 
 /// Sent by a relay to the host of a backend server, to receive its reports for a limited time.
@@ -51,6 +54,18 @@
     pub(crate) limits: Vec<LimitAnnouncement>,
 }
 
+/// What an entry host saw of requests that may crash backend servers. Notices that are late or
+/// repeated change nothing.
+#[apply(message!)]
+pub(crate) struct CrashNotice {
+    /// How far it is forwarded.
+    pub(crate) reach: DigestReach,
+    /// The crashes and clearings.
+    pub(crate) records: Vec<CrashRecord>,
+    /// Counts of answers to requests with suspected parts.
+    pub(crate) answers: Vec<AnswerCount>,
+}
+
 /// The loads of several backend servers.
 #[apply(message!)]
 pub(crate) struct LoadDigest {
--- a/src/load_reports/mod.rs
+++ b/src/load_reports/mod.rs
@@ -10,5 +10,7 @@
 mod tests;
 
 pub(crate) use digest_queue::DigestQueue;
-pub(crate) use messages::{DigestReach, LimitDigest, LoadDigest, ReportDatagram, ReportLease};
+pub(crate) use messages::{
+    CrashNotice, DigestReach, LimitDigest, LoadDigest, ReportDatagram, ReportLease,
+};
 pub(crate) use report_leases::{LEASE_RENEWAL, ReportLeases};
--- a/src/quarantine/crash_ledger.rs
+++ b/src/quarantine/crash_ledger.rs
@@ -12,7 +12,7 @@
 use super::crash_record::{CrashRecord, CrashSuspect, CrashVerdict, StoredCrash};
 use super::judgement::{Judgement, QUARANTINE_THRESHOLD, SuspectCrash, SuspectEvidence, judge};
 use super::suspect_digest::SuspectDigest;
-use crate::derives::plain;
+use crate::derives::{key, plain};
 use crate::platform::era_of;
 use crate::time::ClockTime;
 
@@ -22,10 +22,22 @@
 /// Largest number of rows in the ledger.
 const ROWS_MAX: usize = 4096;
 
+/// Who writes a row to the store.
+#[apply(key!)]
+enum RowOrigin {
+    /// This process.
+    Own,
+    /// The process that announced the crash.
+    Peer,
+}
+
 #[apply(plain!)]
 #[derive(Copy)]
 struct LedgerRow {
     record: CrashRecord,
+    origin: RowOrigin,
+    /// When this process learned of the crash.
+    noted: ClockTime,
     /// Store revision of the row; `None` while the store does not hold the record in this form.
     revision: Option<u64>,
     /// When the record expires.
@@ -66,6 +78,8 @@
         if let Err(at) = self.find(&record) {
             let row = LedgerRow {
                 record,
+                origin: RowOrigin::Own,
+                noted: now,
                 revision: None,
                 until: now + CRASH_RETENTION,
             };
@@ -74,21 +88,56 @@
         }
     }
 
+    /// Merges a crash that another process announced, received at `now`; it expires at `until`. One
+    /// that is late or repeated does not undo a clearing.
+    pub(crate) fn merge_announced(
+        &mut self,
+        record: CrashRecord,
+        until: ClockTime,
+        now: ClockTime,
+    ) {
+        match self.find(&record) {
+            Ok(at) => {
+                let known = &mut self.rows[at].record;
+                known.seen = known.seen.min(record.seen);
+                known.verdict = known.verdict.max(record.verdict);
+            }
+            Err(at) => {
+                let row = LedgerRow {
+                    record,
+                    origin: RowOrigin::Peer,
+                    noted: now,
+                    revision: None,
+                    until,
+                };
+                self.rows.insert(at, row);
+                self.evict();
+            }
+        }
+    }
+
     /// Clears `suspect` of the crashes so far, because it was answered in full.
-    pub(crate) fn clear(&mut self, suspect: SuspectDigest) {
+    /// Returns the changed records.
+    pub(crate) fn clear(&mut self, suspect: SuspectDigest) -> Vec<CrashRecord> {
         let range = self.range(suspect);
+        let mut cleared = Vec::new();
         for row in &mut self.rows[range] {
             if row.record.verdict != CrashVerdict::Cleared {
                 row.record.verdict = CrashVerdict::Cleared;
+                row.origin = RowOrigin::Own;
                 row.revision = None;
+                cleared.push(row.record);
             }
         }
+        cleared
     }
 
     /// Merges a row of the store, which expires at `until`.
     pub(crate) fn merge_stored(&mut self, stored: StoredCrash, until: ClockTime) {
         let row = LedgerRow {
             record: stored.record,
+            origin: RowOrigin::Peer,
+            noted: ClockTime(0),
             revision: Some(stored.revision),
             until,
         };
@@ -123,6 +172,7 @@
         };
         for row in &mut self.rows {
             if is_lost(row) {
+                row.origin = RowOrigin::Own;
                 row.revision = None;
             }
         }
@@ -142,9 +192,15 @@
         }
     }
 
-    /// Returns the records that the store does not hold yet.
-    pub(crate) fn unstored(&self) -> Vec<CrashRecord> {
-        let rows = self.rows.iter().filter(|row| row.revision.is_none());
+    /// Returns the records that this process has to write to the store, which does not hold them yet.
+    /// These include the ones that another process announced before `adopted`: that process may have
+    /// ended.
+    pub(crate) fn unstored(&self, adopted: ClockTime) -> Vec<CrashRecord> {
+        let is_due = |row: &&LedgerRow| {
+            let is_own = row.origin == RowOrigin::Own || row.noted < adopted;
+            row.revision.is_none() && is_own
+        };
+        let rows = self.rows.iter().filter(is_due);
         rows.map(|row| row.record).collect()
     }
 
--- a/src/quarantine/tests/mod.rs
+++ b/src/quarantine/tests/mod.rs
@@ -173,10 +173,13 @@
     ledger.merge_stored(stored, START + CRASH_RETENTION);
     ledger.clear(digest(1));
     ledger.merge_stored(stored, START + CRASH_RETENTION);
-    let [unstored] = ledger.unstored().try_into().expect("one record");
+    let [unstored] = ledger
+        .unstored(ClockTime(0))
+        .try_into()
+        .expect("one record");
     assert_eq!(unstored.verdict, CrashVerdict::Cleared);
     ledger.mark_stored(&[unstored], 8);
-    assert!(ledger.unstored().is_empty());
+    assert!(ledger.unstored(ClockTime(0)).is_empty());
 }
 
 /// Guards against sending the same rows to neighbours in an endless series of immediate responses.
@@ -203,7 +206,7 @@
     ledger.merge_stored(stored, START + CRASH_RETENTION);
     ledger.note_crash(record(1, 2), START);
     ledger.keep_listed(&[], 10);
-    assert_eq!(ledger.unstored(), [record(1, 2)]);
+    assert_eq!(ledger.unstored(ClockTime(0)), [record(1, 2)]);
     assert_eq!(ledger.stored_after(0).count(), 0);
 }
 
@@ -217,7 +220,7 @@
     }
     assert!(!ledger.suspects(digest(0)));
     assert!(ledger.suspects(digest(5999)));
-    assert!(ledger.unstored().len() <= 4096);
+    assert!(ledger.unstored(ClockTime(0)).len() <= 4096);
 }
 
 /// Guards against forgetting a quarantined request because the store, which returned from an older
@@ -239,7 +242,7 @@
     ledger.keep_listed(&[stored(1, era(2) + 11)], era(2) + 12);
     ledger.merge_stored(stored(1, era(2) + 11), until);
     assert!(is_quarantined(&ledger, 1, START));
-    assert_eq!(ledger.unstored(), [record(1, 2), record(1, 3)]);
+    assert_eq!(ledger.unstored(ClockTime(0)), [record(1, 2), record(1, 3)]);
     ledger.mark_stored(&[record(1, 2), record(1, 3)], era(2) + 13);
     ledger.keep_listed(&[], era(2) + 30);
     assert!(!is_quarantined(&ledger, 1, START));
--- a/src/quarantine/tests/parts.rs
+++ b/src/quarantine/tests/parts.rs
@@ -2,11 +2,11 @@
 
 use super::{PARTS, START, is_quarantined, record};
 use crate::quarantine::{
-    AnswerCount, AnswerTally, BackendIncarnation, CrashLedger, CrashRecord, CrashSuspect,
-    CrashVerdict, PromptPart, SuspectDepth, SuspectDigest,
+    AnswerCount, AnswerTally, BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord,
+    CrashSuspect, CrashVerdict, PromptPart, SuspectDepth, SuspectDigest,
 };
 use crate::test_support::run_cases;
-use crate::time::StoreTime;
+use crate::time::{ClockTime, StoreTime};
 use std::time::Duration;
 
 const COMMON: u64 = 0x5c1e;
@@ -153,7 +153,7 @@
         ledger.note_crash(part_record(OTHER + number, 1, 100 + number / 64), at);
     }
     assert!(has_quarantined(&ledger, HARMFUL));
-    assert!(ledger.unstored().len() <= 4096);
+    assert!(ledger.unstored(ClockTime(0)).len() <= 4096);
 }
 
 /// Guards against judging by the order in which crashes and counts of answers arrive, and against
@@ -249,3 +249,43 @@
     assert!(depths.is_sorted());
     assert!(SuspectDepth::of_part(1000) < SuspectDepth::WHOLE);
 }
+
+/// Guards against a notice that arrives late or twice and undoes a clearing.
+#[test]
+fn a_late_announcement_does_not_undo_a_clearing() {
+    let until = START + CRASH_RETENTION;
+    let mut ledger = CrashLedger::default();
+    for backend in 1..=3 {
+        ledger.merge_announced(record(1, backend), until, START);
+    }
+    assert!(is_quarantined(&ledger, 1, START));
+    assert_eq!(ledger.clear(record(1, 1).suspect).len(), 3);
+    for backend in 1..=3 {
+        ledger.merge_announced(record(1, backend), until, START);
+    }
+    assert!(!is_quarantined(&ledger, 1, START));
+    let mut other = CrashLedger::default();
+    for cleared in ledger.unstored(ClockTime(0)) {
+        other.merge_announced(cleared, until, START);
+    }
+    for backend in 1..=3 {
+        other.merge_announced(record(1, backend), until, START);
+    }
+    assert!(!is_quarantined(&other, 1, START));
+}
+
+/// Guards against a crash that the store never holds because the process that saw it has ended, and
+/// against a write by every process that was told of a crash.
+#[test]
+fn announced_crashes_are_written_by_others_only_after_a_while() {
+    let until = START + CRASH_RETENTION;
+    let mut ledger = CrashLedger::default();
+    ledger.merge_announced(record(1, 1), until, START);
+    assert!(ledger.unstored(START).is_empty());
+    assert_eq!(
+        ledger.unstored(START + Duration::from_micros(1)),
+        [record(1, 1)]
+    );
+    ledger.mark_stored(&[record(1, 1)], 7);
+    assert!(ledger.unstored(START + Duration::from_micros(1)).is_empty());
+}
--- a/src/sync/crash_follow.rs
+++ b/src/sync/crash_follow.rs
@@ -9,7 +9,6 @@
 use tokio::time::sleep;
 
 use super::crash_rows::{crash_key, crash_value, read_crash};
-use super::deployment_state::DeploymentState;
 use super::events;
 use super::store_watch::{RetryBackoff, STORE_TIMEOUT, StoreWatch, pause_if_older, watch_span};
 use crate::errors::SwitchResult;
@@ -123,7 +122,7 @@
         let mut changes = self.state.changes();
         let mut backoff = RetryBackoff::default();
         loop {
-            let unstored = self.state.read(DeploymentState::unsaved_crashes);
+            let unstored = self.unsaved_crashes();
             if unstored.is_empty() {
                 if changes.changed().await.is_err() {
                     return;
@@ -131,7 +130,7 @@
                 continue;
             }
             sleep(GATHER_SPAN).await;
-            let unstored = self.state.read(DeploymentState::unsaved_crashes);
+            let unstored = self.unsaved_crashes();
             let batch = &unstored[..unstored.len().min(CHANGED_ROWS_MAX)];
             match self.write_crashes(batch).await {
                 Ok(()) => backoff = RetryBackoff::default(),
@@ -143,6 +142,10 @@
         }
     }
 
+    fn unsaved_crashes(&self) -> Vec<CrashRecord> {
+        self.state.read(|state| state.unsaved_crashes(clock_now()))
+    }
+
     async fn write_crashes(&self, records: &[CrashRecord]) -> SwitchResult<()> {
         let texts: SwitchResult<Vec<_>> = records.iter().map(crash_row).collect();
         let texts = texts?;
--- a/src/sync/crash_state.rs
+++ b/src/sync/crash_state.rs
@@ -1,6 +1,7 @@
 //! The part of the deployment state that holds what crashed backend servers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::crash_rows::read_crash;
 use super::deployment_state::DeploymentState;
@@ -16,6 +17,10 @@
 };
 use crate::time::ClockTime;
 
+/// How long a process that announced a crash has to write it to the store, while the store answers,
+/// before a reader of the store does that instead.
+const ADOPT_SPAN: Duration = Duration::from_secs(5);
+
 impl DeploymentState {
     /// Whether the store's table of crashes was read, or received from a neighbour.
     pub(super) fn knows_crashes(&self) -> bool {
@@ -23,31 +28,58 @@
     }
 
     /// Records that this process saw `backend` crash while requests with `suspects` were running on
-    /// it.
+    /// it. Returns the new records.
     pub(crate) fn note_crash(
         &mut self,
         backend: BackendIncarnation,
         suspects: &[CrashSuspect],
         now: ClockTime,
-    ) {
+    ) -> Vec<CrashRecord> {
         let seen = self.store_time(now);
+        let records: Vec<CrashRecord> = suspects
+            .iter()
+            .map(|suspect| CrashRecord {
+                suspect: suspect.digest,
+                backend,
+                verdict: CrashVerdict::Suspected,
+                seen,
+                depth: suspect.depth,
+            })
+            .collect();
         self.change_ledger(|ledger| {
-            for suspect in suspects {
-                let record = CrashRecord {
-                    suspect: suspect.digest,
-                    backend,
-                    verdict: CrashVerdict::Suspected,
-                    seen,
-                    depth: suspect.depth,
-                };
-                ledger.note_crash(record, now);
+            for record in &records {
+                ledger.note_crash(*record, now);
             }
         });
+        records
     }
 
     /// Records that a request with the digest `suspect` was answered completely, which clears it.
-    pub(crate) fn clear_request(&mut self, suspect: SuspectDigest) {
-        self.change_ledger(|ledger| ledger.clear(suspect));
+    /// Returns the changed records.
+    pub(crate) fn clear_request(&mut self, suspect: SuspectDigest) -> Vec<CrashRecord> {
+        self.change_ledger(|ledger| ledger.clear(suspect))
+    }
+
+    /// Merges crashes that another process announced, received at `now`.
+    pub(crate) fn merge_announced_crashes(&mut self, records: &[CrashRecord], now: ClockTime) {
+        let longest = now + CRASH_RETENTION;
+        let expiries: Vec<ClockTime> = records
+            .iter()
+            .map(|record| longest.min(self.earliest(record.seen) + CRASH_RETENTION))
+            .collect();
+        self.change_ledger(|ledger| {
+            for (record, until) in records.iter().zip(expiries) {
+                if until > now {
+                    ledger.merge_announced(*record, until, now);
+                }
+            }
+        });
+    }
+
+    /// The crashes that this process saw and that the store does not hold yet, whether it answers or
+    /// not.
+    pub(crate) fn unstored_crashes(&self) -> Vec<CrashRecord> {
+        self.crashes.unstored(ClockTime(0))
     }
 
     /// Records how many answers to requests with suspected parts processes saw.
@@ -112,10 +144,10 @@
     }
 
     /// Applies a change to the ledger, judges it anew, and logs what is quarantined or released.
-    fn change_ledger(&mut self, change: impl FnOnce(&mut CrashLedger)) {
+    fn change_ledger<T>(&mut self, change: impl FnOnce(&mut CrashLedger) -> T) -> T {
         let ledger = Arc::make_mut(&mut self.crashes);
         let before: Vec<CrashSuspect> = ledger.quarantined().collect();
-        change(ledger);
+        let changed = change(ledger);
         ledger.judge();
         for suspect in ledger.quarantined() {
             if before.iter().any(|other| other.digest == suspect.digest) {
@@ -139,12 +171,17 @@
                 log_event!(events::REQUEST_RELEASED, "request={}", suspect.digest);
             }
         }
+        changed
     }
 
-    /// The records that are to be written to the store; none while the store does not answer.
-    pub(super) fn unsaved_crashes(&self) -> Vec<CrashRecord> {
+    /// The records that are to be written to the store at `now`; none while the store does not
+    /// answer.
+    pub(super) fn unsaved_crashes(&self, now: ClockTime) -> Vec<CrashRecord> {
         match self.store_steady_since {
-            Some(_) => self.crashes.unstored(),
+            Some(since) if self.reads_store() && now.since(since) >= ADOPT_SPAN => {
+                self.crashes.unstored(now - ADOPT_SPAN)
+            }
+            Some(_) => self.crashes.unstored(ClockTime(0)),
             None => Vec::new(),
         }
     }
--- a/src/sync/tests/crashes.rs
+++ b/src/sync/tests/crashes.rs
@@ -14,7 +14,7 @@
 use crate::sync::crash_rows::{crash_key, crash_value};
 use crate::sync::{DeploymentSnapshot, EntryRecord, SyncSettings};
 use crate::test_support::{digest_of, unused_address};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 
 /// Within this time every entry host knows what one of them saw.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
@@ -203,7 +203,7 @@
     wait_for_quarantine(&second, b"body").await;
     first
         .state
-        .change(|state| state.clear_request(digest_of(b"body")));
+        .change(|state| drop(state.clear_request(digest_of(b"body"))));
     let cleared = second.wait_for(|snapshot| !has_quarantined(snapshot, b"body"));
     timeout(PROPAGATION_LIMIT, cleared)
         .await
@@ -219,12 +219,14 @@
     for backend in 1..=3 {
         note_crash_at(&first, backend, b"body");
     }
-    let records = first.state.read(|state| state.crashes.unstored());
+    let records = first
+        .state
+        .read(|state| state.crashes.unstored(ClockTime(0)));
     let second = start_entry("e2", &store).await;
     wait_for_quarantine(&second, b"body").await;
     second
         .state
-        .change(|state| state.clear_request(digest_of(b"body")));
+        .change(|state| drop(state.clear_request(digest_of(b"body"))));
     let cleared = first.wait_for(|snapshot| !has_quarantined(snapshot, b"body"));
     timeout(PROPAGATION_LIMIT, cleared)
         .await
@@ -244,7 +246,9 @@
     let store = populated_store().await;
     let process = start_entry("e1", &store).await;
     note_crash_at(&process, 0xab, b"body");
-    let record = process.state.read(|state| state.crashes.unstored()[0]);
+    let record = process
+        .state
+        .read(|state| state.crashes.unstored(ClockTime(0))[0]);
     let expected = crash_value(&record).expect("it encodes");
     let key = crash_key(&record);
     assert!(key.ends_with("/00000000000000ab"), "{key}");
