Judge crashes of a process that does not know the store's clock

Such a process dates crashes with zero: all seemed to be of one moment, and to have expired for a process that was told of them.

The new test fails without that.

--- a/src/quarantine/crash_ledger.rs
+++ b/src/quarantine/crash_ledger.rs
@@ -99,7 +99,7 @@
         match self.find(&record) {
             Ok(at) => {
                 let known = &mut self.rows[at].record;
-                known.seen = known.seen.min(record.seen);
+                known.merge_time(&record);
                 known.verdict = known.verdict.max(record.verdict);
             }
             Err(at) => {
@@ -144,7 +144,7 @@
         match self.find(&stored.record) {
             Ok(at) => {
                 let known = &mut self.rows[at];
-                known.record.seen = known.record.seen.min(stored.record.seen);
+                known.record.merge_time(&stored.record);
                 // A request cleared here stays cleared until the store has that row, too.
                 if stored.record.verdict >= known.record.verdict {
                     known.revision = known.revision.max(row.revision);
--- a/src/quarantine/crash_record.rs
+++ b/src/quarantine/crash_record.rs
@@ -103,6 +103,9 @@
     Cleared,
 }
 
+/// Time of a crash in records of a process that does not know the store's clock.
+pub(crate) const UNKNOWN_TIME: StoreTime = StoreTime(0);
+
 /// A suspect and one of the crashes during which a request with it was in progress.
 #[apply(message!)]
 #[derive(Copy)]
@@ -122,6 +125,14 @@
 }
 
 impl CrashRecord {
+    /// Takes over the time of `other`, a record of the same crash, if it is earlier or the only known
+    /// one.
+    pub(super) fn merge_time(&mut self, other: &Self) {
+        if self.seen == UNKNOWN_TIME || (other.seen != UNKNOWN_TIME && other.seen < self.seen) {
+            self.seen = other.seen;
+        }
+    }
+
     /// Returns what identifies the record.
     pub(super) const fn key(&self) -> (SuspectDigest, BackendIncarnation) {
         (self.suspect, self.backend)
--- a/src/quarantine/judgement.rs
+++ b/src/quarantine/judgement.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::crash_record::{BackendIncarnation, CrashSuspect, SuspectDepth};
+use super::crash_record::{BackendIncarnation, CrashSuspect, SuspectDepth, UNKNOWN_TIME};
 use crate::time::{ClockTime, StoreTime};
 
 /// Number of different backend servers that have to crash before a suspect is quarantined.
@@ -132,7 +132,10 @@
     let mut count = 0;
     let mut failed: Option<StoreTime> = None;
     for crash in crashes {
-        if failed.is_none_or(|since| crash.seen.since(since) >= COMMON_FAILURE_SPAN) {
+        let is_separate = failed.is_none_or(|since| {
+            crash.seen == UNKNOWN_TIME || crash.seen.since(since) >= COMMON_FAILURE_SPAN
+        });
+        if is_separate {
             count += 1;
             failed = Some(crash.seen);
         }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) use crash_ledger::{CRASH_RETENTION, CrashLedger};
 pub(crate) use crash_record::{
     BackendIncarnation, CrashRecord, CrashSuspect, CrashVerdict, StoredCrash, SuspectDepth,
+    UNKNOWN_TIME,
 };
 pub(crate) use prompt_part::PromptPart;
 pub(crate) use recent_answers::RecentAnswers;
--- a/src/quarantine/tests/parts.rs
+++ b/src/quarantine/tests/parts.rs
@@ -3,7 +3,7 @@
 use super::{PARTS, START, is_quarantined, record};
 use crate::quarantine::{
     AnswerCount, AnswerTally, BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord,
-    CrashSuspect, CrashVerdict, PromptPart, SuspectDepth, SuspectDigest,
+    CrashSuspect, CrashVerdict, PromptPart, SuspectDepth, SuspectDigest, UNKNOWN_TIME,
 };
 use crate::test_support::run_cases;
 use crate::time::{ClockTime, StoreTime};
@@ -289,3 +289,16 @@
     ledger.mark_stored(&[record(1, 1)], 7);
     assert!(ledger.unstored(START + Duration::from_micros(1)).is_empty());
 }
+
+/// Guards against never finding a harmful part because an entry host that has just started does not
+/// know the store's clock, so that all its crashes seem to be of one moment.
+#[test]
+fn crashes_of_unknown_times_count_each() {
+    let mut ledger = CrashLedger::default();
+    for backend in 1..=3 {
+        let mut record = part_record(HARMFUL, 1, backend);
+        record.seen = UNKNOWN_TIME;
+        ledger.note_crash(record, START);
+    }
+    assert!(has_quarantined(&ledger, HARMFUL));
+}
--- a/src/sync/crash_state.rs
+++ b/src/sync/crash_state.rs
@@ -13,9 +13,9 @@
 use crate::platform::{TableName, TableView};
 use crate::quarantine::{
     AnswerCount, BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord, CrashSuspect,
-    CrashVerdict, StoredCrash, SuspectDigest,
+    CrashVerdict, StoredCrash, SuspectDigest, UNKNOWN_TIME,
 };
-use crate::time::ClockTime;
+use crate::time::{ClockTime, StoreTime};
 
 /// How long a process that announced a crash has to write it to the store, while the store answers,
 /// before a reader of the store does that instead.
@@ -62,10 +62,9 @@
 
     /// Merges crashes that another process announced, received at `now`.
     pub(crate) fn merge_announced_crashes(&mut self, records: &[CrashRecord], now: ClockTime) {
-        let longest = now + CRASH_RETENTION;
         let expiries: Vec<ClockTime> = records
             .iter()
-            .map(|record| longest.min(self.earliest(record.seen) + CRASH_RETENTION))
+            .map(|record| self.expiry(record.seen, now))
             .collect();
         self.change_ledger(|ledger| {
             for (record, until) in records.iter().zip(expiries) {
@@ -94,7 +93,7 @@
     /// Merges changed rows of the store's table.
     pub(super) fn change_crashes(&mut self, view: &TableView, now: ClockTime) {
         let crashes = self.read_crash_rows(view);
-        self.merge_stored_crashes(&crashes, |ledger| {
+        self.merge_stored_crashes(&crashes, now, |ledger| {
             ledger.note_revision(view.revision);
             ledger.drop_expired(now);
         });
@@ -106,7 +105,7 @@
         let is_listed = |key: &str| view.rows.iter().any(|row| row.key == key);
         self.unreadable.keep_listed(TableName::Crashes, is_listed);
         Arc::make_mut(&mut self.crashes).keep_listed(&crashes, view.revision);
-        self.merge_stored_crashes(&crashes, |ledger| ledger.drop_expired(now));
+        self.merge_stored_crashes(&crashes, now, |ledger| ledger.drop_expired(now));
     }
 
     fn read_crash_rows(&mut self, view: &TableView) -> Vec<StoredCrash> {
@@ -129,11 +128,12 @@
     fn merge_stored_crashes(
         &mut self,
         crashes: &[StoredCrash],
+        now: ClockTime,
         change: impl FnOnce(&mut CrashLedger),
     ) {
         let expiries: Vec<ClockTime> = crashes
             .iter()
-            .map(|crash| self.earliest(crash.record.seen) + CRASH_RETENTION)
+            .map(|crash| self.expiry(crash.record.seen, now))
             .collect();
         self.change_ledger(|ledger| {
             for (crash, until) in crashes.iter().zip(expiries) {
@@ -143,6 +143,15 @@
         });
     }
 
+    /// When a crash that was seen at `seen` expires. One without a known time is as old as its report.
+    fn expiry(&self, seen: StoreTime, now: ClockTime) -> ClockTime {
+        let longest = now + CRASH_RETENTION;
+        if seen == UNKNOWN_TIME {
+            return longest;
+        }
+        longest.min(self.earliest(seen) + CRASH_RETENTION)
+    }
+
     /// Applies a change to the ledger, judges it anew, and logs what is quarantined or released.
     fn change_ledger<T>(&mut self, change: impl FnOnce(&mut CrashLedger) -> T) -> T {
         let ledger = Arc::make_mut(&mut self.crashes);
@@ -209,7 +218,7 @@
         if crashes.is_empty() && !is_newer {
             return;
         }
-        self.merge_stored_crashes(crashes, |ledger| {
+        self.merge_stored_crashes(crashes, now, |ledger| {
             if is_newer {
                 ledger.note_revision(revision);
                 ledger.drop_expired(now);
