Let prompts crash engines in the soak

In each wave some streams have a new part in their prompts, once beside the other faults and once in the quiet period, under which the engine that begins to answer crashes. Harmful calls do not count for recovery.

The proxy before a crashed backend server refuses connections now, as the host of a crashed process does; it accepted and reset them, so that no crash was ever recognized as one in the soak.

--- a/src/lab/platform_soak/fault_plan.rs
+++ b/src/lab/platform_soak/fault_plan.rs
@@ -37,6 +37,12 @@
 const STALL_MS: std::ops::Range<u64> = 500..2500;
 /// Makes the draws for planned work independent of the other draws of a seed.
 const WORK_SALT: u64 = 0x5eed_0f30_4e77_0000;
+/// How long prompts have a harmful part in the quiet period.
+const HARMFUL_SPAN: Duration = Duration::from_secs(7);
+/// When they begin to have it, in milliseconds.
+const HARMFUL_AT_MS: std::ops::Range<u64> = 0..1000;
+/// Makes the draws for harmful parts independent of the other draws of a seed.
+const HARMFUL_SALT: u64 = 0x00ba_d0ba_d000_0000;
 /// The same for returns of the store and announcements of backend servers.
 const PLATFORM_SALT: u64 = 0x0a1e_55ed_0000_2d5b;
 /// Time between the stops of two entry hosts in a rolling restart.
@@ -84,6 +90,8 @@
     StoreReturn,
     /// A backend server announces that it is leaving, ends, and starts again.
     Leave(usize),
+    /// Some prompts have a new part that crashes each engine that begins to answer one.
+    HarmfulPart,
     /// A backend server refuses all requests and asks for a pause.
     Refuse(usize),
     /// The origin serves no chunks.
@@ -140,6 +148,7 @@
         rng: StdRng::seed_from_u64(seed),
         work_rng: StdRng::seed_from_u64(seed ^ WORK_SALT),
         platform_rng: StdRng::seed_from_u64(seed ^ PLATFORM_SALT),
+        harmful_rng: StdRng::seed_from_u64(seed ^ HARMFUL_SALT),
         parts,
         load,
         busy: Vec::new(),
@@ -151,6 +160,7 @@
     rng: StdRng,
     work_rng: StdRng,
     platform_rng: StdRng,
+    harmful_rng: StdRng,
     parts: PartCounts,
     load: EngineLoad,
     /// Parts that an action of this wave affects, and until when.
@@ -174,6 +184,7 @@
             at += self.draw_duration(&FAULT_INTERVAL_MS);
         }
         self.plan_platform_changes(&mut faults);
+        faults.push(self.draw_harmful_part());
         faults.sort_by_key(|planned| planned.at);
         FaultWave {
             faults,
@@ -203,6 +214,17 @@
         }
     }
 
+    /// Draws a harmful part beside the other faults.
+    fn draw_harmful_part(&mut self) -> PlannedAction {
+        let end = u64::try_from(FAULTS_SPAN.as_millis()).unwrap_or(u64::MAX);
+        let rng = &mut self.harmful_rng;
+        PlannedAction {
+            at: Duration::from_millis(rng.random_range(0..end)),
+            span: Duration::from_millis(rng.random_range(FAULT_MS)),
+            action: SoakAction::HarmfulPart,
+        }
+    }
+
     /// Plans a rolling restart of the entry hosts.
     fn plan_rolling_restart(&mut self, faults: &mut Vec<PlannedAction>) {
         let mut at = Duration::ZERO;
@@ -238,6 +260,11 @@
             changes.extend(self.draw_paused_hosts());
         }
         changes.extend(self.draw_planned_work());
+        changes.push(PlannedAction {
+            at: Duration::from_millis(self.harmful_rng.random_range(HARMFUL_AT_MS)),
+            span: HARMFUL_SPAN,
+            action: SoakAction::HarmfulPart,
+        });
         changes.sort_by_key(|planned| planned.at);
         changes
     }
--- a/src/lab/platform_soak/fault_proxy.rs
+++ b/src/lab/platform_soak/fault_proxy.rs
@@ -23,6 +23,7 @@
 /// Path prefix of a host's requests to its colocated engine. These use no link between hosts, so
 /// link faults do not apply to them.
 const ENGINE_PATH_PREFIX: &[u8] = b" /v1/";
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 const PEEK_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The faults that a proxy injects into its connections.
@@ -35,7 +36,7 @@
     pub(super) holds_requests: bool,
     /// Bytes from the target to the caller are withheld.
     pub(super) holds_responses: bool,
-    /// All connections are reset, including new ones.
+    /// All connections are reset and new ones refused, as by the host of a crashed process.
     pub(super) is_down: bool,
     /// Connections with a lower number transfer nothing any more.
     pub(super) silent_before: u64,
@@ -73,7 +74,12 @@
     ) -> SwitchResult<Self> {
         let listener = bind_listener(address).await?;
         let rule = Arc::new(watch::Sender::new(LinkRule::default()));
-        tokio::spawn(accept_all(listener, target, host_calls, rule.clone()));
+        tokio::spawn(accept_all(
+            listener,
+            address,
+            (target, host_calls),
+            rule.clone(),
+        ));
         Ok(Self { rule })
     }
 
@@ -95,13 +101,32 @@
 
 async fn accept_all(
     listener: TcpListener,
-    target: SocketAddr,
-    host_calls: HostCallPolicy,
+    address: SocketAddr,
+    (target, host_calls): (SocketAddr, HostCallPolicy),
     rule: Arc<watch::Sender<LinkRule>>,
 ) {
+    let mut changes = rule.subscribe();
+    let mut listener = Some(listener);
     loop {
-        let Ok((caller, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(50)).await;
+        let Some(listening) = &listener else {
+            // The sender lives as long as this task.
+            let _ = changes.wait_for(|rule| !rule.is_down).await;
+            listener = bind_listener(address).await.ok();
+            if listener.is_none() {
+                sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+            continue;
+        };
+        let accepted = tokio::select! {
+            biased;
+            _ = changes.wait_for(|rule| rule.is_down) => {
+                listener = None;
+                continue;
+            }
+            accepted = listening.accept() => accepted,
+        };
+        let Ok((caller, _)) = accepted else {
+            sleep(ACCEPT_RETRY_PAUSE).await;
             continue;
         };
         let mut number = 0;
--- a/src/lab/platform_soak/run_journal.rs
+++ b/src/lab/platform_soak/run_journal.rs
@@ -7,7 +7,7 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::{key, plain};
-use crate::platform::{BackendRun, RunEvent};
+use crate::platform::{BackendRun, HARMFUL_PREFIX, RunEvent};
 use crate::time::ClockTime;
 
 /// A part of the system that an action can disturb. The report prints the variant names.
@@ -77,6 +77,8 @@
     /// How long the call may take: the client's deadline or the route's timeout, whichever is
     /// shorter.
     pub(super) timeout: Duration,
+    /// The part of its prompt that crashes engines, if it has one.
+    pub(super) harmful_part: Option<String>,
     /// When the client sent the call.
     pub(super) sent: ClockTime,
     /// How and when the call ended; `None` while it is running.
@@ -148,6 +150,10 @@
     pub(super) target_updates: Vec<(u64, ClockTime)>,
     /// The clients' keys.
     pub(super) keys: Vec<KeyRecord>,
+    /// The harmful part that some prompts currently have.
+    pub(super) harmful_part: Option<String>,
+    /// The number of harmful parts so far.
+    pub(super) harmful_parts: u32,
     /// Broken promises that were detected during the run, with their times.
     pub(super) breaches: Vec<(ClockTime, String)>,
 }
@@ -244,6 +250,23 @@
         self.lock().actions[number].ended = Some(now);
     }
 
+    /// Lets some prompts have a new harmful part; returns it.
+    pub(super) fn begin_harmful_part(&self) -> String {
+        let mut records = self.lock();
+        records.harmful_parts += 1;
+        let part = format!("{HARMFUL_PREFIX}{:04x}", records.harmful_parts);
+        records.harmful_part = Some(part.clone());
+        part
+    }
+
+    /// Lets prompts no longer have the harmful `part`.
+    pub(super) fn end_harmful_part(&self, part: &str) {
+        let mut records = self.lock();
+        if records.harmful_part.as_deref() == Some(part) {
+            records.harmful_part = None;
+        }
+    }
+
     /// Records a broken promise.
     pub(super) fn note_breach(&self, now: ClockTime, text: String) {
         self.lock().breaches.push((now, text));
--- a/src/lab/platform_soak/run_judge.rs
+++ b/src/lab/platform_soak/run_judge.rs
@@ -39,6 +39,11 @@
 /// The smallest share of calls that must be served after recovery. Load is so light that no call
 /// needs to be refused.
 const SERVED_SHARE_MIN: f64 = 0.9;
+/// Number of crashes under a harmful part after which it must be known everywhere within
+/// `UNDISTURBED_SPAN`.
+const HARMFUL_CRASHES_MAX: usize = 5;
+/// Largest number of runs with the part that are allowed after that.
+const LATE_HARMFUL_RUNS_MAX: usize = 3;
 /// Statuses that promise that the request did not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [429, 503, 408, 421];
 /// Statuses that mean that the document does not allow the request.
@@ -82,6 +87,8 @@
     pub(super) version_bound: usize,
     /// Calls with a key whose revocation was past its deadline, over an undisturbed path.
     pub(super) revoked: usize,
+    /// Calls with a harmful part that was due to be known, over an undisturbed path.
+    pub(super) harmful: usize,
     /// Calls sent after `RECOVERY_DEADLINE`.
     pub(super) after_recovery: usize,
     /// Calls of `after_recovery` that were served.
@@ -107,6 +114,7 @@
     let immediate = immediate.map(|(at, text)| breach(at, "process", text));
     judge.breaches.extend(immediate);
     judge.check_runs();
+    judge.check_harmful_parts();
     for call in &records.calls {
         judge.check_call(call);
     }
@@ -166,6 +174,51 @@
         }
     }
 
+    /// Finds runs with a part of a prompt under which engines have crashed again and again.
+    fn check_harmful_parts(&mut self) {
+        let records = self.records;
+        let mut parts: Vec<&str> = records
+            .runs
+            .iter()
+            .filter_map(|run| run.harmful_part.as_deref())
+            .collect();
+        parts.sort_unstable();
+        parts.dedup();
+        for part in parts {
+            let is_same = |other: &Option<String>| other.as_deref() == Some(part);
+            let runs = records.runs.iter().filter(|run| is_same(&run.harmful_part));
+            let ends = runs.clone().filter_map(|run| run.end.as_ref());
+            let crashes = ends.filter(|(end, _)| *end == RunEnd::Crashed);
+            let mut crashes: Vec<ClockTime> = crashes.map(|(_, at)| *at).collect();
+            crashes.sort_unstable();
+            let Some(last) = crashes.get(HARMFUL_CRASHES_MAX - 1).or(crashes.last()) else {
+                continue;
+            };
+            let due = *last + UNDISTURBED_SPAN;
+            let is_due = |call: &&CallRecord| {
+                let path = [SoakPart::Store, SoakPart::Entry(call.entry)];
+                call.sent > due && records.is_undisturbed(&path, UNDISTURBED_SPAN, call.sent)
+            };
+            let calls = records
+                .calls
+                .iter()
+                .filter(|call| is_same(&call.harmful_part));
+            self.counts.harmful += calls.filter(is_due).count();
+            let late: Vec<&BackendRun> = runs
+                .filter(|run| self.call_of(&run.attempt).as_ref().is_some_and(is_due))
+                .collect();
+            if late.len() > LATE_HARMFUL_RUNS_MAX {
+                let text = format!(
+                    "{} runs with the part {part} after {} crashes, known since {due:?}",
+                    late.len(),
+                    crashes.len()
+                );
+                self.breaches
+                    .push(breach(late[0].begun, "harmful part", text));
+            }
+        }
+    }
+
     fn check_account(&mut self, run: &BackendRun, call: &CallRecord) {
         let account = self.key_of(&call.secret).map(|key| key.account);
         if run.has_key || run.account.as_deref() != account {
@@ -307,7 +360,12 @@
         let is_due = |call: &&&CallRecord| {
             let key = self.key_of(&call.secret);
             let has_valid_key = key.is_some_and(|key| key.revoked.is_none() && key.added < from);
-            has_valid_key && call.sent >= due && call.sent < until && call.end.is_some()
+            let is_harmless = call.harmful_part.is_none();
+            has_valid_key
+                && is_harmless
+                && call.sent >= due
+                && call.sent < until
+                && call.end.is_some()
         };
         let calls: Vec<&CallRecord> = self.calls.iter().filter(is_due).copied().collect();
         let is_served = |call: &&&CallRecord| matches!(call.end, Some((CallEnd::Complete, _)));
--- a/src/lab/platform_soak/soak_client.rs
+++ b/src/lab/platform_soak/soak_client.rs
@@ -19,6 +19,7 @@
 
 use super::run_journal::{CallEnd, CallKind, CallRecord, RunJournal};
 use crate::platform::{event_timeout, samples, stream_event, stream_timeout};
+use crate::routing::name_hash;
 use crate::time::{ClockTime, clock_now};
 
 /// Deadline that a client announces in the request for a response that is not a stream.
@@ -32,6 +33,10 @@
 const CALL_PAUSE_MAX_MS: u64 = 120;
 /// Upper limit of the random length that a request body has in addition to its attempt name.
 const BODY_BYTES_MAX: usize = 4096;
+/// The part that the prompts of all streams have in common.
+const COMMON_PART: &str = "c0ffee:40";
+/// One stream in this number has the current harmful part, if there is one.
+const HARMFUL_PART_ONE_IN: u32 = 6;
 /// One call in this number carries a revoked key, if there is one.
 const REVOKED_KEY_ONE_IN: u32 = 8;
 
@@ -124,18 +129,21 @@
         text.resize(text.len() + size, b'a' + (self.calls % 26) as u8);
         let body = Bytes::from(text);
         let secret = self.choose_key();
-        let Some(request) = build_request(kind, &attempt, &secret, body.clone()) else {
-            return;
-        };
-        let number = self.journal.begin_call(CallRecord {
+        let harmful_part = self.choose_harmful_part(kind);
+        let call = CallRecord {
             attempt: attempt.clone(),
             entry,
             kind,
             secret,
             timeout: timeout_of(kind),
+            harmful_part,
             sent: clock_now(),
             end: None,
-        });
+        };
+        let Some(request) = build_request(&call, body.clone()) else {
+            return;
+        };
+        let number = self.journal.begin_call(call);
         let exchange = async {
             match timeout(read_timeout_of(kind), connection.send_request(request)).await {
                 Ok(Ok(response)) => check_response(kind, &attempt, &body, response).await,
@@ -152,6 +160,12 @@
         }
     }
 
+    fn choose_harmful_part(&mut self, kind: CallKind) -> Option<String> {
+        let part = self.journal.lock().harmful_part.clone()?;
+        let is_chosen = kind.is_stream() && self.rng.random_range(0..HARMFUL_PART_ONE_IN) == 0;
+        is_chosen.then_some(part)
+    }
+
     fn choose_key(&mut self) -> String {
         let records = self.journal.lock();
         let (revoked, valid): (Vec<_>, Vec<_>) =
@@ -179,12 +193,8 @@
     }
 }
 
-fn build_request(
-    kind: CallKind,
-    attempt: &str,
-    secret: &str,
-    body: Bytes,
-) -> Option<Request<Full<Bytes>>> {
+fn build_request(call: &CallRecord, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    let (kind, secret) = (call.kind, &call.secret);
     let path = match kind {
         CallKind::Read => "/read/it",
         CallKind::Write => "/write/it",
@@ -196,15 +206,24 @@
         .uri(path)
         .header("host", "soak.example")
         .header("authorization", format!("Bearer {secret}"))
-        .header(samples::ATTEMPT, attempt)
+        .header(samples::ATTEMPT, &call.attempt)
         .header(samples::DEADLINE, timeout_of(kind).as_millis().to_string());
     if kind.is_stream() {
         request = request.header(samples::MODEL, "m");
         request = request.header(samples::TOKENS, "100,12");
+        request = request.header(samples::PROMPT_PARTS, prompt_parts(call));
     }
     request.body(Full::new(body)).ok()
 }
 
+/// The parts of the prompt of `call`, of which the last is its own.
+fn prompt_parts(call: &CallRecord) -> String {
+    let mut parts = vec![COMMON_PART.to_owned()];
+    parts.extend(call.harmful_part.as_ref().map(|part| format!("{part}:10")));
+    parts.push(format!("{:x}:50", name_hash(&call.attempt)));
+    parts.join(",")
+}
+
 async fn check_response(
     kind: CallKind,
     attempt: &str,
--- a/src/lab/platform_soak/soak_system.rs
+++ b/src/lab/platform_soak/soak_system.rs
@@ -3,8 +3,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use tokio::sync::Mutex;
@@ -116,7 +116,11 @@
         system.start_backends(load).await?;
         system.start_daemons().await?;
         system.await_ready().await?;
-        Ok(Arc::new(system))
+        let system = Arc::new(system);
+        for number in 0..system.counts.hosts {
+            tokio::spawn(crash_when_harmed(Arc::downgrade(&system), number));
+        }
+        Ok(system)
     }
 
     async fn start_backends(&mut self, load: EngineLoad) -> SwitchResult<()> {
@@ -271,6 +275,11 @@
                 self.backends[backend].refuse_for(span);
                 sleep(span).await;
             }
+            SoakAction::HarmfulPart => {
+                let part = self.journal.begin_harmful_part();
+                sleep(span).await;
+                self.journal.end_harmful_part(&part);
+            }
             SoakAction::OriginDown => {
                 self.origin.limit_chunks(self.origin.chunks_served());
                 sleep(span).await;
@@ -358,6 +367,31 @@
     }
 }
 
+/// Crashes engine `number` each time it begins a request with a harmful part, until the system ends.
+async fn crash_when_harmed(system: Weak<SoakSystem>, number: usize) {
+    loop {
+        let Some(backend) = system
+            .upgrade()
+            .map(|system| system.backends[number].clone())
+        else {
+            return;
+        };
+        backend.wait_harmed().await;
+        let Some(system) = system.upgrade() else {
+            return;
+        };
+        let action = system.journal.begin_action(ActionRecord {
+            parts: vec![SoakPart::Backend(number)],
+            text: format!("harmful part at backend server {number}"),
+            is_planned: false,
+            begun: clock_now(),
+            ended: None,
+        });
+        system.crash(number, RESTART_SPAN).await;
+        system.journal.end_action(action, clock_now());
+    }
+}
+
 async fn disturb_link(link: &FaultProxy, fault: LinkFault, span: Duration) {
     match fault {
         LinkFault::Delay(delay) => link.change(|rule| rule.delay = delay),
@@ -390,8 +424,9 @@
         | SoakAction::StoreSilent
         | SoakAction::StoreReturn => vec![SoakPart::Store],
         // No deadline depends on the origin, changes disturb nothing, and paused engines are not a
-        // fault.
+        // fault. The crashes under a harmful part are actions of their own.
         SoakAction::OriginDown
+        | SoakAction::HarmfulPart
         | SoakAction::Stall
         | SoakAction::Reload(_)
         | SoakAction::Documents(_)
--- a/src/lab/platform_soak/tests.rs
+++ b/src/lab/platform_soak/tests.rs
@@ -35,6 +35,7 @@
         kind,
         secret: KEY.to_owned(),
         timeout: CALL_TIMEOUT,
+        harmful_part: None,
         sent: at(sent),
         end: Some((end, at(sent + 1))),
     }
@@ -47,6 +48,7 @@
         account: Some("a".to_owned()),
         has_key: false,
         version,
+        harmful_part: None,
         begun: at(begun),
         end: None,
     }
@@ -445,3 +447,32 @@
         "the target side stays open: {ended:?}"
     );
 }
+
+/// Records of `calls` calls with the harmful part, one each second from second 50 on, each of which
+/// crashed an engine.
+fn harmful_records(calls: u64) -> RunRecords {
+    let mut records = records();
+    for number in 0..calls {
+        let (name, second) = (format!("h{number}"), 50 + number);
+        let end = CallEnd::Broken("crashed");
+        let mut call = call(&name, CallKind::ResumableStream, second, end);
+        let mut run = run(&name, None, second);
+        call.harmful_part = Some("bad0001".to_owned());
+        run.harmful_part = call.harmful_part.clone();
+        run.end = Some((RunEnd::Crashed, at(second)));
+        records.calls.push(call);
+        records.runs.push(run);
+    }
+    records
+}
+
+/// Guards against a soak that passes although engines keep crashing under requests with one part.
+#[test]
+fn runs_with_a_harmful_part_are_allowed_until_it_is_known() {
+    // The fifth crash is in second 54; runs count from second 58 on.
+    assert!(broken(&harmful_records(11)).is_empty());
+    assert_eq!(broken(&harmful_records(12)), ["harmful part"]);
+    let mut records = harmful_records(12);
+    records.actions.push(disturbed(SoakPart::Entry(0), 50, 70));
+    assert!(broken(&records).is_empty());
+}
--- a/src/platform/fake_backend.rs
+++ b/src/platform/fake_backend.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -25,8 +25,8 @@
 use super::fake_store::FakeStore;
 use super::sample_files::{ENGINE_SERVICE, PLAIN_SERVICE};
 use super::samples::{
-    ACCOUNT, ATTEMPT, BACKEND_ID, EXPECTED_VERSION, LAST_EVENT, LEAVING, NOT_RUN, SEAL, TARGET_ID,
-    VERSIONS,
+    ACCOUNT, ATTEMPT, BACKEND_ID, EXPECTED_VERSION, LAST_EVENT, LEAVING, NOT_RUN, PROMPT_PARTS,
+    SEAL, TARGET_ID, VERSIONS,
 };
 use super::store_client::TableName;
 use crate::errors::SwitchResult;
@@ -46,6 +46,8 @@
 const LONG_PAUSE_MS: std::ops::Range<u64> = 500..2500;
 /// The number of events of a stream.
 pub(super) const STREAM_EVENTS: u64 = 12;
+/// The ids of the parts of prompts that crash an engine begin with this.
+pub(crate) const HARMFUL_PREFIX: &str = "bad";
 /// The slots of a backend server. They are so few that requests wait or are refused while most
 /// backend servers are down, but suffice for the lab's usual clients with half of the engines.
 const SLOTS: u32 = 8;
@@ -67,6 +69,8 @@
     pub(crate) has_key: bool,
     /// The version of the weights that serve it.
     pub(crate) version: Option<u64>,
+    /// The part of its prompt that crashes engines, if it has one.
+    pub(crate) harmful_part: Option<String>,
     /// The time at which it started.
     pub(crate) begun: ClockTime,
     /// How and when it ended; none while it is running.
@@ -142,6 +146,8 @@
     /// The number of starts so far.
     starts: AtomicU64,
     run_events: UnboundedSender<RunEvent>,
+    /// Notified when a request with a harmful part has begun.
+    harmed: Notify,
     /// Whether its streams are stalled.
     is_stalled: watch::Sender<bool>,
     /// Whether it announces that it is leaving.
@@ -188,6 +194,7 @@
                 start: AtomicU64::new(1),
                 starts: AtomicU64::new(1),
                 run_events,
+                harmed: Notify::new(),
                 is_stalled: watch::Sender::new(false),
                 is_leaving: AtomicBool::new(false),
                 paused_until: Mutex::new(ClockTime(0)),
@@ -210,6 +217,12 @@
         }
     }
 
+    /// Waits until a request with a harmful part has begun. The caller must then crash the backend
+    /// server.
+    pub(crate) async fn wait_harmed(&self) {
+        self.state.harmed.notified().await;
+    }
+
     /// Announces in its entry and in each response that it is leaving, until the next restart.
     pub(crate) fn leave(&self) {
         self.state.is_leaving.store(true, Ordering::Relaxed);
@@ -315,7 +328,8 @@
             let (writer, body) = frame_channel(1);
             let last = text_of(&parts.headers, LAST_EVENT).and_then(|text| text.parse().ok());
             let first = last.map_or(1, |last: u64| last + 1);
-            tokio::spawn(slot.write_events(attempt.clone(), first, writer));
+            let is_harmful = harmful_part(&parts.headers).is_some();
+            tokio::spawn(slot.write_events(attempt.clone(), (first, is_harmful), writer));
             self.reply(&parts.headers, StatusCode::OK, body)
         } else {
             sleep(PLAIN_DURATION).await;
@@ -366,6 +380,7 @@
             account: text_of(headers, ACCOUNT),
             has_key: headers.contains_key(http::header::AUTHORIZATION),
             version: self.held(),
+            harmful_part: harmful_part(headers),
             begun: clock_now(),
             end: None,
         };
@@ -403,7 +418,13 @@
         }
     }
 
-    async fn write_events(self, attempt: String, first: u64, writer: FrameWriter) {
+    /// Writes the events from `first` on, or only harms the backend server.
+    async fn write_events(
+        self,
+        attempt: String,
+        (first, is_harmful): (u64, bool),
+        writer: FrameWriter,
+    ) {
         let mut pace = self.pace(&attempt);
         let mut stalled = self.state.is_stalled.subscribe();
         let mut end = RunEnd::Complete;
@@ -411,6 +432,12 @@
             sleep(pace.next_pause()).await;
             // Cannot fail: the state of the backend server owns the sender.
             let _ = stalled.wait_for(|is_stalled| !is_stalled).await;
+            if is_harmful {
+                self.state.harmed.notify_one();
+                end = RunEnd::Crashed;
+                writer.closed().await;
+                break;
+            }
             if self.state.start.load(Ordering::Relaxed) != self.start {
                 end = RunEnd::Crashed;
                 // Dropping the writer would end the response as a complete one. Wait until the
@@ -476,6 +503,14 @@
     (text.into(), event == STREAM_EVENTS)
 }
 
+/// The harmful part of the prompt of a request, if it has one.
+fn harmful_part(headers: &HeaderMap) -> Option<String> {
+    let parts = text_of(headers, PROMPT_PARTS)?;
+    let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+    ids.find(|id| id.starts_with(HARMFUL_PREFIX))
+        .map(str::to_owned)
+}
+
 fn text_of(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -32,7 +32,8 @@
 pub(crate) use document_rows::{OperatorRow, read_document, read_target_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 pub(crate) use fake_backend::{
-    BackendRun, EngineLoad, FakeBackend, FakeBackendConfig, RunEnd, RunEvent, stream_event,
+    BackendRun, EngineLoad, FakeBackend, FakeBackendConfig, HARMFUL_PREFIX, RunEnd, RunEvent,
+    stream_event,
 };
 #[cfg(test)]
 pub(crate) use fake_engine::EngineCall;
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -26,7 +26,6 @@
 /// The tokens of the prompt, and the most output tokens.
 pub(crate) const TOKENS: &str = "savoryswitch-token-usage";
 /// The parts of the prompt, as `ID:TOKENS` entries.
-#[cfg(test)]
 pub(crate) const PROMPT_PARTS: &str = "savoryswitch-prompt-prefix";
 /// The last stream event that the client received.
 pub(crate) const LAST_EVENT: &str = "last-event-id";
