--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -60,6 +60,12 @@
     EventsReset { to: u64 },
     /// Closes the connection during the response body.
     TruncatedBody,
+    /// Sends a response without a length, which ends with the connection.
+    Unframed,
+    /// The same, and resets the connection during the body.
+    UnframedReset,
+    /// Sends events up to `to` without a length or chunks, and `rest`, then closes the connection.
+    UnframedEvents { to: u64, rest: &'static str },
     /// Sends an error response.
     Fail,
     /// Sends events up to `to`, starting after the last event of the client.
@@ -91,6 +97,7 @@
                 | Self::ResetUnanswered
                 | Self::ResetBody
                 | Self::ResetAfterResponse
+                | Self::UnframedReset
                 | Self::EventsReset { .. }
         )
     }
@@ -254,6 +261,14 @@
             head("500 Internal Server Error", attempt, "", "failed"),
             false,
         ),
+        BackendBehaviour::Unframed | BackendBehaviour::UnframedReset => {
+            let whole = head("200 OK", attempt, "", "whole");
+            (without_framing(&whole), true)
+        }
+        BackendBehaviour::UnframedEvents { to, rest } => {
+            let head = without_framing(&events_with("", 0, ""));
+            (format!("{head}{}{rest}", event_texts(last, to)), true)
+        }
         BackendBehaviour::Events { to }
         | BackendBehaviour::EventsPaused { to, .. }
         | BackendBehaviour::EventsLate { to, .. } => {
@@ -270,10 +285,23 @@
     }
 }
 
+/// Returns `response` without the fields that tell where its body ends.
+fn without_framing(response: &str) -> String {
+    let is_framing =
+        |line: &&str| line.starts_with("content-length") || line.starts_with("transfer-encoding");
+    let lines = response.split_inclusive("\r\n");
+    lines.filter(|line| !is_framing(line)).collect()
+}
+
+/// Returns the events after `last` up to `to`.
+fn event_texts(last: u64, to: u64) -> String {
+    let events = (last + 1..=to).map(|id| format!("id: {id}\ndata: part {id}\n\n"));
+    events.collect()
+}
+
 /// Returns the events after `last` up to `to`, followed by `rest`, as one chunk of a body.
 fn event_chunk(last: u64, to: u64, rest: &str) -> String {
-    let parts = (last + 1..=to).map(|id| format!("id: {id}\ndata: part {id}\n\n"));
-    let body = parts.chain([rest.to_owned()]).collect::<Vec<_>>().concat();
+    let body = event_texts(last, to) + rest;
     if body.is_empty() {
         // An empty chunk would end the body.
         return body;
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -12,6 +12,7 @@
 mod resets;
 mod sends;
 mod stream_pauses;
+mod unframed_responses;
 mod uninterrupted_responses;
 
 use std::sync::Arc;
