Publish how many requests and parts are quarantined

The gauge savory_level{name="quarantined"} has the number of whole requests and of parts of prompts that no backend server gets, so that operators see a verdict in force without reading logs.

--- a/src/sync/crash_state.rs
+++ b/src/sync/crash_state.rs
@@ -13,7 +13,7 @@
 use crate::platform::{TableName, TableView};
 use crate::quarantine::{
     AnswerCount, BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord, CrashSuspect,
-    CrashVerdict, StoredCrash, SuspectDigest, UNKNOWN_TIME,
+    CrashVerdict, StoredCrash, SuspectDepth, SuspectDigest, UNKNOWN_TIME,
 };
 use crate::time::{ClockTime, StoreTime};
 
@@ -171,7 +171,7 @@
                 suspect.depth
             );
         }
-        for suspect in before {
+        for suspect in &before {
             if ledger
                 .quarantined()
                 .all(|other| other.digest != suspect.digest)
@@ -180,6 +180,9 @@
                 log_event!(events::REQUEST_RELEASED, "request={}", suspect.digest);
             }
         }
+        if ledger.quarantined().count() + before.len() > 0 {
+            set_gauges(ledger);
+        }
         changed
     }
 
@@ -226,3 +229,14 @@
         });
     }
 }
+
+/// Publishes how many whole requests and parts of prompts are quarantined.
+fn set_gauges(ledger: &CrashLedger) {
+    let is_whole = |suspect: &CrashSuspect| suspect.depth == SuspectDepth::WHOLE;
+    let requests = ledger.quarantined().filter(is_whole).count();
+    let parts = ledger.quarantined().count() - requests;
+    for (of, count) in [("requests", requests), ("parts", parts)] {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        metrics::set_gauge("quarantined", of, count);
+    }
+}
