Give the news of crashes a module of their own

The queue between the crash detector and the task that sends notices stood in the detector. No decision changes. A test shows that a full notice fits into one packet.

--- a/src/gateway/crash_detector.rs
+++ b/src/gateway/crash_detector.rs
@@ -7,17 +7,17 @@
 
 use bytestring::ByteString;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use super::crash_news::NewsQueue;
 use super::events;
 use crate::events::log_event;
 use crate::fleet::{BackendFacts, BackendKey};
 use crate::load_reports::CrashNotice;
 use crate::metrics;
 use crate::quarantine::{
-    AnswerCount, AnswerTally, BackendIncarnation, CrashRecord, CrashSuspect, RecentAnswers,
-    SuspectDepth, SuspectDigest,
+    AnswerCount, AnswerTally, BackendIncarnation, CrashSuspect, RecentAnswers, SuspectDepth,
+    SuspectDigest,
 };
 use crate::sync::{DeploymentState, SharedDeploymentState};
 use crate::time::{ClockTime, clock_now};
@@ -37,13 +37,6 @@
     pub(super) suspects: Vec<CrashSuspect>,
 }
 
-/// What the other entry hosts have to be told.
-#[derive(Clone, Debug, Default)]
-pub(super) struct CrashNews {
-    pub(super) records: Vec<CrashRecord>,
-    pub(super) answers: Vec<AnswerCount>,
-}
-
 /// Detects crashes and records the requests that were in progress. Clones share their state.
 #[derive(Clone, Debug)]
 pub(super) struct CrashDetector {
@@ -55,9 +48,7 @@
     tally: Arc<Mutex<AnswerTally>>,
     /// Identifies this process in counts of answers.
     process: u64,
-    news: Arc<Mutex<CrashNews>>,
-    /// Notified when there are news.
-    has_news: Arc<Notify>,
+    news: NewsQueue,
 }
 
 impl CrashDetector {
@@ -69,8 +60,7 @@
             answered: Arc::default(),
             tally: Arc::default(),
             process: rand::random(),
-            news: Arc::default(),
-            has_news: Arc::default(),
+            news: NewsQueue::default(),
         }
     }
 
@@ -121,7 +111,7 @@
             let mut records = Vec::new();
             self.deployment_state
                 .change(|state| records = state.note_crash(incarnation, &suspects, now));
-            self.tell(|news| news.records.append(&mut records));
+            self.news.push_records(records);
             self.report_answers(now);
         }
     }
@@ -163,7 +153,7 @@
             let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
             tally.take_changed(&parts, now)
         };
-        let mut counts: Vec<AnswerCount> = changed
+        let counts: Vec<AnswerCount> = changed
             .into_iter()
             .map(|(part, answers)| AnswerCount {
                 part,
@@ -174,7 +164,7 @@
         if !counts.is_empty() {
             self.deployment_state
                 .change(|state| state.note_answers(&counts));
-            self.tell(|news| news.answers.append(&mut counts));
+            self.news.push_answers(counts);
         }
     }
 
@@ -187,31 +177,19 @@
         self.report_answers(now);
     }
 
-    /// Waits until there are news.
-    pub(super) async fn wait_news(&self) {
-        self.has_news.notified().await;
-    }
-
-    /// Takes the news.
-    pub(super) fn take_news(&self) -> CrashNews {
-        std::mem::take(&mut *self.news.lock().unwrap_or_else(PoisonError::into_inner))
+    /// Returns the queue of what the other entry hosts have to be told.
+    pub(super) const fn news(&self) -> &NewsQueue {
+        &self.news
     }
 
-    /// Tells up to `records_max` of the crashes again that the store does not hold.
+    /// Announces again up to `records_max` of the crashes that the store does not hold, newest first.
     pub(super) fn repeat_news(&self, records_max: usize) {
         let mut records = self
             .deployment_state
             .read(DeploymentState::unstored_crashes);
         records.sort_unstable_by_key(|record| std::cmp::Reverse(record.seen));
         records.truncate(records_max);
-        if !records.is_empty() {
-            self.tell(|news| news.records.append(&mut records));
-        }
-    }
-
-    fn tell(&self, change: impl FnOnce(&mut CrashNews)) {
-        change(&mut self.news.lock().unwrap_or_else(PoisonError::into_inner));
-        self.has_news.notify_one();
+        self.news.push_records(records);
     }
 
     /// Records that `request` was answered in full at `now`.
@@ -246,7 +224,7 @@
         let mut records = Vec::new();
         self.deployment_state
             .change(|state| records = state.clear_request(request));
-        self.tell(|news| news.records.append(&mut records));
+        self.news.push_records(records);
     }
 
     fn was_answered(&self, request: SuspectDigest, now: ClockTime) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod buffered_body;
 mod connection_pool;
 mod crash_detector;
+mod crash_news;
 mod daemon;
 mod event_reader;
 pub(crate) mod events;
--- a/src/gateway/report_relay.rs
+++ b/src/gateway/report_relay.rs
@@ -28,10 +28,8 @@
 /// bytes.
 const LIMITS_MAX: usize = 32;
 
-/// Largest number of crash records in a datagram. At about 60 bytes each they fit into one packet.
-const CRASHES_MAX: usize = 20;
 /// Largest number of crash records that are repeated each time while the store does not answer.
-const REPEATED_CRASHES_MAX: usize = 3 * CRASHES_MAX;
+const REPEATED_CRASHES_MAX: usize = 3 * CrashNotice::RECORDS_MAX;
 
 /// Receives and forwards load reports, rate limits and notices of crashes over UDP.
 pub(super) struct ReportRelay {
@@ -85,7 +83,7 @@
                     Ok((length, peer)) => self.handle_datagram(&buffer[..length], peer).await,
                     Err(fault) => log_event!(events::REPORT_UNREADABLE, "{fault}"),
                 },
-                () = self.gateway.crash_detector.wait_news() => {}
+                () = self.gateway.crash_detector.news().wait() => {}
                 () = sleep(wake.since(clock_now())) => {}
             }
             let now = clock_now();
@@ -140,14 +138,14 @@
     /// Tells the other entry hosts what this one saw of crashes. Each sees only its own requests, and
     /// the store may not answer.
     async fn announce_crashes(&self) {
-        let news = self.gateway.crash_detector.take_news();
+        let news = self.gateway.crash_detector.news().take();
         let notice = |records: &[CrashRecord], answers: &[AnswerCount]| CrashNotice {
             reach: DigestReach::Receiver,
             records: records.to_vec(),
             answers: answers.to_vec(),
         };
-        let crashes = news.records.chunks(CRASHES_MAX);
-        let answers = news.answers.chunks(CRASHES_MAX);
+        let crashes = news.records.chunks(CrashNotice::RECORDS_MAX);
+        let answers = news.answers.chunks(CrashNotice::RECORDS_MAX);
         let notices = crashes
             .map(|records| notice(records, &[]))
             .chain(answers.map(|answers| notice(&[], answers)));
--- a/src/load_reports/messages.rs
+++ b/src/load_reports/messages.rs
@@ -66,6 +66,12 @@
     pub(crate) answers: Vec<AnswerCount>,
 }
 
+impl CrashNotice {
+    /// Largest number of records or counts. At about 60 bytes each they fit into one packet of 1,500
+    /// bytes.
+    pub(crate) const RECORDS_MAX: usize = 20;
+}
+
 /// The loads of several backend servers.
 #[apply(message!)]
 pub(crate) struct LoadDigest {
--- a/src/load_reports/tests/mod.rs
+++ b/src/load_reports/tests/mod.rs
@@ -7,9 +7,13 @@
 
 use super::*;
 use crate::fleet::{EngineHoldings, HeldLayers, LoadReport, ModelVersion, WeightsVersion};
+use crate::quarantine::{
+    AnswerCount, BackendIncarnation, CrashRecord, CrashVerdict, PromptPart, SuspectDepth,
+    SuspectDigest,
+};
 use crate::sync::EntryRecord;
 use crate::test_support::run_cases;
-use crate::time::{ClockTime, WallTime};
+use crate::time::{ClockTime, StoreTime, WallTime};
 use crate::transport::{decode_message, encode_datagram};
 
 const NOW: ClockTime = ClockTime::from_millis(10_000);
@@ -85,6 +89,39 @@
     }
 }
 
+/// Guards against notices that are lost because they are larger than a packet.
+#[test]
+fn a_crash_notice_fits_into_one_packet() {
+    let record = CrashRecord {
+        suspect: SuspectDigest::of_part(None, PromptPart(u64::MAX)),
+        backend: BackendIncarnation(u64::MAX),
+        verdict: CrashVerdict::Suspected,
+        seen: StoreTime(u64::MAX),
+        depth: SuspectDepth::WHOLE,
+    };
+    let count = AnswerCount {
+        part: record.suspect,
+        process: u64::MAX,
+        answers: u32::MAX,
+    };
+    let notices = [
+        (vec![record; CrashNotice::RECORDS_MAX], Vec::new()),
+        (Vec::new(), vec![count; CrashNotice::RECORDS_MAX]),
+    ];
+    for (records, answers) in notices {
+        let reach = DigestReach::DataCentre;
+        let notice = ReportDatagram::Crashes(CrashNotice {
+            reach,
+            records,
+            answers,
+        });
+        let datagram = encode_datagram(&notice).expect("it encodes");
+        assert!(datagram.len() <= PACKET_BYTES, "{}", datagram.len());
+        let decoded: ReportDatagram = decode_message(&datagram).expect("it decodes");
+        assert_eq!(decoded, notice);
+    }
+}
+
 /// Guards against requests that are sent to an engine while it changes its weights, and refused.
 #[test]
 fn weight_changes_are_forwarded_at_once() {
