Count the answers to parts that another one explains, and clear these

Cause: answers were announced only for parts that one more crash could quarantine. A common part that a harmful one explained was not among them, and with one more crash than the harmful one and no answers it seemed to explain more. A process that starts later would know the crashes and not the answers as well.

Readers of the store clear parts that are answered, of all crashes if these are few for so many answers, else of those that a quarantined part explains; that is stored, so that it reaches processes that start later.

--- a/src/gateway/crash_detector.rs
+++ b/src/gateway/crash_detector.rs
@@ -140,8 +140,7 @@
         }
     }
 
-    /// Adds the own answers to requests with parts that one more crash may quarantine to the
-    /// evidence.
+    /// Adds the own answers to requests with suspected parts to the evidence.
     pub(super) fn report_answers(&self, now: ClockTime) {
         let crashes = self.deployment_state.snapshot().load().crashes.clone();
         let parts: Vec<SuspectDigest> = crashes
@@ -166,6 +165,16 @@
                 .change(|state| state.note_answers(&counts));
             self.news.push_answers(counts);
         }
+        if !parts.is_empty() {
+            self.clear_answered_parts();
+        }
+    }
+
+    fn clear_answered_parts(&self) {
+        let mut records = Vec::new();
+        self.deployment_state
+            .change(|state| records = state.clear_answered_parts());
+        self.news.push_records(records);
     }
 
     /// Merges what another entry host saw.
--- a/src/quarantine/crash_ledger.rs
+++ b/src/quarantine/crash_ledger.rs
@@ -9,8 +9,12 @@
 use macro_rules_attribute::apply;
 
 use super::answer_tally::AnswerCount;
-use super::crash_record::{CrashRecord, CrashSuspect, CrashVerdict, StoredCrash};
-use super::judgement::{Judgement, QUARANTINE_THRESHOLD, SuspectCrash, SuspectEvidence, judge};
+use super::crash_record::{
+    BackendIncarnation, CrashRecord, CrashSuspect, CrashVerdict, StoredCrash, SuspectDepth,
+};
+use super::judgement::{
+    Judgement, QUARANTINE_THRESHOLD, SuspectCrash, SuspectEvidence, is_harmless, judge,
+};
 use super::suspect_digest::SuspectDigest;
 use crate::derives::{key, plain};
 use crate::platform::era_of;
@@ -44,6 +48,15 @@
     until: ClockTime,
 }
 
+impl LedgerRow {
+    /// Clears the suspect of the crash; this process writes that to the store.
+    const fn clear(&mut self) {
+        self.record.verdict = CrashVerdict::Cleared;
+        self.origin = RowOrigin::Own;
+        self.revision = None;
+    }
+}
+
 /// The crash records that this entry host knows.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashLedger {
@@ -123,15 +136,52 @@
         let mut cleared = Vec::new();
         for row in &mut self.rows[range] {
             if row.record.verdict != CrashVerdict::Cleared {
-                row.record.verdict = CrashVerdict::Cleared;
-                row.origin = RowOrigin::Own;
-                row.revision = None;
+                row.clear();
                 cleared.push(row.record);
             }
         }
         cleared
     }
 
+    /// Clears parts that are answered: of all crashes if these are few for so many answers, otherwise
+    /// of those that a quarantined suspect explains. Returns the changed records.
+    ///
+    /// A process that starts later knows the crashes, but not the answers.
+    pub(crate) fn clear_answered_parts(&mut self) -> Vec<CrashRecord> {
+        let explained = self.explained_crashes();
+        let mut cleared = Vec::new();
+        for suspect in self.judgement.at_risk.clone() {
+            let (crashes, answers) = self.counts_of(suspect.digest);
+            let is_part = suspect.depth != SuspectDepth::WHOLE;
+            let is_quarantined = self.quarantined().any(|other| other == suspect);
+            if !is_part || is_quarantined || answers == 0 {
+                continue;
+            }
+            let is_harmless = is_harmless(crashes, answers);
+            let range = self.range(suspect.digest);
+            for row in &mut self.rows[range] {
+                let is_explained = explained.binary_search(&row.record.backend).is_ok();
+                if row.record.verdict == CrashVerdict::Suspected && (is_harmless || is_explained) {
+                    row.clear();
+                    cleared.push(row.record);
+                }
+            }
+        }
+        cleared
+    }
+
+    /// Returns the crashes that count against quarantined suspects, sorted.
+    fn explained_crashes(&self) -> Vec<BackendIncarnation> {
+        let rows = self
+            .quarantined()
+            .flat_map(|suspect| &self.rows[self.range(suspect.digest)]);
+        let suspected = rows.filter(|row| row.record.verdict == CrashVerdict::Suspected);
+        let mut crashes: Vec<BackendIncarnation> =
+            suspected.map(|row| row.record.backend).collect();
+        crashes.sort_unstable();
+        crashes
+    }
+
     /// Merges a row of the store, which expires at `until`.
     pub(crate) fn merge_stored(&mut self, stored: StoredCrash, until: ClockTime) {
         let row = LedgerRow {
@@ -289,7 +339,7 @@
         counts.fold(0, |sum, count| sum.saturating_add(count.answers))
     }
 
-    /// Returns the suspects that one more crash may quarantine.
+    /// Returns the suspects that one more crash may quarantine, and those that are quarantined.
     pub(crate) fn at_risk(&self) -> &[CrashSuspect] {
         &self.judgement.at_risk
     }
--- a/src/quarantine/judgement.rs
+++ b/src/quarantine/judgement.rs
@@ -18,6 +18,8 @@
 /// an answer reach 13.8, five crashes and twenty answers 10.7.
 const SCORE_MIN: f64 = 9.5;
 
+/// Value below which a part is cleared of its crashes, because so many requests with it are answered.
+const HARMLESS_SCORE_MAX: f64 = 4.0;
 /// Crashes this close together count once for a part of prompts: when a rack or a whole service
 /// fails, common parts are in progress at most of its backend servers.
 const COMMON_FAILURE_SPAN: Duration = Duration::from_millis(50);
@@ -46,7 +48,8 @@
 pub(super) struct Judgement {
     /// The quarantined suspects and when the quarantine of each ends, sorted by digest.
     pub(super) quarantined: Vec<(CrashSuspect, ClockTime)>,
-    /// The suspects that one more crash may quarantine.
+    /// The suspects whose answers matter: those that one more crash may quarantine. What another one
+    /// explains is among them, or without its answers it would seem to explain more.
     pub(super) at_risk: Vec<CrashSuspect>,
 }
 
@@ -56,7 +59,10 @@
 /// others. Whole requests that are equally likely are all taken: nothing tells them apart, and each
 /// is one request only.
 pub(super) fn judge(mut evidence: Vec<SuspectEvidence>) -> Judgement {
-    let mut judgement = Judgement::default();
+    let mut judgement = Judgement {
+        at_risk: evidence.iter().map(|other| other.suspect).collect(),
+        ..Judgement::default()
+    };
     let mut explained: Vec<BackendIncarnation> = Vec::new();
     while let Some(best) = most_likely(&evidence, &explained) {
         let causes: Vec<SuspectEvidence> = evidence
@@ -72,10 +78,6 @@
         explained.sort_unstable();
     }
     judgement.quarantined.sort_unstable();
-    let at_risk = evidence
-        .iter()
-        .filter(|other| unexplained(other, &explained) + 1 >= QUARANTINE_THRESHOLD);
-    judgement.at_risk = at_risk.map(|other| other.suspect).collect();
     judgement
 }
 
@@ -143,6 +145,11 @@
     count
 }
 
+/// Returns whether a part with these `crashes` and `answers` is harmless.
+pub(super) fn is_harmless(crashes: usize, answers: u32) -> bool {
+    answers > 0 && score(crashes, answers) < HARMLESS_SCORE_MAX
+}
+
 /// Returns the logarithm of how much more likely `crashes` and `answers` are if the suspect causes
 /// crashes, with the share that was observed, than if it does not.
 fn score(crashes: usize, answers: u32) -> f64 {
--- a/src/quarantine/tests/mod.rs
+++ b/src/quarantine/tests/mod.rs
@@ -1,5 +1,6 @@
 //! The ledger of crashes.
 
+mod model;
 mod parts;
 
 use std::time::Duration;
--- a/src/quarantine/tests/parts.rs
+++ b/src/quarantine/tests/parts.rs
@@ -3,7 +3,7 @@
 use super::{PARTS, START, is_quarantined, record};
 use crate::quarantine::{
     AnswerCount, AnswerTally, BackendIncarnation, CRASH_RETENTION, CrashLedger, CrashRecord,
-    CrashSuspect, CrashVerdict, PromptPart, SuspectDepth, SuspectDigest, UNKNOWN_TIME,
+    CrashSuspect, CrashVerdict, PromptPart, StoredCrash, SuspectDepth, SuspectDigest, UNKNOWN_TIME,
 };
 use crate::test_support::run_cases;
 use crate::time::{ClockTime, StoreTime};
@@ -302,3 +302,46 @@
     }
     assert!(has_quarantined(&ledger, HARMFUL));
 }
+
+/// Guards against refusing all requests of a route because its common part, whose answers nobody
+/// counts once another part explains the crashes, is in progress at one more crash.
+#[test]
+fn the_answers_to_an_explained_part_are_counted() {
+    let mut ledger = ledger_with(&[COMMON, HARMFUL], 4);
+    ledger.judge();
+    assert!(has_quarantined(&ledger, HARMFUL));
+    let at_risk: Vec<SuspectDigest> = ledger.at_risk().iter().map(|it| it.digest).collect();
+    assert!(at_risk.contains(&digest_of(COMMON)));
+    ledger.note_answers(count(COMMON, 1, 20));
+    for backend in 5..=6 {
+        ledger.note_crash(part_record(COMMON, 0, backend), START);
+    }
+    assert!(has_quarantined(&ledger, HARMFUL));
+    assert!(!has_quarantined(&ledger, COMMON));
+}
+
+/// Guards against refusing all requests of a route at an entry host that starts later and knows the
+/// crashes that a common part accompanied, but not its answers.
+#[test]
+fn an_answered_part_is_cleared_for_processes_that_start_later() {
+    for (unexplained, answers) in [(0, 5), (2, 20), (2, 300)] {
+        let mut ledger = ledger_with(&[COMMON, HARMFUL], 6);
+        for backend in 7..7 + unexplained {
+            ledger.note_crash(part_record(COMMON, 0, backend), START);
+        }
+        ledger.note_answers(count(COMMON, 1, answers));
+        ledger.judge();
+        let cleared = ledger.clear_answered_parts();
+        assert!(cleared.iter().all(|it| it.suspect == digest_of(COMMON)));
+        let mut late = CrashLedger::default();
+        for (record, revision) in ledger.unstored(ClockTime(0)).into_iter().zip(1..) {
+            late.merge_stored(StoredCrash { record, revision }, START + CRASH_RETENTION);
+        }
+        assert!(has_quarantined(&late, HARMFUL), "{unexplained} {answers}");
+        assert!(!has_quarantined(&late, COMMON), "{unexplained} {answers}");
+    }
+    let mut flapping = ledger_with(&[COMMON], 5);
+    flapping.note_answers(count(COMMON, 1, 300));
+    flapping.judge();
+    assert_eq!(flapping.clear_answered_parts().len(), 5);
+}
--- a/src/sync/crash_state.rs
+++ b/src/sync/crash_state.rs
@@ -60,6 +60,16 @@
         self.change_ledger(|ledger| ledger.clear(suspect))
     }
 
+    /// Clears answered parts of crashes, if this process reads the store for its data centre. Returns
+    /// the changed records.
+    pub(crate) fn clear_answered_parts(&mut self) -> Vec<CrashRecord> {
+        if self.reads_store() {
+            self.change_ledger(CrashLedger::clear_answered_parts)
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Merges crashes that another process announced, received at `now`.
     pub(crate) fn merge_announced_crashes(&mut self, records: &[CrashRecord], now: ClockTime) {
         let expiries: Vec<ClockTime> = records
