Prefer a part over a request that explains fewer crashes

Cause: crashes within 50 ms count once for a part but each for a whole request, so that a request which crashed three backend servers seemed as likely as the part that crashed eight, went first as the narrower one, and explained its crashes away. The order counts all crashes now; whether a part is quarantined at all still depends on independent ones.

--- a/src/quarantine/judgement.rs
+++ b/src/quarantine/judgement.rs
@@ -117,18 +117,25 @@
 /// Returns how likely a suspect is the cause, or `None` if it is not likely enough.
 fn likelihood(evidence: &SuspectEvidence, explained: &[BackendIncarnation]) -> Option<Likelihood> {
     let crashes = unexplained(evidence, explained);
-    let score = score(crashes, evidence.answers);
-    (crashes >= QUARANTINE_THRESHOLD && score >= SCORE_MIN).then_some(Likelihood {
+    let independent = independent_crashes(evidence.suspect, &crashes);
+    let is_likely = score(independent, evidence.answers) >= SCORE_MIN;
+    (independent >= QUARANTINE_THRESHOLD && is_likely).then(|| Likelihood {
         suspect: evidence.suspect,
-        score,
+        // All crashes count for the order: a part explains more of them than any request with it.
+        score: score(crashes.len(), evidence.answers),
     })
 }
 
-/// Returns the number of independent crashes that are not explained.
-fn unexplained(evidence: &SuspectEvidence, explained: &[BackendIncarnation]) -> usize {
+/// Returns the crashes that are not explained.
+fn unexplained(evidence: &SuspectEvidence, explained: &[BackendIncarnation]) -> Vec<SuspectCrash> {
     let mut crashes = evidence.crashes.clone();
     crashes.retain(|crash| explained.binary_search(&crash.backend).is_err());
-    if evidence.suspect.depth == SuspectDepth::WHOLE {
+    crashes
+}
+
+/// Returns how many of `crashes`, in order of time, are independent of each other.
+fn independent_crashes(suspect: CrashSuspect, crashes: &[SuspectCrash]) -> usize {
+    if suspect.depth == SuspectDepth::WHOLE {
         return crashes.len();
     }
     let mut count = 0;
--- a/src/quarantine/tests/parts.rs
+++ b/src/quarantine/tests/parts.rs
@@ -345,3 +345,20 @@
     flapping.judge();
     assert_eq!(flapping.clear_answered_parts().len(), 5);
 }
+
+/// Guards against finding a harmful part late because one request with it, which crashed three
+/// backend servers, seems as likely while the crashes follow each other closely.
+#[test]
+fn a_part_goes_before_a_request_that_explains_fewer_crashes() {
+    let mut ledger = CrashLedger::default();
+    for backend in 1..=6 {
+        let mut crash = part_record(HARMFUL, 1, backend);
+        crash.seen = StoreTime(START.0) + Duration::from_millis(26 * backend);
+        ledger.note_crash(crash, START);
+        if backend <= 3 {
+            ledger.note_crash(record(1, backend), START);
+        }
+    }
+    assert!(has_quarantined(&ledger, HARMFUL));
+    assert!(!is_quarantined(&ledger, 1, START));
+}
