Check the quarantine again when a request has waited for a slot

A stream that is resumed elsewhere waits for a slot as long as its client does, up to 2.4 s. A verdict that came in the meantime was not looked at: the request went to the next backend server that had a slot, and crashed it.

The check stood before the search; it stands in the search now, before each try, and is the only one. Three more tests show what held: first sends on each kind of route, a second send beside a late one, and a resumed stream.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,7 +21,7 @@
 use super::send_attempt::{OpenResponse, SendFailure, send_attempt};
 use super::stream_relay::{StreamRelay, return_connection};
 use crate::daemon::RequestGuard;
-use crate::errors::{ErrorKind, SwitchResult};
+use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{BackendTicket, CallOutcome, PickRefusal, PickRequirements, VersionRequirement};
 use crate::time::{ClockTime, clock_now};
 use crate::transport::stall_tolerant_timeout;
@@ -53,22 +53,20 @@
 ) -> SwitchResult<OpenResponse> {
     let mut sends = PendingSends::default();
     let response = loop {
-        let step = match state.quarantine_error(clock_now()) {
-            Some(refusal) if sends.is_empty() => return Err(refusal),
-            // Sends in progress may have run and may still be answered.
-            Some(_) => SearchOutcome::NoFurtherSend,
-            None => search_backend(state, &mut sends).await,
-        };
-        let completed = match step {
+        let completed = match search_backend(state, &mut sends).await {
             SearchOutcome::Found(chosen) => {
                 let backend = chosen.ticket.facts.id.clone();
                 sends.push(backend, start_send(state, chosen, last_event));
                 None
             }
             SearchOutcome::Refused(refusal) if sends.is_empty() => {
-                return Err(state.final_error(Some(refusal)));
+                return Err(match refusal {
+                    SearchRefusal::Quarantined(error) => error,
+                    SearchRefusal::NoSlot(refusal) => state.final_error(Some(refusal)),
+                });
             }
-            SearchOutcome::Refused(_) | SearchOutcome::NoFurtherSend => {
+            // Sends in progress may have run and may still be answered.
+            SearchOutcome::Refused(_) => {
                 state.refund_retry(clock_now());
                 None
             }
@@ -101,13 +99,19 @@
 /// How the search for a backend server ended.
 enum SearchOutcome {
     Found(ChosenBackend),
-    Refused(PickRefusal),
-    /// The request must not be sent to any further backend server.
-    NoFurtherSend,
+    Refused(SearchRefusal),
     /// A send in progress completed first.
     Completed(CompletedSend),
 }
 
+/// Why a request is sent to no further backend server.
+enum SearchRefusal {
+    /// The request is quarantined; with the error to report.
+    Quarantined(SwitchError),
+    /// No backend server has a free slot for it.
+    NoSlot(PickRefusal),
+}
+
 async fn search_backend(state: &ForwardState, sends: &mut PendingSends) -> SearchOutcome {
     tokio::select! {
         biased;
@@ -192,7 +196,7 @@
 }
 
 /// Chooses a backend server. Waits a short time for a slot if none is free.
-async fn choose_backend(state: &ForwardState) -> Result<ChosenBackend, PickRefusal> {
+async fn choose_backend(state: &ForwardState) -> Result<ChosenBackend, SearchRefusal> {
     let gateway = &state.gateway;
     let job = &state.job;
     let queue_time =
@@ -201,6 +205,10 @@
     loop {
         let freed = gateway.freed.notified();
         let now = clock_now();
+        // The request may be quarantined while it waits.
+        if let Some(error) = state.quarantine_error(now) {
+            return Err(SearchRefusal::Quarantined(error));
+        }
         let snapshot = gateway.snapshot();
         let version = job.version_requirement(&snapshot, gateway.previous_version_span(), now);
         let requirements = PickRequirements {
@@ -230,7 +238,7 @@
             PickRefusal::NoBackend | PickRefusal::AllFull => left,
         };
         if wait.is_zero() {
-            return Err(refusal);
+            return Err(SearchRefusal::NoSlot(refusal));
         }
         // After a timeout the loop tries once more.
         let _ = timeout(wait, freed).await;
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -422,9 +422,14 @@
 
     /// Sends a request on the route `kind`: `safe`, `once`, `resumed` or `single`.
     pub(super) async fn call(&self, kind: &str) -> String {
+        self.call_with(kind, "").await
+    }
+
+    /// Like `call`, with additional header fields.
+    pub(super) async fn call_with(&self, kind: &str, fields: &str) -> String {
         let request = format!(
             "POST /{kind}/x?y=1 HTTP/1.1\r\nhost: Desk.example:80\r\n\
-             {ATTEMPT}: a1\r\n{DEADLINE}: 2000\r\n\
+             {ATTEMPT}: a1\r\n{DEADLINE}: 2000\r\n{fields}\
              authorization: Bearer secret\r\ncontent-length: 4\r\nconnection: close\r\n\r\nbody"
         );
         self.send(&request).await
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -8,6 +8,7 @@
 mod entry_hosts;
 mod fake_backend;
 mod intake;
+mod quarantined_parts;
 mod rate_limits;
 mod resets;
 mod sends;
