Look at the ledger of crashes once a request, and change it only for a reason

Reading the change again showed work done twice. While any part had two crashes, each process published its state twice a second and woke all that wait for changes, although nothing was cleared; a notice judged the ledger once more for an empty list; a request loaded the ledger once for each part of its prompt. The three ways into the ledger share their insertion.

No decision changes; the tests of quarantine, gateway and load reports pass.

--- a/src/gateway/crash_detector.rs
+++ b/src/gateway/crash_detector.rs
@@ -165,12 +165,17 @@
                 .change(|state| state.note_answers(&counts));
             self.news.push_answers(counts);
         }
-        if !parts.is_empty() {
-            self.clear_answered_parts();
-        }
+        self.clear_answered_parts();
     }
 
     fn clear_answered_parts(&self) {
+        // Each change of the deployment state wakes the tasks that wait for changes.
+        if !self
+            .deployment_state
+            .read(DeploymentState::has_answered_parts)
+        {
+            return;
+        }
         let mut records = Vec::new();
         self.deployment_state
             .change(|state| records = state.clear_answered_parts());
@@ -210,23 +215,25 @@
         }
     }
 
-    /// Returns how long after `now` requests with `suspect` must not be sent to any backend server,
-    /// or `None` if they are not quarantined.
-    pub(super) fn quarantine(&self, suspect: SuspectDigest, now: ClockTime) -> Option<Duration> {
-        let crashes = self.deployment_state.snapshot().load().crashes.clone();
-        let left = crashes.quarantine(suspect, now)?;
-        if self.was_answered(suspect, now) {
-            // Entry hosts that have not seen the complete response still suspect it.
-            self.clear(suspect);
-            return None;
-        }
-        Some(left)
-    }
-
-    /// Returns whether anything is quarantined.
-    pub(super) fn has_quarantined(&self) -> bool {
+    /// Returns the first of `suspects` that is quarantined, and how long after `now` requests with it
+    /// must not be sent to any backend server.
+    pub(super) fn quarantine(
+        &self,
+        suspects: impl IntoIterator<Item = CrashSuspect>,
+        now: ClockTime,
+    ) -> Option<(CrashSuspect, Duration)> {
         let crashes = self.deployment_state.snapshot().load().crashes.clone();
-        crashes.quarantined().next().is_some()
+        // Digests are not computed while nothing is quarantined.
+        crashes.quarantined().next()?;
+        suspects.into_iter().find_map(|suspect| {
+            let left = crashes.quarantine(suspect.digest, now)?;
+            if self.was_answered(suspect.digest, now) {
+                // Entry hosts that have not seen the complete response still suspect it.
+                self.clear(suspect.digest);
+                return None;
+            }
+            Some((suspect, left))
+        })
     }
 
     fn clear(&self, request: SuspectDigest) {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -238,15 +238,9 @@
         job: &RequestJob,
         now: ClockTime,
     ) -> Option<(CrashSuspect, Duration)> {
-        if !self.crash_detector.has_quarantined() {
-            return None;
-        }
-        let whole = CrashSuspect::of_request(job.digest());
-        let mut suspects = std::iter::once(whole).chain(job.suspect_parts());
-        suspects.find_map(|suspect| {
-            let left = self.crash_detector.quarantine(suspect.digest, now)?;
-            Some((suspect, left))
-        })
+        let whole = std::iter::once_with(|| CrashSuspect::of_request(job.digest()));
+        let suspects = whole.chain(job.suspect_parts());
+        self.crash_detector.quarantine(suspects, now)
     }
 
     /// Records a new request for `service`, which adds to its retry budget.
--- a/src/gateway/tests/crash_detector.rs
+++ b/src/gateway/tests/crash_detector.rs
@@ -101,7 +101,8 @@
             state.note_crash(BackendIncarnation(backend), &[suspect], now);
         });
     }
-    assert_eq!(watch.quarantine(request, now), None);
+    let suspect = CrashSuspect::of_request(request);
+    assert_eq!(watch.quarantine([suspect], now), None);
     assert!(!deployment_state.snapshot().load().crashes.suspects(request));
 }
 
--- a/src/quarantine/crash_ledger.rs
+++ b/src/quarantine/crash_ledger.rs
@@ -96,8 +96,7 @@
                 revision: None,
                 until: now + CRASH_RETENTION,
             };
-            self.rows.insert(at, row);
-            self.evict();
+            self.insert(at, row);
         }
     }
 
@@ -123,8 +122,7 @@
                     revision: None,
                     until,
                 };
-                self.rows.insert(at, row);
-                self.evict();
+                self.insert(at, row);
             }
         }
     }
@@ -148,26 +146,41 @@
     ///
     /// A process that starts later knows the crashes, but not the answers.
     pub(crate) fn clear_answered_parts(&mut self) -> Vec<CrashRecord> {
-        let explained = self.explained_crashes();
-        let mut cleared = Vec::new();
-        for suspect in self.judgement.at_risk.clone() {
-            let (crashes, answers) = self.counts_of(suspect.digest);
+        let answered = self.answered_rows();
+        answered
+            .into_iter()
+            .map(|at| {
+                self.rows[at].clear();
+                self.rows[at].record
+            })
+            .collect()
+    }
+
+    /// Returns whether `clear_answered_parts` would change anything.
+    pub(crate) fn has_answered_parts(&self) -> bool {
+        !self.answered_rows().is_empty()
+    }
+
+    /// Returns the indices of the rows that `clear_answered_parts` clears.
+    fn answered_rows(&self) -> Vec<usize> {
+        let explained = &self.explained_crashes();
+        let answered = self.judgement.at_risk.iter().filter(|suspect| {
             let is_part = suspect.depth != SuspectDepth::WHOLE;
-            let is_quarantined = self.quarantined().any(|other| other == suspect);
-            if !is_part || is_quarantined || answers == 0 {
-                continue;
-            }
+            let is_quarantined = self.quarantined().any(|other| other == **suspect);
+            is_part && !is_quarantined && self.answers_of(suspect.digest) > 0
+        });
+        let rows = answered.flat_map(|suspect| {
+            let (crashes, answers) = self.counts_of(suspect.digest);
             let is_harmless = is_harmless(crashes, answers);
             let range = self.range(suspect.digest);
-            for row in &mut self.rows[range] {
-                let is_explained = explained.binary_search(&row.record.backend).is_ok();
-                if row.record.verdict == CrashVerdict::Suspected && (is_harmless || is_explained) {
-                    row.clear();
-                    cleared.push(row.record);
-                }
-            }
-        }
-        cleared
+            range.filter(move |at| is_harmless || self.is_crash_in(*at, explained))
+        });
+        let is_suspected = |at: &usize| self.rows[*at].record.verdict == CrashVerdict::Suspected;
+        rows.filter(is_suspected).collect()
+    }
+
+    fn is_crash_in(&self, at: usize, crashes: &[BackendIncarnation]) -> bool {
+        crashes.binary_search(&self.rows[at].record.backend).is_ok()
     }
 
     /// Returns the crashes that count against quarantined suspects, sorted.
@@ -202,8 +215,7 @@
                 }
             }
             Err(at) => {
-                self.rows.insert(at, row);
-                self.evict();
+                self.insert(at, row);
             }
         }
     }
@@ -408,7 +420,12 @@
             .binary_search_by_key(&record.key(), |row| row.record.key())
     }
 
-    /// Makes room for a new row. The rows of suspects with a single crash are evicted first, so that
+    fn insert(&mut self, at: usize, row: LedgerRow) {
+        self.rows.insert(at, row);
+        self.evict();
+    }
+
+    /// Evicts a row if there are too many. The rows of suspects with a single crash are evicted first, so that
     /// many invented parts do not hide one that keeps crashing backend servers.
     fn evict(&mut self) {
         if self.rows.len() <= ROWS_MAX {
--- a/src/sync/crash_state.rs
+++ b/src/sync/crash_state.rs
@@ -60,18 +60,22 @@
         self.change_ledger(|ledger| ledger.clear(suspect))
     }
 
-    /// Clears answered parts of crashes, if this process reads the store for its data centre. Returns
-    /// the changed records.
+    /// Whether there are answered parts for this process to clear. Only readers of the store do it, so
+    /// that few processes write the same rows.
+    pub(crate) fn has_answered_parts(&self) -> bool {
+        self.reads_store() && self.crashes.has_answered_parts()
+    }
+
+    /// Clears answered parts of crashes. Returns the changed records.
     pub(crate) fn clear_answered_parts(&mut self) -> Vec<CrashRecord> {
-        if self.reads_store() {
-            self.change_ledger(CrashLedger::clear_answered_parts)
-        } else {
-            Vec::new()
-        }
+        self.change_ledger(CrashLedger::clear_answered_parts)
     }
 
     /// Merges crashes that another process announced, received at `now`.
     pub(crate) fn merge_announced_crashes(&mut self, records: &[CrashRecord], now: ClockTime) {
+        if records.is_empty() {
+            return;
+        }
         let expiries: Vec<ClockTime> = records
             .iter()
             .map(|record| self.expiry(record.seen, now))
@@ -93,6 +97,9 @@
 
     /// Records how many answers to requests with suspected parts processes saw.
     pub(crate) fn note_answers(&mut self, counts: &[AnswerCount]) {
+        if counts.is_empty() {
+            return;
+        }
         self.change_ledger(|ledger| {
             for count in counts {
                 ledger.note_answers(*count);
