Decide in one place whether a backend server may get a request

The reasons why a backend server may not get a request were spread over the loop of pick and can_serve. They are now one function with a closed enum, and what a search found is summarised in a type of its own.

--- a/src/fleet/backend_registry.rs
+++ b/src/fleet/backend_registry.rs
@@ -13,7 +13,8 @@
 };
 use super::backend_record::{BackendRecord, CallOutcome};
 use super::events;
-use super::pick::{PickContext, PickRefusal, PickRequirements, pick};
+use super::pick::{PickContext, PickRequirements, pick};
+use super::pick_refusal::PickRefusal;
 use super::rate_sharers::RateSharers;
 use super::request_limit::SendPermission;
 use crate::derives::key;
--- a/src/fleet/backend_ticket.rs
+++ b/src/fleet/backend_ticket.rs
@@ -7,7 +7,8 @@
 use super::backend_facts::{BackendFacts, WeightsVersion};
 use super::backend_record::{BackendRecord, CallOutcome};
 use super::backend_registry::{BackendKey, BackendRegistry};
-use super::pick::{PickRefusal, PickRequirements};
+use super::pick::PickRequirements;
+use super::pick_refusal::PickRefusal;
 use crate::time::{ClockTime, StoreTime, clock_now};
 
 /// A backend registry shared among requests.
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -8,10 +8,10 @@
 use super::backend_facts::WeightsVersion;
 use super::backend_record::BackendRecord;
 use super::backend_registry::BackendKey;
+use super::eligibility::check_eligibility;
+use super::pick_refusal::{PickRefusal, RefusalTally};
 use super::rate_sharers::RateSharers;
-use super::request_limit::SendPermission;
 use crate::derives::{key, plain};
-use crate::errors::ErrorKind;
 use crate::overload::{EngineCandidate, EngineSpeed};
 use crate::time::{ClockTime, StoreTime};
 
@@ -78,7 +78,7 @@
         }
     }
 
-    fn is_satisfied_by(&self, record: &BackendRecord) -> bool {
+    pub(super) fn is_satisfied_by(&self, record: &BackendRecord) -> bool {
         match self {
             Self::None => true,
             Self::Model { minimum, .. } => {
@@ -119,7 +119,12 @@
 impl PickRequirements<'_> {
     /// Number of requests that `record`, in the state `engine`, may have at `now` for this entry
     /// host to send this one there.
-    fn limit_at(&self, record: &BackendRecord, engine: &EngineCandidate, now: ClockTime) -> u32 {
+    pub(super) fn limit_at(
+        &self,
+        record: &BackendRecord,
+        engine: &EngineCandidate,
+        now: ClockTime,
+    ) -> u32 {
         let slots = self.slots_at(record, now);
         if self.work.is_none() || engine.is_filled_by_us() {
             slots
@@ -154,31 +159,6 @@
     }
 }
 
-/// Why no backend server can take a request.
-#[apply(key!)]
-pub(crate) enum PickRefusal {
-    /// No backend server of the service is available with the required weights.
-    NoBackend,
-    /// All of them are at their limit.
-    AllFull,
-    /// All of them asked for a pause; the first pause ends at `until`.
-    AllPaused {
-        /// When the first of them may get a request again.
-        until: ClockTime,
-    },
-}
-
-impl PickRefusal {
-    /// The kind of error reported to the client.
-    pub(crate) const fn kind(self) -> ErrorKind {
-        match self {
-            Self::NoBackend => ErrorKind::NoBackend,
-            Self::AllFull => ErrorKind::QueueFull,
-            Self::AllPaused { .. } => ErrorKind::BackendsPaused,
-        }
-    }
-}
-
 /// Rank of a candidate: grade, delay, load, shuffled key and key; the lowest is the best.
 type SlotRank = (SlotGrade, Duration, u32, u32, BackendKey);
 
@@ -203,26 +183,17 @@
     context: &PickContext<'_>,
     (now, jitter): (ClockTime, u32),
 ) -> Result<BackendKey, PickRefusal> {
-    let mut has_any = false;
-    let mut has_unpaused = false;
-    let mut pause_end: Option<ClockTime> = None;
+    let mut tally = RefusalTally::default();
     let mut best: Option<SlotRank> = None;
     for (key, record) in records {
-        if !can_serve(record, requirements) || requirements.tried.contains(&key) {
-            continue;
-        }
-        has_any = true;
-        if let Some(until) = record.requested_pause_end(now) {
-            pause_end = Some(pause_end.map_or(until, |end| end.min(until)));
-            continue;
-        }
-        has_unpaused = true;
-        let engine = record.engine_state(context, now);
-        let is_free = record.accepts_requests(now)
-            && engine.load < requirements.limit_at(record, &engine, now);
-        if !is_free || record.send_permission(context) == SendPermission::Denied {
-            continue;
-        }
+        let engine = match check_eligibility((key, record), requirements, context, now) {
+            Ok(engine) => engine,
+            Err(reason) => {
+                tally.note(reason);
+                continue;
+            }
+        };
+        tally.note_eligible();
         // The shuffled key breaks ties, or all entry hosts would pick the same one.
         let shuffled = key.shuffled(jitter);
         if requirements.work.is_some()
@@ -236,12 +207,7 @@
             best = Some(choice);
         }
     }
-    match (best, pause_end) {
-        (Some((.., key)), _) => Ok(key),
-        (None, Some(until)) if !has_unpaused => Err(PickRefusal::AllPaused { until }),
-        (None, _) if has_any => Err(PickRefusal::AllFull),
-        (None, _) => Err(PickRefusal::NoBackend),
-    }
+    best.map(|(.., key)| key).ok_or_else(|| tally.refusal())
 }
 
 /// Engines are rated by the expected delay alone, plain backend servers by grade alone.
@@ -255,8 +221,3 @@
     let is_free = engine.load < engine.slots;
     (SlotGrade::of(engine.is_near, is_free), Duration::ZERO)
 }
-
-fn can_serve(record: &BackendRecord, requirements: &PickRequirements<'_>) -> bool {
-    let is_candidate = *record.facts.service == *requirements.service && record.is_serving();
-    is_candidate && requirements.version.is_satisfied_by(record)
-}
