--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -9,6 +9,6 @@
 
 pub(crate) use route_table::RouteTable;
 pub(crate) use service_catalog::{
-    AccountRecord, BackendService, CallerLimits, CatalogVersion, EngineFacts, RetryPolicy,
-    RouteRule, ServiceCatalog, ServiceShare, WeightsOrigin,
+    AccountRecord, BackendService, CallerLimits, CatalogVersion, ColdStart, EngineFacts,
+    RetryPolicy, RouteRule, ServiceCatalog, ServiceShare, WeightsOrigin,
 };
--- a/src/catalog/service_catalog.rs
+++ b/src/catalog/service_catalog.rs
@@ -9,6 +9,7 @@
 use super::route_table::RouteTable;
 use crate::derives::{key, plain};
 use crate::overload::EngineSpeed;
+use crate::placement::HomeRegions;
 
 /// Version of a document. Versions may skip numbers; a document replaces those with lower versions.
 #[apply(key!)]
@@ -74,6 +75,8 @@
     pub(crate) attempts_max: u32,
     /// Whether requests need no key.
     pub(crate) is_public: bool,
+    /// The regions that may serve its requests.
+    pub(crate) homes: HomeRegions,
 }
 
 impl RouteRule {
@@ -114,6 +117,16 @@
     pub(crate) address: SocketAddr,
 }
 
+/// How the backend servers of a service behave after a start.
+#[apply(plain!)]
+#[derive(Copy)]
+pub(crate) struct ColdStart {
+    /// How long they stay cold.
+    pub(crate) span: Duration,
+    /// Requests per second that a cold one accepts from all entry hosts together.
+    pub(crate) rate: f64,
+}
+
 /// A service.
 #[apply(plain!)]
 pub(crate) struct BackendService {
@@ -123,6 +136,8 @@
     pub(crate) engine: Option<EngineFacts>,
     /// The origin of weights; set for the service that provides weights.
     pub(crate) origin: Option<WeightsOrigin>,
+    /// How its backend servers behave after a start; none if they need no care.
+    pub(crate) cold_start: Option<ColdStart>,
 }
 
 /// A client account.
@@ -132,6 +147,8 @@
     pub(crate) name: ByteString,
     /// Priority of its requests, instead of the route's; 0 is the most urgent.
     pub(crate) priority: Option<u8>,
+    /// The regions that may serve its requests.
+    pub(crate) homes: HomeRegions,
 }
 
 /// Limits on the size of requests.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::*;
+use crate::placement::HomeRegions;
 
 fn rule(host: &str, prefix: &str) -> RouteRule {
     RouteRule {
@@ -26,6 +27,7 @@
         ],
         attempts_max: 1,
         is_public: false,
+        homes: HomeRegions::Anywhere,
     }
 }
 
--- a/src/errors/kind.rs
+++ b/src/errors/kind.rs
@@ -41,6 +41,12 @@
     DeadlinePassed,
     /// No backend server can accept the request at present.
     NoBackend,
+    /// The home regions of the route and of the client account have none in common.
+    HomeRegionsDisjoint,
+    /// No backend server of the service is in the home regions of the request.
+    HomeRegionsUnavailable,
+    /// Every backend server that could accept the request is in an evacuated data centre.
+    DataCentresEvacuated,
     /// Every backend server that could accept the request asked for a pause.
     BackendsPaused,
     /// Backend servers crashed while running this request; it is quarantined and not sent for a
@@ -124,7 +130,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 54] = [
+    pub const ALL: [Self; 57] = [
         Self::BadRequest,
         Self::BadHeader,
         Self::HeadersTooLarge,
@@ -140,6 +146,9 @@
         Self::DeadlineUnreachable,
         Self::DeadlinePassed,
         Self::NoBackend,
+        Self::HomeRegionsDisjoint,
+        Self::HomeRegionsUnavailable,
+        Self::DataCentresEvacuated,
         Self::BackendsPaused,
         Self::RequestQuarantined,
         Self::BackendLeaving,
--- a/src/errors/table.rs
+++ b/src/errors/table.rs
@@ -167,6 +167,27 @@
             after(1000),
             "No backend server can take the request now.",
         ),
+        Kind::HomeRegionsDisjoint => row(
+            503,
+            "home_regions_disjoint",
+            NotRun,
+            after(5000),
+            "The home regions of the route and of the client account have none in common.",
+        ),
+        Kind::HomeRegionsUnavailable => row(
+            503,
+            "home_regions_unavailable",
+            NotRun,
+            after(1000),
+            "No backend server in the home regions of the request is available.",
+        ),
+        Kind::DataCentresEvacuated => row(
+            503,
+            "data_centres_evacuated",
+            NotRun,
+            after(1000),
+            "Every backend server that could take the request is in an evacuated data centre.",
+        ),
         Kind::BackendsPaused => row(
             503,
             "backends_paused",
--- a/src/fleet/backend_facts.rs
+++ b/src/fleet/backend_facts.rs
@@ -9,7 +9,7 @@
 
 use crate::derives::{key, message, plain};
 use crate::overload::usual_pace;
-use crate::time::{ClockTime, WallTime};
+use crate::time::{ClockTime, StoreTime, WallTime};
 
 /// Version number of a model's weights. Each version that is set as target has a higher number.
 #[apply(key!)]
@@ -109,6 +109,10 @@
     pub(crate) phase: BackendPhase,
     /// Weights that its engine has loaded.
     pub(crate) holdings: EngineHoldings,
+    /// Until when it is cold, by its own statement, on the store's clock; `None` if it states
+    /// nothing.
+    #[serde(default)]
+    pub(crate) cold_until: Option<StoreTime>,
 }
 
 /// Compares the incarnation that a message describes with the known one.
--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -6,13 +6,14 @@
 use macro_rules_attribute::apply;
 
 use super::backend_facts::{BackendFacts, BackendPhase, EngineHoldings, LoadReport, ResponseLoad};
+use super::cold_limit::ColdLimit;
 use super::in_flight_history::InFlightHistory;
 use super::pick::PickContext;
 use super::request_limit::{RequestLimit, SendPermission};
 use crate::derives::{key, plain};
 use crate::overload::{EngineCandidate, unreported_load, usual_pace};
 use crate::routing::CircuitBreaker;
-use crate::time::{ClockTime, WallTime};
+use crate::time::{ClockTime, StoreTime, WallTime};
 
 /// How long a reported number of requests counts. Model requests last one to three seconds, so that
 /// most of them have ended after this time.
@@ -96,6 +97,10 @@
     fresh_connections_until: ClockTime,
     /// The request rate that it allows to all entry hosts together.
     pub(super) limit: RequestLimit,
+    /// Until when it is cold, by its latest statement in a response.
+    stated_cold_until: ClockTime,
+    /// Since when it counts as cold, whatever it stated before.
+    assumed_cold_since: Option<ClockTime>,
 }
 
 impl BackendRecord {
@@ -117,6 +122,8 @@
             has_announced_leaving: false,
             fresh_connections_until: ClockTime(0),
             limit: RequestLimit::default(),
+            stated_cold_until: ClockTime(0),
+            assumed_cold_since: None,
         }
     }
 
@@ -128,6 +135,7 @@
             start_time: report.start_time,
             sequence: None,
             holdings: report.holdings.clone(),
+            cold_until: None,
             ..(*self.facts).clone()
         }
     }
@@ -273,10 +281,37 @@
             && self.breaker.allows_request(now)
     }
 
-    /// Whether its advertised rate allows this entry host to send a request.
-    pub(super) fn send_permission(&self, context: &PickContext<'_>) -> SendPermission {
+    /// Whether its advertised rate, and its limit while it is cold, allow this entry host to send a
+    /// request at `now`.
+    pub(super) fn send_permission(
+        &self,
+        cold_limit: Option<ColdLimit>,
+        context: &PickContext<'_>,
+        now: ClockTime,
+    ) -> SendPermission {
+        let cold_limit = cold_limit.filter(|limit| self.is_cold(*limit, context.picked_at, now));
         let schedule = || context.rate_sharers.schedule(&self.facts);
-        self.limit.send_permission(schedule, context.picked_at)
+        self.limit
+            .send_permission(cold_limit, schedule, context.picked_at)
+    }
+
+    /// Whether it is cold at `now`, which is `store_time` on the store's clock.
+    fn is_cold(&self, limit: ColdLimit, store_time: StoreTime, now: ClockTime) -> bool {
+        let is_assumed = self
+            .assumed_cold_since
+            .is_some_and(|since| now.since(since) < limit.span);
+        let until = self.facts.cold_until;
+        is_assumed || now < self.stated_cold_until || until.is_some_and(|until| store_time < until)
+    }
+
+    /// Records that it may have become cold at `now` without having stated it yet.
+    pub(super) fn assume_cold(&mut self, now: ClockTime) {
+        self.assumed_cold_since = Some(now);
+    }
+
+    /// Records its statement in a response at `now` that it stays cold for `left`.
+    pub(crate) fn note_cold(&mut self, left: Duration, now: ClockTime) {
+        self.stated_cold_until = now + left;
     }
 
     /// Whether to open a new connection rather than to reuse one.
--- a/src/fleet/backend_registry.rs
+++ b/src/fleet/backend_registry.rs
@@ -63,6 +63,8 @@
     pub(super) others: u32,
     /// The entry hosts that share the rates advertised by backend servers.
     pub(super) rate_sharers: RateSharers,
+    /// The evacuated data centres, sorted.
+    pub(super) evacuated: Arc<Vec<ByteString>>,
     /// The store's clock, on which these entry hosts agree about send intervals.
     pub(super) clock: StoreClock,
     /// Indexed by [`BackendKey`]. A record is dropped once its backend server is unlisted and no
@@ -86,6 +88,7 @@
             rate_sharers: RateSharers::new(&own_id, &[]),
             clock: StoreClock::default(),
             own_id,
+            evacuated: Arc::default(),
             peers: 0,
             others: 0,
             records: Vec::new(),
@@ -100,8 +103,23 @@
         self.clock = clock;
     }
 
-    /// Applies a new list of backend servers: adds, updates and removes records.
-    pub(crate) fn set_fleet(&mut self, fleet: &FleetView) {
+    /// Replaces the list of evacuated data centres. Backend servers of those that are no longer
+    /// evacuated at `now` may have become cold without having stated it yet.
+    pub(crate) fn set_evacuated(&mut self, evacuated: &Arc<Vec<ByteString>>, now: ClockTime) {
+        let former = std::mem::replace(&mut self.evacuated, evacuated.clone());
+        let is_lifted = |data_centre: &ByteString| {
+            former.binary_search(data_centre).is_ok()
+                && evacuated.binary_search(data_centre).is_err()
+        };
+        for record in self.records.iter_mut().flatten() {
+            if is_lifted(&record.facts.data_centre) {
+                record.assume_cold(now);
+            }
+        }
+    }
+
+    /// Applies a new list of backend servers at `now`: adds, updates and removes records.
+    pub(crate) fn set_fleet(&mut self, fleet: &FleetView, now: ClockTime) {
         let mut removed: Vec<(ByteString, BackendKey)> = Vec::new();
         self.by_id.retain(|(id, key)| {
             let found = fleet
@@ -117,11 +135,11 @@
             self.retire(key);
         }
         for facts in &fleet.backends {
-            self.apply_listed(facts);
+            self.apply_listed(facts, now);
         }
     }
 
-    fn apply_listed(&mut self, facts: &Arc<BackendFacts>) {
+    fn apply_listed(&mut self, facts: &Arc<BackendFacts>, now: ClockTime) {
         if IncarnationOrder::of(facts.start_time, self.newest_start_time(&facts.id))
             == IncarnationOrder::Older
         {
@@ -131,16 +149,16 @@
             .by_id
             .binary_search_by(|(id, _)| (**id).cmp(&*facts.id));
         match found {
-            Ok(at) => self.update_listed(at, facts),
+            Ok(at) => self.update_listed(at, facts, now),
             Err(at) => {
-                let key = self.add(facts);
+                let key = self.add(facts, now);
                 self.by_id.insert(at, (facts.id.clone(), key));
             }
         }
     }
 
     /// Updates the listed backend server at index `at` of `by_id` with its current entry.
-    fn update_listed(&mut self, at: usize, facts: &Arc<BackendFacts>) {
+    fn update_listed(&mut self, at: usize, facts: &Arc<BackendFacts>, now: ClockTime) {
         let key = self.by_id[at].1;
         let Some(record) = self.get_mut(key) else {
             return;
@@ -148,7 +166,7 @@
         if IncarnationOrder::of(facts.start_time, record.facts.start_time)
             == IncarnationOrder::Newer
         {
-            self.replace(at, facts);
+            self.replace(at, facts, now);
             return;
         }
         let was_serving = record.facts.phase == BackendPhase::Serving;
@@ -189,15 +207,15 @@
 
     /// Handles a restart under the same name. The new incarnation gets a new record and key, so
     /// that neither the state of the old one nor the end of its requests affects it.
-    fn replace(&mut self, at: usize, facts: &Arc<BackendFacts>) {
+    fn replace(&mut self, at: usize, facts: &Arc<BackendFacts>, now: ClockTime) {
         log_event!(events::BACKEND_RESTARTED, "backend={}", facts.id);
         let former = self.by_id[at].1;
-        self.by_id[at].1 = self.add(facts);
+        self.by_id[at].1 = self.add(facts, now);
         self.retire(former);
     }
 
-    /// Adds a new record for `facts`.
-    fn add(&mut self, facts: &Arc<BackendFacts>) -> BackendKey {
+    /// Adds a new record for `facts`. It counts as cold from `now` on unless it states whether it is.
+    fn add(&mut self, facts: &Arc<BackendFacts>, now: ClockTime) -> BackendKey {
         let key = BackendKey(u32::try_from(self.records.len()).unwrap_or(u32::MAX));
         let (id, service, address) = (&facts.id, &facts.service, facts.address);
         log_event!(
@@ -206,7 +224,11 @@
             facts.phase,
             facts.holdings
         );
-        self.records.push(Some(BackendRecord::new(facts.clone())));
+        let mut record = BackendRecord::new(facts.clone());
+        if facts.cold_until.is_none() {
+            record.assume_cold(now);
+        }
+        self.records.push(Some(record));
         self.note_start_time(&facts.id, facts.start_time);
         key
     }
@@ -257,7 +279,9 @@
             picked_at,
         };
         let key = pick(listed, requirements, &context, (now, jitter))?;
-        let permission = self.get(key).map(|record| record.send_permission(&context));
+        let permission = self
+            .get(key)
+            .map(|record| record.send_permission(requirements.cold_limit, &context, now));
         let unread_tokens = requirements.work.map_or(0, |work| work.prompt_tokens);
         let record = self.get_mut(key).ok_or(PickRefusal::NoBackend)?;
         record.breaker.note_sent(now);
@@ -324,7 +348,7 @@
             IncarnationOrder::Newer => {
                 let facts = Arc::new(record.facts_after_restart(&report));
                 if let Some(at) = self.by_id.iter().position(|(_, listed)| *listed == key) {
-                    self.replace(at, &facts);
+                    self.replace(at, &facts, now);
                     let key = self.by_id[at].1;
                     if let Some(record) = self.get_mut(key) {
                         record.note_report(report, now);
--- a/src/fleet/eligibility.rs
+++ b/src/fleet/eligibility.rs
@@ -9,6 +9,7 @@
 use super::request_limit::SendPermission;
 use crate::derives::key;
 use crate::overload::EngineCandidate;
+use crate::placement::PlacementDenial;
 use crate::time::ClockTime;
 
 /// Why a backend server may not get a request now.
@@ -20,6 +21,8 @@
     Leaving,
     /// It does not hold weights that may answer the request.
     Weights,
+    /// Its data centre may not serve the request.
+    Placement(PlacementDenial),
     /// The request was sent there before.
     Tried,
     /// It asked for a pause until then.
@@ -28,7 +31,7 @@
     Unavailable,
     /// It has as many requests as it may get.
     Full,
-    /// The rate that it accepts is used up.
+    /// The rate that it accepts, or accepts while it is cold, is used up.
     RateLimited,
 }
 
@@ -52,6 +55,10 @@
     if !requirements.version.is_satisfied_by(record) {
         return Err(Ineligibility::Weights);
     }
+    requirements
+        .placement
+        .check(&record.facts.data_centre)
+        .map_err(Ineligibility::Placement)?;
     if requirements.tried.contains(&key) {
         return Err(Ineligibility::Tried);
     }
@@ -65,7 +72,7 @@
     if engine.load >= requirements.limit_at(record, &engine, now) {
         return Err(Ineligibility::Full);
     }
-    if record.send_permission(context) == SendPermission::Denied {
+    if record.send_permission(requirements.cold_limit, context, now) == SendPermission::Denied {
         return Err(Ineligibility::RateLimited);
     }
     Ok(engine)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod backend_record;
 mod backend_registry;
 mod backend_ticket;
+mod cold_limit;
 mod eligibility;
 pub(crate) mod events;
 mod in_flight_history;
@@ -24,9 +25,10 @@
     BackendFacts, BackendPhase, EngineHoldings, FleetView, HeldLayers, LoadReport, ModelVersion,
     ResponseLoad, TargetTimeCertainty, TargetWeights, WeightsVersion,
 };
-pub(crate) use backend_record::CallOutcome;
+pub(crate) use backend_record::{BackendRecord, CallOutcome};
 pub(crate) use backend_registry::{BackendKey, BackendRegistry};
 pub(crate) use backend_ticket::{BackendTicket, SharedRegistry};
+pub(crate) use cold_limit::ColdLimit;
 pub(crate) use pick::{EngineWork, PickRequirements, VersionRequirement};
 pub(crate) use pick_refusal::PickRefusal;
 pub(crate) use request_limit::{LimitAnnouncement, is_valid_rate};
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -8,11 +8,13 @@
 use super::backend_facts::WeightsVersion;
 use super::backend_record::BackendRecord;
 use super::backend_registry::BackendKey;
+use super::cold_limit::ColdLimit;
 use super::eligibility::check_eligibility;
 use super::pick_refusal::{PickRefusal, RefusalTally};
 use super::rate_sharers::RateSharers;
 use crate::derives::{key, plain};
 use crate::overload::{EngineCandidate, EngineSpeed};
+use crate::placement::PlacementRules;
 use crate::time::{ClockTime, StoreTime};
 
 /// One slot in this many is reserved for new requests, which returning ones may not use.
@@ -104,6 +106,10 @@
     pub(crate) is_returned: bool,
     /// The work for an engine; none for plain services.
     pub(crate) work: Option<EngineWork>,
+    /// The rules on the data centre that may serve the request.
+    pub(crate) placement: PlacementRules,
+    /// What cold backend servers of the service accept; none if they need no limit.
+    pub(crate) cold_limit: Option<ColdLimit>,
 }
 
 /// The work that a request means for an engine.
@@ -183,6 +189,9 @@
     context: &PickContext<'_>,
     (now, jitter): (ClockTime, u32),
 ) -> Result<BackendKey, PickRefusal> {
+    if requirements.placement.homes.is_nowhere() {
+        return Err(PickRefusal::HomesDisjoint);
+    }
     let mut tally = RefusalTally::default();
     let mut best: Option<SlotRank> = None;
     for (key, record) in records {
@@ -193,12 +202,12 @@
                 continue;
             }
         };
-        tally.note_eligible();
         // The shuffled key breaks ties, or all entry hosts would pick the same one.
         let shuffled = key.shuffled(jitter);
         if requirements.work.is_some()
             && f64::from(shuffled) > engine.considered_part() * f64::from(u32::MAX)
         {
+            tally.note_eligible();
             continue;
         }
         let (grade, delay) = grade_and_delay(&engine, requirements);
--- a/src/fleet/pick_refusal.rs
+++ b/src/fleet/pick_refusal.rs
@@ -5,6 +5,7 @@
 use super::eligibility::Ineligibility;
 use crate::derives::{key, plain};
 use crate::errors::ErrorKind;
+use crate::placement::PlacementDenial;
 use crate::time::ClockTime;
 
 /// Why no backend server can take a request.
@@ -12,6 +13,12 @@
 pub(crate) enum PickRefusal {
     /// No backend server of the service is available with the required weights.
     NoBackend,
+    /// The home regions of the route and of the client account have none in common.
+    HomesDisjoint,
+    /// None of them is in the home regions of the request.
+    NotInHomes,
+    /// All that could take the request are in data centres that the operator evacuates.
+    AllEvacuated,
     /// All of them are at their limit.
     AllFull,
     /// All of them asked for a pause; the first pause ends at `until`.
@@ -26,55 +33,68 @@
     pub(crate) const fn kind(self) -> ErrorKind {
         match self {
             Self::NoBackend => ErrorKind::NoBackend,
+            Self::HomesDisjoint => ErrorKind::HomeRegionsDisjoint,
+            Self::NotInHomes => ErrorKind::HomeRegionsUnavailable,
+            Self::AllEvacuated => ErrorKind::DataCentresEvacuated,
             Self::AllFull => ErrorKind::QueueFull,
             Self::AllPaused { .. } => ErrorKind::BackendsPaused,
         }
     }
 }
 
+/// What keeps a request from the backend server that is closest to taking it, farthest first.
+#[apply(key!)]
+enum Obstacle {
+    OutsideHomes,
+    Evacuated,
+    RequestedPause,
+    Full,
+}
+
 /// What was found about the backend servers of a service during a search.
 #[apply(plain!)]
 #[derive(Copy, Default)]
 pub(super) struct RefusalTally {
-    /// Whether there is one that could take the request at some time.
-    has_any: bool,
-    /// Whether there is one of these that has not asked for a pause.
-    has_unpaused: bool,
+    /// The nearest obstacle; `None` if no backend server could ever take the request.
+    nearest: Option<Obstacle>,
     /// When the first requested pause ends.
     pause_end: Option<ClockTime>,
 }
 
 impl RefusalTally {
-    /// Records a backend server that may get the request.
-    pub(super) const fn note_eligible(&mut self) {
-        self.has_any = true;
-        self.has_unpaused = true;
-    }
-
     /// Records why a backend server may not get the request.
     pub(super) fn note(&mut self, reason: Ineligibility) {
-        match reason {
+        let obstacle = match reason {
             Ineligibility::OtherService
             | Ineligibility::Leaving
             | Ineligibility::Weights
-            | Ineligibility::Tried => {}
+            | Ineligibility::Tried => return,
+            Ineligibility::Placement(PlacementDenial::OutsideHomes) => Obstacle::OutsideHomes,
+            Ineligibility::Placement(PlacementDenial::Evacuated) => Obstacle::Evacuated,
             Ineligibility::RequestedPause(until) => {
-                self.has_any = true;
                 self.pause_end = Some(self.pause_end.map_or(until, |end| end.min(until)));
+                Obstacle::RequestedPause
             }
             Ineligibility::Unavailable | Ineligibility::Full | Ineligibility::RateLimited => {
-                self.has_any = true;
-                self.has_unpaused = true;
+                Obstacle::Full
             }
-        }
+        };
+        self.nearest = self.nearest.max(Some(obstacle));
+    }
+
+    /// Records a backend server that may get the request but is not considered for it.
+    pub(super) fn note_eligible(&mut self) {
+        self.nearest = Some(Obstacle::Full);
     }
 
     /// The reason why none of them can take the request.
     pub(super) fn refusal(&self) -> PickRefusal {
-        match self.pause_end {
-            Some(until) if !self.has_unpaused => PickRefusal::AllPaused { until },
-            _ if self.has_any => PickRefusal::AllFull,
-            _ => PickRefusal::NoBackend,
+        match (self.nearest, self.pause_end) {
+            (None, _) => PickRefusal::NoBackend,
+            (Some(Obstacle::OutsideHomes), _) => PickRefusal::NotInHomes,
+            (Some(Obstacle::Evacuated), _) => PickRefusal::AllEvacuated,
+            (Some(Obstacle::RequestedPause), Some(until)) => PickRefusal::AllPaused { until },
+            (Some(Obstacle::RequestedPause | Obstacle::Full), _) => PickRefusal::AllFull,
         }
     }
 }
--- a/src/fleet/request_limit.rs
+++ b/src/fleet/request_limit.rs
@@ -5,8 +5,9 @@
 
 use macro_rules_attribute::apply;
 
+use super::cold_limit::ColdLimit;
 use crate::derives::{message, plain};
-use crate::overload::SendSchedule;
+use crate::overload::{SendRate, SendSchedule};
 use crate::time::{StoreTime, WallTime};
 
 /// How long a limit applies after it was last confirmed.
@@ -88,13 +89,21 @@
         self.rate.filter(|_| now.since(self.at) < LIMIT_EXPIRY)
     }
 
-    /// Whether a request may be sent there at `now`; `schedule` returns who shares the rate.
+    /// Whether a request may be sent there at `now`, if it is cold with `cold_limit`; `schedule`
+    /// returns who shares the rate.
     pub(super) fn send_permission<'a>(
         &self,
+        cold_limit: Option<ColdLimit>,
         schedule: impl FnOnce() -> SendSchedule<'a>,
         now: StoreTime,
     ) -> SendPermission {
-        let Some(rate) = self.rate(now) else {
+        let cold_rate = cold_limit.map(|limit| SendRate {
+            per_s: limit.rate,
+            carry_span: limit.carry_span,
+        });
+        let advertised = self.rate(now).map(SendRate::advertised);
+        let rates = advertised.into_iter().chain(cold_rate);
+        let Some(rate) = rates.min_by(|left, right| left.per_s.total_cmp(&right.per_s)) else {
             return SendPermission::Unlimited;
         };
         match schedule().open_interval(rate, self.used_interval, now) {
--- a/src/fleet/tests/announcements.rs
+++ b/src/fleet/tests/announcements.rs
@@ -15,9 +15,12 @@
 }
 
 fn set(registry: &SharedRegistry, backends: Vec<BackendFacts>) {
-    registry.lock().set_fleet(&FleetView {
-        backends: backends.into_iter().map(Arc::new).collect(),
-    });
+    registry.lock().set_fleet(
+        &FleetView {
+            backends: backends.into_iter().map(Arc::new).collect(),
+        },
+        NOW,
+    );
 }
 
 fn pick(registry: &SharedRegistry) -> Result<BackendTicket, PickRefusal> {
--- a/src/fleet/tests/incarnations.rs
+++ b/src/fleet/tests/incarnations.rs
@@ -39,7 +39,7 @@
     let fleet = FleetView {
         backends: vec![Arc::new(facts)],
     };
-    registry.lock().set_fleet(&fleet);
+    registry.lock().set_fleet(&fleet, NOW);
 }
 
 fn refusal(registry: &SharedRegistry) -> Option<PickRefusal> {
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,5 +1,7 @@
 mod announcements;
+mod cold_starts;
 mod incarnations;
+mod placement;
 mod request_limits;
 mod thundering_herds;
 mod uneven_entries;
@@ -11,6 +13,7 @@
 
 use super::*;
 use crate::overload::EntryHostId;
+use crate::placement::PlacementRules;
 use crate::test_support::run_cases;
 use crate::time::ClockTime;
 
@@ -39,6 +42,7 @@
                 version,
             }],
         },
+        cold_until: None,
     }
 }
 
@@ -51,9 +55,12 @@
 
 fn registry_of(backends: Vec<BackendFacts>) -> SharedRegistry {
     let mut registry = BackendRegistry::new(entry_host_id("e1", "here"));
-    registry.set_fleet(&FleetView {
-        backends: backends.into_iter().map(Arc::new).collect(),
-    });
+    registry.set_fleet(
+        &FleetView {
+            backends: backends.into_iter().map(Arc::new).collect(),
+        },
+        NOW,
+    );
     SharedRegistry::new(registry)
 }
 
@@ -70,6 +77,8 @@
         queue_room: 1,
         is_returned: false,
         work: None,
+        placement: PlacementRules::default(),
+        cold_limit: None,
     }
 }
 
@@ -214,7 +223,7 @@
 fn an_unlisted_backend_server_gets_no_requests_while_a_call_is_in_flight_there() {
     let registry = registry_of(vec![facts("a", "here", 1)]);
     let ticket = registry.pick(&requirements(None), NOW).expect("a is there");
-    registry.lock().set_fleet(&FleetView::default());
+    registry.lock().set_fleet(&FleetView::default(), NOW);
     assert_eq!(
         registry.pick(&requirements(None), NOW).err(),
         Some(PickRefusal::NoBackend)
--- a/src/fleet/tests/request_limits.rs
+++ b/src/fleet/tests/request_limits.rs
@@ -118,7 +118,7 @@
     started.start_time = Some(WallTime(3));
     for facts in [restarted, started] {
         let backends = vec![facts.into()];
-        registry.lock().set_fleet(&FleetView { backends });
+        registry.lock().set_fleet(&FleetView { backends }, NOW);
     }
     assert_eq!(sent_to_a(&registry, NOW), 100);
     registry.lock().apply_limit(&LimitAnnouncement {
--- a/src/fleet/tests/thundering_herds.rs
+++ b/src/fleet/tests/thundering_herds.rs
@@ -31,9 +31,12 @@
 /// The registry of the entry host `host`, one of [`entries`].
 fn registry_of_entry(host: &str, engines: &[&str]) -> SharedRegistry {
     let mut registry = BackendRegistry::new(entry_host_id(host, "here"));
-    registry.set_fleet(&FleetView {
-        backends: engines.iter().map(|id| Arc::new(engine(id))).collect(),
-    });
+    registry.set_fleet(
+        &FleetView {
+            backends: engines.iter().map(|id| Arc::new(engine(id))).collect(),
+        },
+        NOW,
+    );
     registry.assign_shares(&entries());
     SharedRegistry::new(registry)
 }
@@ -183,9 +186,12 @@
         });
         let mut backends: Vec<BackendFacts> = near_facts.chain(far_facts).collect();
         backends.sort_by(|left, right| left.id.cmp(&right.id));
-        registry.set_fleet(&FleetView {
-            backends: backends.into_iter().map(Arc::new).collect(),
-        });
+        registry.set_fleet(
+            &FleetView {
+                backends: backends.into_iter().map(Arc::new).collect(),
+            },
+            NOW,
+        );
         registry.assign_shares(&entry_host_ids);
         for id in near {
             registry.note_report(report(id, SLOTS, 1.0), NOW);
@@ -229,9 +235,12 @@
     let mut rng = StdRng::seed_from_u64(1);
     for entry_host_id in &entry_host_ids {
         let mut registry = BackendRegistry::new(entry_host_id.clone());
-        registry.set_fleet(&FleetView {
-            backends: engines.iter().map(|id| Arc::new(engine(id))).collect(),
-        });
+        registry.set_fleet(
+            &FleetView {
+                backends: engines.iter().map(|id| Arc::new(engine(id))).collect(),
+            },
+            NOW,
+        );
         registry.assign_shares(&entry_host_ids);
         registry.note_report(report("m1", SLOTS, 1.0), NOW);
         for id in &engines[1..] {
@@ -260,9 +269,12 @@
                     slots,
                     ..engine("m1")
                 };
-                registry.set_fleet(&FleetView {
-                    backends: vec![Arc::new(facts)],
-                });
+                registry.set_fleet(
+                    &FleetView {
+                        backends: vec![Arc::new(facts)],
+                    },
+                    NOW,
+                );
                 registry.assign_shares(&entry_host_ids);
                 registry.note_report(report("m1", active, 1.0), NOW);
                 for later in [Duration::ZERO, Duration::from_secs(3)] {
--- a/src/fleet/tests/uneven_entries.rs
+++ b/src/fleet/tests/uneven_entries.rs
@@ -136,7 +136,7 @@
         };
         let registries = entry_host_ids.iter().map(|entry_host_id| {
             let mut registry = BackendRegistry::new(entry_host_id.clone());
-            registry.set_fleet(&fleet);
+            registry.set_fleet(&fleet, NOW);
             registry.assign_shares(&entry_host_ids);
             registry
         });
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -70,7 +70,7 @@
                 state.refund_retry(clock_now());
                 None
             }
-            SearchOutcome::Completed(completed) => Some(completed),
+            SearchOutcome::Completed(completed) => Some(*completed),
         };
         match completed {
             Some(CompletedSend {
@@ -101,7 +101,7 @@
     Found(ChosenBackend),
     Refused(SearchRefusal),
     /// A send in progress completed first.
-    Completed(CompletedSend),
+    Completed(Box<CompletedSend>),
 }
 
 /// Why a request is sent to no further backend server.
@@ -115,7 +115,7 @@
 async fn search_backend(state: &ForwardState, sends: &mut PendingSends) -> SearchOutcome {
     tokio::select! {
         biased;
-        completed = sends.next(), if !sends.is_empty() => SearchOutcome::Completed(completed),
+        completed = sends.next(), if !sends.is_empty() => SearchOutcome::Completed(Box::new(completed)),
         chosen = choose_backend(state) => match chosen {
             Ok(chosen) => SearchOutcome::Found(chosen),
             Err(refusal) => SearchOutcome::Refused(refusal),
@@ -209,7 +209,7 @@
         if let Some(error) = state.quarantine_error(now) {
             return Err(SearchRefusal::Quarantined(error));
         }
-        let snapshot = gateway.snapshot();
+        let snapshot = gateway.snapshot(now);
         let version = job.version_requirement(&snapshot, gateway.previous_version_span(), now);
         let requirements = PickRequirements {
             service: &job.routed.service,
@@ -218,6 +218,8 @@
             tried: state.tried(),
             is_returned: job.is_retry(),
             work: job.engine_work(&snapshot),
+            placement: gateway.placement(job, &snapshot),
+            cold_limit: gateway.cold_limit(job, &snapshot),
         };
         let refusal = match gateway.registry.pick(&requirements, now) {
             Ok(ticket) => {
@@ -236,6 +238,9 @@
             PickRefusal::AllPaused { until } if until > queue_until => Duration::ZERO,
             PickRefusal::AllPaused { until } => until.since(now).min(left),
             PickRefusal::NoBackend | PickRefusal::AllFull => left,
+            PickRefusal::HomesDisjoint | PickRefusal::NotInHomes | PickRefusal::AllEvacuated => {
+                Duration::ZERO
+            }
         };
         if wait.is_zero() {
             return Err(SearchRefusal::NoSlot(refusal));
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -12,11 +12,13 @@
 use super::request_job::RequestJob;
 use crate::daemon::DrainState;
 use crate::derives::key;
+use crate::errors::ErrorKind;
 use crate::fleet::{
-    BackendKey, BackendRegistry, BackendTicket, LimitAnnouncement, LoadReport, RetryBudgetShare,
-    RetryShareLimits, SharedRegistry,
+    BackendKey, BackendRecord, BackendRegistry, BackendTicket, ColdLimit, LimitAnnouncement,
+    LoadReport, RetryBudgetShare, RetryShareLimits, SharedRegistry,
 };
 use crate::overload::EntryHostId;
+use crate::placement::{PlacementDenial, PlacementRules, RegionMap};
 use crate::platform::PlatformBounds;
 use crate::quarantine::CrashSuspect;
 use crate::sync::{DeploymentSnapshot, EntryRecord, SharedSnapshot};
@@ -60,6 +62,7 @@
     /// Sorted by service.
     retry_budgets: Mutex<Vec<(ByteString, RetryBudgetShare)>>,
     bounds: PlatformBounds,
+    regions: Arc<RegionMap>,
 }
 
 /// Parts of a `GatewayState`.
@@ -71,6 +74,8 @@
     pub(super) own_id: EntryHostId,
     pub(super) drain: DrainState,
     pub(super) bounds: PlatformBounds,
+    /// The regions of the data centres.
+    pub(super) regions: RegionMap,
 }
 
 impl GatewayState {
@@ -81,6 +86,7 @@
             own_id,
             drain,
             bounds,
+            regions,
         } = parts;
         Self {
             snapshot,
@@ -93,6 +99,7 @@
             freed: Notify::new(),
             retry_budgets: Mutex::new(Vec::new()),
             bounds,
+            regions: Arc::new(regions),
         }
     }
 
@@ -101,8 +108,8 @@
         self.snapshot.load()
     }
 
-    /// Returns the newest snapshot after applying it to `registry`.
-    pub(super) fn snapshot(&self) -> Arc<DeploymentSnapshot> {
+    /// Returns the newest snapshot after applying it to `registry` at `now`.
+    pub(super) fn snapshot(&self, now: ClockTime) -> Arc<DeploymentSnapshot> {
         let newest = self.snapshot.load();
         let mut applied = self.applied.lock().unwrap_or_else(PoisonError::into_inner);
         let is_applied = applied
@@ -112,7 +119,8 @@
             let retired = {
                 let mut registry = self.registry.lock();
                 registry.set_clock(newest.clock);
-                registry.set_fleet(&newest.fleet);
+                registry.set_evacuated(&newest.evacuated, now);
+                registry.set_fleet(&newest.fleet, now);
                 registry.assign_shares(&entry_host_ids(&newest));
                 registry.take_retired()
             };
@@ -149,6 +157,51 @@
             || started.is_some_and(|started| now.since(*started) >= STOP_ACCEPT_SPAN)
     }
 
+    /// Returns the rules of `snapshot` on the data centre that may serve `job`.
+    pub(super) fn placement(
+        &self,
+        job: &RequestJob,
+        snapshot: &DeploymentSnapshot,
+    ) -> PlacementRules {
+        PlacementRules {
+            homes: job.homes(snapshot),
+            regions: self.regions.clone(),
+            evacuated: snapshot.evacuated.clone(),
+        }
+    }
+
+    /// Returns what cold backend servers accept of the service of `job`.
+    pub(super) fn cold_limit(
+        &self,
+        job: &RequestJob,
+        snapshot: &DeploymentSnapshot,
+    ) -> Option<ColdLimit> {
+        job.cold_limit(snapshot, self.bounds.cold_overshoot)
+    }
+
+    /// Returns why `job` may not be sent to the backend server of `ticket` any more, by what has
+    /// become known since it was picked.
+    pub(super) fn send_denial(
+        &self,
+        job: &RequestJob,
+        ticket: &BackendTicket,
+        now: ClockTime,
+    ) -> Option<ErrorKind> {
+        let snapshot = self.snapshot(now);
+        let placement = self.placement(job, &snapshot);
+        let is_serving = {
+            let registry = self.registry.lock();
+            let record = registry.get(ticket.key);
+            record.is_some_and(BackendRecord::is_serving)
+        };
+        match placement.check(&ticket.facts.data_centre) {
+            Err(PlacementDenial::Evacuated) => Some(ErrorKind::DataCentresEvacuated),
+            Err(PlacementDenial::OutsideHomes) => Some(ErrorKind::HomeRegionsUnavailable),
+            Ok(()) if !is_serving => Some(ErrorKind::BackendLeaving),
+            Ok(()) => None,
+        }
+    }
+
     /// Returns how long after a target update requests may start on a previous version.
     pub(super) fn previous_version_span(&self) -> Duration {
         self.bounds
--- a/src/gateway/request_intake.rs
+++ b/src/gateway/request_intake.rs
@@ -92,7 +92,7 @@
         let error = SwitchError::new(ErrorKind::EntryLeaving, detail);
         return Err(error.with_retry_after(SHUTDOWN_RETRY_DELAY));
     }
-    let snapshot = gateway.snapshot();
+    let snapshot = gateway.snapshot(arrived);
     let Some(catalog) = &snapshot.catalog else {
         let detail = "this entry host has no service document yet";
         let error = SwitchError::new(ErrorKind::NoBackend, detail);
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -7,10 +7,11 @@
 use bytestring::ByteString;
 use http::{HeaderMap, Method, Uri};
 
-use crate::catalog::{EngineFacts, RetryPolicy, RouteRule, ServiceCatalog};
+use crate::catalog::{CatalogVersion, EngineFacts, RetryPolicy, RouteRule, ServiceCatalog};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
-use crate::fleet::{EngineWork, VersionRequirement, WeightsVersion};
+use crate::fleet::{ColdLimit, EngineWork, VersionRequirement, WeightsVersion};
 use crate::overload::is_retry;
+use crate::placement::HomeRegions;
 use crate::platform::{PRIORITY_MAX, RequestHead};
 use crate::quarantine::{CrashSuspect, RequestParts, SuspectDigest};
 use crate::routing::name_hash;
@@ -49,6 +50,9 @@
     pub(super) service: ByteString,
     pub(super) account: Option<ByteString>,
     pub(super) priority: u8,
+    /// The regions that may serve the request, by the document of version `document`.
+    pub(super) homes: HomeRegions,
+    pub(super) document: CatalogVersion,
 }
 
 /// A request that may be sent to a backend server.
@@ -163,6 +167,31 @@
         catalog.service(&self.routed.service)?.engine.as_ref()
     }
 
+    /// Returns the regions that may serve the request by the document of `snapshot`. If that no
+    /// longer has the request's route or account, those of the document with which it came.
+    pub(super) fn homes(&self, snapshot: &DeploymentSnapshot) -> HomeRegions {
+        let newer = snapshot
+            .catalog
+            .as_ref()
+            .filter(|catalog| catalog.version != self.routed.document);
+        let routed = newer.and_then(|catalog| {
+            route_request(catalog, &self.head, &self.routed.host, self.uri.path()).ok()
+        });
+        routed.map_or_else(|| self.routed.homes.clone(), |routed| routed.homes)
+    }
+
+    /// Returns what cold backend servers of the request's service accept, if one second may exceed
+    /// that by the factor `overshoot`; `None` if there is no limit.
+    pub(super) fn cold_limit(
+        &self,
+        snapshot: &DeploymentSnapshot,
+        overshoot: Option<f64>,
+    ) -> Option<ColdLimit> {
+        let catalog = snapshot.catalog.as_ref()?;
+        let cold_start = catalog.service(&self.routed.service)?.cold_start?;
+        Some(ColdLimit::new(cold_start, overshoot?))
+    }
+
     /// Returns the versions of weights that may answer the request at `now`.
     pub(super) fn version_requirement(
         &self,
@@ -239,6 +268,11 @@
         priority: account
             .and_then(|account| account.priority)
             .unwrap_or(rule.priority),
+        homes: account.map_or_else(
+            || rule.homes.clone(),
+            |account| rule.homes.intersect(&account.homes),
+        ),
+        document: catalog.version,
     })
 }
 
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -85,10 +85,14 @@
 
 impl SendFailure {
     fn not_sent(detail: String) -> Self {
+        Self::withdrawn(ErrorKind::ConnectFailed, detail)
+    }
+
+    fn withdrawn(kind: ErrorKind, detail: String) -> Self {
         Self {
             may_have_run: false,
             has_arrived: false,
-            kind: ErrorKind::ConnectFailed,
+            kind,
             detail,
         }
     }
@@ -135,6 +139,12 @@
             "not sent: the request would arrive too late".to_owned(),
         ));
     }
+    // Opening the connection takes time, in which the backend server may have become ineligible.
+    if let Some(denial) = gateway.send_denial(job, &ticket, clock_now()) {
+        ticket.end(CallOutcome::Inconclusive, clock_now());
+        let detail = "not sent: the backend server may not get the request any more";
+        return Err(SendFailure::withdrawn(denial, detail.to_owned()));
+    }
     let sent = await_head(gateway, job, &ticket, wait, connection.send(request)).await;
     let (parts, body) = match sent {
         Ok(Ok(response)) => response.into_parts(),
@@ -308,6 +318,11 @@
     if let Some(pause) = response.head.requested_pause {
         response.ticket.note_requested_pause(pause, now);
     }
+    if let Some(left) = response.head.cold_left {
+        response
+            .ticket
+            .with_record(|record| record.note_cold(left, now));
+    }
 }
 
 /// Checks whether the response is a valid one to the request.
--- a/src/gateway/tests/cancelled_requests.rs
+++ b/src/gateway/tests/cancelled_requests.rs
@@ -17,6 +17,7 @@
     PickRequirements, TargetTimeCertainty, TargetWeights, VersionRequirement, WeightsVersion,
 };
 use crate::gateway::send_attempt::{HeadWait, SendFailure, send_attempt};
+use crate::placement::PlacementRules;
 use crate::sync::{DeploymentSnapshot, SharedSnapshot};
 use crate::time::{ClockTime, clock_now};
 
@@ -34,6 +35,8 @@
         queue_room: 0,
         is_returned: false,
         work: None,
+        placement: PlacementRules::default(),
+        cold_limit: None,
     };
     let ticket = entry.gateway.registry.pick(&requirements, now);
     let wait = HeadWait {
@@ -60,7 +63,7 @@
 async fn a_request_past_its_cancellation_time_is_not_sent() {
     let backend = FakeBackend::start(BackendBehaviour::Complete).await;
     let entry = EntryFixture::start(&[&backend]).await;
-    entry.gateway.snapshot();
+    entry.gateway.snapshot(ClockTime::default());
     let now = clock_now();
     let failure = send_cancelled_at(&entry, "once", now).await;
     let failure = failure.expect("the request is not sent");
@@ -98,6 +101,7 @@
             models: vec![version(1)],
             layers: vec![layers],
         },
+        cold_until: None,
     };
     let known = DeploymentSnapshot {
         fleet: Arc::new(FleetView {
@@ -108,7 +112,7 @@
     let snapshot = SharedSnapshot::default();
     snapshot.store(known.clone());
     let gateway = Arc::new(new_gateway(snapshot.clone(), BOUNDS));
-    gateway.snapshot();
+    gateway.snapshot(ClockTime::default());
     let model = VersionRequirement::Model {
         model: "m".into(),
         layers: 16,
@@ -123,6 +127,8 @@
         queue_room: 0,
         is_returned: false,
         work: None,
+        placement: PlacementRules::default(),
+        cold_limit: None,
     };
     let ticket = gateway
         .registry
@@ -196,7 +202,7 @@
         requests: backend.requests.clone(),
     };
     let entry = EntryFixture::start(&[&link]).await;
-    entry.gateway.snapshot();
+    entry.gateway.snapshot(ClockTime::default());
     let until = clock_now() + Duration::from_millis(150);
     let failure = send_cancelled_at(&entry, "resumed", until).await;
     assert!(failure.is_some(), "the request is cancelled");
--- a/src/gateway/tests/crash_detector.rs
+++ b/src/gateway/tests/crash_detector.rs
@@ -12,6 +12,7 @@
 use crate::fleet::{BackendKey, SharedRegistry, VersionRequirement};
 use crate::gateway::crash_detector::{CrashDetector, InterruptedRequest};
 use crate::overload::EntryHostId;
+use crate::placement::PlacementRules;
 use crate::quarantine::{BackendIncarnation, CrashSuspect, RecentAnswers, SuspectDigest};
 use crate::sync::SharedDeploymentState;
 use crate::test_support::{digest_of, unused_address};
@@ -31,6 +32,7 @@
         slots: 4,
         phase: BackendPhase::Serving,
         holdings: EngineHoldings::default(),
+        cold_until: None,
     }
 }
 
@@ -39,9 +41,12 @@
         data_centre: "here".into(),
         host: "e1".into(),
     });
-    registry.set_fleet(&FleetView {
-        backends: vec![facts.clone().into()],
-    });
+    registry.set_fleet(
+        &FleetView {
+            backends: vec![facts.clone().into()],
+        },
+        ClockTime::default(),
+    );
     let requirements = PickRequirements {
         service: "desk",
         version: VersionRequirement::None,
@@ -49,6 +54,8 @@
         queue_room: 0,
         is_returned: false,
         work: None,
+        placement: PlacementRules::default(),
+        cold_limit: None,
     };
     let picked = SharedRegistry::new(registry).pick(&requirements, ClockTime(0));
     picked.expect("a slot is free").key
--- a/src/gateway/tests/entry_hosts.rs
+++ b/src/gateway/tests/entry_hosts.rs
@@ -11,6 +11,7 @@
 
 use super::BOUNDS;
 use crate::gateway::run_gateway;
+use crate::placement::RegionMap;
 use crate::platform::samples::{ATTEMPT, DEADLINE};
 use crate::platform::{
     AccountSample, FakeStore, PlatformSettings, READY_PATH, TableName, document_text,
@@ -51,6 +52,7 @@
         host: format!("e-{ip}").into(),
         ip,
         data_centre: "hall-a".into(),
+        regions: RegionMap::default(),
         caller_address: Some(callers),
         ready_address: Some(ready),
         control_address: Some(control),
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -18,6 +18,7 @@
 use crate::fleet::{BackendFacts, BackendPhase, EngineHoldings, FleetView};
 use crate::gateway::daemon::caller_routes;
 use crate::gateway::gateway_state::GatewayState;
+use crate::placement::HomeRegions;
 use crate::platform::PlatformBounds;
 use crate::platform::samples::{ATTEMPT, BACKEND_ID, DEADLINE, LEAVING, NOT_RUN, SEAL};
 use crate::sync::{DeploymentSnapshot, SharedDeploymentState, SharedSnapshot};
@@ -345,6 +346,8 @@
 pub(super) struct EntryFixture {
     pub(super) address: SocketAddr,
     pub(super) gateway: Arc<GatewayState>,
+    /// What the entry host knows of the deployment.
+    pub(super) snapshot: SharedSnapshot,
     /// Source of the crash records.
     pub(super) deployment_state: SharedDeploymentState,
 }
@@ -374,6 +377,7 @@
                 slots: 4,
                 phase: BackendPhase::Serving,
                 holdings: EngineHoldings::default(),
+                cold_until: None,
             })
         });
         snapshot.store(DeploymentSnapshot {
@@ -384,7 +388,11 @@
             ..DeploymentSnapshot::default()
         });
         let deployment_state = SharedDeploymentState::default();
-        let gateway = Arc::new(new_gateway_with(snapshot, bounds, deployment_state.clone()));
+        let gateway = Arc::new(new_gateway_with(
+            snapshot.clone(),
+            bounds,
+            deployment_state.clone(),
+        ));
         let listener = bind_listener(([127, 0, 0, 1], 0).into())
             .await
             .expect("a free port");
@@ -395,10 +403,18 @@
         Self {
             address,
             gateway,
+            snapshot,
             deployment_state,
         }
     }
 
+    /// Changes what the entry host knows of the deployment.
+    pub(super) fn change_snapshot(&self, change: impl FnOnce(&mut DeploymentSnapshot)) {
+        let mut snapshot = (*self.snapshot.load()).clone();
+        change(&mut snapshot);
+        self.snapshot.store(snapshot);
+    }
+
     /// Sends `text` on a new connection. Returns everything received until the entry host closes
     /// the connection or sends nothing for `QUIET_SPAN`.
     pub(super) async fn send(&self, text: &str) -> String {
@@ -461,6 +477,7 @@
         }],
         attempts_max: 2,
         is_public: false,
+        homes: HomeRegions::Anywhere,
     });
     ServiceCatalog {
         version: CatalogVersion(1),
@@ -469,10 +486,12 @@
             name: "desk".into(),
             engine: None,
             origin: None,
+            cold_start: None,
         }],
         accounts: vec![AccountRecord {
             name: "lodge".into(),
             priority: None,
+            homes: HomeRegions::Anywhere,
         }],
         keys: vec![(ByteString::from("secret"), 0)],
         limits: CallerLimits {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -8,6 +8,7 @@
 mod entry_hosts;
 mod fake_backend;
 mod intake;
+mod placement;
 mod quarantined_parts;
 mod rate_limits;
 mod resets;
@@ -33,6 +34,7 @@
 use crate::gateway::reply::{refusal_reply, status_of};
 use crate::gateway::request_job::{RequestJob, route_request};
 use crate::overload::EntryHostId;
+use crate::placement::RegionMap;
 use crate::platform::{PlatformBounds, RequestHead};
 use crate::sync::{DeploymentSnapshot, SharedDeploymentState, SharedSnapshot};
 use crate::time::ClockTime;
@@ -96,6 +98,7 @@
     retry_ratio: 0.2,
     retry_extra: 100.0,
     retry_window: Duration::from_secs(10),
+    cold_overshoot: None,
 };
 
 /// Time bounds without any retries.
@@ -126,6 +129,10 @@
         own_id,
         drain,
         bounds,
+        regions: RegionMap::new(vec![
+            ("here".into(), "home".into()),
+            ("there".into(), "abroad".into()),
+        ]),
     })
 }
 
--- a/src/gateway/tests/quarantined_parts.rs
+++ b/src/gateway/tests/quarantined_parts.rs
@@ -6,9 +6,10 @@
 
 use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend};
 use crate::fleet::{BackendTicket, CallOutcome, PickRequirements, VersionRequirement};
+use crate::placement::PlacementRules;
 use crate::platform::samples::PROMPT_PARTS;
 use crate::quarantine::{BackendIncarnation, CrashSuspect, PromptPart};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 
 const HARMFUL_PART: PromptPart = PromptPart(0xbad0);
 const KINDS: [&str; 4] = ["safe", "once", "resumed", "single"];
@@ -39,7 +40,7 @@
 
 /// Takes all slots and places in the queues of the backend servers.
 fn fill_backends(entry: &EntryFixture) -> Vec<BackendTicket> {
-    entry.gateway.snapshot();
+    entry.gateway.snapshot(ClockTime::default());
     let requirements = PickRequirements {
         service: "desk",
         version: VersionRequirement::None,
@@ -47,6 +48,8 @@
         queue_room: 8,
         is_returned: false,
         work: None,
+        placement: PlacementRules::default(),
+        cold_limit: None,
     };
     let tickets = (0..64).map(|_| entry.gateway.registry.pick(&requirements, clock_now()));
     tickets.map_while(Result::ok).collect()
--- a/src/gateway/tests/stream_pauses.rs
+++ b/src/gateway/tests/stream_pauses.rs
@@ -7,8 +7,9 @@
 use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend};
 use super::sends::{assert_complete_stream, outcome};
 use crate::fleet::{BackendKey, BackendTicket, PickRequirements, VersionRequirement};
+use crate::placement::PlacementRules;
 use crate::quarantine::{BackendIncarnation, CrashSuspect, RequestParts, SuspectDigest};
-use crate::time::clock_now;
+use crate::time::{ClockTime, clock_now};
 
 /// Two events, a pause as of a busy engine, and the other events.
 const PAUSED: BackendBehaviour = BackendBehaviour::EventsPaused {
@@ -93,6 +94,8 @@
         queue_room: 100,
         is_returned: false,
         work: None,
+        placement: PlacementRules::default(),
+        cold_limit: None,
     };
     entry.gateway.registry.pick(&requirements, clock_now()).ok()
 }
@@ -103,7 +106,7 @@
     let first = FakeBackend::start(BackendBehaviour::EventsTruncated { to: 2 }).await;
     let second = FakeBackend::start(COMPLETE).await;
     let entry = EntryFixture::start(&[&first, &second]).await;
-    entry.gateway.snapshot();
+    entry.gateway.snapshot(ClockTime::default());
     let near = take_slot(&entry, &[]).expect("all slots are free").key;
     let tickets: Vec<_> = std::iter::from_fn(|| take_slot(&entry, &[near])).collect();
     assert!(!tickets.is_empty());
--- a/src/gateway/tests/uninterrupted_responses.rs
+++ b/src/gateway/tests/uninterrupted_responses.rs
@@ -20,6 +20,7 @@
 use crate::gateway::gateway_state::GatewayState;
 use crate::platform::samples::{ATTEMPT, DEADLINE, SEAL};
 use crate::sync::{DeploymentSnapshot, SharedSnapshot};
+use crate::time::ClockTime;
 use crate::transport::{HttpServer, bind_listener};
 
 const EVENTS: u64 = 40;
@@ -95,6 +96,7 @@
             slots: 64,
             phase,
             holdings: EngineHoldings::default(),
+            cold_until: None,
         })
     });
     Arc::new(FleetView {
@@ -235,7 +237,7 @@
         let changing = async {
             sleep(STREAM_START_SPAN).await;
             entry.snapshot.store(change);
-            entry.gateway.snapshot();
+            entry.gateway.snapshot(ClockTime::default());
         };
         let streams = ["resumed", "single"].map(|kind| entry.responses(request(kind), 1));
         let (responses, ()) = tokio::join!(futures::future::join_all(streams), changing);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 mod metrics;
 mod operator;
 mod overload;
+mod placement;
 mod platform;
 mod quarantine;
 mod replication;
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -12,4 +12,4 @@
 pub(crate) use engine_assignment::{EngineAssignment, EntryHostId};
 pub(crate) use engine_candidate::{EngineCandidate, EngineSpeed, unreported_load, usual_pace};
 pub(crate) use retry_delay::{is_retry, retry_delay, retry_delay_after};
-pub(crate) use send_schedule::SendSchedule;
+pub(crate) use send_schedule::{SendRate, SendSchedule};
--- a/src/overload/send_schedule.rs
+++ b/src/overload/send_schedule.rs
@@ -8,15 +8,39 @@
 
 use std::time::Duration;
 
+use macro_rules_attribute::apply;
+
+use crate::derives::plain;
 use crate::routing::rendezvous_weight;
 use crate::time::StoreTime;
 
-/// How long an interval can be used after its start, if intervals are shorter than this.
+/// How long an interval of an advertised rate can be used after its start, if intervals are shorter
+/// than this.
 const CARRY_SPAN: Duration = Duration::from_secs(1);
 /// Largest number of past intervals that are searched for an unused one.
 const CARRY_INTERVALS_MAX: u64 = 256;
 const MICROS_PER_SECOND: f64 = 1e6;
 
+/// The rate of send intervals.
+#[apply(plain!)]
+#[derive(Copy)]
+pub(crate) struct SendRate {
+    /// Intervals per second.
+    pub(crate) per_s: f64,
+    /// How long an interval can be used after its start, if intervals are shorter than this.
+    pub(crate) carry_span: Duration,
+}
+
+impl SendRate {
+    /// The rate of a backend server that advertises `per_s` requests per second.
+    pub(crate) const fn advertised(per_s: f64) -> Self {
+        Self {
+            per_s,
+            carry_span: CARRY_SPAN,
+        }
+    }
+}
+
 /// The send intervals of a backend server and the entry hosts that share them, identified by the
 /// hashes of their names.
 #[derive(Clone, Copy, Debug)]
@@ -31,23 +55,24 @@
 
 impl SendSchedule<'_> {
     /// Returns the start of the earliest interval that this entry host may use at `now`, or `None`.
-    /// `rate` is in intervals per second; `used` is the start of the last interval that it used.
+    /// `used` is the start of the last interval that it used.
     ///
     /// Clock differences between entry hosts do no harm: each interval is still used once, slightly
     /// earlier or later.
     pub(crate) fn open_interval(
         &self,
-        rate: f64,
+        rate: SendRate,
         used: StoreTime,
         now: StoreTime,
     ) -> Option<StoreTime> {
-        let newest = interval_at(rate, now);
-        let carried = interval_at(rate, now - CARRY_SPAN) + 1;
+        let SendRate { per_s, carry_span } = rate;
+        let newest = interval_at(per_s, now);
+        let carried = interval_at(per_s, now - carry_span) + 1;
         let oldest = carried
             .min(newest)
             .max(newest.saturating_sub(CARRY_INTERVALS_MAX));
         let mut intervals =
-            (oldest..=newest).map(|interval| (interval, interval_start(rate, interval)));
+            (oldest..=newest).map(|interval| (interval, interval_start(per_s, interval)));
         let open = intervals.find(|(interval, start)| *start > used && self.is_mine(*interval))?;
         Some(open.1)
     }
--- a/src/overload/tests/send_schedule.rs
+++ b/src/overload/tests/send_schedule.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::overload::SendSchedule;
+use crate::overload::{SendRate, SendSchedule};
 use crate::routing::name_hash;
 use crate::test_support::run_cases;
 use crate::time::StoreTime;
@@ -23,7 +23,7 @@
 /// Returns when `entry_hosts`, whose clocks are `ahead`, send requests at `rate`. `wants` says
 /// whether an entry host has a request to send in a step.
 fn sends(
-    rate: f64,
+    rate: SendRate,
     entry_hosts: &[u64],
     ahead: &[Duration],
     wants: impl Fn(usize, u32) -> bool,
@@ -78,7 +78,12 @@
             let lot = name_hash(&format!("{at} {step}")) % 100;
             step >= quiet && lot < busy
         };
-        let most = float_of(most_in_window(&sends(rate, &entry_hosts, &ahead, wants)));
+        let most = float_of(most_in_window(&sends(
+            SendRate::advertised(rate),
+            &entry_hosts,
+            &ahead,
+            wants,
+        )));
         let allowed = rate * WINDOW.as_secs_f64() * RATE_FACTOR + EXTRA_REQUESTS;
         assert!(
             most <= allowed,
@@ -94,7 +99,12 @@
     for (rate, count) in [(0.5, 2), (1.0, 6), (2.2, 8), (10.0, 2), (30.0, 20)] {
         let entry_hosts = hosts(count);
         let ahead = vec![Duration::ZERO; entry_hosts.len()];
-        let sent = float_of(sends(rate, &entry_hosts, &ahead, |_, _| true).len());
+        let sent = float_of(
+            sends(SendRate::advertised(rate), &entry_hosts, &ahead, |_, _| {
+                true
+            })
+            .len(),
+        );
         let offered = rate * (STEP * STEPS).as_secs_f64();
         assert!(sent >= offered * 0.9, "{sent} of {offered} at {rate}");
     }
@@ -103,6 +113,40 @@
 /// Guards against sending to a backend server that accepts no requests.
 #[test]
 fn a_rate_of_zero_has_no_intervals() {
-    let sent = sends(0.0, &hosts(2), &[Duration::ZERO; 2], |_, _| true);
+    let sent = sends(
+        SendRate::advertised(0.0),
+        &hosts(2),
+        &[Duration::ZERO; 2],
+        |_, _| true,
+    );
     assert!(sent.is_empty());
 }
+
+/// Guards against more requests to a cold backend server in one second than it tolerates, if all
+/// entry hosts have requests and know each other.
+#[test]
+fn no_second_exceeds_what_a_cold_backend_server_tolerates() {
+    const OVERSHOOT: f64 = 1.5;
+    const SLACK: f64 = 5.0;
+    run_cases(60, 4096, |source| {
+        let rate = SendRate {
+            per_s: f64::from(source.int_in_range(1_u32..=60)?),
+            carry_span: Duration::from_secs_f64(OVERSHOOT - 1.0),
+        };
+        let entry_hosts = hosts(source.int_in_range(1..=24)?);
+        let quiet = source.int_in_range(0_u32..=STEPS / 2)?;
+        let ahead = vec![Duration::ZERO; entry_hosts.len()];
+        let sent = sends(rate, &entry_hosts, &ahead, |_, step| step >= quiet);
+        let counts = sent.iter().enumerate().map(|(at, from)| {
+            let rest = sent[at..].iter();
+            rest.take_while(|to| to.since(*from) < Duration::from_secs(1))
+                .count()
+        });
+        let most = float_of(counts.max().unwrap_or(0));
+        let allowed = rate.per_s * OVERSHOOT + SLACK;
+        assert!(most <= allowed, "{most} of {allowed}");
+        let offered = rate.per_s * (STEP * (STEPS - quiet)).as_secs_f64();
+        assert!(float_of(sent.len()) >= offered * 0.9, "the rate is used");
+        Ok(())
+    });
+}
--- a/src/platform/backend_headers.rs
+++ b/src/platform/backend_headers.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use macro_rules_attribute::apply;
 
+use super::millis::millis;
 use super::request_head::{ATTEMPT_ID, DEADLINE, LAST_EVENT, number_value, text_of};
 use crate::derives::{key, plain};
 use crate::fleet::{ResponseLoad, WeightsVersion, is_valid_rate};
@@ -26,6 +27,8 @@
 /// The advertised limit in requests per second, for all entry hosts together.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const VERSIONS: HeaderName = HeaderName::from_static("savoryswitch-weight-versions");
+/// How much longer the backend server stays cold, in milliseconds.
+const COLD: HeaderName = HeaderName::from_static("savoryswitch-cold-ms");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// The value of `LEAVING` in the responses of a backend server that is leaving.
 const IS_LEAVING: &str = "1";
@@ -129,6 +132,9 @@
     /// How long the backend server, which refused the request, asks this entry host to send it
     /// none; none if absent or invalid, or if another one responded.
     pub(crate) requested_pause: Option<Duration>,
+    /// How much longer the backend server states that it stays cold; none if absent or invalid, or
+    /// if another one responded.
+    pub(crate) cold_left: Option<Duration>,
     /// The version of weights that served the request.
     pub(crate) version: Option<WeightsVersion>,
     /// How long the backend server keeps the connection open without a request.
@@ -162,6 +168,9 @@
         requested_pause: (is_own && status == StatusCode::SERVICE_UNAVAILABLE)
             .then(|| text_of(headers, &RETRY_AFTER).and_then(read_pause))
             .flatten(),
+        cold_left: is_own
+            .then(|| text_of(headers, &COLD).and_then(read_millis))
+            .flatten(),
         version: text_of(headers, &VERSIONS)
             .and_then(|text| text.trim().parse().ok())
             .map(WeightsVersion),
@@ -241,6 +250,11 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
+fn read_millis(text: &str) -> Option<Duration> {
+    let value: f64 = text.trim().parse().ok()?;
+    Some(millis(value))
+}
+
 /// The value of the parameter `timeout`.
 fn read_keep_alive(text: &str) -> Option<Duration> {
     let timeout = text.split(',').find_map(|part| {
--- a/src/platform/backend_row.rs
+++ b/src/platform/backend_row.rs
@@ -14,9 +14,10 @@
 
 use super::engine_calls::{HoldingsText, LayersText, ModelText, read_holdings};
 use super::json_object::{JsonObject, read_object};
+use super::millis::millis;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{BackendFacts, BackendPhase};
-use crate::time::WallTime;
+use crate::time::{StoreTime, WallTime};
 
 /// An entry as it is stored. Optional fields may be missing, but must have the right type if
 /// present.
@@ -43,8 +44,9 @@
     /// The version of the software, not of the weights.
     #[serde(default, deserialize_with = "non_null", rename = "version")]
     _software: Option<SoftwareText>,
-    #[serde(default, deserialize_with = "non_null", rename = "cold_remaining_ms")]
-    _cold_ms: Option<f64>,
+    /// How long it stays cold from the time of writing on.
+    #[serde(default, deserialize_with = "non_null")]
+    cold_remaining_ms: Option<f64>,
     #[serde(default, deserialize_with = "non_null", rename = "stage")]
     _stage: Option<String>,
 }
@@ -87,13 +89,17 @@
     T::deserialize(deserializer).map(Some)
 }
 
-/// Decodes the entry of the backend server with `id`.
+/// Decodes the entry of the backend server with `id`, which the store reported at `store_time`.
 ///
 /// # Errors
 ///
 /// `MessageInvalid` if `id` is no valid header value, or the entry lacks a field or has one of a
 /// wrong type.
-pub(crate) fn read_backend_row(id: &str, value: &[u8]) -> SwitchResult<BackendFacts> {
+pub(crate) fn read_backend_row(
+    id: &str,
+    value: &[u8],
+    store_time: StoreTime,
+) -> SwitchResult<BackendFacts> {
     check_id(id)?;
     let text: RowText = read_object(value).map_err(|fault| invalid(id, &fault))?;
     let holdings = HoldingsText {
@@ -113,6 +119,8 @@
             StateText::Draining => BackendPhase::Leaving,
         },
         holdings: read_holdings(holdings),
+        // Counted from the report on, which is later than the time of writing.
+        cold_until: text.cold_remaining_ms.map(|left| store_time + millis(left)),
     })
 }
 
--- a/src/platform/document_rows.rs
+++ b/src/platform/document_rows.rs
@@ -3,42 +3,49 @@
 
 use std::num::NonZeroU64;
 
+use bytestring::ByteString;
 use serde::Deserialize;
 
 use super::json_object::read_object;
-use super::millis::millis;
+use super::millis::{millis, seconds};
 use crate::catalog::{
-    AccountRecord, BackendService, CallerLimits, CatalogVersion, EngineFacts, RetryPolicy,
-    RouteRule, RouteTable, ServiceCatalog, ServiceShare, WeightsOrigin,
+    AccountRecord, BackendService, CallerLimits, CatalogVersion, ColdStart, EngineFacts,
+    RetryPolicy, RouteRule, RouteTable, ServiceCatalog, ServiceShare, WeightsOrigin,
 };
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{ModelVersion, WeightsVersion};
 use crate::overload::EngineSpeed;
+use crate::placement::HomeRegions;
 
 const DOCUMENT_KEY: &str = "config";
 const VERSION_KEY_PREFIX: &str = "version/";
+const EVACUATION_KEY_PREFIX: &str = "evacuate/";
 const DEFAULT_ATTEMPTS_MAX: u32 = 1;
 const DEFAULT_TIMEOUT_MS: f64 = 60_000.0;
 const MILLIS_PER_SECOND: f64 = 1000.0;
 
 /// The kinds of rows in the operator's table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum OperatorRow {
+pub(crate) enum OperatorRow<'a> {
     /// The document.
     Document,
     /// The target version of a model.
     TargetVersion,
+    /// The evacuation of this data centre, as long as the row exists.
+    Evacuation(&'a str),
     /// A row that this program does not know.
     Other,
 }
 
-impl OperatorRow {
+impl<'a> OperatorRow<'a> {
     /// The kind of the row with `key`.
-    pub(crate) fn of(key: &str) -> Self {
+    pub(crate) fn of(key: &'a str) -> Self {
         if key == DOCUMENT_KEY {
             Self::Document
         } else if key.starts_with(VERSION_KEY_PREFIX) {
             Self::TargetVersion
+        } else if let Some(data_centre) = key.strip_prefix(EVACUATION_KEY_PREFIX) {
+            Self::Evacuation(data_centre)
         } else {
             Self::Other
         }
@@ -77,6 +84,9 @@
     max_attempts: Option<u32>,
     #[serde(default)]
     public: bool,
+    /// The regions in which requests may be served; empty means everywhere.
+    #[serde(default)]
+    allowed_regions: Vec<String>,
     #[serde(default)]
     stream_resume: bool,
     /// Streams only: the longest pause between two events that still counts as on time.
@@ -95,6 +105,11 @@
     name: String,
     engine: Option<EngineText>,
     origin: Option<String>,
+    /// How long a backend server is cold after its start.
+    #[serde(default)]
+    cold_s: f64,
+    /// Requests per second that a cold backend server accepts.
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -151,6 +166,9 @@
     #[serde(default)]
     api_keys: Vec<String>,
     priority: Option<u8>,
+    /// As for routes.
+    #[serde(default)]
+    allowed_regions: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -160,6 +178,10 @@
     version: NonZeroU64,
 }
 
+/// No field is specified.
+#[derive(Deserialize)]
+struct EvacuationText {}
+
 const fn one() -> u32 {
     1
 }
@@ -187,6 +209,7 @@
         accounts.push(AccountRecord {
             name: account.name.into(),
             priority: account.priority,
+            homes: home_regions(account.allowed_regions),
         });
     }
     keys.sort_unstable();
@@ -203,6 +226,21 @@
     })
 }
 
+/// Checks the value of the row that evacuates `data_centre`. The evacuation is in force whatever the
+/// value is, except without a data centre.
+///
+/// # Errors
+///
+/// `DocumentInvalid` if the key names no data centre, or the value is no object.
+pub(crate) fn check_evacuation(data_centre: &str, value: &[u8]) -> SwitchResult<()> {
+    if data_centre.is_empty() {
+        return Err(invalid(&"the key names no data centre"));
+    }
+    read_object::<EvacuationText>(value)
+        .map(drop)
+        .map_err(|fault| invalid(&fault))
+}
+
 /// Decodes the target version of a model from the row with `key`.
 ///
 /// # Errors
@@ -254,6 +292,7 @@
         shares,
         attempts_max: text.max_attempts.unwrap_or(DEFAULT_ATTEMPTS_MAX),
         is_public: text.public,
+        homes: home_regions(text.allowed_regions),
     }
 }
 
@@ -263,9 +302,24 @@
         name: text.name.into(),
         engine: text.engine.map(read_engine),
         origin: origin.map(|address| WeightsOrigin { address }),
+        cold_start: read_cold_start(text.cold_s, text.cold_per_s),
     }
 }
 
+fn home_regions(names: Vec<String>) -> HomeRegions {
+    HomeRegions::of_list(names.into_iter().map(ByteString::from).collect())
+}
+
+/// A negative rate counts as zero, at which a cold backend server gets no requests.
+fn read_cold_start(cold_s: f64, cold_per_s: Option<f64>) -> Option<ColdStart> {
+    let span = seconds(cold_s);
+    let rate = cold_per_s.filter(|_| !span.is_zero())?;
+    Some(ColdStart {
+        span,
+        rate: rate.max(0.0),
+    })
+}
+
 fn read_engine(text: EngineText) -> EngineFacts {
     EngineFacts {
         models: text
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -29,7 +29,7 @@
 };
 pub(crate) use backend_row::read_backend_row;
 pub(crate) use command::{PLATFORM_COMMAND, run_on_platform, with_platform};
-pub(crate) use document_rows::{OperatorRow, read_document, read_target_version};
+pub(crate) use document_rows::{OperatorRow, check_evacuation, read_document, read_target_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 pub(crate) use fake_backend::{
     BackendRun, EngineLoad, FakeBackend, FakeBackendConfig, HARMFUL_PREFIX, RunEnd, RunEvent,
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -1,5 +1,6 @@
 //! The settings file that the platform writes for each process, in TOML.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 
 use super::millis::{millis, seconds};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
+use crate::placement::RegionMap;
 
 /// The environment variable with the path of the settings file.
 pub(crate) const SETTINGS_PATH_VARIABLE: &str = "SAVORYSWITCH_CONFIG";
@@ -27,6 +29,9 @@
     pub(crate) retry_extra: f64,
     /// The length of the window of `retry_extra`.
     pub(crate) retry_window: Duration,
+    /// By what factor a cold backend server may get more requests in one second than its service
+    /// states; none if cold backend servers need no limit.
+    pub(crate) cold_overshoot: Option<f64>,
 }
 
 /// The settings of a process on the platform.
@@ -38,6 +43,8 @@
     pub(crate) ip: IpAddr,
     /// The data centre of the host.
     pub(crate) data_centre: ByteString,
+    /// The regions of the data centres.
+    pub(crate) regions: RegionMap,
     /// The address on which an entry host accepts clients; entry hosts only.
     pub(crate) caller_address: Option<SocketAddr>,
     /// The address of the readiness check for the load balancer; entry hosts only.
@@ -68,6 +75,9 @@
     node_name: String,
     ip: Ipv4Addr,
     zone: String,
+    /// The region of each data centre.
+    #[serde(default)]
+    zones: BTreeMap<String, String>,
     port_range: (u16, u16),
     #[serde(default)]
     seeds: Vec<String>,
@@ -109,6 +119,7 @@
     retry_budget_ratio: f64,
     retry_budget_extra: f64,
     budget_window_s: f64,
+    cold_overshoot: Option<f64>,
 }
 
 impl Default for BoundsText {
@@ -119,6 +130,7 @@
             retry_budget_ratio: 0.1,
             retry_budget_extra: 20.0,
             budget_window_s: 10.0,
+            cold_overshoot: None,
         }
     }
 }
@@ -153,6 +165,7 @@
         host: file.node_name.into(),
         ip: IpAddr::V4(file.ip),
         data_centre: file.zone.into(),
+        regions: RegionMap::new(region_pairs(file.zones)),
         caller_address: address("listen.front", file.listen.front.as_deref())?,
         ready_address: address("listen.ready_addr", file.listen.ready_addr.as_deref())?,
         control_address: address("listen.control", file.listen.control.as_deref())?,
@@ -168,6 +181,13 @@
     })
 }
 
+fn region_pairs(zones: BTreeMap<String, String>) -> Vec<(ByteString, ByteString)> {
+    let pairs = zones.into_iter();
+    pairs
+        .map(|(zone, region)| (zone.into(), region.into()))
+        .collect()
+}
+
 fn time_bounds(text: &BoundsText) -> PlatformBounds {
     PlatformBounds {
         shutdown_grace: seconds(text.grace_s),
@@ -175,6 +195,7 @@
         retry_ratio: text.retry_budget_ratio,
         retry_extra: text.retry_budget_extra,
         retry_window: seconds(text.budget_window_s),
+        cold_overshoot: text.cold_overshoot,
     }
 }
 
--- a/src/platform/tests/backend_rows.rs
+++ b/src/platform/tests/backend_rows.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{BackendFacts, HeldLayers};
 use crate::platform::engine_calls::{HoldingsText, read_holdings};
 use crate::test_support::{arbitrary_json, mutate_json, run_cases};
-use crate::time::WallTime;
+use crate::time::{StoreTime, WallTime};
 
 const CASES: u32 = 4000;
 const CASE_BYTES: u32 = 512;
@@ -23,7 +23,7 @@
 }
 
 fn read(entry: &Value) -> crate::errors::SwitchResult<BackendFacts> {
-    read_backend_row("i-1", entry.to_string().as_bytes())
+    read_backend_row("i-1", entry.to_string().as_bytes(), StoreTime::default())
 }
 
 fn changed(field: &str, value: Value) -> Value {
@@ -115,7 +115,7 @@
 fn an_entry_of_an_engine_without_weights_is_accepted() {
     let text = br#"{"service":"s","address":"10.3.0.34:87","zone":"z","version":"v1","slots":16,
         "state":"ready","sequence":1,"cold_remaining_ms":0,"stage":"both","models":[],"layers":null}"#;
-    let facts = read_backend_row("i-1", text).expect("the entry is valid");
+    let facts = read_backend_row("i-1", text, StoreTime::default()).expect("the entry is valid");
     assert_eq!(facts.holdings, crate::fleet::EngineHoldings::default());
 }
 
@@ -124,9 +124,12 @@
 #[test]
 fn an_entry_with_an_id_that_is_no_header_value_is_rejected() {
     let entry = complete_entry().to_string();
-    assert!(read_backend_row("i-1", entry.as_bytes()).is_ok());
+    assert!(read_backend_row("i-1", entry.as_bytes(), StoreTime::default()).is_ok());
     for id in ["", "i\n1", "i\u{0}"] {
-        assert!(read_backend_row(id, entry.as_bytes()).is_err(), "{id:?}");
+        assert!(
+            read_backend_row(id, entry.as_bytes(), StoreTime::default()).is_err(),
+            "{id:?}"
+        );
     }
 }
 
@@ -167,7 +170,7 @@
         }
         let other = arbitrary_json(u)?;
         assert!(read(&other).is_err() || is_valid_entry(&other), "{other}");
-        assert!(read_backend_row("i-1", u.bytes(u.len())?).is_err());
+        assert!(read_backend_row("i-1", u.bytes(u.len())?, StoreTime::default()).is_err());
         Ok(())
     });
 }
@@ -218,5 +221,5 @@
 #[test]
 fn a_deeply_nested_entry_is_rejected() {
     let nested = format!("{{\"x\":{}", "[".repeat(100_000));
-    assert!(read_backend_row("i-1", nested.as_bytes()).is_err());
+    assert!(read_backend_row("i-1", nested.as_bytes(), StoreTime::default()).is_err());
 }
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -12,6 +12,7 @@
 use super::*;
 use crate::catalog::RetryPolicy;
 use crate::fleet::{BackendPhase, WeightsVersion};
+use crate::time::StoreTime;
 
 fn headers(fields: &[(&'static str, &'static str)]) -> HeaderMap {
     fields
@@ -76,13 +77,14 @@
     let text = br#"{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":16,
         "state":"draining","models":[{"name":"m","version":2,"adapters":[]}],
         "layers":[{"from":0,"to":16,"version":2}],"sequence":4}"#;
-    let facts = read_backend_row("i-1", text).expect("the entry is well formed");
+    let facts =
+        read_backend_row("i-1", text, StoreTime::default()).expect("the entry is well formed");
     assert_eq!(facts.phase, BackendPhase::Leaving);
     assert_eq!(
         facts.holdings.complete_version("m", 16),
         Some(WeightsVersion(2))
     );
-    assert!(read_backend_row("i-1", b"{}").is_err());
+    assert!(read_backend_row("i-1", b"{}", StoreTime::default()).is_err());
 }
 
 /// A backend server received a client's API key, or an account name that the client had forged. The
--- a/src/platform/tests/store_rows.rs
+++ b/src/platform/tests/store_rows.rs
@@ -49,7 +49,7 @@
         assert_eq!(read.rows[0].value.as_deref(), Some(&b"{}"[..]));
         assert_eq!(read.rows[1].revision, 4);
         let bytes = read.rows[1].value.as_deref().expect("the row is present");
-        assert!(read_backend_row("b", bytes).is_err());
+        assert!(read_backend_row("b", bytes, StoreTime::default()).is_err());
         assert!(read_document(bytes).is_err());
         assert!(read_target_version("version/b", bytes).is_err());
     }
--- a/src/replication/tests/backend_host.rs
+++ b/src/replication/tests/backend_host.rs
@@ -9,6 +9,7 @@
 
 use crate::daemon::DrainState;
 use crate::fleet::{ModelVersion, WeightsVersion};
+use crate::placement::RegionMap;
 use crate::platform::samples::target_sample;
 use crate::platform::{
     FakeEngine, FakeOrigin, FakeStore, PlatformBounds, PlatformSettings, StartTimeField, TableName,
@@ -170,6 +171,7 @@
         host: "h".into(),
         ip: peers.ip(),
         data_centre: "a".into(),
+        regions: RegionMap::default(),
         caller_address: None,
         ready_address: None,
         control_address: None,
@@ -186,6 +188,7 @@
             retry_ratio: 0.1,
             retry_extra: 20.0,
             retry_window: Duration::from_secs(10),
+            cold_overshoot: None,
         },
     }
 }
--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -9,6 +9,7 @@
 use bytestring::ByteString;
 
 use super::backend_list::{BackendList, LAPSE_GRACE};
+use super::evacuations::EvacuationList;
 use super::events;
 use super::operator_status::OperatorStatus;
 use super::own_rows::{OwnRows, VersionRecord};
@@ -24,8 +25,8 @@
 use crate::events::log_event;
 use crate::fleet::{FleetView, TargetTimeCertainty};
 use crate::platform::{
-    OperatorRow, StoreRow, TableName, TableView, era_of, read_backend_row, read_document,
-    read_target_version, revision_text,
+    OperatorRow, StoreRow, TableName, TableView, check_evacuation, era_of, read_backend_row,
+    read_document, read_target_version, revision_text,
 };
 use crate::quarantine::CrashLedger;
 use crate::time::{ClockTime, StoreTime};
@@ -78,6 +79,7 @@
     /// The unreadable rows of the store.
     pub(super) unreadable: UnreadableRows,
     pub(super) crashes: Arc<CrashLedger>,
+    pub(super) evacuations: EvacuationList,
 }
 
 impl DeploymentState {
@@ -182,6 +184,14 @@
         self.merge_operator_rows(rows, set_at, UpdateSource::Table);
     }
 
+    /// Ends the evacuations that `view`, the full operator's table, does not list.
+    pub(crate) fn keep_listed_evacuations(&mut self, view: &TableView) {
+        self.evacuations.keep_listed(view, |data_centre| {
+            let mut rows = view.rows.iter().filter(|row| row.value.is_some());
+            rows.any(|row| OperatorRow::of(&row.key) == OperatorRow::Evacuation(data_centre))
+        });
+    }
+
     /// Merges target updates from before this process began to follow the operator's table; later
     /// ones may have followed them. `set_at` dates them.
     ///
@@ -209,6 +219,13 @@
     ) {
         for (at, row) in rows.iter().enumerate() {
             let table = TableName::Operator;
+            let kind = OperatorRow::of(&row.key);
+            if let OperatorRow::Evacuation(data_centre) = kind
+                && !data_centre.is_empty()
+            {
+                let is_active = row.value.is_some();
+                self.evacuations.put(data_centre, row.revision, is_active);
+            }
             let Some(value) = &row.value else {
                 self.unreadable.note(table, &row.key, RowStatus::Removed);
                 continue;
@@ -219,7 +236,6 @@
             } else {
                 source_of(row.revision)
             };
-            let kind = OperatorRow::of(&row.key);
             let read = match kind {
                 OperatorRow::Document => self.take_document(value.clone(), source),
                 OperatorRow::TargetVersion => {
@@ -227,6 +243,7 @@
                     read_target_version(&row.key, value)
                         .map(|target| self.versions.add_target(&target, set_at, source))
                 }
+                OperatorRow::Evacuation(data_centre) => check_evacuation(data_centre, value),
                 OperatorRow::Other => Ok(()),
             };
             let begins = self.unreadable.note(table, &row.key, RowStatus::of(&read));
@@ -312,7 +329,7 @@
                 self.unreadable.note(table, &row.key, RowStatus::Removed);
                 continue;
             };
-            let read = read_backend_row(&row.key, value);
+            let read = read_backend_row(&row.key, value, view.store_time);
             self.unreadable.note(table, &row.key, RowStatus::of(&read));
             match read {
                 Ok(facts) => self.backends.put(facts, row.revision),
@@ -420,6 +437,7 @@
             entries: Arc::new(self.entries.clone()),
             crashes: self.crashes.clone(),
             clock: self.clock,
+            evacuated: Arc::new(self.evacuations.active()),
         }
     }
 }
--- a/src/sync/events.rs
+++ b/src/sync/events.rs
@@ -80,6 +80,17 @@
 pub(crate) const REQUEST_RELEASED: LogEvent =
     LogEvent::info(1125, "requests are no longer quarantined");
 
+pub(crate) const EVACUATION_BEGUN: LogEvent = LogEvent::warn(
+    1126,
+    "the operator evacuates a data centre; no requests are sent there",
+);
+pub(crate) const EVACUATION_ENDED: LogEvent =
+    LogEvent::info(1127, "a data centre is no longer evacuated");
+pub(crate) const EVACUATION_KEPT: LogEvent = LogEvent::warn(
+    1128,
+    "the returned store lacks an evacuation, which stays in force until its row is written and removed",
+);
+
 /// All events of this module.
 pub(crate) const ALL: &[LogEvent] = &[
     DOCUMENT_IN_FORCE,
@@ -107,4 +118,7 @@
     CRASH_SYNC_FAILED,
     STORE_RETURNED,
     REQUEST_RELEASED,
+    EVACUATION_BEGUN,
+    EVACUATION_ENDED,
+    EVACUATION_KEPT,
 ];
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -8,6 +8,7 @@
 mod crash_rows;
 mod crash_state;
 mod deployment_state;
+mod evacuations;
 pub(crate) mod events;
 mod neighbour_exchange;
 mod neighbour_queries;
--- a/src/sync/neighbour_exchange.rs
+++ b/src/sync/neighbour_exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::deployment_state::{CurrentDocument, DeploymentState, note_document_fault};
+use super::evacuations::EvacuationRecord;
 use super::events;
 use super::peer_messages::{PeerQuery, PeerView, TargetAnnouncement};
 use super::store_clock::{ClockSource, QuerySpan};
@@ -25,6 +26,8 @@
             follows: false,
             backends_digest: None,
             crashes_revision: None,
+            evacuations_revision: self.evacuations.revision(),
+            sender: None,
         }
     }
 
@@ -42,6 +45,7 @@
         self.newer_document(query).is_some()
             || (query.follows && (self.operator.is_cut_off() || self.has_backend_changes(query)))
             || self.has_new_crashes(query)
+            || self.evacuations.revision() > query.evacuations_revision
             || known.any(|known| {
                 query
                     .targets
@@ -99,6 +103,7 @@
             crashes_revision: query
                 .crashes_revision
                 .map_or(0, |_| self.crashes.revision()),
+            evacuations: self.evacuations.records().to_vec(),
         }
     }
 
@@ -119,10 +124,17 @@
         {
             self.replace_backends(revision, backends, span.received_at);
         }
+        self.merge_evacuations(&view.evacuations);
         self.add_entries(view.entries);
         self.merge_crashes(&view.crashes, view.crashes_revision, span.received_at);
     }
 
+    fn merge_evacuations(&mut self, records: &[EvacuationRecord]) {
+        let announcement = self.operator().announcement();
+        let known = announcement.map(|announcement| announcement.revision);
+        self.evacuations.merge(records, known);
+    }
+
     fn replace_backends(&mut self, revision: u64, backends: Vec<BackendFacts>, now: ClockTime) {
         log_event!(
             events::NEIGHBOUR_NEWER,
--- a/src/sync/neighbour_queries.rs
+++ b/src/sync/neighbour_queries.rs
@@ -25,6 +25,9 @@
     idle: Duration::from_millis(400),
     total: Duration::from_millis(2500),
 };
+/// How long after its start an entry host names itself in its queries. Those that started before it
+/// would otherwise share rates and engines without it until they read the entry hosts again.
+const INTRODUCTION_SPAN: Duration = Duration::from_secs(10);
 /// Share of the queries that go to a neighbour in the same data centre.
 const NEAR_SHARE: f64 = 0.5;
 
@@ -127,6 +130,9 @@
         let mut query = self.state.read(DeploymentState::entry_query);
         let sent_at = clock_now();
         query.can_wait_for_document = !self.wants_document(location, sent_at);
+        if sent_at.since(self.started_at) < INTRODUCTION_SPAN {
+            query.sender = Some(self.own_entry.clone());
+        }
         let called = self.client.call_with_timeouts::<_, PeerView>(
             address,
             VIEW_PATH,
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -8,6 +8,7 @@
 use bytestring::ByteString;
 use macro_rules_attribute::apply;
 
+use super::evacuations::EvacuationRecord;
 use super::store_clock::ClockBounds;
 use super::target_update_time::TargetUpdateTime;
 use crate::catalog::CatalogVersion;
@@ -63,6 +64,12 @@
     /// it doesn't need them.
     #[serde(default)]
     pub(crate) crashes_revision: Option<u64>,
+    /// The store's revision of the latest evacuation that it knows, or of its end.
+    #[serde(default)]
+    pub(crate) evacuations_revision: u64,
+    /// The entry host that sends the query; none if another process does.
+    #[serde(default)]
+    pub(crate) sender: Option<EntryRecord>,
 }
 
 /// Changes of the list of backend servers.
@@ -155,4 +162,7 @@
     /// requested.
     #[serde(default)]
     pub(crate) crashes_revision: u64,
+    /// The evacuations, including recent ones that have ended.
+    #[serde(default)]
+    pub(crate) evacuations: Vec<EvacuationRecord>,
 }
--- a/src/sync/peer_routes.rs
+++ b/src/sync/peer_routes.rs
@@ -51,11 +51,21 @@
     }
 }
 
+/// Adds the entry host that sent `query`, if it is unknown.
+fn note_sender(state: &SharedDeploymentState, query: &PeerQuery) {
+    if let Some(sender) = &query.sender
+        && state.read(|state| !state.entries().contains(sender))
+    {
+        state.change(|state| state.add_entries(vec![sender.clone()]));
+    }
+}
+
 async fn answer_view(state: SharedDeploymentState, request: Request) -> Response {
     match read_message::<PeerQuery>(request.into_body(), QUERY_BYTES_MAX).await {
         Ok(query) => {
             let sent_at = clock_now();
             merge_targets(&state, &query);
+            note_sender(&state, &query);
             await_urgent_changes(&state, &query).await;
             let now = clock_now();
             let view = state.read(|state| state.answer(&query, now.since(sent_at), now));
--- a/src/sync/snapshot.rs
+++ b/src/sync/snapshot.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use bytestring::ByteString;
 
 use super::peer_messages::EntryRecord;
 use super::store_clock::StoreClock;
@@ -28,6 +29,8 @@
     pub(crate) crashes: Arc<CrashLedger>,
     /// The store's clock.
     pub(crate) clock: StoreClock,
+    /// The evacuated data centres, sorted.
+    pub(crate) evacuated: Arc<Vec<ByteString>>,
 }
 
 impl DeploymentSnapshot {
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -64,6 +64,8 @@
     pub(crate) own_entry: EntryRecord,
     /// Addresses of some entry hosts; may be outdated.
     pub(crate) seeds: Vec<SocketAddr>,
+    /// When this process started.
+    pub(crate) started_at: ClockTime,
 }
 
 /// The state in which the next call for the operator's table is made.
@@ -243,8 +245,10 @@
         let update_time = context
             .follow_state
             .update_time(view.store_time, view.store_time);
-        self.state
-            .change(|state| state.set_operator_rows(&view.rows, update_time));
+        self.state.change(|state| {
+            state.set_operator_rows(&view.rows, update_time);
+            state.keep_listed_evacuations(&view);
+        });
         Ok((view.revision, view.store_time))
     }
 
--- a/src/sync/sync_thread.rs
+++ b/src/sync/sync_thread.rs
@@ -11,6 +11,7 @@
 use crate::daemon::DrainState;
 use crate::events::log_event;
 use crate::platform::StoreClient;
+use crate::time::clock_now;
 use crate::transport::{ClientLimits, HttpServer, PeerClient};
 
 /// Settings of the control thread.
@@ -56,6 +57,7 @@
         state: state.clone(),
         own_entry: settings.own_entry.clone(),
         seeds: settings.seeds,
+        started_at: clock_now(),
     };
     tokio::spawn(watch.clone().follow_operator());
     tokio::spawn(watch.clone().follow_backends());
--- a/src/sync/tests/driver.rs
+++ b/src/sync/tests/driver.rs
@@ -13,12 +13,13 @@
     VersionRequirement, WeightsVersion,
 };
 use crate::overload::EntryHostId;
+use crate::placement::PlacementRules;
 use crate::platform::{era_of, read_backend_row};
 use crate::sync::own_rows::VersionRecord;
 use crate::sync::target_update_time::FollowState;
 use crate::sync::{DeploymentSnapshot, DeploymentState, OwnRows, SharedDeploymentState};
 use crate::test_support::run_cases;
-use crate::time::ClockTime;
+use crate::time::{ClockTime, StoreTime};
 
 const CASES: u32 = 300;
 const CASE_BYTES: u32 = 2048;
@@ -152,7 +153,9 @@
 
     /// Makes the newest state visible to request handling.
     fn show(&self) {
-        self.registry.lock().set_fleet(&self.snapshot().fleet);
+        self.registry
+            .lock()
+            .set_fleet(&self.snapshot().fleet, ClockTime::default());
     }
 
     fn snapshot(&self) -> Arc<DeploymentSnapshot> {
@@ -231,6 +234,8 @@
                 queue_room: 0,
                 is_returned: false,
                 work: None,
+                placement: PlacementRules::default(),
+                cold_limit: None,
             };
             let Ok(ticket) = self.registry.pick(&requirements, now) else {
                 return found;
@@ -417,7 +422,7 @@
         let view = self.simulation.store.backends(None);
         let listed = view.rows.iter().filter_map(|row| {
             let value = row.value.as_ref()?;
-            read_backend_row(&row.key, value).ok()
+            read_backend_row(&row.key, value, StoreTime::default()).ok()
         });
         let leaving: Vec<BackendFacts> = listed
             .filter(|facts| facts.phase == BackendPhase::Leaving)
--- a/src/sync/tests/messages.rs
+++ b/src/sync/tests/messages.rs
@@ -11,6 +11,7 @@
     ResponseLoad, SharedRegistry, VersionRequirement,
 };
 use crate::overload::EntryHostId;
+use crate::placement::PlacementRules;
 use crate::sync::DeploymentState;
 use crate::sync::peer_messages::{PeerQuery, TargetAnnouncement};
 use crate::test_support::{corrupt_bytes, run_cases};
@@ -65,6 +66,8 @@
         queue_room: u32::MAX,
         is_returned: false,
         work: None,
+        placement: PlacementRules::default(),
+        cold_limit: None,
     }
 }
 
@@ -73,7 +76,10 @@
         data_centre: "z".into(),
         host: "e1".into(),
     });
-    registry.set_fleet(&populated_state().snapshot().load().fleet);
+    registry.set_fleet(
+        &populated_state().snapshot().load().fleet,
+        ClockTime::default(),
+    );
     SharedRegistry::new(registry)
 }
 
@@ -128,6 +134,8 @@
         Some(WeightsVersion(3))
     );
     let query = PeerQuery {
+        evacuations_revision: u64::MAX,
+        sender: None,
         document: Some(CatalogVersion(u64::MAX)),
         can_wait_for_document: false,
         targets: announcements.to_vec(),
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -6,6 +6,7 @@
 mod document_bursts;
 mod driver;
 mod driver_simulation;
+mod evacuations;
 mod full_links;
 mod incarnations;
 mod late_messages;
