Let the soak evacuate a data centre and confine a route to a home region

The soak's backend servers stand in two data centres now. In each wave one of them is evacuated twice, the second time beyond the deadline; requests that may run at most once have a home region. The judge counts runs in an evacuated data centre of calls sent past 5 s over an undisturbed path, and runs outside the home region at any time.

--- a/src/fleet/backend_registry.rs
+++ b/src/fleet/backend_registry.rs
@@ -57,6 +57,9 @@
 #[derive(Debug)]
 pub(crate) struct BackendRegistry {
     pub(super) own_id: EntryHostId,
+    /// The data centre whose engines count as near: that of this entry host, or another one while
+    /// that is evacuated.
+    pub(super) near_data_centre: ByteString,
     /// Number of other entry hosts in this data centre.
     pub(super) peers: u32,
     /// Number of other entry hosts in all data centres.
@@ -87,6 +90,7 @@
         Self {
             rate_sharers: RateSharers::new(&own_id, &[]),
             clock: StoreClock::default(),
+            near_data_centre: own_id.data_centre.clone(),
             own_id,
             evacuated: Arc::default(),
             peers: 0,
@@ -272,7 +276,7 @@
         });
         let picked_at = self.clock.time(now);
         let context = PickContext {
-            data_centre: &self.own_id.data_centre,
+            data_centre: &self.near_data_centre,
             peers: self.peers,
             others: self.others,
             rate_sharers: &self.rate_sharers,
--- a/src/fleet/registry_shares.rs
+++ b/src/fleet/registry_shares.rs
@@ -4,16 +4,24 @@
 
 use super::backend_registry::BackendRegistry;
 use super::rate_sharers::RateSharers;
-use crate::overload::{EngineAssignment, EntryHostId};
+use crate::overload::{EngineAssignment, EntryHostId, relocated_entry_hosts};
 
 impl BackendRegistry {
     /// Assigns the backend servers among `entries`, which include this entry host.
     pub(crate) fn assign_shares(&mut self, entries: &[EntryHostId]) {
-        let own_id = self.own_id.clone();
-        let assignment = EngineAssignment::new(&own_id, entries);
+        let mut all = entries.to_vec();
+        all.push(self.own_id.clone());
+        let relocated = relocated_entry_hosts(&all, &self.evacuated);
+        let own_id = relocated
+            .iter()
+            .find(|entry| entry.host == self.own_id.host)
+            .unwrap_or(&self.own_id)
+            .clone();
+        let assignment = EngineAssignment::new(&own_id, &relocated);
+        self.near_data_centre = own_id.data_centre.clone();
         self.peers = assignment.peers();
         self.others = assignment.others();
-        self.rate_sharers = RateSharers::new(&own_id, entries);
+        self.rate_sharers = RateSharers::new(&self.own_id, entries);
         // Backend servers seen so far, by service and data centre.
         let mut counts: Vec<((ByteString, ByteString), usize)> = Vec::new();
         for at in 0..self.by_id.len() {
--- a/src/lab/platform_soak/fault_plan.rs
+++ b/src/lab/platform_soak/fault_plan.rs
@@ -41,6 +41,12 @@
 const HARMFUL_SPAN: Duration = Duration::from_secs(7);
 /// When they begin to have it, in milliseconds.
 const HARMFUL_AT_MS: std::ops::Range<u64> = 0..1000;
+/// How long a data centre is evacuated in the quiet period: beyond the deadline of evacuations.
+const EVACUATED_SPAN: Duration = Duration::from_millis(8500);
+/// When it begins, in milliseconds.
+const EVACUATION_AT_MS: std::ops::Range<u64> = 0..1500;
+/// Makes the draws for evacuations independent of the other draws of a seed.
+const EVACUATION_SALT: u64 = 0x00e7_ac0a_7e00_0000;
 /// Makes the draws for harmful parts independent of the other draws of a seed.
 const HARMFUL_SALT: u64 = 0x00ba_d0ba_d000_0000;
 /// The same for returns of the store and announcements of backend servers.
@@ -98,6 +104,8 @@
     OriginDown,
     /// This number of documents in quick succession.
     Documents(u32),
+    /// The operator evacuates a data centre for a while.
+    Evacuate,
     /// A new version of the weights is set as target.
     NameVersion,
     /// A client account gets a new key.
@@ -149,6 +157,7 @@
         work_rng: StdRng::seed_from_u64(seed ^ WORK_SALT),
         platform_rng: StdRng::seed_from_u64(seed ^ PLATFORM_SALT),
         harmful_rng: StdRng::seed_from_u64(seed ^ HARMFUL_SALT),
+        evacuation_rng: StdRng::seed_from_u64(seed ^ EVACUATION_SALT),
         parts,
         load,
         busy: Vec::new(),
@@ -161,6 +170,7 @@
     work_rng: StdRng,
     platform_rng: StdRng,
     harmful_rng: StdRng,
+    evacuation_rng: StdRng,
     parts: PartCounts,
     load: EngineLoad,
     /// Parts that an action of this wave affects, and until when.
@@ -185,6 +195,7 @@
         }
         self.plan_platform_changes(&mut faults);
         faults.push(self.draw_harmful_part());
+        faults.push(self.draw_evacuation());
         faults.sort_by_key(|planned| planned.at);
         FaultWave {
             faults,
@@ -225,6 +236,17 @@
         }
     }
 
+    /// Draws an evacuation beside the other faults.
+    fn draw_evacuation(&mut self) -> PlannedAction {
+        let end = u64::try_from(FAULTS_SPAN.as_millis()).unwrap_or(u64::MAX);
+        let rng = &mut self.evacuation_rng;
+        PlannedAction {
+            at: Duration::from_millis(rng.random_range(0..end)),
+            span: Duration::from_millis(rng.random_range(FAULT_MS)),
+            action: SoakAction::Evacuate,
+        }
+    }
+
     /// Plans a rolling restart of the entry hosts.
     fn plan_rolling_restart(&mut self, faults: &mut Vec<PlannedAction>) {
         let mut at = Duration::ZERO;
@@ -265,6 +287,11 @@
             span: HARMFUL_SPAN,
             action: SoakAction::HarmfulPart,
         });
+        changes.push(PlannedAction {
+            at: Duration::from_millis(self.evacuation_rng.random_range(EVACUATION_AT_MS)),
+            span: EVACUATED_SPAN,
+            action: SoakAction::Evacuate,
+        });
         changes.sort_by_key(|planned| planned.at);
         changes
     }
--- a/src/lab/platform_soak/run_journal.rs
+++ b/src/lab/platform_soak/run_journal.rs
@@ -135,6 +135,16 @@
     pub(super) confirmed: ClockTime,
 }
 
+/// An evacuation of a data centre.
+#[apply(plain!)]
+#[derive(Copy)]
+pub(super) struct EvacuationSpan {
+    /// When the store had accepted it.
+    pub(super) confirmed: ClockTime,
+    /// When the operator ended it; `None` while it lasts.
+    pub(super) ended: Option<ClockTime>,
+}
+
 /// All records of a run.
 #[derive(Default)]
 pub(super) struct RunRecords {
@@ -148,6 +158,8 @@
     pub(super) planned_work: Vec<WorkRecord>,
     /// Target versions of the weights and when the store had accepted each.
     pub(super) target_updates: Vec<(u64, ClockTime)>,
+    /// The evacuations of a data centre, one after the other.
+    pub(super) evacuations: Vec<EvacuationSpan>,
     /// The clients' keys.
     pub(super) keys: Vec<KeyRecord>,
     /// The harmful part that some prompts currently have.
--- a/src/lab/platform_soak/run_judge.rs
+++ b/src/lab/platform_soak/run_judge.rs
@@ -6,10 +6,13 @@
 use macro_rules_attribute::apply;
 
 use super::run_journal::{
-    CallEnd, CallRecord, KeyRecord, PlannedWork, RunRecords, SoakPart, WorkRecord,
+    CallEnd, CallKind, CallRecord, EvacuationSpan, KeyRecord, PlannedWork, RunRecords, SoakPart,
+    WorkRecord,
 };
 use crate::derives::plain;
-use crate::platform::{BackendRun, RunEnd};
+use crate::platform::{
+    BackendRun, EVACUATED_DATA_CENTRE, RunEnd, data_centre_of, is_home_of_writes,
+};
 use crate::time::ClockTime;
 
 /// How long a part must have been undisturbed before deadlines apply to it.
@@ -18,6 +21,8 @@
 const VERSION_DEADLINE: Duration = Duration::from_secs(8);
 /// How long after the store accepted a document it must be in force.
 const DOCUMENT_DEADLINE: Duration = Duration::from_secs(2);
+/// How long after the store accepted an evacuation no request may be sent there any more.
+const EVACUATION_DEADLINE: Duration = Duration::from_secs(5);
 /// How long a process may take to exit after SIGTERM.
 const STOP_GRACE: Duration = Duration::from_secs(8);
 /// How long after `STOP_GRACE` incomplete responses are still attributed to the stop.
@@ -85,6 +90,10 @@
     pub(super) runs: usize,
     /// Runs to which the deadline of a target version applied.
     pub(super) version_bound: usize,
+    /// Runs of calls that were sent past the deadline of an evacuation, over an undisturbed path.
+    pub(super) evacuated: usize,
+    /// Runs of calls with a home region.
+    pub(super) homed: usize,
     /// Calls with a key whose revocation was past its deadline, over an undisturbed path.
     pub(super) revoked: usize,
     /// Calls with a harmful part that was due to be known, over an undisturbed path.
@@ -170,6 +179,8 @@
             for run in same {
                 self.check_account(run, call);
                 self.check_version(run, call);
+                self.check_home(run, call);
+                self.check_evacuation(run, call);
             }
         }
     }
@@ -260,6 +271,39 @@
         }
     }
 
+    /// Finds a run outside the home region of its route, however disturbed the path was.
+    fn check_home(&mut self, run: &BackendRun, call: &CallRecord) {
+        if call.kind != CallKind::Write {
+            return;
+        }
+        self.counts.homed += 1;
+        if !is_home_of_writes(run.backend) {
+            let text = format!("{} ran at backend server {}", call.attempt, run.backend);
+            self.breaches.push(breach(run.begun, "home", text));
+        }
+    }
+
+    /// Finds a run in an evacuated data centre of a call that was sent after the deadline of the
+    /// evacuation.
+    fn check_evacuation(&mut self, run: &BackendRun, call: &CallRecord) {
+        let path = [SoakPart::Store, SoakPart::Entry(call.entry)];
+        let is_due = |evacuation: &EvacuationSpan| {
+            evacuation.confirmed + EVACUATION_DEADLINE < call.sent
+                && evacuation.ended.is_none_or(|ended| run.begun < ended)
+        };
+        let records = self.records;
+        if !records.evacuations.iter().any(is_due)
+            || !records.is_undisturbed(&path, UNDISTURBED_SPAN, call.sent)
+        {
+            return;
+        }
+        self.counts.evacuated += 1;
+        if data_centre_of(run.backend) == EVACUATED_DATA_CENTRE {
+            let text = format!("{} ran at backend server {}", call.attempt, run.backend);
+            self.breaches.push(breach(run.begun, "evacuation", text));
+        }
+    }
+
     /// Finds a response that ended incomplete because of planned work, with no fault on its path.
     fn check_unfinished(&mut self, runs: &[&BackendRun], call: &CallRecord) {
         let Some((end, ended)) = &call.end else {
--- a/src/lab/platform_soak/soak_operator.rs
+++ b/src/lab/platform_soak/soak_operator.rs
@@ -3,8 +3,10 @@
 
 use std::net::SocketAddr;
 
-use super::run_journal::{KeyRecord, PlannedWork, RunJournal, WorkRecord};
-use crate::platform::{AccountSample, FakeStore, TableName, document_text, samples};
+use super::run_journal::{EvacuationSpan, KeyRecord, PlannedWork, RunJournal, WorkRecord};
+use crate::platform::{
+    AccountSample, EVACUATED_DATA_CENTRE, FakeStore, TableName, document_text, samples,
+};
 use crate::time::clock_now;
 
 /// Client accounts, whose first keys stay valid for the complete run.
@@ -64,6 +66,39 @@
         self.journal.lock().target_updates.push(target_update);
     }
 
+    /// Evacuates a data centre, unless it is being evacuated.
+    pub(super) fn begin_evacuation(&mut self) {
+        if self.is_evacuating() {
+            return;
+        }
+        self.store.put(TableName::Operator, &evacuation_key(), "{}");
+        let record = EvacuationSpan {
+            confirmed: clock_now(),
+            ended: None,
+        };
+        self.journal.lock().evacuations.push(record);
+    }
+
+    /// Ends the evacuation, if there is one.
+    pub(super) fn end_evacuation(&mut self) {
+        if !self.is_evacuating() {
+            return;
+        }
+        let ended = clock_now();
+        self.store.remove(TableName::Operator, &evacuation_key());
+        if let Some(last) = self.journal.lock().evacuations.last_mut() {
+            last.ended = Some(ended);
+        }
+    }
+
+    fn is_evacuating(&self) -> bool {
+        let records = self.journal.lock();
+        records
+            .evacuations
+            .last()
+            .is_some_and(|last| last.ended.is_none())
+    }
+
     /// Adds a key to an account; the accounts take turns.
     pub(super) fn add_key(&mut self) {
         self.extra_keys_made += 1;
@@ -122,3 +157,7 @@
         });
     }
 }
+
+fn evacuation_key() -> String {
+    samples::evacuation_key(EVACUATED_DATA_CENTRE)
+}
--- a/src/lab/platform_soak/soak_system.rs
+++ b/src/lab/platform_soak/soak_system.rs
@@ -22,7 +22,7 @@
 use crate::platform::{
     EngineLoad, FakeBackend, FakeBackendConfig, FakeEngine, FakeOrigin, FakeStore,
     ProcessAddresses, RunEvent, SETTINGS_PATH_VARIABLE, StagedAfterRestart, StartTimeField,
-    StoreFault, settings_text,
+    StoreFault, data_centre_of, settings_text,
 };
 use crate::time::clock_now;
 
@@ -177,6 +177,7 @@
                 [8005, 8002].map(|port| SocketAddr::from((ip, port)));
             let addresses = ProcessAddresses {
                 host: format!("entry-{number}"),
+                data_centre: data_centre_of(0),
                 ip: ip.into(),
                 store: SocketAddr::from((loopback_address(1, 0), store_port(number))),
                 seeds: seeds.clone(),
@@ -198,6 +199,7 @@
             let ip = loopback_address(FIRST_BACKEND_IP, number);
             let addresses = ProcessAddresses {
                 host: format!("host-{number}"),
+                data_centre: data_centre_of(number),
                 ip: ip.into(),
                 store: SocketAddr::from((loopback_address(1, 0), store_port(self.counts.entries))),
                 seeds: seeds.clone(),
@@ -286,6 +288,11 @@
                 self.origin.limit_chunks(usize::MAX);
             }
             SoakAction::Documents(count) => self.operator.lock().await.write_documents(count),
+            SoakAction::Evacuate => {
+                self.operator.lock().await.begin_evacuation();
+                sleep(span).await;
+                self.operator.lock().await.end_evacuation();
+            }
             SoakAction::NameVersion => self.operator.lock().await.set_target(),
             SoakAction::AddKey => self.operator.lock().await.add_key(),
             SoakAction::RevokeKey => self.operator.lock().await.revoke_key(),
@@ -430,6 +437,7 @@
         | SoakAction::Stall
         | SoakAction::Reload(_)
         | SoakAction::Documents(_)
+        | SoakAction::Evacuate
         | SoakAction::NameVersion
         | SoakAction::AddKey
         | SoakAction::RevokeKey => Vec::new(),
--- a/src/lab/platform_soak/tests.rs
+++ b/src/lab/platform_soak/tests.rs
@@ -11,8 +11,8 @@
 use super::fault_proxy::{FaultProxy, HostCallPolicy};
 use super::machine_limits::{is_nearly_exhausted, parse_descriptor_limit};
 use super::run_journal::{
-    ActionRecord, CallEnd, CallKind, CallRecord, KeyRecord, PlannedWork, RunRecords, SoakPart,
-    WorkRecord,
+    ActionRecord, CallEnd, CallKind, CallRecord, EvacuationSpan, KeyRecord, PlannedWork,
+    RunRecords, SoakPart, WorkRecord,
 };
 use super::run_judge::judge;
 use crate::platform::{BackendRun, EngineLoad, RunEnd};
@@ -103,6 +103,51 @@
     assert_eq!(broken(&records), ["once", "once"]);
 }
 
+#[test]
+fn a_call_runs_in_no_evacuated_data_centre_past_the_deadline() {
+    for (sent, backend, is_breach) in [
+        (104, 1, false),
+        (106, 1, true),
+        (106, 2, false),
+        (121, 1, false),
+    ] {
+        let mut records = records();
+        records.evacuations = vec![EvacuationSpan {
+            confirmed: at(100),
+            ended: Some(at(120)),
+        }];
+        records
+            .calls
+            .push(call("a", CallKind::Read, sent, CallEnd::Complete));
+        let mut run = run("a", None, sent);
+        run.backend = backend;
+        records.runs.push(run);
+        let promises = if is_breach {
+            vec!["evacuation"]
+        } else {
+            Vec::new()
+        };
+        assert_eq!(broken(&records), promises, "{sent} {backend}");
+    }
+}
+
+#[test]
+fn a_call_with_a_home_region_runs_nowhere_else() {
+    for (kind, backend, is_breach) in [
+        (CallKind::Write, 0, false),
+        (CallKind::Write, 1, true),
+        (CallKind::Read, 1, false),
+    ] {
+        let mut records = records();
+        records.calls.push(call("a", kind, 50, CallEnd::Complete));
+        let mut run = run("a", None, 50);
+        run.backend = backend;
+        records.runs.push(run);
+        let promises = if is_breach { vec!["home"] } else { Vec::new() };
+        assert_eq!(broken(&records), promises, "{kind:?} {backend}");
+    }
+}
+
 #[test]
 fn a_call_answered_as_not_run_must_never_run() {
     for (status, promises) in [(429, 1), (503, 1), (408, 1), (421, 1), (502, 0), (504, 0)] {
--- a/src/overload/engine_assignment.rs
+++ b/src/overload/engine_assignment.rs
@@ -20,6 +20,39 @@
     pub(crate) host: ByteString,
 }
 
+/// Returns `entries` as they count for the assignment while the data centres `evacuated`, which are
+/// sorted, get no requests: each entry host of these counts as one of another data centre, in turn.
+///
+/// Load pattern: the clients of an evacuated data centre still arrive at its entry hosts. Without
+/// engines assigned to them, these would get only what the entry hosts of other data centres leave
+/// free, and under a shortage that is next to nothing.
+pub(crate) fn relocated_entry_hosts(
+    entries: &[EntryHostId],
+    evacuated: &[ByteString],
+) -> Vec<EntryHostId> {
+    let is_evacuated = |entry: &&EntryHostId| evacuated.binary_search(&entry.data_centre).is_ok();
+    let mut serving: Vec<&ByteString> = entries
+        .iter()
+        .filter(|entry| !is_evacuated(entry))
+        .map(|entry| &entry.data_centre)
+        .collect();
+    serving.sort_unstable();
+    serving.dedup();
+    let mut sorted = entries.to_vec();
+    sorted.sort_unstable();
+    sorted.dedup();
+    if serving.is_empty() {
+        return sorted;
+    }
+    let mut turns = serving.iter().cycle();
+    for entry in sorted.iter_mut().filter(|entry| is_evacuated(&&**entry)) {
+        if let Some(data_centre) = turns.next() {
+            entry.data_centre = (*data_centre).clone();
+        }
+    }
+    sorted
+}
+
 /// Assigns engines to entry hosts.
 ///
 /// Each entry host computes the assignment from the entry hosts that it knows. Where two of them
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -9,7 +9,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use engine_assignment::{EngineAssignment, EntryHostId};
+pub(crate) use engine_assignment::{EngineAssignment, EntryHostId, relocated_entry_hosts};
 pub(crate) use engine_candidate::{EngineCandidate, EngineSpeed, unreported_load, usual_pace};
 pub(crate) use retry_delay::{is_retry, retry_delay, retry_delay_after};
 pub(crate) use send_schedule::{SendRate, SendSchedule};
--- a/src/overload/tests/mod.rs
+++ b/src/overload/tests/mod.rs
@@ -1,3 +1,4 @@
+mod engine_assignment;
 mod send_schedule;
 
 use std::time::Duration;
--- a/src/platform/fake_backend.rs
+++ b/src/platform/fake_backend.rs
@@ -23,7 +23,7 @@
 use super::fake_engine::{FakeEngine, StagedAfterRestart};
 use super::fake_origin::serve_calls_on;
 use super::fake_store::FakeStore;
-use super::sample_files::{ENGINE_SERVICE, PLAIN_SERVICE};
+use super::sample_files::{ENGINE_SERVICE, PLAIN_SERVICE, data_centre_of};
 use super::samples::{
     ACCOUNT, ATTEMPT, BACKEND_ID, EXPECTED_VERSION, LAST_EVENT, LEAVING, NOT_RUN, PROMPT_PARTS,
     SEAL, TARGET_ID, VERSIONS,
@@ -292,7 +292,7 @@
         let phase = if is_leaving { "draining" } else { "ready" };
         let mut entry = json!({
             "service": service, "address": state.config.advertised_address.to_string(),
-            "zone": "hall-a", "slots": SLOTS, "state": phase, "version": "1",
+            "zone": data_centre_of(state.config.number), "slots": SLOTS, "state": phase, "version": "1",
             "cold_remaining_ms": 0, "born": start,
         });
         if let Some(engine) = &state.engine {
--- a/src/platform/sample_files.rs
+++ b/src/platform/sample_files.rs
@@ -12,6 +12,11 @@
 pub(crate) const ENGINE_SERVICE: &str = "talk";
 /// The service whose backend servers have no engine.
 pub(crate) const PLAIN_SERVICE: &str = "plain";
+/// The data centres of the lab, each in a region of its own.
+const DATA_CENTRES: [&str; 2] = ["hall-a", "hall-b"];
+const REGIONS: [&str; 2] = ["south", "north"];
+/// The data centre that the lab's operator evacuates.
+pub(crate) const EVACUATED_DATA_CENTRE: &str = DATA_CENTRES[1];
 /// Longer than any request of the lab's plain service takes.
 const TIMEOUT_MS: u32 = 4_000;
 /// Longer than a stream takes whose engine pauses repeatedly.
@@ -19,11 +24,24 @@
 const LATENCY_TARGET_MS: u32 = 800;
 const GAP_TARGET_MS: u32 = 300;
 
+/// Returns the data centre of backend server `number`.
+pub(crate) const fn data_centre_of(number: usize) -> &'static str {
+    DATA_CENTRES[number % DATA_CENTRES.len()]
+}
+
+/// Returns whether backend server `number` is in the home region of requests that may run at most
+/// once.
+pub(crate) const fn is_home_of_writes(number: usize) -> bool {
+    number.is_multiple_of(DATA_CENTRES.len())
+}
+
 /// The host and addresses of one process.
 #[derive(Clone, Debug)]
 pub(crate) struct ProcessAddresses {
     /// The name of its host.
     pub(crate) host: String,
+    /// The data centre of its host.
+    pub(crate) data_centre: &'static str,
     /// The address of its host.
     pub(crate) ip: IpAddr,
     /// The address at which it reaches the store.
@@ -40,8 +58,14 @@
 /// The settings file of a process, with the limits of the platform's own example.
 pub(crate) fn settings_text(process: &ProcessAddresses) -> String {
     let ProcessAddresses {
-        host, ip, store, ..
+        host,
+        data_centre,
+        ip,
+        store,
+        ..
     } = process;
+    let [first, second] = DATA_CENTRES;
+    let [south, north] = REGIONS;
     let seeds: Vec<String> = process
         .seeds
         .iter()
@@ -57,9 +81,9 @@
         )
     });
     format!(
-        "node_name = \"{host}\"\nip = \"{ip}\"\nzone = \"hall-a\"\nregion = \"all\"\n\
+        "node_name = \"{host}\"\nip = \"{ip}\"\nzone = \"{data_centre}\"\n\
          port_range = [7700,7715]\nseeds = [{seeds}]\n{backend}\
-         [zones]\nhall-a = \"all\"\n{listen}\
+         [zones]\n{first} = \"{south}\"\n{second} = \"{north}\"\n{listen}\
          [limits]\nlink_mbps = 1000.0\n\
          [bounds]\ngrace_s = 8\nversion_ms = 8000\nretry_budget_ratio = 0.2\n\
          retry_budget_extra = 100\n\
@@ -90,7 +114,7 @@
     pub(crate) keys: Vec<String>,
 }
 
-/// The operator's document of `version`. The prefix of a route sets the kind of its requests:
+/// The operator's document of `version`, in which requests of `/write/` have a home region. The prefix of a route sets the kind of its requests:
 /// `/read/` for those that may be repeated, `/write/` for those that may not, `/talk/` for streams
 /// of engines, and `/resume/` for streams that may also be resumed.
 pub(crate) fn document_text(
@@ -106,6 +130,7 @@
             "timeout_ms": if is_stream { STREAM_TIMEOUT_MS } else { TIMEOUT_MS },
             "target_latency_ms": LATENCY_TARGET_MS, "gap_target_ms": GAP_TARGET_MS, "priority": 1,
             "max_attempts": 3, "stream_resume": name == "resume",
+            "allowed_regions": if name == "write" { &REGIONS[..1] } else { &[] },
         })
     };
     let engine = json!({
--- a/src/platform/samples.rs
+++ b/src/platform/samples.rs
@@ -50,6 +50,11 @@
     ("version/m", text)
 }
 
+/// The key of the row that evacuates `data_centre`.
+pub(crate) fn evacuation_key(data_centre: &str) -> String {
+    format!("evacuate/{data_centre}")
+}
+
 /// The entry of a serving backend server.
 #[cfg(test)]
 pub(crate) fn backend_sample() -> String {
--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -30,11 +30,13 @@
     }
 }
 
-const CHECKS: [&str; 6] = [
+const CHECKS: [&str; 8] = [
     "whole",
     "runs",
     "version_bound",
     "revoked",
+    "evacuated",
+    "homed",
     "after_recovery",
     "beside_work",
 ];
