Keep engine slots free for more urgent requests under a shortage

Cause: the priority of a request reached only the queue of its engine, where 0 and 1 were the same. Under a shortage urgent requests were refused as often as those that can wait.

Change: a less urgent request leaves up to a third of an engine's slots free, in proportion to the more urgent ones among the recent arrivals at this entry host; a quarter of the less urgent ones may use them, so that none is starved. Without different priorities nothing changes. Engines are told priorities 0 and 1 apart.

--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -106,6 +106,8 @@
     pub(crate) is_returned: bool,
     /// The work for an engine; none for plain services.
     pub(crate) work: Option<EngineWork>,
+    /// Part of an engine's slots that is kept for more urgent requests.
+    pub(crate) reserved_part: f64,
     /// The rules on the data centre that may serve the request.
     pub(crate) placement: PlacementRules,
     /// What cold backend servers of the service accept; none if they need no limit.
@@ -160,11 +162,24 @@
             VersionRequirement::Model { .. } if self.is_returned => {
                 slots - slots / SPARE_SLOTS_PART
             }
-            _ => slots.saturating_add(self.queue_room),
+            _ => match reserved_slots(slots, self.reserved_part) {
+                0 => slots.saturating_add(self.queue_room),
+                reserved => slots - reserved,
+            },
         }
     }
 }
 
+/// Number of `slots` that `part` of them amounts to.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the part is between 0 and 1"
+)]
+fn reserved_slots(slots: u32, part: f64) -> u32 {
+    ((f64::from(slots) * part).round() as u32).min(slots)
+}
+
 /// Rank of a candidate: grade, delay, load, shuffled key and key; the lowest is the best.
 type SlotRank = (SlotGrade, Duration, u32, u32, BackendKey);
 
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -77,6 +77,7 @@
         queue_room: 1,
         is_returned: false,
         work: None,
+        reserved_part: 0.0,
         placement: PlacementRules::default(),
         cold_limit: None,
     }
--- a/src/fleet/tests/uneven_entries.rs
+++ b/src/fleet/tests/uneven_entries.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::*;
-use crate::overload::{EngineSpeed, EntryHostId};
+use crate::overload::{DemandMeter, EngineSpeed, EntryHostId};
 
 /// A data centre and the load that is offered to it.
 #[derive(Clone, Copy)]
@@ -18,10 +18,28 @@
     /// Offered load as a fraction of the engines' capacity.
     utilisation: f64,
     speed: EngineSpeed,
-    /// Time limit for the first event of a stream.
-    first_event_limit: Duration,
     /// Number of clients; each is mapped to an entry host by a hash.
     clients: usize,
+    /// The kinds of requests.
+    kinds: &'static [RequestKind],
+}
+
+/// A kind of requests.
+#[derive(Clone, Copy)]
+struct RequestKind {
+    priority: u8,
+    /// Its part of all requests.
+    part: f64,
+    /// Time limit for the first event of a stream.
+    first_event_limit: Duration,
+}
+
+const fn only_kind(first_event_limit: Duration) -> RequestKind {
+    RequestKind {
+        priority: 1,
+        part: 1.0,
+        first_event_limit,
+    }
 }
 
 impl LoadScenario {
@@ -55,8 +73,8 @@
         typical_prompt_tokens: 930.0,
         typical_answer_tokens: 91.0,
     },
-    first_event_limit: Duration::from_millis(500),
     clients: 40,
+    kinds: &[only_kind(Duration::from_millis(500))],
 };
 
 /// A data centre whose engines can serve five of six requests.
@@ -72,11 +90,45 @@
         typical_prompt_tokens: 940.0,
         typical_answer_tokens: 126.0,
     },
-    first_event_limit: Duration::from_millis(340),
     clients: 81,
+    kinds: &[only_kind(Duration::from_millis(340))],
+};
+
+/// A data centre whose engines can serve three of four requests, most of which are urgent.
+const URGENT_SHORTAGE: LoadScenario = LoadScenario {
+    entries: 11,
+    engines: 14,
+    slots: 12,
+    utilisation: 1.33,
+    speed: EngineSpeed {
+        step_s: 0.008_87,
+        request_step_s: 0.000_039,
+        read_per_s: 19_100.0,
+        typical_prompt_tokens: 950.0,
+        typical_answer_tokens: 98.0,
+    },
+    clients: 81,
+    kinds: &[
+        RequestKind {
+            priority: 0,
+            part: 0.42,
+            first_event_limit: Duration::from_millis(400),
+        },
+        RequestKind {
+            priority: 1,
+            part: 0.24,
+            first_event_limit: Duration::from_millis(400),
+        },
+        RequestKind {
+            priority: 2,
+            part: 0.34,
+            first_event_limit: Duration::from_secs(1),
+        },
+    ],
 };
 
 struct StreamRun {
+    kind: usize,
     entry: usize,
     key: BackendKey,
     sent: ClockTime,
@@ -87,8 +139,8 @@
 #[derive(Default)]
 struct EngineModel {
     waiting: VecDeque<StreamRun>,
-    /// When the prompt that is being read will be finished.
-    reads_until: Option<ClockTime>,
+    /// The request whose prompt is being read, and when that will be finished.
+    reading: Option<(ClockTime, StreamRun)>,
     /// Streams being generated, with their end times.
     writing: Vec<(ClockTime, StreamRun)>,
     reports: VecDeque<(ClockTime, u32)>,
@@ -96,7 +148,7 @@
 
 impl EngineModel {
     fn load(&self) -> u32 {
-        let count = self.waiting.len() + self.writing.len();
+        let count = self.waiting.len() + usize::from(self.reading.is_some()) + self.writing.len();
         u32::try_from(count).expect("small")
     }
 }
@@ -104,11 +156,10 @@
 struct EntrySimulation {
     scenario: LoadScenario,
     registries: Vec<BackendRegistry>,
+    demand: Vec<DemandMeter>,
     engines: Vec<EngineModel>,
     rng: StdRng,
-    started: u32,
-    late: u32,
-    refused: u32,
+    totals: Vec<LoadTotals>,
 }
 
 fn engine_id(number: usize) -> String {
@@ -147,9 +198,8 @@
                 .map(|_| EngineModel::default())
                 .collect(),
             rng: StdRng::seed_from_u64(seed),
-            started: 0,
-            late: 0,
-            refused: 0,
+            demand: vec![DemandMeter::default(); scenario.entries],
+            totals: vec![LoadTotals::default(); scenario.kinds.len()],
         }
     }
 
@@ -211,28 +261,49 @@
         let prompt = self.rng.random_range(0.2..1.8) * self.scenario.speed.typical_prompt_tokens;
         let mut requirements = requirements(None);
         requirements.queue_room = 2;
+
         requirements.work = Some(EngineWork {
             speed: self.scenario.speed,
             prompt_tokens: PROMPT_TOKENS,
         });
+        let kind = self.draw_kind();
+        let priority = self.scenario.kinds[kind].priority;
+        self.demand[entry].note_arrival(priority, now);
+        requirements.reserved_part = self.demand[entry].reserved_part(priority, self.rng.random());
         let jitter = self.rng.random();
         match self.registries[entry].pick(&requirements, now, jitter) {
-            Err(_) => self.refused += u32::from(now.since(NOW) > SETTLE_SPAN),
+            Err(_) => self.totals[kind].refused += u32::from(now.since(NOW) > SETTLE_SPAN),
             Ok(picked) => {
                 let number: usize = picked.facts.id[1..].parse().expect("a number");
                 let answer =
                     self.rng.random_range(0.3..1.7) * self.scenario.speed.typical_answer_tokens;
-                self.engines[number].waiting.push_back(StreamRun {
+                let run = StreamRun {
+                    kind,
                     entry,
                     key: picked.key,
                     sent: now,
                     read_ms: self.scenario.read_ms(prompt),
                     write_ms: answer * self.scenario.token_ms(),
-                });
+                };
+                // An engine starts the most urgent request first.
+                let kinds = self.scenario.kinds;
+                let waiting = &mut self.engines[number].waiting;
+                let at = waiting.partition_point(|other| kinds[other.kind].priority <= priority);
+                waiting.insert(at, run);
             }
         }
     }
 
+    fn draw_kind(&mut self) -> usize {
+        let mut lot = self.rng.random_range(0.0..1.0);
+        let kinds = self.scenario.kinds;
+        let found = kinds.iter().position(|kind| {
+            lot -= kind.part;
+            lot < 0.0
+        });
+        found.unwrap_or(kinds.len() - 1)
+    }
+
     /// Advances the engines. An engine reads prompts one after the other, as long as it has a free
     /// slot.
     fn work(&mut self, now: ClockTime) {
@@ -245,34 +316,33 @@
             for (_, run) in ended {
                 self.registries[run.entry].end(run.key, CallOutcome::Answered, now, 0);
             }
-            if engine.reads_until.is_some_and(|until| until <= now)
-                && let Some(run) = engine.waiting.pop_front()
-            {
-                engine.reads_until = None;
+            if let Some((_, run)) = engine.reading.take_if(|(until, _)| *until <= now) {
                 if let Some(record) = self.registries[run.entry].get_mut(run.key) {
                     record.note_read(PROMPT_TOKENS);
                 }
                 if run.sent.since(NOW) > SETTLE_SPAN {
-                    self.started += 1;
-                    self.late += u32::from(now.since(run.sent) > self.scenario.first_event_limit);
+                    let limit = self.scenario.kinds[run.kind].first_event_limit;
+                    self.totals[run.kind].started += 1;
+                    self.totals[run.kind].late += u32::from(now.since(run.sent) > limit);
                 }
                 let until = now + Duration::from_secs_f64(run.write_ms / 1e3);
                 engine.writing.push((until, run));
             }
             let has_free_slot =
                 engine.writing.len() < usize::try_from(self.scenario.slots).expect("small");
-            if engine.reads_until.is_none()
+            if engine.reading.is_none()
                 && has_free_slot
-                && let Some(run) = engine.waiting.front()
+                && let Some(run) = engine.waiting.pop_front()
             {
-                engine.reads_until = Some(now + Duration::from_secs_f64(run.read_ms / 1e3));
+                let until = now + Duration::from_secs_f64(run.read_ms / 1e3);
+                engine.reading = Some((until, run));
             }
         }
     }
 }
 
 /// Totals of several runs of a scenario.
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct LoadTotals {
     started: u32,
     late: u32,
@@ -281,17 +351,30 @@
 
 impl LoadTotals {
     fn of(scenario: LoadScenario) -> Self {
-        let mut totals = Self::default();
+        Self::by_kind(scenario)[0]
+    }
+
+    fn by_kind(scenario: LoadScenario) -> Vec<Self> {
+        let mut totals = vec![Self::default(); scenario.kinds.len()];
         for seed in 1..=3 {
             let mut simulation = EntrySimulation::new(scenario, seed);
             simulation.run();
-            totals.started += simulation.started;
-            totals.late += simulation.late;
-            totals.refused += simulation.refused;
+            for (total, of_run) in totals.iter_mut().zip(&simulation.totals) {
+                total.started += of_run.started;
+                total.late += of_run.late;
+                total.refused += of_run.refused;
+            }
         }
         totals
     }
 
+    /// Requests served, and those served in time, as parts of all.
+    fn parts(&self) -> (f64, f64) {
+        let offered = f64::from(self.started + self.refused).max(1.0);
+        let in_time = f64::from(self.started - self.late);
+        (f64::from(self.started) / offered, in_time / offered)
+    }
+
     /// Requests served in time, as a part of those that the engines could serve.
     fn part_in_time(&self, utilisation: f64) -> f64 {
         let offered = f64::from(self.started + self.refused);
@@ -321,3 +404,15 @@
         "{part} of what is possible in time, {totals:?}"
     );
 }
+
+/// Guards against urgent requests that are refused as often as those that can wait. Load pattern:
+/// for as long as the engines are short, four requests arrive for three that they can serve.
+#[test]
+fn urgent_requests_are_served_first_under_a_shortage() {
+    let totals = LoadTotals::by_kind(URGENT_SHORTAGE);
+    let parts: Vec<(f64, f64)> = totals.iter().map(LoadTotals::parts).collect();
+    let (urgent, least_urgent) = (parts[0], parts[2]);
+    assert!(urgent.1 > 0.85, "in time: {parts:?}");
+    assert!(urgent.0 >= least_urgent.0, "served: {parts:?}");
+    assert!(least_urgent.0 > 0.25, "starved: {parts:?}");
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -218,6 +218,7 @@
             tried: state.tried(),
             is_returned: job.is_retry(),
             work: job.engine_work(&snapshot),
+            reserved_part: state.reserved_part(),
             placement: gateway.placement(job, &snapshot),
             cold_limit: gateway.cold_limit(job, &snapshot),
         };
--- a/src/gateway/forward_state.rs
+++ b/src/gateway/forward_state.rs
@@ -38,6 +38,8 @@
     has_started: bool,
     /// Whether the end of the request has been logged.
     is_end_logged: bool,
+    /// Random, from 0 to 1: whether the request may use slots reserved for more urgent ones.
+    reserve_lot: f64,
 }
 
 impl Drop for ForwardState {
@@ -58,6 +60,7 @@
 
     pub(super) fn new(gateway: Arc<GatewayState>, job: RequestJob) -> Self {
         gateway.credit_retry(&job.routed.service, job.arrived);
+        gateway.note_demand(&job);
         let response_due = client_notice_at(&job, job.arrived);
         Self {
             gateway,
@@ -69,6 +72,7 @@
             response_due,
             has_started: false,
             is_end_logged: false,
+            reserve_lot: rand::random(),
         }
     }
 
@@ -92,6 +96,16 @@
         self.response_due = client_notice_at(&self.job, since);
     }
 
+    /// Returns the part of each engine's slots that the request leaves to more urgent ones. A stream
+    /// that has started leaves none: its client notices each pause.
+    pub(super) fn reserved_part(&self) -> f64 {
+        if self.has_started {
+            0.0
+        } else {
+            self.gateway.reserved_part(&self.job, self.reserve_lot)
+        }
+    }
+
     /// Returns the backend servers that the request was sent to.
     pub(super) fn tried(&self) -> &[BackendKey] {
         &self.tried
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -17,7 +17,7 @@
     BackendKey, BackendRecord, BackendRegistry, BackendTicket, ColdLimit, LimitAnnouncement,
     LoadReport, RetryBudgetShare, RetryShareLimits, SharedRegistry,
 };
-use crate::overload::EntryHostId;
+use crate::overload::{DemandMeter, EntryHostId};
 use crate::placement::{PlacementDenial, PlacementRules, RegionMap};
 use crate::platform::PlatformBounds;
 use crate::quarantine::CrashSuspect;
@@ -59,6 +59,8 @@
     stop_started: OnceLock<ClockTime>,
     /// Notified whenever a slot at a backend server becomes free.
     pub(super) freed: Notify,
+    /// Recent arrivals, sorted by service.
+    demand: Mutex<Vec<(ByteString, DemandMeter)>>,
     /// Sorted by service.
     retry_budgets: Mutex<Vec<(ByteString, RetryBudgetShare)>>,
     bounds: PlatformBounds,
@@ -97,6 +99,7 @@
             drain,
             stop_started: OnceLock::new(),
             freed: Notify::new(),
+            demand: Mutex::new(Vec::new()),
             retry_budgets: Mutex::new(Vec::new()),
             bounds,
             regions: Arc::new(regions),
@@ -296,6 +299,28 @@
         self.crash_detector.quarantine(suspects, now)
     }
 
+    /// Records the arrival of `job`, as demand for its service.
+    pub(super) fn note_demand(&self, job: &RequestJob) {
+        let service = &job.routed.service;
+        let mut demand = self.demand.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = demand.binary_search_by(|(name, _)| name.cmp(service));
+        let at = found.unwrap_or_else(|at| {
+            demand.insert(at, (service.clone(), DemandMeter::default()));
+            at
+        });
+        demand[at].1.note_arrival(job.routed.priority, job.arrived);
+    }
+
+    /// Returns the part of each engine's slots that `job` leaves to more urgent requests. `lot` is
+    /// random, from 0 to 1, and the same for each search of one request.
+    pub(super) fn reserved_part(&self, job: &RequestJob, lot: f64) -> f64 {
+        let demand = self.demand.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = demand.binary_search_by(|(name, _)| name.cmp(&job.routed.service));
+        found.map_or(0.0, |at| {
+            demand[at].1.reserved_part(job.routed.priority, lot)
+        })
+    }
+
     /// Records a new request for `service`, which adds to its retry budget.
     pub(super) fn credit_retry(&self, service: &ByteString, now: ClockTime) {
         self.with_retry_budget(service, now, |budget, limits| budget.credit(limits, now));
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -147,9 +147,11 @@
         } else if self.is_retry() {
             PRIORITY_MAX
         } else {
+            // Priority 0 is that of resumed streams.
             self.routed
                 .priority
-                .clamp(PRIORITY_RESUMED + 1, PRIORITY_MAX - 1)
+                .saturating_add(PRIORITY_RESUMED + 1)
+                .min(PRIORITY_MAX - 1)
         }
     }
 
--- a/src/gateway/tests/cancelled_requests.rs
+++ b/src/gateway/tests/cancelled_requests.rs
@@ -35,6 +35,7 @@
         queue_room: 0,
         is_returned: false,
         work: None,
+        reserved_part: 0.0,
         placement: PlacementRules::default(),
         cold_limit: None,
     };
@@ -127,6 +128,7 @@
         queue_room: 0,
         is_returned: false,
         work: None,
+        reserved_part: 0.0,
         placement: PlacementRules::default(),
         cold_limit: None,
     };
--- a/src/gateway/tests/crash_detector.rs
+++ b/src/gateway/tests/crash_detector.rs
@@ -54,6 +54,7 @@
         queue_room: 0,
         is_returned: false,
         work: None,
+        reserved_part: 0.0,
         placement: PlacementRules::default(),
         cold_limit: None,
     };
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -107,6 +107,7 @@
         queue_room: 0,
         is_returned: false,
         work: None,
+        reserved_part: 0.0,
         placement: PlacementRules::default(),
         cold_limit: None,
     };
--- a/src/gateway/tests/quarantined_parts.rs
+++ b/src/gateway/tests/quarantined_parts.rs
@@ -48,6 +48,7 @@
         queue_room: 8,
         is_returned: false,
         work: None,
+        reserved_part: 0.0,
         placement: PlacementRules::default(),
         cold_limit: None,
     };
--- a/src/gateway/tests/stream_pauses.rs
+++ b/src/gateway/tests/stream_pauses.rs
@@ -94,6 +94,7 @@
         queue_room: 100,
         is_returned: false,
         work: None,
+        reserved_part: 0.0,
         placement: PlacementRules::default(),
         cold_limit: None,
     };
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -6,6 +6,7 @@
 mod engine_candidate;
 mod retry_delay;
 mod send_schedule;
+mod slot_reserve;
 #[cfg(test)]
 mod tests;
 
@@ -13,3 +14,4 @@
 pub(crate) use engine_candidate::{EngineCandidate, EngineSpeed, unreported_load, usual_pace};
 pub(crate) use retry_delay::{is_retry, retry_delay, retry_delay_after};
 pub(crate) use send_schedule::{SendRate, SendSchedule};
+pub(crate) use slot_reserve::DemandMeter;
--- a/src/sync/tests/driver.rs
+++ b/src/sync/tests/driver.rs
@@ -234,6 +234,7 @@
                 queue_room: 0,
                 is_returned: false,
                 work: None,
+                reserved_part: 0.0,
                 placement: PlacementRules::default(),
                 cold_limit: None,
             };
--- a/src/sync/tests/messages.rs
+++ b/src/sync/tests/messages.rs
@@ -66,6 +66,7 @@
         queue_room: u32::MAX,
         is_returned: false,
         work: None,
+        reserved_part: 0.0,
         placement: PlacementRules::default(),
         cold_limit: None,
     }
