--- a/src/gateway/request_intake.rs
+++ b/src/gateway/request_intake.rs
@@ -25,6 +25,8 @@
 
 /// Bytes of a header field in addition to its name and value: colon, space and line end.
 const FIELD_OVERHEAD_BYTES: usize = 4;
+/// The lot of a request that may not use reserved slots.
+const NOT_EXEMPT: f64 = 1.0;
 /// Retry delay for a client that arrives before this entry host has a document.
 const STARTUP_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay for a client that arrives during a graceful stop; another entry host accepts the
@@ -64,7 +66,14 @@
     match forward(gateway, job, live).await {
         Ok(reply) => reply,
         Err(error) => {
-            log_refusal(&logged_job, &error, status_of(&error), clock_now());
+            let reserved_part = gateway.reserved_part(&logged_job, NOT_EXEMPT);
+            log_refusal(
+                &logged_job,
+                reserved_part,
+                &error,
+                status_of(&error),
+                clock_now(),
+            );
             refusal_reply(&error)
         }
     }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -51,9 +51,11 @@
     );
 }
 
-/// Logs a request that was refused or failed.
+/// Logs a request that was refused or failed. `reserved_part` is the part of each engine's slots that
+/// requests of its priority leave to more urgent ones.
 pub(super) fn log_refusal(
     job: &RequestJob,
+    reserved_part: f64,
     error: &SwitchError,
     status: StatusCode,
     now: ClockTime,
@@ -61,9 +63,10 @@
     metrics::count_refusal(error.kind, "gateway");
     log_event!(
         events::REQUEST_REFUSED,
-        "id={} route={} status={} reason={} ms={} detail=\"{}\"",
+        "id={} route={} priority={} reserved={reserved_part:.2} status={} reason={} ms={} detail=\"{}\"",
         attempt_of(job),
         job.routed.rule.name,
+        job.routed.priority,
         status.as_u16(),
         error_spec(error.kind).code,
         now.since(job.arrived).as_millis(),
--- a/src/overload/tests/mod.rs
+++ b/src/overload/tests/mod.rs
@@ -1,5 +1,6 @@
 mod engine_assignment;
 mod send_schedule;
+mod slot_reserve;
 
 use std::time::Duration;
 
