Rank requests by the priority of their account, then by that of their route

Cause: the reserve for urgent requests had no effect on the tournament deployment.

Change: a rank is the account's priority and then the route's; it decides about reserved slots and in engines' queues. Where all routes of a service are equally urgent, as in the earlier deployments, nothing changes.

--- a/src/fleet/tests/uneven_entries.rs
+++ b/src/fleet/tests/uneven_entries.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::*;
-use crate::overload::{DemandMeter, EngineSpeed, EntryHostId};
+use crate::overload::{DemandMeter, EngineSpeed, EntryHostId, PriorityRank};
 
 /// A data centre and the load that is offered to it.
 #[derive(Clone, Copy)]
@@ -268,8 +268,9 @@
         });
         let kind = self.draw_kind();
         let priority = self.scenario.kinds[kind].priority;
-        self.demand[entry].note_arrival(priority, now);
-        requirements.reserved_part = self.demand[entry].reserved_part(priority, self.rng.random());
+        let rank = PriorityRank::new(None, priority);
+        self.demand[entry].note_arrival(rank, now);
+        requirements.reserved_part = self.demand[entry].reserved_part(rank, self.rng.random());
         let jitter = self.rng.random();
         match self.registries[entry].pick(&requirements, now, jitter) {
             Err(_) => self.totals[kind].refused += u32::from(now.since(NOW) > SETTLE_SPAN),
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -308,7 +308,7 @@
             demand.insert(at, (service.clone(), DemandMeter::default()));
             at
         });
-        demand[at].1.note_arrival(job.routed.priority, job.arrived);
+        demand[at].1.note_arrival(job.routed.rank, job.arrived);
     }
 
     /// Returns the part of each engine's slots that `job` leaves to more urgent requests. `lot` is
@@ -316,9 +316,7 @@
     pub(super) fn reserved_part(&self, job: &RequestJob, lot: f64) -> f64 {
         let demand = self.demand.lock().unwrap_or_else(PoisonError::into_inner);
         let found = demand.binary_search_by(|(name, _)| name.cmp(&job.routed.service));
-        found.map_or(0.0, |at| {
-            demand[at].1.reserved_part(job.routed.priority, lot)
-        })
+        found.map_or(0.0, |at| demand[at].1.reserved_part(job.routed.rank, lot))
     }
 
     /// Records a new request for `service`, which adds to its retry budget.
--- a/src/gateway/request_job.rs
+++ b/src/gateway/request_job.rs
@@ -10,7 +10,7 @@
 use crate::catalog::{CatalogVersion, EngineFacts, RetryPolicy, RouteRule, ServiceCatalog};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::fleet::{ColdLimit, EngineWork, VersionRequirement, WeightsVersion};
-use crate::overload::is_retry;
+use crate::overload::{PriorityRank, is_retry};
 use crate::placement::HomeRegions;
 use crate::platform::{PRIORITY_MAX, RequestHead};
 use crate::quarantine::{CrashSuspect, RequestParts, SuspectDigest};
@@ -49,7 +49,7 @@
     pub(super) host: ByteString,
     pub(super) service: ByteString,
     pub(super) account: Option<ByteString>,
-    pub(super) priority: u8,
+    pub(super) rank: PriorityRank,
     /// The regions that may serve the request, by the document of version `document`.
     pub(super) homes: HomeRegions,
     pub(super) document: CatalogVersion,
@@ -147,11 +147,7 @@
         } else if self.is_retry() {
             PRIORITY_MAX
         } else {
-            // Priority 0 is that of resumed streams.
-            self.routed
-                .priority
-                .saturating_add(PRIORITY_RESUMED + 1)
-                .min(PRIORITY_MAX - 1)
+            (PRIORITY_RESUMED + 1 + self.routed.rank.engine_level()).min(PRIORITY_MAX - 1)
         }
     }
 
@@ -267,9 +263,7 @@
         host: host.into(),
         service,
         account: account.map(|account| account.name.clone()),
-        priority: account
-            .and_then(|account| account.priority)
-            .unwrap_or(rule.priority),
+        rank: PriorityRank::new(account.and_then(|account| account.priority), rule.priority),
         homes: account.map_or_else(
             || rule.homes.clone(),
             |account| rule.homes.intersect(&account.homes),
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -63,10 +63,10 @@
     metrics::count_refusal(error.kind, "gateway");
     log_event!(
         events::REQUEST_REFUSED,
-        "id={} route={} priority={} reserved={reserved_part:.2} status={} reason={} ms={} detail=\"{}\"",
+        "id={} route={} rank={:?} reserved={reserved_part:.2} status={} reason={} ms={} detail=\"{}\"",
         attempt_of(job),
         job.routed.rule.name,
-        job.routed.priority,
+        job.routed.rank,
         status.as_u16(),
         error_spec(error.kind).code,
         now.since(job.arrived).as_millis(),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -33,7 +33,7 @@
 use crate::gateway::gateway_state::{GatewayParts, GatewayState};
 use crate::gateway::reply::{refusal_reply, status_of};
 use crate::gateway::request_job::{RequestJob, route_request};
-use crate::overload::EntryHostId;
+use crate::overload::{EntryHostId, PriorityRank};
 use crate::placement::RegionMap;
 use crate::platform::{PlatformBounds, RequestHead};
 use crate::sync::{DeploymentSnapshot, SharedDeploymentState, SharedSnapshot};
@@ -183,7 +183,7 @@
     let now = ClockTime::from_millis(50_000);
     for priority in [0, 1, 9] {
         let mut job = job_of("resumed", now);
-        job.routed.priority = priority;
+        job.routed.rank = PriorityRank::new(None, priority);
         assert!(job.engine_priority(true) < job.engine_priority(false));
     }
 }
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -4,6 +4,7 @@
 
 mod engine_assignment;
 mod engine_candidate;
+mod priority_rank;
 mod retry_delay;
 mod send_schedule;
 mod slot_reserve;
@@ -12,6 +13,7 @@
 
 pub(crate) use engine_assignment::{EngineAssignment, EntryHostId, relocated_entry_hosts};
 pub(crate) use engine_candidate::{EngineCandidate, EngineSpeed, unreported_load, usual_pace};
+pub(crate) use priority_rank::PriorityRank;
 pub(crate) use retry_delay::{is_retry, retry_delay, retry_delay_after};
 pub(crate) use send_schedule::{SendRate, SendSchedule};
 pub(crate) use slot_reserve::DemandMeter;
