Cap stated cold times, and test what the platform states about homes, cold starts and evacuations

A response can keep a backend server limited for ten seconds at most; an absurd figure lasted an hour at that entry host. Tests: figures and lists out of range in documents, entries and responses, and that all entry hosts learn of an evacuation and its end within 5 s, also when the store stops answering its readers.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -33,6 +33,9 @@
 /// Longest pause that a backend server can request. An overload is over within seconds; after a
 /// faulty value, one request in this time shows whether it still asks for a pause.
 const REQUESTED_PAUSE_MAX: Duration = Duration::from_mins(1);
+/// Longest time that a backend server can state to stay cold in a response. Backend servers are cold
+/// for seconds; after a faulty value, a later response without it has no effect.
+const STATED_COLD_MAX: Duration = Duration::from_secs(10);
 /// How long an announced load of weights blocks new requests. The announcement is repeated five
 /// times a second; without an expiry, a process that died after sending it would block its engine
 /// forever.
@@ -311,7 +314,7 @@
 
     /// Records its statement in a response at `now` that it stays cold for `left`.
     pub(crate) fn note_cold(&mut self, left: Duration, now: ClockTime) {
-        self.stated_cold_until = now + left;
+        self.stated_cold_until = now + left.min(STATED_COLD_MAX);
     }
 
     /// Whether to open a new connection rather than to reuse one.
--- a/src/fleet/tests/cold_starts.rs
+++ b/src/fleet/tests/cold_starts.rs
@@ -115,3 +115,17 @@
     assert_eq!(sent_in_second(&registry, NOW + COLD_SPAN), 100);
     ticket.end(CallOutcome::Answered, NOW);
 }
+
+/// Guards against a limit that lasts after a faulty statement.
+#[test]
+fn an_absurd_statement_in_a_response_counts_for_seconds() {
+    let registry = registry_of(vec![backend(Some(ClockTime(0)))]);
+    let ticket = registry.pick(&requirements(None), NOW).expect("it is free");
+    ticket.with_record(|record| record.note_cold(Duration::MAX, NOW));
+    ticket.end(CallOutcome::Answered, NOW);
+    assert!(sent_in_second(&registry, NOW) <= 4);
+    assert_eq!(
+        sent_in_second(&registry, NOW + Duration::from_secs(10)),
+        100
+    );
+}
--- a/src/platform/tests/backend_rows.rs
+++ b/src/platform/tests/backend_rows.rs
@@ -223,3 +223,31 @@
     let nested = format!("{{\"x\":{}", "[".repeat(100_000));
     assert!(read_backend_row("i-1", nested.as_bytes(), StoreTime::default()).is_err());
 }
+
+/// Guards against a cold time that is taken from another moment than the store's report, and against
+/// figures out of range.
+#[test]
+fn the_time_until_which_a_backend_server_is_cold_counts_from_the_report() {
+    let reported_at = StoreTime::from_millis(50_000);
+    let cold_until = |entry: &Value| {
+        let text = entry.to_string();
+        let facts = read_backend_row("i-1", text.as_bytes(), reported_at);
+        facts.map(|facts| facts.cold_until)
+    };
+    let stated = |value: Value| {
+        cold_until(&changed("cold_remaining_ms", value))
+            .ok()
+            .flatten()
+    };
+    assert_eq!(stated(json!(1500)), Some(StoreTime::from_millis(51_500)));
+    for value in [json!(0), json!(-3), json!(-1e300)] {
+        assert_eq!(stated(value), Some(reported_at));
+    }
+    let absurd = stated(json!(1e300)).expect("it is a number");
+    assert!(absurd.since(reported_at) <= std::time::Duration::from_hours(1));
+    let missing = cold_until(&without("cold_remaining_ms"));
+    assert_eq!(missing.expect("the field is optional"), None);
+    for value in [json!(null), json!("1"), json!([1])] {
+        assert!(cold_until(&changed("cold_remaining_ms", value)).is_err());
+    }
+}
--- a/src/platform/tests/document_rows.rs
+++ b/src/platform/tests/document_rows.rs
@@ -154,3 +154,58 @@
         Ok(())
     });
 }
+
+/// Guards against requests outside their home regions, and against a document that is lost for an
+/// unknown region.
+#[test]
+fn home_regions_of_routes_and_accounts_are_read() {
+    let mut document = complete_document();
+    document["routes"][0]["allowed_regions"] = json!(["north", "nowhere"]);
+    document["routes"][1]["allowed_regions"] = json!([]);
+    document["tenants"][0]["allowed_regions"] = json!(["south"]);
+    let read = |document: &Value| read_document(document.to_string().as_bytes());
+    let catalog = read(&document).expect("the document is valid");
+    let homes = |path: &str| {
+        let rule = catalog.routes.find("h.example", path).expect("a route");
+        rule.homes.clone()
+    };
+    assert!(homes("/a/x").allows(Some(&"north".into())));
+    assert!(!homes("/a/x").allows(Some(&"south".into())));
+    assert!(homes("/b/x").allows(Some(&"south".into())));
+    let account = &catalog.accounts[0].homes;
+    assert!(account.allows(Some(&"south".into())) && !account.allows(Some(&"north".into())));
+    for value in [json!(null), json!("north"), json!([1])] {
+        document["routes"][0]["allowed_regions"] = value;
+        assert!(
+            read(&document).is_err(),
+            "homes that can't be read are not everywhere"
+        );
+    }
+}
+
+/// Guards against absurd figures of cold backend servers.
+#[test]
+fn figures_of_cold_backend_servers_are_read() {
+    let cold_start = |fields: Value| {
+        let mut document = complete_document();
+        for (name, value) in fields.as_object().expect("an object") {
+            document["services"][0][name] = value.clone();
+        }
+        let catalog = read_document(document.to_string().as_bytes()).expect("it is valid");
+        catalog.service("s").expect("the service exists").cold_start
+    };
+    let figures = cold_start(json!({"cold_s": 3.0, "cold_per_s": 14.0})).expect("both are given");
+    assert_eq!(figures.span, Duration::from_secs(3));
+    assert!((figures.rate - 14.0).abs() < f64::EPSILON);
+    for fields in [
+        json!({}),
+        json!({"cold_s": 0.0, "cold_per_s": 0.0}),
+        json!({"cold_s": -1.0, "cold_per_s": 14.0}),
+        json!({"cold_s": 3.0}),
+    ] {
+        assert!(cold_start(fields.clone()).is_none(), "{fields}");
+    }
+    let negative = cold_start(json!({"cold_s": 1e300, "cold_per_s": -5.0})).expect("it is cold");
+    assert_eq!(negative.span, HOUR);
+    assert!(negative.rate.abs() < f64::EPSILON);
+}
--- a/src/platform/tests/header_fields.rs
+++ b/src/platform/tests/header_fields.rs
@@ -171,3 +171,24 @@
         assert_eq!(pause_of(503, value), None, "{value}");
     }
 }
+
+/// Guards against figures out of range, and against those of another backend server.
+#[test]
+fn a_response_may_state_how_long_its_backend_server_stays_cold() {
+    let cold_left = |fields: &[(&'static str, &'static str)]| response_head(200, fields).cold_left;
+    let millis = |millis| Some(std::time::Duration::from_millis(millis));
+    assert_eq!(cold_left(&[("savoryswitch-cold-ms", "1500")]), millis(1500));
+    assert_eq!(cold_left(&[("savoryswitch-cold-ms", "-7")]), millis(0));
+    for value in ["", "soon", "1,2"] {
+        assert_eq!(
+            cold_left(&[("savoryswitch-cold-ms", value)]),
+            None,
+            "{value}"
+        );
+    }
+    let of_another = [
+        ("savoryswitch-cold-ms", "1500"),
+        ("savoryswitch-instance-id", "i-2"),
+    ];
+    assert_eq!(cold_left(&of_another), None);
+}
--- a/src/sync/tests/evacuations.rs
+++ b/src/sync/tests/evacuations.rs
@@ -1,7 +1,9 @@
 //! Which data centres are evacuated, by what the store and neighbours report.
 
+use super::readers::TestDataCentre;
 use super::*;
-use crate::platform::revision_in;
+use crate::platform::{TableName, revision_in};
+use crate::sync::DeploymentSnapshot;
 use crate::sync::evacuations::{EvacuationList, EvacuationRecord};
 use crate::test_support::run_cases;
 
@@ -156,3 +158,31 @@
     assert!(list.records().len() <= 128);
     assert!(list.active().is_empty());
 }
+
+/// Within this time all entry hosts know of an evacuation that the store has confirmed, and of its
+/// end.
+const EVACUATION_TIME_LIMIT: Duration = Duration::from_secs(5);
+
+/// Guards against entry hosts that learn of an evacuation too late: those that read the store, those
+/// that follow them, and those that the store stops answering.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_entry_hosts_learn_of_an_evacuation_in_time() {
+    let data_centre = TestDataCentre::start().await;
+    let key = "evacuate/a";
+    let is_evacuated = |snapshot: &DeploymentSnapshot| snapshot.evacuated.len() == 1;
+    let is_ended = |snapshot: &DeploymentSnapshot| snapshot.evacuated.is_empty();
+    data_centre.store.put(TableName::Operator, key, "{}");
+    data_centre
+        .wait_for_all(is_evacuated, EVACUATION_TIME_LIMIT)
+        .await;
+    data_centre.store.remove(TableName::Operator, key);
+    data_centre
+        .wait_for_all(is_ended, EVACUATION_TIME_LIMIT)
+        .await;
+    data_centre.cut_off_readers();
+    data_centre.store.put(TableName::Operator, key, "{}");
+    data_centre
+        .wait_for_all(is_evacuated, EVACUATION_TIME_LIMIT)
+        .await;
+    data_centre.end();
+}
--- a/src/sync/tests/readers.rs
+++ b/src/sync/tests/readers.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Cuts the entry hosts that read the store off from it.
+    pub(super) fn cut_off_readers(&self) {
+        self.fault(0..2, ProxyFault::Unresponsive);
+    }
+
     pub(super) fn end(self) {
         for process in self.processes.into_iter().flatten() {
             process.stop_abruptly();
