--- a/src/platform/sample_files.rs
+++ b/src/platform/sample_files.rs
@@ -114,9 +114,10 @@
     pub(crate) keys: Vec<String>,
 }
 
-/// The operator's document of `version`, in which requests of `/write/` have a home region. The prefix of a route sets the kind of its requests:
+/// The operator's document of `version`. The prefix of a route sets the kind of its requests:
 /// `/read/` for those that may be repeated, `/write/` for those that may not, `/talk/` for streams
-/// of engines, and `/resume/` for streams that may also be resumed.
+/// of engines, and `/resume/` for streams that may also be resumed. Requests of `/write/` are
+/// confined to the region of the first data centre.
 pub(crate) fn document_text(
     version: u64,
     origin: SocketAddr,
--- a/src/sync/evacuations.rs
+++ b/src/sync/evacuations.rs
@@ -22,7 +22,7 @@
     pub(crate) data_centre: ByteString,
     /// The store's revision of the last change.
     pub(crate) revision: u64,
-    /// Whether it is evacuated, or was.
+    /// Whether it is evacuated; not any more if `false`.
     pub(crate) is_active: bool,
 }
 
@@ -58,19 +58,19 @@
             revision,
             is_active,
         };
-        match self.find(data_centre) {
+        let was_active = match self.find(data_centre) {
             Ok(at) if self.records[at].revision >= revision => return,
-            Ok(at) => {
-                let known = std::mem::replace(&mut self.records[at], record);
-                if known.is_active == is_active {
-                    return;
-                }
-            }
+            Ok(at) => std::mem::replace(&mut self.records[at], record).is_active,
             // The end of an unknown evacuation is remembered as well: a neighbour may know its start.
-            Err(at) => self.records.insert(at, record),
+            Err(at) => {
+                self.records.insert(at, record);
+                self.drop_oldest_ended();
+                false
+            }
+        };
+        if was_active != is_active {
+            log_change(data_centre, revision, is_active);
         }
-        log_change(data_centre, revision, is_active);
-        self.drop_oldest_ended();
     }
 
     /// Merges a full read of the operator's table; `is_listed` tells which data centres it lists as
