--- a/src/lab/platform_soak/soak_system.rs
+++ b/src/lab/platform_soak/soak_system.rs
@@ -20,14 +20,14 @@
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::lab::launch::LaunchSpec;
 use crate::platform::{
-    EngineLoad, FakeBackend, FakeBackendConfig, FakeEngine, FakeOrigin, FakeStore,
-    ProcessAddresses, RunEvent, SETTINGS_PATH_VARIABLE, StagedAfterRestart, StartTimeField,
-    StoreFault, data_centre_of, settings_text,
+    ENTRY_DATA_CENTRE, EngineLoad, FakeBackend, FakeBackendConfig, FakeEngine, FakeOrigin,
+    FakeStore, ProcessAddresses, RunEvent, SETTINGS_PATH_VARIABLE, StagedAfterRestart,
+    StartTimeField, StoreFault, data_centre_of, settings_text,
 };
 use crate::time::clock_now;
 
-/// Smallest number of backend servers without an engine.
-const PLAIN_BACKENDS_MIN: usize = 3;
+/// Smallest number of backend servers without an engine: two in each data centre.
+const PLAIN_BACKENDS_MIN: usize = 4;
 /// Engines per backend server without an engine. Larger systems have more clients, so they need
 /// more of these backend servers.
 const ENGINES_PER_PLAIN_BACKEND: usize = 4;
@@ -177,7 +177,7 @@
                 [8005, 8002].map(|port| SocketAddr::from((ip, port)));
             let addresses = ProcessAddresses {
                 host: format!("entry-{number}"),
-                data_centre: data_centre_of(0),
+                data_centre: ENTRY_DATA_CENTRE,
                 ip: ip.into(),
                 store: SocketAddr::from((loopback_address(1, 0), store_port(number))),
                 seeds: seeds.clone(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -43,8 +43,8 @@
 pub(crate) use json_object::read_object;
 pub(crate) use request_head::{RequestHead, read_request_head};
 pub(crate) use sample_files::{
-    AccountSample, EVACUATED_DATA_CENTRE, ProcessAddresses, data_centre_of, document_text,
-    event_timeout, is_home_of_writes, settings_text, stream_timeout,
+    AccountSample, ENTRY_DATA_CENTRE, EVACUATED_DATA_CENTRE, ProcessAddresses, data_centre_of,
+    document_text, event_timeout, is_home_of_writes, settings_text, stream_timeout,
 };
 pub(crate) use settings_file::{PlatformBounds, PlatformSettings, SETTINGS_PATH_VARIABLE};
 pub(crate) use store_client::{
--- a/src/platform/sample_files.rs
+++ b/src/platform/sample_files.rs
@@ -15,6 +15,8 @@
 /// The data centres of the lab, each in a region of its own.
 const DATA_CENTRES: [&str; 2] = ["hall-a", "hall-b"];
 const REGIONS: [&str; 2] = ["south", "north"];
+/// The data centre of the lab's entry hosts.
+pub(crate) const ENTRY_DATA_CENTRE: &str = DATA_CENTRES[0];
 /// The data centre that the lab's operator evacuates.
 pub(crate) const EVACUATED_DATA_CENTRE: &str = DATA_CENTRES[1];
 /// Longer than any request of the lab's plain service takes.
@@ -24,13 +26,13 @@
 const LATENCY_TARGET_MS: u32 = 800;
 const GAP_TARGET_MS: u32 = 300;
 
-/// Returns the data centre of backend server `number`.
+/// Returns the data centre of backend server `number`; the first is not in that of the entry hosts.
 pub(crate) const fn data_centre_of(number: usize) -> &'static str {
-    DATA_CENTRES[number % DATA_CENTRES.len()]
+    DATA_CENTRES[(number + 1) % DATA_CENTRES.len()]
 }
 
 /// Returns whether backend server `number` is in the home region of requests that may run at most
-/// once.
+/// once: that of the second data centre, since entry hosts prefer the first, where they are.
 pub(crate) const fn is_home_of_writes(number: usize) -> bool {
     number.is_multiple_of(DATA_CENTRES.len())
 }
@@ -117,7 +119,7 @@
 /// The operator's document of `version`. The prefix of a route sets the kind of its requests:
 /// `/read/` for those that may be repeated, `/write/` for those that may not, `/talk/` for streams
 /// of engines, and `/resume/` for streams that may also be resumed. Requests of `/write/` are
-/// confined to the region of the first data centre.
+/// confined to the region of the second data centre.
 pub(crate) fn document_text(
     version: u64,
     origin: SocketAddr,
@@ -131,7 +133,7 @@
             "timeout_ms": if is_stream { STREAM_TIMEOUT_MS } else { TIMEOUT_MS },
             "target_latency_ms": LATENCY_TARGET_MS, "gap_target_ms": GAP_TARGET_MS, "priority": 1,
             "max_attempts": 3, "stream_resume": name == "resume",
-            "allowed_regions": if name == "write" { &REGIONS[..1] } else { &[] },
+            "allowed_regions": if name == "write" { &REGIONS[1..] } else { &[] },
         })
     };
     let engine = json!({
