Show what requests do with their retry budget

Logs and metrics did not tell retries that are charged, refunded, denied or free apart, nor the number of entry hosts that a share divides by, which separates the hypotheses on retries beyond the budget. The budgets of all services move to a module of their own; what they decide is unchanged.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -33,6 +33,12 @@
     1213,
     "response is late; trying another backend server as well",
 );
+pub(crate) const RETRY_SHARERS: LogEvent = LogEvent::info(
+    1214,
+    "number of entry hosts that share a retry budget has changed",
+);
+pub(crate) const RETRY_COUNTS: LogEvent =
+    LogEvent::info(1215, "requests were sent again, or denied it");
 
 /// All log events of this module.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -50,4 +56,6 @@
     STREAM_CUT,
     BACKEND_CRASHED,
     RESPONSE_LATE,
+    RETRY_SHARERS,
+    RETRY_COUNTS,
 ];
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -18,6 +18,7 @@
 use super::reply::outcome_unknown;
 use super::request_job::RequestJob;
 use super::request_log::{log_end, log_response_late, log_send_failed};
+use super::retry_budgets::ResendReason;
 use super::send_attempt::{OpenResponse, SendFailure, send_attempt};
 use super::stream_relay::{StreamRelay, return_connection};
 use crate::daemon::RequestGuard;
@@ -156,7 +157,8 @@
         };
         let Some(CompletedSend { backend, result }) = completed else {
             let now = clock_now();
-            if state.claim_resend(now).is_ok() {
+            let claimed = state.claim_resend(ResendReason::ResponseLate, now);
+            if claimed.is_ok() {
                 log_response_late(&state.job, state.tried().len(), now);
                 return Ok(None);
             }
--- a/src/gateway/forward_state.rs
+++ b/src/gateway/forward_state.rs
@@ -7,6 +7,7 @@
 use super::reply::outcome_unknown;
 use super::request_job::RequestJob;
 use super::request_log::log_client_left;
+use super::retry_budgets::ResendReason;
 use super::retry_denial::RetryDenial;
 use super::send_attempt::{HeadWait, SendFailure};
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
@@ -28,6 +29,8 @@
     tried: Vec<BackendKey>,
     /// Sends that never left this host.
     unsent: u32,
+    /// Why the retries that it has taken from the budget were taken, in this order.
+    charges: Vec<ResendReason>,
     /// Whether the request may have run in any of its sends.
     may_have_run: bool,
     last_failure: Option<SendFailure>,
@@ -67,6 +70,7 @@
             job: Arc::new(job),
             tried: Vec::new(),
             unsent: 0,
+            charges: Vec::new(),
             may_have_run: false,
             last_failure: None,
             response_due,
@@ -151,22 +155,34 @@
     /// # Errors
     ///
     /// Why another send is not allowed.
-    pub(super) fn claim_resend(&self, now: ClockTime) -> Result<(), RetryDenial> {
+    pub(super) fn claim_resend(
+        &mut self,
+        reason: ResendReason,
+        now: ClockTime,
+    ) -> Result<(), RetryDenial> {
         match self.retry_denial(now) {
             Some(denial) => Err(denial),
-            None if self.gateway.try_spend_retry(&self.job.routed.service, now) => Ok(()),
+            None if self.try_charge(reason, now) => Ok(()),
             None => Err(RetryDenial::Budget),
         }
     }
 
-    /// Like `claim_resend`, for callers that do not need the reason.
-    fn try_claim_resend(&self, now: ClockTime) -> bool {
-        self.claim_resend(now).is_ok()
+    /// Takes a retry from the budget. Returns whether there was one.
+    fn try_charge(&mut self, reason: ResendReason, now: ClockTime) -> bool {
+        let service = &self.job.routed.service;
+        let is_charged = self.gateway.try_charge_retry(service, reason, now);
+        if is_charged {
+            self.charges.push(reason);
+        }
+        is_charged
     }
 
     /// Refunds the retry that was claimed last, because it was not needed.
-    pub(super) fn refund_retry(&self, now: ClockTime) {
-        self.gateway.refund_retry(&self.job.routed.service, now);
+    pub(super) fn refund_retry(&mut self, now: ClockTime) {
+        if let Some(reason) = self.charges.pop() {
+            let service = &self.job.routed.service;
+            self.gateway.refund_retry(service, reason, now);
+        }
     }
 
     fn has_attempts_left(&self, now: ClockTime) -> bool {
@@ -199,7 +215,8 @@
     ) -> bool {
         self.may_have_run = true;
         self.last_failure = Some(failure);
-        self.try_claim_resend(now)
+        self.claim_resend(ResendReason::ResponseTruncated, now)
+            .is_ok()
     }
 
     /// Returns whether the request may be sent again after an error response of a backend server,
@@ -210,20 +227,26 @@
     /// the call one round trip later, and one call in fifty was lost.
     pub(super) fn may_resend_after_error(&mut self, now: ClockTime) -> bool {
         self.may_have_run = true;
-        self.try_claim_resend(now)
+        self.claim_resend(ResendReason::ErrorResponse, now).is_ok()
     }
 
-    fn allows_resend(&self, has_arrived: bool, may_have_run: bool, now: ClockTime) -> bool {
+    fn allows_resend(&mut self, has_arrived: bool, may_have_run: bool, now: ClockTime) -> bool {
         if !has_arrived {
             let is_open = !self.may_have_run || self.may_resend(now);
-            return self.unsent < UNSENT_MAX && is_open && !self.client_wait_left(now).is_zero();
+            let has_wait_left = !self.client_wait_left(now).is_zero();
+            let is_allowed = self.unsent < UNSENT_MAX && is_open && has_wait_left;
+            if is_allowed {
+                let service = &self.job.routed.service;
+                self.gateway.note_free_resend(service, now);
+            }
+            return is_allowed;
         }
-        let is_allowed = if may_have_run {
-            self.may_resend(now)
+        let (is_allowed, reason) = if may_have_run {
+            (self.may_resend(now), ResendReason::NoResponse)
         } else {
-            self.has_attempts_left(now)
+            (self.has_attempts_left(now), ResendReason::NotRun)
         };
-        is_allowed && self.gateway.try_spend_retry(&self.job.routed.service, now)
+        is_allowed && self.try_charge(reason, now)
     }
 
     /// Returns the error for a quarantined request, or `None` if the request is not quarantined.
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -10,12 +10,13 @@
 use super::connection_pool::ConnectionPool;
 use super::crash_detector::{CrashDetector, InterruptedRequest};
 use super::request_job::RequestJob;
+use super::retry_budgets::{ResendReason, RetryBudgets};
 use crate::daemon::DrainState;
 use crate::derives::key;
 use crate::errors::ErrorKind;
 use crate::fleet::{
     BackendKey, BackendRecord, BackendRegistry, BackendTicket, ColdLimit, LimitAnnouncement,
-    LoadReport, RetryBudgetShare, RetryShareLimits, SharedRegistry,
+    LoadReport, RetryShareLimits, SharedRegistry,
 };
 use crate::overload::{DemandMeter, EntryHostId};
 use crate::placement::{PlacementDenial, PlacementRules, RegionMap};
@@ -61,8 +62,7 @@
     pub(super) freed: Notify,
     /// Recent arrivals, sorted by service.
     demand: Mutex<Vec<(ByteString, DemandMeter)>>,
-    /// Sorted by service.
-    retry_budgets: Mutex<Vec<(ByteString, RetryBudgetShare)>>,
+    retry_budgets: RetryBudgets,
     bounds: PlatformBounds,
     regions: Arc<RegionMap>,
 }
@@ -100,7 +100,7 @@
             stop_started: OnceLock::new(),
             freed: Notify::new(),
             demand: Mutex::new(Vec::new()),
-            retry_budgets: Mutex::new(Vec::new()),
+            retry_budgets: RetryBudgets::default(),
             bounds,
             regions: Arc::new(regions),
         }
@@ -321,41 +321,40 @@
 
     /// Records a new request for `service`, which adds to its retry budget.
     pub(super) fn credit_retry(&self, service: &ByteString, now: ClockTime) {
-        self.with_retry_budget(service, now, |budget, limits| budget.credit(limits, now));
+        self.retry_budgets.credit(service, self.retry_limits(), now);
     }
 
     /// Takes one retry from the budget of `service`. Returns whether there was one.
-    pub(super) fn try_spend_retry(&self, service: &ByteString, now: ClockTime) -> bool {
-        self.with_retry_budget(service, now, |budget, limits| budget.try_spend(limits, now))
+    pub(super) fn try_charge_retry(
+        &self,
+        service: &ByteString,
+        reason: ResendReason,
+        now: ClockTime,
+    ) -> bool {
+        let limits = self.retry_limits();
+        self.retry_budgets.try_charge(service, reason, limits, now)
     }
 
-    /// Returns an unused retry to the budget of `service`.
-    pub(super) fn refund_retry(&self, service: &ByteString, now: ClockTime) {
-        self.with_retry_budget(service, now, |budget, _| budget.refund());
+    /// Returns an unused retry, taken for `reason`, to the budget of `service`.
+    pub(super) fn refund_retry(&self, service: &ByteString, reason: ResendReason, now: ClockTime) {
+        let limits = self.retry_limits();
+        self.retry_budgets.refund(service, reason, limits, now);
     }
 
-    fn with_retry_budget<T>(
-        &self,
-        service: &ByteString,
-        now: ClockTime,
-        action: impl FnOnce(&mut RetryBudgetShare, RetryShareLimits) -> T,
-    ) -> T {
-        let limits = RetryShareLimits {
+    /// Records that a request for `service` is sent again without using the budget.
+    pub(super) fn note_free_resend(&self, service: &ByteString, now: ClockTime) {
+        let limits = self.retry_limits();
+        self.retry_budgets
+            .note_free(service, ResendReason::NotSent, limits, now);
+    }
+
+    fn retry_limits(&self) -> RetryShareLimits {
+        RetryShareLimits {
             ratio: self.bounds.retry_ratio,
             extra: self.bounds.retry_extra,
             window: self.bounds.retry_window,
             entries: self.snapshot.load().entries.len(),
-        };
-        let mut retry_budgets = self
-            .retry_budgets
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let found = retry_budgets.binary_search_by(|(name, _)| name.cmp(service));
-        let at = found.unwrap_or_else(|at| {
-            retry_budgets.insert(at, (service.clone(), RetryBudgetShare::new(limits, now)));
-            at
-        });
-        action(&mut retry_budgets[at].1, limits)
+        }
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod request_intake;
 mod request_job;
 mod request_log;
+mod retry_budgets;
 mod retry_denial;
 mod send_attempt;
 mod stream_relay;
--- /dev/null
+++ b/src/gateway/retry_budgets.rs
@@ -0,0 +1,249 @@
+//! The retry budget shares of all services, with the counters, the gauge and the log lines by which
+//! an operator follows them.
+
+use std::sync::{Mutex, PoisonError};
+
+use bytestring::ByteString;
+use macro_rules_attribute::apply;
+
+use super::events;
+use crate::derives::{key, plain};
+use crate::events::log_event;
+use crate::fleet::{RetryBudgetShare, RetryShareLimits};
+use crate::metrics;
+use crate::time::ClockTime;
+
+/// Why a request is sent to another backend server.
+#[apply(key!)]
+pub(super) enum ResendReason {
+    /// The send before it did not leave this host. Such sends use no budget.
+    NotSent,
+    /// There is no response head yet.
+    ResponseLate,
+    /// The send ended without a response.
+    NoResponse,
+    /// The backend server answered that it did not run the request.
+    NotRun,
+    /// The backend server answered with an error.
+    ErrorResponse,
+    /// The response was truncated before any of it was passed on.
+    ResponseTruncated,
+    /// The stream paused.
+    StreamPaused,
+    /// The stream was interrupted.
+    StreamInterrupted,
+}
+
+impl ResendReason {
+    /// The label in metrics.
+    const fn label(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::ResponseLate => "response_late",
+            Self::NoResponse => "no_response",
+            Self::NotRun => "not_run",
+            Self::ErrorResponse => "error_response",
+            Self::ResponseTruncated => "response_truncated",
+            Self::StreamPaused => "stream_paused",
+            Self::StreamInterrupted => "stream_interrupted",
+        }
+    }
+}
+
+/// What a request did with the retry budget.
+#[apply(key!)]
+enum BudgetAction {
+    /// Took a retry.
+    Charged,
+    /// Returned one that was not used.
+    Refunded,
+    /// Found none left.
+    Denied,
+    /// Was sent again without one.
+    Free,
+}
+
+impl BudgetAction {
+    /// The label in metrics.
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Charged => "charged",
+            Self::Refunded => "refunded",
+            Self::Denied => "denied",
+            Self::Free => "free",
+        }
+    }
+}
+
+/// Counts since the last log line.
+#[apply(plain!)]
+#[derive(Copy, Default)]
+struct BudgetCounts {
+    requests: u64,
+    charged: u64,
+    refunded: u64,
+    denied: u64,
+    free: u64,
+}
+
+impl BudgetCounts {
+    const fn add(&mut self, action: BudgetAction) {
+        match action {
+            BudgetAction::Charged => self.charged += 1,
+            BudgetAction::Refunded => self.refunded += 1,
+            BudgetAction::Denied => self.denied += 1,
+            BudgetAction::Free => self.free += 1,
+        }
+    }
+
+    /// Whether any request was sent again or denied it.
+    const fn has_resends(&self) -> bool {
+        self.charged + self.denied + self.free > 0
+    }
+}
+
+/// The retry budget of one service at this entry host.
+struct ServiceBudget {
+    service: ByteString,
+    share: RetryBudgetShare,
+    /// Number of entry hosts that shared the budget when it was last used.
+    entries: usize,
+    counts: BudgetCounts,
+    counted_since: ClockTime,
+}
+
+impl ServiceBudget {
+    fn new(service: ByteString, limits: RetryShareLimits, now: ClockTime) -> Self {
+        Self {
+            service,
+            share: RetryBudgetShare::new(limits, now),
+            entries: 0,
+            counts: BudgetCounts::default(),
+            counted_since: now,
+        }
+    }
+
+    /// Reports a changed number of entry hosts, and the counts of the last window if any request
+    /// was sent again.
+    fn report(&mut self, limits: RetryShareLimits, now: ClockTime) {
+        if self.entries != limits.entries {
+            let entries = u64::try_from(limits.entries).unwrap_or(u64::MAX);
+            metrics::set_gauge("retry_budget_entry_hosts", &self.service, entries);
+            log_event!(
+                events::RETRY_SHARERS,
+                "service={} entry_hosts={} before={}",
+                self.service,
+                limits.entries,
+                self.entries
+            );
+            self.entries = limits.entries;
+        }
+        if now.since(self.counted_since) < limits.window {
+            return;
+        }
+        if self.counts.has_resends() {
+            let counts = self.counts;
+            log_event!(
+                events::RETRY_COUNTS,
+                "service={} ms={} requests={} charged={} refunded={} denied={} free={} entry_hosts={}",
+                self.service,
+                now.since(self.counted_since).as_millis(),
+                counts.requests,
+                counts.charged,
+                counts.refunded,
+                counts.denied,
+                counts.free,
+                self.entries
+            );
+        }
+        self.counts = BudgetCounts::default();
+        self.counted_since = now;
+    }
+
+    fn count(&mut self, action: BudgetAction, reason: ResendReason) {
+        self.counts.add(action);
+        metrics::count_retry_budget(action.label(), reason.label());
+    }
+}
+
+/// The retry budget shares of an entry host.
+#[derive(Default)]
+pub(super) struct RetryBudgets {
+    /// Sorted by service.
+    services: Mutex<Vec<ServiceBudget>>,
+}
+
+impl RetryBudgets {
+    /// Records a new request for `service`, which adds to its budget.
+    pub(super) fn credit(&self, service: &ByteString, limits: RetryShareLimits, now: ClockTime) {
+        self.with_service(service, limits, now, |budget| {
+            budget.counts.requests += 1;
+            budget.share.credit(limits, now);
+        });
+    }
+
+    /// Takes one retry from the budget of `service`. Returns whether there was one.
+    pub(super) fn try_charge(
+        &self,
+        service: &ByteString,
+        reason: ResendReason,
+        limits: RetryShareLimits,
+        now: ClockTime,
+    ) -> bool {
+        self.with_service(service, limits, now, |budget| {
+            let is_charged = budget.share.try_spend(limits, now);
+            let action = if is_charged {
+                BudgetAction::Charged
+            } else {
+                BudgetAction::Denied
+            };
+            budget.count(action, reason);
+            is_charged
+        })
+    }
+
+    /// Returns an unused retry, taken for `reason`, to the budget of `service`.
+    pub(super) fn refund(
+        &self,
+        service: &ByteString,
+        reason: ResendReason,
+        limits: RetryShareLimits,
+        now: ClockTime,
+    ) {
+        self.with_service(service, limits, now, |budget| {
+            budget.share.refund();
+            budget.count(BudgetAction::Refunded, reason);
+        });
+    }
+
+    /// Records a send that uses no budget.
+    pub(super) fn note_free(
+        &self,
+        service: &ByteString,
+        reason: ResendReason,
+        limits: RetryShareLimits,
+        now: ClockTime,
+    ) {
+        self.with_service(service, limits, now, |budget| {
+            budget.count(BudgetAction::Free, reason);
+        });
+    }
+
+    fn with_service<T>(
+        &self,
+        service: &ByteString,
+        limits: RetryShareLimits,
+        now: ClockTime,
+        action: impl FnOnce(&mut ServiceBudget) -> T,
+    ) -> T {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = services.binary_search_by(|budget| budget.service.cmp(service));
+        let at = found.unwrap_or_else(|at| {
+            services.insert(at, ServiceBudget::new(service.clone(), limits, now));
+            at
+        });
+        let budget = &mut services[at];
+        budget.report(limits, now);
+        action(budget)
+    }
+}
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -13,6 +13,7 @@
 use super::gateway_state::{GatewayState, RunProgress};
 use super::request_job::RequestJob;
 use super::request_log::{log_stream_broken, log_stream_end, log_stream_resumed};
+use super::retry_budgets::ResendReason;
 use super::send_attempt::OpenResponse;
 use super::stream_source::{SourceStep, StreamSource, next_step};
 use crate::daemon::RequestGuard;
@@ -167,7 +168,8 @@
         for source in &mut self.sources {
             source.note_unresponsive(since);
         }
-        if self.state.claim_resend(since).is_err() {
+        let claimed = self.state.claim_resend(ResendReason::StreamPaused, since);
+        if claimed.is_err() {
             return Ok(None);
         }
         let sends = self.state.tried().len();
@@ -203,7 +205,7 @@
     }
 
     /// Refunds the retry of a search that sent nothing; `sends` is the number of sends before it.
-    fn refund_unsent(&self, sends: usize) {
+    fn refund_unsent(&mut self, sends: usize) {
         if self.state.tried().len() == sends {
             self.state.refund_retry(clock_now());
         }
@@ -233,7 +235,10 @@
     /// is left.
     async fn resume(&mut self, reason: &str) -> Result<(), String> {
         let since = clock_now();
-        if let Err(denial) = self.state.claim_resend(since) {
+        let claimed = self
+            .state
+            .claim_resend(ResendReason::StreamInterrupted, since);
+        if let Err(denial) = claimed {
             return Err(format!("{reason}; {denial}"));
         }
         let sends = self.state.tried().len();
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -18,6 +18,7 @@
     provider: SdkMeterProvider,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    retry_budget: Counter<u64>,
     events: Counter<u64>,
     gauges: Gauge<u64>,
     durations: Histogram<f64>,
@@ -43,6 +44,7 @@
     MetricSet {
         refusals: meter.u64_counter("savory_refusals").build(),
         retries: meter.u64_counter("savory_retries").build(),
+        retry_budget: meter.u64_counter("savory_retry_budget").build(),
         events: meter.u64_counter("savory_events").build(),
         gauges: meter.u64_gauge("savory_level").build(),
         durations: meter.f64_histogram("savory_seconds").build(),
@@ -68,6 +70,16 @@
         .add(1, &[KeyValue::new("reason", error_spec(kind).code)]);
 }
 
+/// Counts what a request did with a retry budget (`charged`, `refunded`, `denied`, `free`), by the
+/// reason why it is sent again.
+pub(crate) fn count_retry_budget(action: &'static str, reason: &'static str) {
+    let labels = [
+        KeyValue::new("action", action),
+        KeyValue::new("reason", reason),
+    ];
+    metric_set().retry_budget.add(1, &labels);
+}
+
 /// Adds `by` to the counter of the named event, which is neither a refusal nor a retry.
 pub(crate) fn count_event(name: &'static str, by: u64) {
     metric_set().events.add(by, &[KeyValue::new("event", name)]);
