Test the retry budget of all entry hosts together, as callers and backend servers see it

The judge counts arrivals beyond the first of their request over all entry hosts in every window, against the largest of the three windows of requests.

--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -3,6 +3,7 @@
 mod incarnations;
 mod placement;
 mod request_limits;
+mod retry_shares;
 mod thundering_herds;
 mod uneven_entries;
 
--- /dev/null
+++ b/src/fleet/tests/retry_shares.rs
@@ -0,0 +1,215 @@
+//! Retry budget shares of many entry hosts, judged together: clients move between entry hosts,
+//! entry hosts restart, some do not know all others, and sends arrive later than they were claimed.
+
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+
+use super::{NOW, WINDOW};
+use crate::fleet::{RetryBudgetShare, RetryShareLimits};
+use crate::test_support::run_cases;
+use crate::time::ClockTime;
+
+/// Length of one step of the model.
+const STEP: Duration = Duration::from_millis(100);
+/// Number of steps of a run: a little more than four windows.
+const STEPS: u32 = 420;
+/// Longest time between a claim and the arrival of its send. A connection opens within 150 ms.
+const ARRIVAL_DELAY_MS: u64 = 300;
+
+/// What disturbs an entry host at a step.
+#[derive(Clone, Copy, Debug)]
+enum HostDisturbance {
+    /// Its clients move to others, and it stays.
+    ClientsMove,
+    /// The process restarts, and its clients move to others.
+    Restart,
+}
+
+/// Entry hosts that share one budget, and what clients and backend servers see of them.
+struct ShareModel {
+    limits: RetryShareLimits,
+    shares: Vec<RetryBudgetShare>,
+    /// The entry host of each client.
+    homes: Vec<usize>,
+    /// When each entry host last restarted.
+    restarted: Vec<Option<ClockTime>>,
+    requests: Vec<ClockTime>,
+    arrivals: Vec<ClockTime>,
+}
+
+impl ShareModel {
+    fn new(u: &mut Unstructured<'_>) -> Result<Self> {
+        let entries = u.int_in_range(2..=10)?;
+        let limits = RetryShareLimits {
+            ratio: 0.2,
+            extra: *u.choose(&[0.0, 20.0, 100.0])?,
+            window: WINDOW,
+            entries,
+        };
+        let homes = (0..40).map(|_| u.choose_index(entries));
+        Ok(Self {
+            limits,
+            shares: vec![RetryBudgetShare::new(limits, NOW); entries],
+            homes: homes.collect::<Result<_>>()?,
+            restarted: vec![None; entries],
+            requests: Vec::new(),
+            arrivals: Vec::new(),
+        })
+    }
+
+    /// Disturbs some of the entry hosts, but not all.
+    fn disturb(
+        &mut self,
+        u: &mut Unstructured<'_>,
+        disturbance: HostDisturbance,
+        now: ClockTime,
+    ) -> Result<()> {
+        let entries = self.shares.len();
+        let disturbed = u.int_in_range(1..=entries - 1)?;
+        let first = u.choose_index(entries)?;
+        let is_disturbed = |host: usize| (host + entries - first) % entries < disturbed;
+        for home in &mut self.homes {
+            if is_disturbed(*home) {
+                let others = entries - disturbed;
+                *home = (first + disturbed + u.choose_index(others)?) % entries;
+            }
+        }
+        for host in (0..entries).filter(|host| is_disturbed(*host)) {
+            let is_recent = self.restarted[host].is_some_and(|at| now.since(at) < WINDOW * 2);
+            if matches!(disturbance, HostDisturbance::Restart) && !is_recent {
+                self.shares[host] = restarted_share(self.limits, now);
+                self.restarted[host] = Some(now);
+            }
+        }
+        Ok(())
+    }
+
+    /// What the entry host `host` knows: for a second after a restart not how many there are.
+    fn known_limits(&self, host: usize, now: ClockTime) -> RetryShareLimits {
+        let is_new = self.restarted[host].is_some_and(|at| now.since(at) < Duration::from_secs(1));
+        RetryShareLimits {
+            entries: if is_new { 0 } else { self.limits.entries },
+            ..self.limits
+        }
+    }
+
+    /// Sends the requests of one step; of ten, `failing` are sent again twice if the budget allows.
+    fn step(&mut self, u: &mut Unstructured<'_>, failing: u32, now: ClockTime) -> Result<()> {
+        for client in 0..self.homes.len() {
+            let host = self.homes[client];
+            let limits = self.known_limits(host, now);
+            if !u.ratio(2, 5)? {
+                continue;
+            }
+            self.requests.push(now);
+            self.shares[host].credit(limits, now);
+            if failing == 0 || !u.ratio(failing, 10)? {
+                continue;
+            }
+            for _ in 0..2 {
+                if self.shares[host].try_spend(limits, now) {
+                    let delay = u.int_in_range(0..=ARRIVAL_DELAY_MS)?;
+                    self.arrivals.push(now + Duration::from_millis(delay));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the largest excess over the budget in any window: the arrivals beyond the first of
+    /// their request, over all entry hosts, less what the requests allow of that window, of the one
+    /// before it, or of the one half a window before it.
+    fn worst_excess(&mut self) -> f64 {
+        self.arrivals.sort_unstable();
+        let excess = self.arrivals.iter().map(|begin| {
+            let windows = [*begin, *begin - WINDOW / 2, *begin - WINDOW];
+            let requests = windows.map(|from| count_within(&self.requests, from));
+            let most = requests.into_iter().fold(0.0, f64::max);
+            let allowed = self.limits.ratio * most + self.limits.extra;
+            count_within(&self.arrivals, *begin) - allowed
+        });
+        excess.fold(f64::MIN, f64::max)
+    }
+}
+
+/// The share of an entry host that has restarted.
+fn restarted_share(limits: RetryShareLimits, now: ClockTime) -> RetryBudgetShare {
+    RetryBudgetShare::new(limits, now)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a run has few requests")]
+fn count_within(times: &[ClockTime], from: ClockTime) -> f64 {
+    let before = times.partition_point(|at| *at < from);
+    (times.partition_point(|at| *at <= from + WINDOW) - before) as f64
+}
+
+/// Runs the model and returns its largest excess over the budget.
+fn run_model(u: &mut Unstructured<'_>, disturbances: &[HostDisturbance]) -> Result<f64> {
+    let mut model = ShareModel::new(u)?;
+    let mut next_disturbance = u.int_in_range(0..=120)?;
+    let mut failing = 0;
+    for step in 0..STEPS {
+        let now = NOW + STEP * step;
+        if step >= next_disturbance {
+            let disturbance = *u.choose(disturbances)?;
+            model.disturb(u, disturbance, now)?;
+            failing = *u.choose(&[0, 2, 10])?;
+            next_disturbance = step + u.int_in_range(5..=80)?;
+        }
+        model.step(u, failing, now)?;
+    }
+    Ok(model.worst_excess())
+}
+
+/// Guards against more second sends of all entry hosts together than the budget of the service
+/// allows in some window, while clients move between entry hosts.
+#[test]
+fn shares_keep_to_the_budget_while_clients_move() {
+    run_cases(40, 1 << 16, |u| {
+        let excess = run_model(u, &[HostDisturbance::ClientsMove])?;
+        assert!(excess <= 0.0, "{excess:.1} second sends beyond the budget");
+        Ok(())
+    });
+}
+
+/// Guards against the same while entry hosts restart and do not know the others for a while.
+#[test]
+fn shares_keep_to_the_budget_while_entry_hosts_restart() {
+    run_cases(40, 1 << 16, |u| {
+        let disturbances = [HostDisturbance::ClientsMove, HostDisturbance::Restart];
+        let excess = run_model(u, &disturbances)?;
+        assert!(excess <= 0.0, "{excess:.1} second sends beyond the budget");
+        Ok(())
+    });
+}
+
+/// Guards against a window that counts too few second sends, because a retry that was claimed before
+/// it and not used is refunded within it.
+#[test]
+fn a_refund_does_not_count_for_a_later_window() {
+    let limits = RetryShareLimits {
+        ratio: 0.0,
+        extra: 100.0,
+        window: WINDOW,
+        entries: 1,
+    };
+    let mut share = RetryBudgetShare::new(limits, NOW);
+    let claim = |share: &mut RetryBudgetShare, count: usize, now: ClockTime| {
+        (0..count).filter(|_| share.try_spend(limits, now)).count()
+    };
+    let searched_at = NOW + WINDOW * 3;
+    let unused = claim(&mut share, 40, searched_at);
+    let sent_at = searched_at + WINDOW * 6 / 10;
+    let sent = claim(&mut share, 40, sent_at);
+    for _ in 0..unused {
+        refund(&mut share, limits, searched_at);
+    }
+    let later = sent + claim(&mut share, 200, searched_at + WINDOW * 12 / 10);
+    assert!(later <= 100, "{later} second sends within a window");
+}
+
+/// Refunds a retry that was claimed at `claimed_at`.
+fn refund(share: &mut RetryBudgetShare, _limits: RetryShareLimits, _claimed_at: ClockTime) {
+    share.refund();
+}
