Refund a retry to the time at which it was claimed

Callers saw nothing; backend servers could get more second sends in a window than the budget of their service allows. Cause: an unused retry was refunded to the newest slice in which any was spent. If that was later than its claim, windows that begin in between counted too few. A refund now names the time of its claim, and requests keep the retries that they have taken.

--- a/src/fleet/retry_budget_share.rs
+++ b/src/fleet/retry_budget_share.rs
@@ -96,11 +96,14 @@
         can
     }
 
-    /// Returns a retry that was taken and not used.
-    pub(crate) fn refund(&mut self) {
-        let mut slices = self.slices.iter_mut().rev();
-        if let Some(slice) = slices.find(|slice| slice.spent >= 1.0) {
-            slice.spent -= 1.0;
+    /// Returns a retry that was taken at `claimed_at` and not used.
+    pub(crate) fn refund(&mut self, limits: RetryShareLimits, claimed_at: ClockTime) {
+        let claimed_in = limits.slice_at(claimed_at);
+        let found = self
+            .slices
+            .binary_search_by_key(&claimed_in, |slice| slice.number);
+        if let Ok(at) = found {
+            self.slices[at].spent -= 1.0;
         }
     }
 
--- a/src/fleet/tests/retry_shares.rs
+++ b/src/fleet/tests/retry_shares.rs
@@ -203,13 +203,8 @@
     let sent_at = searched_at + WINDOW * 6 / 10;
     let sent = claim(&mut share, 40, sent_at);
     for _ in 0..unused {
-        refund(&mut share, limits, searched_at);
+        share.refund(limits, searched_at);
     }
     let later = sent + claim(&mut share, 200, searched_at + WINDOW * 12 / 10);
     assert!(later <= 100, "{later} second sends within a window");
 }
-
-/// Refunds a retry that was claimed at `claimed_at`.
-fn refund(share: &mut RetryBudgetShare, _limits: RetryShareLimits, _claimed_at: ClockTime) {
-    share.refund();
-}
--- a/src/gateway/forward_state.rs
+++ b/src/gateway/forward_state.rs
@@ -7,7 +7,7 @@
 use super::reply::outcome_unknown;
 use super::request_job::RequestJob;
 use super::request_log::log_client_left;
-use super::retry_budgets::ResendReason;
+use super::retry_budgets::{ResendReason, RetryCharge};
 use super::retry_denial::RetryDenial;
 use super::send_attempt::{HeadWait, SendFailure};
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
@@ -29,8 +29,8 @@
     tried: Vec<BackendKey>,
     /// Sends that never left this host.
     unsent: u32,
-    /// Why the retries that it has taken from the budget were taken, in this order.
-    charges: Vec<ResendReason>,
+    /// The retries that it has taken from the budget, the last one for the next send.
+    charges: Vec<RetryCharge>,
     /// Whether the request may have run in any of its sends.
     may_have_run: bool,
     last_failure: Option<SendFailure>,
@@ -170,18 +170,16 @@
     /// Takes a retry from the budget. Returns whether there was one.
     fn try_charge(&mut self, reason: ResendReason, now: ClockTime) -> bool {
         let service = &self.job.routed.service;
-        let is_charged = self.gateway.try_charge_retry(service, reason, now);
-        if is_charged {
-            self.charges.push(reason);
-        }
-        is_charged
+        let charge = self.gateway.try_charge_retry(service, reason, now);
+        self.charges.extend(charge);
+        charge.is_some()
     }
 
     /// Refunds the retry that was claimed last, because it was not needed.
     pub(super) fn refund_retry(&mut self, now: ClockTime) {
-        if let Some(reason) = self.charges.pop() {
+        if let Some(charge) = self.charges.pop() {
             let service = &self.job.routed.service;
-            self.gateway.refund_retry(service, reason, now);
+            self.gateway.refund_retry(service, charge, now);
         }
     }
 
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -10,7 +10,7 @@
 use super::connection_pool::ConnectionPool;
 use super::crash_detector::{CrashDetector, InterruptedRequest};
 use super::request_job::RequestJob;
-use super::retry_budgets::{ResendReason, RetryBudgets};
+use super::retry_budgets::{ResendReason, RetryBudgets, RetryCharge};
 use crate::daemon::DrainState;
 use crate::derives::key;
 use crate::errors::ErrorKind;
@@ -324,21 +324,21 @@
         self.retry_budgets.credit(service, self.retry_limits(), now);
     }
 
-    /// Takes one retry from the budget of `service`. Returns whether there was one.
+    /// Takes one retry from the budget of `service`, if one is left.
     pub(super) fn try_charge_retry(
         &self,
         service: &ByteString,
         reason: ResendReason,
         now: ClockTime,
-    ) -> bool {
+    ) -> Option<RetryCharge> {
         let limits = self.retry_limits();
         self.retry_budgets.try_charge(service, reason, limits, now)
     }
 
-    /// Returns an unused retry, taken for `reason`, to the budget of `service`.
-    pub(super) fn refund_retry(&self, service: &ByteString, reason: ResendReason, now: ClockTime) {
+    /// Returns an unused retry to the budget of `service`.
+    pub(super) fn refund_retry(&self, service: &ByteString, charge: RetryCharge, now: ClockTime) {
         let limits = self.retry_limits();
-        self.retry_budgets.refund(service, reason, limits, now);
+        self.retry_budgets.refund(service, charge, limits, now);
     }
 
     /// Records that a request for `service` is sent again without using the budget.
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -50,6 +50,14 @@
     }
 }
 
+/// A retry that a request has taken from the budget of its service.
+#[apply(key!)]
+pub(super) struct RetryCharge {
+    pub(super) reason: ResendReason,
+    /// When it was taken.
+    pub(super) claimed_at: ClockTime,
+}
+
 /// What a request did with the retry budget.
 #[apply(key!)]
 enum BudgetAction {
@@ -182,36 +190,39 @@
         });
     }
 
-    /// Takes one retry from the budget of `service`. Returns whether there was one.
+    /// Takes one retry from the budget of `service`, if one is left.
     pub(super) fn try_charge(
         &self,
         service: &ByteString,
         reason: ResendReason,
         limits: RetryShareLimits,
         now: ClockTime,
-    ) -> bool {
+    ) -> Option<RetryCharge> {
         self.with_service(service, limits, now, |budget| {
-            let is_charged = budget.share.try_spend(limits, now);
-            let action = if is_charged {
-                BudgetAction::Charged
+            if budget.share.try_spend(limits, now) {
+                budget.count(BudgetAction::Charged, reason);
+                Some(RetryCharge {
+                    reason,
+                    claimed_at: now,
+                })
             } else {
-                BudgetAction::Denied
-            };
-            budget.count(action, reason);
-            is_charged
+                budget.count(BudgetAction::Denied, reason);
+                None
+            }
         })
     }
 
-    /// Returns an unused retry, taken for `reason`, to the budget of `service`.
+    /// Returns an unused retry to the budget of `service`.
     pub(super) fn refund(
         &self,
         service: &ByteString,
-        reason: ResendReason,
+        charge: RetryCharge,
         limits: RetryShareLimits,
         now: ClockTime,
     ) {
+        let RetryCharge { reason, claimed_at } = charge;
         self.with_service(service, limits, now, |budget| {
-            budget.share.refund();
+            budget.share.refund(limits, claimed_at);
             budget.count(BudgetAction::Refunded, reason);
         });
     }
