Charge a second send when it begins, not when it is claimed

A stream that is to be resumed waits for a slot for up to some seconds, and its send was charged before. Second sends that were claimed in several windows could arrive in one that counts none of them. A charge is now renewed just before the send, which is not made if the budget has no retry left by then. The test fails with a renewal that does nothing (80 and 80 second sends within a window of 100 allowed).

--- a/src/fleet/retry_budget_share.rs
+++ b/src/fleet/retry_budget_share.rs
@@ -107,6 +107,21 @@
         }
     }
 
+    /// Takes a retry at `now` instead of the one that was taken at `claimed_at`, because the send
+    /// had to wait. Returns whether one is left; otherwise the earlier one is returned.
+    pub(crate) fn try_move(
+        &mut self,
+        limits: RetryShareLimits,
+        claimed_at: ClockTime,
+        now: ClockTime,
+    ) -> bool {
+        if limits.slice_at(claimed_at) == limits.slice_at(now) {
+            return true;
+        }
+        self.refund(limits, claimed_at);
+        self.try_spend(limits, now)
+    }
+
     /// Whether the window that begins in slice `begin` has a retry left. It counts the requests of
     /// the window itself, of the window half a window earlier, or of the window before it,
     /// whichever are most. The last ones count less the older they are, because clients that have
--- a/src/fleet/tests/retry_shares.rs
+++ b/src/fleet/tests/retry_shares.rs
@@ -208,3 +208,29 @@
     let later = sent + claim(&mut share, 200, searched_at + WINDOW * 12 / 10);
     assert!(later <= 100, "{later} second sends within a window");
 }
+
+/// Guards against sends that wait for a slot and all begin in a window that counts none of them.
+#[test]
+fn a_send_that_waited_counts_when_it_begins() {
+    let limits = RetryShareLimits {
+        ratio: 0.0,
+        extra: 100.0,
+        window: WINDOW,
+        entries: 1,
+    };
+    let mut share = RetryBudgetShare::new(limits, NOW);
+    let claimed_at = NOW + WINDOW * 3;
+    let claimed = (0..200)
+        .filter(|_| share.try_spend(limits, claimed_at))
+        .count();
+    let begun_at = claimed_at + WINDOW * 6 / 10;
+    let begun = (0..claimed).filter(|_| share.try_move(limits, claimed_at, begun_at));
+    let begun = begun.count();
+    assert_eq!(begun, claimed);
+    let later = claimed_at + WINDOW * 12 / 10;
+    let sent = (0..200).filter(|_| share.try_spend(limits, later)).count();
+    assert!(
+        begun + sent <= 100,
+        "{begun} and {sent} second sends within a window"
+    );
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -56,8 +56,15 @@
     let response = loop {
         let completed = match search_backend(state, &mut sends).await {
             SearchOutcome::Found(chosen) => {
-                let backend = chosen.ticket.facts.id.clone();
-                sends.push(backend, start_send(state, chosen, last_event));
+                if state.renew_charge(clock_now()) {
+                    let backend = chosen.ticket.facts.id.clone();
+                    sends.push(backend, start_send(state, chosen, last_event));
+                } else {
+                    chosen.ticket.end(CallOutcome::Inconclusive, clock_now());
+                    if sends.is_empty() {
+                        return Err(state.final_error(None));
+                    }
+                }
                 None
             }
             SearchOutcome::Refused(refusal) if sends.is_empty() => {
--- a/src/gateway/forward_state.rs
+++ b/src/gateway/forward_state.rs
@@ -175,6 +175,18 @@
         charge.is_some()
     }
 
+    /// Charges a send that is about to begin at `now`, not when it was claimed: the search for a
+    /// backend server may have taken seconds. Returns whether the send is allowed.
+    pub(super) fn renew_charge(&mut self, now: ClockTime) -> bool {
+        let Some(charge) = self.charges.pop() else {
+            return true;
+        };
+        let service = &self.job.routed.service;
+        let renewed = self.gateway.try_renew_charge(service, charge, now);
+        self.charges.extend(renewed);
+        renewed.is_some()
+    }
+
     /// Refunds the retry that was claimed last, because it was not needed.
     pub(super) fn refund_retry(&mut self, now: ClockTime) {
         if let Some(charge) = self.charges.pop() {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -335,6 +335,18 @@
         self.retry_budgets.try_charge(service, reason, limits, now)
     }
 
+    /// Takes a retry at `now` instead of `charge`, if one is left; otherwise returns `charge` to the
+    /// budget of `service`.
+    pub(super) fn try_renew_charge(
+        &self,
+        service: &ByteString,
+        charge: RetryCharge,
+        now: ClockTime,
+    ) -> Option<RetryCharge> {
+        let limits = self.retry_limits();
+        self.retry_budgets.try_renew(service, charge, limits, now)
+    }
+
     /// Returns an unused retry to the budget of `service`.
     pub(super) fn refund_retry(&self, service: &ByteString, charge: RetryCharge, now: ClockTime) {
         let limits = self.retry_limits();
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -212,6 +212,30 @@
         })
     }
 
+    /// Takes a retry at `now` instead of `charge`, if one is left; otherwise returns `charge` to the
+    /// budget.
+    pub(super) fn try_renew(
+        &self,
+        service: &ByteString,
+        charge: RetryCharge,
+        limits: RetryShareLimits,
+        now: ClockTime,
+    ) -> Option<RetryCharge> {
+        let RetryCharge { reason, claimed_at } = charge;
+        self.with_service(service, limits, now, |budget| {
+            if budget.share.try_move(limits, claimed_at, now) {
+                Some(RetryCharge {
+                    reason,
+                    claimed_at: now,
+                })
+            } else {
+                budget.count(BudgetAction::Refunded, reason);
+                budget.count(BudgetAction::Denied, reason);
+                None
+            }
+        })
+    }
+
     /// Returns an unused retry to the budget of `service`.
     pub(super) fn refund(
         &self,
