Withhold the fixed retries of an entry host for a window after it restarts

A process that starts does not know what its earlier process has spent, and had half of its part of the fixed number again; one that knew no entry host, not even itself, had all of it. It takes none of it now for one window if an earlier process of the entry host may have run, which it sees in the store: before it registers itself it reads whether there is a row of it (one more read of that table at a start). Without a list of entry hosts it takes none either. Tests of the gateway now state that their entry host is the only one and starts for the first time, which they had relied on.

--- a/src/fleet/retry_budget_share.rs
+++ b/src/fleet/retry_budget_share.rs
@@ -31,7 +31,7 @@
     pub(crate) extra: f64,
     /// Length of a window.
     pub(crate) window: Duration,
-    /// Number of entry hosts.
+    /// Number of entry hosts; 0 if it is not known.
     pub(crate) entries: usize,
 }
 
@@ -41,7 +41,10 @@
         reason = "there are never 2^52 entry hosts"
     )]
     fn own_extra(self) -> f64 {
-        self.extra / self.entries.max(1) as f64
+        match self.entries {
+            0 => 0.0,
+            entries => self.extra / entries as f64,
+        }
     }
 
     /// Number of the slice that contains `now`.
@@ -66,6 +69,8 @@
 pub(crate) struct RetryBudgetShare {
     /// The slice in which it was created.
     first: u64,
+    /// Whether an earlier process of this entry host may have spent retries before.
+    is_restarted: bool,
     /// Slices of the last two windows, sorted by number.
     slices: Vec<BudgetSlice>,
 }
@@ -76,10 +81,20 @@
     pub(crate) fn new(limits: RetryShareLimits, now: ClockTime) -> Self {
         Self {
             first: limits.slice_at(now),
+            is_restarted: false,
             slices: Vec::new(),
         }
     }
 
+    /// The same for an entry host of which an earlier process may have spent its part of the fixed
+    /// number. It takes none of that for a window.
+    pub(crate) fn after_restart(self) -> Self {
+        Self {
+            is_restarted: true,
+            ..self
+        }
+    }
+
     /// Counts a request.
     pub(crate) fn credit(&mut self, limits: RetryShareLimits, now: ClockTime) {
         self.newest_slice(limits, now).requests += 1.0;
@@ -135,10 +150,10 @@
             [earlier, own].map(|(from, to)| self.sum(from, to, |slice| slice.requests));
         let requests = earlier.max(own).max(self.weighted_before(begin));
         // Other entry hosts may have become known only after the share was created.
-        let withheld = if begin <= self.first {
-            limits.own_extra() / 2.0
-        } else {
-            0.0
+        let withheld = match (begin <= self.first, self.is_restarted) {
+            (true, true) => limits.own_extra(),
+            (true, false) => limits.own_extra() / 2.0,
+            (false, _) => 0.0,
         };
         let spent = self.sum(begin, u64::MAX, |slice| slice.spent);
         spent + 1.0 <= (limits.ratio * requests + limits.own_extra() - withheld) * SAFETY
--- a/src/fleet/tests/retry_shares.rs
+++ b/src/fleet/tests/retry_shares.rs
@@ -135,7 +135,7 @@
 
 /// The share of an entry host that has restarted.
 fn restarted_share(limits: RetryShareLimits, now: ClockTime) -> RetryBudgetShare {
-    RetryBudgetShare::new(limits, now)
+    RetryBudgetShare::new(limits, now).after_restart()
 }
 
 #[expect(clippy::cast_precision_loss, reason = "a run has few requests")]
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -10,7 +10,7 @@
 use super::connection_pool::ConnectionPool;
 use super::crash_detector::{CrashDetector, InterruptedRequest};
 use super::request_job::RequestJob;
-use super::retry_budgets::{ResendReason, RetryBudgets, RetryCharge};
+use super::retry_budgets::{ResendReason, RetryBudgets, RetryCharge, SharedLimits};
 use crate::daemon::DrainState;
 use crate::derives::key;
 use crate::errors::ErrorKind;
@@ -78,6 +78,8 @@
     pub(super) bounds: PlatformBounds,
     /// The regions of the data centres.
     pub(super) regions: RegionMap,
+    /// When the process started.
+    pub(super) started_at: ClockTime,
 }
 
 impl GatewayState {
@@ -89,6 +91,7 @@
             drain,
             bounds,
             regions,
+            started_at,
         } = parts;
         Self {
             snapshot,
@@ -100,7 +103,7 @@
             stop_started: OnceLock::new(),
             freed: Notify::new(),
             demand: Mutex::new(Vec::new()),
-            retry_budgets: RetryBudgets::default(),
+            retry_budgets: RetryBudgets::new(started_at),
             bounds,
             regions: Arc::new(regions),
         }
@@ -360,12 +363,16 @@
             .note_free(service, ResendReason::NotSent, limits, now);
     }
 
-    fn retry_limits(&self) -> RetryShareLimits {
-        RetryShareLimits {
-            ratio: self.bounds.retry_ratio,
-            extra: self.bounds.retry_extra,
-            window: self.bounds.retry_window,
-            entries: self.snapshot.load().entries.len(),
+    fn retry_limits(&self) -> SharedLimits {
+        let snapshot = self.snapshot.load();
+        SharedLimits {
+            limits: RetryShareLimits {
+                ratio: self.bounds.retry_ratio,
+                extra: self.bounds.retry_extra,
+                window: self.bounds.retry_window,
+                entries: snapshot.entries.len(),
+            },
+            is_first_start: snapshot.is_first_start,
         }
     }
 }
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -121,10 +121,10 @@
 }
 
 impl ServiceBudget {
-    fn new(service: ByteString, limits: RetryShareLimits, now: ClockTime) -> Self {
+    fn new(service: ByteString, share: RetryBudgetShare, now: ClockTime) -> Self {
         Self {
             service,
-            share: RetryBudgetShare::new(limits, now),
+            share,
             entries: 0,
             counts: BudgetCounts::default(),
             counted_since: now,
@@ -174,17 +174,35 @@
     }
 }
 
+/// The budgets of which an entry host has a share, and what it knows of the others that do.
+#[apply(plain!)]
+#[derive(Copy)]
+pub(super) struct SharedLimits {
+    pub(super) limits: RetryShareLimits,
+    /// Whether no earlier process of this entry host has spent retries.
+    pub(super) is_first_start: bool,
+}
+
 /// The retry budget shares of an entry host.
-#[derive(Default)]
 pub(super) struct RetryBudgets {
+    /// When this process started.
+    started_at: ClockTime,
     /// Sorted by service.
     services: Mutex<Vec<ServiceBudget>>,
 }
 
 impl RetryBudgets {
+    pub(super) const fn new(started_at: ClockTime) -> Self {
+        Self {
+            started_at,
+            services: Mutex::new(Vec::new()),
+        }
+    }
+
     /// Records a new request for `service`, which adds to its budget.
-    pub(super) fn credit(&self, service: &ByteString, limits: RetryShareLimits, now: ClockTime) {
-        self.with_service(service, limits, now, |budget| {
+    pub(super) fn credit(&self, service: &ByteString, shared: SharedLimits, now: ClockTime) {
+        self.with_service(service, shared, now, |budget| {
+            let limits = shared.limits;
             budget.counts.requests += 1;
             budget.share.credit(limits, now);
         });
@@ -195,11 +213,11 @@
         &self,
         service: &ByteString,
         reason: ResendReason,
-        limits: RetryShareLimits,
+        shared: SharedLimits,
         now: ClockTime,
     ) -> Option<RetryCharge> {
-        self.with_service(service, limits, now, |budget| {
-            if budget.share.try_spend(limits, now) {
+        self.with_service(service, shared, now, |budget| {
+            if budget.share.try_spend(shared.limits, now) {
                 budget.count(BudgetAction::Charged, reason);
                 Some(RetryCharge {
                     reason,
@@ -218,12 +236,12 @@
         &self,
         service: &ByteString,
         charge: RetryCharge,
-        limits: RetryShareLimits,
+        shared: SharedLimits,
         now: ClockTime,
     ) -> Option<RetryCharge> {
         let RetryCharge { reason, claimed_at } = charge;
-        self.with_service(service, limits, now, |budget| {
-            if budget.share.try_move(limits, claimed_at, now) {
+        self.with_service(service, shared, now, |budget| {
+            if budget.share.try_move(shared.limits, claimed_at, now) {
                 Some(RetryCharge {
                     reason,
                     claimed_at: now,
@@ -241,12 +259,12 @@
         &self,
         service: &ByteString,
         charge: RetryCharge,
-        limits: RetryShareLimits,
+        shared: SharedLimits,
         now: ClockTime,
     ) {
         let RetryCharge { reason, claimed_at } = charge;
-        self.with_service(service, limits, now, |budget| {
-            budget.share.refund(limits, claimed_at);
+        self.with_service(service, shared, now, |budget| {
+            budget.share.refund(shared.limits, claimed_at);
             budget.count(BudgetAction::Refunded, reason);
         });
     }
@@ -256,10 +274,10 @@
         &self,
         service: &ByteString,
         reason: ResendReason,
-        limits: RetryShareLimits,
+        shared: SharedLimits,
         now: ClockTime,
     ) {
-        self.with_service(service, limits, now, |budget| {
+        self.with_service(service, shared, now, |budget| {
             budget.count(BudgetAction::Free, reason);
         });
     }
@@ -267,18 +285,24 @@
     fn with_service<T>(
         &self,
         service: &ByteString,
-        limits: RetryShareLimits,
+        shared: SharedLimits,
         now: ClockTime,
         action: impl FnOnce(&mut ServiceBudget) -> T,
     ) -> T {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         let found = services.binary_search_by(|budget| budget.service.cmp(service));
         let at = found.unwrap_or_else(|at| {
-            services.insert(at, ServiceBudget::new(service.clone(), limits, now));
+            let share = RetryBudgetShare::new(shared.limits, self.started_at);
+            let share = if shared.is_first_start {
+                share
+            } else {
+                share.after_restart()
+            };
+            services.insert(at, ServiceBudget::new(service.clone(), share, now));
             at
         });
         let budget = &mut services[at];
-        budget.report(limits, now);
+        budget.report(shared.limits, now);
         action(budget)
     }
 }
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{BOUNDS, new_gateway_with};
+use super::{BOUNDS, new_gateway_with, only_entry_host};
 use crate::catalog::{
     AccountRecord, BackendService, CallerLimits, CatalogVersion, RetryPolicy, RouteRule,
     RouteTable, ServiceCatalog, ServiceShare,
@@ -385,7 +385,7 @@
             fleet: Arc::new(FleetView {
                 backends: facts.collect(),
             }),
-            ..DeploymentSnapshot::default()
+            ..only_entry_host()
         });
         let deployment_state = SharedDeploymentState::default();
         let gateway = Arc::new(new_gateway_with(
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -12,11 +12,13 @@
 mod quarantined_parts;
 mod rate_limits;
 mod resets;
+mod retry_budgets;
 mod sends;
 mod stream_pauses;
 mod unframed_responses;
 mod uninterrupted_responses;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,8 +38,8 @@
 use crate::overload::{EntryHostId, PriorityRank};
 use crate::placement::RegionMap;
 use crate::platform::{PlatformBounds, RequestHead};
-use crate::sync::{DeploymentSnapshot, SharedDeploymentState, SharedSnapshot};
-use crate::time::ClockTime;
+use crate::sync::{DeploymentSnapshot, EntryRecord, SharedDeploymentState, SharedSnapshot};
+use crate::time::{ClockTime, clock_now};
 
 fn read_events(reader: &mut EventReader) -> Vec<(Option<u64>, String)> {
     let mut events = Vec::new();
@@ -112,6 +114,21 @@
     new_gateway_with(snapshot, bounds, SharedDeploymentState::default())
 }
 
+/// The snapshot of a deployment with one entry host, which starts for the first time.
+fn only_entry_host() -> DeploymentSnapshot {
+    let local = SocketAddr::from(([127, 0, 0, 1], 0));
+    DeploymentSnapshot {
+        entries: Arc::new(vec![EntryRecord {
+            host: "e1".into(),
+            data_centre: "here".into(),
+            control: local,
+            reports: local,
+        }]),
+        is_first_start: true,
+        ..DeploymentSnapshot::default()
+    }
+}
+
 /// Creates a gateway that takes crash records from `deployment_state`.
 fn new_gateway_with(
     snapshot: SharedSnapshot,
@@ -133,6 +150,7 @@
             ("here".into(), "home".into()),
             ("there".into(), "abroad".into()),
         ]),
+        started_at: clock_now(),
     })
 }
 
--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -61,6 +61,9 @@
     has_own_rows: bool,
     /// The store's revision as of which they were read.
     own_revision: u64,
+    /// Whether this entry host starts for the first time: at the first read of these rows there was
+    /// none of it. `None` before.
+    is_first_start: Option<bool>,
     pub(super) backends: BackendList,
     /// When the store last reported the list of backend servers, to this process or to the reader
     /// that it follows.
@@ -385,6 +388,17 @@
         }
     }
 
+    /// Whether it is known if an earlier process of this entry host was registered in the store.
+    pub(crate) const fn knows_first_start(&self) -> bool {
+        self.is_first_start.is_some()
+    }
+
+    /// Records whether the store has a row of this entry host, as read before this process wrote it.
+    /// Later calls have no effect.
+    pub(crate) fn note_registration(&mut self, is_registered: bool) {
+        self.is_first_start.get_or_insert(!is_registered);
+    }
+
     /// The store's revision as of which the system's own rows were last read.
     pub(crate) const fn own_revision(&self) -> u64 {
         self.own_revision
@@ -435,6 +449,7 @@
             }),
             targets: Arc::new(self.versions.on_local_clock(&self.clock)),
             entries: Arc::new(self.entries.clone()),
+            is_first_start: self.is_first_start == Some(true),
             crashes: self.crashes.clone(),
             clock: self.clock,
             evacuated: Arc::new(self.evacuations.active()),
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -385,3 +385,23 @@
         found.earliest
     );
 }
+
+/// Guards against a restarted entry host that spends retries which its earlier process has spent.
+#[tokio::test]
+async fn an_entry_host_that_restarts_knows_of_its_earlier_process() {
+    let store = FakeStore::start().await;
+    let first = EntryProcess::start("e", &store);
+    first.wait_for(|snapshot| snapshot.is_first_start).await;
+    let registered = async {
+        while store.text_of(TableName::System, "e").is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = timeout(WAIT_MAX, registered).await;
+    waited.expect("the entry host is registered");
+    first.stop_abruptly();
+    let second = EntryProcess::start("e", &store);
+    let known = second.wait_for(|snapshot| !snapshot.entries.is_empty());
+    assert!(!known.await.is_first_start);
+    second.stop_abruptly();
+}
