Refund the retry for the next send only, and keep that of a send that never left

A renewal that the budget denies had returned the retry already, and the refund behind it took that of an earlier send, which had been made; a search that a request gave up kept its retry. A request now holds the retry for its next send apart from those of sends that it has made, takes one back with a send that never left, and refunds what is left at its end.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -192,7 +192,7 @@
     if let Err(failure) = result {
         log_send_failed(&state.job, &backend, failure.kind, &failure.detail);
         state.gateway.freed.notify_waiters();
-        state.record_failure(failure);
+        state.record_failure(failure, clock_now());
     }
 }
 
--- a/src/gateway/forward_state.rs
+++ b/src/gateway/forward_state.rs
@@ -29,8 +29,10 @@
     tried: Vec<BackendKey>,
     /// Sends that never left this host.
     unsent: u32,
-    /// The retries that it has taken from the budget, the last one for the next send.
-    charges: Vec<RetryCharge>,
+    /// The retry that it has taken from the budget for its next send.
+    next_charge: Option<RetryCharge>,
+    /// Those that it has taken for sends that it has made.
+    used_charges: Vec<RetryCharge>,
     /// Whether the request may have run in any of its sends.
     may_have_run: bool,
     last_failure: Option<SendFailure>,
@@ -46,9 +48,11 @@
 }
 
 impl Drop for ForwardState {
-    /// Logs that the client closed its connection: the future of the request was dropped before its
-    /// end. Without this line the log would not show what happened to the request.
+    /// Refunds a retry that was not used. Logs that the client closed its connection: the future of
+    /// the request was dropped before its end. Without this line the log would not show what
+    /// happened to the request.
     fn drop(&mut self) {
+        self.refund_retry(clock_now());
         if !self.is_end_logged {
             log_client_left(&self.job, self.tried.len(), clock_now());
         }
@@ -70,7 +74,8 @@
             job: Arc::new(job),
             tried: Vec::new(),
             unsent: 0,
-            charges: Vec::new(),
+            next_charge: None,
+            used_charges: Vec::new(),
             may_have_run: false,
             last_failure: None,
             response_due,
@@ -118,6 +123,7 @@
     /// Records that the request is about to be sent to `key`.
     pub(super) fn note_send(&mut self, key: BackendKey) {
         self.tried.push(key);
+        self.used_charges.extend(self.next_charge.take());
     }
 
     /// Returns the number of sends that reached a backend server or are in transit.
@@ -170,31 +176,39 @@
     /// Takes a retry from the budget. Returns whether there was one.
     fn try_charge(&mut self, reason: ResendReason, now: ClockTime) -> bool {
         let service = &self.job.routed.service;
-        let charge = self.gateway.try_charge_retry(service, reason, now);
-        self.charges.extend(charge);
-        charge.is_some()
+        if self.next_charge.is_none() {
+            self.next_charge = self.gateway.try_charge_retry(service, reason, now);
+        }
+        self.next_charge.is_some()
     }
 
     /// Charges a send that is about to begin at `now`, not when it was claimed: the search for a
     /// backend server may have taken seconds. Returns whether the send is allowed.
     pub(super) fn renew_charge(&mut self, now: ClockTime) -> bool {
-        let Some(charge) = self.charges.pop() else {
+        let Some(charge) = self.next_charge else {
             return true;
         };
         let service = &self.job.routed.service;
-        let renewed = self.gateway.try_renew_charge(service, charge, now);
-        self.charges.extend(renewed);
-        renewed.is_some()
+        self.next_charge = self.gateway.try_renew_charge(service, charge, now);
+        self.next_charge.is_some()
     }
 
-    /// Refunds the retry that was claimed last, because it was not needed.
+    /// Refunds the retry for the next send, if there is one, because no send is made.
     pub(super) fn refund_retry(&mut self, now: ClockTime) {
-        if let Some(charge) = self.charges.pop() {
+        if let Some(charge) = self.next_charge.take() {
             let service = &self.job.routed.service;
             self.gateway.refund_retry(service, charge, now);
         }
     }
 
+    /// Takes back a retry after a send that never left this host. The next send can use it.
+    fn reclaim_charge(&mut self, now: ClockTime) {
+        if let Some(charge) = self.used_charges.pop() {
+            self.refund_retry(now);
+            self.next_charge = Some(charge);
+        }
+    }
+
     fn has_attempts_left(&self, now: ClockTime) -> bool {
         let is_within = self.delivered_sends() < self.job.routed.rule.attempts_max;
         is_within && !self.client_wait_left(now).is_zero()
@@ -204,14 +218,15 @@
     /// Takes the send from the retry budget if necessary.
     pub(super) fn may_resend_after(&mut self, failure: SendFailure, now: ClockTime) -> bool {
         let (has_arrived, may_have_run) = (failure.has_arrived, failure.may_have_run);
-        self.record_failure(failure);
+        self.record_failure(failure, now);
         self.allows_resend(has_arrived, may_have_run, now)
     }
 
     /// Records a send that ended without a response.
-    pub(super) fn record_failure(&mut self, failure: SendFailure) {
+    pub(super) fn record_failure(&mut self, failure: SendFailure, now: ClockTime) {
         if !failure.has_arrived {
             self.unsent += 1;
+            self.reclaim_charge(now);
         }
         self.may_have_run |= failure.may_have_run;
         self.last_failure = Some(failure);
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -172,7 +172,6 @@
         if claimed.is_err() {
             return Ok(None);
         }
-        let sends = self.state.tried().len();
         let mut interruption = None;
         let (received, found) = {
             let mut search = pin!(next_response(&mut self.state, self.last_event));
@@ -193,7 +192,7 @@
                 }
             }
         };
-        self.refund_unsent(sends);
+        self.state.refund_retry(clock_now());
         let added = found.map_or(Ok(()), |found| self.add_source(found, since));
         match (added, interruption) {
             (Err(end), Some(reason)) if self.sources.is_empty() => {
@@ -204,13 +203,6 @@
         }
     }
 
-    /// Refunds the retry of a search that sent nothing; `sends` is the number of sends before it.
-    fn refund_unsent(&mut self, sends: usize) {
-        if self.state.tried().len() == sends {
-            self.state.refund_retry(clock_now());
-        }
-    }
-
     /// Adds the backend server that `found` opens.
     fn add_source(
         &mut self,
@@ -241,9 +233,8 @@
         if let Err(denial) = claimed {
             return Err(format!("{reason}; {denial}"));
         }
-        let sends = self.state.tried().len();
         let found = next_response(&mut self.state, self.last_event).await;
-        self.refund_unsent(sends);
+        self.state.refund_retry(clock_now());
         let added = self.add_source(found, since);
         added.map_err(|end| format!("{reason}; then {end}"))
     }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -13,6 +13,7 @@
 mod rate_limits;
 mod resets;
 mod retry_budgets;
+mod retry_charges;
 mod sends;
 mod stream_pauses;
 mod unframed_responses;
--- /dev/null
+++ b/src/gateway/tests/retry_charges.rs
@@ -0,0 +1,117 @@
+//! Which retries a request keeps, and which return to the budget.
+
+use std::sync::Arc;
+
+use super::{BOUNDS, job_of, new_gateway, only_entry_host};
+use crate::errors::ErrorKind;
+use crate::fleet::{
+    BackendFacts, BackendKey, BackendPhase, EngineHoldings, FleetView, PickRequirements,
+    VersionRequirement,
+};
+use crate::gateway::forward_state::ForwardState;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::retry_budgets::ResendReason;
+use crate::gateway::send_attempt::SendFailure;
+use crate::placement::PlacementRules;
+use crate::platform::PlatformBounds;
+use crate::sync::{DeploymentSnapshot, SharedSnapshot};
+use crate::time::ClockTime;
+
+const NOW: ClockTime = ClockTime::from_millis(50_000);
+/// A budget of which requests add nothing.
+const FIXED_RETRIES: PlatformBounds = PlatformBounds {
+    retry_ratio: 0.0,
+    retry_extra: 10.0,
+    ..BOUNDS
+};
+
+/// A gateway with one backend server.
+fn gateway_with_backend() -> (Arc<GatewayState>, BackendKey) {
+    let facts = BackendFacts {
+        start_time: None,
+        sequence: None,
+        id: "i-0".into(),
+        service: "desk".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        data_centre: "here".into(),
+        slots: 4,
+        phase: BackendPhase::Serving,
+        holdings: EngineHoldings::default(),
+        cold_until: None,
+    };
+    let snapshot = SharedSnapshot::default();
+    snapshot.store(DeploymentSnapshot {
+        fleet: Arc::new(FleetView {
+            backends: vec![Arc::new(facts)],
+        }),
+        ..only_entry_host()
+    });
+    let gateway = Arc::new(new_gateway(snapshot, FIXED_RETRIES));
+    gateway.snapshot(NOW);
+    let requirements = PickRequirements {
+        service: "desk",
+        version: VersionRequirement::None,
+        tried: &[],
+        queue_room: 0,
+        is_returned: false,
+        work: None,
+        reserved_part: 0.0,
+        placement: PlacementRules::default(),
+        cold_limit: None,
+    };
+    let ticket = gateway.registry.pick(&requirements, NOW);
+    let key = ticket.expect("a slot is free").key;
+    (gateway, key)
+}
+
+fn claim(state: &mut ForwardState) -> bool {
+    let claimed = state.claim_resend(ResendReason::StreamPaused, NOW);
+    claimed.is_ok()
+}
+
+/// How many retries the budget has left. Those that are claimed here return to it.
+fn retries_left(gateway: &Arc<GatewayState>) -> usize {
+    let new_state = |_| ForwardState::new(gateway.clone(), job_of("resumed", NOW));
+    let mut states: Vec<ForwardState> = (0..20).map(new_state).collect();
+    states
+        .iter_mut()
+        .filter_map(|state| claim(state).then_some(()))
+        .count()
+}
+
+/// Guards against a refund of the retry of a send that was made.
+#[test]
+fn only_the_retry_for_the_next_send_is_refunded() {
+    let (gateway, key) = gateway_with_backend();
+    let all = retries_left(&gateway);
+    assert!(all > 2);
+    let mut state = ForwardState::new(gateway.clone(), job_of("resumed", NOW));
+    assert!(claim(&mut state) && state.renew_charge(NOW));
+    state.note_send(key);
+    state.refund_retry(NOW);
+    assert_eq!(retries_left(&gateway), all - 1);
+    assert!(claim(&mut state));
+    assert_eq!(retries_left(&gateway), all - 2);
+    drop(state);
+    assert_eq!(retries_left(&gateway), all - 1);
+}
+
+/// Guards against retries that are lost with sends that never left their entry host.
+#[test]
+fn a_send_that_never_left_returns_its_retry() {
+    let (gateway, key) = gateway_with_backend();
+    let all = retries_left(&gateway);
+    let mut state = ForwardState::new(gateway.clone(), job_of("resumed", NOW));
+    assert!(claim(&mut state) && state.renew_charge(NOW));
+    state.note_send(key);
+    let unsent = SendFailure {
+        may_have_run: false,
+        has_arrived: false,
+        kind: ErrorKind::ConnectFailed,
+        detail: String::new(),
+    };
+    assert!(state.may_resend_after(unsent, NOW));
+    assert_eq!(retries_left(&gateway), all - 1);
+    state.refund_retry(NOW);
+    assert_eq!(retries_left(&gateway), all);
+}
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -140,10 +140,12 @@
         let view = self.read_table(TableName::System).await?;
         let own = OwnRows::of(&view);
         let is_entered = own.entries.contains(&self.own_entry);
-        let host = &self.own_entry.host;
-        let is_registered = own.entries.iter().any(|entry| entry.host == *host);
-        self.state
-            .change(|state| state.note_registration(is_registered));
+        if !self.state.read(DeploymentState::knows_first_start) {
+            let host = &self.own_entry.host;
+            let is_registered = own.entries.iter().any(|entry| entry.host == *host);
+            self.state
+                .change(|state| state.note_registration(is_registered));
+        }
         self.take_own_rows(own, view.store_time);
         Ok(is_entered)
     }
@@ -341,8 +343,9 @@
 
     async fn entries_step(&self, is_entered: &mut bool) -> SwitchResult<()> {
         if !*is_entered {
-            if !self.state.read(DeploymentState::knows_first_start) {
-                self.read_own_rows().await?;
+            if !self.state.read(DeploymentState::knows_first_start) && self.read_own_rows().await? {
+                *is_entered = true;
+                return Ok(());
             }
             let text = serde_json::to_vec(&self.own_entry).unwrap_or_default();
             let written = self.store.write_row(
