Let the soak judge second sends against the retry budget of all entry hosts

Its judge did not look at the budget, so that no run could break it. It now counts arrivals at backend servers beyond the first of each call, also of those that are refused, over all entry hosts, in every window, against the largest of the three windows of calls.

--- a/src/lab/platform_soak/run_journal.rs
+++ b/src/lab/platform_soak/run_journal.rs
@@ -7,7 +7,7 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::{key, plain};
-use crate::platform::{BackendRun, HARMFUL_PREFIX, RunEvent};
+use crate::platform::{BackendRun, HARMFUL_PREFIX, RequestArrival, RunEvent};
 use crate::time::ClockTime;
 
 /// A part of the system that an action can disturb. The report prints the variant names.
@@ -150,6 +150,8 @@
 pub(super) struct RunRecords {
     /// The clients' calls.
     pub(super) calls: Vec<CallRecord>,
+    /// Requests that arrived at backend servers.
+    pub(super) arrivals: Vec<RequestArrival>,
     /// Requests that backend servers began to process.
     pub(super) runs: Vec<BackendRun>,
     /// Actions on the system.
@@ -244,6 +246,7 @@
     pub(super) fn note_run(&self, event: RunEvent) {
         let mut records = self.lock();
         match event {
+            RunEvent::Arrived(arrival) => records.arrivals.push(arrival),
             RunEvent::Started(run) => records.runs.push(run),
             RunEvent::Ended(ended) => {
                 let mut runs = records.runs.iter_mut().rev();
--- a/src/lab/platform_soak/run_judge.rs
+++ b/src/lab/platform_soak/run_judge.rs
@@ -11,7 +11,8 @@
 };
 use crate::derives::plain;
 use crate::platform::{
-    BackendRun, EVACUATED_DATA_CENTRE, RunEnd, data_centre_of, is_home_of_writes,
+    BackendRun, EVACUATED_DATA_CENTRE, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW, RequestArrival,
+    RunEnd, data_centre_of, is_home_of_writes,
 };
 use crate::time::ClockTime;
 
@@ -98,6 +99,10 @@
     pub(super) revoked: usize,
     /// Calls with a harmful part that was due to be known, over an undisturbed path.
     pub(super) harmful: usize,
+    /// Arrivals of calls at backend servers beyond the first of each call.
+    pub(super) second_sends: usize,
+    /// The most of these in a window of the retry budget, in percent of what it allows.
+    pub(super) budget_percent: usize,
     /// Calls sent after `RECOVERY_DEADLINE`.
     pub(super) after_recovery: usize,
     /// Calls of `after_recovery` that were served.
@@ -124,6 +129,9 @@
     judge.breaches.extend(immediate);
     judge.check_runs();
     judge.check_harmful_parts();
+    for is_stream in [false, true] {
+        judge.check_retry_budget(is_stream);
+    }
     for call in &records.calls {
         judge.check_call(call);
     }
@@ -230,6 +238,48 @@
         }
     }
 
+    /// Finds a window in which the backend servers of a service got more second sends than its
+    /// budget allows, over all entry hosts and whatever was disturbed. One service answers streams,
+    /// the other one all other calls.
+    fn check_retry_budget(&mut self, is_stream: bool) {
+        let calls = self.calls.iter();
+        let calls = calls.filter(|call| call.kind.is_stream() == is_stream);
+        let mut requests: Vec<ClockTime> = calls.map(|call| call.sent).collect();
+        requests.sort_unstable();
+        let second_sends = self.second_sends(is_stream);
+        self.counts.second_sends += second_sends.len();
+        for begin in &second_sends {
+            let windows = [*begin, *begin - RETRY_WINDOW / 2, *begin - RETRY_WINDOW];
+            let counts = windows.map(|from| count_within(&requests, from));
+            let most = counts.into_iter().max().unwrap_or(0);
+            let allowed = budget_of(most);
+            let sent = count_within(&second_sends, *begin);
+            let percent = sent * 100 / allowed.max(1);
+            self.counts.budget_percent = self.counts.budget_percent.max(percent);
+            if sent > allowed {
+                let text = format!("{sent} second sends for {most} requests, {allowed} allowed");
+                self.breaches.push(breach(*begin, "retry budget", text));
+                return;
+            }
+        }
+    }
+
+    /// When calls arrived at backend servers, beyond the first arrival of each, sorted.
+    fn second_sends(&self, is_stream: bool) -> Vec<ClockTime> {
+        let mut arrivals: Vec<&RequestArrival> = self.records.arrivals.iter().collect();
+        arrivals.sort_by_key(|arrival| (&arrival.attempt, arrival.at));
+        let calls = arrivals.chunk_by(|left, right| left.attempt == right.attempt);
+        let calls = calls.filter(|same| {
+            let call = self.call_of(&same[0].attempt);
+            call.is_some_and(|call| call.kind.is_stream() == is_stream)
+        });
+        let mut times: Vec<ClockTime> = calls
+            .flat_map(|same| same[1..].iter().map(|arrival| arrival.at))
+            .collect();
+        times.sort_unstable();
+        times
+    }
+
     fn check_account(&mut self, run: &BackendRun, call: &CallRecord) {
         let account = self.key_of(&call.secret).map(|key| key.account);
         if run.has_key || run.account.as_deref() != account {
@@ -467,6 +517,23 @@
         && runs.iter().any(is_at_work)
 }
 
+/// How many second sends the budget allows for `requests`.
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "requests of a run are far below 2^53"
+)]
+fn budget_of(requests: usize) -> usize {
+    (requests as f64 * RETRY_RATIO) as usize + RETRY_EXTRA as usize
+}
+
+/// Number of `times`, which are sorted, in the window of the retry budget that begins at `from`.
+fn count_within(times: &[ClockTime], from: ClockTime) -> usize {
+    let before = times.partition_point(|at| *at < from);
+    times.partition_point(|at| *at <= from + RETRY_WINDOW) - before
+}
+
 const fn breach(at: ClockTime, promise: &'static str, text: String) -> PromiseBreach {
     PromiseBreach { at, promise, text }
 }
--- a/src/lab/platform_soak/tests.rs
+++ b/src/lab/platform_soak/tests.rs
@@ -15,7 +15,7 @@
     RunRecords, SoakPart, WorkRecord,
 };
 use super::run_judge::judge;
-use crate::platform::{BackendRun, EngineLoad, RunEnd};
+use crate::platform::{BackendRun, EngineLoad, RETRY_EXTRA, RequestArrival, RunEnd};
 use crate::time::ClockTime;
 
 const KEY: &str = "key";
@@ -103,6 +103,37 @@
     assert_eq!(broken(&records), ["once", "once"]);
 }
 
+/// Guards against second sends of which each entry host sees too few to exceed the budget.
+#[test]
+fn second_sends_of_all_entry_hosts_together_keep_to_the_budget() {
+    // The calls allow two second sends beyond the fixed number, wherever they are sent.
+    for (excess, sent, breaches) in [
+        (2, 99, vec![]),
+        (3, 99, vec!["retry budget"]),
+        (3, 80, vec![]),
+    ] {
+        let mut records = records();
+        let kinds = [CallKind::Read, CallKind::ResumableStream];
+        for (number, entry) in (0..10).flat_map(|number| [(number, 0), (number, 1)]) {
+            let attempt = format!("{number} at {entry}");
+            let kind = kinds[entry];
+            let call = call(&attempt, kind, sent, CallEnd::Complete);
+            records.calls.push(CallRecord { entry, ..call });
+        }
+        let arrival = |second| RequestArrival {
+            attempt: "0 at 0".to_owned(),
+            at: at(second),
+        };
+        let second_sends = usize::try_from(RETRY_EXTRA).unwrap_or(0) + excess;
+        records.arrivals = vec![arrival(100)];
+        records.arrivals.extend(vec![arrival(105); second_sends]);
+        if sent == 80 {
+            records.arrivals.drain(1..=excess);
+        }
+        assert_eq!(broken(&records), breaches, "{excess} more, sent at {sent}");
+    }
+}
+
 #[test]
 fn a_call_runs_in_no_evacuated_data_centre_past_the_deadline() {
     for (sent, backend, is_breach) in [
--- a/src/platform/fake_backend.rs
+++ b/src/platform/fake_backend.rs
@@ -101,9 +101,20 @@
     pub(crate) at: ClockTime,
 }
 
-/// The start or end of a run at a backend server.
+/// A request that arrived at a backend server, whether it ran or not.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestArrival {
+    /// The id of the client's attempt.
+    pub(crate) attempt: String,
+    /// The time at which it arrived.
+    pub(crate) at: ClockTime,
+}
+
+/// The arrival of a request at a backend server, or the start or end of its run.
 #[derive(Clone, Debug)]
 pub(crate) enum RunEvent {
+    /// A request arrived.
+    Arrived(RequestArrival),
     /// A run started.
     Started(BackendRun),
     /// A run ended. Not sent by a plain service whose caller closes the connection.
@@ -311,6 +322,8 @@
             return engine.respond(request).await;
         }
         let (parts, body) = request.into_parts();
+        let attempt = text_of(&parts.headers, ATTEMPT).unwrap_or_default();
+        self.report_arrival(&attempt);
         if let Some(refusal) = self.refusal(&parts.headers) {
             return refusal;
         }
@@ -321,7 +334,6 @@
         if let Some(refusal) = self.refusal(&parts.headers) {
             return refusal;
         }
-        let attempt = text_of(&parts.headers, ATTEMPT).unwrap_or_default();
         self.report_start(&attempt, &parts.headers);
         let slot = RunSlot::take(&self.state);
         let mut reply = if self.state.engine.is_some() {
@@ -373,6 +385,15 @@
         Some(reply)
     }
 
+    fn report_arrival(&self, attempt: &str) {
+        let arrival = RequestArrival {
+            attempt: attempt.to_owned(),
+            at: clock_now(),
+        };
+        // The receiver is dropped at the end of the soak test.
+        let _ = self.state.run_events.send(RunEvent::Arrived(arrival));
+    }
+
     fn report_start(&self, attempt: &str, headers: &HeaderMap) {
         let run = BackendRun {
             attempt: attempt.to_owned(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -32,8 +32,8 @@
 pub(crate) use document_rows::{OperatorRow, check_evacuation, read_document, read_target_version};
 pub(crate) use engine_calls::{EngineClient, EngineReport, LoadOrder, OrderOutcome};
 pub(crate) use fake_backend::{
-    BackendRun, EngineLoad, FakeBackend, FakeBackendConfig, HARMFUL_PREFIX, RunEnd, RunEvent,
-    stream_event,
+    BackendRun, EngineLoad, FakeBackend, FakeBackendConfig, HARMFUL_PREFIX, RequestArrival, RunEnd,
+    RunEvent, stream_event,
 };
 #[cfg(test)]
 pub(crate) use fake_engine::EngineCall;
@@ -43,8 +43,9 @@
 pub(crate) use json_object::read_object;
 pub(crate) use request_head::{RequestHead, read_request_head};
 pub(crate) use sample_files::{
-    AccountSample, ENTRY_DATA_CENTRE, EVACUATED_DATA_CENTRE, ProcessAddresses, data_centre_of,
-    document_text, event_timeout, is_home_of_writes, settings_text, stream_timeout,
+    AccountSample, ENTRY_DATA_CENTRE, EVACUATED_DATA_CENTRE, ProcessAddresses, RETRY_EXTRA,
+    RETRY_RATIO, RETRY_WINDOW, data_centre_of, document_text, event_timeout, is_home_of_writes,
+    settings_text, stream_timeout,
 };
 pub(crate) use settings_file::{PlatformBounds, PlatformSettings, SETTINGS_PATH_VARIABLE};
 pub(crate) use store_client::{
--- a/src/platform/sample_files.rs
+++ b/src/platform/sample_files.rs
@@ -12,6 +12,11 @@
 pub(crate) const ENGINE_SERVICE: &str = "talk";
 /// The service whose backend servers have no engine.
 pub(crate) const PLAIN_SERVICE: &str = "plain";
+/// The retry budget of each service: retries per request, additional retries in each window, and
+/// its length. With a larger one, faults of the lab would hardly use it up.
+pub(crate) const RETRY_RATIO: f64 = 0.05;
+pub(crate) const RETRY_EXTRA: u32 = 10;
+pub(crate) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// The data centres of the lab, each in a region of its own.
 const DATA_CENTRES: [&str; 2] = ["hall-a", "hall-b"];
 const REGIONS: [&str; 2] = ["south", "north"];
@@ -82,13 +87,14 @@
             "[listen]\nfront = \"{callers}\"\nready_addr = \"{ready}\"\ncontrol = \"{control}\"\n"
         )
     });
+    let window = RETRY_WINDOW.as_secs();
     format!(
         "node_name = \"{host}\"\nip = \"{ip}\"\nzone = \"{data_centre}\"\n\
          port_range = [7700,7715]\nseeds = [{seeds}]\n{backend}\
          [zones]\n{first} = \"{south}\"\n{second} = \"{north}\"\n{listen}\
          [limits]\nlink_mbps = 1000.0\n\
-         [bounds]\ngrace_s = 8\nversion_ms = 8000\nretry_budget_ratio = 0.2\n\
-         retry_budget_extra = 100\n\
+         [bounds]\ngrace_s = 8\nversion_ms = 8000\nretry_budget_ratio = {RETRY_RATIO}\n\
+         retry_budget_extra = {RETRY_EXTRA}\nbudget_window_s = {window}\n\
          [platform]\naddress = \"{store}\"\n"
     )
 }
