--- a/src/fleet/retry_budget_share.rs
+++ b/src/fleet/retry_budget_share.rs
@@ -18,11 +18,11 @@
 /// Part of the budget that may be spent. The rest allows for entry hosts that are not known yet and
 /// for traffic that ends while sends are in transit.
 const SAFETY: f64 = 0.965;
-/// Weight of the requests in a window itself. They are all that an entry host knows of which clients
-/// have moved to it.
+/// Weight of the requests in a window itself. An entry host to which clients have just moved has no
+/// earlier ones.
 const WINDOW_WEIGHT: f64 = 0.494;
-/// Weight of the requests in the window before it. They allow many retries at the same time. The
-/// weights add up to one; with more, the sum over all entry hosts could exceed the budget.
+/// Weight of the requests in the window before it, which allow many retries at the same time. The
+/// weights add up to one: with more, the sum over all entry hosts could exceed the budget.
 const EARLIER_WEIGHT: f64 = 1.0 - WINDOW_WEIGHT;
 /// Number of time slices in a window.
 const WINDOW_SLICES: u64 = 50;
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -174,7 +174,7 @@
     }
 }
 
-/// The budgets of which an entry host has a share, and what it knows of the others that do.
+/// The limits of a share, and whether this process is the first that spends from it.
 #[apply(plain!)]
 #[derive(Copy)]
 pub(super) struct SharedLimits {
