--- a/src/lab/platform_soak/tests.rs
+++ b/src/lab/platform_soak/tests.rs
@@ -114,7 +114,7 @@
     ] {
         let mut records = records();
         let kinds = [CallKind::Read, CallKind::ResumableStream];
-        for (number, entry) in (0..10).flat_map(|number| [(number, 0), (number, 1)]) {
+        for (number, entry) in (0..40).flat_map(|number| [(number, 0), (number, 1)]) {
             let attempt = format!("{number} at {entry}");
             let kind = kinds[entry];
             let call = call(&attempt, kind, sent, CallEnd::Complete);
