--- a/src/fleet/tests/retry_shares.rs
+++ b/src/fleet/tests/retry_shares.rs
@@ -19,6 +19,14 @@
 /// Longest time for which a claimed send waits for a slot, in steps.
 const SLOT_WAIT_STEPS: u32 = 20;
 
+/// A budget of one entry host of which requests add nothing.
+const FIXED_LIMITS: RetryShareLimits = RetryShareLimits {
+    ratio: 0.0,
+    extra: 100.0,
+    window: WINDOW,
+    entries: 1,
+};
+
 /// What disturbs an entry host at a step.
 #[derive(Clone, Copy, Debug)]
 enum HostDisturbance {
@@ -228,12 +236,7 @@
 /// it and not used is refunded within it.
 #[test]
 fn a_refund_does_not_count_for_a_later_window() {
-    let limits = RetryShareLimits {
-        ratio: 0.0,
-        extra: 100.0,
-        window: WINDOW,
-        entries: 1,
-    };
+    let limits = FIXED_LIMITS;
     let mut share = RetryBudgetShare::new(limits, NOW);
     let claim = |share: &mut RetryBudgetShare, count: usize, now: ClockTime| {
         (0..count).filter(|_| share.try_spend(limits, now)).count()
@@ -252,12 +255,7 @@
 /// Guards against sends that wait for a slot and all begin in a window that counts none of them.
 #[test]
 fn a_send_that_waited_counts_when_it_begins() {
-    let limits = RetryShareLimits {
-        ratio: 0.0,
-        extra: 100.0,
-        window: WINDOW,
-        entries: 1,
-    };
+    let limits = FIXED_LIMITS;
     let mut share = RetryBudgetShare::new(limits, NOW);
     let claimed_at = NOW + WINDOW * 3;
     let claimed = (0..200)
--- a/src/gateway/tests/cancelled_requests.rs
+++ b/src/gateway/tests/cancelled_requests.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend};
-use super::{BOUNDS, job_of, new_gateway};
+use super::{BOUNDS, any_backend_of_desk, job_of, new_gateway};
 use crate::fleet::{
     BackendFacts, BackendPhase, CallOutcome, EngineHoldings, FleetView, HeldLayers, ModelVersion,
     PickRequirements, TargetTimeCertainty, TargetWeights, VersionRequirement, WeightsVersion,
@@ -28,17 +28,7 @@
     until: ClockTime,
 ) -> Option<SendFailure> {
     let now = clock_now();
-    let requirements = PickRequirements {
-        service: "desk",
-        version: VersionRequirement::None,
-        tried: &[],
-        queue_room: 0,
-        is_returned: false,
-        work: None,
-        reserved_part: 0.0,
-        placement: PlacementRules::default(),
-        cold_limit: None,
-    };
+    let requirements = any_backend_of_desk();
     let ticket = entry.gateway.registry.pick(&requirements, now);
     let wait = HeadWait {
         until,
--- a/src/gateway/tests/crash_detector.rs
+++ b/src/gateway/tests/crash_detector.rs
@@ -6,13 +6,13 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use super::any_backend_of_desk;
 use crate::fleet::{
-    BackendFacts, BackendPhase, BackendRegistry, EngineHoldings, FleetView, PickRequirements,
+    BackendFacts, BackendKey, BackendPhase, BackendRegistry, EngineHoldings, FleetView,
+    SharedRegistry,
 };
-use crate::fleet::{BackendKey, SharedRegistry, VersionRequirement};
 use crate::gateway::crash_detector::{CrashDetector, InterruptedRequest};
 use crate::overload::EntryHostId;
-use crate::placement::PlacementRules;
 use crate::quarantine::{BackendIncarnation, CrashSuspect, RecentAnswers, SuspectDigest};
 use crate::sync::SharedDeploymentState;
 use crate::test_support::{digest_of, unused_address};
@@ -47,17 +47,7 @@
         },
         ClockTime::default(),
     );
-    let requirements = PickRequirements {
-        service: "desk",
-        version: VersionRequirement::None,
-        tried: &[],
-        queue_room: 0,
-        is_returned: false,
-        work: None,
-        reserved_part: 0.0,
-        placement: PlacementRules::default(),
-        cold_limit: None,
-    };
+    let requirements = any_backend_of_desk();
     let picked = SharedRegistry::new(registry).pick(&requirements, ClockTime(0));
     picked.expect("a slot is free").key
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -29,7 +29,10 @@
 use self::fake_backend::catalog;
 use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
-use crate::fleet::{CallOutcome, ModelVersion, TargetTimeCertainty, TargetWeights, WeightsVersion};
+use crate::fleet::{
+    CallOutcome, ModelVersion, PickRequirements, TargetTimeCertainty, TargetWeights,
+    VersionRequirement, WeightsVersion,
+};
 use crate::gateway::crash_detector::CrashDetector;
 use crate::gateway::event_reader::EventReader;
 use crate::gateway::forward_state::ForwardState;
@@ -37,7 +40,7 @@
 use crate::gateway::reply::{refusal_reply, status_of};
 use crate::gateway::request_job::{RequestJob, route_request};
 use crate::overload::{EntryHostId, PriorityRank};
-use crate::placement::RegionMap;
+use crate::placement::{PlacementRules, RegionMap};
 use crate::platform::{PlatformBounds, RequestHead};
 use crate::sync::{DeploymentSnapshot, EntryRecord, SharedDeploymentState, SharedSnapshot};
 use crate::time::{ClockTime, clock_now};
@@ -115,6 +118,21 @@
     new_gateway_with(snapshot, bounds, SharedDeploymentState::default())
 }
 
+/// What a request to any backend server of the service `desk` requires.
+fn any_backend_of_desk() -> PickRequirements<'static> {
+    PickRequirements {
+        service: "desk",
+        version: VersionRequirement::None,
+        tried: &[],
+        queue_room: 0,
+        is_returned: false,
+        work: None,
+        reserved_part: 0.0,
+        placement: PlacementRules::default(),
+        cold_limit: None,
+    }
+}
+
 /// The snapshot of a deployment with one entry host, which starts for the first time.
 fn only_entry_host() -> DeploymentSnapshot {
     let local = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -6,13 +6,12 @@
 use bytestring::ByteString;
 
 use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend, catalog, field};
-use super::job_of;
+use super::{any_backend_of_desk, job_of};
 use crate::catalog::{CatalogVersion, RouteTable, ServiceCatalog};
 use crate::errors::ErrorKind;
-use crate::fleet::PickRequirements;
 use crate::fleet::VersionRequirement;
 use crate::gateway::send_attempt::{HeadWait, send_attempt};
-use crate::placement::{HomeRegions, PlacementRules};
+use crate::placement::HomeRegions;
 use crate::time::clock_now;
 
 /// A refusal at once takes a few milliseconds; a wait for a slot takes 42 ms.
@@ -100,17 +99,7 @@
     let now = clock_now();
     entry.gateway.snapshot(now);
     let job = job_of("once", now);
-    let requirements = PickRequirements {
-        service: "desk",
-        version: VersionRequirement::None,
-        tried: &[],
-        queue_room: 0,
-        is_returned: false,
-        work: None,
-        reserved_part: 0.0,
-        placement: PlacementRules::default(),
-        cold_limit: None,
-    };
+    let requirements = any_backend_of_desk();
     let ticket = entry.gateway.registry.pick(&requirements, now);
     let ticket = ticket.expect("a slot is free");
     evacuate(&entry, &["here"]);
--- a/src/gateway/tests/retry_charges.rs
+++ b/src/gateway/tests/retry_charges.rs
@@ -2,17 +2,13 @@
 
 use std::sync::Arc;
 
-use super::{BOUNDS, job_of, new_gateway, only_entry_host};
+use super::{BOUNDS, any_backend_of_desk, job_of, new_gateway, only_entry_host};
 use crate::errors::ErrorKind;
-use crate::fleet::{
-    BackendFacts, BackendKey, BackendPhase, EngineHoldings, FleetView, PickRequirements,
-    VersionRequirement,
-};
+use crate::fleet::{BackendFacts, BackendKey, BackendPhase, EngineHoldings, FleetView};
 use crate::gateway::forward_state::ForwardState;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::retry_budgets::ResendReason;
 use crate::gateway::send_attempt::SendFailure;
-use crate::placement::PlacementRules;
 use crate::platform::PlatformBounds;
 use crate::sync::{DeploymentSnapshot, SharedSnapshot};
 use crate::time::ClockTime;
@@ -48,17 +44,7 @@
     });
     let gateway = Arc::new(new_gateway(snapshot, FIXED_RETRIES));
     gateway.snapshot(NOW);
-    let requirements = PickRequirements {
-        service: "desk",
-        version: VersionRequirement::None,
-        tried: &[],
-        queue_room: 0,
-        is_returned: false,
-        work: None,
-        reserved_part: 0.0,
-        placement: PlacementRules::default(),
-        cold_limit: None,
-    };
+    let requirements = any_backend_of_desk();
     let ticket = gateway.registry.pick(&requirements, NOW);
     let key = ticket.expect("a slot is free").key;
     (gateway, key)
