Show which entry hosts share a retry budget, and what part of its fixed number each takes

The number of entry hosts does not tell whether two of them know the same others, and nothing told what part of the fixed number an entry host takes at a time. The log lines 1214 and 1215 have a digest of the list now, and 1215 has the part.

--- a/src/fleet/retry_budget_share.rs
+++ b/src/fleet/retry_budget_share.rs
@@ -146,6 +146,25 @@
         self.try_spend(limits, now)
     }
 
+    /// Returns the part of the fixed number that this entry host may spend in the window that ends
+    /// at `now`.
+    pub(crate) fn fixed_part(&self, limits: RetryShareLimits, now: ClockTime) -> f64 {
+        let newest = limits.slice_at(now);
+        self.extra_since(
+            newest.saturating_sub(WINDOW_SLICES + ARRIVAL_SLICES),
+            limits,
+        )
+    }
+
+    /// The part of the fixed number for the window that begins in slice `begin`.
+    fn extra_since(&self, begin: u64, limits: RetryShareLimits) -> f64 {
+        if self.is_restarted && begin <= self.first {
+            0.0
+        } else {
+            limits.own_extra()
+        }
+    }
+
     /// Whether the window that begins in slice `begin` has a retry left.
     #[expect(clippy::cast_precision_loss, reason = "a window has few requests")]
     fn allows_one_more_since(&self, begin: u64, limits: RetryShareLimits) -> bool {
@@ -157,11 +176,7 @@
         });
         let own = self.sum(begin, u64::MAX, |slice| slice.requests);
         let requests = EARLIER_WEIGHT * earlier as f64 + WINDOW_WEIGHT * own as f64;
-        let extra = if self.is_restarted && begin <= self.first {
-            0.0
-        } else {
-            limits.own_extra()
-        };
+        let extra = self.extra_since(begin, limits);
         let spent = self.sum(begin, u64::MAX, |slice| slice.spent);
         spent as f64 + 1.0 <= (limits.ratio * requests + extra) * SAFETY
     }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -35,7 +35,7 @@
 );
 pub(crate) const RETRY_SHARERS: LogEvent = LogEvent::info(
     1214,
-    "number of entry hosts that share a retry budget has changed",
+    "list of entry hosts that share a retry budget has changed",
 );
 pub(crate) const RETRY_COUNTS: LogEvent =
     LogEvent::info(1215, "requests were sent again, or denied it");
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -373,6 +373,7 @@
                 entries: snapshot.entries.len(),
             },
             is_first_start: snapshot.is_first_start,
+            list_digest: snapshot.entries_digest,
         }
     }
 }
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -116,6 +116,8 @@
     share: RetryBudgetShare,
     /// Number of entry hosts that shared the budget when it was last used.
     entries: usize,
+    /// The digest of their list.
+    list_digest: u64,
     counts: BudgetCounts,
     counted_since: ClockTime,
 }
@@ -126,25 +128,29 @@
             service,
             share,
             entries: 0,
+            list_digest: 0,
             counts: BudgetCounts::default(),
             counted_since: now,
         }
     }
 
-    /// Reports a changed number of entry hosts, and the counts of the last window if any request
-    /// was sent again.
-    fn report(&mut self, limits: RetryShareLimits, now: ClockTime) {
-        if self.entries != limits.entries {
+    /// Reports a changed list of entry hosts, and the counts of the last window if any request was
+    /// sent again.
+    fn report(&mut self, shared: SharedLimits, now: ClockTime) {
+        let limits = shared.limits;
+        if self.list_digest != shared.list_digest {
             let entries = u64::try_from(limits.entries).unwrap_or(u64::MAX);
             metrics::set_gauge("retry_budget_entry_hosts", &self.service, entries);
             log_event!(
                 events::RETRY_SHARERS,
-                "service={} entry_hosts={} before={}",
+                "service={} entry_hosts={} before={} list={:016x}",
                 self.service,
                 limits.entries,
-                self.entries
+                self.entries,
+                shared.list_digest
             );
             self.entries = limits.entries;
+            self.list_digest = shared.list_digest;
         }
         if now.since(self.counted_since) < limits.window {
             return;
@@ -153,7 +159,7 @@
             let counts = self.counts;
             log_event!(
                 events::RETRY_COUNTS,
-                "service={} ms={} requests={} charged={} refunded={} denied={} free={} entry_hosts={}",
+                "service={} ms={} requests={} charged={} refunded={} denied={} free={} entry_hosts={} list={:016x} fixed={:.1}",
                 self.service,
                 now.since(self.counted_since).as_millis(),
                 counts.requests,
@@ -161,7 +167,9 @@
                 counts.refunded,
                 counts.denied,
                 counts.free,
-                self.entries
+                self.entries,
+                self.list_digest,
+                self.share.fixed_part(limits, now)
             );
         }
         self.counts = BudgetCounts::default();
@@ -181,6 +189,8 @@
     pub(super) limits: RetryShareLimits,
     /// Whether no earlier process of this entry host has spent retries.
     pub(super) is_first_start: bool,
+    /// Digest of the list of entry hosts.
+    pub(super) list_digest: u64,
 }
 
 /// The retry budget shares of an entry host.
@@ -302,7 +312,7 @@
             at
         });
         let budget = &mut services[at];
-        budget.report(shared.limits, now);
+        budget.report(shared, now);
         action(budget)
     }
 }
--- a/src/gateway/tests/retry_budgets.rs
+++ b/src/gateway/tests/retry_budgets.rs
@@ -24,6 +24,7 @@
     let shared = SharedLimits {
         limits: LIMITS,
         is_first_start,
+        list_digest: 0,
     };
     let service = ByteString::from_static("desk");
     let charge = |_: &usize| {
@@ -52,6 +53,7 @@
             ..LIMITS
         },
         is_first_start: true,
+        list_digest: 7,
     };
     let service = ByteString::from_static("counted");
     let reason = ResendReason::StreamPaused;
--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -29,6 +29,7 @@
     read_document, read_target_version, revision_text,
 };
 use crate::quarantine::CrashLedger;
+use crate::routing::name_hash;
 use crate::time::{ClockTime, StoreTime};
 
 /// After this time since the store returned, entries that lapsed during the outage have been
@@ -109,6 +110,12 @@
         &self.entries
     }
 
+    /// Digest of the names of the entry hosts; 0 if there are none.
+    pub(crate) fn entries_digest(&self) -> u64 {
+        let hashes = self.entries.iter().map(|entry| name_hash(&entry.host));
+        hashes.fold(0, std::ops::BitXor::bitxor)
+    }
+
     /// Records that the store answered.
     pub(crate) fn note_store(&mut self, now: ClockTime) {
         if self.store_steady_since.is_none() {
@@ -449,6 +456,7 @@
             }),
             targets: Arc::new(self.versions.on_local_clock(&self.clock)),
             entries: Arc::new(self.entries.clone()),
+            entries_digest: self.entries_digest(),
             is_first_start: self.is_first_start == Some(true),
             crashes: self.crashes.clone(),
             clock: self.clock,
--- a/src/sync/snapshot.rs
+++ b/src/sync/snapshot.rs
@@ -25,6 +25,8 @@
     pub(crate) targets: Arc<Vec<TargetWeights>>,
     /// The entry hosts, sorted.
     pub(crate) entries: Arc<Vec<EntryRecord>>,
+    /// Digest of their names.
+    pub(crate) entries_digest: u64,
     /// Whether this entry host is known to start for the first time.
     pub(crate) is_first_start: bool,
     /// The requests that were running on backend servers that crashed.
