--- a/src/fleet/tests/retry_shares.rs
+++ b/src/fleet/tests/retry_shares.rs
@@ -7,7 +7,7 @@
 
 use super::{NOW, WINDOW};
 use crate::fleet::{RetryBudgetShare, RetryShareLimits};
-use crate::test_support::run_cases;
+use crate::test_support::{run_cases, worst_budget_excess};
 use crate::time::ClockTime;
 
 /// Length of one step of the model.
@@ -164,21 +164,6 @@
         self.arrivals.push(now + Duration::from_millis(delay));
         Ok(())
     }
-
-    /// Returns the largest excess over the budget in any window: the arrivals beyond the first of
-    /// their request, over all entry hosts, less what the requests allow of that window, of the one
-    /// before it, or of the one half a window before it.
-    fn worst_excess(&mut self) -> f64 {
-        self.arrivals.sort_unstable();
-        let excess = self.arrivals.iter().map(|begin| {
-            let windows = [*begin, *begin - WINDOW / 2, *begin - WINDOW];
-            let requests = windows.map(|from| count_within(&self.requests, from));
-            let most = requests.into_iter().fold(0.0, f64::max);
-            let allowed = self.limits.ratio * most + self.limits.extra;
-            count_within(&self.arrivals, *begin) - allowed
-        });
-        excess.fold(f64::MIN, f64::max)
-    }
 }
 
 /// The share of an entry host that has restarted.
@@ -186,12 +171,6 @@
     RetryBudgetShare::new(limits, now).after_restart()
 }
 
-#[expect(clippy::cast_precision_loss, reason = "a run has few requests")]
-fn count_within(times: &[ClockTime], from: ClockTime) -> f64 {
-    let before = times.partition_point(|at| *at < from);
-    (times.partition_point(|at| *at <= from + WINDOW) - before) as f64
-}
-
 /// Runs the model and returns its largest excess over the budget.
 fn run_model(u: &mut Unstructured<'_>, disturbances: &[HostDisturbance]) -> Result<f64> {
     let mut model = ShareModel::new(u)?;
@@ -207,7 +186,11 @@
         }
         model.step(u, failing, now)?;
     }
-    Ok(model.worst_excess())
+    Ok(worst_budget_excess(
+        model.limits,
+        &model.requests,
+        &model.arrivals,
+    ))
 }
 
 /// Guards against more second sends of all entry hosts together than the budget of the service
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -1,5 +1,5 @@
 //! Helpers for the unit tests of several folders: reproducible randomised tests, random JSON,
-//! corrupted input and samples.
+//! corrupted input, samples, and the judge of a retry budget.
 
 use std::net::SocketAddr;
 
@@ -8,7 +8,9 @@
 use serde_json::{Map, Value, json};
 use tokio::net::TcpListener;
 
+use crate::fleet::RetryShareLimits;
 use crate::quarantine::{RequestParts, SuspectDigest};
+use crate::time::ClockTime;
 
 /// Runs `property` on `cases` inputs of `size` random bytes each. The inputs are the same in every
 /// run; arbtest prints the seed of a failing one. Its own search for inputs is limited by time, so
@@ -152,3 +154,28 @@
     let address = listener.expect("a free port").local_addr();
     address.expect("the listener is bound")
 }
+
+/// Returns the largest excess over the retry budget in any window: the arrivals beyond the first of
+/// their request, over all entry hosts, less what the requests allow of that window, of the one
+/// before it, or of the one half a window before it. The requests are sorted by time.
+pub(crate) fn worst_budget_excess(
+    limits: RetryShareLimits,
+    requests: &[ClockTime],
+    arrivals: &[ClockTime],
+) -> f64 {
+    let window = limits.window;
+    let count_within = |times: &[ClockTime], from: ClockTime| {
+        let before = times.partition_point(|at| *at < from);
+        let count = times.partition_point(|at| *at <= from + window) - before;
+        u32::try_from(count).map_or(f64::INFINITY, f64::from)
+    };
+    let mut arrivals = arrivals.to_vec();
+    arrivals.sort_unstable();
+    let excess = arrivals.iter().map(|begin| {
+        let windows = [*begin, *begin - window / 2, *begin - window];
+        let most = windows.map(|from| count_within(requests, from));
+        let most = most.into_iter().fold(0.0, f64::max);
+        count_within(&arrivals, *begin) - (limits.ratio * most + limits.extra)
+    });
+    excess.fold(f64::MIN, f64::max)
+}
