Report equally many but different entry hosts to each other

Entry hosts told each other their list only where one knew more. Two that knew equally many but different others divided the fixed number of retries by too small a number until they read the store again, and shared advertised rates with the wrong ones. Cause: the query has only the number of entry hosts. It has a digest of their names now, and as many but different ones are reported as well; fewer are not, since the other side asks for the rest itself.

--- a/src/sync/neighbour_exchange.rs
+++ b/src/sync/neighbour_exchange.rs
@@ -1,5 +1,6 @@
 //! What a process reports to others in response to a query, and how it merges their reports.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use super::deployment_state::{CurrentDocument, DeploymentState, note_document_fault};
@@ -22,6 +23,7 @@
             targets: self.versions.all().to_vec(),
             backends_revision: self.backends_revision,
             entries: self.entries().len(),
+            entries_digest: None,
             wait_ms: 0,
             follows: false,
             backends_digest: None,
@@ -31,9 +33,11 @@
         }
     }
 
-    /// The same for an entry host, which also needs the requests that crash backend servers.
+    /// The same for an entry host, which also needs the requests that crash backend servers, and has
+    /// to know all entry hosts.
     pub(super) fn entry_query(&self) -> PeerQuery {
         PeerQuery {
+            entries_digest: Some(self.entries_digest()),
             crashes_revision: Some(self.crashes.revision()),
             ..self.query()
         }
@@ -54,6 +58,19 @@
             })
     }
 
+    /// Whether the querying process may not know all entry hosts that are known here. One that knows
+    /// more is asked for them by this process.
+    fn has_other_entries(&self, query: &PeerQuery) -> bool {
+        let is_different = query
+            .entries_digest
+            .is_some_and(|digest| digest != self.entries_digest());
+        match self.entries().len().cmp(&query.entries) {
+            Ordering::Greater => true,
+            Ordering::Equal => is_different,
+            Ordering::Less => false,
+        }
+    }
+
     /// The document, if it is newer than that of the querying process and not deferred by it.
     fn newer_document(&self, query: &PeerQuery) -> Option<&CurrentDocument> {
         let current = self.document.as_ref();
@@ -92,7 +109,7 @@
                 let facts = self.backends.listed().map(|facts| (**facts).clone());
                 (self.backends_revision, facts.collect())
             }),
-            entries: if self.entries().len() > query.entries {
+            entries: if self.has_other_entries(query) {
                 self.entries().to_vec()
             } else {
                 Vec::new()
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -52,6 +52,9 @@
     pub(crate) backends_revision: u64,
     /// The number of entry hosts that it knows.
     pub(crate) entries: usize,
+    /// Digest of their list, if another list with as many is to be reported too.
+    #[serde(default)]
+    pub(crate) entries_digest: Option<u64>,
     /// How long, in milliseconds, the response may be held until there is an urgent change.
     pub(crate) wait_ms: u64,
     /// Whether it follows the operator's table through the responses.
@@ -147,7 +150,7 @@
     pub(crate) targets: Vec<TargetAnnouncement>,
     /// The list of backend servers with its revision, if that is newer.
     pub(crate) backends: Option<(u64, Vec<BackendFacts>)>,
-    /// All entry hosts, if there are more.
+    /// All entry hosts, if there are more, or as many but different ones.
     pub(crate) entries: Vec<EntryRecord>,
     /// How well the operator's table is known; the rest of the response is as of that revision.
     #[serde(default)]
--- a/src/sync/tests/messages.rs
+++ b/src/sync/tests/messages.rs
@@ -142,6 +142,7 @@
         targets: announcements.to_vec(),
         backends_revision: u64::MAX,
         entries: usize::MAX,
+        entries_digest: Some(u64::MAX),
         wait_ms: u64::MAX,
         follows: true,
         backends_digest: Some(u64::MAX),
