Take a part of the fixed number of retries only when the other entry hosts count this one

Cause: each entry host divided the fixed number by the entry hosts that it knew at that moment, relying on the others to count it as well. One that was added had its part at once, although the others might have spent the whole of it in the same window; those that were cut off, or learned of the others from some of them only, divided by too small a number.

Now entry hosts tell each other which of them have the same list, in the queries that they make anyway: a digest and two bits for each entry host. Entry hosts that all start for the first time have spent nothing and need not wait. This replaces the note of whether an entry host was registered before it started.

The tests of shares keep their bounds; they state since when an entry host is counted instead of whether it restarted, and one of them begins later than a window after the clock's zero.

--- a/src/fleet/retry_budget_share.rs
+++ b/src/fleet/retry_budget_share.rs
@@ -4,7 +4,8 @@
 //! of the window before it, whichever are more, plus a fixed number. They do not tell each other
 //! what they spend. Each entry host takes the ratio of a weighted mean of its own requests in the
 //! two windows. The sum over all entry hosts is the same mean of all requests, which is never more
-//! than the larger of the two, wherever clients move. Of the fixed number it takes an equal part.
+//! than the larger of the two, wherever clients move. Of the fixed number it takes an equal part,
+//! once the others count it.
 //! The budget of a window may be spent at once, since a backend server that crashes or changes its
 //! weights interrupts many streams at the same time.
 
@@ -40,19 +41,27 @@
     pub(crate) extra: f64,
     /// Length of a window.
     pub(crate) window: Duration,
-    /// Number of entry hosts; 0 if it is not known.
+    /// Number of entry hosts by which the additional retries are divided; 0 if it is not known.
     pub(crate) entries: usize,
+    /// Since when the other entry hosts count this one; `None` if they may not.
+    pub(crate) counted_since: Option<ClockTime>,
 }
 
 impl RetryShareLimits {
+    /// The part of the additional retries for the window that begins in slice `begin`. In a window in
+    /// which others did not count this entry host, or an earlier process of it may have spent
+    /// retries, it has none.
     #[expect(
         clippy::cast_precision_loss,
         reason = "there are never 2^52 entry hosts"
     )]
-    fn own_extra(self) -> f64 {
+    fn own_extra(self, begin: u64) -> f64 {
+        let is_counted = self
+            .counted_since
+            .is_some_and(|since| begin > self.slice_at(since));
         match self.entries {
-            0 => 0.0,
-            entries => self.extra / entries as f64,
+            entries if is_counted && entries > 0 => self.extra / entries as f64,
+            _ => 0.0,
         }
     }
 
@@ -75,35 +84,14 @@
 
 /// The retry budget share for one service.
 #[apply(plain!)]
+#[derive(Default)]
 pub(crate) struct RetryBudgetShare {
-    /// The slice in which it was created.
-    first: u64,
-    /// Whether an earlier process of this entry host may have spent retries before.
-    is_restarted: bool,
     /// Slices with requests or retries, sorted by number: those of the last two windows and the one
     /// before them.
     slices: Vec<BudgetSlice>,
 }
 
 impl RetryBudgetShare {
-    /// Creates the share of an entry host that starts for the first time.
-    pub(crate) fn new(limits: RetryShareLimits, now: ClockTime) -> Self {
-        Self {
-            first: limits.slice_at(now),
-            is_restarted: false,
-            slices: Vec::new(),
-        }
-    }
-
-    /// The same for an entry host of which an earlier process may have spent its part of the fixed
-    /// number. It takes none of that for a window.
-    pub(crate) fn after_restart(self) -> Self {
-        Self {
-            is_restarted: true,
-            ..self
-        }
-    }
-
     /// Counts a request.
     pub(crate) fn credit(&mut self, limits: RetryShareLimits, now: ClockTime) {
         self.newest_slice(limits, now).requests += 1;
@@ -148,21 +136,9 @@
 
     /// Returns the part of the fixed number that this entry host may spend in the window that ends
     /// at `now`.
-    pub(crate) fn fixed_part(&self, limits: RetryShareLimits, now: ClockTime) -> f64 {
+    pub(crate) fn fixed_part(limits: RetryShareLimits, now: ClockTime) -> f64 {
         let newest = limits.slice_at(now);
-        self.extra_since(
-            newest.saturating_sub(WINDOW_SLICES + ARRIVAL_SLICES),
-            limits,
-        )
-    }
-
-    /// The part of the fixed number for the window that begins in slice `begin`.
-    fn extra_since(&self, begin: u64, limits: RetryShareLimits) -> f64 {
-        if self.is_restarted && begin <= self.first {
-            0.0
-        } else {
-            limits.own_extra()
-        }
+        limits.own_extra(newest.saturating_sub(WINDOW_SLICES + ARRIVAL_SLICES))
     }
 
     /// Whether the window that begins in slice `begin` has a retry left.
@@ -176,7 +152,7 @@
         });
         let own = self.sum(begin, u64::MAX, |slice| slice.requests);
         let requests = EARLIER_WEIGHT * earlier as f64 + WINDOW_WEIGHT * own as f64;
-        let extra = self.extra_since(begin, limits);
+        let extra = limits.own_extra(begin);
         let spent = self.sum(begin, u64::MAX, |slice| slice.spent);
         spent as f64 + 1.0 <= (limits.ratio * requests + extra) * SAFETY
     }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -18,7 +18,7 @@
 use crate::test_support::run_cases;
 use crate::time::ClockTime;
 
-const NOW: ClockTime = ClockTime::from_millis(10_000);
+const NOW: ClockTime = ClockTime::from_millis(100_000);
 const WINDOW: Duration = Duration::from_secs(10);
 
 fn facts(id: &str, data_centre: &str, version: u64) -> BackendFacts {
@@ -267,11 +267,12 @@
         extra: 100.0,
         window: WINDOW,
         entries: 6,
+        counted_since: Some(ClockTime(0)),
     };
     let mut spent = 0;
     let requests = 1000;
     for _ in 0..limits.entries {
-        let mut share = RetryBudgetShare::new(limits, NOW);
+        let mut share = RetryBudgetShare::default();
         for _ in 0..requests / limits.entries {
             share.credit(limits, NOW);
             let mut send_again = || u32::from(share.try_spend(limits, NOW));
@@ -289,8 +290,9 @@
         extra: 198.0,
         window: WINDOW,
         entries: 32,
+        counted_since: Some(ClockTime(0)),
     };
-    let mut share = RetryBudgetShare::new(limits, NOW);
+    let mut share = RetryBudgetShare::default();
     for request in 0..200 {
         share.credit(limits, NOW + request * Duration::from_millis(50));
     }
@@ -319,9 +321,10 @@
         extra: 10.0,
         window: WINDOW,
         entries: 1,
+        counted_since: Some(ClockTime(0)),
     };
     run_cases(200, 4096, |u| {
-        let mut share = RetryBudgetShare::new(limits, NOW);
+        let mut share = RetryBudgetShare::default();
         let (mut now, mut requests, mut sends) = (NOW, Vec::new(), Vec::new());
         for _ in 0..u.int_in_range(1..=400)? {
             // Bursts and quiet periods.
@@ -361,12 +364,13 @@
         extra: 198.0,
         window: WINDOW,
         entries: 1,
+        counted_since: Some(ClockTime(0)),
     };
     let all = RetryShareLimits {
         entries: 32,
         ..alone
     };
-    let mut share = RetryBudgetShare::new(alone, NOW);
+    let mut share = RetryBudgetShare::default();
     for _ in 0..50 {
         share.credit(all, NOW);
     }
@@ -382,8 +386,9 @@
         extra: 0.0,
         window: WINDOW,
         entries: 2,
+        counted_since: Some(ClockTime(0)),
     };
-    let mut shares = [NOW, NOW].map(|now| RetryBudgetShare::new(limits, now));
+    let mut shares = [NOW, NOW].map(|_| RetryBudgetShare::default());
     let mut spent = 0;
     // The retries at both times are within one window, the requests are not.
     let times = [
--- a/src/fleet/tests/retry_shares.rs
+++ b/src/fleet/tests/retry_shares.rs
@@ -25,6 +25,7 @@
     extra: 100.0,
     window: WINDOW,
     entries: 1,
+    counted_since: Some(ClockTime(0)),
 };
 
 /// What disturbs an entry host at a step.
@@ -66,11 +67,12 @@
             extra: *u.choose(&[0.0, 20.0, 100.0])?,
             window: WINDOW,
             entries,
+            counted_since: Some(ClockTime(0)),
         };
         let homes = (0..40).map(|_| u.choose_index(entries));
         Ok(Self {
             limits,
-            shares: vec![RetryBudgetShare::new(limits, NOW); entries],
+            shares: vec![RetryBudgetShare::default(); entries],
             homes: homes.collect::<Result<_>>()?,
             restarted: vec![None; entries],
             waiting: Vec::new(),
@@ -99,7 +101,7 @@
         for host in (0..entries).filter(|host| is_disturbed(*host)) {
             let is_recent = self.restarted[host].is_some_and(|at| now.since(at) < WINDOW * 2);
             if matches!(disturbance, HostDisturbance::Restart) && !is_recent {
-                self.shares[host] = restarted_share(self.limits, now);
+                self.shares[host] = RetryBudgetShare::default();
                 self.waiting.retain(|send| send.host != host);
                 self.restarted[host] = Some(now);
             }
@@ -112,6 +114,7 @@
         let is_new = self.restarted[host].is_some_and(|at| now.since(at) < Duration::from_secs(1));
         RetryShareLimits {
             entries: if is_new { 0 } else { self.limits.entries },
+            counted_since: self.restarted[host].or(self.limits.counted_since),
             ..self.limits
         }
     }
@@ -166,11 +169,6 @@
     }
 }
 
-/// The share of an entry host that has restarted.
-fn restarted_share(limits: RetryShareLimits, now: ClockTime) -> RetryBudgetShare {
-    RetryBudgetShare::new(limits, now).after_restart()
-}
-
 /// Runs the model and returns its largest excess over the budget.
 fn run_model(u: &mut Unstructured<'_>, disturbances: &[HostDisturbance]) -> Result<f64> {
     let mut model = ShareModel::new(u)?;
@@ -220,7 +218,7 @@
 #[test]
 fn a_refund_does_not_count_for_a_later_window() {
     let limits = FIXED_LIMITS;
-    let mut share = RetryBudgetShare::new(limits, NOW);
+    let mut share = RetryBudgetShare::default();
     let claim = |share: &mut RetryBudgetShare, count: usize, now: ClockTime| {
         (0..count).filter(|_| share.try_spend(limits, now)).count()
     };
@@ -239,7 +237,7 @@
 #[test]
 fn a_send_that_waited_counts_when_it_begins() {
     let limits = FIXED_LIMITS;
-    let mut share = RetryBudgetShare::new(limits, NOW);
+    let mut share = RetryBudgetShare::default();
     let claimed_at = NOW + WINDOW * 3;
     let claimed = (0..200)
         .filter(|_| share.try_spend(limits, claimed_at))
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -64,7 +64,6 @@
         drain: drain.clone(),
         bounds: settings.bounds,
         regions: settings.regions,
-        started_at: clock_now(),
     }));
     let relay = ReportRelay::bind(gateway.clone(), deployment_state.clone(), own_entry).await?;
     tokio::spawn(relay.run());
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -78,8 +78,6 @@
     pub(super) bounds: PlatformBounds,
     /// The regions of the data centres.
     pub(super) regions: RegionMap,
-    /// When the process started.
-    pub(super) started_at: ClockTime,
 }
 
 impl GatewayState {
@@ -91,7 +89,6 @@
             drain,
             bounds,
             regions,
-            started_at,
         } = parts;
         Self {
             snapshot,
@@ -103,7 +100,7 @@
             stop_started: OnceLock::new(),
             freed: Notify::new(),
             demand: Mutex::new(Vec::new()),
-            retry_budgets: RetryBudgets::new(started_at),
+            retry_budgets: RetryBudgets::default(),
             bounds,
             regions: Arc::new(regions),
         }
@@ -324,7 +321,8 @@
 
     /// Records a new request for `service`, which adds to its retry budget.
     pub(super) fn credit_retry(&self, service: &ByteString, now: ClockTime) {
-        self.retry_budgets.credit(service, self.retry_limits(), now);
+        self.retry_budgets
+            .credit(service, self.retry_limits(now), now);
     }
 
     /// Takes one retry from the budget of `service`, if one is left.
@@ -334,7 +332,7 @@
         reason: ResendReason,
         now: ClockTime,
     ) -> Option<RetryCharge> {
-        let limits = self.retry_limits();
+        let limits = self.retry_limits(now);
         self.retry_budgets.try_charge(service, reason, limits, now)
     }
 
@@ -346,33 +344,33 @@
         charge: RetryCharge,
         now: ClockTime,
     ) -> Option<RetryCharge> {
-        let limits = self.retry_limits();
+        let limits = self.retry_limits(now);
         self.retry_budgets.try_renew(service, charge, limits, now)
     }
 
     /// Returns an unused retry to the budget of `service`.
     pub(super) fn refund_retry(&self, service: &ByteString, charge: RetryCharge, now: ClockTime) {
-        let limits = self.retry_limits();
+        let limits = self.retry_limits(now);
         self.retry_budgets.refund(service, charge, limits, now);
     }
 
     /// Records that a request for `service` is sent again without using the budget.
     pub(super) fn note_free_resend(&self, service: &ByteString, now: ClockTime) {
-        let limits = self.retry_limits();
+        let limits = self.retry_limits(now);
         self.retry_budgets
             .note_free(service, ResendReason::NotSent, limits, now);
     }
 
-    fn retry_limits(&self) -> SharedLimits {
+    fn retry_limits(&self, now: ClockTime) -> SharedLimits {
         let snapshot = self.snapshot.load();
         SharedLimits {
             limits: RetryShareLimits {
                 ratio: self.bounds.retry_ratio,
                 extra: self.bounds.retry_extra,
                 window: self.bounds.retry_window,
-                entries: snapshot.entries.len(),
+                entries: snapshot.entry_sharing.divisor(now),
+                counted_since: snapshot.entry_sharing.counted_since,
             },
-            is_first_start: snapshot.is_first_start,
             list_digest: snapshot.entries_digest,
         }
     }
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -123,10 +123,10 @@
 }
 
 impl ServiceBudget {
-    fn new(service: ByteString, share: RetryBudgetShare, now: ClockTime) -> Self {
+    fn new(service: ByteString, now: ClockTime) -> Self {
         Self {
             service,
-            share,
+            share: RetryBudgetShare::default(),
             entries: 0,
             list_digest: 0,
             counts: BudgetCounts::default(),
@@ -169,7 +169,7 @@
                 counts.free,
                 self.entries,
                 self.list_digest,
-                self.share.fixed_part(limits, now)
+                RetryBudgetShare::fixed_part(limits, now)
             );
         }
         self.counts = BudgetCounts::default();
@@ -182,33 +182,23 @@
     }
 }
 
-/// The limits of a share, and whether this process is the first that spends from it.
+/// The limits of a share, and the list of entry hosts that share them.
 #[apply(plain!)]
 #[derive(Copy)]
 pub(super) struct SharedLimits {
     pub(super) limits: RetryShareLimits,
-    /// Whether no earlier process of this entry host has spent retries.
-    pub(super) is_first_start: bool,
     /// Digest of the list of entry hosts.
     pub(super) list_digest: u64,
 }
 
 /// The retry budget shares of an entry host.
+#[derive(Default)]
 pub(super) struct RetryBudgets {
-    /// When this process started.
-    started_at: ClockTime,
     /// Sorted by service.
     services: Mutex<Vec<ServiceBudget>>,
 }
 
 impl RetryBudgets {
-    pub(super) const fn new(started_at: ClockTime) -> Self {
-        Self {
-            started_at,
-            services: Mutex::new(Vec::new()),
-        }
-    }
-
     /// Records a new request for `service`, which adds to its budget.
     pub(super) fn credit(&self, service: &ByteString, shared: SharedLimits, now: ClockTime) {
         self.with_service(service, shared, now, |budget| {
@@ -302,13 +292,7 @@
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         let found = services.binary_search_by(|budget| budget.service.cmp(service));
         let at = found.unwrap_or_else(|at| {
-            let share = RetryBudgetShare::new(shared.limits, self.started_at);
-            let share = if shared.is_first_start {
-                share
-            } else {
-                share.after_restart()
-            };
-            services.insert(at, ServiceBudget::new(service.clone(), share, now));
+            services.insert(at, ServiceBudget::new(service.clone(), now));
             at
         });
         let budget = &mut services[at];
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -42,8 +42,10 @@
 use crate::overload::{EntryHostId, PriorityRank};
 use crate::placement::{PlacementRules, RegionMap};
 use crate::platform::{PlatformBounds, RequestHead};
-use crate::sync::{DeploymentSnapshot, EntryRecord, SharedDeploymentState, SharedSnapshot};
-use crate::time::{ClockTime, clock_now};
+use crate::sync::{
+    DeploymentSnapshot, EntryRecord, EntrySharing, SharedDeploymentState, SharedSnapshot,
+};
+use crate::time::ClockTime;
 
 fn read_events(reader: &mut EventReader) -> Vec<(Option<u64>, String)> {
     let mut events = Vec::new();
@@ -133,7 +135,7 @@
     }
 }
 
-/// The snapshot of a deployment with one entry host, which starts for the first time.
+/// The snapshot of a deployment with one entry host, which has its part of the retry budgets.
 fn only_entry_host() -> DeploymentSnapshot {
     let local = SocketAddr::from(([127, 0, 0, 1], 0));
     DeploymentSnapshot {
@@ -143,7 +145,11 @@
             control: local,
             reports: local,
         }]),
-        is_first_start: true,
+        entry_sharing: EntrySharing {
+            entries: 1,
+            counted_since: Some(ClockTime(0)),
+            valid_until: ClockTime(u64::MAX),
+        },
         ..DeploymentSnapshot::default()
     }
 }
@@ -169,7 +175,6 @@
             ("here".into(), "home".into()),
             ("there".into(), "abroad".into()),
         ]),
-        started_at: clock_now(),
     })
 }
 
--- a/src/gateway/tests/retry_budgets.rs
+++ b/src/gateway/tests/retry_budgets.rs
@@ -16,14 +16,17 @@
     extra: 40.0,
     window: WINDOW,
     entries: 4,
+    counted_since: Some(ClockTime(0)),
 };
 
-/// How many retries an entry host gets at `now`, if it started at `START`.
-fn granted(is_first_start: bool, now: ClockTime) -> usize {
-    let budgets = RetryBudgets::new(START);
+/// How many retries an entry host gets at `now`, if the others count it since `counted_since`.
+fn granted(counted_since: Option<ClockTime>, now: ClockTime) -> usize {
+    let budgets = RetryBudgets::default();
     let shared = SharedLimits {
-        limits: LIMITS,
-        is_first_start,
+        limits: RetryShareLimits {
+            counted_since,
+            ..LIMITS
+        },
         list_digest: 0,
     };
     let service = ByteString::from_static("desk");
@@ -34,25 +37,26 @@
     (0..100).filter(charge).count()
 }
 
-/// Guards against a fixed number of retries that is spent again by each process of an entry host.
+/// Guards against a fixed number of retries that is spent again by each process of an entry host, or
+/// by an entry host that the others do not count.
 #[test]
-fn a_restarted_entry_host_gets_its_part_of_the_fixed_number_after_a_window() {
+fn an_entry_host_gets_its_part_of_the_fixed_number_a_window_after_it_is_counted() {
     let soon = START + Duration::from_secs(1);
-    assert_eq!(granted(true, soon), 9);
-    assert_eq!(granted(false, soon), 0);
-    assert_eq!(granted(false, START + WINDOW * 11 / 10), 9);
+    assert_eq!(granted(Some(START - WINDOW * 2), soon), 9);
+    assert_eq!(granted(Some(START), soon), 0);
+    assert_eq!(granted(Some(START), START + WINDOW * 11 / 10), 9);
+    assert_eq!(granted(None, START + WINDOW * 11 / 10), 0);
 }
 
 /// Guards against a budget of which an operator cannot see how it is used.
 #[test]
 fn retries_are_counted_by_action_and_reason() {
-    let budgets = RetryBudgets::new(START);
+    let budgets = RetryBudgets::default();
     let shared = SharedLimits {
         limits: RetryShareLimits {
             extra: 4.2,
             ..LIMITS
         },
-        is_first_start: true,
         list_digest: 7,
     };
     let service = ByteString::from_static("counted");
--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -9,6 +9,7 @@
 use bytestring::ByteString;
 
 use super::backend_list::{BackendList, LAPSE_GRACE};
+use super::entry_agreement::{AgreementState, entries_digest};
 use super::evacuations::EvacuationList;
 use super::events;
 use super::operator_status::OperatorStatus;
@@ -29,7 +30,6 @@
     read_document, read_target_version, revision_text,
 };
 use crate::quarantine::CrashLedger;
-use crate::routing::name_hash;
 use crate::time::{ClockTime, StoreTime};
 
 /// After this time since the store returned, entries that lapsed during the outage have been
@@ -62,9 +62,6 @@
     has_own_rows: bool,
     /// The store's revision as of which they were read.
     own_revision: u64,
-    /// Whether this entry host starts for the first time: at the first read of these rows there was
-    /// none of it. `None` before.
-    is_first_start: Option<bool>,
     pub(super) backends: BackendList,
     /// When the store last reported the list of backend servers, to this process or to the reader
     /// that it follows.
@@ -72,7 +69,8 @@
     /// The store's revision of the list of backend servers; 0 before it was read.
     pub(super) backends_revision: u64,
     /// Sorted.
-    entries: Vec<EntryRecord>,
+    pub(super) entries: Vec<EntryRecord>,
+    pub(super) agreement: AgreementState,
     /// The newest era of the store in a list of backend servers or an answer.
     store_era: u64,
     /// When the store last answered this process.
@@ -112,8 +110,7 @@
 
     /// Digest of the names of the entry hosts; 0 if there are none.
     pub(crate) fn entries_digest(&self) -> u64 {
-        let hashes = self.entries.iter().map(|entry| name_hash(&entry.host));
-        hashes.fold(0, std::ops::BitXor::bitxor)
+        entries_digest(&self.entries)
     }
 
     /// Records that the store answered.
@@ -176,6 +173,7 @@
             return;
         }
         self.store_era = era;
+        self.agreement.forget_registration();
         let is_start = self.backends_revision == 0 && self.document.is_none();
         if !is_start {
             log_event!(events::STORE_RETURNED, "era={era} known={known}");
@@ -395,15 +393,26 @@
         }
     }
 
-    /// Whether it is known if an earlier process of this entry host was registered in the store.
-    pub(crate) const fn knows_first_start(&self) -> bool {
-        self.is_first_start.is_some()
+    /// Names the entry host that this process is.
+    pub(crate) fn set_own_host(&mut self, host: ByteString) {
+        self.agreement.set_own_host(host);
     }
 
-    /// Records whether the store has a row of this entry host, as read before this process wrote it.
-    /// Later calls have no effect.
-    pub(crate) fn note_registration(&mut self, is_registered: bool) {
-        self.is_first_start.get_or_insert(!is_registered);
+    /// Records that the entry hosts include all that the store listed at `answered_at`, among them
+    /// this one if `is_registered`.
+    pub(crate) fn note_entry_table(
+        &mut self,
+        is_registered: bool,
+        answered_at: StoreTime,
+        now: ClockTime,
+    ) {
+        self.agreement
+            .note_table(&self.entries, is_registered, (answered_at, now));
+    }
+
+    /// Whether all other entry hosts are known to count this one.
+    pub(crate) const fn is_counted(&self) -> bool {
+        self.agreement.is_agreed()
     }
 
     /// The store's revision as of which the system's own rows were last read.
@@ -442,6 +451,7 @@
                 Err(at) => self.entries.insert(at, entry),
             }
         }
+        self.agreement.follow_list(&self.entries);
     }
 
     /// The snapshot for request handling.
@@ -457,7 +467,7 @@
             targets: Arc::new(self.versions.on_local_clock(&self.clock)),
             entries: Arc::new(self.entries.clone()),
             entries_digest: self.entries_digest(),
-            is_first_start: self.is_first_start == Some(true),
+            entry_sharing: self.agreement.sharing(&self.entries, &self.clock),
             crashes: self.crashes.clone(),
             clock: self.clock,
             evacuated: Arc::new(self.evacuations.active()),
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -8,6 +8,7 @@
 mod crash_rows;
 mod crash_state;
 mod deployment_state;
+mod entry_agreement;
 mod evacuations;
 pub(crate) mod events;
 mod neighbour_exchange;
@@ -34,6 +35,8 @@
 mod version_recorder;
 
 pub(crate) use deployment_state::DeploymentState;
+#[cfg(test)]
+pub(crate) use entry_agreement::EntrySharing;
 pub(crate) use own_rows::OwnRows;
 pub(crate) use peer_messages::{EntryRecord, PeerView, VIEW_PATH};
 pub(crate) use shared_deployment_state::SharedDeploymentState;
--- a/src/sync/neighbour_exchange.rs
+++ b/src/sync/neighbour_exchange.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::deployment_state::{CurrentDocument, DeploymentState, note_document_fault};
+use super::entry_agreement::ListAgreement;
 use super::evacuations::EvacuationRecord;
 use super::events;
 use super::peer_messages::{PeerQuery, PeerView, TargetAnnouncement};
@@ -29,6 +30,7 @@
             backends_digest: None,
             crashes_revision: None,
             evacuations_revision: self.evacuations.revision(),
+            agreement: None,
             sender: None,
         }
     }
@@ -39,6 +41,7 @@
         PeerQuery {
             entries_digest: Some(self.entries_digest()),
             crashes_revision: Some(self.crashes.revision()),
+            agreement: Some(self.agreement.agreement().clone()),
             ..self.query()
         }
     }
@@ -114,6 +117,10 @@
             } else {
                 Vec::new()
             },
+            agreement: query
+                .agreement
+                .as_ref()
+                .map(|_| self.agreement.agreement().clone()),
             operator: self.operator.announcement(),
             backend_changes: changes,
             crashes: self.new_crashes(query),
@@ -142,10 +149,35 @@
             self.replace_backends(revision, backends, span.received_at);
         }
         self.merge_evacuations(&view.evacuations);
+        let has_list = !view.entries.is_empty();
         self.add_entries(view.entries);
+        if let Some(agreement) = view.agreement {
+            self.merge_agreement(&agreement, has_list, span.received_at);
+        }
         self.merge_crashes(&view.crashes, view.crashes_revision, span.received_at);
     }
 
+    /// Whether `reported` tells something new about the list of entry hosts.
+    pub(crate) fn is_agreement_updated_by(&self, reported: &ListAgreement) -> bool {
+        self.agreement.is_updated_by(reported)
+    }
+
+    /// Merges what another entry host reports about its list. `has_list` states that the list itself
+    /// has been merged.
+    pub(crate) fn merge_agreement(
+        &mut self,
+        reported: &ListAgreement,
+        has_list: bool,
+        now: ClockTime,
+    ) {
+        // Without the store's clock it is not known how old the reported list is.
+        if let Some(bounds) = self.clock.bounds(now) {
+            let reported = reported.bounded_by(bounds.most);
+            self.agreement
+                .merge(&reported, has_list, (&self.entries, now));
+        }
+    }
+
     fn merge_evacuations(&mut self, records: &[EvacuationRecord]) {
         let announcement = self.operator().announcement();
         let known = announcement.map(|announcement| announcement.revision);
--- a/src/sync/neighbour_queries.rs
+++ b/src/sync/neighbour_queries.rs
@@ -15,9 +15,10 @@
 use crate::time::{ClockTime, clock_now};
 use crate::transport::ResponseTimeouts;
 
-/// Pause between queries while the store answers (`QUERY_PAUSE`) and while it does not.
+/// Pause between queries while the store answers (`QUERY_PAUSE`) and while it does not, or others do
+/// not count this entry host yet.
 const QUERY_PAUSE: Duration = Duration::from_secs(1);
-const QUERY_PAUSE_CUT_OFF: Duration = Duration::from_millis(250);
+const QUERY_PAUSE_SHORT: Duration = Duration::from_millis(250);
 /// The store counts as unavailable after this time without an answer.
 const STORE_UNAVAILABLE_AFTER: Duration = Duration::from_millis(500);
 const NEIGHBOUR_PACE: ResponseTimeouts = ResponseTimeouts {
@@ -52,8 +53,8 @@
                 self.query(address, location).await;
             }
             let now = clock_now();
-            let pause = if self.is_cut_off(now) {
-                QUERY_PAUSE_CUT_OFF
+            let pause = if self.is_cut_off(now) || self.is_introducing_itself(now) {
+                QUERY_PAUSE_SHORT
             } else {
                 QUERY_PAUSE
             };
@@ -73,6 +74,12 @@
         })
     }
 
+    /// Whether others may not count this entry host yet, because it has just started.
+    fn is_introducing_itself(&self, now: ClockTime) -> bool {
+        now.since(self.started_at) < INTRODUCTION_SPAN
+            && !self.state.read(DeploymentState::is_counted)
+    }
+
     /// Chooses a neighbour at random, half of the time in the same data centre: the links to the
     /// others may be as saturated as the one to the store.
     fn choose_neighbour(&self) -> Option<(SocketAddr, NeighbourLocation)> {
--- a/src/sync/peer_messages.rs
+++ b/src/sync/peer_messages.rs
@@ -8,6 +8,7 @@
 use bytestring::ByteString;
 use macro_rules_attribute::apply;
 
+use super::entry_agreement::ListAgreement;
 use super::evacuations::EvacuationRecord;
 use super::store_clock::ClockBounds;
 use super::target_update_time::TargetUpdateTime;
@@ -70,6 +71,9 @@
     /// The store's revision of the latest evacuation that it knows, or of its end.
     #[serde(default)]
     pub(crate) evacuations_revision: u64,
+    /// Which entry hosts have its list of them; `None` if it is not one of them.
+    #[serde(default)]
+    pub(crate) agreement: Option<ListAgreement>,
     /// The entry host that sends the query; none if another process does.
     #[serde(default)]
     pub(crate) sender: Option<EntryRecord>,
@@ -152,6 +156,10 @@
     pub(crate) backends: Option<(u64, Vec<BackendFacts>)>,
     /// All entry hosts, if there are more, or as many but different ones.
     pub(crate) entries: Vec<EntryRecord>,
+    /// Which entry hosts have the same list of them as the responding process, for another entry
+    /// host.
+    #[serde(default)]
+    pub(crate) agreement: Option<ListAgreement>,
     /// How well the operator's table is known; the rest of the response is as of that revision.
     #[serde(default)]
     pub(crate) operator: Option<OperatorAnnouncement>,
--- a/src/sync/peer_routes.rs
+++ b/src/sync/peer_routes.rs
@@ -60,12 +60,23 @@
     }
 }
 
+/// Merges what the querying entry host knows of the agreement about the list of entry hosts.
+fn merge_agreement(state: &SharedDeploymentState, query: &PeerQuery) {
+    let now = clock_now();
+    if let Some(agreement) = &query.agreement
+        && state.read(|state| state.is_agreement_updated_by(agreement))
+    {
+        state.change(|state| state.merge_agreement(agreement, false, now));
+    }
+}
+
 async fn answer_view(state: SharedDeploymentState, request: Request) -> Response {
     match read_message::<PeerQuery>(request.into_body(), QUERY_BYTES_MAX).await {
         Ok(query) => {
             let sent_at = clock_now();
             merge_targets(&state, &query);
             note_sender(&state, &query);
+            merge_agreement(&state, &query);
             await_urgent_changes(&state, &query).await;
             let now = clock_now();
             let view = state.read(|state| state.answer(&query, now.since(sent_at), now));
--- a/src/sync/snapshot.rs
+++ b/src/sync/snapshot.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use bytestring::ByteString;
 
+use super::entry_agreement::EntrySharing;
 use super::peer_messages::EntryRecord;
 use super::store_clock::StoreClock;
 use crate::catalog::ServiceCatalog;
@@ -27,8 +28,8 @@
     pub(crate) entries: Arc<Vec<EntryRecord>>,
     /// Digest of their names.
     pub(crate) entries_digest: u64,
-    /// Whether this entry host is known to start for the first time.
-    pub(crate) is_first_start: bool,
+    /// How this entry host shares limits with the others.
+    pub(crate) entry_sharing: EntrySharing,
     /// The requests that were running on backend servers that crashed.
     pub(crate) crashes: Arc<CrashLedger>,
     /// The store's clock.
--- a/src/sync/store_watch.rs
+++ b/src/sync/store_watch.rs
@@ -140,13 +140,12 @@
         let view = self.read_table(TableName::System).await?;
         let own = OwnRows::of(&view);
         let is_entered = own.entries.contains(&self.own_entry);
-        if !self.state.read(DeploymentState::knows_first_start) {
-            let host = &self.own_entry.host;
-            let is_registered = own.entries.iter().any(|entry| entry.host == *host);
-            self.state
-                .change(|state| state.note_registration(is_registered));
-        }
+        let host = &self.own_entry.host;
+        let is_registered = own.entries.iter().any(|entry| entry.host == *host);
         self.take_own_rows(own, view.store_time);
+        let now = clock_now();
+        self.state
+            .change(|state| state.note_entry_table(is_registered, view.store_time, now));
         Ok(is_entered)
     }
 
@@ -328,7 +327,7 @@
     /// Registers this entry host in the store, and reads the other entry hosts.
     pub(crate) async fn follow_entries(self) {
         let mut backoff = RetryBackoff::default();
-        let mut is_entered = false;
+        let mut is_entered = None;
         loop {
             let followed = self.entries_step(&mut is_entered).await;
             self.note_outcome(&followed, &mut backoff).await;
@@ -341,12 +340,16 @@
         }
     }
 
-    async fn entries_step(&self, is_entered: &mut bool) -> SwitchResult<()> {
-        if !*is_entered {
-            if !self.state.read(DeploymentState::knows_first_start) && self.read_own_rows().await? {
-                *is_entered = true;
+    /// Reads the entry hosts, and registers this one if it is not among them. `is_entered` tells
+    /// whether it was at the last read, if there was one.
+    async fn entries_step(&self, is_entered: &mut Option<bool>) -> SwitchResult<()> {
+        if is_entered.is_none() {
+            *is_entered = Some(self.read_own_rows().await?);
+            if *is_entered == Some(true) {
                 return Ok(());
             }
+        }
+        if *is_entered == Some(false) {
             let text = serde_json::to_vec(&self.own_entry).unwrap_or_default();
             let written = self.store.write_row(
                 TableName::System,
@@ -357,7 +360,7 @@
             written.await?;
         }
         // The store loses the row if it returns from a copy that was taken before.
-        *is_entered = self.read_own_rows().await?;
+        *is_entered = Some(self.read_own_rows().await?);
         Ok(())
     }
 
--- a/src/sync/sync_thread.rs
+++ b/src/sync/sync_thread.rs
@@ -50,6 +50,7 @@
     state: SharedDeploymentState,
     drain: DrainState,
 ) {
+    state.note(|state| state.set_own_host(settings.own_entry.host.clone()));
     let client = Arc::new(PeerClient::new(ClientLimits::default()));
     let watch = StoreWatch {
         store: StoreClient::new(settings.store_address, client.clone()),
--- a/src/sync/tests/entry_lists.rs
+++ b/src/sync/tests/entry_lists.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use super::{START, at_once, new_state};
-use crate::sync::SharedDeploymentState;
 use crate::sync::peer_messages::EntryRecord;
+use crate::sync::{DeploymentState, SharedDeploymentState};
 
 fn record(host: &str) -> EntryRecord {
     let address = SocketAddr::from(([10, 0, 0, 1], 1000));
@@ -25,7 +25,7 @@
 }
 
 fn query(from: &SharedDeploymentState, to: &SharedDeploymentState) {
-    let query = from.read(|state| state.entry_query());
+    let query = from.read(DeploymentState::entry_query);
     let view = to.read(|state| state.answer(&query, Duration::ZERO, START));
     from.change(|state| state.merge(view, at_once(START)));
 }
--- a/src/sync/tests/messages.rs
+++ b/src/sync/tests/messages.rs
@@ -143,6 +143,7 @@
         backends_revision: u64::MAX,
         entries: usize::MAX,
         entries_digest: Some(u64::MAX),
+        agreement: None,
         wait_ms: u64::MAX,
         follows: true,
         backends_digest: Some(u64::MAX),
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -20,7 +20,7 @@
     DeploymentSnapshot, DeploymentState, EntryRecord, OwnRows, SharedDeploymentState, SyncSettings,
     TargetUpdateTime,
 };
-use crate::time::ClockTime;
+use crate::time::{ClockTime, clock_now};
 use crate::transport::{ClientLimits, PeerClient};
 
 const WAIT_MAX: Duration = Duration::from_secs(10);
@@ -388,20 +388,22 @@
 
 /// Guards against a restarted entry host that spends retries which its earlier process has spent.
 #[tokio::test]
-async fn an_entry_host_that_restarts_knows_of_its_earlier_process() {
+async fn an_entry_host_that_restarts_is_counted_anew() {
     let store = FakeStore::start().await;
+    let first_started_at = clock_now();
     let first = EntryProcess::start("e", &store);
-    first.wait_for(|snapshot| snapshot.is_first_start).await;
-    let registered = async {
-        while store.text_of(TableName::System, "e").is_none() {
-            sleep(Duration::from_millis(5)).await;
-        }
-    };
-    let waited = timeout(WAIT_MAX, registered).await;
-    waited.expect("the entry host is registered");
+    let counted = |snapshot: &DeploymentSnapshot| snapshot.entry_sharing.counted_since.is_some();
+    let counted_at_first = first.wait_for(counted).await.entry_sharing.counted_since;
     first.stop_abruptly();
+    let restarted_at = clock_now();
     let second = EntryProcess::start("e", &store);
-    let known = second.wait_for(|snapshot| !snapshot.entries.is_empty());
-    assert!(!known.await.is_first_start);
+    let snapshot = second.wait_for(counted).await;
+    let sharing = snapshot.entry_sharing;
+    assert_eq!(sharing.entries, 1);
+    assert!(sharing.counted_since >= Some(restarted_at), "{sharing:?}");
+    assert!(
+        counted_at_first < Some(first_started_at),
+        "{counted_at_first:?}"
+    );
     second.stop_abruptly();
 }
--- a/src/sync/tests/retry_shares.rs
+++ b/src/sync/tests/retry_shares.rs
@@ -13,7 +13,7 @@
 use crate::sync::peer_messages::EntryRecord;
 use crate::sync::store_clock::ClockBounds;
 use crate::sync::target_update_time::FollowState;
-use crate::sync::{PeerView, SharedDeploymentState};
+use crate::sync::{DeploymentState, PeerView, SharedDeploymentState};
 use crate::test_support::{run_cases, worst_budget_excess};
 use crate::time::ClockTime;
 
@@ -39,9 +39,10 @@
 /// Pause between two reads of the entry hosts, and after a failed one.
 const READ_PAUSE: Duration = Duration::from_secs(10);
 const READ_RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between two queries of neighbours, and that of an entry host without the store.
+/// Pause between two queries of neighbours, and that of an entry host without the store, or that is
+/// not counted yet.
 const QUERY_PAUSE: Duration = Duration::from_secs(1);
-const QUERY_PAUSE_CUT_OFF: Duration = Duration::from_millis(250);
+const QUERY_PAUSE_SHORT: Duration = Duration::from_millis(250);
 /// How long an entry host names itself in its queries.
 const INTRODUCTION_SPAN: Duration = Duration::from_secs(10);
 
@@ -82,7 +83,6 @@
     state: SharedDeploymentState,
     share: RetryBudgetShare,
     started_at: ClockTime,
-    is_entered: bool,
     next_read_at: ClockTime,
     next_query_at: ClockTime,
     paused_since: Option<ClockTime>,
@@ -105,10 +105,9 @@
         };
         Self {
             state: started_state(&record, now),
-            share: RetryBudgetShare::new(unknown_limits(), now),
+            share: RetryBudgetShare::default(),
             record,
             started_at: now,
-            is_entered: false,
             next_read_at: now,
             next_query_at: now,
             paused_since: None,
@@ -122,9 +121,8 @@
     /// Starts a new process.
     fn restart(&mut self, now: ClockTime) {
         self.state = started_state(&self.record, now);
-        self.share = RetryBudgetShare::new(unknown_limits(), now).after_restart();
+        self.share = RetryBudgetShare::default();
         self.started_at = now;
-        self.is_entered = false;
         self.next_read_at = now;
         self.next_query_at = now;
         self.pending.clear();
@@ -135,17 +133,19 @@
         now < self.paused_until
     }
 
-    fn limits(&self, extra: f64) -> RetryShareLimits {
+    fn limits(&self, extra: f64, now: ClockTime) -> RetryShareLimits {
+        let sharing = self.state.snapshot().load().entry_sharing;
         RetryShareLimits {
             extra,
-            entries: self.state.snapshot().load().entries.len(),
+            entries: sharing.divisor(now),
+            counted_since: sharing.counted_since,
             ..unknown_limits()
         }
     }
 }
 
 /// The state of a process that starts at `now`.
-fn started_state(_record: &EntryRecord, now: ClockTime) -> SharedDeploymentState {
+fn started_state(record: &EntryRecord, now: ClockTime) -> SharedDeploymentState {
     let state = SharedDeploymentState::default();
     let moment = store_time(now);
     let view = PeerView {
@@ -155,7 +155,10 @@
         }),
         ..PeerView::default()
     };
-    state.change(|state| state.merge(view, at_once(now)));
+    state.change(|state| {
+        state.set_own_host(record.host.clone());
+        state.merge(view, at_once(now));
+    });
     state
 }
 
@@ -166,6 +169,7 @@
         extra: 0.0,
         window: WINDOW,
         entries: 0,
+        counted_since: None,
     }
 }
 
@@ -284,10 +288,12 @@
         }
         if self.hosts[host].next_query_at <= now {
             self.query_neighbour(u, host, now)?;
-            let pause = if self.reaches_store(host, now) {
+            let is_new = now.since(self.hosts[host].started_at) < INTRODUCTION_SPAN;
+            let is_counted = self.hosts[host].state.read(DeploymentState::is_counted);
+            let pause = if self.reaches_store(host, now) && (is_counted || !is_new) {
                 QUERY_PAUSE
             } else {
-                QUERY_PAUSE_CUT_OFF
+                QUERY_PAUSE_SHORT
             };
             let jitter = f64::from(u.int_in_range(75..=125)?) / 100.0;
             self.hosts[host].next_query_at = now + pause.mul_f64(jitter);
@@ -295,26 +301,34 @@
         Ok(())
     }
 
+    /// Reads the table of entry hosts, registers the entry host if it is not there, and reads again.
     fn read_store(&mut self, host: usize, now: ClockTime) {
-        let record = self.hosts[host].record.clone();
-        if !self.hosts[host].is_entered {
-            if !self.rows.iter().any(|row| *row.key == *record.host) {
-                self.rows.push(StoreRow {
-                    key: record.host.to_string(),
-                    revision: self.rows.len() as u64 + 1,
-                    value: Some(serde_json::to_vec(&record).unwrap_or_default().into()),
-                });
-            }
-            self.hosts[host].is_entered = true;
+        let key = self.hosts[host].record.host.clone();
+        self.read_table(host, now);
+        if !self.rows.iter().any(|row| *row.key == *key) {
+            let value = serde_json::to_vec(&self.hosts[host].record);
+            self.rows.push(StoreRow {
+                key: key.to_string(),
+                revision: self.rows.len() as u64 + 1,
+                value: Some(value.unwrap_or_default().into()),
+            });
+            self.read_table(host, now);
         }
+    }
+
+    fn read_table(&mut self, host: usize, now: ClockTime) {
+        let host = &self.hosts[host];
+        let is_registered = self.rows.iter().any(|row| *row.key == *host.record.host);
         let view = TableView {
             rows: self.rows.clone(),
             revision: self.rows.len() as u64 + 1,
             store_time: store_time(now),
         };
         let set_at = found_at(FollowState::Started, now);
-        let state = &self.hosts[host].state;
-        state.change(|state| state.take_own_rows(OwnRows::of(&view), set_at));
+        host.state.change(|state| {
+            state.take_own_rows(OwnRows::of(&view), set_at);
+            state.note_entry_table(is_registered, view.store_time, now);
+        });
     }
 
     fn query_neighbour(
@@ -337,7 +351,7 @@
         if !self.reaches(host, other, now) {
             return Ok(());
         }
-        let mut query = self.hosts[host].state.read(|state| state.entry_query());
+        let mut query = self.hosts[host].state.read(DeploymentState::entry_query);
         if now.since(self.hosts[host].started_at) < INTRODUCTION_SPAN {
             query.sender = Some(own);
         }
@@ -345,6 +359,9 @@
         if let Some(sender) = &query.sender {
             asked.change(|state| state.add_entries(vec![sender.clone()]));
         }
+        if let Some(agreement) = &query.agreement {
+            asked.change(|state| state.merge_agreement(agreement, false, now));
+        }
         let view = asked.read(|state| state.answer(&query, Duration::ZERO, now));
         let state = &self.hosts[host].state;
         state.change(|state| state.merge(view, at_once(now)));
@@ -361,7 +378,7 @@
         now: ClockTime,
     ) -> Result<()> {
         for client in 0..CLIENTS {
-            if (step + client) % REQUEST_STEPS != 0 {
+            if !(step + client).is_multiple_of(REQUEST_STEPS) {
                 continue;
             }
             let mut home = self.homes[client];
@@ -416,7 +433,7 @@
     is_failing: bool,
     now: ClockTime,
 ) -> Result<()> {
-    let limits = host.limits(extra);
+    let limits = host.limits(extra, now);
     host.share.credit(limits, now);
     if !is_failing {
         return Ok(());
