Begin a send within 250 ms after it was charged, or charge it anew

A process that stood still after it had charged a send to the retry budget made the send when it ran again, seconds later, in a window that did not count it. Cause: the charge is checked before the connection is opened, and not again. Now a charged send that does not begin in time is not made; the request goes on like after any send that never left, and is charged anew.

The test of the gateway fails without the limit.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -32,4 +32,4 @@
 pub(crate) use pick::{EngineWork, PickRequirements, VersionRequirement};
 pub(crate) use pick_refusal::PickRefusal;
 pub(crate) use request_limit::{LimitAnnouncement, is_valid_rate};
-pub(crate) use retry_budget_share::{RetryBudgetShare, RetryShareLimits};
+pub(crate) use retry_budget_share::{RetryBudgetShare, RetryShareLimits, SEND_BEGIN_SPAN};
--- a/src/fleet/retry_budget_share.rs
+++ b/src/fleet/retry_budget_share.rs
@@ -27,9 +27,11 @@
 const EARLIER_WEIGHT: f64 = 1.0 - WINDOW_WEIGHT;
 /// Number of time slices in a window.
 const WINDOW_SLICES: u64 = 50;
-/// Number of slices within which sends arrive after they were charged. A connection opens within
-/// 150 ms.
+/// Number of slices within which sends arrive after they were charged.
 const ARRIVAL_SLICES: u64 = 2;
+/// How long after it was charged a send may begin. A connection opens within 150 ms; what is left of
+/// the arrival slices is for the way to the backend server.
+pub(crate) const SEND_BEGIN_SPAN: Duration = Duration::from_millis(250);
 
 /// The retry budget of all entry hosts together.
 #[apply(plain!)]
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -144,8 +144,8 @@
     } = chosen;
     let gateway = state.gateway.clone();
     let job = state.job.clone();
-    state.note_send(ticket.key);
     let wait = state.head_wait(cancel_at, clock_now());
+    state.note_send(ticket.key);
     async move { send_attempt(&gateway, &job, ticket, (&version, last_event), wait).await }
 }
 
--- a/src/gateway/forward_state.rs
+++ b/src/gateway/forward_state.rs
@@ -11,7 +11,7 @@
 use super::retry_denial::RetryDenial;
 use super::send_attempt::{HeadWait, SendFailure};
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
-use crate::fleet::{BackendKey, CallOutcome, PickRefusal};
+use crate::fleet::{BackendKey, CallOutcome, PickRefusal, SEND_BEGIN_SPAN};
 use crate::overload::{retry_delay, retry_delay_after};
 use crate::time::{ClockTime, clock_now};
 
@@ -126,6 +126,12 @@
         self.used_charges.extend(self.next_charge.take());
     }
 
+    /// Returns when the next send has to begin at the latest, if it uses the retry budget.
+    fn begin_by(&self) -> Option<ClockTime> {
+        let charge = self.next_charge?;
+        Some(charge.claimed_at + SEND_BEGIN_SPAN)
+    }
+
     /// Returns the number of sends that reached a backend server or are in transit.
     fn delivered_sends(&self) -> u32 {
         let sends = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
@@ -314,11 +320,12 @@
             .with_retry_after(delay)
     }
 
-    /// Returns how long to wait for the next response head, if the request is cancelled at
-    /// `cancel_at`.
+    /// Returns how long to wait for the response head of the next send, if the request is cancelled
+    /// at `cancel_at`.
     pub(super) fn head_wait(&self, cancel_at: Option<ClockTime>, now: ClockTime) -> HeadWait {
         let wait = HeadWait {
             until: now + self.client_wait_left(now),
+            begin_by: self.begin_by(),
             timeout_end: CallOutcome::Failed,
         };
         wait.cancelled_by(cancel_at)
--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct HeadWait {
     pub(super) until: ClockTime,
+    /// When a send that uses the retry budget has to begin at the latest.
+    pub(super) begin_by: Option<ClockTime>,
     /// How the call ends for the backend server if there is no response head in time.
     pub(super) timeout_end: CallOutcome,
 }
@@ -54,6 +56,7 @@
             Some(until) if until < self.until => Self {
                 until,
                 timeout_end: CallOutcome::Inconclusive,
+                ..self
             },
             _ => self,
         }
@@ -61,14 +64,15 @@
 
     /// Returns whether it is too late to send the request at `now`. A request that would be
     /// cancelled at a previous version before it can get there would only arrive after the deadline
-    /// of the target version.
+    /// of the target version. One that was charged before this process stood still would arrive in a
+    /// window of the retry budget that does not count it.
     fn is_too_late(self, now: ClockTime) -> bool {
         let connect_time = if self.timeout_end == CallOutcome::Inconclusive {
             CONNECT_TIMEOUT
         } else {
             Duration::ZERO
         };
-        self.until <= now + connect_time
+        self.until <= now + connect_time || self.begin_by.is_some_and(|by| by < now)
     }
 }
 
--- a/src/gateway/tests/cancelled_requests.rs
+++ b/src/gateway/tests/cancelled_requests.rs
@@ -32,6 +32,7 @@
     let ticket = entry.gateway.registry.pick(&requirements, now);
     let wait = HeadWait {
         until,
+        begin_by: None,
         timeout_end: CallOutcome::Inconclusive,
     };
     let job = job_of(kind, now);
@@ -128,6 +129,7 @@
         .expect("a slot is free");
     let wait = HeadWait {
         until: now + Duration::from_secs(5),
+        begin_by: None,
         timeout_end: CallOutcome::Failed,
     };
     let sending = tokio::spawn(async move {
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -105,6 +105,7 @@
     evacuate(&entry, &["here"]);
     let wait = HeadWait {
         until: now + Duration::from_secs(1),
+        begin_by: None,
         timeout_end: crate::fleet::CallOutcome::Failed,
     };
     let sent = send_attempt(
--- a/src/gateway/tests/retry_charges.rs
+++ b/src/gateway/tests/retry_charges.rs
@@ -2,16 +2,20 @@
 
 use std::sync::Arc;
 
+use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend};
 use super::{BOUNDS, any_backend_of_desk, job_of, new_gateway, only_entry_host};
 use crate::errors::ErrorKind;
-use crate::fleet::{BackendFacts, BackendKey, BackendPhase, EngineHoldings, FleetView};
+use crate::fleet::{
+    BackendFacts, BackendKey, BackendPhase, EngineHoldings, FleetView, SEND_BEGIN_SPAN,
+    VersionRequirement,
+};
 use crate::gateway::forward_state::ForwardState;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::retry_budgets::ResendReason;
-use crate::gateway::send_attempt::SendFailure;
+use crate::gateway::send_attempt::{SendFailure, send_attempt};
 use crate::platform::PlatformBounds;
 use crate::sync::{DeploymentSnapshot, SharedSnapshot};
-use crate::time::ClockTime;
+use crate::time::{ClockTime, clock_now};
 
 const NOW: ClockTime = ClockTime::from_millis(50_000);
 /// A budget of which requests add nothing.
@@ -101,3 +105,28 @@
     state.refund_retry(NOW);
     assert_eq!(retries_left(&gateway), all);
 }
+
+/// Guards against sends of a process that stood still after it charged them, which arrive in a later
+/// window of the budget that does not count them.
+#[tokio::test]
+async fn a_send_that_was_charged_before_a_stall_is_not_made() {
+    let backend = FakeBackend::start(BackendBehaviour::Complete).await;
+    let entry = EntryFixture::start(&[&backend]).await;
+    let now = clock_now();
+    entry.gateway.snapshot(now);
+    let mut state = ForwardState::new(entry.gateway.clone(), job_of("resumed", now));
+    let claimed = state.claim_resend(ResendReason::StreamPaused, now - SEND_BEGIN_SPAN * 2);
+    claimed.expect("a retry is left");
+    let wait = state.head_wait(None, now);
+    let ticket = entry.gateway.registry.pick(&any_backend_of_desk(), now);
+    let sent = send_attempt(
+        &entry.gateway,
+        &state.job,
+        ticket.expect("a slot is free"),
+        (&VersionRequirement::None, None),
+        wait,
+    );
+    let failure = sent.await.err().expect("the request is not sent");
+    assert!(!failure.has_arrived && !failure.may_have_run, "{failure:?}");
+    assert_eq!(backend.arrivals(), 0);
+}
--- a/src/sync/tests/retry_shares.rs
+++ b/src/sync/tests/retry_shares.rs
@@ -7,7 +7,7 @@
 use arbtest::arbitrary::{Result, Unstructured};
 
 use super::{at_once, found_at, store_time};
-use crate::fleet::{RetryBudgetShare, RetryShareLimits};
+use crate::fleet::{RetryBudgetShare, RetryShareLimits, SEND_BEGIN_SPAN};
 use crate::platform::{StoreRow, TableView};
 use crate::sync::own_rows::OwnRows;
 use crate::sync::peer_messages::EntryRecord;
@@ -73,6 +73,7 @@
 /// A send that was charged and not yet written.
 #[derive(Clone, Copy, Debug)]
 struct PendingSend {
+    claimed_at: ClockTime,
     /// When its connection is open.
     write_at: ClockTime,
 }
@@ -413,7 +414,18 @@
             take_request(u, host, extra, is_failing, now)?;
         }
         let due = host.pending.extract_if(.., |send| send.write_at <= now);
-        for _ in due.collect::<Vec<_>>() {
+        let limits = host.state.snapshot().load().entry_sharing;
+        let limits = RetryShareLimits {
+            extra,
+            entries: limits.divisor(now),
+            counted_since: limits.counted_since,
+            ..unknown_limits()
+        };
+        for send in due.collect::<Vec<_>>() {
+            let is_in_time = now <= send.claimed_at + SEND_BEGIN_SPAN;
+            if !is_in_time && !host.share.try_move(limits, send.claimed_at, now) {
+                continue;
+            }
             let delay = Duration::from_millis(u.int_in_range(0..=ARRIVAL_DELAY_MS)?);
             self.arrivals.push(now + delay);
         }
@@ -441,6 +453,7 @@
     for _ in 0..2 {
         if host.share.try_spend(limits, now) {
             host.pending.push(PendingSend {
+                claimed_at: now,
                 write_at: now + Duration::from_millis(u.int_in_range(0..=CONNECT_MS)?),
             });
         }
