Let no entry host count as new that may have had a part of a limit before

Entry hosts that all start for the first time have their parts of the fixed number of retries at once. Whether one had a part before was taken from whether all entry hosts had agreed on a list; one that is counted 22 s after its registration, because another is silent, had a part all the same and told an entry host that was added later that it was new. Found by reading. The test failed before, and passes.

--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -9,7 +9,7 @@
 use bytestring::ByteString;
 
 use super::backend_list::{BackendList, LAPSE_GRACE};
-use super::entry_agreement::{AgreementState, entries_digest};
+use super::entry_agreement::AgreementState;
 use super::evacuations::EvacuationList;
 use super::events;
 use super::operator_status::OperatorStatus;
@@ -109,8 +109,8 @@
     }
 
     /// Digest of the names of the entry hosts; 0 if there are none.
-    pub(crate) fn entries_digest(&self) -> u64 {
-        entries_digest(&self.entries)
+    pub(crate) const fn entries_digest(&self) -> u64 {
+        self.agreement.list_digest()
     }
 
     /// Records that the store answered.
--- a/src/sync/entry_agreement.rs
+++ b/src/sync/entry_agreement.rs
@@ -27,7 +27,7 @@
 const COUNTED_AFTER: Duration = LIST_VALID_SPAN.saturating_add(Duration::from_secs(2));
 
 /// Digest of the names of entry hosts; 0 if there are none.
-pub(super) fn entries_digest(entries: &[EntryRecord]) -> u64 {
+fn entries_digest(entries: &[EntryRecord]) -> u64 {
     let hashes = entries.iter().map(|entry| name_hash(&entry.host));
     hashes.fold(0, std::ops::BitXor::bitxor)
 }
@@ -140,8 +140,10 @@
     agreement: ListAgreement,
     /// Whether the store did not list it when it first read the store; `None` before.
     is_first_start: Option<bool>,
-    /// When the store first listed it, on the store's clock.
-    registered_at: Option<StoreTime>,
+    /// When the store first listed it, on the store's clock, and when this process heard of it.
+    registered_at: Option<(StoreTime, ClockTime)>,
+    /// Whether it may have had a part of a limit with any list.
+    had_part: bool,
     /// Since when all entry hosts of a list are known to have it.
     agreed_at: Option<ClockTime>,
     /// Whether none of them had a part of any limit before.
@@ -153,6 +155,11 @@
         self.own_host = Some(host);
     }
 
+    /// Digest of the list; 0 if it is empty.
+    pub(super) const fn list_digest(&self) -> u64 {
+        self.agreement.digest
+    }
+
     /// What it tells the others.
     pub(super) fn agreement(&self) -> &ListAgreement {
         &self.agreement
@@ -183,7 +190,7 @@
     fn add_itself(&mut self, entries: &[EntryRecord]) {
         if let Some(index) = self.own_index(entries) {
             self.agreement.holders.insert(index);
-            if self.is_first_start == Some(true) && self.agreed_at.is_none() {
+            if self.is_first_start == Some(true) && !self.had_part {
                 self.agreement.first_holders.insert(index);
             }
         }
@@ -204,7 +211,7 @@
             self.add_itself(entries);
         }
         if is_registered {
-            self.registered_at.get_or_insert(answered_at);
+            self.registered_at.get_or_insert((answered_at, now));
         }
         self.check(entries, now);
     }
@@ -237,13 +244,16 @@
         self.registered_at = None;
     }
 
-    /// Checks whether all entry hosts have the list.
+    /// Checks whether all entry hosts have the list, or will count this one anyway.
     fn check(&mut self, entries: &[EntryRecord], now: ClockTime) {
         let count = entries.len();
+        let is_old = |(_, at): (StoreTime, ClockTime)| now.since(at) >= LIST_VALID_SPAN;
+        self.had_part |= self.registered_at.is_some_and(is_old);
         if self.own_index(entries).is_none() || !self.agreement.holders.is_full(count) {
             return;
         }
         self.agreed_at.get_or_insert(now);
+        self.had_part = true;
         self.is_founder |=
             self.is_first_start == Some(true) && self.agreement.first_holders.is_full(count);
     }
@@ -254,7 +264,7 @@
             return EntrySharing::default();
         };
         let registered_at = self.registered_at.filter(|_| clock.is_known());
-        let counted_at = registered_at.map(|at| clock.earliest(at) + COUNTED_AFTER);
+        let counted_at = registered_at.map(|(at, _)| clock.earliest(at) + COUNTED_AFTER);
         EntrySharing {
             entries: entries.len(),
             counted_since: match (self.agreed_at, counted_at) {
--- a/src/sync/tests/entry_lists.rs
+++ b/src/sync/tests/entry_lists.rs
@@ -26,12 +26,17 @@
 }
 
 fn query(from: &SharedDeploymentState, to: &SharedDeploymentState) {
+    query_at(from, to, START);
+}
+
+/// Lets `from` query `to` at `now`.
+fn query_at(from: &SharedDeploymentState, to: &SharedDeploymentState, now: ClockTime) {
     let query = from.read(DeploymentState::entry_query);
     if let Some(agreement) = &query.agreement {
-        to.change(|state| state.merge_agreement(agreement, false, START));
+        to.change(|state| state.merge_agreement(agreement, false, now));
     }
-    let view = to.read(|state| state.answer(&query, Duration::ZERO, START));
-    from.change(|state| state.merge(view, at_once(START)));
+    let view = to.read(|state| state.answer(&query, Duration::ZERO, now));
+    from.change(|state| state.merge(view, at_once(now)));
 }
 
 /// Guards against entry hosts that know equally many but different others and do not tell each
@@ -132,3 +137,25 @@
     incomplete.change(|state| state.add_entries(vec![record("e1"), record("e2")]));
     assert_eq!(sharing(&incomplete).divisor(START), 0);
 }
+
+/// Guards against an entry host that has its part at once because all others seem to be new, although
+/// one of them had a part while another did not answer.
+#[test]
+fn an_entry_host_that_had_a_part_is_no_founder() {
+    let hosts = ["e1", "e2", "e3"];
+    let states = hosts.map(started_state);
+    read_table(&states[0], "e1", &[], START);
+    read_table(&states[0], "e1", &["e1", "e2"], START);
+    let later = START + Duration::from_secs(40);
+    read_table(&states[0], "e1", &["e1", "e2"], later);
+    assert!(sharing(&states[0]).counted_since < Some(later));
+    for at in [1, 2] {
+        read_table(&states[at], hosts[at], &[], later);
+        read_table(&states[at], hosts[at], &hosts, later);
+    }
+    for (from, to) in [(0, 1), (1, 2), (2, 0), (0, 1), (1, 2)] {
+        query_at(&states[from], &states[to], later);
+    }
+    assert_eq!(sharing(&states[2]).divisor(later), 3);
+    assert_eq!(sharing(&states[2]).counted_since, Some(later));
+}
