--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -407,7 +407,7 @@
         now: ClockTime,
     ) {
         self.agreement
-            .note_table(&self.entries, is_registered, (answered_at, now));
+            .note_table(&self.entries, is_registered, answered_at, now);
     }
 
     /// Whether all other entry hosts are known to count this one.
--- a/src/sync/entry_agreement.rs
+++ b/src/sync/entry_agreement.rs
@@ -4,9 +4,12 @@
 //! An entry host that divides such a limit by the number of entry hosts in its list relies on the
 //! others to count it as well. Entry hosts therefore tell each other which of them have the same
 //! list. Once all entry hosts of a list have it, each of them is counted by all others, because lists
-//! only grow. Some may not answer, or may be cut off. One that is registered in the store is counted
-//! by all whose lists are still valid after a while; a list that has not been known to be complete
-//! for a shorter while counts as half of one.
+//! only grow.
+//!
+//! Some may not answer, or may be cut off. A list is therefore valid only for a while after it was
+//! known to be complete, and an entry host that the store has listed for longer than that is in all
+//! valid lists. One whose list is no longer valid allows for as many unknown entry hosts as known
+//! ones.
 
 use std::time::Duration;
 
@@ -146,7 +149,7 @@
     had_part: bool,
     /// Since when all entry hosts of a list are known to have it.
     agreed_at: Option<ClockTime>,
-    /// Whether none of them had a part of any limit before.
+    /// Whether none of these had a part of any limit before.
     is_founder: bool,
 }
 
@@ -202,7 +205,8 @@
         &mut self,
         entries: &[EntryRecord],
         is_registered: bool,
-        (answered_at, now): (StoreTime, ClockTime),
+        answered_at: StoreTime,
+        now: ClockTime,
     ) {
         let complete_at = self.agreement.complete_at.max(Some(answered_at));
         self.agreement.complete_at = complete_at;
@@ -222,13 +226,14 @@
         known.digest == reported.digest && known.merge(reported)
     }
 
-    /// Merges what another entry host reports. `entries` is the list of this one. `is_contained`
-    /// states that it contains the other's list.
+    /// Merges what another entry host reports. `entries` is the list of this one, and contains the
+    /// other's if `is_contained`.
     pub(super) fn merge(
         &mut self,
         reported: &ListAgreement,
         is_contained: bool,
-        (entries, now): (&[EntryRecord], ClockTime),
+        entries: &[EntryRecord],
+        now: ClockTime,
     ) {
         if self.agreement.digest == reported.digest {
             self.agreement.merge(reported);
--- a/src/sync/neighbour_exchange.rs
+++ b/src/sync/neighbour_exchange.rs
@@ -174,7 +174,7 @@
         if let Some(bounds) = self.clock.bounds(now) {
             let reported = reported.bounded_by(bounds.most);
             self.agreement
-                .merge(&reported, has_list, (&self.entries, now));
+                .merge(&reported, has_list, &self.entries, now);
         }
     }
 
--- a/src/sync/tests/retry_shares.rs
+++ b/src/sync/tests/retry_shares.rs
@@ -6,15 +6,14 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 
-use super::{at_once, found_at, store_time};
+use super::{at_once, found_at, set_clock, store_time};
 use crate::daemon::{CHECK_INTERVAL, StallClock};
 use crate::fleet::{RetryBudgetShare, RetryShareLimits, SEND_BEGIN_SPAN};
 use crate::platform::{StoreRow, TableView};
 use crate::sync::own_rows::OwnRows;
 use crate::sync::peer_messages::EntryRecord;
-use crate::sync::store_clock::ClockBounds;
 use crate::sync::target_update_time::FollowState;
-use crate::sync::{DeploymentState, PeerView, SharedDeploymentState};
+use crate::sync::{DeploymentState, SharedDeploymentState};
 use crate::test_support::{run_cases, worst_budget_excess};
 use crate::time::ClockTime;
 
@@ -154,18 +153,8 @@
 /// The state of a process that starts at `now`.
 fn started_state(record: &EntryRecord, now: ClockTime) -> SharedDeploymentState {
     let state = SharedDeploymentState::default();
-    let moment = store_time(now);
-    let view = PeerView {
-        clock: Some(ClockBounds {
-            least: moment,
-            most: moment,
-        }),
-        ..PeerView::default()
-    };
-    state.change(|state| {
-        state.set_own_host(record.host.clone());
-        state.merge(view, at_once(now));
-    });
+    set_clock(&state, now);
+    state.change(|state| state.set_own_host(record.host.clone()));
     state
 }
 
@@ -423,14 +412,8 @@
             host.stalls.check(now);
             host.next_check_at = now + CHECK_INTERVAL;
         }
+        let limits = host.limits(extra, now);
         let due = host.pending.extract_if(.., |send| send.write_at <= now);
-        let limits = host.state.snapshot().load().entry_sharing;
-        let limits = RetryShareLimits {
-            extra,
-            entries: limits.divisor(now),
-            counted_since: limits.counted_since,
-            ..unknown_limits()
-        };
         for send in due.collect::<Vec<_>>() {
             let is_in_time = now <= send.claimed_at + SEND_BEGIN_SPAN;
             if !is_in_time && !host.share.try_move(limits, send.claimed_at, now) {
