Let entry hosts count as new until they have spent a retry, not until they are counted

Callers of entry hosts that start one after the other lost requests that a retry would have saved: the first one agrees with itself at once, and those behind it waited for a window for their parts of the fixed number, although nobody had spent any. Cause: an entry host counted as new only until it was counted. What matters is whether it has spent a retry, which request handling tells now.

--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,5 +1,6 @@
 //! State that all requests of an entry host share.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -347,7 +348,12 @@
         now: ClockTime,
     ) -> Option<RetryCharge> {
         let limits = self.retry_limits(now);
-        self.retry_budgets.try_charge(service, reason, limits, now)
+        let charge = self.retry_budgets.try_charge(service, reason, limits, now);
+        if charge.is_some() {
+            let snapshot = self.snapshot.load();
+            snapshot.has_spent.store(true, Ordering::Relaxed);
+        }
+        charge
     }
 
     /// Takes a retry at `now` instead of `charge`, if one is left; otherwise returns `charge` to the
--- a/src/sync/deployment_state.rs
+++ b/src/sync/deployment_state.rs
@@ -468,6 +468,7 @@
             entries: Arc::new(self.entries.clone()),
             entries_digest: self.entries_digest(),
             entry_sharing: self.agreement.sharing(&self.entries, &self.clock),
+            has_spent: self.agreement.has_spent(),
             crashes: self.crashes.clone(),
             clock: self.clock,
             evacuated: Arc::new(self.evacuations.active()),
--- a/src/sync/entry_agreement.rs
+++ b/src/sync/entry_agreement.rs
@@ -11,6 +11,8 @@
 //! valid lists. One whose list is no longer valid allows for as many unknown entry hosts as known
 //! ones.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytestring::ByteString;
@@ -75,8 +77,8 @@
     digest: u64,
     /// Those that have the list.
     holders: HostBits,
-    /// Those of them that started for the first time and had no part of any limit before they had the
-    /// list.
+    /// Those of them that started for the first time and had spent nothing of their parts before they
+    /// had the list.
     first_holders: HostBits,
     /// When the list was last known to be complete; `None` if it may lack some.
     complete_at: Option<StoreTime>,
@@ -143,13 +145,13 @@
     agreement: ListAgreement,
     /// Whether the store did not list it when it first read the store; `None` before.
     is_first_start: Option<bool>,
-    /// When the store first listed it, on the store's clock, and when this process heard of it.
-    registered_at: Option<(StoreTime, ClockTime)>,
-    /// Whether it may have had a part of a limit with any list.
-    had_part: bool,
+    /// When the store first listed it, on the store's clock.
+    registered_at: Option<StoreTime>,
+    /// Whether this process has spent anything of its parts.
+    has_spent: Arc<AtomicBool>,
     /// Since when all entry hosts of a list are known to have it.
     agreed_at: Option<ClockTime>,
-    /// Whether none of these had a part of any limit before.
+    /// Whether none of these had spent anything of its parts before.
     is_founder: bool,
 }
 
@@ -158,6 +160,11 @@
         self.own_host = Some(host);
     }
 
+    /// The flag by which request handling tells that it has spent something of the parts.
+    pub(super) fn has_spent(&self) -> Arc<AtomicBool> {
+        self.has_spent.clone()
+    }
+
     /// Digest of the list; 0 if it is empty.
     pub(super) const fn list_digest(&self) -> u64 {
         self.agreement.digest
@@ -193,7 +200,7 @@
     fn add_itself(&mut self, entries: &[EntryRecord]) {
         if let Some(index) = self.own_index(entries) {
             self.agreement.holders.insert(index);
-            if self.is_first_start == Some(true) && !self.had_part {
+            if self.is_first_start == Some(true) && !self.has_spent.load(Ordering::Relaxed) {
                 self.agreement.first_holders.insert(index);
             }
         }
@@ -215,7 +222,7 @@
             self.add_itself(entries);
         }
         if is_registered {
-            self.registered_at.get_or_insert((answered_at, now));
+            self.registered_at.get_or_insert(answered_at);
         }
         self.check(entries, now);
     }
@@ -249,16 +256,13 @@
         self.registered_at = None;
     }
 
-    /// Checks whether all entry hosts have the list, or will count this one anyway.
+    /// Checks whether all entry hosts have the list.
     fn check(&mut self, entries: &[EntryRecord], now: ClockTime) {
         let count = entries.len();
-        let is_old = |(_, at): (StoreTime, ClockTime)| now.since(at) >= LIST_VALID_SPAN;
-        self.had_part |= self.registered_at.is_some_and(is_old);
         if self.own_index(entries).is_none() || !self.agreement.holders.is_full(count) {
             return;
         }
         self.agreed_at.get_or_insert(now);
-        self.had_part = true;
         self.is_founder |=
             self.is_first_start == Some(true) && self.agreement.first_holders.is_full(count);
     }
@@ -269,7 +273,7 @@
             return EntrySharing::default();
         };
         let registered_at = self.registered_at.filter(|_| clock.is_known());
-        let counted_at = registered_at.map(|(at, _)| clock.earliest(at) + COUNTED_AFTER);
+        let counted_at = registered_at.map(|at| clock.earliest(at) + COUNTED_AFTER);
         EntrySharing {
             entries: entries.len(),
             counted_since: match (self.agreed_at, counted_at) {
--- a/src/sync/snapshot.rs
+++ b/src/sync/snapshot.rs
@@ -2,6 +2,7 @@
 //! it.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -30,6 +31,8 @@
     pub(crate) entries_digest: u64,
     /// How this entry host shares limits with the others.
     pub(crate) entry_sharing: EntrySharing,
+    /// Set by request handling when it spends something of a limit that is shared.
+    pub(crate) has_spent: Arc<AtomicBool>,
     /// The requests that were running on backend servers that crashed.
     pub(crate) crashes: Arc<CrashLedger>,
     /// The store's clock.
--- a/src/sync/tests/retry_shares.rs
+++ b/src/sync/tests/retry_shares.rs
@@ -2,6 +2,7 @@
 //! judged together: entry hosts are added, cut off, restarted and paused, and clients move.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
@@ -445,6 +446,8 @@
     }
     for _ in 0..2 {
         if host.share.try_spend(limits, now) {
+            let snapshot = host.state.snapshot().load();
+            snapshot.has_spent.store(true, Ordering::Relaxed);
             host.pending.push(PendingSend {
                 claimed_at: now,
                 write_at: now + Duration::from_millis(u.int_in_range(0..=CONNECT_MS)?),
