Verify each load of weights once its order is accepted

What callers saw: tokens made with corrupt weights by engines that nobody suspected.

Cause: a load was trusted for what had happened before it. An order sent soon after a check was trusted by a clock that stands still while the host is suspended. A load that was in progress when a process started, or that an order of another process had begun, was trusted without any check: a process knew only of its own orders.

Change: an engine takes the staged chunks when it accepts an order, and a corrupt chunk stays corrupt until it is staged again. So the chunks are read back once the order is accepted, in general while the engine loads. Until they are found intact, the engine is reported as loading. The number of accepted orders tells of loads that this process did not send: one that was in progress at its start is read back, one that began later is loaded again, as chunks may have been staged since. Why it works: it relies on no clock, on no process that may have ended, and on no order in which things were expected.

The unit test of what becomes of an order in doubt is replaced: acceptance is judged by the number of orders now, so that the same states are checked for it there.

--- a/src/platform/fake_engine.rs
+++ b/src/platform/fake_engine.rs
@@ -255,6 +255,27 @@
         state.corrupted_at[index] = Some(now);
     }
 
+    /// Accepts an order of another process to load `version`, which is staged but for the corrupt
+    /// chunks `corrupt`. The load takes `load_duration`.
+    #[cfg(test)]
+    pub(crate) fn load_for_other(&self, version: u64, corrupt: &[u32], load_duration: Duration) {
+        let mut state = self.lock();
+        for index in 0..CHUNKS {
+            let bytes = if corrupt.contains(&index) {
+                Bytes::from_static(b"corrupt")
+            } else {
+                chunk_bytes(version, index)
+            };
+            state.staged[index as usize] = Some(bytes);
+            state.corrupted_at[index as usize] = None;
+        }
+        let usual_duration = std::mem::replace(&mut state.load_duration, load_duration);
+        let order = json!({ "version": version, "precondition": state.orders_accepted });
+        let status = state.order(order.to_string().as_bytes(), clock_now());
+        assert_eq!(status, StatusCode::ACCEPTED, "the engine is idle");
+        state.load_duration = usual_duration;
+    }
+
     /// Whether the engine serves requests with a layer that it should not have loaded.
     #[cfg(test)]
     pub(crate) fn serves_bad_layers(&self) -> bool {
--- a/src/replication/engine_monitor.rs
+++ b/src/replication/engine_monitor.rs
@@ -31,8 +31,60 @@
     queried_at: ClockTime,
     /// The incarnation that is about to change its weights.
     loading: Option<EngineIncarnation>,
-    /// An order of which it is unknown whether the engine has loaded corrupt chunks by it.
-    doubtful: Option<OrderNumber>,
+    /// The order that the engine was carrying out at the first report.
+    inherited: Option<OrderNumber>,
+    /// The orders whose loads are verified; none before the first report.
+    verified: Option<VerifiedOrders>,
+}
+
+impl MonitorRecord {
+    /// Notes the orders that the incarnation of `report` had accepted at its first report.
+    fn note_incarnation(&mut self, report: &EngineReport) {
+        let incarnation = self.incarnations.incarnation();
+        if self
+            .verified
+            .is_some_and(|verified| verified.incarnation == incarnation)
+        {
+            return;
+        }
+        let verified =
+            VerifiedOrders::at_first_report(incarnation, report, self.verified.is_some());
+        if report.is_busy && self.verified.is_none() {
+            self.inherited = Some(OrderNumber {
+                incarnation,
+                accepted_before: verified.count,
+            });
+        }
+        self.verified = Some(verified);
+    }
+}
+
+/// The orders of one incarnation whose loads are known to be of intact chunks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct VerifiedOrders {
+    incarnation: EngineIncarnation,
+    /// Their number; the orders behind them are not verified.
+    count: u64,
+}
+
+impl VerifiedOrders {
+    /// At the first report of an incarnation to this process, which is a `successor` if the process
+    /// knew one before.
+    ///
+    /// What an engine serves when the process starts was verified by an earlier process. A load in
+    /// progress was not: the earlier process ended before it.
+    fn at_first_report(
+        incarnation: EngineIncarnation,
+        report: &EngineReport,
+        successor: bool,
+    ) -> Self {
+        let count = match (successor, report.is_busy) {
+            (true, _) => 0,
+            (false, false) => report.orders_accepted,
+            (false, true) => report.orders_accepted.saturating_sub(1),
+        };
+        Self { incarnation, count }
+    }
 }
 
 /// The last known state of the engine, and whether it is about to change its weights.
@@ -86,24 +138,36 @@
         self.changed.notify_one();
     }
 
-    /// Sets the order of which it is unknown whether the engine has loaded corrupt chunks by it, if
-    /// any.
-    pub(super) fn set_doubtful(&self, order: Option<OrderNumber>) {
-        self.lock().doubtful = order;
+    /// Records that the loads of all orders before `next` are of intact chunks.
+    pub(super) fn set_verified(&self, next: OrderNumber) {
+        let verified = VerifiedOrders {
+            incarnation: next.incarnation,
+            count: next.accepted_before,
+        };
+        self.lock().verified = Some(verified);
         self.changed.notify_one();
     }
 
-    /// Whether an engine in `state` may have loaded corrupt chunks.
-    pub(super) fn is_doubtful(&self, state: &EngineState) -> bool {
-        let doubtful = self.lock().doubtful;
-        doubtful.is_some_and(|order| order.was_accepted(state))
+    /// The first order of an engine in `state` whose load is not verified, if it has accepted one.
+    pub(super) fn unverified(&self, state: &EngineState) -> Option<OrderNumber> {
+        let verified = self.lock().verified?;
+        let number = OrderNumber {
+            incarnation: verified.incarnation,
+            accepted_before: verified.count,
+        };
+        number.was_accepted(state).then_some(number)
+    }
+
+    /// Whether the engine was carrying out the order `number` when this process started.
+    pub(super) fn is_inherited(&self, number: OrderNumber) -> bool {
+        self.lock().inherited == Some(number)
     }
 
     /// Whether an engine in `state` takes no new requests, because its weights change or may be
     /// corrupt.
     pub(super) fn is_loading(&self, state: &EngineState) -> bool {
         state.report.is_busy
-            || self.is_doubtful(state)
+            || self.unverified(state).is_some()
             || self.lock().loading == Some(state.incarnation)
     }
 
@@ -134,6 +198,7 @@
                 self.store.forget_engine();
             }
         }
+        record.note_incarnation(&report);
         record.queried_at = queried_at;
         let state = EngineState {
             report,
--- a/src/replication/engine_updater.rs
+++ b/src/replication/engine_updater.rs
@@ -50,7 +50,7 @@
     pub(super) waits: Arc<WaitPublisher>,
     /// How long after a target update the previous versions must be out of service.
     pub(super) weights_deadline: Duration,
-    /// The last order of which it is unknown whether the engine has loaded corrupt chunks by it.
+    /// The last order whose load is not verified.
     pub(super) doubt: Option<OrderDoubt>,
 }
 
@@ -146,14 +146,12 @@
 
     async fn step(&mut self, pending: &mut Option<PendingVersion>) {
         let snapshot = self.deployment_state.snapshot().load();
-        if let Some((_, layers)) = self.identity.model_of(&snapshot) {
-            match self.examine_load(layers).await {
-                Ok(true) => {}
-                Ok(false) => return,
-                Err(error) => {
-                    log_event!(events::LOAD_REFUSED, "{error}");
-                    return;
-                }
+        match self.verify_load().await {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(error) => {
+                log_event!(events::LOAD_UNVERIFIED, "{error}");
+                return;
             }
         }
         let Some(found) = self.find_complete(&snapshot) else {
@@ -260,9 +258,14 @@
             return Ok(LoadOutcome::Unserved);
         }
         self.waits.set_load(Some(HostWait::Load));
+        // The engine takes no requests while it loads, so that this costs them nothing. What does
+        // not succeed here is repeated when it has loaded.
+        if let Err(error) = self.verify_load().await {
+            log_event!(events::LOAD_UNVERIFIED, "{error}");
+        }
         let outcome = self.await_version(run).await;
         if outcome == LoadOutcome::Served {
-            if !self.examine_load(run.layers).await? {
+            if !self.verify_load().await? {
                 return Ok(LoadOutcome::Unserved);
             }
             log_event!(events::VERSION_SERVED, "version={}", run.target.version.0);
--- a/src/replication/events.rs
+++ b/src/replication/events.rs
@@ -54,6 +54,14 @@
     "the engine may have loaded corrupt chunks; it releases them before it serves requests",
 );
 
+pub(crate) const LOAD_UNKNOWN: LogEvent = LogEvent::warn(
+    1324,
+    "the engine has loaded by an order that this process did not send; its staged chunks are checked",
+);
+
+pub(crate) const LOAD_UNVERIFIED: LogEvent =
+    LogEvent::warn(1325, "the verification of a load failed and is repeated");
+
 /// All log events of this module.
 pub(crate) const ALL: &[LogEvent] = &[
     SERVING,
@@ -80,4 +88,6 @@
     STAGING_CHECK_OUTDATED,
     ORDER_UNCONFIRMED,
     LOAD_CORRUPT,
+    LOAD_UNKNOWN,
+    LOAD_UNVERIFIED,
 ];
--- a/src/replication/load_orders.rs
+++ b/src/replication/load_orders.rs
@@ -1,5 +1,5 @@
-//! Orders to the engine to load staged chunks, which were checked shortly before, and the check of
-//! loads whose order may have been accepted long after.
+//! Orders to the engine to load staged chunks, which were checked shortly before, and the
+//! verification of the loads.
 
 use std::time::Duration;
 
@@ -10,10 +10,12 @@
 use super::engine_monitor::EngineState;
 use super::engine_updater::EngineUpdater;
 use super::events;
-use super::order_doubt::{DoubtPhase, OrderDoubt, OrderNumber};
+use super::order_doubt::{LoadPhase, OrderDoubt, OrderNumber};
+use super::version_fetcher::target_version;
 use super::weights_retirement::layer_chunks;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
+use crate::fleet::{EngineHoldings, ModelVersion};
 use crate::platform::{LoadOrder, OrderOutcome};
 use crate::time::{ClockTime, clock_now};
 
@@ -79,8 +81,7 @@
         }
     }
 
-    /// Sends `order` to an incarnation of the engine. Unless the engine answers in time that it has
-    /// accepted or refused it, the order stays in doubt.
+    /// Sends `order` to an incarnation of the engine. Its load is not verified yet.
     ///
     /// # Errors
     ///
@@ -95,102 +96,198 @@
             incarnation,
             accepted_before: order.orders_accepted,
         };
-        let mut doubt = OrderDoubt::new(number, check);
+        let doubt = OrderDoubt::new(number, check);
         let earlier = self.doubt.take();
-        if let Some(earlier) = &earlier {
-            doubt.merge(earlier);
-        }
-        self.set_doubt(Some(doubt));
+        self.doubt = Some(doubt.clone().merge(earlier.as_ref()));
         let outcome = self.engine.order_load(order, ORDER_TIMEOUT).await;
         let now = clock_now();
         match outcome {
-            Ok(OrderOutcome::Started) if check.covers_load(now) => {
-                self.set_doubt(earlier.filter(|earlier| earlier.outlasts(number)));
-            }
-            Ok(OrderOutcome::Refused | OrderOutcome::AlreadyLoaded) => self.set_doubt(earlier),
-            Ok(OrderOutcome::Started) | Err(_) => {
-                let (version, age_ms) = (order.target.version.0, check.age(now).as_millis());
-                log_event!(
-                    events::ORDER_UNCONFIRMED,
-                    "version={version} check_age_ms={age_ms}"
-                );
+            Ok(OrderOutcome::Started) => {
+                let earlier = earlier.filter(|earlier| earlier.outlasts(number));
+                self.doubt = Some(doubt.merge(earlier.as_ref()));
             }
+            Ok(OrderOutcome::Refused | OrderOutcome::AlreadyLoaded) => self.doubt = earlier,
+            Err(_) => {}
+        }
+        let is_confirmed = match outcome {
+            Ok(OrderOutcome::Started) => check.covers_load(now),
+            Ok(OrderOutcome::Refused | OrderOutcome::AlreadyLoaded) => true,
+            Err(_) => false,
+        };
+        if !is_confirmed {
+            let (version, age_ms) = (order.target.version.0, check.age(now).as_millis());
+            log_event!(
+                events::ORDER_UNCONFIRMED,
+                "version={version} check_age_ms={age_ms}"
+            );
         }
         outcome
     }
 
-    /// Records what `check` tells about the order in doubt.
+    /// Records what `check` tells about a load that is not verified.
     pub(super) fn note_check(&mut self, check: &StagingCheck) {
         if let Some(doubt) = &mut self.doubt {
             doubt.note_check(check);
         }
     }
 
-    fn set_doubt(&mut self, doubt: Option<OrderDoubt>) {
-        let number = doubt.as_ref().map(|doubt| doubt.number);
-        self.doubt = doubt;
-        self.monitor.set_doubtful(number);
-    }
-
-    /// Examines the load of an order in doubt: the staged chunks are read back, and if one is
-    /// corrupt, the engine is made to release the version, which is then loaded again. Returns
-    /// whether the engine may serve what it has loaded.
+    /// Verifies the engine's last load: the staged chunks are read back, and if one is corrupt, the
+    /// engine is made to release the version, which is then loaded again. Returns whether chunks may
+    /// be staged and orders sent.
     ///
-    /// A corrupt chunk stays corrupt until it is staged again, so that chunks which are intact after
-    /// a load were intact when the engine accepted its order.
+    /// The engine takes the staged chunks when it accepts an order, and a corrupt chunk stays corrupt
+    /// until it is staged again. So chunks that are intact after that time were loaded intact, however
+    /// long ago they were checked before the order and whatever has delayed it.
     ///
     /// # Errors
     ///
     /// If the engine does not answer.
-    pub(super) async fn examine_load(&mut self, layers: u32) -> SwitchResult<bool> {
-        let Some(mut doubt) = self.doubt.clone() else {
-            return Ok(true);
+    pub(super) async fn verify_load(&mut self) -> SwitchResult<bool> {
+        let Some(known) = self.monitor.state() else {
+            return Ok(false);
         };
+        if self.doubt.is_none() && self.monitor.unverified(&known).is_none() {
+            return Ok(true);
+        }
         let Some(state) = self.monitor.query(ORDER_TIMEOUT).await? else {
             return Ok(false);
         };
-        match doubt.phase(&state) {
-            DoubtPhase::NotAccepted => return Ok(true),
-            DoubtPhase::InProgress => return Ok(false),
-            DoubtPhase::Obsolete => {
-                self.set_doubt(None);
-                return Ok(true);
+        let snapshot = self.deployment_state.snapshot().load();
+        let Some((model, layers)) = self.identity.model_of(&snapshot) else {
+            return Ok(false);
+        };
+        let target = target_version(&snapshot, model);
+        let Some(mut doubt) = self.doubt_about(&state, &target, layers) else {
+            return Ok(!(state.report.is_busy && self.monitor.unverified(&state).is_some()));
+        };
+        let phase = doubt.phase(&state);
+        if phase == LoadPhase::Released {
+            if state.report.holdings == EngineHoldings::default() {
+                self.set_verified(&state);
             }
-            DoubtPhase::Loaded => {}
+            return Ok(true);
+        }
+        if self.store.digests(&doubt.target).is_none() {
+            // Those of an older version are not fetched any more. The engine serves no requests
+            // until it has loaded the target version.
+            return Ok(doubt.target != target);
+        }
+        if !doubt.has_corrupt() || phase == LoadPhase::Loaded {
+            let corrupt = self.store.find_corrupt(&doubt.target, doubt.range.clone());
+            doubt.note_corrupt(&corrupt.await?);
         }
-        let corrupt = self.store.find_corrupt(&doubt.target, doubt.range.clone());
-        doubt.note_corrupt(&corrupt.await?);
         if !doubt.has_corrupt() {
-            self.set_doubt(None);
+            self.set_verified(&state);
             return Ok(true);
         }
         self.doubt = Some(doubt.clone());
-        let complete = state
+        if phase == LoadPhase::InProgress {
+            return Ok(false);
+        }
+        self.release_corrupt(&doubt, &state, (&target, layers))
+            .await
+    }
+
+    /// What is known of the unverified load of the engine in `state`; none if all loads are verified,
+    /// or if it is not known yet what the engine loads.
+    fn doubt_about(
+        &mut self,
+        state: &EngineState,
+        target: &ModelVersion,
+        layers: u32,
+    ) -> Option<OrderDoubt> {
+        let is_current = |doubt: &OrderDoubt| doubt.number.incarnation == state.incarnation;
+        self.doubt = self.doubt.take().filter(is_current);
+        let number = self.monitor.unverified(state)?;
+        let sent = self
+            .doubt
+            .as_ref()
+            .filter(|doubt| doubt.number.was_accepted(state));
+        if sent.is_some() {
+            return sent.cloned();
+        }
+        if state.report.is_busy {
+            return None;
+        }
+        let held = state
             .report
             .holdings
-            .complete_version(&doubt.target.model, layers);
-        if complete == Some(doubt.target.version) {
-            self.release(&doubt, &state, layers).await?;
+            .complete_version(&target.model, layers);
+        let loaded = ModelVersion {
+            model: target.model.clone(),
+            version: held.unwrap_or(target.version),
+        };
+        let Some(digests) = self.store.digests(&loaded) else {
+            return Some(OrderDoubt::of_other_process(
+                number,
+                loaded,
+                0..0,
+                Vec::new(),
+            ));
+        };
+        let count = digests.count();
+        // This process may have staged chunks again since the engine accepted an order while it
+        // was running.
+        let corrupt = if self.monitor.is_inherited(number) {
+            Vec::new()
+        } else {
+            (0..count).collect()
+        };
+        log_event!(
+            events::LOAD_UNKNOWN,
+            "version={} orders={} verified={}",
+            loaded.version.0,
+            state.report.orders_accepted,
+            number.accepted_before
+        );
+        let doubt = OrderDoubt::of_other_process(number, loaded, 0..count, corrupt);
+        self.doubt = Some(doubt.clone());
+        Some(doubt)
+    }
+
+    /// Records that all loads of the engine in `state` are of intact chunks.
+    fn set_verified(&mut self, state: &EngineState) {
+        self.doubt = None;
+        self.monitor.set_verified(OrderNumber {
+            incarnation: state.incarnation,
+            accepted_before: state.report.orders_accepted,
+        });
+    }
+
+    /// Makes the engine in `state` release the corrupt layers of `doubt`, once all chunks are held
+    /// that it needs to load the version again. Returns whether chunks may be staged and orders sent.
+    async fn release_corrupt(
+        &mut self,
+        doubt: &OrderDoubt,
+        state: &EngineState,
+        (target, layers): (&ModelVersion, u32),
+    ) -> SwitchResult<bool> {
+        let held = self.store.held(&doubt.target);
+        if held.is_some_and(|held| held.is_full()) {
+            self.release(doubt, state, layers).await?;
             return Ok(false);
         }
-        // A part of the version serves no requests. It is released once the rest is loaded.
-        Ok(true)
+        // What is missing of the target version is being fetched. A part of it serves no requests.
+        let holdings = &state.report.holdings;
+        let complete = holdings.complete_version(&target.model, layers);
+        Ok(doubt.target != *target || complete != Some(target.version))
     }
 
-    /// Orders an intact layer of the version of `doubt`. The engine then releases all others.
+    /// Orders one layer of the version of `doubt`. The engine then releases all others.
     async fn release(
         &mut self,
         doubt: &OrderDoubt,
         state: &EngineState,
         layers: u32,
     ) -> SwitchResult<()> {
-        let version = doubt.target.version.0;
-        log_event!(events::LOAD_CORRUPT, "version={version}");
-        let count = self
-            .store
-            .digests(&doubt.target)
-            .map_or(0, |digests| digests.count());
+        let digests = self.store.digests(&doubt.target);
+        let count = digests.map_or(0, |digests| digests.count());
         let layer = doubt.intact_layer(count, layers).unwrap_or(0);
+        log_event!(
+            events::LOAD_CORRUPT,
+            "version={} layer={layer}",
+            doubt.target.version.0
+        );
         let chunks = layer_chunks(layer, count, layers);
         let check = self.store.stage_range(&doubt.target, chunks).await?;
         let order = LoadOrder {
@@ -200,8 +297,13 @@
             aborts_requests: true,
         };
         let outcome = self.send_order(&order, state.incarnation, &check).await?;
-        if outcome == OrderOutcome::Started && check.covers_load(clock_now()) {
-            self.set_doubt(None);
+        if outcome == OrderOutcome::Started {
+            let number = OrderNumber {
+                incarnation: state.incarnation,
+                accepted_before: order.orders_accepted,
+            };
+            self.monitor.set_verified(number);
+            self.doubt = Some(OrderDoubt::new(number, &check));
         }
         Ok(())
     }
--- a/src/replication/order_doubt.rs
+++ b/src/replication/order_doubt.rs
@@ -1,5 +1,5 @@
-//! An order that the engine may have accepted too long after the chunks were checked. Until it is
-//! known when the order was accepted, the engine may have loaded chunks that became corrupt.
+//! Loads that are not verified yet. A load is verified once its staged chunks were found intact after
+//! the engine had accepted the order; until then the engine may have loaded corrupt chunks.
 
 use std::ops::Range;
 
@@ -27,20 +27,18 @@
     }
 }
 
-/// What has become of an order in doubt.
+/// What the engine does with an order that it has accepted.
 #[apply(key!)]
-pub(super) enum DoubtPhase {
-    /// The engine has not accepted it.
-    NotAccepted,
-    /// The engine is carrying it out.
+pub(super) enum LoadPhase {
+    /// It is loading, or still has to.
     InProgress,
-    /// The engine has carried it out.
+    /// It has loaded.
     Loaded,
-    /// The engine restarted, or has replaced what it loaded.
-    Obsolete,
+    /// It has released what it loaded.
+    Released,
 }
 
-/// An order whose time of acceptance is unknown.
+/// An order whose load is not verified.
 #[apply(plain!)]
 pub(super) struct OrderDoubt {
     /// The order, or the first of several that may have loaded corrupt chunks.
@@ -63,19 +61,31 @@
         }
     }
 
-    /// What has become of the order by the engine's `state`.
-    pub(super) fn phase(&self, state: &EngineState) -> DoubtPhase {
+    /// The doubt about the load of `target` by an order that this process did not send. Its chunks
+    /// in `range` are corrupt as far as `corrupt` says.
+    pub(super) fn of_other_process(
+        number: OrderNumber,
+        target: ModelVersion,
+        range: Range<u32>,
+        corrupt: Vec<u32>,
+    ) -> Self {
+        Self {
+            number,
+            target,
+            range,
+            corrupt,
+        }
+    }
+
+    /// What the engine does with the accepted order, by its `state`.
+    pub(super) fn phase(&self, state: &EngineState) -> LoadPhase {
         let report = &state.report;
-        if state.incarnation != self.number.incarnation {
-            DoubtPhase::Obsolete
-        } else if !self.number.was_accepted(state) {
-            DoubtPhase::NotAccepted
-        } else if report.is_busy {
-            DoubtPhase::InProgress
+        if report.is_busy {
+            LoadPhase::InProgress
         } else if report.holdings.has_layers_of(self.target.version) {
-            DoubtPhase::Loaded
+            LoadPhase::Loaded
         } else {
-            DoubtPhase::Obsolete
+            LoadPhase::Released
         }
     }
 
@@ -99,13 +109,19 @@
 
     /// Takes over what `earlier` knows of corrupt chunks, if it is about the same version at the
     /// same incarnation. The engine may have loaded them by either order.
-    pub(super) fn merge(&mut self, earlier: &Self) {
-        let is_same =
-            earlier.target == self.target && earlier.number.incarnation == self.number.incarnation;
-        if is_same && earlier.has_corrupt() {
+    #[must_use]
+    pub(super) fn merge(mut self, earlier: Option<&Self>) -> Self {
+        let is_same = |earlier: &&Self| {
+            earlier.target == self.target && earlier.number.incarnation == self.number.incarnation
+        };
+        if let Some(earlier) = earlier
+            .filter(is_same)
+            .filter(|earlier| earlier.has_corrupt())
+        {
             self.note_corrupt(&earlier.corrupt);
             self.number = earlier.number;
         }
+        self
     }
 
     /// Whether the engine may have loaded corrupt chunks.
@@ -113,8 +129,8 @@
         !self.corrupt.is_empty()
     }
 
-    /// Whether it still matters once the order `next` was accepted in time: the engine refuses this
-    /// order from then on, unless it had accepted it before.
+    /// Whether it still matters once the order `next` was accepted: the engine refuses this order
+    /// from then on, unless it had accepted it before.
     pub(super) fn outlasts(&self, next: OrderNumber) -> bool {
         self.has_corrupt() && self.number < next
     }
--- a/src/replication/tests/backend_host.rs
+++ b/src/replication/tests/backend_host.rs
@@ -20,6 +20,7 @@
 use crate::replication::run_backend_host;
 use crate::sync::{EntryRecord, SyncSettings, start_sync};
 use crate::test_support::unused_address;
+use crate::time::test_clock;
 use crate::transport::{ClientLimits, PeerClient};
 use crate::weights::ChunkAnnouncement;
 
@@ -52,7 +53,11 @@
 
     /// Like [`Self::start`], with the entry hosts `entries` in the store.
     pub(super) async fn start_among(birth: StartTimeField, entries: &[EntryRecord]) -> Self {
-        let engine = FakeEngine::start(birth).await;
+        Self::start_beside(FakeEngine::start(birth).await, entries).await
+    }
+
+    /// Like [`Self::start_among`], beside a running `engine`.
+    pub(super) async fn start_beside(engine: FakeEngine, entries: &[EntryRecord]) -> Self {
         let origin = FakeOrigin::start().await;
         let store = FakeStore::start().await;
         store.put(TableName::Operator, "config", &origin.document());
@@ -98,12 +103,26 @@
 
     /// Returns a function that stalls all tasks of the host for `span`, and returns once they are.
     pub(super) fn stall(&self, span: Duration) -> impl FnOnce() + Send + use<> {
+        self.block(move || thread::sleep(span))
+    }
+
+    /// Like [`Self::stall`], for a suspension: the host's clock stands still.
+    pub(super) fn suspend(&self, span: Duration) -> impl FnOnce() + Send + use<> {
+        self.block(move || test_clock::suspend(span))
+    }
+
+    /// Returns a function that lets `blocking` occupy the only thread of the host, and returns once
+    /// it does.
+    fn block<F>(&self, blocking: F) -> impl FnOnce() + Send + use<F>
+    where
+        F: FnOnce() + Send + 'static,
+    {
         let runtime = self.runtime.handle().clone();
         move || {
             let (stalled, await_stalled) = mpsc::channel();
             runtime.spawn(async move {
                 stalled.send(()).expect("the other end waits");
-                thread::sleep(span);
+                blocking();
             });
             await_stalled.recv().expect("the task runs");
         }
--- a/src/replication/tests/corrupt_chunks.rs
+++ b/src/replication/tests/corrupt_chunks.rs
@@ -1,13 +1,16 @@
 //! Staged chunks that become corrupt between their check and the load.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use super::backend_host::BackendHost;
+use crate::fleet::WeightsVersion;
 use crate::load_reports::ReportDatagram;
 use crate::platform::{EngineCall, FakeEngine, StartTimeField};
 use crate::sync::EntryRecord;
@@ -19,6 +22,8 @@
 const ORDER_DELAY: Duration = Duration::from_millis(3100);
 /// Longer than `ORDER_DELAY`, so that the engine has answered a delayed order when a stall ends.
 const STALL: Duration = Duration::from_millis(3800);
+/// The duration of a load for another process. The host knows of it before it ends.
+const LOAD_SPAN: Duration = Duration::from_millis(1500);
 /// Number of requests in progress for which a host waits before an order.
 const MANY_REQUESTS: u32 = 16;
 
@@ -79,22 +84,10 @@
 /// sent. No request may be sent to the engine before it has loaded the chunks again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn corrupt_chunks_loaded_by_a_delayed_order_are_not_served() {
-    let socket = UdpSocket::bind(("127.0.0.1", 0)).await.expect("a port");
-    let reports = socket.local_addr().expect("it is bound");
-    let entry = EntryRecord {
-        host: "a0".into(),
-        data_centre: "a".into(),
-        control: ([127, 0, 0, 1], 1).into(),
-        reports,
-    };
-    let host = BackendHost::start_among(StartTimeField::Present, &[entry]).await;
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
     host.await_served(1).await;
-    let wrong_reports = Arc::new(AtomicUsize::new(0));
-    let reporting = tokio::spawn(count_wrong_reports(
-        socket,
-        host.engine.clone(),
-        wrong_reports.clone(),
-    ));
     let corrupt = corrupt_and_stall(&host);
     host.engine.on_call(EngineCall::Order, 0, move || {
         corrupt();
@@ -102,28 +95,146 @@
     });
     host.set_target(2);
     sleep(STALL).await;
-    host.await_held(2).await;
-    let is_intact = || host.engine.held().is_some() && !host.engine.serves_bad_layers();
+    await_intact(&host, 2).await;
+    assert_eq!(host.engine.bad_loads(), 1, "the order was delayed");
+    reports.end();
+    host.stop();
+}
+
+/// Guards against serving corrupt chunks because the host was suspended between their check and the
+/// order, and its clock did not count that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chunks_corrupted_during_a_suspension_before_the_order_are_not_served() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
+    host.await_served(1).await;
+    let (engine, suspend) = (host.engine.clone(), host.suspend(STALL));
+    let queried = host.engine.clone();
+    at_read_back(&host.engine, CHUNKS - 1, move || {
+        queried.on_call(EngineCall::Report, 0, move || {
+            engine.corrupt_staged(0, clock_now());
+            suspend();
+            Duration::ZERO
+        });
+        Duration::ZERO
+    });
+    host.set_target(2);
+    sleep(STALL).await;
+    await_intact(&host, 2).await;
+    reports.end();
+    host.stop();
+}
+
+/// Guards against trusting a load whose order was sent by a process that has ended since.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn corrupt_chunks_loaded_for_a_former_process_are_not_served() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    engine.load_for_other(1, &[0, 3], LOAD_SPAN);
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
+    sleep(LOAD_SPAN).await;
+    await_intact(&host, 1).await;
+    reports.end();
+    host.stop();
+}
+
+/// Guards against loading intact weights again whenever a process of a host starts during a load.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn intact_chunks_loaded_for_a_former_process_are_served() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    engine.load_for_other(1, &[], LOAD_SPAN);
+    let host = BackendHost::start_beside(engine, &[]).await;
+    host.await_served(1).await;
+    assert_eq!(host.engine.orders_started(), 1);
+    host.end();
+}
+
+/// Guards against trusting a load whose order came from another process while this one ran.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn corrupt_chunks_loaded_for_another_process_are_not_served() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
+    host.await_served(1).await;
+    host.origin.limit_chunks(CHUNKS as usize);
+    host.set_target(2);
+    host.engine.load_for_other(2, &[4], LOAD_SPAN);
+    sleep(LOAD_SPAN).await;
+    host.origin.limit_chunks(usize::MAX);
+    await_intact(&host, 2).await;
+    reports.end();
+    host.stop();
+}
+
+/// Waits until the engine serves intact weights of `version`, and the host has reported it.
+async fn await_intact(host: &BackendHost, version: u64) {
+    let is_intact = || {
+        let held = host.engine.held();
+        held == Some(WeightsVersion(version)) && !host.engine.serves_bad_layers()
+    };
     host.await_that("intact weights are served", is_intact)
         .await;
     host.await_reports().await;
-    assert_eq!(host.engine.bad_loads(), 1, "the order was delayed");
     assert!(is_intact(), "the weights are intact");
-    assert_eq!(wrong_reports.load(Ordering::Relaxed), 0);
-    reporting.abort();
-    host.stop();
 }
 
-/// Counts reports that offer `engine` to entry hosts while it serves bad layers.
-async fn count_wrong_reports(socket: UdpSocket, engine: FakeEngine, count: Arc<AtomicUsize>) {
+/// Receives the reports of a host as an entry host, and counts those that offer its engine while it
+/// serves bad layers.
+struct ReportCheck {
+    address: SocketAddr,
+    wrong: Arc<AtomicUsize>,
+    received: Arc<AtomicUsize>,
+    task: JoinHandle<()>,
+}
+
+impl ReportCheck {
+    async fn start(engine: &FakeEngine) -> Self {
+        let socket = UdpSocket::bind(("127.0.0.1", 0)).await.expect("a port");
+        let address = socket.local_addr().expect("it is bound");
+        let (wrong, received) = (Arc::default(), Arc::default());
+        let counts = (Arc::clone(&wrong), Arc::clone(&received));
+        let task = tokio::spawn(count_reports(socket, engine.clone(), counts));
+        Self {
+            address,
+            wrong,
+            received,
+            task,
+        }
+    }
+
+    /// The entry host that receives the reports.
+    fn entry(&self) -> EntryRecord {
+        EntryRecord {
+            host: "a0".into(),
+            data_centre: "a".into(),
+            control: ([127, 0, 0, 1], 1).into(),
+            reports: self.address,
+        }
+    }
+
+    /// Checks that reports came and none was wrong.
+    fn end(self) {
+        self.task.abort();
+        assert_ne!(self.received.load(Ordering::Relaxed), 0, "no report came");
+        assert_eq!(self.wrong.load(Ordering::Relaxed), 0, "bad layers offered");
+    }
+}
+
+/// Counts the reports that offer `engine` to entry hosts while it serves bad layers, and all.
+async fn count_reports(
+    socket: UdpSocket,
+    engine: FakeEngine,
+    (wrong, received): (Arc<AtomicUsize>, Arc<AtomicUsize>),
+) {
     let mut buffer = [0; 2048];
     while let Ok(length) = socket.recv(&mut buffer).await {
         let datagram = decode_message(&buffer[..length]).expect("a report");
-        if let ReportDatagram::Report(report) = datagram
-            && !report.is_loading
-            && engine.serves_bad_layers()
-        {
-            count.fetch_add(1, Ordering::Relaxed);
+        if let ReportDatagram::Report(report) = datagram {
+            received.fetch_add(1, Ordering::Relaxed);
+            if !report.is_loading && engine.serves_bad_layers() {
+                wrong.fetch_add(1, Ordering::Relaxed);
+            }
         }
     }
 }
--- a/src/replication/tests/order_doubt.rs
+++ b/src/replication/tests/order_doubt.rs
@@ -5,7 +5,7 @@
 use crate::replication::chunk_staging::StagingCheck;
 use crate::replication::engine_incarnation::EngineIncarnation;
 use crate::replication::engine_monitor::EngineState;
-use crate::replication::order_doubt::{DoubtPhase, OrderDoubt, OrderNumber};
+use crate::replication::order_doubt::{LoadPhase, OrderDoubt, OrderNumber};
 use crate::time::ClockTime;
 
 const CHUNKS: u32 = 6;
@@ -56,17 +56,20 @@
 
 /// Guards against trusting a load because the engine had not accepted its order at first.
 #[test]
-fn an_order_stays_in_doubt_until_what_it_loaded_is_replaced() {
+fn an_accepted_order_is_followed_until_what_it_loaded_is_replaced() {
     let doubt = OrderDoubt::new(number(3), &check(2, &[]));
-    assert_eq!(doubt.phase(&state(3, false, 1)), DoubtPhase::NotAccepted);
-    assert_eq!(doubt.phase(&state(4, true, 1)), DoubtPhase::InProgress);
-    assert_eq!(doubt.phase(&state(4, false, 2)), DoubtPhase::Loaded);
-    assert_eq!(doubt.phase(&state(5, false, 3)), DoubtPhase::Obsolete);
+    assert!(!doubt.number.was_accepted(&state(3, false, 1)));
+    for accepted in [state(4, true, 1), state(4, false, 2), state(5, false, 3)] {
+        assert!(doubt.number.was_accepted(&accepted));
+    }
+    assert_eq!(doubt.phase(&state(4, true, 1)), LoadPhase::InProgress);
+    assert_eq!(doubt.phase(&state(4, false, 2)), LoadPhase::Loaded);
+    assert_eq!(doubt.phase(&state(5, false, 3)), LoadPhase::Released);
     let restarted = EngineState {
         incarnation: EngineIncarnation::default().next(),
         ..state(4, false, 2)
     };
-    assert_eq!(doubt.phase(&restarted), DoubtPhase::Obsolete);
+    assert!(!doubt.number.was_accepted(&restarted));
 }
 
 /// Guards against trusting a load because its corrupt chunks were staged again after its order.
@@ -75,11 +78,9 @@
     let mut doubt = OrderDoubt::new(number(3), &check(2, &[1]));
     assert!(!doubt.has_corrupt(), "replaced before the order");
     doubt.note_check(&check(2, &[1]));
-    let mut repeated = OrderDoubt::new(number(3), &check(2, &[]));
-    repeated.merge(&doubt);
+    let repeated = OrderDoubt::new(number(3), &check(2, &[])).merge(Some(&doubt));
     assert!(repeated.has_corrupt());
-    let mut other = OrderDoubt::new(number(3), &check(3, &[]));
-    other.merge(&doubt);
+    let mut other = OrderDoubt::new(number(3), &check(3, &[])).merge(Some(&doubt));
     assert!(!other.has_corrupt(), "another version");
     other.note_check(&check(4, &[]));
     assert!(other.has_corrupt(), "all chunks were replaced");
@@ -94,8 +95,7 @@
     doubt.note_corrupt(&[5]);
     assert!(doubt.outlasts(number(4)));
     assert!(!doubt.outlasts(number(3)), "the engine refuses it now");
-    let mut unanswered = OrderDoubt::new(number(4), &check(2, &[]));
-    unanswered.merge(&doubt);
+    let unanswered = OrderDoubt::new(number(4), &check(2, &[])).merge(Some(&doubt));
     assert!(unanswered.outlasts(number(4)), "the earlier was accepted");
 }
 
--- a/src/replication/version_fetcher.rs
+++ b/src/replication/version_fetcher.rs
@@ -136,11 +136,8 @@
             let digests = self.read_digests(&snapshot, &target).await?;
             self.store.begin(&target, Arc::new(digests));
         }
-        if served == Some(target.version) && self.monitor.is_doubtful(&state) {
-            // The chunks in memory may have to be loaded again.
-            return Ok(None);
-        }
-        if served == Some(target.version) {
+        let is_verified = self.monitor.unverified(&state).is_none();
+        if served == Some(target.version) && is_verified {
             self.waits.set_fetch(HostWait::Nothing);
             self.store.adopt_served(&target).await?;
             return Ok(None);
--- a/src/time/mod.rs
+++ b/src/time/mod.rs
@@ -100,6 +100,8 @@
 pub(crate) fn clock_now() -> ClockTime {
     static START: OnceLock<Instant> = OnceLock::new();
     let uptime = START.get_or_init(Instant::now).elapsed();
+    #[cfg(test)]
+    let uptime = uptime.saturating_sub(test_clock::suspended());
     ClockTime(micros(CLOCK_START + uptime))
 }
 
@@ -116,3 +118,25 @@
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
+
+/// Suspensions of the host that a test simulates.
+#[cfg(test)]
+pub(crate) mod test_clock {
+    use std::cell::Cell;
+    use std::thread;
+    use std::time::Duration;
+
+    thread_local! {
+        static SUSPENDED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+    }
+
+    /// Stops this thread for `span`, which its clock does not count.
+    pub(crate) fn suspend(span: Duration) {
+        thread::sleep(span);
+        SUSPENDED.set(SUSPENDED.get() + span);
+    }
+
+    pub(super) fn suspended() -> Duration {
+        SUSPENDED.get()
+    }
+}
