Release every corrupt layer, also where no layer is intact

What callers saw: tokens made with a corrupt layer by an engine that had been made to load the version again.

Cause: an engine releases all layers but the one that is ordered, and keeps that one as it is. If each layer had a corrupt chunk, the first was ordered, and stayed.

Evidence: layers_that_are_all_corrupt_are_all_loaded_again failed on ("timed out after 6s: intact weights are served").

Change: if no layer that the engine holds is intact, a second order follows for a layer that it does not hold any more, which is loaded anew and lets it release the first. The same rule covers a single layer that was loaded before the rest of the version.

--- a/src/fleet/backend_facts.rs
+++ b/src/fleet/backend_facts.rs
@@ -61,6 +61,12 @@
         self.layers.iter().any(|range| range.version == version)
     }
 
+    /// Whether `layer` of `version` is loaded.
+    pub(crate) fn has_layer(&self, layer: u32, version: WeightsVersion) -> bool {
+        let mut held = self.layers.iter().filter(|range| range.version == version);
+        held.any(|range| (range.from..range.to).contains(&layer))
+    }
+
     fn is_complete(&self, version: WeightsVersion, layers: u32) -> bool {
         let mut next = 0;
         let mut ranges: Vec<&HeldLayers> = self
--- a/src/replication/load_orders.rs
+++ b/src/replication/load_orders.rs
@@ -282,22 +282,24 @@
     ) -> SwitchResult<()> {
         let digests = self.store.digests(&doubt.target);
         let count = digests.map_or(0, |digests| digests.count());
-        let layer = doubt.intact_layer(count, layers).unwrap_or(0);
+        let release = doubt.release_layer(&state.report.holdings, count, layers);
         log_event!(
             events::LOAD_CORRUPT,
-            "version={} layer={layer}",
-            doubt.target.version.0
+            "version={} layer={} is_last={}",
+            doubt.target.version.0,
+            release.layer,
+            release.is_last
         );
-        let chunks = layer_chunks(layer, count, layers);
+        let chunks = layer_chunks(release.layer, count, layers);
         let check = self.store.stage_range(&doubt.target, chunks).await?;
         let order = LoadOrder {
             target: doubt.target.clone(),
-            layer: Some(layer),
+            layer: Some(release.layer),
             orders_accepted: state.report.orders_accepted,
             aborts_requests: true,
         };
         let outcome = self.send_order(&order, state.incarnation, &check).await?;
-        if outcome == OrderOutcome::Started {
+        if outcome == OrderOutcome::Started && release.is_last {
             let number = OrderNumber {
                 incarnation: state.incarnation,
                 accepted_before: order.orders_accepted,
--- a/src/replication/order_doubt.rs
+++ b/src/replication/order_doubt.rs
@@ -10,7 +10,7 @@
 use super::engine_monitor::EngineState;
 use super::weights_retirement::layer_chunks;
 use crate::derives::{key, plain};
-use crate::fleet::ModelVersion;
+use crate::fleet::{EngineHoldings, ModelVersion};
 
 /// The number of an order at one incarnation of the engine.
 #[apply(key!)]
@@ -38,6 +38,14 @@
     Released,
 }
 
+/// The layer to order so that the engine releases the others.
+#[apply(key!)]
+pub(super) struct ReleaseLayer {
+    pub(super) layer: u32,
+    /// Whether the engine holds no layer with corrupt chunks afterwards.
+    pub(super) is_last: bool,
+}
+
 /// An order whose load is not verified.
 #[apply(plain!)]
 pub(super) struct OrderDoubt {
@@ -135,11 +143,29 @@
         self.has_corrupt() && self.number < next
     }
 
-    /// The first of `layers` layers without corrupt chunks, for a version with `count` chunks.
-    pub(super) fn intact_layer(&self, count: u32, layers: u32) -> Option<u32> {
-        (0..layers).find(|layer| {
-            let mut chunks = layer_chunks(*layer, count, layers);
-            chunks.all(|index| self.corrupt.binary_search(&index).is_err())
-        })
+    /// The layer to order, of `layers` layers in `count` chunks, so that the engine with `holdings`
+    /// releases the others. The engine keeps a layer that it holds and loads one that it does not
+    /// hold, so that two orders are necessary if each layer that it holds has corrupt chunks.
+    pub(super) fn release_layer(
+        &self,
+        holdings: &EngineHoldings,
+        count: u32,
+        layers: u32,
+    ) -> ReleaseLayer {
+        let version = self.target.version;
+        let is_held = |layer: &u32| holdings.has_layer(*layer, version);
+        let intact =
+            (0..layers).find(|layer| is_held(layer) && self.is_intact(*layer, count, layers));
+        let unheld = || (0..layers).find(|layer| !is_held(layer));
+        let last = intact.or_else(unheld);
+        ReleaseLayer {
+            layer: last.unwrap_or(0),
+            is_last: last.is_some(),
+        }
+    }
+
+    fn is_intact(&self, layer: u32, count: u32, layers: u32) -> bool {
+        let mut chunks = layer_chunks(layer, count, layers);
+        chunks.all(|index| self.corrupt.binary_search(&index).is_err())
     }
 }
--- a/src/replication/tests/corrupt_chunks.rs
+++ b/src/replication/tests/corrupt_chunks.rs
@@ -101,6 +101,29 @@
     host.stop();
 }
 
+/// Guards against serving a corrupt layer because the engine keeps one that it holds when all others
+/// are released: each layer has a corrupt chunk.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn layers_that_are_all_corrupt_are_all_loaded_again() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
+    host.await_served(1).await;
+    let (engine, stall) = (host.engine.clone(), host.stall(STALL));
+    host.engine.on_call(EngineCall::Order, 0, move || {
+        for index in 0..CHUNKS as usize {
+            engine.corrupt_staged(index, clock_now());
+        }
+        stall();
+        ORDER_DELAY
+    });
+    host.set_target(2);
+    sleep(STALL).await;
+    await_intact(&host, 2).await;
+    reports.end();
+    host.stop();
+}
+
 /// Guards against serving corrupt chunks because the host was suspended between their check and the
 /// order, and its clock did not count that.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/src/replication/tests/order_doubt.rs
+++ b/src/replication/tests/order_doubt.rs
@@ -5,7 +5,7 @@
 use crate::replication::chunk_staging::StagingCheck;
 use crate::replication::engine_incarnation::EngineIncarnation;
 use crate::replication::engine_monitor::EngineState;
-use crate::replication::order_doubt::{LoadPhase, OrderDoubt, OrderNumber};
+use crate::replication::order_doubt::{LoadPhase, OrderDoubt, OrderNumber, ReleaseLayer};
 use crate::time::ClockTime;
 
 const CHUNKS: u32 = 6;
@@ -99,13 +99,31 @@
     assert!(unanswered.outlasts(number(4)), "the earlier was accepted");
 }
 
-/// Guards against keeping a layer that shares a corrupt chunk with another layer.
+/// Guards against keeping a layer that shares a corrupt chunk with another layer, or one that the
+/// engine does not load again because it holds it.
 #[test]
-fn an_intact_layer_shares_no_corrupt_chunk() {
+fn the_last_layer_to_be_kept_is_intact_or_is_loaded_again() {
+    let complete = state(4, false, 2).report.holdings;
     let mut doubt = OrderDoubt::new(number(3), &check(2, &[]));
-    assert_eq!(doubt.intact_layer(CHUNKS, LAYERS), Some(0));
+    let layer_of = |doubt: &OrderDoubt, holdings| doubt.release_layer(holdings, CHUNKS, LAYERS);
+    let last = |layer| ReleaseLayer {
+        layer,
+        is_last: true,
+    };
     doubt.note_corrupt(&[1]);
-    assert_eq!(doubt.intact_layer(CHUNKS, LAYERS), Some(2));
+    assert_eq!(layer_of(&doubt, &complete), last(2));
     doubt.note_corrupt(&[4]);
-    assert_eq!(doubt.intact_layer(CHUNKS, LAYERS), None);
+    let first = layer_of(&doubt, &complete);
+    assert!(!first.is_last, "each layer has a corrupt chunk");
+    let kept = HeldLayers {
+        from: first.layer,
+        to: first.layer + 1,
+        version: WeightsVersion(2),
+    };
+    let partial = EngineHoldings {
+        models: Vec::new(),
+        layers: vec![kept],
+    };
+    let second = layer_of(&doubt, &partial);
+    assert!(second.is_last && second.layer != first.layer, "{second:?}");
 }
