Examine a load of another process also where an own order was replaced by it

What callers would see: an engine that gets no requests until the next version.

Cause: what was known of an own order was kept although the engine had replaced what it loaded by that order, so that the load of another process was never examined and stayed unverified. Found by reading, behind a failure of corrupt_chunks_loaded_for_another_process_are_not_served ("bad layers offered", once, in a run of all tests beside four builds, load 25 to 30). That failure itself is of the fake engine: it counted layers as served from the acceptance of an order, when it still has the previous version and takes no requests, so that a report from just before could arrive just after. It counts them from the end of the load now.

--- a/src/platform/fake_engine.rs
+++ b/src/platform/fake_engine.rs
@@ -280,7 +280,8 @@
     #[cfg(test)]
     pub(crate) fn serves_bad_layers(&self) -> bool {
         let state = self.lock();
-        state.held.is_some() && state.bad_layers.contains(&true)
+        let is_serving = state.held.is_some() && state.loading.is_none();
+        is_serving && state.bad_layers.contains(&true)
     }
 
     /// Lets the next `count` reports give the state of the previous incarnation, as delayed ones
--- a/src/replication/load_orders.rs
+++ b/src/replication/load_orders.rs
@@ -162,9 +162,7 @@
         };
         let phase = doubt.phase(&state);
         if phase == LoadPhase::Released {
-            if state.report.holdings == EngineHoldings::default() {
-                self.set_verified(&state);
-            }
+            self.set_verified(&state);
             return Ok(true);
         }
         if self.store.digests(&doubt.target).is_none() {
@@ -199,10 +197,15 @@
         let is_current = |doubt: &OrderDoubt| doubt.number.incarnation == state.incarnation;
         self.doubt = self.doubt.take().filter(is_current);
         let number = self.monitor.unverified(state)?;
+        // The engine may have replaced what it loaded by that order.
+        let is_obsolete = |doubt: &&OrderDoubt| {
+            doubt.phase(state) == LoadPhase::Released
+                && state.report.holdings != EngineHoldings::default()
+        };
         let sent = self
             .doubt
             .as_ref()
-            .filter(|doubt| doubt.number.was_accepted(state));
+            .filter(|doubt| doubt.number.was_accepted(state) && !is_obsolete(doubt));
         if sent.is_some() {
             return sent.cloned();
         }
