Count suspensions of the host in the clock of all decisions

The clock of the standard library stands still while a host is suspended. Behind a suspension of seconds the age of a check of staged chunks, leases on load reports and deadlines of versions looked as if no time had passed, though engines, callers and other hosts had gone on. The clock that counts suspensions is read instead; no crate is added.

A test cannot suspend its machine. That decisions rely on no clock where a load is concerned is shown by chunks_corrupted_during_a_suspension_before_the_order_are_not_served. Timers of the runtime still stand still.

--- a/src/time/mod.rs
+++ b/src/time/mod.rs
@@ -5,14 +5,15 @@
 
 use std::ops::{Add, Sub};
 use std::sync::OnceLock;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use macro_rules_attribute::apply;
+use nix::time::{ClockId, clock_gettime};
 
 use crate::derives::{key, message};
 
 /// Microseconds on the monotonic clock of this process. The clock advances while the process is
-/// paused.
+/// paused and while the host is suspended.
 #[apply(key!)]
 #[derive(Default)]
 pub struct ClockTime(pub u64);
@@ -98,13 +99,21 @@
 /// argument.
 #[must_use]
 pub(crate) fn clock_now() -> ClockTime {
-    static START: OnceLock<Instant> = OnceLock::new();
-    let uptime = START.get_or_init(Instant::now).elapsed();
+    static START: OnceLock<Duration> = OnceLock::new();
+    let since_boot = time_since_boot();
+    let uptime = since_boot.saturating_sub(*START.get_or_init(|| since_boot));
     #[cfg(test)]
     let uptime = uptime.saturating_sub(test_clock::suspended());
     ClockTime(micros(CLOCK_START + uptime))
 }
 
+/// Time since the host was booted, suspensions included. The clock of [`std::time::Instant`] stands
+/// still during a suspension, so that leases and deadlines would outlast it.
+fn time_since_boot() -> Duration {
+    let read = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    read.expect("Linux has this clock").into()
+}
+
 /// Reads the wall clock. Only code that performs I/O calls this; decisions get the time as an
 /// argument.
 #[must_use]
