Decode each row of the store's responses by itself, also where the JSON library can't

What callers saw: with one row in the table of backend servers whose value is nested more than 128 levels deep, or has a number or a character that the JSON library can't represent, outside base64, no read and no watch of the table succeeded until that row changed. A starting entry host never became ready; a running one kept a list that no longer changed.

Cause: the rows of a response were decoded together as JSON values, and an error in one failed the response. Only values that are strings of invalid base64 were tolerated. Entries inside base64 were decoded one by one and did not have the fault.

Evidence, on the code before: src/platform/tests/odd_rows.rs, five of six tests fail ("recursion limit exceeded at line 1 column 228", "unexpected end of hex escape at line 1 column 114", "invalid unicode code point at line 1 column 81"); the process of src/sync/tests/odd_entries.rs does not reach the expected list within 10 s.

Change: the rows of a response and the fields of a row are skipped as raw JSON, which has no limit of depth and needs no stack, and are then decoded one by one. A row with a key that is no valid text has no effect and is named with replaced characters. The read of the next page continues behind the last valid key, and ends with an error if it would not advance. Rows without a key are counted (rows_without_key).

The fake store serves pages, and values that are no strings. New tests hold nested entries, numbers out of range, odd addresses, keys and texts at the first read, the pages, the watch and the copy for neighbours; nested texts of other kinds (documents, target versions, digests, reports, own rows, crash rows) did not have the fault.

--- a/src/platform/fake_store.rs
+++ b/src/platform/fake_store.rs
@@ -11,6 +11,9 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use http::StatusCode;
 use macro_rules_attribute::apply;
+use percent_encoding::percent_decode_str;
+use serde::Serialize;
+use serde_json::value::{RawValue, to_raw_value};
 use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -26,6 +29,10 @@
 
 const STORE_ERA: &str = "store-era";
 const BODY_BYTES_MAX: usize = 1024 * 1024;
+/// The longest key, in bytes.
+const KEY_BYTES_MAX: usize = 200;
+/// The most rows in one response to a read.
+const PAGE_ROWS: usize = 500;
 /// The most overwritten rows that are kept for watches; without a limit, a long run would keep them
 /// all.
 const PAST_ROWS_MAX: usize = 4096;
@@ -50,8 +57,28 @@
     table: String,
     key: String,
     revision: u64,
-    /// The value in base64; none if the row was removed.
-    value: Option<String>,
+    /// The value as JSON, usually a string of base64; none if the row was removed.
+    value: Option<Box<RawValue>>,
+}
+
+/// A row in a response.
+#[derive(Serialize)]
+struct RowText<'a> {
+    key: &'a str,
+    ver: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<&'a RawValue>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    deleted: bool,
+}
+
+/// A response with rows.
+#[derive(Serialize)]
+struct PageText<'a> {
+    rows: Vec<RowText<'a>>,
+    truncated: bool,
+    ver: u64,
+    now_ms: u64,
 }
 
 impl FakeRow {
@@ -88,12 +115,14 @@
     /// The time by which each row delays the response of a watch.
     row_delay: Duration,
     fault: StoreFault,
+    /// The most rows in one response to a read, if it is not the usual number.
+    page_rows: Option<usize>,
     /// The number of rows sent of each table, sorted by table.
     sent: Vec<(String, usize)>,
 }
 
 impl FakeRows {
-    fn put(&mut self, table: &str, key: &str, value: Option<String>) {
+    fn put(&mut self, table: &str, key: &str, value: Option<Box<RawValue>>) {
         self.revision += 1;
         let is_same_row = |row: &mut FakeRow| row.table == table && row.key == key;
         self.past.extend(self.rows.extract_if(.., is_same_row));
@@ -143,6 +172,16 @@
         !self.has_history(since) || !self.changes_after(table, since).is_empty()
     }
 
+    /// A complete response with `rows`.
+    fn page_of(&self, rows: Vec<&FakeRow>) -> Box<RawValue> {
+        json_text(&PageText {
+            rows: rows.into_iter().map(row_text).collect(),
+            truncated: false,
+            ver: self.revision,
+            now_ms: now_ms(),
+        })
+    }
+
     /// The existing rows, sorted by key.
     fn existing(&self, table: &str) -> Vec<&FakeRow> {
         let rows = self.rows.iter();
@@ -196,7 +235,7 @@
 
     /// Writes a row unconditionally, as another program would.
     pub(crate) fn put(&self, table: TableName, key: &str, value: &str) {
-        self.change(table, key, Some(BASE64.encode(value)));
+        self.change(table, key, Some(json_text(&BASE64.encode(value))));
     }
 
     /// Removes a row, as another program would.
@@ -260,7 +299,7 @@
         self.lock().fault = fault;
     }
 
-    fn change(&self, table: TableName, key: &str, value: Option<String>) {
+    fn change(&self, table: TableName, key: &str, value: Option<Box<RawValue>>) {
         self.lock().put(table.as_str(), key, value);
         self.changes.send_modify(|changes| *changes += 1);
     }
@@ -301,7 +340,7 @@
         let path = request.uri().path();
         self.lock().read_calls += usize::from(path != "/v1/rows-tx");
         let (status, body) = match path {
-            "/v1/rows-get" => (StatusCode::OK, self.read(&table)),
+            "/v1/rows-get" => self.read(&table, &field("from")),
             "/v1/rows-feed" => {
                 let number = |name: &str| field(name).parse::<u64>().unwrap_or(0);
                 let wait = Duration::from_millis(number("wait_ms"));
@@ -312,19 +351,33 @@
                 let body = body.expect("the body can be read");
                 self.transact(&serde_json::from_slice(&body).expect("the call is JSON"))
             }
-            _ => (StatusCode::NOT_FOUND, json!({})),
+            _ => (StatusCode::NOT_FOUND, json_text(&json!({}))),
         };
         json_response(status, &body)
     }
 
-    fn read(&self, table: &str) -> Value {
+    /// Reads a page of the rows whose keys are not before `from`, which is percent-encoded.
+    fn read(&self, table: &str, from: &str) -> (StatusCode, Box<RawValue>) {
+        let from: Vec<u8> = percent_decode_str(from).collect();
+        if from.len() > KEY_BYTES_MAX {
+            return (StatusCode::BAD_REQUEST, json_text(&json!({})));
+        }
         let mut rows = self.lock();
-        let found: Vec<Value> = rows.existing(table).into_iter().map(row_text).collect();
-        rows.add_sent(table, found.len());
-        json!({ "rows": found, "truncated": false, "ver": rows.revision, "now_ms": now_ms() })
+        let mut found = rows.existing(table);
+        found.retain(|row| row.key.as_bytes() >= &*from);
+        let count = found.len().min(rows.page_rows.unwrap_or(PAGE_ROWS));
+        let page = PageText {
+            truncated: count < found.len(),
+            rows: found.into_iter().take(count).map(row_text).collect(),
+            ver: rows.revision,
+            now_ms: now_ms(),
+        };
+        let body = json_text(&page);
+        rows.add_sent(table, count);
+        (StatusCode::OK, body)
     }
 
-    async fn watch(&self, table: &str, since: u64, wait: Duration) -> (StatusCode, Value) {
+    async fn watch(&self, table: &str, since: u64, wait: Duration) -> (StatusCode, Box<RawValue>) {
         let mut changes = self.changes.subscribe();
         let await_change = async {
             while !self.lock().has_changes(table, since) {
@@ -338,20 +391,20 @@
         let (body, delay) = {
             let mut rows = self.lock();
             if !rows.has_history(since) {
-                return (StatusCode::GONE, json!({}));
+                return (StatusCode::GONE, json_text(&json!({})));
             }
             let found = rows.changes_after(table, since);
-            let found: Vec<Value> = found.into_iter().map(row_text).collect();
-            let count = u32::try_from(found.len()).unwrap_or(u32::MAX);
-            rows.add_sent(table, found.len());
-            let body = json!({ "rows": found, "ver": rows.revision, "now_ms": now_ms() });
+            let sent = found.len();
+            let body = rows.page_of(found);
+            rows.add_sent(table, sent);
+            let count = u32::try_from(sent).unwrap_or(u32::MAX);
             (body, rows.row_delay * count)
         };
         sleep(delay).await;
         (StatusCode::OK, body)
     }
 
-    fn transact(&self, call: &Value) -> (StatusCode, Value) {
+    fn transact(&self, call: &Value) -> (StatusCode, Box<RawValue>) {
         let mut rows = self.lock();
         rows.change_calls += 1;
         let entries = |name: &str| call[name].as_array().cloned().unwrap_or_default();
@@ -366,17 +419,11 @@
                 let mut conditions = conditions.iter();
                 conditions.any(|entry| text(entry, "key") == row.key && row.value.is_some())
             };
-            let found: Vec<Value> = rows
-                .rows
-                .iter()
-                .filter(is_conditional)
-                .map(row_text)
-                .collect();
-            let body = json!({ "rows": found, "ver": rows.revision, "now_ms": now_ms() });
-            return (StatusCode::PRECONDITION_FAILED, body);
+            let found = rows.rows.iter().filter(is_conditional).collect();
+            return (StatusCode::PRECONDITION_FAILED, rows.page_of(found));
         }
         for entry in entries("writes") {
-            let value = Some(text(&entry, "value"));
+            let value = Some(json_text(&text(&entry, "value")));
             rows.put(&text(&entry, "table"), &text(&entry, "key"), value);
         }
         for entry in entries("remove") {
@@ -388,7 +435,7 @@
         self.changes.send_modify(|changes| *changes += 1);
         (
             StatusCode::OK,
-            json!({ "ver": revision, "now_ms": now_ms() }),
+            json_text(&json!({ "ver": revision, "now_ms": now_ms() })),
         )
     }
 }
@@ -398,7 +445,18 @@
 impl FakeStore {
     /// Writes a row whose value is `value` as is, which may be invalid base64.
     pub(crate) fn put_raw(&self, table: TableName, key: &str, value: &str) {
-        self.change(table, key, Some(value.to_owned()));
+        self.change(table, key, Some(json_text(value)));
+    }
+
+    /// Writes a row whose value in responses is the JSON `value` as is, which need not be a string.
+    pub(crate) fn put_json(&self, table: TableName, key: &str, value: &str) {
+        let value = RawValue::from_string(value.to_owned());
+        self.change(table, key, Some(value.expect("the value is JSON")));
+    }
+
+    /// Sets the most rows in one response to a read.
+    pub(crate) fn set_page_rows(&self, count: usize) {
+        self.lock().page_rows = Some(count);
     }
 
     /// The number of transactions, including refused ones.
@@ -424,7 +482,8 @@
         let rows = self.lock();
         let mut rows = rows.rows.iter();
         let row = rows.find(|row| row.table == table.as_str() && row.key == key)?;
-        let bytes = BASE64.decode(row.value.as_ref()?).ok()?;
+        let text: String = serde_json::from_str(row.value.as_ref()?.get()).ok()?;
+        let bytes = BASE64.decode(text).ok()?;
         String::from_utf8(bytes).ok()
     }
 
@@ -470,9 +529,15 @@
     now.0 / 1000
 }
 
-fn row_text(row: &FakeRow) -> Value {
-    match &row.value {
-        Some(value) => json!({ "key": row.key, "ver": row.revision, "value": value }),
-        None => json!({ "key": row.key, "ver": row.revision, "deleted": true }),
+fn row_text(row: &FakeRow) -> RowText<'_> {
+    RowText {
+        key: &row.key,
+        ver: row.revision,
+        value: row.value.as_deref(),
+        deleted: row.value.is_none(),
     }
 }
+
+fn json_text<T: Serialize + ?Sized>(value: &T) -> Box<RawValue> {
+    to_raw_value(value).expect("the value can be encoded as JSON")
+}
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -163,18 +163,21 @@
     ) -> SwitchResult<TableView> {
         let mut rows: Vec<StoreRow> = Vec::new();
         let mut first = None;
+        let mut from = String::new();
         loop {
             let name = table.as_str();
-            let from = rows.last().map(|row| format!("{}\0", row.key));
-            let from = from.map_or_else(String::new, |from| format!("&from={}", encode(&from)));
-            let path = format!("/v1/rows-get?table={name}&part={from}");
+            let range = if from.is_empty() {
+                String::new()
+            } else {
+                format!("&from={}", encode(&from))
+            };
+            let path = format!("/v1/rows-get?table={name}&part={range}");
             let response = self.get(&path, timeout).await?;
             let page = parse_page(&response)?;
             // Pages may have different revisions. A watch from the first one reports what changed
             // between them.
             let (revision, store_time) =
                 *first.get_or_insert((page.view.revision, page.view.store_time));
-            let read = rows.len();
             rows.extend(page.view.rows);
             if !page.is_truncated {
                 return Ok(TableView {
@@ -183,10 +186,13 @@
                     store_time,
                 });
             }
-            // The next request would be the same, so the loop would never end.
-            if rows.len() == read {
-                return Err(unavailable("a truncated response has no rows".to_owned()));
-            }
+            // Rows after the last valid key are read again with the next page. If there are no others,
+            // the next request would be the same, so the loop would never end.
+            let next = page.last_key.map(|key| format!("{key}\0"));
+            let next = next.filter(|next| *next > from);
+            from = next.ok_or_else(|| {
+                unavailable("a truncated response has no further rows".to_owned())
+            })?;
         }
     }
 
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -3,6 +3,8 @@
 mod document_rows;
 mod engine_reports;
 mod header_fields;
+mod nested_texts;
+mod odd_rows;
 mod store_rows;
 
 use bytestring::ByteString;
--- a/src/sync/tests/mod.rs
+++ b/src/sync/tests/mod.rs
@@ -12,6 +12,7 @@
 mod incarnations;
 mod late_messages;
 mod messages;
+mod odd_entries;
 mod read_orders;
 mod readers;
 mod reported_lists;
