Continue a read in pages behind a key of full length with a key that is not longer

What callers may see: a table is not read beyond a page that ends with a key of 200 bytes, if the store refuses a key of 201 bytes as the begin of the next page. The platform's pages limit keys to 200 bytes and do not say what the store does with longer ones in a read; that it refuses them is an assumption.

Cause: the next page began at the last key with a zero byte appended.

Evidence: with that key and a fake store that answers 400 to it, the process of src/sync/tests/odd_entries.rs does not reach the expected list within 10 s.

Change: behind a key of full length the next page begins at the least key that is greater and not longer.

--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -23,6 +23,8 @@
 
 /// The most rows that one call may change.
 pub(crate) const CHANGED_ROWS_MAX: usize = 100;
+/// The longest key of a row.
+const KEY_BYTES_MAX: usize = 200;
 /// Time limit for the complete body of a response while its bytes keep arriving. 1 MB, the largest
 /// response of the store, takes 4 s over a twelfth of a 25 Mbit/s link.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -188,7 +190,7 @@
             }
             // Rows after the last valid key are read again with the next page. If there are no others,
             // the next request would be the same, so the loop would never end.
-            let next = page.last_key.map(|key| format!("{key}\0"));
+            let next = page.last_key.and_then(key_after);
             let next = next.filter(|next| *next > from);
             from = next.ok_or_else(|| {
                 unavailable("a truncated response has no further rows".to_owned())
@@ -386,6 +388,25 @@
     }
 }
 
+/// The least key after `key`; none if there is none.
+fn key_after(mut key: String) -> Option<String> {
+    if key.len() < KEY_BYTES_MAX {
+        key.push('\0');
+        return Some(key);
+    }
+    // A key that begins with this one would be too long, and the store may refuse it.
+    while let Some(end) = key.pop() {
+        let following = (end..=char::MAX).nth(1);
+        if let Some(following) = following
+            && key.len() + following.len_utf8() <= KEY_BYTES_MAX
+        {
+            key.push(following);
+            return Some(key);
+        }
+    }
+    None
+}
+
 fn change_text<'a>(
     precondition: Vec<ConditionText<'a>>,
     table: TableName,
--- a/src/sync/tests/odd_entries.rs
+++ b/src/sync/tests/odd_entries.rs
@@ -442,9 +442,12 @@
             let entry = entry_with("address", &json!(value).to_string());
             store.put(TableName::Backends, &format!("m{round} {value}"), &entry);
         }
-        for key in ["", "é/%00"] {
+        for key in ["", "é/%00", &"\u{10ffff}".repeat(KEY_BYTES_MAX / 4)] {
             store.put(TableName::Backends, key, "{}");
         }
+        for key in ["k", "~"] {
+            store.put(TableName::Backends, &key.repeat(KEY_BYTES_MAX), "{}");
+        }
     };
     let sample = backend_sample();
     put_odd("");
