Refuse entries whose address is that of no host

What callers may see: requests to a service are also sent to an entry that another writer left with port 0, with 0.0.0.0 or [::], or with the address of a group. To port 0 and to groups each attempt fails and costs one of the request's attempts. A connection to 0.0.0.0 reaches the entry host itself, so that whatever has that port there gets the request, possibly the entry host's own listener.

Cause: an entry's address was only checked to be one.

Evidence, on the code before: an_entry_with_an_address_of_no_host_names_no_backend_and_the_others_hold, "left: [a, m, z], right: [a, z]" for 10.0.0.9:0.

Change: such an entry is unreadable: [1115] names it once, it names no backend server, and the others hold. Ports out of range (65536, 99999, -1), host names and numbers with leading zeros were refused before.

--- a/src/platform/backend_row.rs
+++ b/src/platform/backend_row.rs
@@ -5,7 +5,7 @@
 //! to an address where nothing serves them, and entry hosts would log `[1202]` for a backend server
 //! without a zone, slots or state.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::num::NonZeroU32;
 
 use bytestring::ByteString;
@@ -102,6 +102,7 @@
 ) -> SwitchResult<BackendFacts> {
     check_id(id)?;
     let text: RowText = read_object(value).map_err(|fault| invalid(id, &fault))?;
+    check_address(text.address).map_err(|fault| invalid(id, &fault))?;
     let holdings = HoldingsText {
         models: text.models.unwrap_or_default(),
         layers: text.layers,
@@ -136,6 +137,22 @@
     }
 }
 
+/// Checks that the address is that of a host.
+///
+/// A connection to the unspecified address reaches this host itself, and none can be opened to port
+/// 0, to several hosts at once or to all.
+fn check_address(address: SocketAddr) -> Result<(), &'static str> {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    if address.port() == 0 {
+        Err("the port is 0")
+    } else if ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        Err("the address is not that of a host")
+    } else {
+        Ok(())
+    }
+}
+
 fn invalid(id: &str, fault: &dyn std::fmt::Display) -> SwitchError {
     let detail = format!("the entry of backend server {id}: {fault}");
     SwitchError::new(ErrorKind::MessageInvalid, detail)
--- a/src/sync/tests/odd_entries.rs
+++ b/src/sync/tests/odd_entries.rs
@@ -130,7 +130,8 @@
 }
 
 /// Addresses at which no backend server can be called.
-const ADDRESSES: [&str; 14] = [
+const ADDRESSES: [&str; 22] = [
+    "10.0.0.9:0",
     "10.0.0.9:65536",
     "10.0.0.9:-1",
     "10.0.0.9:99999",
@@ -144,7 +145,14 @@
     "010.0.0.09:80",
     "10.0.9:80",
     "0x0a000009:80",
+    "0.0.0.0:80",
+    "255.255.255.255:80",
+    "224.0.0.1:80",
+    "[::]:80",
+    "[::ffff:0.0.0.0]:80",
+    "[ff02::1]:80",
     "::1:80",
+    "[::1]:0",
 ];
 
 fn entries_with_odd_addresses() -> Vec<String> {
@@ -330,7 +338,8 @@
     }
 }
 
-/// Guards against processes that end, or that stop following the list, because of such an address.
+/// Guards against requests to an address at which no backend server can be called. At port 0 each of
+/// them fails, and at 0.0.0.0 they reach whatever has the port on the entry host itself.
 #[test]
 fn an_entry_with_an_address_of_no_host_names_no_backend_and_the_others_hold() {
     for entry in entries_with_odd_addresses() {
@@ -438,7 +447,7 @@
         for value in ["1e400", "18446744073709551616", "\"\\ud800\"", "{}", "null"] {
             store.put_json(TableName::Backends, &format!("m{round} {value}"), value);
         }
-        for value in ["10.0.0.9:65536", "host:"] {
+        for value in ["10.0.0.9:65536", "10.0.0.9:0"] {
             let entry = entry_with("address", &json!(value).to_string());
             store.put(TableName::Backends, &format!("m{round} {value}"), &entry);
         }
