Refuse entries whose start or sequence number is too large to be one

What callers may see: another writer overwrites the entry of a backend server with a start time or a sequence number at the end of its range. All later entries of the backend server itself then count as earlier ones ([1117] for each) until its entry is removed, so that requests are sent to it while it is leaving, or to the address that the other writer gave.

Cause: entries are ordered by these numbers, so that late writes change nothing, and the numbers were not limited.

Evidence, on the code before: an_entry_with_a_number_too_large_does_not_hide_later_ones, "born: left: Some(Serving), right: Some(Leaving)".

Change: numbers above 2^53 - 1, which JSON programs do not count exactly, make the entry unreadable. A number below that which is still larger than the backend server's own has the same effect as before; it can't be told from a newer entry.

--- a/src/platform/backend_row.rs
+++ b/src/platform/backend_row.rs
@@ -19,6 +19,13 @@
 use crate::fleet::{BackendFacts, BackendPhase};
 use crate::time::{StoreTime, WallTime};
 
+/// The largest valid start time and sequence number: larger integers are not exact in every JSON
+/// program, so that no backend server counts with them.
+///
+/// Entries with an earlier start or a lower number count as late. After one with a number at the end
+/// of its range, all entries of the backend server itself would be ignored.
+const INTEGER_MAX: u64 = (1 << 53) - 1;
+
 /// An entry as it is stored. Optional fields may be missing, but must have the right type if
 /// present.
 #[derive(Deserialize)]
@@ -103,6 +110,7 @@
     check_id(id)?;
     let text: RowText = read_object(value).map_err(|fault| invalid(id, &fault))?;
     check_address(text.address).map_err(|fault| invalid(id, &fault))?;
+    check_order(&text).map_err(|fault| invalid(id, &fault))?;
     let holdings = HoldingsText {
         models: text.models.unwrap_or_default(),
         layers: text.layers,
@@ -153,6 +161,18 @@
     }
 }
 
+/// Checks the numbers by which the entries of one backend server are ordered.
+fn check_order(text: &RowText) -> Result<(), &'static str> {
+    let is_exact = |number: Option<u64>| number.is_none_or(|number| number <= INTEGER_MAX);
+    if !is_exact(text.start_time) {
+        Err("the start time is too large")
+    } else if !is_exact(text.sequence) {
+        Err("the sequence number is too large")
+    } else {
+        Ok(())
+    }
+}
+
 fn invalid(id: &str, fault: &dyn std::fmt::Display) -> SwitchError {
     let detail = format!("the entry of backend server {id}: {fault}");
     SwitchError::new(ErrorKind::MessageInvalid, detail)
--- a/src/sync/tests/odd_entries.rs
+++ b/src/sync/tests/odd_entries.rs
@@ -7,6 +7,7 @@
 
 use super::restarts::EntryProcess;
 use super::{START, at_once, ids, new_state, row, store_time, view};
+use crate::fleet::BackendPhase;
 use crate::platform::samples::{backend_sample, document_sample};
 use crate::platform::{FakeStore, StoreRow, TableName};
 use crate::sync::own_rows::OwnRows;
@@ -125,6 +126,16 @@
     for number in ["0", "9223372036854775808", "4294967296", "null"] {
         entries.push(entry_with("slots", number));
     }
+    for number in [
+        "18446744073709551615",
+        "9223372036854775808",
+        "9007199254740992",
+    ] {
+        entries.push(entry_with("born", number));
+    }
+    for number in ["18446744073709551615", "9007199254740992"] {
+        entries.push(entry_with("sequence", number));
+    }
     entries.extend(["1e400", "NaN", "[1]"].map(|number| entry_with("version", number)));
     entries
 }
@@ -361,6 +372,29 @@
     }
 }
 
+/// Guards against a backend server that is followed no longer. Another writer had overwritten its
+/// entry with a start or a number so large that all of its own entries counted as earlier ones:
+/// `[1117]` for each, and requests were sent to it when it was leaving.
+#[test]
+fn an_entry_with_a_number_too_large_does_not_hide_later_ones() {
+    for field in ["born", "sequence"] {
+        let pair = Pair::new();
+        let entry = entry_with("sequence", "4");
+        pair.read_table(vec![row("m", 5, Some(&entry)), good("z")], 5);
+        let odd = entry_with(field, "18446744073709551615");
+        pair.watch(vec![row("m", 6, Some(&odd))], 6);
+        let leaving = entry_with("sequence", "5").replace("ready", "draining");
+        pair.watch(vec![row("m", 7, Some(&leaving))], 7);
+        for state in [&pair.reader, &pair.follower] {
+            let snapshot = state.snapshot().load();
+            let mut backends = snapshot.fleet.backends.iter();
+            let found = backends.find(|facts| facts.id == "m");
+            let phase = found.map(|facts| facts.phase);
+            assert_eq!(phase, Some(BackendPhase::Leaving), "{field}");
+        }
+    }
+}
+
 #[test]
 fn entries_under_odd_keys_name_no_backend_and_the_others_hold() {
     let long = "k".repeat(KEY_BYTES_MAX);
