Count a load beyond the range of its number as full

What callers may see: a backend server whose report states about 2^32 requests, and to which this entry host sent a request within the last 300 ms, counts as nearly idle and is preferred. In builds that check arithmetic the task ends instead.

Cause: the own and the other requests were added without regard to the range. The other loads are added with saturation.

Evidence, on the code before: the_largest_load_counts_as_full, "src/fleet/backend_record.rs:165:9: attempt to add with overflow". The effect in a release build was read from the code and not run.

Change: the sum saturates.

--- a/src/fleet/backend_record.rs
+++ b/src/fleet/backend_record.rs
@@ -162,7 +162,7 @@
 
     /// Estimated number of its requests at `now`, from all entry hosts.
     pub(crate) fn load(&self, now: ClockTime) -> u32 {
-        self.own_in_flight + self.others(now)
+        self.own_in_flight.saturating_add(self.others(now))
     }
 
     /// Counts a request whose prompt has `tokens` tokens as sent there at `now`.
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,6 +1,7 @@
 mod announcements;
 mod cold_starts;
 mod incarnations;
+mod odd_numbers;
 mod placement;
 mod request_limits;
 mod retry_shares;
