Limit the rates of backend servers to what the clock can tell apart

What callers may see: a backend server that advertises an absurdly large rate (1e300 requests a second), or one of a service whose document states one for cold backend servers, gets no requests instead of all. In builds that check arithmetic the task ends instead.

Cause: the number of the current send interval exceeds the range of integers, where adding one overflows; all starts of intervals round to zero, which counts as used.

Evidence, on the code before: an_absurdly_large_rate_limits_nothing_and_a_small_one_everything, "src/overload/send_schedule.rs:70:23: attempt to add with overflow". The effect in a release build was read from the code and not run.

Change: rates above one interval per microsecond, the unit of the clock, count as that.

--- a/src/fleet/tests/odd_numbers.rs
+++ b/src/fleet/tests/odd_numbers.rs
@@ -1,10 +1,21 @@
-//! Entries and load reports with numbers at the ends of their ranges.
+//! Entries, load reports, responses and documents with numbers at the ends of their ranges.
 
 use super::*;
+use crate::catalog::ColdStart;
 use crate::overload::EngineSpeed;
 use crate::time::StoreTime;
 
 const NUMBERS: [u32; 4] = [0, 1, u32::MAX - 1, u32::MAX];
+const RATES: [f64; 8] = [
+    0.0,
+    f64::MIN_POSITIVE,
+    1e-9,
+    1.0,
+    1e6,
+    1e18,
+    1e300,
+    f64::MAX,
+];
 
 fn work() -> EngineWork {
     EngineWork {
@@ -89,3 +100,43 @@
         }
     }
 }
+
+fn picks_at_limit(registry: &SharedRegistry, wanted: &PickRequirements<'_>) -> usize {
+    let steps = (1..=100).map(|step| NOW + Duration::from_millis(10) * step);
+    let picked = steps.filter(|now| {
+        let picked = registry.pick(wanted, *now);
+        picked
+            .map(|ticket| ticket.end(CallOutcome::Answered, *now))
+            .is_ok()
+    });
+    picked.count()
+}
+
+/// Guards against a rate so large that the numbers of its send intervals exceed the range of integers,
+/// which ends the thread.
+#[test]
+fn an_absurdly_large_rate_limits_nothing_and_a_small_one_everything() {
+    for rate in RATES {
+        let registry = registry_of(vec![facts("a", "here", 1)]);
+        let ticket = registry.pick(&requirements(None), NOW).expect("it is free");
+        ticket.note_limit(Some(rate), NOW);
+        ticket.end(CallOutcome::Answered, NOW);
+        let count = picks_at_limit(&registry, &requirements(None));
+        let expected = if rate >= 1e6 { 100..=100 } else { 0..=2 };
+        assert!(expected.contains(&count), "{rate}: {count}");
+
+        let cold_start = ColdStart {
+            span: Duration::from_secs(3),
+            rate,
+        };
+        for overshoot in [0.0, 1.0, 1.5, f64::MAX, f64::INFINITY] {
+            let registry = registry_of(vec![facts("a", "here", 1)]);
+            let wanted = PickRequirements {
+                cold_limit: Some(ColdLimit::new(cold_start, overshoot)),
+                ..requirements(None)
+            };
+            let count = picks_at_limit(&registry, &wanted);
+            assert!(expected.contains(&count), "cold, {rate}: {count}");
+        }
+    }
+}
--- a/src/overload/send_schedule.rs
+++ b/src/overload/send_schedule.rs
@@ -20,6 +20,9 @@
 /// Largest number of past intervals that are searched for an unused one.
 const CARRY_INTERVALS_MAX: u64 = 256;
 const MICROS_PER_SECOND: f64 = 1e6;
+/// Largest rate that is counted: one interval per microsecond, the unit of the clock. The numbers of the
+/// intervals of much larger rates exceed the range of integers.
+const RATE_MAX: f64 = MICROS_PER_SECOND;
 
 /// The rate of send intervals.
 #[apply(plain!)]
@@ -66,6 +69,7 @@
         now: StoreTime,
     ) -> Option<StoreTime> {
         let SendRate { per_s, carry_span } = rate;
+        let per_s = per_s.min(RATE_MAX);
         let newest = interval_at(per_s, now);
         let carried = interval_at(per_s, now - carry_span) + 1;
         let oldest = carried
