Test a load that ended while no process of the host ran

Fails on ("timed out after 6s: intact weights are served"): a process that starts beside a calm engine trusts what it serves, also if the process that sent its order was killed before the load was verified.

--- a/src/replication/tests/corrupt_chunks.rs
+++ b/src/replication/tests/corrupt_chunks.rs
@@ -162,6 +162,19 @@
     host.stop();
 }
 
+/// Guards against trusting a load that ended before a new process started, after the process that
+/// had sent its order was killed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn corrupt_chunks_loaded_while_no_process_ran_are_not_served() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    engine.load_for_other(1, &[0, 3], Duration::ZERO);
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
+    await_intact(&host, 1).await;
+    reports.end();
+    host.stop();
+}
+
 /// Guards against loading intact weights again whenever a process of a host starts during a load.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn intact_chunks_loaded_for_a_former_process_are_served() {
