Test layers of a process that ended before their release, and a release whose answer is lost

Two of the three new tests fail on ("timed out after 6s: intact weights are served"). The fake engine answers 200 to an order for a layer that is all it holds, as the platform states for an order that is in effect.

--- a/src/platform/fake_engine.rs
+++ b/src/platform/fake_engine.rs
@@ -260,15 +260,7 @@
     #[cfg(test)]
     pub(crate) fn load_for_other(&self, version: u64, corrupt: &[u32], load_duration: Duration) {
         let mut state = self.lock();
-        for index in 0..CHUNKS {
-            let bytes = if corrupt.contains(&index) {
-                Bytes::from_static(b"corrupt")
-            } else {
-                chunk_bytes(version, index)
-            };
-            state.staged[index as usize] = Some(bytes);
-            state.corrupted_at[index as usize] = None;
-        }
+        state.stage_version(version, corrupt);
         let usual_duration = std::mem::replace(&mut state.load_duration, load_duration);
         let order = json!({ "version": version, "precondition": state.orders_accepted });
         let status = state.order(order.to_string().as_bytes(), clock_now());
@@ -276,6 +268,30 @@
         state.load_duration = usual_duration;
     }
 
+    /// Like [`FakeEngine::load_for_other`], for one layer. Its chunks are staged again afterwards.
+    #[cfg(test)]
+    pub(crate) fn load_layer_for_other(&self, version: u64, layer: u32, corrupt: &[u32]) {
+        let mut state = self.lock();
+        state.stage_version(version, corrupt);
+        let order = json!({
+            "version": version, "from": layer, "precondition": state.orders_accepted,
+        });
+        let status = state.order(order.to_string().as_bytes(), clock_now());
+        assert_eq!(status, StatusCode::ACCEPTED, "the engine is idle");
+        state.stage_version(version, &[]);
+    }
+
+    /// Accepts an order for one layer of `version`, whose chunks are staged, without an answer.
+    #[cfg(test)]
+    pub(crate) fn accept_layer(&self, version: u64, layer: u32) {
+        let mut state = self.lock();
+        let order = json!({
+            "version": version, "from": layer, "precondition": state.orders_accepted,
+        });
+        let status = state.order(order.to_string().as_bytes(), clock_now());
+        assert_eq!(status, StatusCode::ACCEPTED, "the engine is idle");
+    }
+
     /// Whether the engine serves requests with a layer that it should not have loaded.
     #[cfg(test)]
     pub(crate) fn serves_bad_layers(&self) -> bool {
@@ -393,6 +409,20 @@
         }
     }
 
+    /// Stages all chunks of `version`, those in `corrupt` as corrupt ones.
+    #[cfg(test)]
+    fn stage_version(&mut self, version: u64, corrupt: &[u32]) {
+        for index in 0..CHUNKS {
+            let bytes = if corrupt.contains(&index) {
+                Bytes::from_static(b"corrupt")
+            } else {
+                chunk_bytes(version, index)
+            };
+            self.staged[index as usize] = Some(bytes);
+            self.corrupted_at[index as usize] = None;
+        }
+    }
+
     fn take_due_action(&mut self, path: &str) -> Option<CallAction> {
         let plan = self.planned_action.as_mut()?;
         if !path.starts_with(plan.path_prefix) {
@@ -489,7 +519,11 @@
         let layer = order["from"]
             .as_u64()
             .map(|from| u32::try_from(from).expect("a layer number fits"));
-        if self.held == Some(version) && layer.is_none() {
+        let is_in_effect = match layer {
+            Some(layer) => self.layer == Some((layer, version)),
+            None => self.held == Some(version),
+        };
+        if is_in_effect {
             return StatusCode::OK;
         }
         let layers = layer.map_or(0..LAYERS, |layer| layer..layer + 1);
--- a/src/replication/tests/corrupt_chunks.rs
+++ b/src/replication/tests/corrupt_chunks.rs
@@ -24,6 +24,10 @@
 const STALL: Duration = Duration::from_millis(3800);
 /// The duration of a load for another process. The host knows of it before it ends.
 const LOAD_SPAN: Duration = Duration::from_millis(1500);
+/// Longer than a host waits for the answer to an order.
+const ANSWER_LOST: Duration = Duration::from_secs(1);
+/// The first layer that does not need the first chunk.
+const FIRST_INTACT_LAYER: u32 = 1;
 /// Number of requests in progress for which a host waits before an order.
 const MANY_REQUESTS: u32 = 16;
 
@@ -186,6 +190,54 @@
     host.end();
 }
 
+/// Guards against loading intact weights again whenever a process of a host starts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn intact_chunks_loaded_while_no_process_ran_are_served() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    engine.load_for_other(1, &[], Duration::ZERO);
+    let host = BackendHost::start_beside(engine, &[]).await;
+    host.await_served(1).await;
+    sleep(LOAD_SPAN).await;
+    assert_eq!(host.engine.orders_started(), 1);
+    host.end();
+}
+
+/// Guards against keeping a corrupt layer, whose chunks were staged again, because the process that
+/// was about to release it was killed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_corrupt_layer_loaded_while_no_process_ran_is_not_served() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    engine.load_layer_for_other(1, 0, &[0]);
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
+    await_intact(&host, 1).await;
+    reports.end();
+    host.stop();
+}
+
+/// Guards against repeating forever the order by which an engine releases corrupt layers, because
+/// its answer was lost and the order is in effect.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_serves_again_after_the_answer_to_a_release_was_lost() {
+    let host = BackendHost::start(StartTimeField::Present).await;
+    host.await_served(1).await;
+    let corrupt = corrupt_and_stall(&host);
+    let engine = host.engine.clone();
+    host.engine.on_call(EngineCall::Order, 0, move || {
+        corrupt();
+        let released = engine.clone();
+        engine.on_call(EngineCall::Order, 0, move || {
+            released.accept_layer(2, FIRST_INTACT_LAYER);
+            ANSWER_LOST
+        });
+        ORDER_DELAY
+    });
+    host.set_target(2);
+    sleep(STALL).await;
+    await_intact(&host, 2).await;
+    host.stop();
+}
+
 /// Guards against trusting a load whose order came from another process while this one ran.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn corrupt_chunks_loaded_for_another_process_are_not_served() {
