End a release once the engine holds intact layers only

What callers would see: an engine that takes no requests until its process ends. No user has reported it.

Cause: if the answer to the last order of a release is lost, the order is in effect, the engine answers 200 to its repetition, and the doubt remains, so that the order is repeated every 50 ms.

Evidence: an_engine_serves_again_after_the_answer_to_a_release_was_lost failed before ("timed out after 6s: intact weights are served").

Change: what is to be released follows from the engine's state: nothing, if each layer that it holds is intact.

--- a/src/replication/load_orders.rs
+++ b/src/replication/load_orders.rs
@@ -265,6 +265,12 @@
         state: &EngineState,
         (target, layers): (&ModelVersion, u32),
     ) -> SwitchResult<bool> {
+        let digests = self.store.digests(&doubt.target);
+        let count = digests.map_or(0, |digests| digests.count());
+        if doubt.is_released(&state.report.holdings, count, layers) {
+            self.set_verified(state);
+            return Ok(true);
+        }
         let held = self.store.held(&doubt.target);
         if held.is_some_and(|held| held.is_full()) {
             self.release(doubt, state, layers).await?;
--- a/src/replication/order_doubt.rs
+++ b/src/replication/order_doubt.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Whether all layers of the version that an engine with `holdings` has loaded are intact, of
+    /// `layers` layers in `count` chunks.
+    pub(super) fn is_released(&self, holdings: &EngineHoldings, count: u32, layers: u32) -> bool {
+        let mut held = (0..layers).filter(|layer| holdings.has_layer(*layer, self.target.version));
+        held.all(|layer| self.is_intact(layer, count, layers))
+    }
+
     fn is_intact(&self, layer: u32, count: u32, layers: u32) -> bool {
         let mut chunks = layer_chunks(layer, count, layers);
         chunks.all(|index| self.corrupt.binary_search(&index).is_err())
