Verify the last load that an engine had accepted when a process started

What callers would see: tokens made with corrupt weights until the next version, where the process that ordered a load was killed before it had verified it, and its successor started behind the end of the load.

Cause: a calm engine was trusted at the start of a process.

Evidence: corrupt_chunks_loaded_while_no_process_ran_are_not_served and a_corrupt_layer_loaded_while_no_process_ran_is_not_served failed before ("timed out after 6s: intact weights are served").

Change: the last order that an engine had accepted at its first report is not verified, whether it is in progress or not. Of a version that is not complete, staged chunks prove nothing: the former process may have staged them again for a release.

--- a/src/replication/engine_monitor.rs
+++ b/src/replication/engine_monitor.rs
@@ -31,7 +31,7 @@
     queried_at: ClockTime,
     /// The incarnation that is about to change its weights.
     loading: Option<EngineIncarnation>,
-    /// The order that the engine was carrying out at the first report.
+    /// The last order that the engine had accepted at the first report.
     inherited: Option<OrderNumber>,
     /// The orders whose loads are verified; none before the first report.
     verified: Option<VerifiedOrders>,
@@ -49,7 +49,7 @@
         }
         let verified =
             VerifiedOrders::at_first_report(incarnation, report, self.verified.is_some());
-        if report.is_busy && self.verified.is_none() {
+        if self.verified.is_none() {
             self.inherited = Some(OrderNumber {
                 incarnation,
                 accepted_before: verified.count,
@@ -71,17 +71,18 @@
     /// At the first report of an incarnation to this process, which is a `successor` if the process
     /// knew one before.
     ///
-    /// What an engine serves when the process starts was verified by an earlier process. A load in
-    /// progress was not: the earlier process ended before it.
-    fn at_first_report(
+    /// The last load of an engine that is running when the process starts is not verified: the
+    /// process that ordered it may have ended before it was. No order was sent before that one was
+    /// verified, and an engine without orders holds what it was started with.
+    const fn at_first_report(
         incarnation: EngineIncarnation,
         report: &EngineReport,
         successor: bool,
     ) -> Self {
-        let count = match (successor, report.is_busy) {
-            (true, _) => 0,
-            (false, false) => report.orders_accepted,
-            (false, true) => report.orders_accepted.saturating_sub(1),
+        let count = if successor {
+            0
+        } else {
+            report.orders_accepted.saturating_sub(1)
         };
         Self { incarnation, count }
     }
@@ -158,7 +159,7 @@
         number.was_accepted(state).then_some(number)
     }
 
-    /// Whether the engine was carrying out the order `number` when this process started.
+    /// Whether the order `number` is the last that the engine had accepted when this process started.
     pub(super) fn is_inherited(&self, number: OrderNumber) -> bool {
         self.lock().inherited == Some(number)
     }
--- a/src/replication/load_orders.rs
+++ b/src/replication/load_orders.rs
@@ -230,8 +230,8 @@
         };
         let count = digests.count();
         // This process may have staged chunks again since the engine accepted an order while it
-        // was running.
-        let corrupt = if self.monitor.is_inherited(number) {
+        // was running. A former process may have done so if it had released the other layers.
+        let corrupt = if self.monitor.is_inherited(number) && held.is_some() {
             Vec::new()
         } else {
             (0..count).collect()
