Test that an intact previous version is served after a process started

Fails on ("timed out after 6s: the engine is offered"): the digests of a version that is not the target are not read, so that its load can't be verified.

--- a/src/replication/tests/corrupt_chunks.rs
+++ b/src/replication/tests/corrupt_chunks.rs
@@ -202,6 +202,23 @@
     host.end();
 }
 
+/// Guards against taking an engine out of service until it has loaded a newer version, because the
+/// digests of the one that it serves are not known after the start of a process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_intact_previous_version_is_served_after_a_process_started() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    engine.load_for_other(1, &[], Duration::ZERO);
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
+    host.origin.limit_chunks(0);
+    host.set_target(2);
+    let is_offered = || reports.offered.load(Ordering::Relaxed) > 0;
+    host.await_that("the engine is offered", is_offered).await;
+    assert_eq!(host.engine.held(), Some(WeightsVersion(1)));
+    reports.end();
+    host.end();
+}
+
 /// Guards against keeping a corrupt layer, whose chunks were staged again, because the process that
 /// was about to release it was killed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -273,6 +290,8 @@
     address: SocketAddr,
     wrong: Arc<AtomicUsize>,
     received: Arc<AtomicUsize>,
+    /// Those that offer the engine.
+    offered: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
 
@@ -280,13 +299,18 @@
     async fn start(engine: &FakeEngine) -> Self {
         let socket = UdpSocket::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = socket.local_addr().expect("it is bound");
-        let (wrong, received) = (Arc::default(), Arc::default());
-        let counts = (Arc::clone(&wrong), Arc::clone(&received));
+        let (wrong, received, offered) = (Arc::default(), Arc::default(), Arc::default());
+        let counts = (
+            Arc::clone(&wrong),
+            Arc::clone(&received),
+            Arc::clone(&offered),
+        );
         let task = tokio::spawn(count_reports(socket, engine.clone(), counts));
         Self {
             address,
             wrong,
             received,
+            offered,
             task,
         }
     }
@@ -313,13 +337,14 @@
 async fn count_reports(
     socket: UdpSocket,
     engine: FakeEngine,
-    (wrong, received): (Arc<AtomicUsize>, Arc<AtomicUsize>),
+    (wrong, received, offered): (Arc<AtomicUsize>, Arc<AtomicUsize>, Arc<AtomicUsize>),
 ) {
     let mut buffer = [0; 2048];
     while let Ok(length) = socket.recv(&mut buffer).await {
         let datagram = decode_message(&buffer[..length]).expect("a report");
         if let ReportDatagram::Report(report) = datagram {
             received.fetch_add(1, Ordering::Relaxed);
+            offered.fetch_add(usize::from(!report.is_loading), Ordering::Relaxed);
             if !report.is_loading && engine.serves_bad_layers() {
                 wrong.fetch_add(1, Ordering::Relaxed);
             }
