Read the digests of the version that the engine has loaded

What callers would see: fewer engines after a process of a host started between two versions.

Cause: a process reads the digests of the target version only, so that the load of another version stays unverified, and its engine takes no requests until it has loaded the target.

Evidence: an_intact_previous_version_is_served_after_a_process_started failed before.

Change: they are read as well, in four attempts, as the origin no longer has those of a version two back.

--- a/src/replication/version_fetcher.rs
+++ b/src/replication/version_fetcher.rs
@@ -31,6 +31,9 @@
 const PEER_DIGESTS_TIMEOUT: Duration = Duration::from_millis(400);
 /// Mean pause between two queries for digests.
 const DIGEST_PAUSE: Duration = Duration::from_millis(60);
+/// Attempts of a process to read the digests of a version that the engine has loaded and that is
+/// not the target version. The origin no longer has those of a version two back.
+const SERVED_ATTEMPTS_MAX: u32 = 4;
 /// A fetch is finished although there is a newer target if at least this part of the chunks has
 /// left the origin. The older target has a deadline of its own, and without it no engine could
 /// serve requests between the two deadlines. If more is left, both fetches would share the origin's
@@ -101,6 +104,7 @@
     pub(super) async fn run(self) {
         let shared = Arc::new(self);
         let mut fetches: Vec<(ModelVersion, JoinHandle<()>)> = Vec::new();
+        let mut served_attempts = 0;
         loop {
             fetches.retain(|(_, fetch)| !fetch.is_finished());
             match shared.step().await {
@@ -111,6 +115,14 @@
                 Ok(_) => {}
                 Err(error) => log_event!(events::CHUNK_FETCH_FAILED, "{error}"),
             }
+            if served_attempts < SERVED_ATTEMPTS_MAX
+                && let Some(served) = shared.unknown_served()
+            {
+                served_attempts += 1;
+                if let Err(error) = shared.read_served_digests(&served).await {
+                    log_event!(events::CHUNK_FETCH_FAILED, "{error}");
+                }
+            }
             sleep(CHECK_INTERVAL).await;
         }
     }
@@ -145,6 +157,27 @@
         self.check_unserved(target).await
     }
 
+    /// The version that the engine has loaded, if its load is not verified and its digests are not
+    /// known.
+    fn unknown_served(&self) -> Option<ModelVersion> {
+        let state = self.monitor.state()?;
+        self.monitor.unverified(&state)?;
+        let snapshot = self.deployment_state.snapshot().load();
+        let (model, layers) = self.identity.model_of(&snapshot)?;
+        let version = state.report.holdings.complete_version(&model, layers)?;
+        let served = ModelVersion { model, version };
+        (!self.store.knows(&served)).then_some(served)
+    }
+
+    /// Reads the digests of a version that the engine has loaded, so that its load can be verified
+    /// although it is not the target version any more.
+    async fn read_served_digests(&self, served: &ModelVersion) -> SwitchResult<()> {
+        let snapshot = self.deployment_state.snapshot().load();
+        let digests = self.read_digests(&snapshot, served).await?;
+        self.store.begin(served, Arc::new(digests));
+        Ok(())
+    }
+
     /// Checks whether chunks of `target`, which the engine does not serve, have to be fetched.
     async fn check_unserved(&self, target: ModelVersion) -> SwitchResult<Option<ModelVersion>> {
         self.store.note_unserved(&target);
