Serve unverified weights if their digests stay unknown after a start

What callers would see: no engine of a service for as long as the origin does not answer, if all hosts start at once.

Cause: since the last load that an engine had accepted is verified when a process starts, an engine whose digests no other host and no origin knows is not verified.

Change: an engine that was idle at the start, and so had served requests already, is verified for 3 s at most without digests, and is then offered, with a warning. A load that was in progress at the start is not.

--- a/src/platform/fake_origin.rs
+++ b/src/platform/fake_origin.rs
@@ -35,6 +35,8 @@
     chunks_served: usize,
     /// The number of chunks that it serves before it refuses further ones.
     chunks_max: usize,
+    /// Whether it refuses digests.
+    refuses_digests: bool,
 }
 
 impl FakeOrigin {
@@ -43,6 +45,7 @@
         let state = Arc::new(Mutex::new(OriginState {
             chunks_served: 0,
             chunks_max: usize::MAX,
+            refuses_digests: false,
         }));
         let served_state = state.clone();
         let address = serve_calls(move |request| {
@@ -69,6 +72,11 @@
 /// Methods for tests only.
 #[cfg(test)]
 impl FakeOrigin {
+    /// Makes it refuse digests.
+    pub(crate) fn refuse_digests(&self) {
+        lock(&self.state).refuses_digests = true;
+    }
+
     /// A document with this origin and a service `s` whose engines have the model `m`.
     pub(crate) fn document(&self) -> String {
         let address = self.address;
@@ -89,6 +97,9 @@
     let version = query_number(request, "version").expect("the query has a version");
     let (path, index) = path_and_index(request);
     match (path.as_str(), index) {
+        ("/v1/manifest/m", _) if state.refuses_digests => {
+            json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}))
+        }
         ("/v1/manifest/m", _) => json_response(StatusCode::OK, &digests_text(version)),
         ("/v1/piece/m", Some(_)) if state.chunks_served >= state.chunks_max => {
             json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}))
--- a/src/replication/engine_monitor.rs
+++ b/src/replication/engine_monitor.rs
@@ -16,6 +16,11 @@
 use crate::platform::{EngineClient, EngineReport};
 use crate::time::{ClockTime, clock_now};
 
+/// Longest time for which an engine that served requests when this process started serves none
+/// because the digests of its weights are not known. If all hosts start at once while the origin does
+/// not answer, no engine would serve any more.
+const VERIFICATION_WAIT_MAX: Duration = Duration::from_secs(3);
+
 /// State of the engine.
 #[derive(Clone, Debug)]
 pub(super) struct EngineState {
@@ -32,14 +37,14 @@
     /// The incarnation that is about to change its weights.
     loading: Option<EngineIncarnation>,
     /// The last order that the engine had accepted at the first report.
-    inherited: Option<OrderNumber>,
+    inherited: Option<InheritedOrder>,
     /// The orders whose loads are verified; none before the first report.
     verified: Option<VerifiedOrders>,
 }
 
 impl MonitorRecord {
     /// Notes the orders that the incarnation of `report` had accepted at its first report.
-    fn note_incarnation(&mut self, report: &EngineReport) {
+    fn note_incarnation(&mut self, report: &EngineReport, now: ClockTime) {
         let incarnation = self.incarnations.incarnation();
         if self
             .verified
@@ -50,15 +55,27 @@
         let verified =
             VerifiedOrders::at_first_report(incarnation, report, self.verified.is_some());
         if self.verified.is_none() {
-            self.inherited = Some(OrderNumber {
+            let number = OrderNumber {
                 incarnation,
                 accepted_before: verified.count,
+            };
+            self.inherited = Some(InheritedOrder {
+                number,
+                idle_since: (!report.is_busy).then_some(now),
             });
         }
         self.verified = Some(verified);
     }
 }
 
+/// The last order that an engine had accepted when this process started.
+#[derive(Clone, Copy, Debug)]
+struct InheritedOrder {
+    number: OrderNumber,
+    /// The time of the first report, if the engine had carried out the order by then.
+    idle_since: Option<ClockTime>,
+}
+
 /// The orders of one incarnation whose loads are known to be of intact chunks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct VerifiedOrders {
@@ -161,7 +178,18 @@
 
     /// Whether the order `number` is the last that the engine had accepted when this process started.
     pub(super) fn is_inherited(&self, number: OrderNumber) -> bool {
-        self.lock().inherited == Some(number)
+        let inherited = self.lock().inherited;
+        inherited.is_some_and(|inherited| inherited.number == number)
+    }
+
+    /// Whether the order `number` was carried out before this process started, and its load could
+    /// not be verified for too long as of `now`.
+    pub(super) fn is_overdue(&self, number: OrderNumber, now: ClockTime) -> bool {
+        let inherited = self.lock().inherited;
+        let idle_since = inherited
+            .filter(|inherited| inherited.number == number)
+            .and_then(|inherited| inherited.idle_since);
+        idle_since.is_some_and(|since| now.since(since) >= VERIFICATION_WAIT_MAX)
     }
 
     /// Whether an engine in `state` takes no new requests, because its weights change or may be
@@ -199,7 +227,7 @@
                 self.store.forget_engine();
             }
         }
-        record.note_incarnation(&report);
+        record.note_incarnation(&report, queried_at);
         record.queried_at = queried_at;
         let state = EngineState {
             report,
--- a/src/replication/events.rs
+++ b/src/replication/events.rs
@@ -62,6 +62,11 @@
 pub(crate) const LOAD_UNVERIFIED: LogEvent =
     LogEvent::warn(1325, "the verification of a load failed and is repeated");
 
+pub(crate) const LOAD_TRUSTED: LogEvent = LogEvent::warn(
+    1326,
+    "the digests of the weights that the engine served at the start are not known; it serves them unverified",
+);
+
 /// All log events of this module.
 pub(crate) const ALL: &[LogEvent] = &[
     SERVING,
@@ -90,4 +95,5 @@
     LOAD_CORRUPT,
     LOAD_UNKNOWN,
     LOAD_UNVERIFIED,
+    LOAD_TRUSTED,
 ];
--- a/src/replication/load_orders.rs
+++ b/src/replication/load_orders.rs
@@ -166,8 +166,12 @@
             return Ok(true);
         }
         if self.store.digests(&doubt.target).is_none() {
-            // Those of an older version are not fetched any more. The engine serves no requests
-            // until it has loaded the target version.
+            if self.monitor.is_overdue(doubt.number, clock_now()) {
+                log_event!(events::LOAD_TRUSTED, "version={}", doubt.target.version.0);
+                self.set_verified(&state);
+            }
+            // An engine with an older version serves no requests until it has loaded the target
+            // version.
             return Ok(doubt.target != target);
         }
         if !doubt.has_corrupt() || phase == LoadPhase::Loaded {
--- a/src/replication/tests/corrupt_chunks.rs
+++ b/src/replication/tests/corrupt_chunks.rs
@@ -219,6 +219,22 @@
     host.end();
 }
 
+/// Guards against taking every engine out of service when all hosts start at once while the origin
+/// does not answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_is_served_after_a_process_started_although_no_digests_are_known() {
+    let engine = FakeEngine::start(StartTimeField::Present).await;
+    let reports = ReportCheck::start(&engine).await;
+    engine.load_for_other(1, &[], Duration::ZERO);
+    let host = BackendHost::start_beside(engine, &[reports.entry()]).await;
+    host.origin.refuse_digests();
+    let is_offered = || reports.offered.load(Ordering::Relaxed) > 0;
+    host.await_that("the engine is offered", is_offered).await;
+    assert_eq!(host.engine.orders_started(), 1);
+    reports.end();
+    host.end();
+}
+
 /// Guards against keeping a corrupt layer, whose chunks were staged again, because the process that
 /// was about to release it was killed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
