Show that a response cut at any byte never looks complete

Another operator saw a 200 with an empty or short body after a backend server had stopped in the middle of its response head. The HTTP library takes the end of a connection inside a head, a length or the framing of a chunk as an error; so does this program. The tests cut plain responses (2,933 places) and streams (1,632) of each framing, also behind interim responses and on kept connections, and end the connection in order, by a reset or not at all. Except where a body without framing may end (closed in order, behind the head and a whole event): each gave 502, 504 or a stream that breaks off. Heads that are damaged in other ways (no or a short attempt id, two lengths, no line feeds) gave 502.

A request that didn't arrive because its connection took too long to open is sent again by the test.

--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod crashing_backends;
 mod crashing_parts;
 mod crashing_requests;
+mod cut_responses;
 mod endless_responses;
 mod entry_hosts;
 mod fake_backend;
