Break off a resumed stream that ends before its first event

Callers saw a stream end as complete although its backend server had stopped: a response without a length or chunks, closed before its first event, counted as the end of the stream as soon as the client had events of an earlier backend server, or had sent Last-Event-Id. The rule that such a response is a crash looked at the last event of the client instead of the events of this response.

Before, the new test got events 1 and 2 of five from a backend server that broke off, nothing from the next one, and then the last chunk (an orderly end).

Now a response without framing that has sent no event of its own is an interruption: the stream is resumed elsewhere or breaks off.

--- a/src/gateway/stream_source.rs
+++ b/src/gateway/stream_source.rs
@@ -76,8 +76,9 @@
                 None if self.reader.has_rest() => {
                     return SourceStep::Interrupted("ended within an event".to_owned());
                 }
-                None if !self.response.head.is_framed && last.is_none() => {
-                    // Without a length or chunks, a crash before the first event looks like an end.
+                None if !self.response.head.is_framed && self.events == 0 => {
+                    // Without a length or chunks, a crash before the first event looks like an end,
+                    // also where the client has events of another backend server.
                     return SourceStep::Interrupted("ended before its first event".to_owned());
                 }
                 None => return SourceStep::End,
--- a/src/gateway/tests/unframed_responses.rs
+++ b/src/gateway/tests/unframed_responses.rs
@@ -1,6 +1,6 @@
 //! Responses without a length or chunks, which end with their connection.
 
-use super::fake_backend::BackendBehaviour;
+use super::fake_backend::{BackendBehaviour, EntryFixture, FakeBackend};
 use super::sends::{assert_complete_stream, outcome};
 
 /// Guards against losing a response because its end is that of its connection.
@@ -67,3 +67,25 @@
     let (status, response, arrivals) = outcome(behaviours, "single").await;
     assert_eq!((status, arrivals), (502, [1, 0]), "{response}");
 }
+
+/// Guards against a resumed stream that looks complete although the backend server that was to
+/// resume it crashed before its first event.
+#[tokio::test]
+async fn a_resumed_stream_that_ends_before_its_first_event_is_broken_off() {
+    let empty = BackendBehaviour::UnframedEvents { to: 0, rest: "" };
+    let behaviours = [BackendBehaviour::EventsTruncated { to: 2 }, empty];
+    let (_, response, arrivals) = outcome(behaviours, "resumed").await;
+    assert_eq!(arrivals, [1, 1], "{response}");
+    assert!(response.contains("data: part 2\n\n"), "{response}");
+    assert!(!response.ends_with("0\r\n\r\n"), "{response}");
+    for (kind, status) in [("single", "502"), ("resumed", "200")] {
+        let first = FakeBackend::start(empty).await;
+        let second = FakeBackend::start(BackendBehaviour::Events { to: 5 }).await;
+        let entry = EntryFixture::start(&[&first, &second]).await;
+        let response = entry.call_with(kind, "last-event-id: 2\r\n").await;
+        let start = format!("HTTP/1.1 {status}");
+        assert!(response.starts_with(&start), "{kind}: {response}");
+        let is_resumed = response.contains("data: part 3\n\n");
+        assert_eq!(is_resumed, kind == "resumed", "{kind}: {response}");
+    }
+}
