Pass on no body whose transfer coding is unknown

A response with any Transfer-Encoding counted as one whose end is known. The HTTP library reads a body whose last coding is not "chunked" until its connection ends, and it doesn't decode other codings. Callers therefore saw an empty stream or body that looked complete after the connection had closed ("Transfer-Encoding: chun", "gzip", an empty value), and bytes in a coding that they weren't told of.

--- a/src/gateway/send_attempt.rs
+++ b/src/gateway/send_attempt.rs
@@ -307,7 +307,9 @@
         ResponseOutcome::Run => true,
         // A refusal need not advertise the limit.
         ResponseOutcome::NotRun | ResponseOutcome::Misdirected => rate.is_some(),
-        ResponseOutcome::Replaced | ResponseOutcome::AttemptMismatch => false,
+        ResponseOutcome::Replaced
+        | ResponseOutcome::AttemptMismatch
+        | ResponseOutcome::Damaged(_) => false,
     };
     if is_conclusive {
         response.ticket.note_limit(rate, now);
@@ -357,6 +359,11 @@
             let detail = "the response belongs to another request".to_owned();
             return Err(SendFailure::unknown(ErrorKind::AnswerForeign, detail));
         }
+        ResponseOutcome::Damaged(reason) => {
+            response.ticket.end(CallOutcome::Failed, now);
+            let detail = format!("not a whole response: {reason}");
+            return Err(SendFailure::unknown(ErrorKind::AnswerCut, detail));
+        }
     };
     let status = response.head.status;
     response.ticket.end(end, now);
--- a/src/gateway/tests/cut_responses.rs
+++ b/src/gateway/tests/cut_responses.rs
@@ -480,9 +480,9 @@
     }
 }
 
-/// Runs requests of all kinds whose responses are `heads`, with and without a body, each followed by
-/// the end of the connection. Returns how they looked like an answer of the backend server.
-async fn heads_passed_on(heads: &[String]) -> Vec<String> {
+/// Asserts that no request of any kind gets a response of which only one of `heads` arrived, with
+/// and without a body, and then the end of the connection.
+async fn assert_no_response(what: &str, heads: &[String]) {
     let mut cases = Vec::new();
     for (head, body) in heads
         .iter()
@@ -508,7 +508,9 @@
         let is_error = matches!(outcome.status.as_u16(), 502 | 504);
         (!is_error && outcome.body.is_ok()).then(|| "passed on".to_owned())
     };
-    faults_of(cases, check).await
+    let count = cases.len();
+    let faults = faults_of(cases, check).await;
+    assert_sound(what, count, &faults);
 }
 
 fn head_with(fields: &str) -> String {
@@ -542,6 +544,22 @@
         format!("{HINTS}{id}\r\n"),
         format!("{HINTS}{HINTS}"),
     ];
-    let faults = heads_passed_on(&heads).await;
-    assert_sound("damaged", heads.len(), &faults);
+    assert_no_response("damaged", &heads).await;
+}
+
+/// Guards against passing on a body in a coding of which the client isn't told, and against taking
+/// the end of the connection for that of a body in chunks.
+#[tokio::test]
+async fn a_body_in_an_unknown_coding_is_not_complete() {
+    let codings = [
+        "",
+        "chun",
+        "gzip",
+        "identity",
+        "chunked, gzip",
+        "gzip, chunked",
+        "chunked\r\nTransfer-Encoding: gzip",
+    ];
+    let heads = codings.map(|coding| head_with(&format!("Transfer-Encoding: {coding}\r\n")));
+    assert_no_response("coding", &heads).await;
 }
--- a/src/platform/backend_headers.rs
+++ b/src/platform/backend_headers.rs
@@ -113,6 +113,8 @@
     Replaced,
     /// The response belongs to another attempt.
     AttemptMismatch,
+    /// Not the whole response of a backend server, for this reason. The request may have run.
+    Damaged(&'static str),
 }
 
 /// The head of a backend server's response.
@@ -195,11 +197,21 @@
         }
     } else if headers.contains_key(NOT_RUN) {
         ResponseOutcome::NotRun
+    } else if !has_known_coding(headers) {
+        ResponseOutcome::Damaged("its body has an unknown transfer coding")
     } else {
         ResponseOutcome::Run
     }
 }
 
+/// Whether the body is transferred as it is or in chunks. The end of a body in another coding is
+/// unknown, and its bytes would be passed on without being decoded.
+fn has_known_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    codings.next().is_none_or(is_chunked) && codings.next().is_none()
+}
+
 /// Whether the response is one of `backend` itself to the request that was sent to it. An address
 /// may be in use by another backend server by now.
 fn is_response_of(backend: &ByteString, outcome: ResponseOutcome, headers: &HeaderMap) -> bool {
