Take a change of the protocol for no response

A backend server that answered with status 101, which no request asks for, had it passed on to the caller as the answer, with an empty body. The HTTP library skips all other interim responses, and ends the exchange at this one.

Now it is not a whole response: the request has an unknown outcome (502), or is sent elsewhere if it may be repeated, and the connection is closed.

--- a/src/gateway/tests/cut_responses.rs
+++ b/src/gateway/tests/cut_responses.rs
@@ -563,3 +563,14 @@
     let heads = codings.map(|coding| head_with(&format!("Transfer-Encoding: {coding}\r\n")));
     assert_no_response("coding", &heads).await;
 }
+
+/// Guards against passing on an interim response as the answer: a change of the protocol, which no
+/// request asks for.
+#[tokio::test]
+async fn a_change_of_the_protocol_is_no_response() {
+    let change = head_with("").replace("200 OK", "101 Switching Protocols");
+    let upgrade = head_with("Connection: upgrade\r\nUpgrade: x\r\n");
+    let upgrade = upgrade.replace("200 OK", "101 Switching Protocols");
+    let heads = [change, upgrade];
+    assert_no_response("change", &heads).await;
+}
--- a/src/platform/backend_headers.rs
+++ b/src/platform/backend_headers.rs
@@ -197,6 +197,9 @@
         }
     } else if headers.contains_key(NOT_RUN) {
         ResponseOutcome::NotRun
+    } else if status.is_informational() {
+        // The HTTP library skips all others. No request asks for another protocol.
+        ResponseOutcome::Damaged("it changes the protocol")
     } else if !has_known_coding(headers) {
         ResponseOutcome::Damaged("its body has an unknown transfer coding")
     } else {
