Pass on no success without the seal of a backend server

A head that stops short of the seal and then ends, as one that is cut between its fields and closed by an empty line, was passed on with status 200 and an empty or short body: the attempt id was the only field that a response had to have. Clients accept no success without the seal, and a repeatable request was not sent elsewhere.

Now such a success is not a whole response: the request has an unknown outcome (502), or is sent elsewhere if it may be repeated, and the connection is closed. Other statuses need no seal.

The streams of the fake backend servers (also in tests/paused_entry_host.rs) had no seal; they send one now, as their other responses did. The test of attempt ids gives the seal in each of its successes, so that the id alone makes the difference.

--- a/src/gateway/tests/cut_responses.rs
+++ b/src/gateway/tests/cut_responses.rs
@@ -582,3 +582,17 @@
     let heads = [change, upgrade];
     assert_no_response("change", &heads).await;
 }
+
+/// Guards against passing on a success that is not known to be one of a backend server.
+#[tokio::test]
+async fn a_success_without_a_seal_is_no_response() {
+    let whole = head_with("");
+    let seal = format!("{SEAL}: 3e1b.07\r\n");
+    let heads = [
+        whole.replace(&seal, ""),
+        whole.replace(&seal, "Content-Length: 0\r\n"),
+        whole.replace(&seal, "Transfer-Encoding: chunked\r\n"),
+        whole.replace(&seal, &format!("{SEAL}:\r\n")),
+    ];
+    assert_no_response("seal", &heads).await;
+}
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -332,7 +332,7 @@
     };
     let events_with = |extra: &str, to: u64, rest: &str| {
         format!(
-            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n{extra}\
+            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt}\r\n{SEAL}: seal-of-it\r\n{extra}\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n{}",
             event_chunk(last, to, rest)
         )
--- a/src/platform/backend_headers.rs
+++ b/src/platform/backend_headers.rs
@@ -18,6 +18,8 @@
 const TARGET_ID: HeaderName = HeaderName::from_static("savoryswitch-target-instance");
 /// The backend server that responds, which need not be the addressed one.
 const BACKEND_ID: HeaderName = HeaderName::from_static("savoryswitch-instance-id");
+/// By which clients know the response of a backend server.
+const SEAL: HeaderName = HeaderName::from_static("savoryswitch-response-seal");
 const ACCOUNT: HeaderName = HeaderName::from_static("savoryswitch-tenant");
 const PRIORITY: HeaderName = HeaderName::from_static("savoryswitch-request-priority");
 const EXPECTED_VERSION: HeaderName = HeaderName::from_static("savoryswitch-expected-version");
@@ -200,6 +202,9 @@
     } else if status.is_informational() {
         // The HTTP library skips all others. No request asks for another protocol.
         ResponseOutcome::Damaged("it changes the protocol")
+    } else if status.is_success() && headers.get(SEAL).is_none_or(HeaderValue::is_empty) {
+        // Clients do not accept such a success, and another send may give them a sealed one.
+        ResponseOutcome::Damaged("it has no seal")
     } else if !has_known_coding(headers) {
         ResponseOutcome::Damaged("its body has an unknown transfer coding")
     } else {
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -144,14 +144,15 @@
         read_response_head(status, &headers(fields), (Some(&attempt), &backend)).outcome
     };
     let own = ("savoryswitch-attempt-id", "a1");
-    assert_eq!(outcome(StatusCode::OK, &[own]), ResponseOutcome::Run);
+    let seal = ("savoryswitch-response-seal", "3e1b.07");
+    assert_eq!(outcome(StatusCode::OK, &[own, seal]), ResponseOutcome::Run);
     assert_eq!(
-        outcome(StatusCode::OK, &[]),
+        outcome(StatusCode::OK, &[seal]),
         ResponseOutcome::AttemptMismatch
     );
     let other = ("savoryswitch-attempt-id", "a2");
     assert_eq!(
-        outcome(StatusCode::OK, &[other]),
+        outcome(StatusCode::OK, &[other, seal]),
         ResponseOutcome::AttemptMismatch
     );
     let not_run = ("savoryswitch-not-executed", "1");
--- a/tests/paused_entry_host.rs
+++ b/tests/paused_entry_host.rs
@@ -118,6 +118,7 @@
         let last = header(head, "last-event-id").and_then(|text| text.parse().ok());
         let response_head = format!(
             "HTTP/1.1 200 OK\r\nsavoryswitch-attempt-id: {attempt}\r\n\
+             savoryswitch-response-seal: seal\r\n\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
         );
         stream.write_all(response_head.as_bytes()).ok()?;
