Judge a release of corrupt layers by what the engine holds

What it reports as held decides now: each held layer is intact, or was loaded anew.

With it: if the answers to an order for all layers and to one for a single layer are lost, the chunks of both are read back, not only the layer's. While chunks are missing that a release needs, the staged ones are not read again and again.

--- a/src/replication/load_orders.rs
+++ b/src/replication/load_orders.rs
@@ -174,7 +174,9 @@
             // version.
             return Ok(doubt.target != target);
         }
-        if !doubt.has_corrupt() || phase == LoadPhase::Loaded {
+        let held = self.store.held(&doubt.target);
+        let is_releasable = phase == LoadPhase::Loaded && held.is_some_and(|held| held.is_full());
+        if !doubt.has_corrupt() || is_releasable {
             let corrupt = self.store.find_corrupt(&doubt.target, doubt.range.clone());
             doubt.note_corrupt(&corrupt.await?);
         }
@@ -298,27 +300,21 @@
         let release = doubt.release_layer(&state.report.holdings, count, layers);
         log_event!(
             events::LOAD_CORRUPT,
-            "version={} layer={} is_last={}",
-            doubt.target.version.0,
-            release.layer,
-            release.is_last
+            "version={} layer={release:?}",
+            doubt.target.version.0
         );
-        let chunks = layer_chunks(release.layer, count, layers);
+        let chunks = layer_chunks(release.layer(), count, layers);
         let check = self.store.stage_range(&doubt.target, chunks).await?;
         let order = LoadOrder {
             target: doubt.target.clone(),
-            layer: Some(release.layer),
+            layer: Some(release.layer()),
             orders_accepted: state.report.orders_accepted,
             aborts_requests: true,
         };
         let outcome = self.send_order(&order, state.incarnation, &check).await?;
-        if outcome == OrderOutcome::Started && release.is_last {
-            let number = OrderNumber {
-                incarnation: state.incarnation,
-                accepted_before: order.orders_accepted,
-            };
-            self.monitor.set_verified(number);
-            self.doubt = Some(OrderDoubt::new(number, &check));
+        if outcome == OrderOutcome::Started {
+            let range = check.range.clone();
+            self.doubt = Some(doubt.clone().after_release(release, range));
         }
         Ok(())
     }
--- a/src/replication/order_doubt.rs
+++ b/src/replication/order_doubt.rs
@@ -38,12 +38,22 @@
     Released,
 }
 
-/// The layer to order so that the engine releases the others.
+/// The layer to order so that the engine releases the others, by what the engine does with it.
 #[apply(key!)]
-pub(super) struct ReleaseLayer {
-    pub(super) layer: u32,
-    /// Whether the engine holds no layer with corrupt chunks afterwards.
-    pub(super) is_last: bool,
+pub(super) enum ReleaseLayer {
+    /// The engine keeps it as it is.
+    Held(u32),
+    /// The engine loads it from staged chunks.
+    Loaded(u32),
+}
+
+impl ReleaseLayer {
+    /// The number of the layer.
+    pub(super) const fn layer(self) -> u32 {
+        match self {
+            Self::Held(layer) | Self::Loaded(layer) => layer,
+        }
+    }
 }
 
 /// An order whose load is not verified.
@@ -56,6 +66,9 @@
     pub(super) range: Range<u32>,
     /// Those chunks that were found corrupt after they had been checked for the order.
     corrupt: Vec<u32>,
+    /// The layer that was loaded anew from chunks that are not known to be corrupt. It may share
+    /// chunks with a corrupt layer.
+    reloaded: Option<u32>,
 }
 
 impl OrderDoubt {
@@ -66,6 +79,7 @@
             target: check.target.clone(),
             range: check.range.clone(),
             corrupt: Vec::new(),
+            reloaded: None,
         }
     }
 
@@ -82,6 +96,7 @@
             target,
             range,
             corrupt,
+            reloaded: None,
         }
     }
 
@@ -99,6 +114,9 @@
 
     /// Records chunks that were found corrupt.
     pub(super) fn note_corrupt(&mut self, found: &[u32]) {
+        if !found.is_empty() {
+            self.reloaded = None;
+        }
         self.corrupt.extend_from_slice(found);
         self.corrupt.sort_unstable();
         self.corrupt.dedup();
@@ -115,19 +133,20 @@
         }
     }
 
-    /// Takes over what `earlier` knows of corrupt chunks, if it is about the same version at the
-    /// same incarnation. The engine may have loaded them by either order.
+    /// Takes over the chunks of `earlier` and what it knows of corrupt ones, if it is about the same
+    /// version at the same incarnation. The engine may have loaded them by either order.
     #[must_use]
     pub(super) fn merge(mut self, earlier: Option<&Self>) -> Self {
         let is_same = |earlier: &&Self| {
             earlier.target == self.target && earlier.number.incarnation == self.number.incarnation
         };
-        if let Some(earlier) = earlier
-            .filter(is_same)
-            .filter(|earlier| earlier.has_corrupt())
-        {
-            self.note_corrupt(&earlier.corrupt);
-            self.number = earlier.number;
+        if let Some(earlier) = earlier.filter(is_same) {
+            let (from, to) = (earlier.range.start, earlier.range.end);
+            self.range = self.range.start.min(from)..self.range.end.max(to);
+            if earlier.has_corrupt() {
+                self.note_corrupt(&earlier.corrupt);
+                self.number = earlier.number;
+            }
         }
         self
     }
@@ -154,14 +173,21 @@
     ) -> ReleaseLayer {
         let version = self.target.version;
         let is_held = |layer: &u32| holdings.has_layer(*layer, version);
-        let intact =
-            (0..layers).find(|layer| is_held(layer) && self.is_intact(*layer, count, layers));
+        let is_intact = |layer: &u32| is_held(layer) && self.is_intact(*layer, count, layers);
+        let intact = (0..layers).find(is_intact).map(ReleaseLayer::Held);
         let unheld = || (0..layers).find(|layer| !is_held(layer));
-        let last = intact.or_else(unheld);
-        ReleaseLayer {
-            layer: last.unwrap_or(0),
-            is_last: last.is_some(),
+        intact
+            .or_else(|| unheld().map(ReleaseLayer::Loaded))
+            .unwrap_or(ReleaseLayer::Held(0))
+    }
+
+    /// The doubt behind an accepted order for the layer `release`, which has the chunks of `range`.
+    pub(super) fn after_release(mut self, release: ReleaseLayer, range: Range<u32>) -> Self {
+        if let ReleaseLayer::Loaded(layer) = release {
+            self.reloaded = Some(layer);
         }
+        self.range = range;
+        self
     }
 
     /// Whether all layers of the version that an engine with `holdings` has loaded are intact, of
@@ -173,6 +199,7 @@
 
     fn is_intact(&self, layer: u32, count: u32, layers: u32) -> bool {
         let mut chunks = layer_chunks(layer, count, layers);
-        chunks.all(|index| self.corrupt.binary_search(&index).is_err())
+        self.reloaded == Some(layer)
+            || chunks.all(|index| self.corrupt.binary_search(&index).is_err())
     }
 }
--- a/src/replication/tests/order_doubt.rs
+++ b/src/replication/tests/order_doubt.rs
@@ -6,6 +6,7 @@
 use crate::replication::engine_incarnation::EngineIncarnation;
 use crate::replication::engine_monitor::EngineState;
 use crate::replication::order_doubt::{LoadPhase, OrderDoubt, OrderNumber, ReleaseLayer};
+use crate::replication::weights_retirement::layer_chunks;
 use crate::time::ClockTime;
 
 const CHUNKS: u32 = 6;
@@ -106,24 +107,46 @@
     let complete = state(4, false, 2).report.holdings;
     let mut doubt = OrderDoubt::new(number(3), &check(2, &[]));
     let layer_of = |doubt: &OrderDoubt, holdings| doubt.release_layer(holdings, CHUNKS, LAYERS);
-    let last = |layer| ReleaseLayer {
-        layer,
-        is_last: true,
-    };
     doubt.note_corrupt(&[1]);
-    assert_eq!(layer_of(&doubt, &complete), last(2));
+    assert_eq!(layer_of(&doubt, &complete), ReleaseLayer::Held(2));
     doubt.note_corrupt(&[4]);
     let first = layer_of(&doubt, &complete);
-    assert!(!first.is_last, "each layer has a corrupt chunk");
-    let kept = HeldLayers {
-        from: first.layer,
-        to: first.layer + 1,
-        version: WeightsVersion(2),
+    let kept = holdings_of(&[first.layer()]);
+    let doubt = doubt.after_release(first, layer_chunks(first.layer(), CHUNKS, LAYERS));
+    assert!(!doubt.is_released(&kept, CHUNKS, LAYERS), "it is corrupt");
+    let second = layer_of(&doubt, &kept);
+    let ReleaseLayer::Loaded(loaded) = second else {
+        panic!("{second:?}");
     };
-    let partial = EngineHoldings {
-        models: Vec::new(),
-        layers: vec![kept],
+    assert_ne!(loaded, first.layer());
+    let doubt = doubt.after_release(second, layer_chunks(loaded, CHUNKS, LAYERS));
+    assert!(doubt.is_released(&holdings_of(&[loaded]), CHUNKS, LAYERS));
+    let both = holdings_of(&[first.layer(), loaded]);
+    assert!(!doubt.is_released(&both, CHUNKS, LAYERS), "one is kept");
+    assert_eq!(layer_of(&doubt, &both), ReleaseLayer::Held(loaded));
+}
+
+/// Guards against verifying a load by the chunks of one layer, because the answers to an order for
+/// all layers and to one for that layer were lost.
+#[test]
+fn a_doubt_covers_the_chunks_of_all_orders_that_may_have_been_accepted() {
+    let all = OrderDoubt::new(number(3), &check(2, &[]));
+    let layer = StagingCheck {
+        range: layer_chunks(0, CHUNKS, LAYERS),
+        ..check(2, &[])
     };
-    let second = layer_of(&doubt, &partial);
-    assert!(second.is_last && second.layer != first.layer, "{second:?}");
+    let merged = OrderDoubt::new(number(3), &layer).merge(Some(&all));
+    assert_eq!(merged.range, 0..CHUNKS);
+}
+
+fn holdings_of(layers: &[u32]) -> EngineHoldings {
+    let layers = layers.iter().map(|layer| HeldLayers {
+        from: *layer,
+        to: layer + 1,
+        version: WeightsVersion(2),
+    });
+    EngineHoldings {
+        models: Vec::new(),
+        layers: layers.collect(),
+    }
 }
