Say what may follow the verification of a load, and split what is known of another process's load

No change of behaviour: an enum in place of a truth value, one constructor for each first report of an engine, and a function of its own for loads that this process did not order.

--- a/src/replication/engine_monitor.rs
+++ b/src/replication/engine_monitor.rs
@@ -46,24 +46,18 @@
     /// Notes the orders that the incarnation of `report` had accepted at its first report.
     fn note_incarnation(&mut self, report: &EngineReport, now: ClockTime) {
         let incarnation = self.incarnations.incarnation();
-        if self
-            .verified
-            .is_some_and(|verified| verified.incarnation == incarnation)
-        {
-            return;
-        }
-        let verified =
-            VerifiedOrders::at_first_report(incarnation, report, self.verified.is_some());
-        if self.verified.is_none() {
-            let number = OrderNumber {
-                incarnation,
-                accepted_before: verified.count,
-            };
-            self.inherited = Some(InheritedOrder {
-                number,
-                idle_since: (!report.is_busy).then_some(now),
-            });
-        }
+        let verified = match self.verified {
+            Some(verified) if verified.incarnation == incarnation => return,
+            Some(_) => VerifiedOrders::after_restart(incarnation),
+            None => {
+                let verified = VerifiedOrders::at_start(incarnation, report);
+                self.inherited = Some(InheritedOrder {
+                    number: verified.next_order(),
+                    idle_since: (!report.is_busy).then_some(now),
+                });
+                verified
+            }
+        };
         self.verified = Some(verified);
     }
 }
@@ -85,23 +79,32 @@
 }
 
 impl VerifiedOrders {
-    /// At the first report of an incarnation to this process, which is a `successor` if the process
-    /// knew one before.
+    /// At the first report of the engine to this process.
     ///
-    /// The last load of an engine that is running when the process starts is not verified: the
-    /// process that ordered it may have ended before it was. No order was sent before that one was
-    /// verified, and an engine without orders holds what it was started with.
-    const fn at_first_report(
-        incarnation: EngineIncarnation,
-        report: &EngineReport,
-        successor: bool,
-    ) -> Self {
-        let count = if successor {
-            0
-        } else {
-            report.orders_accepted.saturating_sub(1)
-        };
-        Self { incarnation, count }
+    /// The last load is not verified: the process that ordered it may have ended before it was. No
+    /// order was sent before that one was verified, and an engine without orders holds what it was
+    /// started with.
+    const fn at_start(incarnation: EngineIncarnation, report: &EngineReport) -> Self {
+        Self {
+            incarnation,
+            count: report.orders_accepted.saturating_sub(1),
+        }
+    }
+
+    /// The first order behind them.
+    const fn next_order(self) -> OrderNumber {
+        OrderNumber {
+            incarnation: self.incarnation,
+            accepted_before: self.count,
+        }
+    }
+
+    /// At the first report of an engine that has restarted.
+    const fn after_restart(incarnation: EngineIncarnation) -> Self {
+        Self {
+            incarnation,
+            count: 0,
+        }
     }
 }
 
@@ -168,11 +171,7 @@
 
     /// The first order of an engine in `state` whose load is not verified, if it has accepted one.
     pub(super) fn unverified(&self, state: &EngineState) -> Option<OrderNumber> {
-        let verified = self.lock().verified?;
-        let number = OrderNumber {
-            incarnation: verified.incarnation,
-            accepted_before: verified.count,
-        };
+        let number = self.lock().verified?.next_order();
         number.was_accepted(state).then_some(number)
     }
 
--- a/src/replication/engine_updater.rs
+++ b/src/replication/engine_updater.rs
@@ -13,6 +13,7 @@
 use super::engine_monitor::{EngineMonitor, EngineState};
 use super::events;
 use super::host_wait::{HostWait, WaitPublisher};
+use super::load_orders::VerificationStep;
 use super::load_rank::LoadRank;
 use super::order_doubt::OrderDoubt;
 use super::version_fetcher::{BackendHostIdentity, plan_hosts};
@@ -147,8 +148,8 @@
     async fn step(&mut self, pending: &mut Option<PendingVersion>) {
         let snapshot = self.deployment_state.snapshot().load();
         match self.verify_load().await {
-            Ok(true) => {}
-            Ok(false) => return,
+            Ok(VerificationStep::Proceed) => {}
+            Ok(VerificationStep::Wait) => return,
             Err(error) => {
                 log_event!(events::LOAD_UNVERIFIED, "{error}");
                 return;
@@ -265,7 +266,7 @@
         }
         let outcome = self.await_version(run).await;
         if outcome == LoadOutcome::Served {
-            if !self.verify_load().await? {
+            if self.verify_load().await? == VerificationStep::Wait {
                 return Ok(LoadOutcome::Unserved);
             }
             log_event!(events::VERSION_SERVED, "version={}", run.target.version.0);
--- a/src/replication/load_orders.rs
+++ b/src/replication/load_orders.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use macro_rules_attribute::apply;
 use tokio::time::sleep;
 
 use super::chunk_staging::StagingCheck;
@@ -13,6 +14,7 @@
 use super::order_doubt::{LoadPhase, OrderDoubt, OrderNumber};
 use super::version_fetcher::target_version;
 use super::weights_retirement::layer_chunks;
+use crate::derives::key;
 use crate::errors::SwitchResult;
 use crate::events::log_event;
 use crate::fleet::{EngineHoldings, ModelVersion};
@@ -29,6 +31,15 @@
 /// a stall of this process, or if reading the chunks back takes too long.
 const CHECK_ATTEMPTS_MAX: u32 = 4;
 
+/// What may follow the verification of a load.
+#[apply(key!)]
+pub(super) enum VerificationStep {
+    /// Chunks may be staged and orders sent.
+    Proceed,
+    /// The engine is loading or releasing, or what it has loaded is not known yet.
+    Wait,
+}
+
 impl EngineUpdater {
     /// Returns the engine's state just before an order, and a recent check of the chunks to load:
     /// `check` or a repetition of it. None if each state or check was outdated.
@@ -132,8 +143,7 @@
     }
 
     /// Verifies the engine's last load: the staged chunks are read back, and if one is corrupt, the
-    /// engine is made to release the version, which is then loaded again. Returns whether chunks may
-    /// be staged and orders sent.
+    /// engine is made to release the version, which is then loaded again.
     ///
     /// The engine takes the staged chunks when it accepts an order, and a corrupt chunk stays corrupt
     /// until it is staged again. So chunks that are intact after that time were loaded intact, however
@@ -142,28 +152,29 @@
     /// # Errors
     ///
     /// If the engine does not answer.
-    pub(super) async fn verify_load(&mut self) -> SwitchResult<bool> {
+    pub(super) async fn verify_load(&mut self) -> SwitchResult<VerificationStep> {
         let Some(known) = self.monitor.state() else {
-            return Ok(false);
+            return Ok(VerificationStep::Wait);
         };
         if self.doubt.is_none() && self.monitor.unverified(&known).is_none() {
-            return Ok(true);
+            return Ok(VerificationStep::Proceed);
         }
         let Some(state) = self.monitor.query(ORDER_TIMEOUT).await? else {
-            return Ok(false);
+            return Ok(VerificationStep::Wait);
         };
         let snapshot = self.deployment_state.snapshot().load();
         let Some((model, layers)) = self.identity.model_of(&snapshot) else {
-            return Ok(false);
+            return Ok(VerificationStep::Wait);
         };
         let target = target_version(&snapshot, model);
         let Some(mut doubt) = self.doubt_about(&state, &target, layers) else {
-            return Ok(!(state.report.is_busy && self.monitor.unverified(&state).is_some()));
+            let is_unknown = self.monitor.unverified(&state).is_some();
+            return Ok(proceed_if(!is_unknown));
         };
         let phase = doubt.phase(&state);
         if phase == LoadPhase::Released {
             self.set_verified(&state);
-            return Ok(true);
+            return Ok(VerificationStep::Proceed);
         }
         if self.store.digests(&doubt.target).is_none() {
             if self.monitor.is_overdue(doubt.number, clock_now()) {
@@ -172,7 +183,7 @@
             }
             // An engine with an older version serves no requests until it has loaded the target
             // version.
-            return Ok(doubt.target != target);
+            return Ok(proceed_if(doubt.target != target));
         }
         let held = self.store.held(&doubt.target);
         let is_releasable = phase == LoadPhase::Loaded && held.is_some_and(|held| held.is_full());
@@ -182,11 +193,11 @@
         }
         if !doubt.has_corrupt() {
             self.set_verified(&state);
-            return Ok(true);
+            return Ok(VerificationStep::Proceed);
         }
         self.doubt = Some(doubt.clone());
         if phase == LoadPhase::InProgress {
-            return Ok(false);
+            return Ok(VerificationStep::Wait);
         }
         self.release_corrupt(&doubt, &state, (&target, layers))
             .await
@@ -203,41 +214,41 @@
         let is_current = |doubt: &OrderDoubt| doubt.number.incarnation == state.incarnation;
         self.doubt = self.doubt.take().filter(is_current);
         let number = self.monitor.unverified(state)?;
+        let sent = self.doubt.as_ref();
+        let sent = sent.filter(|doubt| doubt.number.was_accepted(state));
         // The engine may have replaced what it loaded by that order.
-        let is_obsolete = |doubt: &&OrderDoubt| {
+        let is_replaced = sent.is_some_and(|doubt| {
             doubt.phase(state) == LoadPhase::Released
                 && state.report.holdings != EngineHoldings::default()
-        };
-        let sent = self
-            .doubt
-            .as_ref()
-            .filter(|doubt| doubt.number.was_accepted(state) && !is_obsolete(doubt));
-        if sent.is_some() {
+        });
+        if sent.is_some() && !is_replaced {
             return sent.cloned();
         }
-        if state.report.is_busy {
-            return None;
-        }
-        let held = state
-            .report
-            .holdings
-            .complete_version(&target.model, layers);
+        let is_loaded = !state.report.is_busy;
+        is_loaded.then(|| self.doubt_about_other(number, state, (target, layers)))
+    }
+
+    /// What is known of the load by the order `number`, which this process did not send, of the engine
+    /// in `state`. It covers no chunks while the digests of what is loaded are not known.
+    fn doubt_about_other(
+        &mut self,
+        number: OrderNumber,
+        state: &EngineState,
+        (target, layers): (&ModelVersion, u32),
+    ) -> OrderDoubt {
+        let holdings = &state.report.holdings;
+        let complete = holdings.complete_version(&target.model, layers);
         let loaded = ModelVersion {
             model: target.model.clone(),
-            version: held.unwrap_or(target.version),
+            version: complete.unwrap_or(target.version),
         };
         let Some(digests) = self.store.digests(&loaded) else {
-            return Some(OrderDoubt::of_other_process(
-                number,
-                loaded,
-                0..0,
-                Vec::new(),
-            ));
+            return OrderDoubt::of_other_process(number, loaded, 0..0, Vec::new());
         };
         let count = digests.count();
         // This process may have staged chunks again since the engine accepted an order while it
         // was running. A former process may have done so if it had released the other layers.
-        let corrupt = if self.monitor.is_inherited(number) && held.is_some() {
+        let corrupt = if self.monitor.is_inherited(number) && complete.is_some() {
             Vec::new()
         } else {
             (0..count).collect()
@@ -251,7 +262,7 @@
         );
         let doubt = OrderDoubt::of_other_process(number, loaded, 0..count, corrupt);
         self.doubt = Some(doubt.clone());
-        Some(doubt)
+        doubt
     }
 
     /// Records that all loads of the engine in `state` are of intact chunks.
@@ -264,28 +275,29 @@
     }
 
     /// Makes the engine in `state` release the corrupt layers of `doubt`, once all chunks are held
-    /// that it needs to load the version again. Returns whether chunks may be staged and orders sent.
+    /// that it needs to load the version again.
     async fn release_corrupt(
         &mut self,
         doubt: &OrderDoubt,
         state: &EngineState,
         (target, layers): (&ModelVersion, u32),
-    ) -> SwitchResult<bool> {
+    ) -> SwitchResult<VerificationStep> {
         let digests = self.store.digests(&doubt.target);
         let count = digests.map_or(0, |digests| digests.count());
         if doubt.is_released(&state.report.holdings, count, layers) {
             self.set_verified(state);
-            return Ok(true);
+            return Ok(VerificationStep::Proceed);
         }
         let held = self.store.held(&doubt.target);
         if held.is_some_and(|held| held.is_full()) {
             self.release(doubt, state, layers).await?;
-            return Ok(false);
+            return Ok(VerificationStep::Wait);
         }
         // What is missing of the target version is being fetched. A part of it serves no requests.
         let holdings = &state.report.holdings;
         let complete = holdings.complete_version(&target.model, layers);
-        Ok(doubt.target != *target || complete != Some(target.version))
+        let is_older = doubt.target != *target;
+        Ok(proceed_if(is_older || complete != Some(target.version)))
     }
 
     /// Orders one layer of the version of `doubt`. The engine then releases all others.
@@ -326,3 +338,11 @@
         catalog.is_some_and(|catalog| catalog.can_resume_elsewhere(&self.identity.service))
     }
 }
+
+fn proceed_if(may_proceed: bool) -> VerificationStep {
+    if may_proceed {
+        VerificationStep::Proceed
+    } else {
+        VerificationStep::Wait
+    }
+}
