--- a/src/replication/tests/order_doubt.rs
+++ b/src/replication/tests/order_doubt.rs
@@ -107,6 +107,7 @@
     let complete = state(4, false, 2).report.holdings;
     let mut doubt = OrderDoubt::new(number(3), &check(2, &[]));
     let layer_of = |doubt: &OrderDoubt, holdings| doubt.release_layer(holdings, CHUNKS, LAYERS);
+    assert_eq!(layer_of(&doubt, &complete), ReleaseLayer::Held(0));
     doubt.note_corrupt(&[1]);
     assert_eq!(layer_of(&doubt, &complete), ReleaseLayer::Held(2));
     doubt.note_corrupt(&[4]);
