Copy the parts of a body into one piece of memory

Callers saw: a host ended while a few dozen clients sent bodies of a few kilobytes byte by byte.

Cause: a body was collected as the list of the parts in which it arrived. Each part keeps the whole buffer into which it was read, 8 KiB or more, so that a body held thousands of times its own size, and far more than its limit, which counts the bytes of the body alone.

Evidence: 24 clients with bodies of 2,000 bytes took a process to 218 MB of 64, at the listener for clients as well as at those for other processes.

Fix: each part is copied, and its buffer is free.

--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::error::Elapsed;
 use volo_http::body::Body;
 use volo_http::server::route::Router;
 
@@ -149,14 +150,7 @@
 ///
 /// `BodyTooLarge` over the limit, `AnswerCut` when the connection broke.
 pub(crate) async fn read_body(body: Body, limit: usize) -> SwitchResult<Bytes> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            let detail = format!("body exceeds the limit of {limit} bytes");
-            Err(SwitchError::new(ErrorKind::BodyTooLarge, detail))
-        }
-        Err(error) => Err(SwitchError::new(ErrorKind::AnswerCut, error.to_string())),
-    }
+    collect(body, limit, None).await
 }
 
 /// Reads a complete body of at most `limit` bytes, however long it takes, as long as no pause
@@ -175,14 +169,19 @@
     limit: usize,
     idle_timeout: Duration,
 ) -> SwitchResult<Bytes> {
+    collect(body, limit, Some(idle_timeout)).await
+}
+
+/// Reads a body into one piece of memory. Each part would otherwise keep the buffer into which it
+/// was read, up to thousands of times its own size.
+async fn collect(body: Body, limit: usize, idle_timeout: Option<Duration>) -> SwitchResult<Bytes> {
     let mut body = pin!(body);
     let mut received = BytesMut::new();
     loop {
-        let Ok(frame) = stall_tolerant_timeout(idle_timeout, body.frame()).await else {
-            let detail = format!(
-                "no more bytes within {idle_timeout:?} after the first {} bytes",
-                received.len()
-            );
+        let Ok(frame) = next_frame(body.frame(), idle_timeout).await else {
+            let span = idle_timeout.unwrap_or_default();
+            let read = received.len();
+            let detail = format!("no more bytes within {span:?} after the first {read} bytes");
             return Err(SwitchError::new(ErrorKind::PeerSilent, detail));
         };
         match frame {
@@ -191,15 +190,25 @@
                 return Err(SwitchError::new(ErrorKind::AnswerCut, error.to_string()));
             }
             Some(Ok(frame)) => {
-                if let Ok(bytes) = frame.into_data() {
-                    received.extend_from_slice(&bytes);
+                if let Some(part) = frame.data_ref() {
+                    if received.len() + part.len() > limit {
+                        let detail = format!("body exceeds the limit of {limit} bytes");
+                        return Err(SwitchError::new(ErrorKind::BodyTooLarge, detail));
+                    }
+                    received.extend_from_slice(part);
                 }
             }
         }
-        if received.len() > limit {
-            let detail = format!("body exceeds the limit of {limit} bytes");
-            return Err(SwitchError::new(ErrorKind::BodyTooLarge, detail));
-        }
+    }
+}
+
+async fn next_frame<F: Future>(
+    frame: F,
+    idle_timeout: Option<Duration>,
+) -> Result<F::Output, Elapsed> {
+    match idle_timeout {
+        Some(span) => stall_tolerant_timeout(span, frame).await,
+        None => Ok(frame.await),
     }
 }
 
