Keep what all clients together hold within the limits of the host

Callers saw: processes ran out of memory and ended with the requests of others while a crowd of clients sent large heads, empty lines or bodies that stopped short of their end; with many idle connections a process had no descriptor left.

Cause: what one request may hold was limited, in part; what all hold together was not, and no code used memory_mb and max_fds. Bodies counted one by one, the HTTP library reads a head into up to 408 KiB, the kernel enlarges the buffers of each connection, and neither heads nor idle connections had a time limit.

Fix: one account (src/capacity) of connections, requests and bodies, which each listener of each daemon asks before it takes something in, with a limit for all, for each client account or address, and a part that each listener keeps for itself. Idle connections, heads that are slow to arrive and slow bodies give way; what does not fit is refused at once with 503, which has not run.

--- a/src/catalog/service_catalog.rs
+++ b/src/catalog/service_catalog.rs
@@ -151,7 +151,7 @@
     pub(crate) homes: HomeRegions,
 }
 
-/// Limits on the size of requests.
+/// Limits on what clients may send, and how long they may take.
 #[apply(plain!)]
 #[derive(Copy)]
 pub(crate) struct CallerLimits {
@@ -159,6 +159,10 @@
     pub(crate) header_bytes: usize,
     /// Maximum size of the body, in bytes.
     pub(crate) body_bytes: usize,
+    /// Maximum time from the first byte of a head to its end.
+    pub(crate) head_timeout: Duration,
+    /// Maximum time from a response to the next request of a connection.
+    pub(crate) idle_timeout: Duration,
 }
 
 /// A document in force.
--- a/src/control/peer_routes.rs
+++ b/src/control/peer_routes.rs
@@ -24,7 +24,7 @@
 use crate::membership::{HostStatus, StatusPublisher};
 use crate::time::clock_now;
 use crate::transport::{
-    FrameWriter, error_response, frame_channel, message_response, read_message,
+    FrameWriter, error_response, frame_channel, message_response, read_request_message,
 };
 
 /// Maximum number of frames that are queued for a slow watcher. No further frames are created
@@ -62,7 +62,7 @@
 }
 
 async fn serve_pull(state: PeerRouteState, request: Request) -> Response {
-    match read_message::<PullRequest>(request.into_body(), REQUEST_BYTES_MAX).await {
+    match read_request_message::<PullRequest>(request, REQUEST_BYTES_MAX).await {
         Ok(order) => {
             let rows = state.gossip.borrow().rows_beyond(&order.have);
             if !rows.is_empty() {
@@ -75,7 +75,7 @@
 }
 
 async fn serve_watch(state: PeerRouteState, request: Request) -> Response {
-    let order: WatchRequest = match read_message(request.into_body(), REQUEST_BYTES_MAX).await {
+    let order: WatchRequest = match read_request_message(request, REQUEST_BYTES_MAX).await {
         Ok(order) => order,
         Err(error) => return error_response(&error),
     };
--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -19,6 +19,10 @@
 pub(crate) const STALLED: LogEvent = LogEvent::warn(110, "process stalled");
 pub(crate) const CONNECTION_FAILED: LogEvent =
     LogEvent::debug(111, "a client's connection ended with an error");
+pub(crate) const SOCKET_OPTION_FAILED: LogEvent = LogEvent::warn(
+    112,
+    "the buffers of a listener's connections cannot be limited",
+);
 
 /// All events of this folder.
 pub(crate) const ALL: &[LogEvent] = &[
@@ -33,4 +37,5 @@
     LINES_DROPPED,
     STALLED,
     CONNECTION_FAILED,
+    SOCKET_OPTION_FAILED,
 ];
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -72,7 +72,7 @@
 ) -> SwitchResult<Response> {
     let (parts, body) = request.into_parts();
     let headers = CallerHeaders::parse(&parts.headers)?;
-    let completion = parse_body(&state.read_body(body).await?)?;
+    let completion = parse_body(&state.read_body(&parts.extensions, body).await?)?;
     let service = state.service(&completion.model)?;
     if service.document.kind != ServiceKind::Model {
         let detail = format!("\"{}\" is not a model service", completion.model);
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -13,6 +13,7 @@
 use super::entry_state::EntryState;
 use super::routes::caller_routes;
 use super::settings::{EntrySettings, SPECS};
+use crate::capacity::{ListenerRole, SharedAccount};
 use crate::control::{ControlAdapters, ControlHandle, start_control};
 use crate::daemon::{DrainState, probe_routes, register_stop_signals, run_process};
 use crate::delivery::{HostClient, events};
@@ -111,10 +112,14 @@
     );
     println!("{listening}");
     log_event!(events::SERVING, "{listening}");
+    let account = SharedAccount::default();
+    let server =
+        |listener, router, role| HttpServer::on(listener, router).charged_to(&account, role);
+    let peer_router = control.peer_routes();
     tokio::join!(
-        HttpServer::on(caller_listener, caller_router).run(drain.clone()),
-        HttpServer::on(peer_listener, control.peer_routes()).run(drain.clone()),
-        HttpServer::on(admin_listener, admin_router).run(drain.clone()),
+        server(caller_listener, caller_router, ListenerRole::Clients).run(drain.clone()),
+        server(peer_listener, peer_router, ListenerRole::Peers).run(drain.clone()),
+        server(admin_listener, admin_router, ListenerRole::Readiness).run(drain.clone()),
     );
     Ok(())
 }
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use bytestring::ByteString;
+use http::Extensions;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use uuid::Uuid;
@@ -24,7 +25,7 @@
 use crate::membership::HostIdentity;
 use crate::routing::name_hash;
 use crate::time::{ClockTime, clock_now};
-use crate::transport::read_body;
+use crate::transport::read_request_body;
 
 /// Time limit for reading a request body; a slower caller would only hold memory.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -92,9 +93,14 @@
     /// # Errors
     ///
     /// `BadRequest` if the body takes longer than [`BODY_TIMEOUT`], and the errors of
-    /// [`crate::transport::read_body`].
-    pub(super) async fn read_body(&self, body: Body) -> SwitchResult<Bytes> {
-        match timeout(BODY_TIMEOUT, read_body(body, self.body_limit)).await {
+    /// [`crate::transport::read_request_body`].
+    pub(super) async fn read_body(
+        &self,
+        extensions: &Extensions,
+        body: Body,
+    ) -> SwitchResult<Bytes> {
+        let reading = read_request_body(extensions, body, self.body_limit, None);
+        match timeout(BODY_TIMEOUT, reading).await {
             Ok(read) => read,
             Err(_) => Err(SwitchError::new(
                 ErrorKind::BadRequest,
--- a/src/entry/plain_call.rs
+++ b/src/entry/plain_call.rs
@@ -60,7 +60,7 @@
         let detail = format!("\"{name}\" is a model service; its path is /v1/completions");
         return Err(SwitchError::new(ErrorKind::BadRequest, detail));
     }
-    let body = state.read_body(body).await?;
+    let body = state.read_body(&parts.extensions, body).await?;
     let call = ServiceCall {
         run_call: RunCall::Forward {
             method: parts.method.as_str().into(),
--- a/src/entry/tests/fake_host.rs
+++ b/src/entry/tests/fake_host.rs
@@ -26,7 +26,7 @@
 use crate::stores::HostRole;
 use crate::transport::{
     ClientLimits, FrameWriter, HttpServer, PeerClient, bind_listener, frame_channel,
-    message_response, read_message,
+    message_response, read_request_message,
 };
 use crate::weights::WeightsDigest;
 
@@ -76,7 +76,7 @@
             )
         };
         let settle = async |request: Request| {
-            let query = read_message::<OutcomeQuery>(request.into_body(), BODY_BYTES_MAX).await;
+            let query = read_request_message::<OutcomeQuery>(request, BODY_BYTES_MAX).await;
             assert!(query.is_ok());
             message_response(&OutcomeReply::NotRun)
         };
@@ -236,7 +236,7 @@
     orders: Arc<Mutex<Vec<RunOrder>>>,
     disconnects: watch::Sender<u32>,
 ) -> Response {
-    let order: RunOrder = read_message(request.into_body(), BODY_BYTES_MAX)
+    let order: RunOrder = read_request_message(request, BODY_BYTES_MAX)
         .await
         .expect("a valid run order");
     orders.lock().expect("not poisoned").push(order.clone());
--- a/src/errors/kind.rs
+++ b/src/errors/kind.rs
@@ -19,6 +19,8 @@
     HeadersTooLarge,
     /// The body exceeds the limit.
     BodyTooLarge,
+    /// The process has no memory for the request.
+    MemoryShort,
     /// No client account matches the given name and key.
     AccountUnknown,
     /// The client account or team is not authorised for this.
@@ -130,11 +132,12 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 57] = [
+    pub const ALL: [Self; 58] = [
         Self::BadRequest,
         Self::BadHeader,
         Self::HeadersTooLarge,
         Self::BodyTooLarge,
+        Self::MemoryShort,
         Self::AccountUnknown,
         Self::NotAllowed,
         Self::ServiceUnknown,
--- a/src/errors/table.rs
+++ b/src/errors/table.rs
@@ -96,6 +96,13 @@
             never(),
             "The body is over the limit.",
         ),
+        Kind::MemoryShort => row(
+            503,
+            "memory_short",
+            NotRun,
+            after(1000),
+            "The process holds all that its host allows.",
+        ),
         Kind::AccountUnknown => row(
             401,
             "account_unknown",
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -81,7 +81,7 @@
     events
 }
 
-const EVENT_LISTS: [&[LogEvent]; 13] = [
+const EVENT_LISTS: [&[LogEvent]; 14] = [
     crate::daemon::events::ALL,
     crate::delivery::events::ALL,
     crate::routing::events::ALL,
@@ -95,4 +95,5 @@
     crate::sync::events::ALL,
     crate::gateway::events::ALL,
     crate::replication::events::ALL,
+    crate::capacity::events::ALL,
 ];
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -16,6 +16,7 @@
 use super::gateway_state::{GatewayParts, GatewayState, STOP_ACCEPT_SPAN};
 use super::report_relay::ReportRelay;
 use super::request_intake::answer_request;
+use crate::capacity::{ListenerRole, SharedAccount};
 use crate::daemon::{CHECK_INTERVAL, DrainState};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
@@ -52,10 +53,11 @@
         store_address: settings.store_address,
         seeds: settings.seeds.clone(),
     };
+    let account = SharedAccount::new(settings.limits);
     let callers = bind_listener(callers).await?;
     let ready = bind_listener(ready).await?;
-    start_metrics(settings.metrics_address, drain.clone()).await?;
-    let deployment_state = start_sync(sync, drain.clone());
+    start_metrics(settings.metrics_address, &account, drain.clone()).await?;
+    let deployment_state = start_sync(sync, account.clone(), drain.clone());
     let gateway = Arc::new(GatewayState::new(GatewayParts {
         snapshot: deployment_state.snapshot(),
         crash_detector: CrashDetector::new(deployment_state.clone()),
@@ -64,6 +66,7 @@
             host: settings.host.clone(),
         },
         drain: drain.clone(),
+        account: account.clone(),
         bounds: settings.bounds,
         regions: settings.regions,
     }));
@@ -80,18 +83,20 @@
             .local_addr()
             .map_or_else(|_| "-".to_owned(), |address| address.to_string())
     );
-    let ready_routes = ready_routes(deployment_state, drain.clone());
+    let ready = HttpServer::on(ready, ready_routes(deployment_state, drain.clone()))
+        .charged_to(&account, ListenerRole::Readiness);
     tokio::select! {
         () = serve_callers(callers, gateway) => {}
-        () = HttpServer::on(ready, ready_routes).run(drain) => {}
+        () = ready.run(drain) => {}
     }
     Ok(())
 }
 
 /// Serves clients until the graceful stop is complete.
 pub(super) async fn serve_callers(listener: TcpListener, gateway: Arc<GatewayState>) {
-    let drain = gateway.drain.clone();
+    let (drain, account) = (gateway.drain.clone(), gateway.account.clone());
     HttpServer::on(listener, caller_routes(gateway))
+        .charged_to(&account, ListenerRole::Clients)
         .tracking_writes(FLUSH_SPAN)
         .run(drain)
         .await;
@@ -107,6 +112,7 @@
 async fn check_stalls(gateway: Arc<GatewayState>) {
     loop {
         gateway.check_stall(clock_now());
+        gateway.apply_caller_limits();
         sleep(CHECK_INTERVAL).await;
     }
 }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -12,6 +12,8 @@
 use super::crash_detector::{CrashDetector, InterruptedRequest};
 use super::request_job::RequestJob;
 use super::retry_budgets::{ResendReason, RetryBudgets, RetryCharge, SharedLimits};
+use crate::capacity::{ConnectionTimeouts, ListenerRole, SharedAccount};
+use crate::catalog::CallerLimits;
 use crate::daemon::{DrainState, StallClock};
 use crate::derives::key;
 use crate::errors::ErrorKind;
@@ -57,6 +59,10 @@
     pub(super) pool: ConnectionPool,
     pub(super) crash_detector: CrashDetector,
     pub(super) drain: DrainState,
+    /// What the process holds.
+    pub(super) account: SharedAccount,
+    /// The limits that `account` applies to clients.
+    caller_limits: Mutex<Option<CallerLimits>>,
     /// When the graceful stop began.
     stop_started: OnceLock<ClockTime>,
     /// Notified whenever a slot at a backend server becomes free.
@@ -77,6 +83,8 @@
     /// This entry host.
     pub(super) own_id: EntryHostId,
     pub(super) drain: DrainState,
+    /// What the process holds.
+    pub(super) account: SharedAccount,
     pub(super) bounds: PlatformBounds,
     /// The regions of the data centres.
     pub(super) regions: RegionMap,
@@ -89,6 +97,7 @@
             crash_detector,
             own_id,
             drain,
+            account,
             bounds,
             regions,
         } = parts;
@@ -99,6 +108,8 @@
             registry: SharedRegistry::new(BackendRegistry::new(own_id)),
             pool: ConnectionPool::default(),
             drain,
+            account,
+            caller_limits: Mutex::default(),
             stop_started: OnceLock::new(),
             freed: Notify::new(),
             demand: Mutex::new(Vec::new()),
@@ -144,6 +155,28 @@
         }
     }
 
+    /// Applies the limits of the document in force to the connections of clients.
+    pub(super) fn apply_caller_limits(&self) {
+        let snapshot = self.snapshot.load();
+        let Some(limits) = snapshot.catalog.as_ref().map(|catalog| catalog.limits) else {
+            return;
+        };
+        let mut applied = self
+            .caller_limits
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if applied.replace(limits) != Some(limits) {
+            let timeouts = ConnectionTimeouts {
+                head: limits.head_timeout,
+                idle: Some(limits.idle_timeout),
+                // The deadline of the request limits it.
+                body: None,
+            };
+            self.account
+                .set_client_limits(ListenerRole::Clients, limits.header_bytes, timeouts);
+        }
+    }
+
     /// Starts the graceful stop.
     pub(super) fn begin_stop(&self, now: ClockTime) {
         let _ = self.stop_started.set(now);
--- a/src/gateway/request_intake.rs
+++ b/src/gateway/request_intake.rs
@@ -21,7 +21,7 @@
 use crate::metrics;
 use crate::platform::{RequestHead, read_request_head};
 use crate::time::{ClockTime, clock_now};
-use crate::transport::{read_body, stall_tolerant_timeout};
+use crate::transport::{read_request_body, stall_tolerant_timeout};
 
 /// Bytes of a header field in addition to its name and value: colon, space and line end.
 const FIELD_OVERHEAD_BYTES: usize = 4;
@@ -112,10 +112,11 @@
     let host = host_of(&parts.uri, &parts.headers)?;
     let routed = route_request(catalog, &head, &host, parts.uri.path())?;
     let deadline = deadline_of(&head, &routed, arrived);
-    let reading = read_body(body, catalog.limits.body_bytes);
+    let account = routed.account.as_ref();
+    let reading = read_request_body(&parts.extensions, body, catalog.limits.body_bytes, account);
     let body = match stall_tolerant_timeout(deadline.since(clock_now()), reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(error)) if error.kind == ErrorKind::BodyTooLarge => return Err(error),
+        Ok(Err(error)) if is_refusal(error.kind) => return Err(error),
         Ok(Err(error)) => return Err(SwitchError::new(ErrorKind::BadRequest, error.detail)),
         Err(_) => {
             let detail = "the request body did not arrive before the deadline";
@@ -134,6 +135,11 @@
     })
 }
 
+/// Whether a body is refused for what it is, rather than broken.
+const fn is_refusal(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::BodyTooLarge | ErrorKind::MemoryShort)
+}
+
 fn deadline_of(head: &RequestHead, routed: &RoutedRequest, arrived: ClockTime) -> ClockTime {
     let longest = routed.rule.timeout;
     arrived
--- a/src/gateway/tests/entry_hosts.rs
+++ b/src/gateway/tests/entry_hosts.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::BOUNDS;
+use crate::capacity::ProcessLimits;
 use crate::gateway::run_gateway;
 use crate::placement::RegionMap;
 use crate::platform::samples::{ATTEMPT, DEADLINE};
@@ -62,6 +63,7 @@
         backend_address: None,
         backend_service: None,
         store_address: store.address,
+        limits: ProcessLimits::default(),
         link_bytes_per_s: 1e8,
         bounds: BOUNDS,
     };
--- a/src/gateway/tests/fake_backend.rs
+++ b/src/gateway/tests/fake_backend.rs
@@ -618,6 +618,8 @@
         limits: CallerLimits {
             header_bytes: 2048,
             body_bytes: 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
         },
     }
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -30,6 +30,7 @@
 use http::{HeaderMap, Method};
 
 use self::fake_backend::catalog;
+use crate::capacity::SharedAccount;
 use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, RunOutcome, SwitchError};
 use crate::fleet::{
@@ -183,6 +184,7 @@
         crash_detector: CrashDetector::new(deployment_state),
         own_id,
         drain,
+        account: SharedAccount::default(),
         bounds,
         regions: RegionMap::new(vec![
             ("here".into(), "home".into()),
--- a/src/guard/run_endpoints.rs
+++ b/src/guard/run_endpoints.rs
@@ -23,7 +23,7 @@
 use crate::membership::{HostIdentity, StatusPublisher};
 use crate::metrics::set_gauge;
 use crate::time::clock_now;
-use crate::transport::{error_response, frame_channel, message_response, read_message};
+use crate::transport::{error_response, frame_channel, message_response, read_request_message};
 
 /// Capacity of the frame channel to an entry host. When a slow entry host lets it fill up, the run
 /// waits.
@@ -99,7 +99,7 @@
     // Counted before the body is read, so that a shutdown that begins in the meantime waits for the
     // response.
     let live = shared.drain.track_request();
-    let order: SwitchResult<RunOrder> = read_message(request.into_body(), ORDER_BYTES_MAX).await;
+    let order: SwitchResult<RunOrder> = read_request_message(request, ORDER_BYTES_MAX).await;
     let order = match order {
         Ok(order) => order,
         Err(error) => {
@@ -121,8 +121,7 @@
 }
 
 async fn handle_outcome_query(shared: Arc<GuardShared>, request: Request) -> Response {
-    let query: SwitchResult<OutcomeQuery> =
-        read_message(request.into_body(), ORDER_BYTES_MAX).await;
+    let query: SwitchResult<OutcomeQuery> = read_request_message(request, ORDER_BYTES_MAX).await;
     match query {
         Ok(query) => message_response(&resolve(&shared, &query)),
         Err(error) => error_response(&error),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! interface.
 
 mod admission;
+mod capacity;
 mod catalog;
 mod control;
 mod daemon;
--- a/src/operator/admin.rs
+++ b/src/operator/admin.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use bytestring::ByteString;
 use http::{HeaderMap, StatusCode, header};
 use serde::Deserialize;
@@ -22,7 +23,7 @@
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
 use crate::metrics;
-use crate::transport::{error_response, error_response_with, json_response, read_body};
+use crate::transport::{error_response, error_response_with, json_response, read_request_body};
 
 /// The header that contains the author's name for the history.
 pub(crate) const AUTHOR_HEADER: &str = "savory-author";
@@ -129,8 +130,13 @@
     }
 }
 
+async fn read_document(request: Request) -> SwitchResult<Bytes> {
+    let (parts, body) = request.into_parts();
+    read_request_body(&parts.extensions, body, DOCUMENT_BYTES_MAX, None).await
+}
+
 async fn check_document_only(request: Request) -> AdminResult {
-    let text = read_body(request.into_body(), DOCUMENT_BYTES_MAX).await?;
+    let text = read_document(request).await?;
     check_document(&text).map_err(invalid)?;
     Ok(json_response(StatusCode::OK, &FaultsReply::default()))
 }
@@ -163,7 +169,7 @@
     async fn put_document(&self, service: &str, query: PutQuery, request: Request) -> AdminResult {
         let headers = request.headers().clone();
         let key = bearer_key_digest(&headers)?;
-        let text = read_body(request.into_body(), DOCUMENT_BYTES_MAX).await?;
+        let text = read_document(request).await?;
         let (value, document) = check_document(&text).map_err(invalid)?;
         if *document.service != *service {
             let detail = format!(
--- a/src/platform/document_rows.rs
+++ b/src/platform/document_rows.rs
@@ -149,6 +149,8 @@
 struct LimitsText {
     max_header_bytes: usize,
     max_body_bytes: usize,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
 }
 
 impl Default for LimitsText {
@@ -156,6 +158,8 @@
         Self {
             max_header_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
+            header_timeout_ms: 10_000.0,
+            idle_timeout_ms: 60_000.0,
         }
     }
 }
@@ -222,6 +226,8 @@
         limits: CallerLimits {
             header_bytes: text.limits.max_header_bytes,
             body_bytes: text.limits.max_body_bytes,
+            head_timeout: millis(text.limits.header_timeout_ms),
+            idle_timeout: millis(text.limits.idle_timeout_ms),
         },
     })
 }
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -9,12 +9,15 @@
 use serde::Deserialize;
 
 use super::millis::{millis, seconds};
+use crate::capacity::ProcessLimits;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::placement::RegionMap;
 
 /// The environment variable with the path of the settings file.
 pub(crate) const SETTINGS_PATH_VARIABLE: &str = "SAVORYSWITCH_CONFIG";
 
+const BYTES_PER_MEGABYTE: usize = 1_000_000;
+
 /// Limits that the platform sets for the behaviour of the system.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlatformBounds {
@@ -64,6 +67,8 @@
     pub(crate) backend_service: Option<ByteString>,
     /// The address of the platform's store.
     pub(crate) store_address: SocketAddr,
+    /// The memory and the descriptors of the process.
+    pub(crate) limits: ProcessLimits,
     /// The bandwidth of the host's network link, in bytes per second.
     pub(crate) link_bytes_per_s: f64,
     /// The limits that the platform sets for the system.
@@ -100,9 +105,11 @@
 }
 
 #[derive(Default, Deserialize)]
+#[serde(default)]
 struct LimitsText {
-    #[serde(default)]
     link_mbps: f64,
+    memory_mb: Option<usize>,
+    max_fds: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -176,6 +183,7 @@
         backend_service: file.service.map(ByteString::from),
         store_address: address("platform.address", Some(&file.platform.address))?
             .ok_or_else(|| invalid("platform.address is empty".to_owned()))?,
+        limits: process_limits(&file.limits),
         link_bytes_per_s: file.limits.link_mbps * 1e6 / 8.0,
         bounds: time_bounds(&file.bounds),
     })
@@ -188,6 +196,17 @@
         .collect()
 }
 
+/// The limits of the process; those that the file does not state are defaults.
+fn process_limits(text: &LimitsText) -> ProcessLimits {
+    let default = ProcessLimits::default();
+    ProcessLimits {
+        memory: text
+            .memory_mb
+            .map_or(default.memory, |megabytes| megabytes * BYTES_PER_MEGABYTE),
+        descriptors: text.max_fds.unwrap_or(default.descriptors),
+    }
+}
+
 fn time_bounds(text: &BoundsText) -> PlatformBounds {
     PlatformBounds {
         shutdown_grace: seconds(text.grace_s),
--- a/src/replication/chunk_routes.rs
+++ b/src/replication/chunk_routes.rs
@@ -11,7 +11,7 @@
 use super::chunk_store::ChunkStore;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::metrics;
-use crate::transport::{error_response, message_response, read_message};
+use crate::transport::{error_response, message_response, read_request_message};
 use crate::weights::{ChunkAnnouncement, LinkDirection, LinkPacer};
 
 const QUERY_BYTES_MAX: usize = 4 * 1024;
@@ -47,7 +47,7 @@
 }
 
 async fn answer(service: ChunkService, call: ChunkCall, request: Request) -> Response {
-    let query = match read_message::<ChunkQuery>(request.into_body(), QUERY_BYTES_MAX).await {
+    let query = match read_request_message::<ChunkQuery>(request, QUERY_BYTES_MAX).await {
         Ok(query) => query,
         Err(error) => return error_response(&error),
     };
--- a/src/replication/host_daemon.rs
+++ b/src/replication/host_daemon.rs
@@ -16,6 +16,7 @@
 use super::load_reports::{ReportContext, report_load};
 use super::version_fetcher::{BackendHostIdentity, VersionFetcher};
 use super::view_poller::ViewPoller;
+use crate::capacity::{ListenerRole, SharedAccount};
 use crate::daemon::DrainState;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
@@ -56,10 +57,13 @@
 /// Serves other hosts until the process receives a stop signal.
 async fn serve_peers(settings: &PlatformSettings, parts: HostParts) -> SwitchResult<()> {
     let peers = SocketAddr::new(settings.ip, settings.peer_port);
-    let server = HttpServer::bind(peers, chunk_routes(parts.store, parts.pacer)).await?;
+    let account = SharedAccount::new(settings.limits);
+    let server = HttpServer::bind(peers, chunk_routes(parts.store, parts.pacer))
+        .await?
+        .charged_to(&account, ListenerRole::Peers);
     log_event!(events::SERVING, "host={} peers={peers}", settings.host);
     let drain = DrainState::new(STOP_LINGER, STOP_LONGEST);
-    start_metrics(settings.metrics_address, drain.clone()).await?;
+    start_metrics(settings.metrics_address, &account, drain.clone()).await?;
     tokio::select! {
         () = server.run(drain.clone()) => {}
         () = drain.wait_finished() => {}
--- a/src/replication/tests/backend_host.rs
+++ b/src/replication/tests/backend_host.rs
@@ -9,6 +9,7 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::{sleep, timeout};
 
+use crate::capacity::{ProcessLimits, SharedAccount};
 use crate::daemon::DrainState;
 use crate::fleet::{ModelVersion, WeightsVersion};
 use crate::placement::RegionMap;
@@ -94,8 +95,8 @@
             store_address: self.store.address,
             seeds: Vec::new(),
         };
-        let deployment_state =
-            start_sync(settings, DrainState::new(Duration::ZERO, Duration::ZERO));
+        let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
+        let deployment_state = start_sync(settings, SharedAccount::default(), drain);
         let is_there =
             || !deployment_state.read(|deployment_state| deployment_state.entries().is_empty());
         self.await_that("the entry host is listed", is_there).await;
@@ -220,6 +221,7 @@
         backend_address: Some(engine.address),
         backend_service: Some("s".into()),
         store_address: store.address,
+        limits: ProcessLimits::default(),
         link_bytes_per_s: LINK_BYTES_PER_S,
         bounds: PlatformBounds {
             shutdown_grace: Duration::ZERO,
--- a/src/sync/peer_routes.rs
+++ b/src/sync/peer_routes.rs
@@ -11,7 +11,7 @@
 use super::peer_messages::{PeerQuery, VIEW_PATH};
 use super::shared_deployment_state::SharedDeploymentState;
 use crate::time::clock_now;
-use crate::transport::{error_response, message_response, read_message};
+use crate::transport::{error_response, message_response, read_request_message};
 
 const QUERY_BYTES_MAX: usize = 64 * 1024;
 /// The longest time a response is held. A connection that fails silently meanwhile is noticed only
@@ -71,7 +71,7 @@
 }
 
 async fn answer_view(state: SharedDeploymentState, request: Request) -> Response {
-    match read_message::<PeerQuery>(request.into_body(), QUERY_BYTES_MAX).await {
+    match read_request_message::<PeerQuery>(request, QUERY_BYTES_MAX).await {
         Ok(query) => {
             let sent_at = clock_now();
             merge_targets(&state, &query);
--- a/src/sync/sync_thread.rs
+++ b/src/sync/sync_thread.rs
@@ -8,6 +8,7 @@
 use super::peer_routes::peer_routes;
 use super::shared_deployment_state::SharedDeploymentState;
 use super::store_watch::StoreWatch;
+use crate::capacity::{ListenerRole, SharedAccount};
 use crate::daemon::DrainState;
 use crate::events::log_event;
 use crate::platform::StoreClient;
@@ -26,7 +27,11 @@
 }
 
 /// Starts the control thread, which follows the store and answers other processes.
-pub(crate) fn start_sync(settings: SyncSettings, drain: DrainState) -> SharedDeploymentState {
+pub(crate) fn start_sync(
+    settings: SyncSettings,
+    account: SharedAccount,
+    drain: DrainState,
+) -> SharedDeploymentState {
     let state = SharedDeploymentState::default();
     let shared = state.clone();
     let thread = std::thread::Builder::new().name("control".to_owned());
@@ -35,7 +40,7 @@
             .enable_all()
             .build();
         match runtime {
-            Ok(runtime) => runtime.block_on(run_sync(settings, shared, drain)),
+            Ok(runtime) => runtime.block_on(run_sync(settings, shared, account, drain)),
             Err(fault) => log_event!(events::THREAD_FAILED, "{fault}"),
         }
     });
@@ -48,6 +53,7 @@
 pub(super) async fn run_sync(
     settings: SyncSettings,
     state: SharedDeploymentState,
+    account: SharedAccount,
     drain: DrainState,
 ) {
     state.note(|state| state.set_own_host(settings.own_entry.host.clone()));
@@ -69,7 +75,10 @@
     tokio::spawn(watch.clone().record_crashes());
     tokio::spawn(watch.query_neighbours());
     match HttpServer::bind(settings.own_entry.control, peer_routes(&state)).await {
-        Ok(server) => server.run(drain).await,
+        Ok(server) => {
+            let server = server.charged_to(&account, ListenerRole::Peers);
+            server.run(drain).await;
+        }
         Err(error) => {
             log_event!(events::THREAD_FAILED, "{error}");
             std::future::pending::<()>().await;
--- a/src/sync/tests/restarts.rs
+++ b/src/sync/tests/restarts.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{START, at_once, found_at, new_state, set_clock, store_time, target_row, witnessed_at};
+use crate::capacity::SharedAccount;
 use crate::daemon::DrainState;
 use crate::fleet::{ModelVersion, TargetTimeCertainty, WeightsVersion};
 use crate::platform::samples::{document_sample, target_sample};
@@ -64,7 +65,12 @@
             .expect("the runtime starts");
         let state = SharedDeploymentState::default();
         let drain = DrainState::new(Duration::ZERO, Duration::ZERO);
-        runtime.spawn(run_sync(settings, state.clone(), drain));
+        runtime.spawn(run_sync(
+            settings,
+            state.clone(),
+            SharedAccount::default(),
+            drain,
+        ));
         Self { runtime, state }
     }
 
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! whose connection pools can be dropped per peer, and streams of rmp-serde frames in HTTP bodies.
 
 mod accept;
+mod charged_response;
 mod client;
 mod connections;
 mod frames;
@@ -19,5 +20,7 @@
 pub(crate) use response::{
     RUN_OUTCOME_HEADER, error_response, error_response_with, json_response, message_response,
 };
-pub(crate) use server::{HttpServer, bind_listener, read_body, read_message, start_metrics};
+pub(crate) use server::{
+    HttpServer, bind_listener, read_body, read_request_body, read_request_message, start_metrics,
+};
 pub(crate) use stall_tolerant_timeout::stall_tolerant_timeout;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -4,13 +4,19 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use bytestring::ByteString;
+use http::Extensions;
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::error::Elapsed;
+use tokio::time::{MissedTickBehavior, interval};
 use volo_http::body::Body;
+use volo_http::request::Request;
 use volo_http::server::route::Router;
 
 use super::accept::accept_paced;
@@ -18,15 +24,22 @@
 use super::frames::decode_message;
 use super::served_stream::{ServedStream, WriteTracking};
 use super::stall_tolerant_timeout::stall_tolerant_timeout;
+use crate::capacity::{
+    BodyBuffer, ConnectionLease, ListenerRole, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES,
+    SharedAccount,
+};
 use crate::daemon::{DrainState, events, metrics_routes};
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::events::log_event;
+use crate::time::clock_now;
 
 /// How long open connections still carry requests after the graceful stop, for peers that have not
 /// noticed it.
 const LATE_SPAN: Duration = Duration::from_secs(2);
 /// How long after that connections may take to close.
 const CLOSE_SPAN: Duration = Duration::from_secs(28);
+/// How often overdue connections are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A bound listener with its routes.
 pub(crate) struct HttpServer {
@@ -35,6 +48,8 @@
     tracking: WriteTracking,
     late_span: Duration,
     close_span: Duration,
+    account: SharedAccount,
+    role: ListenerRole,
 }
 
 impl HttpServer {
@@ -50,13 +65,24 @@
 
     /// Uses a listener that is bound already, for a process whose routes depend on its address
     /// because it announces the address to others.
-    pub(crate) const fn on(listener: TcpListener, router: Router) -> Self {
+    pub(crate) fn on(listener: TcpListener, router: Router) -> Self {
         Self {
             listener,
             router,
             tracking: WriteTracking::Untracked,
             late_span: LATE_SPAN,
             close_span: CLOSE_SPAN,
+            account: SharedAccount::default(),
+            role: ListenerRole::Peers,
+        }
+    }
+
+    /// Charges what the server holds to `account`, as a listener of `role`.
+    pub(crate) fn charged_to(self, account: &SharedAccount, role: ListenerRole) -> Self {
+        Self {
+            account: account.clone(),
+            role,
+            ..self
         }
     }
 
@@ -85,18 +111,34 @@
     /// stop. It also owns the sockets, so that nobody learns when a response is written.
     pub(crate) async fn run(self, drain: DrainState) {
         keep_on_hangup();
+        limit_socket_buffers(&self.listener);
         let connections = OpenConnections::new(self.router);
         let accepting = async {
             loop {
                 let (stream, peer) = accept_paced(&self.listener).await;
-                let stream = ServedStream::new(stream, drain.clone(), self.tracking);
-                connections.add(stream, peer);
+                // A connection for which there is no room is closed.
+                let opened = self
+                    .account
+                    .open_connection(self.role, peer.ip(), clock_now());
+                if let Some(lease) = opened {
+                    let stream = ServedStream::new(stream, drain.clone(), self.tracking, lease);
+                    connections.add(stream, peer, self.account.field_bytes(self.role));
+                }
+            }
+        };
+        let sweeping = async {
+            let mut ticks = interval(SWEEP_INTERVAL);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                self.account.sweep(self.role, clock_now());
             }
         };
         tokio::select! {
             () = drain.handle_signals() => {}
             () = stop_once_begun(&drain) => {}
             () = accepting => {}
+            () = sweeping => {}
         }
         drop(self.listener);
         connections.close(self.late_span, self.close_span).await;
@@ -108,6 +150,17 @@
     drain.drain_and_wait().await;
 }
 
+/// Limits the kernel's buffers of the connections that `listener` accepts.
+fn limit_socket_buffers(listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    let set = socket
+        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        .and_then(|()| socket.set_send_buffer_size(SEND_BUFFER_BYTES));
+    if let Err(error) = set {
+        log_event!(events::SOCKET_OPTION_FAILED, "{error}");
+    }
+}
+
 /// Installs a handler for SIGHUP, which a platform sends after changing a settings file. Without
 /// one, the signal ends the process.
 fn keep_on_hangup() {
@@ -123,10 +176,12 @@
 /// `SettingInvalid` when the address cannot be bound.
 pub(crate) async fn start_metrics(
     address: Option<SocketAddr>,
+    account: &SharedAccount,
     drain: DrainState,
 ) -> SwitchResult<()> {
     if let Some(address) = address {
         let server = HttpServer::bind(address, metrics_routes()).await?;
+        let server = server.charged_to(account, ListenerRole::Metrics);
         tokio::spawn(server.run(drain));
     }
     Ok(())
@@ -144,17 +199,17 @@
     })
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Reads a complete response body of at most `limit` bytes.
 ///
 /// # Errors
 ///
 /// `BodyTooLarge` over the limit, `AnswerCut` when the connection broke.
 pub(crate) async fn read_body(body: Body, limit: usize) -> SwitchResult<Bytes> {
-    collect(body, limit, None).await
+    collect(body, BodyBuffer::uncharged(limit), None).await
 }
 
-/// Reads a complete body of at most `limit` bytes, however long it takes, as long as no pause
-/// between two parts exceeds `idle_timeout`.
+/// Reads a complete response body of at most `limit` bytes, however long it takes, as long as no
+/// pause between two parts exceeds `idle_timeout`.
 ///
 /// A body that is abandoned and requested again is transferred twice. With a limit on the total
 /// time, a saturated link carried nothing but such repeated transfers and no large body ever
@@ -169,33 +224,58 @@
     limit: usize,
     idle_timeout: Duration,
 ) -> SwitchResult<Bytes> {
-    collect(body, limit, Some(idle_timeout)).await
+    collect(body, BodyBuffer::uncharged(limit), Some(idle_timeout)).await
+}
+
+/// Reads the complete body of a request with `extensions`, of at most `limit` bytes. It is charged
+/// to `account`, or to the client's address.
+///
+/// # Errors
+///
+/// `BodyTooLarge` over the limit, `MemoryShort` if there is no room for it, `AnswerCut` when the
+/// connection broke.
+pub(crate) async fn read_request_body(
+    extensions: &Extensions,
+    body: Body,
+    limit: usize,
+    account: Option<&ByteString>,
+) -> SwitchResult<Bytes> {
+    let buffer = match extensions.get::<ConnectionLease>() {
+        Some(lease) => BodyBuffer::charged(lease.clone(), account, limit, clock_now()),
+        None => BodyBuffer::uncharged(limit),
+    };
+    collect(body, buffer, None).await
 }
 
-/// Reads a body into one piece of memory. Each part would otherwise keep the buffer into which it
-/// was read, up to thousands of times its own size.
-async fn collect(body: Body, limit: usize, idle_timeout: Option<Duration>) -> SwitchResult<Bytes> {
+async fn collect(
+    body: Body,
+    mut buffer: BodyBuffer,
+    idle_timeout: Option<Duration>,
+) -> SwitchResult<Bytes> {
+    if let Some(length) = body.size_hint().exact() {
+        buffer.expect_length(length, clock_now())?;
+    }
     let mut body = pin!(body);
-    let mut received = BytesMut::new();
     loop {
-        let Ok(frame) = next_frame(body.frame(), idle_timeout).await else {
+        let next = tokio::select! {
+            biased;
+            next = next_frame(body.frame(), idle_timeout) => next,
+            () = buffer.wait_revoked() => return Err(BodyBuffer::revoked()),
+        };
+        let Ok(frame) = next else {
             let span = idle_timeout.unwrap_or_default();
-            let read = received.len();
+            let read = buffer.len();
             let detail = format!("no more bytes within {span:?} after the first {read} bytes");
             return Err(SwitchError::new(ErrorKind::PeerSilent, detail));
         };
         match frame {
-            None => return Ok(received.freeze()),
+            None => return buffer.finish(clock_now()),
             Some(Err(error)) => {
                 return Err(SwitchError::new(ErrorKind::AnswerCut, error.to_string()));
             }
             Some(Ok(frame)) => {
-                if let Some(part) = frame.data_ref() {
-                    if received.len() + part.len() > limit {
-                        let detail = format!("body exceeds the limit of {limit} bytes");
-                        return Err(SwitchError::new(ErrorKind::BodyTooLarge, detail));
-                    }
-                    received.extend_from_slice(part);
+                if let Some(bytes) = frame.data_ref() {
+                    buffer.push(bytes, clock_now())?;
                 }
             }
         }
@@ -212,7 +292,16 @@
     }
 }
 
-/// Reads and decodes a message of another savoryswitch process.
+/// Reads and decodes a response of another savoryswitch process.
 pub(crate) async fn read_message<M: DeserializeOwned>(body: Body, limit: usize) -> SwitchResult<M> {
     decode_message(&read_body(body, limit).await?)
 }
+
+/// Reads and decodes the body of a request of another savoryswitch process.
+pub(crate) async fn read_request_message<M: DeserializeOwned>(
+    request: Request,
+    limit: usize,
+) -> SwitchResult<M> {
+    let (parts, body) = request.into_parts();
+    decode_message(&read_request_body(&parts.extensions, body, limit, None).await?)
+}
--- a/src/weights/peer_service.rs
+++ b/src/weights/peer_service.rs
@@ -21,7 +21,7 @@
 use super::version_routes::read_digest;
 use crate::errors::{ErrorKind, SwitchError, SwitchResult};
 use crate::metrics;
-use crate::transport::{encode_message, error_response, message_response, read_message};
+use crate::transport::{encode_message, error_response, message_response, read_request_message};
 
 /// Maximum size of an announcement in bytes: two maps of the maximum number of chunks, and a name.
 pub(crate) const ANNOUNCEMENT_BYTES_MAX: usize = 64 * 1024;
@@ -135,7 +135,7 @@
     }
 
     async fn receive_announcement(&self, request: Request) -> SwitchResult<()> {
-        let announcement = read_message(request.into_body(), ANNOUNCEMENT_BYTES_MAX).await?;
+        let announcement = read_request_message(request, ANNOUNCEMENT_BYTES_MAX).await?;
         let _ = self.announcements.try_send(announcement);
         Ok(())
     }
