Let requests whose bodies stop short give way to others

Callers saw (a test, not an installation): 503 for all requests as long as some 200 clients kept short bodies open, at 64 MB.

Cause: only bodies beyond 16 KiB gave their memory to others. A short one is part of its request, and the request kept its room until its deadline.

Evidence: short_bodies_that_stop_short_keep_out_no_ordinary_request failed behind the account: no answer within 60 s, in one run of it in this form.

Fix: a request that finds no room takes that of the oldest request whose body arrives at less than 64 KiB/s, behind idle connections; that one is answered with 503, which has not run.

--- a/src/capacity/connection_record.rs
+++ b/src/capacity/connection_record.rs
@@ -147,12 +147,11 @@
         }
     }
 
-    /// Whether the body arrives so slowly that others may have its memory.
+    /// Whether a body arrives so slowly that others may have the memory of its request.
     pub(super) fn is_slow_body(&self, now: ClockTime) -> bool {
         let span = now.since(self.since);
         self.phase == ConnectionPhase::Body
             && !self.is_revoked
-            && self.body_bytes > 0
             && span >= PROMPT_SPAN
             && (self.signals.received() as u128) * 1000 < SLOW_BODY_RATE * span.as_millis()
     }
--- a/src/capacity/resource_account.rs
+++ b/src/capacity/resource_account.rs
@@ -438,16 +438,19 @@
         ranked.min().map(|(_, _, index)| index)
     }
 
-    /// Makes room for `extra` bytes of a request or a body; idle connections give way. Returns
-    /// whether there is room.
+    /// Makes room for `extra` bytes of a request or a body; idle connections give way, and requests
+    /// whose bodies arrive slowly. Returns whether there is room.
     fn make_room(&mut self, extra: usize, now: ClockTime) -> bool {
         while self.held.total() + extra > self.limits.held_max() {
             let has_kept = self.held.connections <= self.limits.connection_bytes_kept();
-            let Some(index) = self.first_to_close(now).filter(|_| !has_kept) else {
+            if let Some(index) = self.first_to_close(now).filter(|_| !has_kept) {
+                self.close(index);
+                self.limited.made_room += 1;
+            } else if let Some(index) = self.slowest_body(now, |_| true) {
+                self.revoke(index);
+            } else {
                 return false;
-            };
-            self.close(index);
-            self.limited.made_room += 1;
+            }
         }
         true
     }
@@ -463,24 +466,44 @@
 
     fn make_body_room(&mut self, key: ConnectionKey, extra: usize, now: ClockTime) -> bool {
         while !self.has_body_room(extra, now) {
-            let records = self.connections.iter().enumerate();
-            let slow = records.filter_map(|(index, record)| {
-                let record = record.as_ref()?;
-                (index != key.index && record.is_slow_body(now)).then_some((record.since, index))
-            });
-            let Some((_, index)) = slow.min() else {
+            let slow = self.slowest_body(now, |record| record.body_bytes > 0);
+            let Some(index) = slow.filter(|index| *index != key.index) else {
                 return false;
             };
-            if let Some(record) = &mut self.connections[index] {
-                record.is_revoked = true;
-                record.signals.revoke_body();
-                self.held.revoked += record.body_bytes;
-                self.limited.bodies_revoked += 1;
-            }
+            self.revoke(index);
         }
         true
     }
 
+    /// Returns the connection whose slow body began first, of those that `selects` selects.
+    fn slowest_body(
+        &self,
+        now: ClockTime,
+        selects: impl Fn(&ConnectionRecord) -> bool,
+    ) -> Option<usize> {
+        let records = self.connections.iter().enumerate();
+        let slow = records.filter_map(|(index, record)| {
+            let record = record.as_ref()?;
+            (record.is_slow_body(now) && selects(record)).then_some((record.since, index))
+        });
+        slow.min().map(|(_, index)| index)
+    }
+
+    /// Tells an arriving body to give its memory back. Its request counts no more: it is refused
+    /// before others are read.
+    fn revoke(&mut self, index: usize) {
+        if let Some(record) = &mut self.connections[index] {
+            record.is_revoked = true;
+            record.signals.revoke_body();
+            self.held.revoked += record.body_bytes;
+            self.limited.bodies_revoked += 1;
+            self.held.requests -= record.request_bytes;
+            if std::mem::take(&mut record.request_bytes) > 0 {
+                self.roles[record.role as usize].requests -= 1;
+            }
+        }
+    }
+
     fn has_body_room(&mut self, extra: usize, now: ClockTime) -> bool {
         let bodies = self.held.bodies - self.held.revoked;
         bodies + extra <= self.limits.body_bytes_max() && self.make_room(extra, now)
--- a/src/capacity/tests.rs
+++ b/src/capacity/tests.rs
@@ -140,6 +140,31 @@
     assert_eq!(account.change(|it| it.held()), HeldBytes::default());
 }
 
+/// Guards against short bodies that stop short of their end and keep the room of their requests.
+#[test]
+fn a_request_whose_body_arrives_slowly_gives_way() {
+    let account = SharedAccount::new(ProcessLimits {
+        descriptors: 4_096,
+        ..LIMITS
+    });
+    let mut requests = Vec::new();
+    let mut bodies = Vec::new();
+    loop {
+        let connection = lease(&account, START);
+        let Some(request) = connection.begin_request(8, true, START) else {
+            break;
+        };
+        requests.push(request);
+        bodies.push(BodyBuffer::charged(connection, None, LARGE_BYTES, START));
+    }
+    let request = lease(&account, LATER).begin_request(8, false, LATER);
+    assert!(request.is_some(), "a slow one gives way");
+    let revoked = bodies.into_iter().map(|body| body.finish(LATER).is_err());
+    assert_eq!(revoked.filter(|is_revoked| *is_revoked).count(), 1);
+    drop((request, requests));
+    assert_eq!(account.change(|it| it.held()), HeldBytes::default());
+}
+
 /// Guards against a short body that is refused because others hold large ones.
 #[test]
 fn a_short_body_is_part_of_its_request() {
--- a/tests/unruly_clients.rs
+++ b/tests/unruly_clients.rs
@@ -30,6 +30,11 @@
 const SMALL_CHUNK_CLIENTS: usize = 24;
 const BYTEWISE_CLIENTS: usize = 24;
 const IDLE_CLIENTS: usize = 450;
+const SHORT_BODY_CLIENTS: usize = 230;
+const SHORT_BODY_TRIES: usize = 4;
+const REFUSAL_SPAN: Duration = Duration::from_millis(1500);
+/// Longer than an ordinary client waits for its answer.
+const LONG_TIMEOUT_MS: u64 = 300_000;
 
 const HEAD_BYTES: usize = 400_000;
 const ENDLESS_BYTES: usize = 4_000_000;
@@ -83,6 +88,8 @@
     LargeChunks,
     /// A chunked body in chunks of one byte; most clients stop short of its end.
     SmallChunks,
+    /// A short body that stops short of its end.
+    ShortBody,
     /// One request, then nothing.
     Idle,
 }
@@ -94,6 +101,7 @@
             Self::LargeBody | Self::BodyInPieces | Self::LargeChunks => LARGE_CLIENTS,
             Self::BodyInBytes => BYTEWISE_CLIENTS,
             Self::SmallChunks => SMALL_CHUNK_CLIENTS,
+            Self::ShortBody => SHORT_BODY_CLIENTS,
             Self::Idle => IDLE_CLIENTS,
         }
     }
@@ -101,8 +109,10 @@
     fn send(self, target: &CrowdTarget, is_whole: bool, stream: &mut TcpStream) -> Result<()> {
         let path = target.path;
         let start = format!("POST {path} HTTP/1.1\r\nhost: desk.example\r\n");
-        let head =
-            format!("{start}savoryswitch-attempt-id: a\r\nsavoryswitch-deadline-ms: 30000\r\n");
+        let deadline = target.deadline_ms;
+        let head = format!(
+            "{start}savoryswitch-attempt-id: a\r\nsavoryswitch-deadline-ms: {deadline}\r\n"
+        );
         let missing = usize::from(!is_whole);
         match self {
             Self::LargeHead | Self::EndlessField => {
@@ -177,6 +187,18 @@
                 )?;
                 finish_chunks(stream, is_whole)
             }
+            Self::ShortBody => {
+                // Comes again while it is refused, until it has taken a place.
+                for _ in 0..SHORT_BODY_TRIES {
+                    write!(stream, "{head}content-length: 100\r\n\r\nbody")?;
+                    stream.set_read_timeout(Some(REFUSAL_SPAN))?;
+                    if read_head(stream).is_err() {
+                        break;
+                    }
+                    *stream = connect(target.address);
+                }
+                Ok(())
+            }
             Self::Idle => {
                 stream.write_all(target.ordinary.as_bytes())?;
                 read_head(stream).map(|_| ())
@@ -192,6 +214,8 @@
     path: &'static str,
     /// The largest body that is read there.
     body_bytes: usize,
+    /// How long the crowd waits for its responses.
+    deadline_ms: u64,
     ordinary: &'static str,
     /// The first line of the response to the ordinary request.
     expected: &'static str,
@@ -312,9 +336,18 @@
     panic!("{}: no ordinary answer; last: {last}", target.address);
 }
 
+fn assert_withstood(daemon: &mut DaemonProcess, target: &CrowdTarget, form: CrowdForm) {
+    assert_withstood_within(daemon, target, form, DESCRIPTORS);
+}
+
 /// Lets a crowd of clients send `form` to `target` and stay open, and checks that the daemon lives,
 /// holds no more than its host has, and answers an ordinary request beside them.
-fn assert_withstood(daemon: &mut DaemonProcess, target: &CrowdTarget, form: CrowdForm) {
+fn assert_withstood_within(
+    daemon: &mut DaemonProcess,
+    target: &CrowdTarget,
+    form: CrowdForm,
+    descriptors: usize,
+) {
     assert_answered(target);
     let process = (daemon.id(), daemon.ip);
     let is_over = AtomicBool::new(false);
@@ -354,8 +387,8 @@
         "{form:?}: {held} bytes held of {MEMORY_MB} MB, {peak:?}"
     );
     assert!(
-        peak.descriptors <= DESCRIPTORS,
-        "{form:?}: {} descriptors of {DESCRIPTORS}",
+        peak.descriptors <= descriptors,
+        "{form:?}: {} descriptors of {descriptors}",
         peak.descriptors
     );
 }
@@ -419,6 +452,7 @@
         address: entry.address(CLIENT_PORT),
         path: "/post/x",
         body_bytes: BODY_BYTES_MAX,
+        deadline_ms: 30_000,
         ordinary: ORDINARY_REQUEST,
         expected: "HTTP/1.1 200",
     }
@@ -433,6 +467,7 @@
             _ => "/peer/view",
         },
         body_bytes: 64 * 1024,
+        deadline_ms: 30_000,
         ordinary: match *port {
             READY_PORT => "GET /v1/ready HTTP/1.1\r\nhost: h\r\n\r\n",
             METRICS_PORT => "GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n",
@@ -519,6 +554,23 @@
     assert_clients_withstood(CrowdForm::Idle);
 }
 
+/// Guards against requests with short bodies that take the room of all others until their deadlines.
+#[test]
+fn short_bodies_that_stop_short_keep_out_no_ordinary_request() {
+    let _machine = lock_machine();
+    let mut document = document(LONG_TIMEOUT_MS, BODY_BYTES_MAX);
+    document["routes"][0]["timeout_ms"] = LONG_TIMEOUT_MS.into();
+    let store = start_store(&document, &[start_backend()]);
+    // More descriptors than the memory has room for requests.
+    let limits = format!("[limits]\nmemory_mb = {MEMORY_MB}\nmax_fds = 2048\n");
+    let mut entry = DaemonProcess::start_entry(&limits, store);
+    let target = CrowdTarget {
+        deadline_ms: LONG_TIMEOUT_MS,
+        ..client_target(&entry)
+    };
+    assert_withstood_within(&mut entry, &target, CrowdForm::ShortBody, 2048);
+}
+
 /// Guards against heads at the listeners of an entry host that are not meant for clients.
 #[test]
 fn heads_at_inner_listeners_fill_no_entry_host() {
