--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -649,7 +649,16 @@
             let at = record.now();
             record.line_at(at, &format!("run     {attempt} at {id}"));
             lock(runs).push(Run { at, worker: id.to_owned(), attempt: attempt.clone() });
-            sleep_ms(15);
+            let (_, path, _) = query_of(&head);
+            if let Some(length) = path.strip_prefix("/desk/long/").and_then(|it| it.parse().ok()) {
+                sleep_ms(15);
+                let own = format!("Savoryswitch-Attempt-Id: {attempt}\r\nSavoryswitch-Response-Seal: seal.{attempt}\r\n");
+                if !answer(stream, "200 OK", &own, &vec![b'a'; length]) {
+                    return;
+                }
+                continue;
+            }
+            sleep_ms(if path.starts_with("/call/") { 800 } else { 15 });
             let close = if is_leaving.load(Ordering::SeqCst) { "Connection: close\r\n" } else { "" };
             format!(
                 "HTTP/1.1 200 OK\r\n{close}Savoryswitch-Attempt-Id: {attempt}\r\n\
@@ -1679,6 +1688,210 @@
     Ok(if late > 0 { BROKEN } else { HOLDS })
 }
 
+// ---------------------------------------------------------------------------------------------
+// Scenario: answers that their clients read slowly
+// ---------------------------------------------------------------------------------------------
+
+const MEMORY: u64 = 260_000_000;
+const LONG_ANSWER: usize = 3_200_000;
+const SHORT_ANSWER: usize = 800;
+/// 33 downloads a second at each entry host, for 3 s.
+const DOWNLOADS: u64 = 99;
+const DOWNLOAD_GAP: Duration = Duration::from_millis(30);
+/// How long a client reads, evenly.
+const READ_SPAN: Duration = Duration::from_millis(5000);
+const CALLERS: usize = 12;
+
+/// Reads an answer evenly; returns how much of its body came, and its length.
+fn download(front: SocketAddr, length: usize, attempt: &str) -> (usize, usize) {
+    let mut got = 0;
+    let mut ask = || -> io::Result<usize> {
+        let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
+        stream.set_read_timeout(Some(Duration::from_millis(6000)))?;
+        let text = format!(
+            "GET /desk/long/{length} HTTP/1.1\r\nHost: desk.example\r\nSavoryswitch-Attempt-Id: {attempt}\r\n\
+             Savoryswitch-Deadline-Ms: 6000\r\nAuthorization: Bearer key-kept\r\nConnection: close\r\n\r\n"
+        );
+        (&mut &stream).write_all(text.as_bytes())?;
+        let mut reader = BufReader::with_capacity(8 * 1024, &stream);
+        let head = Head::read(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        if !head.line.contains(" 200") {
+            return Ok(0);
+        }
+        let whole: usize = head.field("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        let began = Instant::now();
+        let mut part = vec![0; 64 * 1024];
+        while got < whole {
+            let due = READ_SPAN.mul_f64(got as f64 / whole as f64);
+            thread::sleep(due.saturating_sub(began.elapsed()));
+            let read = reader.read(&mut part)?;
+            if read == 0 {
+                break;
+            }
+            got += read;
+        }
+        Ok(whole)
+    };
+    let whole = ask().unwrap_or(usize::MAX);
+    (got, whole)
+}
+
+/// Bytes that a process has resident.
+fn resident(process: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok()).unwrap_or(0) * 1024
+}
+
+/// One call after the other on a kept channel. Returns the attempts whose channel closed without an
+/// answer.
+fn call_on_kept_channel(front: SocketAddr, name: &str, goes_on: &AtomicBool, record: &Record) -> Vec<String> {
+    let mut lost = Vec::new();
+    let mut number = 0;
+    while goes_on.load(Ordering::SeqCst) {
+        let Ok(stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else {
+            sleep_ms(50);
+            continue;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(3000)));
+        let mut reader = BufReader::new(&stream);
+        while goes_on.load(Ordering::SeqCst) {
+            number += 1;
+            let attempt = format!("{name}n{number}");
+            record.line(&format!("send    {attempt}"));
+            let text = format!(
+                "POST /call/x HTTP/1.1\r\nHost: desk.example\r\nSavoryswitch-Attempt-Id: {attempt}\r\n\
+                 Savoryswitch-Deadline-Ms: 2500\r\nAuthorization: Bearer key-kept\r\nContent-Length: 2\r\n\r\nhi"
+            );
+            if (&mut &stream).write_all(text.as_bytes()).is_err() {
+                break;
+            }
+            let head = Head::read(&mut reader);
+            let body = match &head {
+                Ok(Some(head)) => head.body(&mut reader).is_ok(),
+                _ => false,
+            };
+            let status = head.ok().flatten().map(|head| head.line).unwrap_or_default();
+            record.line(&format!("answer  {attempt} {status:?} whole {body}"));
+            if !body {
+                lost.push(attempt);
+                break;
+            }
+            if !status.contains(" 200") {
+                sleep_ms(100);
+            }
+        }
+    }
+    lost
+}
+
+fn answers(record: &Record, path: &Path, has_trouble: bool) -> io::Result<i32> {
+    let system = System::start(&[("zone-a", 2)], SHORT_BOUNDS, record)?;
+    let runs: Runs = Arc::default();
+    let route = |name: &str, kind: &str, timeout: u64| {
+        format!(
+            "{{\"name\":\"r-{name}\",\"host\":\"desk.example\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\"timeout_ms\":{timeout},\
+             \"target_latency_ms\":1000,\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,\"public\":false}}"
+        )
+    };
+    let manifest = format!(
+        "{{\"version\":1,\"routes\":[{},{}],\"services\":[{{\"name\":\"desk\",\"health_path\":\"/health\",\"max_connections\":264}}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":10000,\"idle_timeout_ms\":60000}},\
+         \"tenants\":[{{\"name\":\"shop\",\"api_keys\":[\"key-kept\"]}}]}}",
+        route("desk", "idempotent", 6000),
+        route("call", "non_idempotent", 3000)
+    );
+    system.store.put("op", "config", Some(&manifest));
+    let mut workers = Vec::new();
+    for number in 1..=6 {
+        let worker = Worker::start(&format!("i-desk{number}"), (ip(system.net, 5, number), APP_PORT).into(), record, &runs)?;
+        beat(&system.store, &worker, "desk", "zone-a", unix_ms());
+        workers.push(worker);
+    }
+    if !system.await_ready(Duration::from_secs(15)) {
+        record.say("the entry hosts are not ready");
+        return Ok(NOT_RUN);
+    }
+    sleep_ms(3000);
+    let fronts: Vec<SocketAddr> = system.entries.iter().map(Entry::front).collect();
+    let goes_on = Arc::new(AtomicBool::new(true));
+    let mut callers = Vec::new();
+    for (at, front) in fronts.iter().enumerate() {
+        for caller in 0..CALLERS {
+            let (front, goes_on, record) = (*front, goes_on.clone(), record.clone());
+            callers.push(thread::spawn(move || {
+                call_on_kept_channel(front, &format!("k{at}.{caller}"), &goes_on, &record)
+            }));
+        }
+    }
+    // The platform: ends a process that holds more than memory_mb, and starts it again.
+    let ids: Vec<u32> = system.entries.iter().map(|entry| entry.process.child.id()).collect();
+    let system = Arc::new(Mutex::new(system));
+    let watched = system.clone();
+    let (watch_on, watch_record) = (goes_on.clone(), record.clone());
+    let platform = thread::spawn(move || {
+        let mut kills = 0;
+        let mut peaks = vec![0; ids.len()];
+        while watch_on.load(Ordering::SeqCst) {
+            let mut system = lock(&watched);
+            for (at, entry) in system.entries.iter_mut().enumerate() {
+                let held = resident(entry.process.child.id());
+                peaks[at] = peaks[at].max(held);
+                if held > MEMORY {
+                    watch_record.say(&format!("entry {at} holds {held} bytes; the platform kills it"));
+                    entry.process.kill();
+                    kills += 1;
+                    sleep_ms(500);
+                    let _ = entry.process.restart();
+                }
+            }
+            drop(system);
+            sleep_ms(20);
+        }
+        (kills, peaks)
+    });
+    sleep_ms(2000);
+    let length = if has_trouble { LONG_ANSWER } else { SHORT_ANSWER };
+    record.say(&format!("{DOWNLOADS} downloads of {length} bytes begin at each entry host"));
+    let mut downloads = Vec::new();
+    let began = Instant::now();
+    for number in 0..DOWNLOADS {
+        let due = began + DOWNLOAD_GAP * u32::try_from(number).unwrap_or(0);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        for (at, front) in fronts.iter().enumerate() {
+            let (front, record) = (*front, record.clone());
+            downloads.push(thread::spawn(move || {
+                let attempt = format!("d{at}n{number}");
+                record.line(&format!("send    {attempt}"));
+                let (got, whole) = download(front, length, &attempt);
+                record.line(&format!("answer  {attempt} {got} bytes of {whole}"));
+                got == whole && got > 0
+            }));
+        }
+    }
+    let served = downloads.into_iter().filter_map(|it| it.join().ok()).filter(|it| *it).count();
+    sleep_ms(3000);
+    goes_on.store(false, Ordering::SeqCst);
+    let mut closed = Vec::new();
+    for caller in callers {
+        closed.extend(caller.join().unwrap_or_default());
+    }
+    let (kills, peaks) = platform.join().unwrap_or_default();
+    lock(&system).keep_logs(path);
+    let ran: HashMap<String, Duration> = lock(&runs).iter().map(|run| (run.attempt.clone(), run.at)).collect();
+    let lost: Vec<&String> = closed.iter().filter(|attempt| ran.contains_key(*attempt)).collect();
+    for attempt in &lost {
+        record.line(&format!("BROKEN  {attempt} was begun by a sound worker, and its kept channel closed without an answer"));
+    }
+    record.say(&format!(
+        "calls of kept channels that sound workers had begun and that got no answer: {} (3 are allowed); processes killed for their memory: {kills}; resident at most {peaks:?}; downloads served {served} of {}",
+        lost.len(),
+        DOWNLOADS * 2
+    ));
+    drop(workers);
+    Ok(if lost.len() > 3 { BROKEN } else { HOLDS })
+}
+
 fn main() {
     let words: Vec<String> = std::env::args().collect();
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
@@ -1698,6 +1911,7 @@
     let ended = match &**scenario {
         "follow" => follow(&record, &path, has_trouble),
         "born" => born(&record, &path, has_trouble),
+        "answers" => answers(&record, &path, has_trouble),
         "naming" => naming(&record, &path, has_trouble),
         other => {
             eprintln!("unknown scenario {other}");
